--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -15,6 +15,7 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import position as positions
+from hickorygate.core import request as requests
 from hickorygate.core import sheet as sheets
 from hickorygate.core import statement as statements
 from hickorygate.core import types
@@ -27,7 +28,6 @@
 AnswerResult = expression.Result[answers.Answer, errors.Failure]
 
 _STATEMENT_TIMEOUT = datetime.timedelta(seconds=10)
-_ACQUIRE_TIMEOUT = datetime.timedelta(seconds=2)
 _NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
 
 
@@ -72,10 +72,12 @@
     def __repr__(self) -> str:
         return f"Executor({self._session.user!r})"
 
-    async def run(self, statement: statements.Statement) -> AnswerResult:
+    async def run(
+        self, statement: statements.Statement, request: requests.Request
+    ) -> AnswerResult:
         """Runs a statement where routing says."""
         route = routing.route(statement, self._session)
-        return await _run(route, self, statement)
+        return await _run(route, self, statement, request)
 
     async def close(self) -> None:
         """Drops an open transaction; its connection is closed."""
@@ -92,23 +94,29 @@
             lambda place: self._fleet.group(place[1].name)
         )
 
-    async def on_primary(self, statement: statements.Statement) -> AnswerResult:
+    async def on_primary(
+        self, statement: statements.Statement, request: requests.Request
+    ) -> AnswerResult:
         """Runs a write and waits until it is durable."""
         match self.group():
             case expression.Result(tag="error", error=failure):
                 return expression.Error(failure)
             case expression.Result(tag="ok", ok=group):
-                return await self._write(group, statement)
+                return await self._write(group, statement, request)
 
-    async def on_any(self, statement: statements.Statement) -> AnswerResult:
+    async def on_any(
+        self, statement: statements.Statement, request: requests.Request
+    ) -> AnswerResult:
         """Runs a read on a replica if one has reached the floor."""
         match self.group():
             case expression.Result(tag="error", error=failure):
                 return expression.Error(failure)
             case expression.Result(tag="ok", ok=group):
-                return await self._read(group, statement)
+                return await self._read(group, statement, request)
 
-    async def on_pinned(self, statement: statements.Statement) -> AnswerResult:
+    async def on_pinned(
+        self, statement: statements.Statement, request: requests.Request
+    ) -> AnswerResult:
         """Runs a statement of the open transaction."""
         pin = self._pin
         assert pin is not None, "routing found no open transaction"
@@ -118,22 +126,25 @@
         return result
 
     async def open_transaction(
-        self, statement: statements.Statement
+        self, statement: statements.Statement, request: requests.Request
     ) -> AnswerResult:
         """Takes a connection to the primary and opens a transaction."""
         match self.group():
             case expression.Result(tag="error", error=failure):
                 return expression.Error(failure)
             case expression.Result(tag="ok", ok=group):
-                return await self._open(group, statement)
+                return await self._open(group, statement, request)
 
     async def end_transaction(
-        self, statement: statements.Statement, keep: bool
+        self,
+        statement: statements.Statement,
+        request: requests.Request,
+        keep: bool,
     ) -> AnswerResult:
         """Ends the transaction; a kept one waits until it is durable."""
         pin = self._pin
         assert pin is not None, "routing found no open transaction"
-        result = await self.on_pinned(statement)
+        result = await self.on_pinned(statement, request)
         if self._pin is not None:
             self._unpin()
         if keep and result.is_ok():
@@ -157,13 +168,16 @@
         return expression.Ok(_NOTHING)
 
     async def _write(
-        self, group: links.GroupLink, statement: statements.Statement
+        self,
+        group: links.GroupLink,
+        statement: statements.Statement,
+        request: requests.Request,
     ) -> AnswerResult:
         primary = group.view.primary
         if primary is None:
             return expression.Error(errors.NoPrimary(group.view.group.name))
         result = await self._on_database(
-            group.link(primary.database), statement
+            group.link(primary.database), statement, request
         )
         if result.is_error():
             return result
@@ -187,7 +201,10 @@
         return result
 
     async def _read(
-        self, group: links.GroupLink, statement: statements.Statement
+        self,
+        group: links.GroupLink,
+        statement: statements.Statement,
+        request: requests.Request,
     ) -> AnswerResult:
         name = group.view.group.name
         settled = name in self._session.settled
@@ -195,25 +212,28 @@
         replicas = group.view.replicas_at(floor) if settled else ()
         if replicas:
             link = group.link(replicas[0].database)
-            return await self._on_database(link, statement)
+            return await self._on_database(link, statement, request)
         primary = group.view.primary
         if primary is None:
             return expression.Error(errors.NoPrimary(name))
         return await self._on_database(group.link(primary.database), statement)
 
     async def _open(
-        self, group: links.GroupLink, statement: statements.Statement
+        self,
+        group: links.GroupLink,
+        statement: statements.Statement,
+        request: requests.Request,
     ) -> AnswerResult:
         primary = group.view.primary
         if primary is None:
             return expression.Error(errors.NoPrimary(group.view.group.name))
         link = group.link(primary.database)
-        lease = await self._lease(link)
+        lease = await self._lease(link, request)
         if lease.is_error():
             return expression.Error(lease.error)
         self._pin = _Pin(group, link, lease.ok)
         self._session.in_transaction = True
-        return await self.on_pinned(statement)
+        return await self.on_pinned(statement, request)
 
     def _unpin(self) -> None:
         if self._pin is not None:
@@ -222,9 +242,9 @@
         self._session.in_transaction = False
 
     async def _lease(
-        self, link: links.DatabaseLink
+        self, link: links.DatabaseLink, request: requests.Request
     ) -> expression.Result[connections.Connection, errors.Failure]:
-        lease = await link.pool.acquire(_ACQUIRE_TIMEOUT)
+        lease = await link.pool.acquire(request)
         if lease.is_error():
             return lease
         used = await lease.ok.use(self._session.schema, _STATEMENT_TIMEOUT)
@@ -234,9 +254,12 @@
         return lease
 
     async def _on_database(
-        self, link: links.DatabaseLink, statement: statements.Statement
+        self,
+        link: links.DatabaseLink,
+        statement: statements.Statement,
+        request: requests.Request,
     ) -> AnswerResult:
-        lease = await self._lease(link)
+        lease = await self._lease(link, request)
         if lease.is_error():
             return expression.Error(lease.error)
         connection = lease.ok
@@ -272,6 +295,7 @@
     route: routing.Route,
     executor: Executor,
     statement: statements.Statement,
+    request: requests.Request,
 ) -> AnswerResult:
     raise TypeError(f"no way to run {route!r}; register one")
 
@@ -281,8 +305,9 @@
     route: routing.ToAny,
     executor: Executor,
     statement: statements.Statement,
+    request: requests.Request,
 ) -> AnswerResult:
-    return await executor.on_any(statement)
+    return await executor.on_any(statement, request)
 
 
 @_run.register
@@ -290,8 +315,9 @@
     route: routing.ToPrimary,
     executor: Executor,
     statement: statements.Statement,
+    request: requests.Request,
 ) -> AnswerResult:
-    return await executor.on_primary(statement)
+    return await executor.on_primary(statement, request)
 
 
 @_run.register
@@ -299,8 +325,9 @@
     route: routing.ToPinned,
     executor: Executor,
     statement: statements.Statement,
+    request: requests.Request,
 ) -> AnswerResult:
-    return await executor.on_pinned(statement)
+    return await executor.on_pinned(statement, request)
 
 
 @_run.register
@@ -308,8 +335,9 @@
     route: routing.OpenTransaction,
     executor: Executor,
     statement: statements.Statement,
+    request: requests.Request,
 ) -> AnswerResult:
-    return await executor.open_transaction(statement)
+    return await executor.open_transaction(statement, request)
 
 
 @_run.register
@@ -317,8 +345,9 @@
     route: routing.EndTransaction,
     executor: Executor,
     statement: statements.Statement,
+    request: requests.Request,
 ) -> AnswerResult:
-    return await executor.end_transaction(statement, route.keep)
+    return await executor.end_transaction(statement, request, route.keep)
 
 
 @_run.register
@@ -326,6 +355,7 @@
     route: routing.SelectSchema,
     executor: Executor,
     statement: statements.Statement,
+    request: requests.Request,
 ) -> AnswerResult:
     return executor.select_schema(route.schema)
 
@@ -335,5 +365,6 @@
     route: routing.KeepLocally,
     executor: Executor,
     statement: statements.Statement,
+    request: requests.Request,
 ) -> AnswerResult:
     return executor.keep_locally(statement)
--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import datetime
 import re
 
 import expression
@@ -12,7 +13,9 @@
 from hickorygate.callers import session as sessions
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
 from hickorygate.core import statement as statements
 from hickorygate.core import token as tokens
 from hickorygate.core import types
@@ -22,6 +25,9 @@
 
 _VAR_STRING = 253
 _UTF8MB4 = 45
+_UNRANKED = sheets.Rank(
+    name="unranked", order=0, target=datetime.timedelta(seconds=2), floor=0.0
+)
 _GET_TOKEN = re.compile(r"SELECT\s+@@hickorygate_token\s*$", re.I)
 _SET_TOKEN = re.compile(
     r"SET\s+(?:@@|SESSION\s+)?hickorygate_token\s*=\s*'([^']*)'\s*$", re.I
@@ -78,7 +84,7 @@
             match = _SET_TOKEN.match(statement.ok.sql)
             if match:
                 return self._take_token(match.group(1))
-        return await self._executor.run(statement.ok)
+        return await self._executor.run(statement.ok, self._request())
 
     async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
         """Selects a schema."""
@@ -99,6 +105,11 @@
             self._session, self._fleet, self._clock
         )
 
+    def _request(self) -> requests.Request:
+        arrived = self._clock.now()
+        rank = _UNRANKED
+        return requests.Request(rank, arrived, arrived + rank.target)
+
     def _token_table(self) -> answers.Table:
         key = self._settings.token_key.get_secret_value().encode()
         token = tokens.issue(self._session.floors, key)
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -32,11 +32,12 @@
         database: sheets.Database,
         proxies: int,
         settings: settings_lib.UpstreamSettings,
+        clock: clocks.Clock,
     ) -> None:
         share = max(1, database.connections // proxies - 1)
         self._database = database
         self._settings = settings
-        self._pool = pools.Pool(database, share, settings)
+        self._pool = pools.Pool(database, share, settings, clock)
         self._control: connections.Connection | None = None
         self._lock = asyncio.Lock()
 
@@ -115,7 +116,7 @@
         self._time_line = time_line
         self._view = groups.GroupView(group)
         self._links = {
-            database.name: DatabaseLink(database, proxies, settings)
+            database.name: DatabaseLink(database, proxies, settings, clock)
             for database in group.databases
         }
         self._probes: list[asyncio.Task[None]] = []
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -3,11 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-import datetime
 
 import expression
 
+from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.upstreams import connection as connections
@@ -20,14 +21,16 @@
 class Pool:
     """Lends connections; each lease has a connection of its own."""
 
-    __slots__ = ("_database", "_free", "_idle", "_settings")
+    __slots__ = ("_clock", "_database", "_free", "_idle", "_settings")
 
     def __init__(
         self,
         database: sheets.Database,
         size: int,
         settings: settings_lib.UpstreamSettings,
+        clock: clocks.Clock,
     ) -> None:
+        self._clock = clock
         self._database = database
         self._settings = settings
         self._free = asyncio.Semaphore(size)
@@ -41,8 +44,9 @@
     def __repr__(self) -> str:
         return f"Pool({self._database.name!r}, idle={len(self._idle)})"
 
-    async def acquire(self, timeout: datetime.timedelta) -> LeaseResult:
-        """Waits for a connection that no one else uses."""
+    async def acquire(self, request: requests.Request) -> LeaseResult:
+        """Waits for a connection, until the request's deadline."""
+        timeout = request.time_left(self._clock.now())
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 await self._free.acquire()
