--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -216,7 +216,8 @@
         primary = group.view.primary
         if primary is None:
             return expression.Error(errors.NoPrimary(name))
-        return await self._on_database(group.link(primary.database), statement)
+        link = group.link(primary.database)
+        return await self._on_database(link, statement, request)
 
     async def _open(
         self,
