--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -47,6 +47,7 @@
     """The connection of an open transaction."""
 
     group: links.GroupLink
+    primary: positions.DatabaseStatus
     link: links.DatabaseLink
     connection: connections.Connection
 
@@ -148,7 +149,7 @@
         if self._pin is not None:
             self._unpin()
         if keep and result.is_ok():
-            return await self._durable(pin.group, result)
+            return await self._durable(pin.group, pin.primary, result)
         return result
 
     def select_schema(self, schema: types.SchemaName) -> AnswerResult:
@@ -181,23 +182,19 @@
         )
         if result.is_error():
             return result
-        return await self._durable(group, result)
+        return await self._durable(group, primary, result)
 
     async def _durable(
-        self, group: links.GroupLink, result: AnswerResult
+        self,
+        group: links.GroupLink,
+        primary: positions.DatabaseStatus,
+        result: AnswerResult,
     ) -> AnswerResult:
         name = group.view.group.name
-        primary = group.view.primary
-        if primary is None:
-            return expression.Error(errors.ReplicationUnconfirmed(name))
-        status = await group.refresh(primary.database)
-        if status.is_error():
-            return expression.Error(errors.ReplicationUnconfirmed(name))
-        position = positions.Position(status.ok.term, status.ok.received)
-        confirmed = await group.confirm(position)
-        if confirmed.is_error():
-            return expression.Error(confirmed.error)
-        self._session.raise_floor(name, position)
+        durable = await group.durable(primary.database, primary.term)
+        if durable.is_error():
+            return expression.Error(durable.error)
+        self._session.raise_floor(name, durable.ok)
         return result
 
     async def _read(
@@ -232,7 +229,7 @@
         lease = await self._lease(link, request)
         if lease.is_error():
             return expression.Error(lease.error)
-        self._pin = _Pin(group, link, lease.ok)
+        self._pin = _Pin(group, primary, link, lease.ok)
         self._session.in_transaction = True
         return await self.on_pinned(statement, request)
 
--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -177,6 +177,11 @@
             maxlen=_KEPT_EVENTS
         )
 
+    @property
+    def process(self) -> types.ProxyName:
+        """The process whose events these are."""
+        return self._process
+
     @property
     def events(self) -> tuple[Recorded, ...]:
         """The kept events, oldest first."""
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -75,6 +75,8 @@
       connect_timeout_ms: to open a connection.
       probe_period_ms: between two status probes of a database.
       probe_timeout_ms: after which a probe counts as unanswered.
+      detection_ms: how long a primary must be out of reach, for us and
+        for its replicas, before it is replaced.
       confirm_timeout_ms: how long a write waits for a majority.
     """
 
@@ -84,6 +86,7 @@
     connect_timeout_ms: _Milliseconds = 1_000
     probe_period_ms: _Milliseconds = 200
     probe_timeout_ms: _Milliseconds = 500
+    detection_ms: _Milliseconds = 800
     confirm_timeout_ms: _Milliseconds = 2_000
 
     @property
@@ -101,6 +104,11 @@
         """Time after which a probe counts as unanswered."""
         return datetime.timedelta(milliseconds=self.probe_timeout_ms)
 
+    @property
+    def detection_time(self) -> datetime.timedelta:
+        """Time out of reach after which a primary is replaced."""
+        return datetime.timedelta(milliseconds=self.detection_ms)
+
     @property
     def confirm_timeout(self) -> datetime.timedelta:
         """Time that a write waits for a majority."""
--- /dev/null
+++ b/hickorygate/upstreams/channel.py
@@ -0,0 +1,82 @@
+"""A control connection: opened when needed, one call at a time."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
+
+import expression
+
+from hickorygate.core import errors
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
+from hickorygate.upstreams import connection as connections
+from hickorygate.upstreams import control
+
+__all__ = ["Channel"]
+
+_Call = Callable[[connections.Connection], Awaitable[control.StatusResult]]
+
+
+class Channel:
+    """Calls of the group's procedures over one connection."""
+
+    __slots__ = ("_connection", "_database", "_lock", "_settings")
+
+    def __init__(
+        self,
+        database: sheets.Database,
+        settings: settings_lib.UpstreamSettings,
+    ) -> None:
+        self._database = database
+        self._settings = settings
+        self._connection: connections.Connection | None = None
+        self._lock = asyncio.Lock()
+
+    @property
+    def database(self) -> sheets.Database:
+        """The database at the other end."""
+        return self._database
+
+    def __repr__(self) -> str:
+        return f"Channel({self._database.name!r})"
+
+    async def call(
+        self, procedure: _Call, timeout: datetime.timedelta
+    ) -> control.StatusResult:
+        """Runs one procedure; a time-out closes the connection.
+
+        Args:
+          procedure: awaits the answer on the connection that it is given.
+          timeout: for opening the connection, where none is open.
+        """
+        async with self._lock:
+            opened = await self._open(timeout)
+            match opened:
+                case expression.Result(tag="ok", ok=connection):
+                    return await procedure(connection)
+            return expression.Error(opened.error)
+
+    def close(self) -> None:
+        """Closes the connection; the next call opens another."""
+        if self._connection is not None:
+            self._connection.close()
+
+    async def _open(
+        self, timeout: datetime.timedelta
+    ) -> expression.Result[connections.Connection, errors.Failure]:
+        if self._connection is not None and not self._connection.closed:
+            return expression.Ok(self._connection)
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                result = await connections.open_connection(
+                    self._database, self._settings
+                )
+        except TimeoutError:
+            name = self._database.name
+            return expression.Error(errors.ConnectFailed(name, "timed out"))
+        if result.is_ok():
+            self._connection = result.ok
+        return result
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -14,32 +14,33 @@
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
-from hickorygate.upstreams import connection as connections
+from hickorygate.upstreams import confirmer as confirmers
 from hickorygate.upstreams import control
+from hickorygate.upstreams import control_link
 from hickorygate.upstreams import group as groups
 from hickorygate.upstreams import pool as pools
+from hickorygate.upstreams import probe as probes
 
 __all__ = ["DatabaseLink", "GroupLink"]
 
 
 class DatabaseLink:
-    """A database's pool and its one control connection."""
+    """A database's pool and its control connections."""
 
-    __slots__ = ("_control", "_database", "_lock", "_pool", "_settings")
+    __slots__ = ("_control", "_database", "_pool")
 
     def __init__(
         self,
         database: sheets.Database,
+        owner: types.ProxyName,
         proxies: int,
         settings: settings_lib.UpstreamSettings,
         clock: clocks.Clock,
     ) -> None:
-        share = max(1, database.connections // proxies - 1)
+        share = database.connections // proxies - control_link.CONNECTIONS
         self._database = database
-        self._settings = settings
-        self._pool = pools.Pool(database, share, settings, clock)
-        self._control: connections.Connection | None = None
-        self._lock = asyncio.Lock()
+        self._pool = pools.Pool(database, max(1, share), settings, clock)
+        self._control = control_link.ControlLink(database, owner, settings)
 
     @property
     def database(self) -> sheets.Database:
@@ -51,44 +52,18 @@
         """Connections for callers' statements."""
         return self._pool
 
+    @property
+    def control(self) -> control_link.ControlLink:
+        """Connections for the group's procedures."""
+        return self._control
+
     def __repr__(self) -> str:
         return f"DatabaseLink({self._database.name!r})"
 
-    async def status(self) -> control.StatusResult:
-        """Asks for the status on the control connection."""
-        async with self._lock:
-            link = await self._control_connection()
-            match link:
-                case expression.Result(tag="ok", ok=connection):
-                    timeout = self._settings.probe_timeout
-                    return await control.read_status(connection, timeout)
-            return link
-
-    async def wait(self, position: positions.Position) -> control.StatusResult:
-        """Waits until the database holds the position."""
-        async with self._lock:
-            link = await self._control_connection()
-            match link:
-                case expression.Result(tag="ok", ok=connection):
-                    timeout = self._settings.confirm_timeout
-                    return await control.wait(connection, position, timeout)
-            return link
-
     def close(self) -> None:
-        """Closes the control connection and what is idle."""
+        """Closes the control connections and what is idle."""
         self._pool.close()
-        if self._control is not None:
-            self._control.close()
-
-    async def _control_connection(self) -> pools.LeaseResult:
-        if self._control is not None and not self._control.closed:
-            return expression.Ok(self._control)
-        result = await connections.open_connection(
-            self._database, self._settings
-        )
-        if result.is_ok():
-            self._control = result.ok
-        return result
+        self._control.close()
 
 
 class GroupLink:
@@ -96,10 +71,10 @@
 
     __slots__ = (
         "_clock",
+        "_confirmer",
         "_links",
-        "_probes",
+        "_prober",
         "_settings",
-        "_time_line",
         "_view",
     )
 
@@ -113,13 +88,18 @@
     ) -> None:
         self._settings = settings
         self._clock = clock
-        self._time_line = time_line
         self._view = groups.GroupView(group)
         self._links = {
-            database.name: DatabaseLink(database, proxies, settings, clock)
+            database.name: DatabaseLink(
+                database, time_line.process, proxies, settings, clock
+            )
             for database in group.databases
         }
-        self._probes: list[asyncio.Task[None]] = []
+        controls = {name: link.control for name, link in self._links.items()}
+        self._prober = probes.Prober(
+            self._view, controls, settings, clock, time_line
+        )
+        self._confirmer: confirmers.Confirmer | None = None
 
     @property
     def view(self) -> groups.GroupView:
@@ -134,77 +114,85 @@
         return self._links[name]
 
     def start(self) -> None:
-        """Starts one probe task a database."""
-        self._probes = [
-            asyncio.create_task(self._probe(link))
-            for link in self._links.values()
-        ]
+        """Starts the probes."""
+        self._prober.start()
 
     async def close(self) -> None:
         """Stops the probes and closes the links."""
-        for probe in self._probes:
-            probe.cancel()
-        await asyncio.gather(*self._probes, return_exceptions=True)
+        await self._prober.close()
+        if self._confirmer is not None:
+            await self._confirmer.close()
         for link in self._links.values():
             link.close()
 
-    async def refresh(self, name: types.DatabaseName) -> control.StatusResult:
-        """Asks one database for its status and takes it into the view."""
-        asked = self._clock.now()
-        result = await self._links[name].status()
-        match result:
-            case expression.Result(tag="ok", ok=status):
-                self._observe(status, asked)
-            case expression.Result(tag="error", error=failure):
-                self._lose(name, failure)
-        return result
-
-    async def confirm(
-        self, position: positions.Position
-    ) -> expression.Result[None, errors.Failure]:
-        """Waits until a majority of the group holds a write."""
-        primary = self._view.primary
-        waiting = {
-            asyncio.create_task(link.wait(position))
-            for name, link in self._links.items()
-            if primary is None or name != primary.database
-        }
-        held = 1
-        while waiting and held < self._view.group.majority:
-            done, waiting = await asyncio.wait(
-                waiting, return_when=asyncio.FIRST_COMPLETED
-            )
-            held += sum(
-                task.result().is_ok()
-                and positions.holds(task.result().ok, position)
-                for task in done
-            )
-        if held >= self._view.group.majority:
-            return expression.Ok(None)
-        name = self._view.group.name
-        return expression.Error(errors.ReplicationUnconfirmed(name))
+    def writable(self) -> groups.WritableResult:
+        """Returns the primary if a majority was lately seen in its term."""
+        return self._view.writable(
+            self._clock.now(), self._settings.detection_time
+        )
 
-    def _observe(
-        self, status: positions.DatabaseStatus, asked: datetime.datetime
-    ) -> None:
-        before = self._view.primary
-        self._view.observe(groups.Sighting(status, asked, self._clock.now()))
-        after = self._view.primary
-        if after is None or after == before:
-            return
-        if before is None or before.database != after.database:
-            name = self._view.group.name
-            self._time_line.record(
-                events.PrimaryChanged(name, after.database, after.term)
-            )
+    async def wait_writable(
+        self, timeout: datetime.timedelta
+    ) -> groups.WritableResult:
+        """Waits until writes can be served, or until the time is over."""
+        return await self._prober.wait_until(self.writable, timeout)
+
+    def doubt(self, name: types.DatabaseName) -> None:
+        """Drops what is known of a database and asks it again at once.
+
+        For callers that were refused by a primary or lost a connection.
+        """
+        self._prober.doubt(name)
+
+    def leave(self, names: frozenset[types.DatabaseName]) -> None:
+        """Sets the databases that are leaving; they get no new reads."""
+        self._view.leave(names)
 
-    def _lose(self, name: types.DatabaseName, failure: errors.Failure) -> None:
-        known = {s.status.database for s in self._view.sightings}
-        if name in known:
-            self._view.forget(name)
-            self._time_line.record(events.DatabaseLost(name, failure.message))
+    def confirmed_position(
+        self, since: datetime.datetime
+    ) -> positions.Position | None:
+        """Returns a position that covers what was acknowledged before."""
+        return self._view.confirmed_position(since)
 
-    async def _probe(self, link: DatabaseLink) -> None:
-        while True:
-            await self.refresh(link.database.name)
-            await self._clock.sleep(self._settings.probe_period)
+    def staleness(
+        self, name: types.DatabaseName, now: datetime.datetime
+    ) -> datetime.timedelta | None:
+        """Returns a bound of the age of a replica's data."""
+        return self._view.staleness(name, now)
+
+    async def refresh(self, name: types.DatabaseName) -> control.StatusResult:
+        """Asks one database for its status and takes it into the view."""
+        return await self._prober.refresh(name)
+
+    async def durable(
+        self, name: types.DatabaseName, term: types.Term
+    ) -> confirmers.DurableResult:
+        """Waits until what ran before the call is on a majority.
+
+        Args:
+          name: the database that it ran on.
+          term: the term that it was routed under.
+        """
+        known = self._confirmer
+        if known is not None and known.term > term:
+            return expression.Error(
+                errors.ReplicationUnconfirmed(self._view.group.name)
+            )
+        return await self._confirmer_of(name, term).durable()
+
+    def _confirmer_of(
+        self, name: types.DatabaseName, term: types.Term
+    ) -> confirmers.Confirmer:
+        known = self._confirmer
+        if known is not None and (known.term, known.primary) == (term, name):
+            return known
+        # Waits of an older term end by themselves, at the latest at their
+        # time limit.
+        self._confirmer = confirmers.Confirmer(
+            self._view.group,
+            name,
+            term,
+            {name: link.control for name, link in self._links.items()},
+            self._settings,
+        )
+        return self._confirmer
--- /dev/null
+++ b/hickorygate/upstreams/probe.py
@@ -0,0 +1,148 @@
+"""Keeps a group's view up to date: one probing task a database."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Mapping
+import datetime
+
+import expression
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.core import position as positions
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import types
+from hickorygate.upstreams import control
+from hickorygate.upstreams import control_link
+from hickorygate.upstreams import group as groups
+
+__all__ = ["Prober"]
+
+_HURRIED_PERIOD = datetime.timedelta(milliseconds=20)
+"""Between probes while somebody waits for a primary."""
+
+
+class Prober:
+    """Asks each database for its status, and faster while it is awaited."""
+
+    __slots__ = (
+        "_awaited",
+        "_changed",
+        "_clock",
+        "_controls",
+        "_settings",
+        "_tasks",
+        "_time_line",
+        "_view",
+    )
+
+    def __init__(
+        self,
+        view: groups.GroupView,
+        controls: Mapping[types.DatabaseName, control_link.ControlLink],
+        settings: settings_lib.UpstreamSettings,
+        clock: clocks.Clock,
+        time_line: events.TimeLine,
+    ) -> None:
+        self._view = view
+        self._controls = controls
+        self._settings = settings
+        self._clock = clock
+        self._time_line = time_line
+        self._changed = asyncio.Event()
+        self._awaited = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def __repr__(self) -> str:
+        return f"Prober({self._view!r})"
+
+    def start(self) -> None:
+        """Starts one task a database."""
+        self._tasks = [
+            asyncio.create_task(self._probe(name)) for name in self._controls
+        ]
+
+    async def close(self) -> None:
+        """Stops the tasks."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def refresh(self, name: types.DatabaseName) -> control.StatusResult:
+        """Asks one database for its status and takes it into the view."""
+        asked = self._clock.now()
+        result = await self._controls[name].status()
+        match result:
+            case expression.Result(tag="ok", ok=status):
+                self._observe(status, asked)
+            case expression.Result(tag="error", error=failure):
+                self._lose(name, failure)
+        return result
+
+    async def wait_until(
+        self,
+        condition: Callable[[], groups.WritableResult],
+        timeout: datetime.timedelta,
+    ) -> groups.WritableResult:
+        """Probes faster until the condition holds or the time is over."""
+        result = condition()
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                while result.is_error():
+                    self._awaited.set()
+                    await self._changed.wait()
+                    result = condition()
+        except TimeoutError:
+            return result
+        return result
+
+    def doubt(self, name: types.DatabaseName) -> None:
+        """Drops what is known of a database and asks all again at once."""
+        self._view.forget(name)
+        self._awaited.set()
+
+    def _observe(
+        self, status: positions.DatabaseStatus, asked: datetime.datetime
+    ) -> None:
+        before = self._view.primary
+        self._view.observe(groups.Sighting(status, asked, self._clock.now()))
+        after = self._view.primary
+        self._wake()
+        if after is None or after == before:
+            return
+        if before is None or before.database != after.database:
+            name = self._view.group.name
+            self._time_line.record(
+                events.PrimaryChanged(name, after.database, after.term)
+            )
+
+    def _lose(self, name: types.DatabaseName, failure: errors.Failure) -> None:
+        known = {s.status.database for s in self._view.sightings}
+        if name in known:
+            self._view.forget(name)
+            self._time_line.record(events.DatabaseLost(name, failure.message))
+        self._wake()
+
+    def _wake(self) -> None:
+        """Wakes who waits for a change of the view."""
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def _probe(self, name: types.DatabaseName) -> None:
+        while True:
+            await self.refresh(name)
+            await self._rest()
+
+    async def _rest(self) -> None:
+        """Waits for the next probe; a shorter time while it is awaited."""
+        await self._clock.sleep(_HURRIED_PERIOD)
+        self._awaited.clear()
+        rest = self._settings.probe_period - _HURRIED_PERIOD
+        try:
+            async with asyncio.timeout(max(rest.total_seconds(), 0)):
+                await self._awaited.wait()
+        except TimeoutError:
+            return
