Take hints, SET and a statement's class apart from its text

Cause: requests had no rank, staleness or key; every SET was dropped silently; keywords in strings and comments fooled the classification.

--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -120,6 +120,11 @@
         """Runs a statement of the open transaction."""
         pin = self._pin
         assert pin is not None, "routing found no open transaction"
+        applied = await pin.connection.apply(
+            self._session.variables, _STATEMENT_TIMEOUT
+        )
+        if applied.is_error():
+            return expression.Error(applied.error)
         result = await pin.connection.execute(statement.sql, _STATEMENT_TIMEOUT)
         if pin.connection.closed:
             self._unpin()
@@ -249,6 +254,9 @@
         if lease.is_error():
             return lease
         used = await lease.ok.use(self._session.schema, _STATEMENT_TIMEOUT)
+        if used.is_ok():
+            variables = self._session.variables
+            used = await lease.ok.apply(variables, _STATEMENT_TIMEOUT)
         if used.is_error():
             link.pool.release(lease.ok)
             return expression.Error(used.error)
--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -3,14 +3,18 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import dataclasses
 import datetime
+import functools
 import re
 
 import expression
 
 from hickorygate.callers import executor as executors
 from hickorygate.callers import handler as handlers
+from hickorygate.callers import hints as hints_lib
 from hickorygate.callers import session as sessions
+from hickorygate.core import assignment as assignments
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import request as requests
@@ -25,13 +29,20 @@
 
 _VAR_STRING = 253
 _UTF8MB4 = 45
-_UNRANKED = sheets.Rank(
-    name="unranked", order=0, target=datetime.timedelta(seconds=2), floor=0.0
+_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
+_LOCAL_RANK = sheets.Rank(
+    name="local", order=0, target=datetime.timedelta(seconds=2), floor=0.0
 )
-_GET_TOKEN = re.compile(r"SELECT\s+@@hickorygate_token\s*$", re.I)
-_SET_TOKEN = re.compile(
-    r"SET\s+(?:@@|SESSION\s+)?hickorygate_token\s*=\s*'([^']*)'\s*$", re.I
+"""The rank of statements that reach no database."""
+
+_LOCAL = (
+    statements.Begin,
+    statements.Commit,
+    statements.Rollback,
+    statements.SetAutocommit,
+    statements.Use,
 )
+_GET_TOKEN = re.compile(r"SELECT\s+@@hickorygate_token\s*$", re.I)
 
 
 class Frontend:
@@ -48,7 +59,7 @@
         self._fleet = fleet
         self._settings = settings
         self._clock = clock
-        self._start_session("")
+        self._start_session("", hints_lib.Hints())
 
     @property
     def autocommit(self) -> bool:
@@ -67,24 +78,33 @@
         self, user: types.CallerName, attributes: Mapping[str, str]
     ) -> expression.Result[None, errors.Failure]:
         """Starts the session of a caller that logged in."""
-        self._start_session(user)
-        return expression.Ok(None)
+        await self._executor.close()
+        hints = hints_lib.parse(attributes)
+        if hints.is_error():
+            return expression.Error(hints.error)
+        self._start_session(user, hints.ok)
+        return self._take_token(hints.ok.token)
 
     async def query(
         self, sql: str, attributes: Mapping[str, str]
     ) -> handlers.AnswerResult:
         """Answers one statement."""
-        statement = statements.classify(sql)
+        arrived = self._clock.now()
+        commented = hints_lib.in_comments(sql)
+        if commented.is_error():
+            return expression.Error(commented.error)
+        hints, text = commented.ok
+        attributed = hints_lib.parse(attributes)
+        if attributed.is_error():
+            return expression.Error(attributed.error)
+        statement = statements.classify(text)
         if statement.is_error():
             return expression.Error(statement.error)
-        reads = isinstance(statement.ok, statements.Read)
-        if reads and _GET_TOKEN.match(statement.ok.sql):
-            return expression.Ok(self._token_table())
-        if isinstance(statement.ok, statements.SetVariable):
-            match = _SET_TOKEN.match(statement.ok.sql)
-            if match:
-                return self._take_token(match.group(1))
-        return await self._executor.run(statement.ok, self._request())
+        hints = hints.over(attributed.ok)
+        taken = self._take_token(hints.token)
+        if taken.is_error():
+            return expression.Error(taken.error)
+        return await _answer(statement.ok, self, hints, arrived)
 
     async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
         """Selects a schema."""
@@ -93,36 +113,159 @@
     async def reset(self) -> None:
         """Drops an open transaction and the session's state."""
         await self._executor.close()
-        self._start_session(self._session.user)
+        schema = self._session.schema
+        self._start_session(self._session.user, self._session.attributes)
+        self._session.schema = schema
 
     async def close(self) -> None:
         """Drops an open transaction."""
         await self._executor.close()
 
-    def _start_session(self, user: types.CallerName) -> None:
-        self._session = sessions.Session(user, self._clock.now())
-        self._executor = executors.Executor(
-            self._session, self._fleet, self._clock
-        )
+    async def run(
+        self,
+        statement: statements.Statement,
+        hints: hints_lib.Hints,
+        arrived: datetime.datetime,
+    ) -> handlers.AnswerResult:
+        """Runs a statement with the terms that its hints ask for."""
+        request = self._request(statement, hints, arrived)
+        if request.is_error():
+            return expression.Error(request.error)
+        return await self._executor.run(statement, request.ok)
 
-    def _request(self) -> requests.Request:
-        arrived = self._clock.now()
-        rank = _UNRANKED
-        return requests.Request(rank, arrived, arrived + rank.target)
+    async def assign(
+        self,
+        statement: statements.SetVariable,
+        hints: hints_lib.Hints,
+        arrived: datetime.datetime,
+    ) -> handlers.AnswerResult:
+        """Takes in what a SET assigns, or nothing of it."""
+        parsed = assignments.parse(statement.sql)
+        if parsed.is_error():
+            return expression.Error(parsed.error)
+        changed = self._hints_after(parsed.ok)
+        if changed.is_error():
+            return expression.Error(changed.error)
+        taken = self._take_token(changed.ok.token)
+        if taken.is_error():
+            return expression.Error(taken.error)
+        for assignment in parsed.ok:
+            switched = await self._assign_one(assignment, hints, arrived)
+            if switched.is_error():
+                return switched
+        self._session.hints = dataclasses.replace(changed.ok, token=None)
+        return expression.Ok(_NOTHING)
 
-    def _token_table(self) -> answers.Table:
+    def token_table(self) -> answers.Table:
+        """Returns the session's token as a result."""
         key = self._settings.token_key.get_secret_value().encode()
         token = tokens.issue(self._session.floors, key)
         column = answers.Column("@@hickorygate_token", _VAR_STRING, _UTF8MB4)
         return answers.Table(warnings=0, columns=(column,), rows=[(token,)])
 
-    def _take_token(self, token: str) -> handlers.AnswerResult:
+    def _start_session(
+        self, user: types.CallerName, attributes: hints_lib.Hints
+    ) -> None:
+        self._session = sessions.Session(
+            user, self._clock.now(), attributes=attributes
+        )
+        self._executor = executors.Executor(
+            self._session, self._fleet, self._clock
+        )
+
+    def _request(
+        self,
+        statement: statements.Statement,
+        hints: hints_lib.Hints,
+        arrived: datetime.datetime,
+    ) -> expression.Result[requests.Request, errors.Failure]:
+        service = self._service()
+        if service.is_error():
+            if not isinstance(statement, _LOCAL):
+                return expression.Error(service.error)
+            rank = _LOCAL_RANK
+            request = requests.Request(rank, arrived, arrived + rank.target)
+            return expression.Ok(request)
+        session = self._session
+        kept = session.hints
+        if isinstance(statement, statements.Write):
+            session.hints = dataclasses.replace(kept, idempotency_key=None)
+        else:
+            kept = dataclasses.replace(kept, idempotency_key=None)
+        merged = hints.over(kept).over(session.attributes)
+        return hints_lib.resolve(merged, service.ok, session.user, arrived)
+
+    def _service(self) -> expression.Result[sheets.Service, errors.Failure]:
+        sheet = self._fleet.sheet
+        if sheet is None:
+            return expression.Error(errors.NotReady())
+        return sheet.place(self._session.schema).map(lambda place: place[0])
+
+    def _take_token(
+        self, token: str | None
+    ) -> expression.Result[None, errors.Failure]:
+        if token is None:
+            return expression.Ok(None)
         key = self._settings.token_key.get_secret_value().encode()
         floors = tokens.read(token, key)
         if floors.is_error():
             return expression.Error(floors.error)
         for group, floor in floors.ok.items():
             self._session.raise_floor(group, floor)
-        return expression.Ok(
-            answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
-        )
+        return expression.Ok(None)
+
+    def _hints_after(
+        self, assigned: tuple[assignments.Assignment, ...]
+    ) -> expression.Result[hints_lib.Hints, errors.Failure]:
+        """Returns the session's hints as a SET leaves them."""
+        named = {
+            a.name: a.value for a in assigned if isinstance(a, assignments.Hint)
+        }
+        return hints_lib.changed(self._session.hints, named)
+
+    async def _assign_one(
+        self,
+        assignment: assignments.Assignment,
+        hints: hints_lib.Hints,
+        arrived: datetime.datetime,
+    ) -> handlers.AnswerResult:
+        match assignment:
+            case assignments.SessionVariable():
+                self._session.remember(assignment)
+            case assignments.Autocommit(enabled=enabled):
+                sql = f"SET autocommit = {int(enabled)}"
+                switch = statements.SetAutocommit(sql, enabled)
+                return await self.run(switch, hints, arrived)
+        return expression.Ok(_NOTHING)
+
+
+@functools.singledispatch
+async def _answer(
+    statement: statements.Statement,
+    frontend: Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    return await frontend.run(statement, hints, arrived)
+
+
+@_answer.register
+async def _(
+    statement: statements.Read,
+    frontend: Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    if _GET_TOKEN.match(statement.sql):
+        return expression.Ok(frontend.token_table())
+    return await frontend.run(statement, hints, arrived)
+
+
+@_answer.register
+async def _(
+    statement: statements.SetVariable,
+    frontend: Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    return await frontend.assign(statement, hints, arrived)
--- a/hickorygate/callers/session.py
+++ b/hickorygate/callers/session.py
@@ -5,6 +5,8 @@
 import dataclasses
 import datetime
 
+from hickorygate.callers import hints as hints_lib
+from hickorygate.core import assignment as assignments
 from hickorygate.core import position as positions
 from hickorygate.core import types
 
@@ -23,6 +25,9 @@
       in_transaction: whether a transaction is open.
       floors: the newest position that it must see in each group.
       settled: groups whose floor is known, by a token or an observation.
+      variables: set again on each connection that the session is lent.
+      hints: of the session variables; those of `attributes` come behind.
+      attributes: hints of the connection.
     """
 
     user: types.CallerName
@@ -34,6 +39,9 @@
         default_factory=dict
     )
     settled: set[types.GroupName] = dataclasses.field(default_factory=set)
+    variables: assignments.Variables = ()
+    hints: hints_lib.Hints = hints_lib.Hints()
+    attributes: hints_lib.Hints = hints_lib.Hints()
 
     def floor(self, group: types.GroupName) -> positions.Position:
         """Returns the least position that the session must see."""
@@ -45,3 +53,10 @@
         """Takes in a position that the session has written or must see."""
         self.floors[group] = max(self.floor(group), position)
         self.settled.add(group)
+
+    def remember(self, variable: assignments.SessionVariable) -> None:
+        """Takes in a variable; one without a value is forgotten."""
+        kept = [v for v in self.variables if v.name != variable.name]
+        if variable.value is not None:
+            kept.append(variable)
+        self.variables = tuple(kept)
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -22,6 +22,7 @@
     "ConnectFailed",
     "DeadlinePassed",
     "Draining",
+    "EmptyStatement",
     "Failure",
     "FailureError",
     "GroupRefused",
@@ -38,6 +39,9 @@
     "StatementTooLarge",
     "StoreUnavailable",
     "UnknownSchema",
+    "UnsupportedCharset",
+    "UnsupportedStatement",
+    "UnsupportedVariable",
     "UpstreamError",
     "UsageError",
 ]
@@ -177,6 +181,57 @@
         return "several statements in one packet; send them one by one"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EmptyStatement(Failure):
+    """A packet holds no statement."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return "the statement is empty; send one"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnsupportedStatement(Failure):
+    """The proxy takes no statement of this kind.
+
+    Attributes:
+      what: the words that name the kind.
+    """
+
+    what: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"{self.what} isn't passed on; send it to the database directly"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnsupportedVariable(Failure):
+    """A variable can't be set through the proxy."""
+
+    name: str
+    reason: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"variable {self.name!r} can't be set here: {self.reason}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnsupportedCharset(Failure):
+    """A caller wants a character set other than UTF-8."""
+
+    charset: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"character set {self.charset!r}: the proxy speaks utf8mb4 only"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotReady(Failure):
     """The proxy has no sheet yet."""
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -16,6 +16,7 @@
 from asyncmy import errors as asyncmy_errors
 import expression
 
+from hickorygate.core import assignment as assignments
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
@@ -53,7 +54,7 @@
 class Connection:
     """A logged-in connection to one database."""
 
-    __slots__ = ("_closed", "_database", "_raw", "_schema")
+    __slots__ = ("_closed", "_database", "_raw", "_schema", "_variables")
 
     def __init__(
         self,
@@ -64,6 +65,7 @@
         self._database = database
         self._closed = False
         self._schema: types.SchemaName | None = None
+        self._variables: assignments.Variables = ()
 
     @property
     def closed(self) -> bool:
@@ -120,6 +122,19 @@
             self._schema = schema
         return result.map(lambda _: None)
 
+    async def apply(
+        self, variables: assignments.Variables, timeout: datetime.timedelta
+    ) -> expression.Result[None, errors.Failure]:
+        """Gives the connection a session's variables and no others."""
+        if variables == self._variables:
+            return expression.Ok(None)
+        for sql, left in assignments.replay(self._variables, variables):
+            result = await self.execute(sql, timeout)
+            if result.is_error():
+                return expression.Error(result.error)
+            self._variables = left
+        return expression.Ok(None)
+
     def close(self) -> None:
         """Closes the socket at once."""
         self._closed = True
