Decide on the sheet in force apart from the daemon

Cause: the daemon parsed, compared and watched in one class; a 503 to a change counted as not run; aiohttp repeats a broken PUT by itself. Change: platform/configuration.py and watch.py decide, watcher.py awaits; the client has a call budget, bounded jittered back-off, a size check, and settles lost answers (5xx and cut connections) by reading back. Conclusion: an outcome that is not known is now said to be unknown.

--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -29,6 +29,9 @@
     "NoPrimary",
     "NoQuorum",
     "NotReady",
+    "ObjectConflict",
+    "ObjectMalformed",
+    "ObjectOvertaken",
     "Outcome",
     "Overloaded",
     "PoolExhausted",
@@ -36,10 +39,12 @@
     "SheetConflict",
     "SheetInvalid",
     "StatementTooLarge",
+    "StoreBudgetSpent",
     "StoreUnavailable",
     "UnknownSchema",
     "UpstreamError",
     "UsageError",
+    "ValueTooLarge",
 ]
 
 
@@ -392,6 +397,55 @@
         return f"the platform's object API is unavailable: {self.reason}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreBudgetSpent(Failure):
+    """This process has made all the calls that its budget allows."""
+
+    retry_after: datetime.timedelta
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        wait = self.retry_after.total_seconds()
+        return (
+            "the budget of calls to the object API is spent; retry after "
+            f"{wait:.3f} s or raise the rates under platform in the settings"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectMalformed(Failure):
+    """The store's answer isn't the object that it should hold."""
+
+    path: str
+    reason: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"the object at {self.path} can't be read: {self.reason}; "
+            "store it anew"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ValueTooLarge(Failure):
+    """A value is over the store's limit; it was not sent."""
+
+    path: str
+    size: int
+    limit: int
+
+    @property
+    def message(self) -> str:
+        """Text for a person; sizes in bytes."""
+        return (
+            f"the value for {self.path} has {self.size} bytes, over the "
+            f"store's limit of {self.limit}; shorten it"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SheetConflict(Failure):
     """Another operator changed the sheet first."""
@@ -408,6 +462,51 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectConflict(Failure):
+    """Another process changed the object first; this change had no effect."""
+
+    path: str
+    expected: types.SheetVersion
+    found: types.SheetVersion
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"the object at {self.path} is at version {self.found}, not "
+            f"{self.expected}; read it and try again"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectOvertaken(Failure):
+    """The answer to a change was lost, and another change came after.
+
+    Attributes:
+      path: of the object.
+      expected: the version that the change was to replace.
+      found: the version there now.
+    """
+
+    path: str
+    expected: types.SheetVersion
+    found: types.SheetVersion
+
+    @property
+    def outcome(self) -> Outcome:
+        """Unknown: the change may have been in force in between."""
+        return Outcome.UNKNOWN
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"the answer to a change of {self.path} was lost and another "
+            f"change made version {self.found} since; read it and try again"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SheetInvalid(Failure):
     """A sheet or a settings file doesn't hold what it must.
--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -17,6 +17,7 @@
 
 __all__ = [
     "ConfigApplied",
+    "ConfigRejected",
     "DatabaseLost",
     "DatabaseReturned",
     "Event",
@@ -30,6 +31,7 @@
     "Recorded",
     "Stamp",
     "StampClock",
+    "StoreReset",
     "TimeLine",
 ]
 
@@ -100,6 +102,23 @@
     source: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConfigRejected(Event):
+    """A newer sheet can't be used; the old one stays in force."""
+
+    version: types.SheetVersion
+    source: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreReset(Event):
+    """The store holds an older sheet than the one in force."""
+
+    found: types.SheetVersion
+    in_force: types.SheetVersion
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerJoined(Event):
     """Another proxy was heard for the first time."""
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -108,10 +108,21 @@
 
 
 class PlatformSettings(_Model):
-    """The platform's object API."""
+    """The platform's object API.
+
+    Attributes:
+      url: base address.
+      timeout_ms: after which a call counts as unanswered.
+      reads_per_second: reads and watches that this process may begin.
+      writes_per_second: changes that it may make.
+      call_burst: calls that it may make at once.
+    """
 
     url: str
     timeout_ms: _Milliseconds = 1_000
+    reads_per_second: Annotated[float, pydantic.Field(gt=0)] = 2.0
+    writes_per_second: Annotated[float, pydantic.Field(gt=0)] = 0.5
+    call_burst: Annotated[float, pydantic.Field(ge=1)] = 10.0
 
     @property
     def timeout(self) -> datetime.timedelta:
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import datetime
+import functools
+import random
 
-import expression
 import logbook
 
 from hickorygate.callers import frontend
@@ -16,6 +16,9 @@
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
 from hickorygate.platform import client as platform_client
+from hickorygate.platform import configuration as configurations
+from hickorygate.platform import watch
+from hickorygate.platform import watcher as watchers
 from hickorygate.proxies import mesh as meshes
 from hickorygate.upstreams import link as links
 
@@ -23,9 +26,6 @@
 
 VERSION = "0.1.0"
 
-_WATCH_WAIT = datetime.timedelta(seconds=20)
-_WATCH_RETRY = datetime.timedelta(seconds=1)
-
 _log = logbook.Logger(__name__)
 
 
@@ -39,11 +39,21 @@
         self._clock = clock
         self._stamps = events.StampClock(clock)
         self._time_line = events.TimeLine(settings.name, self._stamps)
-        self._platform = platform_client.Client(settings.platform)
+        self._generator = random.Random()
+        self._platform = platform_client.Client(
+            settings.platform, clock, self._generator
+        )
+        self._configuration = configurations.Configuration()
+        self._watcher = watchers.Watcher(
+            self._platform,
+            watch.WatchPlan(self._configuration, self._generator),
+            self._configuration,
+            self,
+            clock,
+        )
         self._mesh = meshes.Mesh(
             settings, self, clock, self._stamps, self._time_line
         )
-        self._sheet: sheets.Sheet | None = None
         self._groups: dict[types.GroupName, links.GroupLink] = {}
         self._server = self._build_server()
         self._watch: asyncio.Task[None] | None = None
@@ -51,7 +61,12 @@
     @property
     def sheet(self) -> sheets.Sheet | None:
         """The sheet in force."""
-        return self._sheet
+        return self._configuration.sheet
+
+    @property
+    def role(self) -> watch.Role:
+        """Whether this proxy watches the store."""
+        return watch.Role(relay=True, hears_relay=True)
 
     @property
     def port(self) -> int:
@@ -80,7 +95,7 @@
         await self._mesh.start()
         callers = self._settings.callers
         await self._server.start(callers.host, callers.port)
-        self._watch = asyncio.create_task(self._watch_sheet())
+        self._watch = asyncio.create_task(self._watcher.run())
         self._time_line.record(events.ProcessStarted(VERSION))
 
     async def close(self) -> None:
@@ -98,23 +113,26 @@
         self, text: str, version: types.SheetVersion, source: str
     ) -> None:
         """Puts a sheet in force if it is newer than the present one."""
-        if self._sheet is not None and version <= self._sheet.version:
-            return
-        match sheets.parse(text, version, source):
-            case expression.Result(tag="error", error=failure):
-                _log.error(failure.message)
-            case expression.Result(tag="ok", ok=sheet):
-                await self._apply(sheet, source)
-
-    async def _apply(self, sheet: sheets.Sheet, source: str) -> None:
+        candidate = configurations.Candidate(version, text, source)
+        for effect in self._configuration.offer(candidate):
+            await self.perform(effect)
+
+    async def perform(self, effect: configurations.Effect) -> None:
+        """Carries out a decision about the sheet."""
+        await _perform(effect, self)
+
+    async def apply(self, effect: configurations.Apply) -> None:
+        """Builds the links that the sheet in force asks for."""
+        sheet = effect.sheet
         old, self._groups = self._groups, {}
-        self._sheet = sheet
         for service in sheet.services:
             for group in service.groups:
                 self._groups[group.name] = self._kept(old, group, sheet)
         for group_link in old.values():
             await group_link.close()
-        self._time_line.record(events.ConfigApplied(sheet.version, source))
+        self._time_line.record(
+            events.ConfigApplied(sheet.version, effect.source)
+        )
 
     def _kept(
         self,
@@ -136,23 +154,6 @@
         link.start()
         return link
 
-    async def _watch_sheet(self) -> None:
-        while True:
-            version = self._sheet.version if self._sheet else 0
-            result = await self._platform.watch_sheet(version, _WATCH_WAIT)
-            match result:
-                case expression.Result(tag="ok", ok=None):
-                    # An answer at once means that there is no sheet yet.
-                    if self._sheet is None:
-                        await self._clock.sleep(_WATCH_RETRY)
-                case expression.Result(tag="ok", ok=stored):
-                    await self.offer(
-                        stored.value.text, stored.version, "platform"
-                    )
-                case expression.Result(tag="error", error=failure):
-                    _log.warning(failure.message)
-                    await self._clock.sleep(_WATCH_RETRY)
-
     def _build_server(self) -> servers.Server:
         callers = self._settings.callers
         passwords = {
@@ -164,3 +165,27 @@
             passwords,
             callers.statement_limit,
         )
+
+
+@functools.singledispatch
+async def _perform(effect: configurations.Effect, daemon: Daemon) -> None:
+    raise TypeError(f"no way to perform {effect!r}; register one")
+
+
+@_perform.register
+async def _(effect: configurations.Apply, daemon: Daemon) -> None:
+    await daemon.apply(effect)
+
+
+@_perform.register
+async def _(effect: configurations.Reject, daemon: Daemon) -> None:
+    reason = effect.failure.message
+    _log.error(reason)
+    daemon.time_line.record(
+        events.ConfigRejected(effect.version, effect.source, reason)
+    )
+
+
+@_perform.register
+async def _(effect: configurations.ReportReset, daemon: Daemon) -> None:
+    daemon.time_line.record(events.StoreReset(effect.found, effect.in_force))
--- a/hickorygate/platform/client.py
+++ b/hickorygate/platform/client.py
@@ -1,152 +1,233 @@
-"""A client for the platform's object API, over aiohttp."""
+"""A client for the platform's object API and its list of instances."""
 
 from __future__ import annotations
 
-import asyncio
 import datetime
+import random
+from typing import TypeVar
 
-import aiohttp
 import expression
 import pydantic
 
+from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import types
+from hickorygate.platform import backoff
 from hickorygate.platform import objects
+from hickorygate.platform import transport
 
-__all__ = ["Client"]
+__all__ = ["Client", "VALUE_LIMIT"]
 
-_SHEET_PATH = "/v1/objects/sheets/current"
-_OK = 200
-_NOT_MODIFIED = 304
-_NOT_FOUND = 404
-_PRECONDITION_FAILED = 412
+VALUE_LIMIT = 1_048_576
+"""Bytes of the longest value that the store takes."""
 
-StoredResult = expression.Result[objects.Stored | None, errors.Failure]
+_INSTANCES_PATH = "/v1/instances"
+_FIRST_WAIT = datetime.timedelta(milliseconds=100)
+_LONGEST_WAIT = datetime.timedelta(seconds=1)
+_TRIES = 3
+"""How often a change with a lost answer is sent before giving up."""
+
+ValueT = TypeVar("ValueT", bound=pydantic.BaseModel)
+SheetResult = expression.Result[
+    objects.StoredSheet | objects.Unchanged, errors.Failure
+]
+VersionResult = expression.Result[types.SheetVersion, errors.Failure]
 
 
 class Client:
     """Reads, conditionally changes and watches objects."""
 
-    __slots__ = ("_http", "_settings")
+    __slots__ = ("_backoff", "_clock", "_settings", "_transport")
 
-    def __init__(self, settings: settings_lib.PlatformSettings) -> None:
+    def __init__(
+        self,
+        settings: settings_lib.PlatformSettings,
+        clock: clocks.Clock,
+        generator: random.Random,
+    ) -> None:
+        """Makes no call yet.
+
+        Args:
+          settings: of the platform.
+          clock: for time-outs and the budget.
+          generator: source of jitter.
+        """
         self._settings = settings
-        self._http: aiohttp.ClientSession | None = None
+        self._clock = clock
+        self._backoff = backoff.Backoff(_FIRST_WAIT, _LONGEST_WAIT, generator)
+        self._transport = transport.Transport(settings, clock)
 
     def __repr__(self) -> str:
         return f"Client({self._settings.url!r})"
 
     async def close(self) -> None:
         """Closes idle connections."""
-        if self._http is not None:
-            await self._http.close()
+        await self._transport.close()
+
+    async def read(
+        self, key: objects.Key, model: type[ValueT]
+    ) -> expression.Result[objects.Stored[ValueT] | None, errors.Failure]:
+        """Returns an object; None if the store has none of that key."""
+        answered = await self._transport.make(transport.Call(key.path))
+        if answered.is_error():
+            return answered
+        if not answered.ok.found:
+            return expression.Ok(None)
+        return _stored(key, model, answered.ok)
+
+    async def store(
+        self,
+        key: objects.Key,
+        value: pydantic.BaseModel,
+        expected: types.SheetVersion,
+    ) -> VersionResult:
+        """Stores a value if the stored version is still the expected one.
 
-    async def sheet(self) -> StoredResult:
+        Expect 0 for a key without an object. A change whose answer is lost
+        is settled by reading back, and sent again under the same condition
+        if it had no effect.
+        """
+        body = value.model_dump_json().encode()
+        if len(body) > VALUE_LIMIT:
+            return expression.Error(
+                errors.ValueTooLarge(key.path, len(body), VALUE_LIMIT)
+            )
+        call = transport.Call(key.path, body=body, expected=expected)
+        lost: VersionResult | None = None
+        for _ in range(_TRIES):
+            result = await self._put(call)
+            if result.is_ok() or (lost is None and not _unsettled(result)):
+                return result
+            lost = lost or result
+            settled = await self._settle(key, value, expected, lost)
+            if not _unsettled(settled):
+                return settled
+            await self._clock.sleep(self._backoff.fail())
+        return lost
+
+    async def sheet(
+        self,
+    ) -> expression.Result[objects.StoredSheet | None, errors.Failure]:
         """Returns the stored sheet; None if none was ever stored."""
-        return await self._read({}, self._settings.timeout)
+        return await self.read(objects.SHEET_KEY, objects.SheetObject)
 
-    async def watch_sheet(
-        self, after: types.SheetVersion, wait: datetime.timedelta
-    ) -> StoredResult:
-        """Waits for a sheet newer than a version; None if none came."""
-        query = {"after": str(after), "wait": str(wait.total_seconds())}
-        return await self._read(query, wait + self._settings.timeout)
+    async def newer_sheet(
+        self,
+        after: types.SheetVersion,
+        wait: datetime.timedelta = datetime.timedelta(),
+    ) -> SheetResult:
+        """Returns a sheet newer than a version, waiting for one if asked."""
+        query = {"after": str(after)}
+        if wait:
+            query["wait"] = str(wait.total_seconds())
+        key = objects.SHEET_KEY
+        call = transport.Call(key.path, query, wait=wait)
+        answered = await self._transport.make(call)
+        if answered.is_error():
+            return answered
+        if not answered.ok.found:
+            return expression.Ok(objects.Unchanged(answered.ok.version))
+        return _stored(key, objects.SheetObject, answered.ok)
 
     async def store_sheet(
         self, sheet: objects.SheetObject, expected: types.SheetVersion
-    ) -> expression.Result[types.SheetVersion, errors.Failure]:
+    ) -> VersionResult:
         """Stores a sheet if the stored version is still the expected one.
 
-        A lost answer is settled by reading back: the sheet is ours if the
-        stored value is.
+        A sheet whose text is the stored one counts as stored, so a load may
+        be repeated after a lost answer.
         """
-        result = await self._store(sheet, expected)
+        result = await self.store(objects.SHEET_KEY, sheet, expected)
         match result:
             case expression.Result(
-                tag="error", error=errors.StoreUnavailable(sent=True)
+                tag="error", error=errors.ObjectConflict(found=found)
             ):
-                return await self._settle(sheet, expected, result)
+                return await self._compare(sheet, expected, found)
         return result
 
-    async def _settle(
+    async def _compare(
         self,
         sheet: objects.SheetObject,
         expected: types.SheetVersion,
-        lost: expression.Result[types.SheetVersion, errors.Failure],
-    ) -> expression.Result[types.SheetVersion, errors.Failure]:
-        found = await self.sheet()
+        found: types.SheetVersion,
+    ) -> VersionResult:
+        """Tells a conflict from a repeated load of the stored text."""
+        stored = await self.sheet()
+        if stored.is_ok() and stored.ok and stored.ok.value.text == sheet.text:
+            return expression.Ok(stored.ok.version)
+        return expression.Error(errors.SheetConflict(expected, found))
+
+    async def instances(
+        self,
+    ) -> expression.Result[objects.InstanceList, errors.Failure]:
+        """Returns the list of live and leaving instances."""
+        answered = await self._transport.make(transport.Call(_INSTANCES_PATH))
+        if answered.is_error():
+            return answered
+        try:
+            found = objects.InstanceList.model_validate_json(answered.ok.body)
+        except pydantic.ValidationError as error:
+            return _malformed(_INSTANCES_PATH, error)
+        return expression.Ok(found)
+
+    async def _put(self, call: transport.Call) -> VersionResult:
+        answered = await self._transport.make(call)
+        if answered.is_error():
+            return answered
+        answer = answered.ok
+        if answer.conflicts:
+            return expression.Error(
+                errors.ObjectConflict(call.path, call.expected, answer.version)
+            )
+        if answer.version <= call.expected:
+            reason = f"a change answered with version {answer.version}"
+            return expression.Error(errors.StoreUnavailable(reason, True))
+        return expression.Ok(answer.version)
+
+    async def _settle(
+        self,
+        key: objects.Key,
+        value: pydantic.BaseModel,
+        expected: types.SheetVersion,
+        lost: VersionResult,
+    ) -> VersionResult:
+        """Finds out what became of a change whose answer was lost."""
+        found = await self.read(key, type(value))
         if found.is_error():
             return lost
         version = found.ok.version if found.ok else 0
-        if found.ok and found.ok.value == sheet:
+        if found.ok and found.ok.value == value:
             return expression.Ok(version)
-        if version != expected:
-            return expression.Error(errors.SheetConflict(expected, version))
+        if version > expected:
+            return expression.Error(
+                errors.ObjectOvertaken(key.path, expected, version)
+            )
         return lost
 
-    async def _store(
-        self, sheet: objects.SheetObject, expected: types.SheetVersion
-    ) -> expression.Result[types.SheetVersion, errors.Failure]:
-        headers = {"If-Match": f'"{expected}"'}
-        timeout = self._settings.timeout
-        try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                async with self._session().put(
-                    self._settings.url + _SHEET_PATH,
-                    json=sheet.model_dump(mode="json"),
-                    headers=headers,
-                ) as response:
-                    if response.status == _PRECONDITION_FAILED:
-                        tag = response.headers["ETag"]
-                        found = int(tag.strip('"'))
-                        return expression.Error(
-                            errors.SheetConflict(expected, found)
-                        )
-                    if response.status != _OK:
-                        return expression.Error(_refused(response))
-                    body = await response.read()
-                    stored = objects.Stored.model_validate_json(body)
-                    return expression.Ok(stored.version)
-        except aiohttp.ClientConnectorError as error:
-            return expression.Error(errors.StoreUnavailable(str(error), False))
-        except (aiohttp.ClientError, OSError, ValueError) as error:
-            return expression.Error(_lost(error))
-
-    async def _read(
-        self, query: dict[str, str], timeout: datetime.timedelta
-    ) -> StoredResult:
-        try:
-            async with asyncio.timeout(timeout.total_seconds()):
-                async with self._session().get(
-                    self._settings.url + _SHEET_PATH, params=query
-                ) as response:
-                    if response.status in (_NOT_FOUND, _NOT_MODIFIED):
-                        return expression.Ok(None)
-                    if response.status != _OK:
-                        return expression.Error(_refused(response))
-                    body = await response.read()
-                    return expression.Ok(
-                        objects.Stored.model_validate_json(body)
-                    )
-        except (
-            aiohttp.ClientError,
-            OSError,
-            pydantic.ValidationError,
-        ) as error:
-            return expression.Error(_lost(error))
-
-    def _session(self) -> aiohttp.ClientSession:
-        if self._http is None:
-            self._http = aiohttp.ClientSession()
-        return self._http
-
-
-def _refused(response: aiohttp.ClientResponse) -> errors.StoreUnavailable:
-    reason = f"status {response.status}"
-    return errors.StoreUnavailable(reason, sent=False)
-
-
-def _lost(error: Exception) -> errors.StoreUnavailable:
-    reason = str(error) or type(error).__name__
-    return errors.StoreUnavailable(reason, sent=True)
+
+def _unsettled(result: VersionResult) -> bool:
+    match result:
+        case expression.Result(
+            tag="error", error=errors.StoreUnavailable(sent=True)
+        ):
+            return True
+    return False
+
+
+def _stored(
+    key: objects.Key, model: type[ValueT], answer: transport.Answer
+) -> expression.Result[objects.Stored[ValueT], errors.Failure]:
+    try:
+        return expression.Ok(
+            objects.Stored[model].model_validate_json(answer.body)
+        )
+    except pydantic.ValidationError as error:
+        return _malformed(key.path, error)
+
+
+def _malformed(
+    path: str, error: pydantic.ValidationError
+) -> expression.Result[object, errors.Failure]:
+    reason = error.errors(include_url=False)[0]["msg"]
+    return expression.Error(errors.ObjectMalformed(path, reason))
--- a/hickorygate/platform/objects.py
+++ b/hickorygate/platform/objects.py
@@ -2,20 +2,57 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import enum
+from typing import Generic
+from typing import TypeAlias
+from typing import TypeVar
 
 import pydantic
 
 from hickorygate.core import types
 
-__all__ = ["Instance", "InstanceList", "InstanceState", "SheetObject", "Stored"]
+__all__ = [
+    "Instance",
+    "InstanceList",
+    "InstanceState",
+    "Key",
+    "SHEET_KEY",
+    "SheetObject",
+    "Stored",
+    "StoredSheet",
+    "Unchanged",
+]
+
+ValueT = TypeVar("ValueT", bound=pydantic.BaseModel)
 
 
 class _Model(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore", frozen=True)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Key:
+    """Names an object.
+
+    Attributes:
+      kind: such as `sheets`.
+      name: unique among objects of its kind.
+    """
+
+    kind: str
+    name: str
+
+    @property
+    def path(self) -> str:
+        """Path below the API's base address."""
+        return f"/v1/objects/{self.kind}/{self.name}"
+
+
+SHEET_KEY = Key("sheets", "current")
+
+
 class SheetObject(_Model):
     """The stored sheet."""
 
@@ -24,11 +61,21 @@
     loaded_at: datetime.datetime
 
 
-class Stored(_Model):
+class Stored(_Model, Generic[ValueT]):
     """The envelope around every object."""
 
     version: types.SheetVersion
-    value: SheetObject
+    value: ValueT
+
+
+StoredSheet: TypeAlias = Stored[SheetObject]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unchanged:
+    """No newer object; the version that the store has, 0 for none."""
+
+    version: types.SheetVersion
 
 
 class InstanceState(enum.Enum):
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -5,6 +5,7 @@
 import asyncio
 import dataclasses
 import datetime
+import random
 
 from hickorygate import daemon as daemons
 from hickorygate.core import clock as clocks
@@ -105,7 +106,9 @@
 ) -> None:
     """Stores a sheet through the object API."""
     client = platform_client.Client(
-        settings_lib.PlatformSettings(url=platform.url)
+        settings_lib.PlatformSettings(url=platform.url),
+        clock,
+        random.Random(0),
     )
     sheet = objects.SheetObject(
         text=text, loaded_by="testing", loaded_at=clock.now()
--- a/hickorygate/testing/platform.py
+++ b/hickorygate/testing/platform.py
@@ -8,12 +8,18 @@
 from __future__ import annotations
 
 import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
 import dataclasses
 import datetime
+import enum
 
 from aiohttp import web
 
-__all__ = ["StandInPlatform"]
+__all__ = ["Fault", "StandInPlatform"]
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 _LONGEST_WATCH = datetime.timedelta(seconds=30)
 _VALUE_LIMIT = 1_048_576
@@ -25,6 +31,16 @@
     value: object
 
 
+class Fault(enum.Enum):
+    """What goes wrong with one call."""
+
+    ERROR_BEFORE_EFFECT = "503, nothing done"
+    ERROR_AFTER_EFFECT = "503, but done"
+    CUT_AFTER_EFFECT = "done, the connection cut"
+    HANG = "no answer"
+    MALFORMED = "200 with a body that is no object"
+
+
 class StandInPlatform:
     """The object API of one test or demo.
 
@@ -38,6 +54,7 @@
         self.calls = 0
         self._objects: dict[str, _Stored] = {}
         self._version = 0
+        self._faults: collections.deque[Fault] = collections.deque()
         self._instances: list[object] = []
         self._changed = asyncio.Condition()
         self._runner: web.AppRunner | None = None
@@ -54,7 +71,9 @@
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Begins to listen."""
-        app = web.Application(client_max_size=_VALUE_LIMIT)
+        app = web.Application(
+            client_max_size=_VALUE_LIMIT, middlewares=[self._apply_fault]
+        )
         app.router.add_get("/v1/objects/{kind}/{name}", self._get)
         app.router.add_put("/v1/objects/{kind}/{name}", self._put)
         app.router.add_get("/v1/instances", self._list_instances)
@@ -71,6 +90,28 @@
         """Replaces the list of live and leaving instances."""
         self._instances = instances
 
+    def fail_next(self, *faults: Fault) -> None:
+        """Makes the next calls fail, one fault a call."""
+        self._faults.extend(faults)
+
+    @web.middleware
+    async def _apply_fault(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        fault = self._faults.popleft() if self._faults else None
+        if fault is Fault.HANG:
+            await asyncio.Event().wait()
+        if fault is Fault.ERROR_BEFORE_EFFECT:
+            raise web.HTTPServiceUnavailable
+        if fault is Fault.MALFORMED:
+            return web.json_response({"value": None}, headers={"ETag": '"1"'})
+        answer = await handler(request)
+        if fault is Fault.ERROR_AFTER_EFFECT:
+            raise web.HTTPServiceUnavailable
+        if fault is Fault.CUT_AFTER_EFFECT and request.transport:
+            request.transport.abort()
+        return answer
+
     def _check_up(self) -> None:
         self.calls += 1
         if self.down:
--- /dev/null
+++ b/hickorygate/tests/test_configuration.py
@@ -0,0 +1,121 @@
+"""Which sheet is in force, and when the store is asked for another."""
+
+from __future__ import annotations
+
+import datetime
+import random
+import unittest
+
+from hickorygate.core import errors
+from hickorygate.platform import budget
+from hickorygate.platform import configuration as configurations
+from hickorygate.platform import watch
+from hickorygate.testing import sheets
+
+_NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_SECOND = datetime.timedelta(seconds=1)
+_RELAY = watch.Role(relay=True, hears_relay=True)
+_LISTENER = watch.Role(relay=False, hears_relay=True)
+
+
+def _offer(
+    configuration: configurations.Configuration, version: int, text: str = ""
+) -> tuple[configurations.Effect, ...]:
+    return configuration.offer(
+        configurations.Candidate(version, text or sheets.text(), "test")
+    )
+
+
+class ConfigurationTest(unittest.TestCase):
+    """Only a newer, valid sheet replaces the one in force."""
+
+    def setUp(self) -> None:
+        self.configuration = configurations.Configuration()
+
+    def test_newer_sheet_is_applied(self) -> None:
+        (effect,) = _offer(self.configuration, 3)
+        self.assertEqual(effect.sheet.version, 3)
+        self.assertTrue(self.configuration.ready)
+
+    def test_old_or_same_version_changes_nothing(self) -> None:
+        _offer(self.configuration, 3)
+        for version in (1, 2, 3):
+            self.assertEqual(_offer(self.configuration, version), ())
+        self.assertEqual(self.configuration.version, 3)
+
+    def test_invalid_sheet_leaves_the_old_one(self) -> None:
+        _offer(self.configuration, 3)
+        (effect,) = _offer(self.configuration, 4, "format: 9")
+        self.assertIsInstance(effect.failure, errors.SheetInvalid)
+        self.assertEqual(_offer(self.configuration, 4, "format: 9"), ())
+        self.assertEqual(self.configuration.version, 3)
+        self.assertEqual(self.configuration.examined, 4)
+
+    def test_reset_store_is_reported_once(self) -> None:
+        _offer(self.configuration, 3)
+        reset = configurations.ReportReset(1, 3)
+        self.assertEqual(self.configuration.compare(1), (reset,))
+        self.assertEqual(self.configuration.compare(1), ())
+        self.assertEqual(self.configuration.compare(3), ())
+
+
+class WatchPlanTest(unittest.TestCase):
+    """Relays watch; the others read seldom."""
+
+    def setUp(self) -> None:
+        self.configuration = configurations.Configuration()
+        self.plan = watch.WatchPlan(self.configuration, random.Random(1))
+
+    def test_relay_watches_from_the_newest_version(self) -> None:
+        _offer(self.configuration, 3)
+        step = self.plan.step(_RELAY, _NOW)
+        self.assertEqual(step.after, 3)
+        self.assertIsInstance(step, watch.Watch)
+
+    def test_rejected_version_is_not_fetched_again(self) -> None:
+        _offer(self.configuration, 4, "format: 9")
+        self.assertEqual(self.plan.step(_RELAY, _NOW).after, 4)
+
+    def test_failures_lengthen_the_pause_up_to_a_bound(self) -> None:
+        waits = []
+        now = _NOW
+        for _ in range(20):
+            failure = errors.StoreUnavailable("down", False)
+            self.plan.take(watch.Failed(failure), now)
+            began = now
+            while isinstance(self.plan.step(_RELAY, now), watch.Pause):
+                now += _SECOND / 100
+            waits.append(now - began)
+        self.assertLess(waits[0], _SECOND)
+        self.assertGreater(waits[-1], _SECOND)
+        self.assertLess(max(waits), 4 * _SECOND)
+
+    def test_spent_budget_is_waited_for(self) -> None:
+        failure = errors.StoreBudgetSpent(9 * _SECOND)
+        self.plan.take(watch.Failed(failure), _NOW)
+        later = _NOW + 8 * _SECOND
+        self.assertIsInstance(self.plan.step(_RELAY, later), watch.Pause)
+
+    def test_store_without_a_sheet_is_not_asked_at_once(self) -> None:
+        self.plan.take(watch.Answered(0), _NOW)
+        self.assertIsInstance(self.plan.step(_RELAY, _NOW), watch.Pause)
+
+    def test_listener_reads_seldom_and_sooner_without_a_relay(self) -> None:
+        _offer(self.configuration, 3)
+        self.assertIsInstance(self.plan.step(_LISTENER, _NOW), watch.Read)
+        later = _NOW + 10 * _SECOND
+        self.assertIsInstance(self.plan.step(_LISTENER, later), watch.Pause)
+        lone = watch.Role(relay=False, hears_relay=False)
+        self.assertIsInstance(self.plan.step(lone, later), watch.Read)
+
+
+class CallBudgetTest(unittest.TestCase):
+    """A burst, then a steady rate."""
+
+    def test_rate_and_burst(self) -> None:
+        calls = budget.CallBudget(rate=2, burst=3)
+        for _ in range(3):
+            self.assertFalse(calls.take(_NOW))
+        self.assertEqual(calls.take(_NOW), _SECOND / 2)
+        self.assertFalse(calls.take(_NOW + _SECOND / 2))
+        self.assertTrue(calls.take(_NOW + _SECOND / 2))
