Check sheets whole; a family of commands a module

Cause: only the first problem of a sheet was told, without its line, and the command line ended with a traceback on some mistakes. Change: core/border tells every problem with line, key, value and way out, and refuses repeated keys, aliases and long documents; core/sheet_rules checks what the models can't; operators/command, serve and sheet hold a data class a command and the exit codes; a part that can't listen is a typed failure.

--- a/hickorygate/core/border.py
+++ b/hickorygate/core/border.py
@@ -1,36 +1,233 @@
-"""Reads YAML into a pydantic model, with errors that say where and why."""
+"""Reads YAML into a pydantic model, with errors that say where and why.
+
+All problems of a document are told at once, each with its line, the key, the
+value that was found and what would be right. What would make reading slow or
+ambiguous is refused: long documents, aliases, keys that stand twice.
+"""
 
 from __future__ import annotations
 
+from collections.abc import Callable
+from collections.abc import Iterator
+from collections.abc import Set
+import dataclasses
+import pathlib
+from typing import TypeAlias
 from typing import TypeVar
 
 import expression
 import pydantic
+import pydantic_core
 import yaml
 
 from hickorygate.core import errors
 
-__all__ = ["read_yaml"]
+__all__ = ["LENGTH_LIMIT", "Breach", "Place", "read_file", "read_yaml"]
+
+LENGTH_LIMIT = 1_048_576
+"""The longest document that is read, in bytes."""
+
+_LONGEST_VALUE = 60
+_REASONS = {
+    "extra_forbidden": "unknown key; remove it or correct its name",
+    "missing": "this key is missing; add it",
+    "string_pattern_mismatch": (
+        "not a name; use lower-case letters, digits, '_', '.' and '-'"
+    ),
+    "model_type": "must be a mapping of keys to values",
+}
+_Loader = getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 ModelT = TypeVar("ModelT", bound=pydantic.BaseModel)
+Place: TypeAlias = tuple[str | int, ...]
+"""Keys and indices that lead to a value."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Breach:
+    """A rule that a valid model breaks.
+
+    Attributes:
+      place: where.
+      value: what stands there; None if the place says enough.
+      reason: what is wrong and what would be right.
+    """
+
+    place: Place
+    value: object
+    reason: str
+
+
+Rules: TypeAlias = Callable[[ModelT], Iterator[Breach]]
+
+
+class _Outline:
+    """The lines of a document's values, and what its shape does wrong."""
+
+    __slots__ = ("_lines", "_seen", "problems")
+
+    def __init__(self, root: yaml.Node | None) -> None:
+        self.problems: list[errors.Problem] = []
+        self._lines: dict[Place, int] = {}
+        self._seen: set[int] = set()
+        if root is not None:
+            self._walk(root, ())
+
+    def __repr__(self) -> str:
+        return f"_Outline(places={len(self._lines)})"
+
+    def line(self, place: Place) -> int | None:
+        """Returns the line of a value, or of the nearest one around it."""
+        for length in range(len(place), -1, -1):
+            if place[:length] in self._lines:
+                return self._lines[place[:length]]
+        return None
+
+    def _walk(self, node: yaml.Node, place: Place) -> None:
+        self._lines[place] = node.start_mark.line + 1
+        if id(node) in self._seen:
+            self._refuse(node, place, "is an alias; write the value out")
+            return
+        self._seen.add(id(node))
+        if isinstance(node, yaml.MappingNode):
+            self._walk_mapping(node, place)
+        elif isinstance(node, yaml.SequenceNode):
+            for index, item in enumerate(node.value):
+                self._walk(item, (*place, index))
+
+    def _walk_mapping(self, node: yaml.MappingNode, place: Place) -> None:
+        keys: set[str] = set()
+        for key, value in node.value:
+            name = str(key.value)
+            if name in keys:
+                reason = "this key stands twice; keep one"
+                self._refuse(key, (*place, name), reason)
+            keys.add(name)
+            self._walk(value, (*place, name))
+            self._lines[(*place, name)] = key.start_mark.line + 1
+
+    def _refuse(self, node: yaml.Node, place: Place, reason: str) -> None:
+        line = node.start_mark.line + 1
+        self.problems.append(errors.Problem(line, _dotted(place), reason))
+
+
+def _dotted(place: Place) -> str:
+    return ".".join(str(part) for part in place) or "top level"
+
+
+def _shown(value: object) -> str:
+    text = repr(value)
+    if len(text) <= _LONGEST_VALUE:
+        return text
+    return text[:_LONGEST_VALUE] + "..."
+
+
+def _yaml_problem(error: yaml.YAMLError) -> errors.Problem:
+    mark = getattr(error, "problem_mark", None)
+    line = mark.line + 1 if mark else None
+    text = getattr(error, "problem", None) or " ".join(str(error).split())
+    return errors.Problem(line, "YAML", text)
+
+
+def _model_problems(
+    found: pydantic.ValidationError, outline: _Outline
+) -> tuple[errors.Problem, ...]:
+    details = found.errors(include_url=False)
+    places = {detail["loc"] for detail in details}
+    return tuple(
+        _model_problem(detail, outline)
+        for detail in details
+        if not _follows(detail, places)
+    )
+
+
+def _follows(detail: pydantic_core.ErrorDetails, places: Set[Place]) -> bool:
+    """Tells whether a list is short only because its items are wrong."""
+    place = detail["loc"]
+    return detail["type"] == "too_short" and any(
+        len(other) > len(place) and other[: len(place)] == place
+        for other in places
+    )
+
+
+def _model_problem(
+    detail: pydantic_core.ErrorDetails, outline: _Outline
+) -> errors.Problem:
+    place = detail["loc"]
+    reason = _REASONS.get(detail["type"], detail["msg"])
+    if detail["type"] != "missing" and not _is_secret(place):
+        reason += f" (found {_shown(detail['input'])})"
+    return errors.Problem(outline.line(place), _dotted(place), reason)
+
+
+def _is_secret(place: Place) -> bool:
+    """Tells whether a value must not be repeated in an error."""
+    names = {str(part) for part in place}
+    return bool(names & {"users", "password", "token_key", "secret_key"})
+
+
+def _breach_problem(breach: Breach, outline: _Outline) -> errors.Problem:
+    reason = breach.reason
+    if breach.value is not None:
+        reason += f" (found {_shown(breach.value)})"
+    line = outline.line(breach.place)
+    return errors.Problem(line, _dotted(breach.place), reason)
+
+
+def _no_rules(model: pydantic.BaseModel) -> Iterator[Breach]:
+    return iter(())
 
 
 def read_yaml(
-    model: type[ModelT], text: str, path: str
-) -> expression.Result[ModelT, errors.SheetInvalid]:
+    model: type[ModelT],
+    text: str,
+    path: str,
+    rules: Rules[ModelT] = _no_rules,
+) -> expression.Result[ModelT, errors.FileInvalid]:
     """Validates a YAML document.
 
     Args:
       model: the border model.
       text: the document.
       path: named in errors.
+      rules: finds what a valid model still does wrong.
     """
+
+    def invalid(
+        *problems: errors.Problem,
+    ) -> expression.Result[ModelT, errors.FileInvalid]:
+        return expression.Error(errors.FileInvalid(path, problems))
+
+    if len(text) > LENGTH_LIMIT:
+        reason = f"longer than {LENGTH_LIMIT} characters; split it"
+        return invalid(errors.Problem(None, "file", reason))
     try:
-        return expression.Ok(model.model_validate(yaml.safe_load(text)))
+        outline = _Outline(yaml.compose(text, _Loader))
+        if outline.problems:
+            return invalid(*outline.problems)
+        value = yaml.load(text, _Loader)
     except yaml.YAMLError as error:
-        reason = " ".join(str(error).split())
-        return expression.Error(errors.SheetInvalid(path, "YAML", reason))
+        return invalid(_yaml_problem(error))
+    except (ValueError, RecursionError) as error:
+        return invalid(errors.Problem(None, "YAML", str(error)))
+    try:
+        valid = model.model_validate(value)
     except pydantic.ValidationError as error:
-        first = error.errors(include_url=False)[0]
-        where = ".".join(str(part) for part in first["loc"]) or "top level"
-        return expression.Error(errors.SheetInvalid(path, where, first["msg"]))
+        return invalid(*_model_problems(error, outline))
+    breaches = [_breach_problem(b, outline) for b in rules(valid)]
+    return invalid(*breaches) if breaches else expression.Ok(valid)
+
+
+def read_file(
+    path: pathlib.Path,
+) -> expression.Result[str, errors.FileInvalid]:
+    """Reads a text file within the limit on its length."""
+    try:
+        with path.open("rb") as file:
+            return expression.Ok(file.read(LENGTH_LIMIT + 1).decode())
+    except OSError as error:
+        reason = f"can't be read: {error.strerror}; check the path"
+    except UnicodeDecodeError as error:
+        reason = f"not UTF-8 at byte {error.start}; save it as UTF-8"
+    problem = errors.Problem(None, "file", reason)
+    return expression.Error(errors.FileInvalid(str(path), (problem,)))
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -24,7 +24,9 @@
     "Draining",
     "Failure",
     "FailureError",
+    "FileInvalid",
     "GroupRefused",
+    "ListenFailed",
     "MultipleStatements",
     "NoPrimary",
     "NoQuorum",
@@ -32,9 +34,10 @@
     "Outcome",
     "Overloaded",
     "PoolExhausted",
+    "Problem",
+    "ProxyUnreachable",
     "ReplicationUnconfirmed",
     "SheetConflict",
-    "SheetInvalid",
     "StatementTooLarge",
     "StoreUnavailable",
     "UnknownSchema",
@@ -409,23 +412,72 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SheetInvalid(Failure):
-    """A sheet or a settings file doesn't hold what it must.
+class Problem:
+    """One thing that is wrong in a file.
 
     Attributes:
-      path: file, and line where it is known.
+      line: counted from 1; None if it concerns the whole file.
       where: the key, as a dotted path.
-      reason: what is wrong and what would be right.
+      reason: what is wrong, what was found and what would be right.
     """
 
-    path: str
+    line: int | None
     where: str
     reason: str
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FileInvalid(Failure):
+    """A sheet or a settings file doesn't hold what it must.
+
+    Attributes:
+      path: the file.
+      problems: all that were found, at least one.
+    """
+
+    path: str
+    problems: tuple[Problem, ...]
+
+    @property
+    def message(self) -> str:
+        """Text for a person, a line for each problem."""
+        return "\n".join(self._line(problem) for problem in self.problems)
+
+    def _line(self, problem: Problem) -> str:
+        line = "" if problem.line is None else f"{problem.line}:"
+        return f"{self.path}:{line} {problem.where}: {problem.reason}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenFailed(Failure):
+    """The process can't listen where its settings say."""
+
+    part: str
+    reason: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"can't listen for {self.part}: {self.reason}; choose a free "
+            f"port and an address of this instance under {self.part!r}"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProxyUnreachable(Failure):
+    """A proxy's admin port doesn't answer."""
+
+    address: str
+    reason: str
+
     @property
     def message(self) -> str:
         """Text for a person."""
-        return f"{self.path}: {self.where}: {self.reason}"
+        return (
+            f"no answer from the admin port {self.address}: {self.reason}; "
+            "check the address and that the proxy runs"
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -27,6 +27,7 @@
     "TlsSettings",
     "UpstreamSettings",
     "load",
+    "platform_at",
 ]
 
 _Port = Annotated[int, pydantic.Field(ge=0, lt=65_536)]
@@ -110,7 +111,7 @@
 class PlatformSettings(_Model):
     """The platform's object API."""
 
-    url: str
+    url: Annotated[str, pydantic.StringConstraints(pattern=r"^https?://.+")]
     timeout_ms: _Milliseconds = 1_000
 
     @property
@@ -173,11 +174,19 @@
 
 def load(
     path: pathlib.Path,
-) -> expression.Result[Settings, errors.SheetInvalid]:
+) -> expression.Result[Settings, errors.FileInvalid]:
     """Reads and validates a settings file."""
+    return border.read_file(path).bind(
+        lambda text: border.read_yaml(Settings, text, str(path))
+    )
+
+
+def platform_at(
+    url: str,
+) -> expression.Result[PlatformSettings, errors.UsageError]:
+    """Returns the settings for a platform at an address, else defaults."""
     try:
-        text = path.read_text()
-    except OSError as error:
-        reason = f"can't be read: {error.strerror}"
-        return expression.Error(errors.SheetInvalid(str(path), "file", reason))
-    return border.read_yaml(Settings, text, str(path))
+        return expression.Ok(PlatformSettings(url=url))
+    except pydantic.ValidationError:
+        reason = f"must look like http://HOST:PORT (found {url!r})"
+        return expression.Error(errors.UsageError("--platform", reason))
--- a/hickorygate/core/sheet.py
+++ b/hickorygate/core/sheet.py
@@ -1,113 +1,30 @@
-"""The morning sheet: the border model and the data classes made from it.
-
-The YAML is validated whole by `SheetModel`; everything behind the border uses
-the frozen data classes that `parse` returns.
-"""
+"""The sheet: frozen data classes, made of a sheet that was validated whole."""
 
 from __future__ import annotations
 
 import dataclasses
 import datetime
-from typing import Annotated
 
 import expression
-import pydantic
 
 from hickorygate.core import border
 from hickorygate.core import errors
+from hickorygate.core import sheet_model
+from hickorygate.core import sheet_rules
 from hickorygate.core import types
 
 __all__ = [
     "Database",
     "Group",
+    "PlannedStop",
     "Rank",
     "ReadClass",
     "Service",
     "Sheet",
-    "SheetModel",
     "User",
     "parse",
 ]
 
-_Name = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^[a-z0-9][a-z0-9_.-]{0,62}$")
-]
-_Milliseconds = Annotated[int, pydantic.Field(gt=0, le=3_600_000)]
-
-
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
-
-
-class RankModel(_Model):
-    """One rank of work; the sheet lists the most urgent first."""
-
-    name: _Name
-    target_ms: _Milliseconds
-    floor: Annotated[float, pydantic.Field(ge=0, le=1)]
-
-
-class ReadClassModel(_Model):
-    """A kind of read and the staleness it tolerates."""
-
-    name: _Name
-    staleness_ms: Annotated[int, pydantic.Field(ge=0, le=3_600_000)]
-
-
-class UserModel(_Model):
-    """A caller's defaults."""
-
-    name: _Name
-    rank: _Name
-    reads: _Name | None = None
-
-
-class DatabaseModel(_Model):
-    """One upstream database with its limits."""
-
-    name: _Name
-    host: str
-    port: Annotated[int, pydantic.Field(gt=0, lt=65_536)]
-    zone: _Name
-    connections: Annotated[int, pydantic.Field(ge=2, le=10_000)]
-    slots: Annotated[int, pydantic.Field(ge=1, le=1_000)]
-
-
-class GroupModel(_Model):
-    """Databases that replicate one log, and the schemas they own."""
-
-    name: _Name
-    schemas: Annotated[tuple[str, ...], pydantic.Field(min_length=1)]
-    databases: Annotated[
-        tuple[DatabaseModel, ...], pydantic.Field(min_length=1)
-    ]
-
-
-class ServiceModel(_Model):
-    """One service: its ranks, reads, users and groups."""
-
-    name: _Name
-    ranks: Annotated[tuple[RankModel, ...], pydantic.Field(min_length=1)]
-    reads: tuple[ReadClassModel, ...] = ()
-    users: tuple[UserModel, ...] = ()
-    groups: Annotated[tuple[GroupModel, ...], pydantic.Field(min_length=1)]
-
-
-class PlannedStopModel(_Model):
-    """A stop that the planners announce."""
-
-    instance: str
-    at: pydantic.AwareDatetime
-
-
-class SheetModel(_Model):
-    """The whole sheet as YAML or JSON."""
-
-    format: Annotated[int, pydantic.Field(ge=1, le=1)]
-    proxies: Annotated[int, pydantic.Field(ge=1, le=1_000)]
-    services: Annotated[tuple[ServiceModel, ...], pydantic.Field(min_length=1)]
-    planned_stops: tuple[PlannedStopModel, ...] = ()
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Rank:
@@ -246,7 +163,7 @@
     return datetime.timedelta(milliseconds=value)
 
 
-def _database(model: DatabaseModel) -> Database:
+def _database(model: sheet_model.DatabaseModel) -> Database:
     return Database(
         name=model.name,
         host=model.host,
@@ -257,7 +174,7 @@
     )
 
 
-def _group(model: GroupModel) -> Group:
+def _group(model: sheet_model.GroupModel) -> Group:
     return Group(
         name=model.name,
         schemas=model.schemas,
@@ -265,7 +182,7 @@
     )
 
 
-def _service(model: ServiceModel) -> Service:
+def _service(model: sheet_model.ServiceModel) -> Service:
     return Service(
         name=model.name,
         ranks=tuple(
@@ -281,7 +198,9 @@
     )
 
 
-def _sheet(model: SheetModel, version: types.SheetVersion, text: str) -> Sheet:
+def _sheet(
+    model: sheet_model.SheetModel, version: types.SheetVersion, text: str
+) -> Sheet:
     return Sheet(
         version=version,
         proxies=model.proxies,
@@ -295,7 +214,7 @@
 
 def parse(
     text: str, version: types.SheetVersion = 0, path: str = "sheet"
-) -> expression.Result[Sheet, errors.SheetInvalid]:
+) -> expression.Result[Sheet, errors.FileInvalid]:
     """Validates a sheet whole.
 
     Args:
@@ -303,6 +222,6 @@
       version: the version the object API gave it; 0 for one not stored yet.
       path: named in errors.
     """
-    return border.read_yaml(SheetModel, text, path).map(
-        lambda model: _sheet(model, version, text)
-    )
+    return border.read_yaml(
+        sheet_model.SheetModel, text, path, sheet_rules.breaches
+    ).map(lambda model: _sheet(model, version, text))
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -7,10 +7,12 @@
 
 import expression
 import logbook
+import zmq
 
 from hickorygate.callers import frontend
 from hickorygate.callers import server as servers
 from hickorygate.core import clock as clocks
+from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
@@ -75,13 +77,19 @@
         """Returns the link to a group of the sheet in force."""
         return self._groups[name]
 
-    async def start(self) -> None:
-        """Starts all parts."""
-        await self._mesh.start()
+    async def start(self) -> expression.Result[None, errors.ListenFailed]:
+        """Starts all parts; after a failure `close` stops those that ran."""
         callers = self._settings.callers
-        await self._server.start(callers.host, callers.port)
+        try:
+            part = "peers"
+            await self._mesh.start()
+            part = "callers"
+            await self._server.start(callers.host, callers.port)
+        except (OSError, zmq.ZMQError) as error:
+            return expression.Error(errors.ListenFailed(part, str(error)))
         self._watch = asyncio.create_task(self._watch_sheet())
         self._time_line.record(events.ProcessStarted(VERSION))
+        return expression.Ok(None)
 
     async def close(self) -> None:
         """Stops all parts."""
--- a/hickorygate/operators/main.py
+++ b/hickorygate/operators/main.py
@@ -2,104 +2,89 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Sequence
-import functools
-import pathlib
-import signal
+import os
 import sys
 
-from absl import app
 from absl import flags
 import expression
 import uvloop
 
-from hickorygate import daemon as daemons
-from hickorygate.core import clock as clocks
 from hickorygate.core import errors
-from hickorygate.core import settings as settings_lib
-from hickorygate.operators import commands
-from hickorygate.operators import log
-
-__all__ = ["main", "run"]
-
-_SETTINGS = flags.DEFINE_string("settings", None, "The settings file (YAML).")
-
-_EXIT_FAILED = 1
-_EXIT_USAGE = 2
-_STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
-
-CommandResult = expression.Result[commands.Command, errors.UsageError]
-
-
-def _parse_serve(arguments: Sequence[str]) -> CommandResult:
-    if _SETTINGS.value is None:
-        reason = "needs --settings FILE"
-        return expression.Error(errors.UsageError("serve", reason))
-    return expression.Ok(commands.Serve(pathlib.Path(_SETTINGS.value)))
-
-
-_PARSERS = {"serve": _parse_serve}
-
-
-def parse(arguments: Sequence[str]) -> CommandResult:
-    """Makes a command of what is left after the flags."""
-    known = ", ".join(sorted(_PARSERS))
-    if not arguments:
-        reason = f"name a command: {known}"
-        return expression.Error(errors.UsageError("hickorygate", reason))
-    parser = _PARSERS.get(arguments[0])
-    if parser is None:
-        reason = f"unknown command; known: {known}"
-        return expression.Error(errors.UsageError(arguments[0], reason))
-    return parser(arguments[1:])
-
-
-@functools.singledispatch
-async def execute(
-    command: commands.Command,
-) -> expression.Result[None, errors.Failure]:
-    """Runs a command."""
-    raise TypeError(f"no way to run {command!r}; register one")
-
-
-@execute.register
-async def _(
-    command: commands.Serve,
-) -> expression.Result[None, errors.Failure]:
-    loaded = settings_lib.load(command.settings)
-    if loaded.is_error():
-        return expression.Error(loaded.error)
-    settings = loaded.ok
-    log.set_up(settings.name, settings.log)
-    daemon = daemons.Daemon(settings, clocks.SystemClock())
-    await daemon.start()
-    await _stop_signal()
-    await daemon.close()
-    return expression.Ok(None)
-
-
-async def _stop_signal() -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in _STOP_SIGNALS:
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+from hickorygate.operators import command as commands
+from hickorygate.operators import serve
+from hickorygate.operators import sheet
+
+__all__ = ["main", "parse", "run"]
+
+_PROGRAM = "hickorygate"
+_HELP = frozenset({"help", "-h", "--help"})
+_FAMILIES = {
+    family.name: family
+    for family in (
+        serve.FAMILY,
+        sheet.FAMILY,
+    )
+}
+
+
+def _usage() -> str:
+    lines = [f"  {_PROGRAM} {line}" for line in _usage_lines()]
+    return "\n".join(["usage:", *lines])
+
+
+def _usage_lines() -> list[str]:
+    return [
+        line
+        for family in _FAMILIES.values()
+        for line in family.usage.splitlines()
+    ]
+
+
+def parse(words: Sequence[str]) -> commands.ParseResult:
+    """Makes a command of the words after the program's name."""
+    family = _FAMILIES.get(words[0]) if words else None
+    if family is None:
+        name = words[0] if words else _PROGRAM
+        known = ", ".join(_FAMILIES)
+        return commands.usage(name, f"not a command; known: {known}")
+    family.flags.unparse_flags()
+    try:
+        rest = family.flags(list(words))
+    except flags.Error as error:
+        reason = f"{error}; see `{_PROGRAM} help`"
+        return expression.Error(errors.UsageError(family.name, reason))
+    return family.parse(rest[1:])
 
 
 def main(argv: Sequence[str]) -> int:
     """Runs the command that the arguments name; returns the exit code."""
-    command = parse(argv[1:])
+    words = argv[1:]
+    if not words or _HELP.intersection(words):
+        print(_usage(), file=sys.stdout if words else sys.stderr)
+        return commands.ExitCode.DONE if words else commands.ExitCode.USAGE
+    command = parse(words)
     if command.is_error():
-        print(f"hickorygate: {command.error.message}", file=sys.stderr)
-        return _EXIT_USAGE
-    result = uvloop.run(execute(command.ok))
-    if result.is_error():
-        print(f"hickorygate: {result.error.message}", file=sys.stderr)
-        return _EXIT_FAILED
-    return 0
+        return _failed(command.error)
+    try:
+        result = uvloop.run(commands.execute(command.ok))
+    except KeyboardInterrupt:
+        return commands.ExitCode.INTERRUPTED
+    return _failed(result.error) if result.is_error() else 0
+
+
+def _failed(failure: errors.Failure) -> int:
+    print(f"{_PROGRAM}: {failure.message}", file=sys.stderr)
+    return commands.exit_code(failure)
 
 
 def run() -> None:
     """Entry point of the installed program."""
-    app.run(main)
+    try:
+        code = main(sys.argv)
+        sys.stdout.flush()
+    except BrokenPipeError:
+        # The reader of our output left; nothing more can be told.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), sys.stdout.fileno())
+        code = commands.ExitCode.FAILED
+    sys.exit(code)
--- /dev/null
+++ b/hickorygate/operators/serve.py
@@ -0,0 +1,75 @@
+"""`hickorygate serve`: runs one proxy until it is told to stop."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+import pathlib
+import signal
+
+from absl import flags
+import expression
+
+from hickorygate import daemon as daemons
+from hickorygate.core import clock as clocks
+from hickorygate.core import settings as settings_lib
+from hickorygate.operators import command as commands
+from hickorygate.operators import log
+
+__all__ = ["FAMILY", "Serve"]
+
+_NAME = "serve"
+_STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+
+_FLAGS = commands.new_flags()
+_SETTINGS = flags.DEFINE_string(
+    "settings", None, "The settings file (YAML).", flag_values=_FLAGS
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Serve(commands.Command):
+    """Runs a proxy until it is told to stop."""
+
+    settings: pathlib.Path
+
+
+def _parse(words: Sequence[str]) -> commands.ParseResult:
+    if words:
+        return commands.usage(_NAME, f"takes no {words[0]!r}")
+    if _SETTINGS.value is None:
+        return commands.usage(_NAME, "needs --settings FILE")
+    return expression.Ok(Serve(pathlib.Path(_SETTINGS.value)))
+
+
+FAMILY = commands.Family(
+    _NAME, "serve --settings FILE    run one proxy", _FLAGS, _parse
+)
+
+
+@commands.execute.register
+async def _(command: Serve) -> commands.Result:
+    match settings_lib.load(command.settings):
+        case expression.Result(tag="error", error=failure):
+            return expression.Error(failure)
+        case expression.Result(tag="ok", ok=settings):
+            return await _serve(settings)
+
+
+async def _serve(settings: settings_lib.Settings) -> commands.Result:
+    log.set_up(settings.name, settings.log)
+    daemon = daemons.Daemon(settings, clocks.SystemClock())
+    started = await daemon.start()
+    if started.is_ok():
+        await _stop_signal()
+    await daemon.close()
+    return started
+
+
+async def _stop_signal() -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in _STOP_SIGNALS:
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
--- /dev/null
+++ b/hickorygate/operators/sheet.py
@@ -0,0 +1,189 @@
+"""`hickorygate sheet`: checks, loads and shows the sheet in the platform."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import dataclasses
+import getpass
+import pathlib
+
+from absl import flags
+import expression
+
+from hickorygate.core import border
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
+from hickorygate.core import types
+from hickorygate.operators import command as commands
+from hickorygate.platform import client as platform_client
+from hickorygate.platform import objects
+
+__all__ = ["FAMILY", "Check", "Load", "Show"]
+
+_NAME = "sheet"
+_USAGE = """\
+sheet check FILE                              validate a sheet
+sheet load FILE --platform URL [--replaces N] put a sheet in force
+sheet show --platform URL                     print the sheet in force"""
+
+_FLAGS = commands.new_flags()
+_PLATFORM = flags.DEFINE_string(
+    "platform",
+    None,
+    "Base address of the platform's object API.",
+    flag_values=_FLAGS,
+)
+_SETTINGS = flags.DEFINE_string(
+    "settings",
+    None,
+    "A proxy's settings file, to take the platform's address from.",
+    flag_values=_FLAGS,
+)
+_REPLACES = flags.DEFINE_integer(
+    "replaces",
+    None,
+    "Load only if this version is in force; 0 for the first sheet.",
+    lower_bound=0,
+    flag_values=_FLAGS,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Check(commands.Command):
+    """Validates a sheet and touches nothing."""
+
+    path: pathlib.Path
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Load(commands.Command):
+    """Stores a sheet.
+
+    Attributes:
+      path: the sheet.
+      platform: where to.
+      replaces: the version that it must replace; None for the one that is
+        stored when the command starts.
+    """
+
+    path: pathlib.Path
+    platform: settings_lib.PlatformSettings
+    replaces: types.SheetVersion | None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Show(commands.Command):
+    """Prints the stored sheet."""
+
+    platform: settings_lib.PlatformSettings
+
+
+def _parse(words: Sequence[str]) -> commands.ParseResult:
+    match tuple(words):
+        case ("check", path):
+            return expression.Ok(Check(pathlib.Path(path)))
+        case ("load", path):
+            return _platform().map(
+                lambda platform: Load(
+                    pathlib.Path(path), platform, _REPLACES.value
+                )
+            )
+        case ("show",):
+            return _platform().map(Show)
+    return commands.usage(_NAME, f"use one of:\n{_USAGE}")
+
+
+def _platform() -> expression.Result[
+    settings_lib.PlatformSettings, errors.Failure
+]:
+    if _PLATFORM.value is not None:
+        return settings_lib.platform_at(_PLATFORM.value)
+    if _SETTINGS.value is not None:
+        path = pathlib.Path(_SETTINGS.value)
+        return settings_lib.load(path).map(lambda found: found.platform)
+    reason = "needs --platform URL or --settings FILE"
+    return expression.Error(errors.UsageError(_NAME, reason))
+
+
+FAMILY = commands.Family(_NAME, _USAGE, _FLAGS, _parse)
+
+
+def _read(
+    path: pathlib.Path,
+) -> expression.Result[sheets.Sheet, errors.FileInvalid]:
+    return border.read_file(path).bind(
+        lambda text: sheets.parse(text, path=str(path))
+    )
+
+
+@commands.execute.register
+async def _(command: Check) -> commands.Result:
+    sheet = _read(command.path)
+    if sheet.is_ok():
+        print(f"{command.path}: valid, {_summary(sheet.ok)}")
+    return sheet.map(lambda _: None)
+
+
+def _summary(sheet: sheets.Sheet) -> str:
+    groups = [group for s in sheet.services for group in s.groups]
+    count = sum(len(group.databases) for group in groups)
+    return (
+        f"{len(sheet.services)} services, {len(groups)} groups, "
+        f"{count} databases"
+    )
+
+
+@commands.execute.register
+async def _(command: Load) -> commands.Result:
+    sheet = _read(command.path)
+    if sheet.is_error():
+        return expression.Error(sheet.error)
+    client = platform_client.Client(command.platform)
+    try:
+        stored = await _store(client, sheet.ok, command.replaces)
+    finally:
+        await client.close()
+    if stored.is_ok():
+        print(f"{command.path}: in force as version {stored.ok}")
+    return stored.map(lambda _: None)
+
+
+async def _store(
+    client: platform_client.Client,
+    sheet: sheets.Sheet,
+    replaces: types.SheetVersion | None,
+) -> expression.Result[types.SheetVersion, errors.Failure]:
+    if replaces is None:
+        found = await client.sheet()
+        if found.is_error():
+            return expression.Error(found.error)
+        replaces = found.ok.version if found.ok else 0
+    value = objects.SheetObject(
+        text=sheet.text,
+        loaded_by=getpass.getuser(),
+        loaded_at=clocks.SystemClock().now(),
+    )
+    return await client.store_sheet(value, replaces)
+
+
+@commands.execute.register
+async def _(command: Show) -> commands.Result:
+    client = platform_client.Client(command.platform)
+    try:
+        found = await client.sheet()
+    finally:
+        await client.close()
+    if found.is_error():
+        return expression.Error(found.error)
+    if found.ok is None:
+        print("# no sheet was ever loaded; use `hickorygate sheet load`")
+        return expression.Ok(None)
+    value = found.ok.value
+    print(
+        f"# version {found.ok.version}, loaded by {value.loaded_by} "
+        f"at {value.loaded_at.isoformat()}"
+    )
+    print(value.text, end="")
+    return expression.Ok(None)
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -130,6 +130,7 @@
         daemon = daemons.Daemon(
             settings(f"proxy-{number}", zone, platform.url, seeds), clock
         )
-        await daemon.start()
+        started = await daemon.start()
+        assert started.is_ok(), started
         stand.daemons.append(daemon)
     return stand
