Order a database's waiters by rank, deadline and floor

A pool's semaphore served callers by arrival and let them wait until their deadline. core/admission.py now decides: a lane for each rank, earliest deadline first in it, floors by deficit accounting, and a refusal at once for what the lane's measured speed can't answer in time. FIFO and strict priority stay beside it as policies. A leaving database's waiters are refused at once. Checked by test_admission (9 tests); no load was measured yet.

--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -20,6 +20,8 @@
     "BadPeerMessage",
     "BadToken",
     "ConnectFailed",
+    "ConnectionLimit",
+    "DatabaseLeft",
     "DeadlinePassed",
     "Draining",
     "Failure",
@@ -287,6 +289,33 @@
         return f"can't connect to {self.database!r}: {self.reason}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionLimit(Failure):
+    """A database has as many connections as it takes."""
+
+    database: types.DatabaseName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"{self.database!r} takes no more connections; retry in a second, "
+            "or raise its limit in the sheet"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseLeft(Failure):
+    """The database is leaving and gets no new work."""
+
+    database: types.DatabaseName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"{self.database!r} is leaving; retry, another one takes over"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLost(Failure):
     """A statement was sent and its answer never came."""
--- /dev/null
+++ b/hickorygate/tests/test_admission.py
@@ -0,0 +1,137 @@
+"""The rank queue: order, floors, early refusals."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from hickorygate.core import admission
+from hickorygate.core import errors
+from hickorygate.core import request as requests
+from hickorygate.core import sheet as sheets
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+def _milliseconds(count: float) -> datetime.timedelta:
+    return datetime.timedelta(milliseconds=count)
+
+
+_URGENT = sheets.Rank("urgent", 0, _milliseconds(250), 0.5)
+_NORMAL = sheets.Rank("normal", 1, _milliseconds(1_000), 0.2)
+_FLOORS = admission.Floors()
+_HISTORY = sheets.Rank("history", 2, _milliseconds(10_000), 0.1)
+
+
+def _request(
+    rank: sheets.Rank,
+    arrived: datetime.datetime = _START,
+    allowed: datetime.timedelta | None = None,
+) -> requests.Request:
+    deadline = arrived + (allowed or rank.target)
+    return requests.Request(rank, arrived, deadline)
+
+
+def _queue(policy: admission.Policy = _FLOORS) -> admission.RankQueue:
+    return admission.RankQueue(admission.QueueSettings(policy=policy))
+
+
+class RankQueueTest(unittest.TestCase):
+    """Decisions at one moment."""
+
+    def taken(
+        self, waiting: admission.RankQueue, count: int
+    ) -> list[sheets.Rank]:
+        ranks = []
+        for _ in range(count):
+            waiter = waiting.take(_START)
+            assert waiter is not None
+            waiting.finish(waiter, _milliseconds(10), _START)
+            ranks.append(waiter.request.rank)
+        return ranks
+
+    def test_urgent_goes_first_under_floors(self) -> None:
+        waiting = _queue()
+        for rank in (_HISTORY, _NORMAL, _URGENT):
+            self.assertTrue(waiting.offer(_request(rank), _START, True).is_ok())
+        order = self.taken(waiting, 3)
+        self.assertEqual(order, [_URGENT, _NORMAL, _HISTORY])
+
+    def test_fifo_keeps_arrival_order(self) -> None:
+        waiting = _queue(admission.Fifo())
+        for rank in (_HISTORY, _URGENT):
+            waiting.offer(_request(rank), _START, False)
+        self.assertEqual(self.taken(waiting, 2), [_HISTORY, _URGENT])
+
+    def test_earliest_deadline_goes_first_in_a_lane(self) -> None:
+        waiting = _queue()
+        late = _request(_NORMAL)
+        soon = _request(_NORMAL, allowed=_milliseconds(500))
+        for one in (late, soon):
+            self.assertTrue(waiting.offer(one, _START, False).is_ok())
+        first = waiting.take(_START)
+        assert first is not None
+        self.assertEqual(first.request, soon)
+
+    def test_floor_is_kept_against_a_more_urgent_flood(self) -> None:
+        waiting = _queue()
+        for _ in range(200):
+            far = _milliseconds(100_000)
+            for rank in (_URGENT, _NORMAL, _HISTORY):
+                waiting.offer(_request(rank, allowed=far), _START, False)
+        order = self.taken(waiting, 200)
+        self.assertGreaterEqual(order.count(_NORMAL), 39)
+        self.assertGreaterEqual(order.count(_HISTORY), 19)
+        self.assertGreaterEqual(order.count(_URGENT), 139)
+
+    def test_strict_priority_starves_the_others(self) -> None:
+        waiting = _queue(admission.StrictPriority())
+        for _ in range(50):
+            far = _milliseconds(100_000)
+            for rank in (_URGENT, _HISTORY):
+                waiting.offer(_request(rank, allowed=far), _START, False)
+        self.assertEqual(self.taken(waiting, 50), [_URGENT] * 50)
+
+    def test_flood_of_its_own_rank_is_refused_with_a_time(self) -> None:
+        waiting = _queue()
+        results = [
+            waiting.offer(_request(_URGENT), _START, False) for _ in range(100)
+        ]
+        admitted = sum(result.is_ok() for result in results)
+        # 250 ms, of which 80% is planned, at 10 ms a request.
+        self.assertEqual(admitted, 20)
+        failure = results[-1].error
+        self.assertIsInstance(failure, errors.Overloaded)
+        self.assertIs(failure.outcome, errors.Outcome.NOT_RUN)
+        self.assertGreater(failure.retry_after, datetime.timedelta())
+
+    def test_newcomer_may_not_make_an_admitted_one_late(self) -> None:
+        waiting = _queue()
+        while waiting.offer(_request(_URGENT), _START, False).is_ok():
+            pass
+        sooner = _request(_URGENT, allowed=_milliseconds(240))
+        self.assertTrue(waiting.offer(sooner, _START, False).is_error())
+
+    def test_late_ones_are_removed_before_they_start(self) -> None:
+        waiting = _queue()
+        for _ in range(3):
+            waiting.offer(_request(_URGENT), _START, False)
+        self.assertEqual(waiting.late(_START), ())
+        after = _START + _milliseconds(245)
+        # The last one waits alone, so it may try until its deadline.
+        self.assertEqual(len(waiting.late(after)), 2)
+        self.assertEqual(len(waiting.late(_START + _milliseconds(250))), 1)
+
+    def test_slow_service_is_learned_and_refuses_more(self) -> None:
+        waiting = _queue()
+        now = _START
+        for _ in range(60):
+            waiting.offer(_request(_URGENT, now), now, True)
+            waiter = waiting.take(now)
+            assert waiter is not None
+            now += _milliseconds(50)
+            waiting.finish(waiter, _milliseconds(50), now)
+        admitted = 0
+        while waiting.offer(_request(_URGENT, now), now, False).is_ok():
+            admitted += 1
+        self.assertEqual(admitted, 4)
