--- a/hickorygate/core/border.py
+++ b/hickorygate/core/border.py
@@ -84,11 +84,12 @@
         return None
 
     def _walk(self, node: yaml.Node, place: Place) -> None:
-        self._lines[place] = node.start_mark.line + 1
         if id(node) in self._seen:
-            self._refuse(node, place, "is an alias; write the value out")
+            reason = "is an alias; write the value out"
+            self._refuse(self.line(place), place, reason)
             return
         self._seen.add(id(node))
+        self._lines.setdefault(place, _line(node))
         if isinstance(node, yaml.MappingNode):
             self._walk_mapping(node, place)
         elif isinstance(node, yaml.SequenceNode):
@@ -101,16 +102,19 @@
             name = str(key.value)
             if name in keys:
                 reason = "this key stands twice; keep one"
-                self._refuse(key, (*place, name), reason)
+                self._refuse(_line(key), (*place, name), reason)
             keys.add(name)
+            self._lines[(*place, name)] = _line(key)
             self._walk(value, (*place, name))
-            self._lines[(*place, name)] = key.start_mark.line + 1
 
-    def _refuse(self, node: yaml.Node, place: Place, reason: str) -> None:
-        line = node.start_mark.line + 1
+    def _refuse(self, line: int | None, place: Place, reason: str) -> None:
         self.problems.append(errors.Problem(line, _dotted(place), reason))
 
 
+def _line(node: yaml.Node) -> int:
+    return node.start_mark.line + 1
+
+
 def _dotted(place: Place) -> str:
     return ".".join(str(part) for part in place) or "top level"
 
