--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -20,31 +20,31 @@
     "BadPeerMessage",
     "BadToken",
     "ConnectFailed",
+    "ConnectionLimit",
+    "DatabaseLeft",
     "DeadlinePassed",
     "Draining",
     "Failure",
     "FailureError",
+    "FileInvalid",
     "GroupRefused",
+    "ListenFailed",
     "MultipleStatements",
     "NoPrimary",
     "NoQuorum",
     "NotReady",
-    "ObjectConflict",
-    "ObjectMalformed",
-    "ObjectOvertaken",
     "Outcome",
     "Overloaded",
     "PoolExhausted",
+    "Problem",
+    "ProxyUnreachable",
     "ReplicationUnconfirmed",
     "SheetConflict",
-    "SheetInvalid",
     "StatementTooLarge",
-    "StoreBudgetSpent",
     "StoreUnavailable",
     "UnknownSchema",
     "UpstreamError",
     "UsageError",
-    "ValueTooLarge",
 ]
 
 
@@ -292,6 +292,33 @@
         return f"can't connect to {self.database!r}: {self.reason}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionLimit(Failure):
+    """A database has as many connections as it takes."""
+
+    database: types.DatabaseName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"{self.database!r} takes no more connections; retry in a second, "
+            "or raise its limit in the sheet"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseLeft(Failure):
+    """The database is leaving and gets no new work."""
+
+    database: types.DatabaseName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"{self.database!r} is leaving; retry, another one takes over"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLost(Failure):
     """A statement was sent and its answer never came."""
@@ -397,55 +424,6 @@
         return f"the platform's object API is unavailable: {self.reason}"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StoreBudgetSpent(Failure):
-    """This process has made all the calls that its budget allows."""
-
-    retry_after: datetime.timedelta
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        wait = self.retry_after.total_seconds()
-        return (
-            "the budget of calls to the object API is spent; retry after "
-            f"{wait:.3f} s or raise the rates under platform in the settings"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ObjectMalformed(Failure):
-    """The store's answer isn't the object that it should hold."""
-
-    path: str
-    reason: str
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"the object at {self.path} can't be read: {self.reason}; "
-            "store it anew"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ValueTooLarge(Failure):
-    """A value is over the store's limit; it was not sent."""
-
-    path: str
-    size: int
-    limit: int
-
-    @property
-    def message(self) -> str:
-        """Text for a person; sizes in bytes."""
-        return (
-            f"the value for {self.path} has {self.size} bytes, over the "
-            f"store's limit of {self.limit}; shorten it"
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class SheetConflict(Failure):
     """Another operator changed the sheet first."""
@@ -463,68 +441,72 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ObjectConflict(Failure):
-    """Another process changed the object first; this change had no effect."""
+class Problem:
+    """One thing that is wrong in a file.
 
-    path: str
-    expected: types.SheetVersion
-    found: types.SheetVersion
+    Attributes:
+      line: counted from 1; None if it concerns the whole file.
+      where: the key, as a dotted path.
+      reason: what is wrong, what was found and what would be right.
+    """
 
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"the object at {self.path} is at version {self.found}, not "
-            f"{self.expected}; read it and try again"
-        )
+    line: int | None
+    where: str
+    reason: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ObjectOvertaken(Failure):
-    """The answer to a change was lost, and another change came after.
+class FileInvalid(Failure):
+    """A sheet or a settings file doesn't hold what it must.
 
     Attributes:
-      path: of the object.
-      expected: the version that the change was to replace.
-      found: the version there now.
+      path: the file.
+      problems: all that were found, at least one.
     """
 
     path: str
-    expected: types.SheetVersion
-    found: types.SheetVersion
+    problems: tuple[Problem, ...]
 
     @property
-    def outcome(self) -> Outcome:
-        """Unknown: the change may have been in force in between."""
-        return Outcome.UNKNOWN
+    def message(self) -> str:
+        """Text for a person, a line for each problem."""
+        return "\n".join(self._line(problem) for problem in self.problems)
+
+    def _line(self, problem: Problem) -> str:
+        line = "" if problem.line is None else f"{problem.line}:"
+        return f"{self.path}:{line} {problem.where}: {problem.reason}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenFailed(Failure):
+    """The process can't listen where its settings say."""
+
+    part: str
+    reason: str
 
     @property
     def message(self) -> str:
         """Text for a person."""
         return (
-            f"the answer to a change of {self.path} was lost and another "
-            f"change made version {self.found} since; read it and try again"
+            f"can't listen for {self.part}: {self.reason}; choose a free "
+            f"port and an address of this instance under {self.part!r}"
         )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SheetInvalid(Failure):
-    """A sheet or a settings file doesn't hold what it must.
+class ProxyUnreachable(Failure):
+    """A proxy's admin port doesn't answer."""
 
-    Attributes:
-      path: file, and line where it is known.
-      where: the key, as a dotted path.
-      reason: what is wrong and what would be right.
-    """
-
-    path: str
-    where: str
+    address: str
     reason: str
 
     @property
     def message(self) -> str:
         """Text for a person."""
-        return f"{self.path}: {self.where}: {self.reason}"
+        return (
+            f"no answer from the admin port {self.address}: {self.reason}; "
+            "check the address and that the proxy runs"
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/platform/client.py
+++ b/hickorygate/platform/client.py
@@ -14,6 +14,7 @@
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import types
 from hickorygate.platform import backoff
+from hickorygate.platform import failures
 from hickorygate.platform import objects
 from hickorygate.platform import transport
 
@@ -91,7 +92,7 @@
         body = value.model_dump_json().encode()
         if len(body) > VALUE_LIMIT:
             return expression.Error(
-                errors.ValueTooLarge(key.path, len(body), VALUE_LIMIT)
+                failures.ValueTooLarge(key.path, len(body), VALUE_LIMIT)
             )
         call = transport.Call(key.path, body=body, expected=expected)
         lost: VersionResult | None = None
@@ -141,7 +142,7 @@
         result = await self.store(objects.SHEET_KEY, sheet, expected)
         match result:
             case expression.Result(
-                tag="error", error=errors.ObjectConflict(found=found)
+                tag="error", error=failures.ObjectConflict(found=found)
             ):
                 return await self._compare(sheet, expected, found)
         return result
@@ -178,7 +179,9 @@
         answer = answered.ok
         if answer.conflicts:
             return expression.Error(
-                errors.ObjectConflict(call.path, call.expected, answer.version)
+                failures.ObjectConflict(
+                    call.path, call.expected, answer.version
+                )
             )
         if answer.version <= call.expected:
             reason = f"a change answered with version {answer.version}"
@@ -201,7 +204,7 @@
             return expression.Ok(version)
         if version > expected:
             return expression.Error(
-                errors.ObjectOvertaken(key.path, expected, version)
+                failures.ObjectOvertaken(key.path, expected, version)
             )
         return lost
 
@@ -230,4 +233,4 @@
     path: str, error: pydantic.ValidationError
 ) -> expression.Result[object, errors.Failure]:
     reason = error.errors(include_url=False)[0]["msg"]
-    return expression.Error(errors.ObjectMalformed(path, reason))
+    return expression.Error(failures.ObjectMalformed(path, reason))
--- a/hickorygate/platform/transport.py
+++ b/hickorygate/platform/transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import AsyncIterator
 import dataclasses
 import datetime
 
@@ -13,6 +14,7 @@
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.platform import budget
+from hickorygate.platform import failures
 
 __all__ = ["Answer", "Call", "Transport"]
 
@@ -23,12 +25,6 @@
 _SERVER_ERRORS = 500
 _EXPECTED = frozenset({_OK, _NOT_MODIFIED, _NOT_FOUND, _PRECONDITION_FAILED})
 
-# aiohttp sends a PUT again by itself after a broken connection, but only if
-# the method is spelled in capitals. A hidden second PUT would meet the first
-# one's effect and report it as a conflict. It goes out in capitals all the
-# same.
-_PUT = "put"
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Call:
@@ -113,7 +109,7 @@
         bucket = self._writes if call.writes else self._reads
         wait = bucket.take(self._clock.now())
         if wait:
-            return expression.Error(errors.StoreBudgetSpent(wait))
+            return expression.Error(failures.StoreBudgetSpent(wait))
         timeout = call.wait + self._settings.timeout
         try:
             async with asyncio.timeout(timeout.total_seconds()):
@@ -129,11 +125,12 @@
         if call.writes:
             headers["If-Match"] = f'"{call.expected}"'
             headers["Content-Type"] = "application/json"
+            headers["Content-Length"] = str(len(call.body or b""))
         async with self._session().request(
-            _PUT if call.writes else "GET",
+            "PUT" if call.writes else "GET",
             self._settings.url + call.path,
             params=call.query,
-            data=call.body,
+            data=None if call.body is None else _once(call.body),
             headers=headers,
         ) as response:
             if response.status not in _EXPECTED:
@@ -149,6 +146,16 @@
         return self._http
 
 
+async def _once(body: bytes) -> AsyncIterator[bytes]:
+    """Yields a body in a form that can't be sent a second time.
+
+    aiohttp repeats a PUT by itself after a broken connection if its body can
+    be sent again; the repeat would meet the effect of the first and report
+    it as a conflict.
+    """
+    yield body
+
+
 def _refused(status: int) -> errors.StoreUnavailable:
     """Makes a failure; a server error proves nothing about the effect."""
     return errors.StoreUnavailable(
--- a/hickorygate/platform/watch.py
+++ b/hickorygate/platform/watch.py
@@ -16,6 +16,7 @@
 from hickorygate.core import types
 from hickorygate.platform import backoff
 from hickorygate.platform import configuration as configurations
+from hickorygate.platform import failures
 
 __all__ = [
     "Answered",
@@ -191,5 +192,5 @@
 
 
 @_least_wait.register
-def _(failure: errors.StoreBudgetSpent) -> datetime.timedelta:
+def _(failure: failures.StoreBudgetSpent) -> datetime.timedelta:
     return failure.retry_after
--- a/hickorygate/tests/test_client.py
+++ b/hickorygate/tests/test_client.py
@@ -10,6 +10,7 @@
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.platform import client as clients
+from hickorygate.platform import failures
 from hickorygate.platform import objects
 from hickorygate.testing import platform as platforms
 
@@ -86,7 +87,7 @@
         await self.client.store_sheet(other, expected=1)
         self.platform.fail_next(_Fault.ERROR_BEFORE_EFFECT)
         lost = await self.client.store_sheet(_sheet("a"), expected=1)
-        self.assertIsInstance(lost.error, errors.ObjectOvertaken)
+        self.assertIsInstance(lost.error, failures.ObjectOvertaken)
         self.assertIs(lost.error.outcome, errors.Outcome.UNKNOWN)
 
     async def test_repeated_load_of_the_same_text_changes_nothing(self) -> None:
@@ -98,13 +99,13 @@
     async def test_oversized_value_is_never_sent(self) -> None:
         text = "x" * clients.VALUE_LIMIT
         refused = await self.client.store_sheet(_sheet(text), expected=0)
-        self.assertIsInstance(refused.error, errors.ValueTooLarge)
+        self.assertIsInstance(refused.error, failures.ValueTooLarge)
         self.assertEqual(self.platform.calls, 0)
 
     async def test_malformed_object_is_a_typed_failure(self) -> None:
         self.platform.fail_next(_Fault.MALFORMED)
         found = await self.client.sheet()
-        self.assertIsInstance(found.error, errors.ObjectMalformed)
+        self.assertIsInstance(found.error, failures.ObjectMalformed)
 
     async def test_hanging_watch_times_out(self) -> None:
         self.platform.fail_next(_Fault.HANG)
@@ -121,7 +122,7 @@
         client = self.make_client(reads=0.001)
         results = [await client.sheet() for _ in range(11)]
         self.assertTrue(all(result.is_ok() for result in results[:10]))
-        self.assertIsInstance(results[10].error, errors.StoreBudgetSpent)
+        self.assertIsInstance(results[10].error, failures.StoreBudgetSpent)
         self.assertEqual(self.platform.calls, 10)
 
     async def test_watch_tells_the_version_without_a_newer_one(self) -> None:
--- a/hickorygate/tests/test_configuration.py
+++ b/hickorygate/tests/test_configuration.py
@@ -9,6 +9,7 @@
 from hickorygate.core import errors
 from hickorygate.platform import budget
 from hickorygate.platform import configuration as configurations
+from hickorygate.platform import failures
 from hickorygate.platform import watch
 from hickorygate.testing import sheets
 
@@ -46,7 +47,7 @@
     def test_invalid_sheet_leaves_the_old_one(self) -> None:
         _offer(self.configuration, 3)
         (effect,) = _offer(self.configuration, 4, "format: 9")
-        self.assertIsInstance(effect.failure, errors.SheetInvalid)
+        self.assertIsInstance(effect.failure, errors.FileInvalid)
         self.assertEqual(_offer(self.configuration, 4, "format: 9"), ())
         self.assertEqual(self.configuration.version, 3)
         self.assertEqual(self.configuration.examined, 4)
@@ -91,7 +92,7 @@
         self.assertLess(max(waits), 4 * _SECOND)
 
     def test_spent_budget_is_waited_for(self) -> None:
-        failure = errors.StoreBudgetSpent(9 * _SECOND)
+        failure = failures.StoreBudgetSpent(9 * _SECOND)
         self.plan.take(watch.Failed(failure), _NOW)
         later = _NOW + 8 * _SECOND
         self.assertIsInstance(self.plan.step(_RELAY, later), watch.Pause)
