--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -20,12 +20,16 @@
     "BadPeerMessage",
     "BadToken",
     "ConnectFailed",
+    "ConnectionLimit",
+    "DatabaseLeft",
     "DeadlinePassed",
     "Draining",
     "EmptyStatement",
     "Failure",
     "FailureError",
+    "FileInvalid",
     "GroupRefused",
+    "ListenFailed",
     "MultipleStatements",
     "NoPrimary",
     "NoQuorum",
@@ -33,9 +37,10 @@
     "Outcome",
     "Overloaded",
     "PoolExhausted",
+    "Problem",
+    "ProxyUnreachable",
     "ReplicationUnconfirmed",
     "SheetConflict",
-    "SheetInvalid",
     "StatementTooLarge",
     "StoreUnavailable",
     "UnknownSchema",
@@ -342,6 +347,33 @@
         return f"can't connect to {self.database!r}: {self.reason}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionLimit(Failure):
+    """A database has as many connections as it takes."""
+
+    database: types.DatabaseName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"{self.database!r} takes no more connections; retry in a second, "
+            "or raise its limit in the sheet"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseLeft(Failure):
+    """The database is leaving and gets no new work."""
+
+    database: types.DatabaseName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"{self.database!r} is leaving; retry, another one takes over"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLost(Failure):
     """A statement was sent and its answer never came."""
@@ -464,23 +496,72 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SheetInvalid(Failure):
-    """A sheet or a settings file doesn't hold what it must.
+class Problem:
+    """One thing that is wrong in a file.
 
     Attributes:
-      path: file, and line where it is known.
+      line: counted from 1; None if it concerns the whole file.
       where: the key, as a dotted path.
-      reason: what is wrong and what would be right.
+      reason: what is wrong, what was found and what would be right.
     """
 
-    path: str
+    line: int | None
     where: str
     reason: str
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FileInvalid(Failure):
+    """A sheet or a settings file doesn't hold what it must.
+
+    Attributes:
+      path: the file.
+      problems: all that were found, at least one.
+    """
+
+    path: str
+    problems: tuple[Problem, ...]
+
+    @property
+    def message(self) -> str:
+        """Text for a person, a line for each problem."""
+        return "\n".join(self._line(problem) for problem in self.problems)
+
+    def _line(self, problem: Problem) -> str:
+        line = "" if problem.line is None else f"{problem.line}:"
+        return f"{self.path}:{line} {problem.where}: {problem.reason}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenFailed(Failure):
+    """The process can't listen where its settings say."""
+
+    part: str
+    reason: str
+
     @property
     def message(self) -> str:
         """Text for a person."""
-        return f"{self.path}: {self.where}: {self.reason}"
+        return (
+            f"can't listen for {self.part}: {self.reason}; choose a free "
+            f"port and an address of this instance under {self.part!r}"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProxyUnreachable(Failure):
+    """A proxy's admin port doesn't answer."""
+
+    address: str
+    reason: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"no answer from the admin port {self.address}: {self.reason}; "
+            "check the address and that the proxy runs"
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
