Confirm writes by group commit under the term they were routed under

Cause: a write was confirmed against whatever term and primary were known after it ran, each write with waits of its own, and status probes queued behind those waits.

--- /dev/null
+++ b/hickorygate/tests/test_confirm.py
@@ -0,0 +1,111 @@
+"""When a write is durable: the decision, without sockets."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from hickorygate.core import position as positions
+from hickorygate.upstreams import confirm
+
+_REPLICAS = ("b", "c")
+
+
+def _status(name: str, **changes: object) -> positions.DatabaseStatus:
+    values = {
+        "database": name,
+        "role": positions.Role.REPLICA,
+        "term": 1,
+        "base": 0,
+        "log_term": 1,
+        "received": 7,
+        "applied": 7,
+        "fenced": 1,
+        "primary_silence": datetime.timedelta(),
+        "boot": "x",
+    }
+    return positions.DatabaseStatus(**(values | changes))
+
+
+def _primary(**changes: object) -> positions.DatabaseStatus:
+    return _status("a", role=positions.Role.PRIMARY, **changes)
+
+
+class ConfirmTest(unittest.TestCase):
+    """Group commit, and what counts as held."""
+
+    def setUp(self) -> None:
+        self.confirmation = confirm.Confirmation(1, _REPLICAS, majority=2)
+
+    def handle(self, event: confirm.Event) -> list[confirm.Effect]:
+        return confirm.handle(event, self.confirmation)
+
+    def read(self, tickets: int) -> list[confirm.Effect]:
+        for ticket in range(tickets):
+            self.handle(confirm.WriteRan(ticket))
+        return self.handle(confirm.PositionRead(_primary()))
+
+    def test_a_reading_under_way_covers_no_later_write(self) -> None:
+        self.assertEqual(
+            self.handle(confirm.WriteRan(0)), [confirm.ReadPosition()]
+        )
+        self.assertEqual(self.handle(confirm.WriteRan(1)), [])
+        effects = self.handle(confirm.PositionRead(_primary()))
+        self.assertIn(confirm.ReadPosition(), effects)
+        held = confirm.ReplicaAnswered("b", _status("b"))
+        self.assertEqual(
+            self.handle(held), [confirm.Confirmed(0, positions.Position(1, 7))]
+        )
+
+    def test_one_wait_a_replica_covers_all_queued_writes(self) -> None:
+        self.read(1)
+        for ticket in range(1, 9):
+            self.handle(confirm.WriteRan(ticket))
+        self.handle(confirm.PositionRead(_primary(received=9)))
+        self.handle(confirm.PositionRead(_primary(received=15)))
+        answer = confirm.ReplicaAnswered("b", _status("b", received=15))
+        settled = [
+            effect.ticket
+            for effect in self.handle(answer)
+            if isinstance(effect, confirm.Confirmed)
+        ]
+        self.assertEqual(settled, list(range(9)))
+        self.assertTrue(self.confirmation.idle)
+
+    def test_another_term_confirms_nothing(self) -> None:
+        self.read(1)
+        newer = _status("b", term=2, log_term=2, fenced=2, received=99)
+        self.assertEqual(
+            self.handle(confirm.ReplicaAnswered("b", newer)),
+            [],
+        )
+        self.assertEqual(
+            self.handle(confirm.ReplicaAnswered("c", newer)),
+            [confirm.Unconfirmed(0)],
+        )
+
+    def test_a_primary_of_another_term_leaves_it_unconfirmed(self) -> None:
+        self.handle(confirm.WriteRan(0))
+        status = _primary(term=2, log_term=2)
+        self.assertEqual(
+            self.handle(confirm.PositionRead(status)), [confirm.Unconfirmed(0)]
+        )
+
+    def test_a_replica_fenced_after_it_held_still_counts(self) -> None:
+        self.read(1)
+        fenced = _status("b", fenced=2)
+        self.assertEqual(
+            self.handle(confirm.ReplicaAnswered("b", fenced)),
+            [confirm.Confirmed(0, positions.Position(1, 7))],
+        )
+
+    def test_a_lost_answer_is_asked_for_again(self) -> None:
+        self.handle(confirm.WriteRan(0))
+        self.assertEqual(
+            self.handle(confirm.PositionRead(None)), [confirm.ReadPosition()]
+        )
+        self.handle(confirm.PositionRead(_primary()))
+        self.assertEqual(
+            self.handle(confirm.ReplicaAnswered("b", None)),
+            [confirm.WaitForReplica("b", positions.Position(1, 7))],
+        )
--- /dev/null
+++ b/hickorygate/tests/test_group.py
@@ -0,0 +1,111 @@
+"""What a proxy knows of a group, and what it may conclude."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+import expression
+
+from hickorygate.core import errors
+from hickorygate.core import position as positions
+from hickorygate.core import sheet as sheets
+from hickorygate.upstreams import group as groups
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_RECENCY = datetime.timedelta(seconds=1)
+
+
+def _at(seconds: float) -> datetime.datetime:
+    return _START + datetime.timedelta(seconds=seconds)
+
+
+def _group() -> sheets.Group:
+    databases = tuple(
+        sheets.Database(name, "127.0.0.1", 1, "hobart", 20, 3) for name in "abc"
+    )
+    return sheets.Group("g", ("s",), databases)
+
+
+class GroupViewTest(unittest.TestCase):
+    """Writable, confirmed positions, staleness."""
+
+    def setUp(self) -> None:
+        self.view = groups.GroupView(_group())
+
+    def see(
+        self,
+        name: str,
+        asked: float,
+        received: int,
+        term: int = 1,
+        fenced: int = 1,
+    ) -> None:
+        role = positions.Role.PRIMARY if name == "a" else positions.Role.REPLICA
+        status = positions.DatabaseStatus(
+            name,
+            role,
+            term,
+            base=0,
+            log_term=term,
+            received=received,
+            applied=received,
+            fenced=fenced,
+            primary_silence=datetime.timedelta(),
+            boot="x",
+        )
+        sighting = groups.Sighting(status, _at(asked), _at(asked + 0.01))
+        self.view.observe(sighting)
+
+    def test_a_primary_alone_is_not_writable(self) -> None:
+        self.see("a", 0, received=5)
+        self.assertEqual(
+            self.view.writable(_at(0.1), _RECENCY),
+            expression.Error(errors.NoQuorum("g", 1, 2)),
+        )
+        self.see("b", 0, received=5)
+        self.assertTrue(self.view.writable(_at(0.1), _RECENCY).is_ok())
+        self.assertTrue(self.view.writable(_at(2), _RECENCY).is_error())
+
+    def test_a_fenced_primary_is_no_primary(self) -> None:
+        self.see("a", 0, received=5, fenced=2)
+        self.see("b", 0, received=5)
+        self.assertEqual(
+            self.view.writable(_at(0.1), _RECENCY),
+            expression.Error(errors.NoPrimary("g")),
+        )
+
+    def test_a_replaced_primary_confirms_no_position(self) -> None:
+        self.see("a", 2, received=5)
+        self.see("b", 2, received=5, fenced=2)
+        self.see("c", 2, received=5, fenced=2)
+        self.assertIsNone(self.view.confirmed_position(_at(1)))
+
+    def test_a_position_is_confirmed_by_answers_after_the_time(self) -> None:
+        self.see("a", 2, received=5)
+        self.see("b", 0.5, received=5)
+        self.assertIsNone(self.view.confirmed_position(_at(1)))
+        self.see("b", 2, received=5)
+        self.assertEqual(
+            self.view.confirmed_position(_at(1)), positions.Position(1, 5)
+        )
+
+    def test_staleness_is_measured_from_when_the_primary_was_asked(
+        self,
+    ) -> None:
+        self.see("a", 1, received=5)
+        self.see("c", 1, received=0)
+        self.assertIsNone(self.view.staleness("b", _at(2)))
+        self.see("b", 1.5, received=5)
+        self.see("a", 3, received=6)
+        self.see("c", 3, received=0)
+        self.assertEqual(
+            self.view.staleness("b", _at(4)), datetime.timedelta(seconds=3)
+        )
+
+    def test_a_leaving_replica_gets_no_reads(self) -> None:
+        self.see("a", 1, received=5)
+        self.see("b", 1, received=5)
+        self.assertEqual(len(self.view.replicas_at(positions.START)), 1)
+        self.view.leave(frozenset({"b"}))
+        self.assertEqual(self.view.replicas_at(positions.START), ())
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime
 
 import expression
