--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import pathlib
 from typing import Annotated
@@ -20,9 +21,11 @@
 __all__ = [
     "AdminSettings",
     "CallerSettings",
+    "CurveSettings",
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "Seed",
     "Settings",
     "TlsSettings",
     "UpstreamSettings",
@@ -32,6 +35,12 @@
 
 _Port = Annotated[int, pydantic.Field(ge=0, lt=65_536)]
 _Milliseconds = Annotated[int, pydantic.Field(gt=0)]
+_CurveKey = Annotated[
+    str, pydantic.StringConstraints(min_length=40, max_length=40)
+]
+_CurveSecret = Annotated[
+    pydantic.SecretStr, pydantic.Field(min_length=40, max_length=40)
+]
 
 
 class _Model(pydantic.BaseModel):
@@ -139,20 +148,66 @@
         return datetime.timedelta(milliseconds=self.timeout_ms)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seed:
+    """A proxy to find the others through.
+
+    Attributes:
+      name: empty if the settings don't tell it.
+      address: `host:port`.
+    """
+
+    name: str
+    address: str
+
+
+class CurveSettings(_Model):
+    """Keys of the link between proxies, in Z85, 40 characters each.
+
+    Attributes:
+      secret_key: this proxy's own.
+      public_keys: each proxy's, by its name, this one's included.
+    """
+
+    secret_key: _CurveSecret
+    public_keys: dict[str, _CurveKey]
+
+
 class PeerSettings(_Model):
     """The link to the other proxies.
 
     Attributes:
       host: address that the others reach this proxy by.
       port: TCP port of the pyzmq socket; 0 lets the system choose.
-      seeds: `host:port` of proxies to find the others through.
+      seeds: proxies to find the others through, `host:port` or
+        `name@host:port`; with keys, the name is needed.
       heartbeat_ms: time between two heartbeats.
+      curve: keys; without them the link is open and unencrypted.
     """
 
     host: str = "127.0.0.1"
     port: _Port = 0
     seeds: tuple[str, ...] = ()
     heartbeat_ms: _Milliseconds = 250
+    curve: CurveSettings | None = None
+
+    @property
+    def parsed_seeds(self) -> tuple[Seed, ...]:
+        """The seeds, name and address apart."""
+        parts = (seed.rpartition("@") for seed in self.seeds)
+        return tuple(Seed(name, address) for name, _, address in parts)
+
+    @pydantic.model_validator(mode="after")
+    def _name_seeds(self) -> PeerSettings:
+        if self.curve is None:
+            return self
+        for seed in self.parsed_seeds:
+            if seed.name not in self.curve.public_keys:
+                raise ValueError(
+                    f"seed {seed.address!r} needs the form name@host:port "
+                    "with a name of curve.public_keys"
+                )
+        return self
 
     @property
     def heartbeat(self) -> datetime.timedelta:
--- a/hickorygate/proxies/messages.py
+++ b/hickorygate/proxies/messages.py
@@ -1,94 +1,234 @@
-"""Messages between proxies: validated models, packed with msgpack.
+"""Messages between proxies.
 
-The first field of each packet is the protocol's version; a packet of another
-version is refused as a whole.
+Each travels behind a header that says who sends it and what the sender
+holds. The codec validates both, so that everything here may be trusted to be
+well-formed and bounded.
 """
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
+import enum
 from typing import Annotated
-from typing import Literal
 
-import expression
-import msgpack
 import pydantic
 
-from hickorygate.core import errors
 from hickorygate.core import types
+from hickorygate.proxies import member as members
 
 __all__ = [
-    "Heartbeat",
+    "Ack",
+    "Announce",
+    "DemandReport",
+    "DocumentCopy",
+    "DocumentKind",
+    "DocumentWanted",
+    "GroupReport",
+    "Header",
+    "IndirectAck",
+    "MEMBERS_A_MESSAGE",
+    "MembersCopy",
+    "MembersWanted",
     "Message",
-    "PROTOCOL_VERSION",
-    "SheetCopy",
-    "SheetWanted",
-    "pack",
-    "unpack",
+    "Ping",
+    "PingRequest",
+    "RankDemand",
+    "Report",
+    "SightingReport",
+    "Versions",
 ]
 
-PROTOCOL_VERSION = 1
+MEMBERS_A_MESSAGE = 64
+"""The most members that one message tells of."""
 
+_DOCUMENT_LIMIT = 1_048_576
+_RANKS_LIMIT = 64
+_DATABASES_LIMIT = 64
+_Count = Annotated[int, pydantic.Field(ge=0, lt=2**62)]
+_Members = Annotated[
+    tuple[members.Member, ...], pydantic.Field(max_length=MEMBERS_A_MESSAGE)
+]
+
+
+class DocumentKind(enum.Enum):
+    """The platform's objects that proxies pass on."""
+
+    SHEET = "sheet"
+    INSTANCES = "instances"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Versions:
+    """Versions of the documents that a proxy holds; 0 for none."""
 
-class _Model(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+    sheet: _Count = 0
+    instances: _Count = 0
 
+    def of(self, kind: DocumentKind) -> int:
+        """Returns the version of one document."""
+        if kind is DocumentKind.SHEET:
+            return self.sheet
+        return self.instances
 
-class Heartbeat(_Model):
-    """Says that a proxy is alive, where it is and which sheet it has."""
 
-    kind: Literal["heartbeat"] = "heartbeat"
-    sender: types.ProxyName
-    address: str
-    zone: types.ZoneName
-    sheet: types.SheetVersion
+@dataclasses.dataclass(frozen=True, slots=True)
+class Header:
+    """Who sends a message, and what it holds.
+
+    Attributes:
+      sender: the sender itself.
+      wall: wall part of its stamp.
+      count: the stamp's other part.
+      versions: of its documents.
+      digest: of the members that it believes live.
+      store_age_ms: since any proxy that it knows of reached the store.
+    """
+
+    sender: members.Member
     wall: datetime.datetime
-    count: int
-    known: tuple[str, ...]
+    count: _Count
+    versions: Versions
+    digest: Annotated[int, pydantic.Field(ge=0, lt=2**64)]
+    store_age_ms: _Count
 
 
-class SheetWanted(_Model):
-    """Asks for the sender's newer sheet."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Message:
+    """Base of what follows a header."""
 
-    kind: Literal["sheet_wanted"] = "sheet_wanted"
-    sender: types.ProxyName
-    address: str
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ping(Message):
+    """Asks for an Ack.
 
-class SheetCopy(_Model):
-    """A sheet, passed on."""
+    Attributes:
+      sequence: repeated in the answer.
+      reopen: the last answer didn't come; use a new connection for this one.
+      updates: news about members.
+    """
 
-    kind: Literal["sheet_copy"] = "sheet_copy"
-    sender: types.ProxyName
-    version: types.SheetVersion
-    text: str
+    sequence: _Count
+    reopen: bool = False
+    updates: _Members = ()
 
 
-Message = Annotated[
-    Heartbeat | SheetWanted | SheetCopy, pydantic.Field(discriminator="kind")
-]
-_ADAPTER: pydantic.TypeAdapter[Message] = pydantic.TypeAdapter(Message)
-
-
-def pack(message: Message) -> bytes:
-    """Encodes a message."""
-    body = message.model_dump(mode="json")
-    return msgpack.packb([PROTOCOL_VERSION, body])
-
-
-def unpack(
-    packet: bytes,
-) -> expression.Result[Message, errors.BadPeerMessage]:
-    """Decodes and validates a message."""
-    try:
-        version, body = msgpack.unpackb(packet)
-    except (ValueError, TypeError, msgpack.UnpackException):
-        return expression.Error(errors.BadPeerMessage("not a packet"))
-    if version != PROTOCOL_VERSION:
-        reason = f"version {version!r}, this is {PROTOCOL_VERSION}"
-        return expression.Error(errors.BadPeerMessage(reason))
-    try:
-        return expression.Ok(_ADAPTER.validate_python(body, strict=False))
-    except pydantic.ValidationError as error:
-        reason = error.errors(include_url=False)[0]["msg"]
-        return expression.Error(errors.BadPeerMessage(reason))
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ack(Message):
+    """Answers a Ping."""
+
+    sequence: _Count
+    updates: _Members = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PingRequest(Message):
+    """Asks the receiver to ping a third proxy."""
+
+    sequence: _Count
+    target: members.Name
+    address: members.Address
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class IndirectAck(Message):
+    """Says that the target of a PingRequest answered."""
+
+    sequence: _Count
+    target: members.Name
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersWanted(Message):
+    """Asks for all members that the receiver knows."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MembersCopy(Message):
+    """Some of the members that the sender knows."""
+
+    members: _Members
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announce(Message):
+    """Says nothing beyond its header: a document has a new version."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentWanted(Message):
+    """Asks for a document."""
+
+    document: DocumentKind
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentCopy(Message):
+    """A document.
+
+    Attributes:
+      document: which.
+      version: as the store counts it.
+      data: UTF-8, compressed.
+    """
+
+    document: DocumentKind
+    version: _Count
+    data: Annotated[bytes, pydantic.Field(max_length=_DOCUMENT_LIMIT)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Report(Message):
+    """Base of what proxies publish to others about the data path."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SightingReport:
+    """A database's status as a probe owner saw it.
+
+    Attributes:
+      database: name.
+      primary: it leads its term.
+      term: that it leads or follows.
+      base: offset where the term starts.
+      received: offset received.
+      applied: offset applied.
+      age_ms: since it was asked, when the report was sent.
+    """
+
+    database: members.Name
+    primary: bool
+    term: _Count
+    base: _Count
+    received: _Count
+    applied: _Count
+    age_ms: _Count
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GroupReport(Report):
+    """The state of a group, from one that probes it."""
+
+    group: members.Name
+    sightings: Annotated[
+        tuple[SightingReport, ...], pydantic.Field(max_length=_DATABASES_LIMIT)
+    ]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RankDemand:
+    """How much work of a rank waits and runs at the sender."""
+
+    rank: types.RankName
+    waiting: _Count
+    running: _Count
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DemandReport(Report):
+    """The sender's demand for one database, by rank."""
+
+    database: members.Name
+    demands: Annotated[
+        tuple[RankDemand, ...], pydantic.Field(max_length=_RANKS_LIMIT)
+    ]
