--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -1,68 +1,46 @@
-"""Runs one session's statements on the group's databases."""
+"""Runs one session's statements where routing says."""
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterator
-import dataclasses
-import datetime
 import functools
-from typing import Protocol
 
 import expression
 
+from hickorygate.callers import environment as environments
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import idempotency
+from hickorygate.callers import reading
 from hickorygate.callers import routing
 from hickorygate.callers import session as sessions
-from hickorygate.core import clock as clocks
+from hickorygate.callers import transaction as transactions
+from hickorygate.callers import work as works
+from hickorygate.callers import writing
 from hickorygate.core import errors
-from hickorygate.core import position as positions
 from hickorygate.core import request as requests
-from hickorygate.core import sheet as sheets
 from hickorygate.core import statement as statements
 from hickorygate.core import types
 from hickorygate.upstreams import answer as answers
-from hickorygate.upstreams import connection as connections
 from hickorygate.upstreams import link as links
 
-__all__ = ["Executor", "Fleet"]
+__all__ = ["Executor"]
 
-AnswerResult = expression.Result[answers.Answer, errors.Failure]
+GroupResult = expression.Result[links.GroupLink, errors.Failure]
 
-_STATEMENT_TIMEOUT = datetime.timedelta(seconds=10)
+_BEGIN = "BEGIN"
 _NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
 
 
-class Fleet(Protocol):
-    """What the executor needs of the databases."""
-
-    @property
-    def sheet(self) -> sheets.Sheet | None:
-        """The sheet in force."""
-
-    def group(self, name: types.GroupName) -> links.GroupLink:
-        """Returns the link to a group."""
-
-
-@dataclasses.dataclass(slots=True)
-class _Pin:
-    """The connection of an open transaction."""
-
-    group: links.GroupLink
-    link: links.DatabaseLink
-    connection: connections.Connection
-
-
 class Executor:
     """Runs one session's statements, one at a time."""
 
-    __slots__ = ("_clock", "_fleet", "_pin", "_session")
+    __slots__ = ("_env", "_session", "_transaction")
 
     def __init__(
-        self, session: sessions.Session, fleet: Fleet, clock: clocks.Clock
+        self, session: sessions.Session, env: environments.Environment
     ) -> None:
         self._session = session
-        self._fleet = fleet
-        self._clock = clock
-        self._pin: _Pin | None = None
+        self._env = env
+        self._transaction: transactions.Transaction | None = None
 
     @property
     def session(self) -> sessions.Session:
@@ -74,298 +52,192 @@
 
     async def run(
         self, statement: statements.Statement, request: requests.Request
-    ) -> AnswerResult:
+    ) -> handlers.AnswerResult:
         """Runs a statement where routing says."""
         route = routing.route(statement, self._session)
-        return await _run(route, self, statement, request)
+        return await _run(route, self, works.Work(statement, request))
 
     async def close(self) -> None:
-        """Drops an open transaction; its connection is closed."""
-        if self._pin is not None:
-            self._pin.connection.close()
-            self._unpin()
-
-    def group(self) -> expression.Result[links.GroupLink, errors.Failure]:
-        """Returns the group that owns the selected schema."""
-        sheet = self._fleet.sheet
-        if sheet is None:
-            return expression.Error(errors.NotReady())
-        return sheet.place(self._session.schema).map(
-            lambda place: self._fleet.group(place[1].name)
+        """Drops an open transaction."""
+        if self._transaction is not None:
+            self._transaction.drop()
+            self._forget_transaction()
+
+    async def read(self, work: works.Work) -> handlers.AnswerResult:
+        """Runs a read outside a transaction."""
+        group = self._group()
+        if group.is_error():
+            return expression.Error(group.error)
+        reader = reading.Reader(self._env, group.ok, self._session)
+        return await reader.run(work)
+
+    async def write(self, work: works.Work) -> handlers.AnswerResult:
+        """Runs a write outside a transaction."""
+        group = self._group()
+        if group.is_error():
+            return expression.Error(group.error)
+        return await self._writer(group.ok).run(work)
+
+    async def begin(
+        self, sql: str, work: works.Work
+    ) -> expression.Result[answers.Answer, errors.Failure]:
+        """Opens a transaction; one that is open is kept first."""
+        checked = idempotency.check(work, in_transaction=True)
+        if checked.is_error():
+            return expression.Error(checked.error)
+        if self._transaction is not None:
+            kept = await self.commit()
+            if kept.is_error():
+                return kept
+        group = self._group()
+        if group.is_error():
+            return expression.Error(group.error)
+        self._transaction = transactions.Transaction(
+            group.ok, self._session, self._writer(group.ok), sql
         )
+        self._session.in_transaction = True
+        return expression.Ok(_NOTHING)
 
-    async def on_primary(
-        self, statement: statements.Statement, request: requests.Request
-    ) -> AnswerResult:
-        """Runs a write and waits until it is durable."""
-        match self.group():
-            case expression.Result(tag="error", error=failure):
-                return expression.Error(failure)
-            case expression.Result(tag="ok", ok=group):
-                return await self._write(group, statement, request)
-
-    async def on_any(
-        self, statement: statements.Statement, request: requests.Request
-    ) -> AnswerResult:
-        """Runs a read on a replica if one has reached the floor."""
-        match self.group():
-            case expression.Result(tag="error", error=failure):
-                return expression.Error(failure)
-            case expression.Result(tag="ok", ok=group):
-                return await self._read(group, statement, request)
-
-    async def on_pinned(
-        self, statement: statements.Statement, request: requests.Request
-    ) -> AnswerResult:
+    async def in_transaction(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a statement of the open transaction."""
-        pin = self._pin
-        assert pin is not None, "routing found no open transaction"
-        result = await pin.connection.execute(statement.sql, _STATEMENT_TIMEOUT)
-        if pin.connection.closed:
-            self._unpin()
+        transaction = self._transaction
+        assert transaction is not None, "routing found no transaction"
+        checked = idempotency.check(work, in_transaction=True)
+        if checked.is_error():
+            return expression.Error(checked.error)
+        result = await transaction.run(work)
+        if transaction.lost:
+            transaction.drop()
+            self._forget_transaction()
         return result
 
-    async def open_transaction(
-        self, statement: statements.Statement, request: requests.Request
-    ) -> AnswerResult:
-        """Takes a connection to the primary and opens a transaction."""
-        match self.group():
-            case expression.Result(tag="error", error=failure):
-                return expression.Error(failure)
-            case expression.Result(tag="ok", ok=group):
-                return await self._open(group, statement, request)
-
-    async def end_transaction(
-        self,
-        statement: statements.Statement,
-        request: requests.Request,
-        keep: bool,
-    ) -> AnswerResult:
-        """Ends the transaction; a kept one waits until it is durable."""
-        pin = self._pin
-        assert pin is not None, "routing found no open transaction"
-        result = await self.on_pinned(statement, request)
-        if self._pin is not None:
-            self._unpin()
-        if keep and result.is_ok():
-            return await self._durable(pin.group, result)
-        return result
-
-    def select_schema(self, schema: types.SchemaName) -> AnswerResult:
+    async def commit(self) -> handlers.AnswerResult:
+        """Keeps the open transaction."""
+        transaction = self._forget_transaction()
+        if transaction is None:
+            return expression.Ok(_NOTHING)
+        return await transaction.commit()
+
+    async def roll_back(self) -> handlers.AnswerResult:
+        """Drops the open transaction."""
+        transaction = self._forget_transaction()
+        if transaction is None:
+            return expression.Ok(_NOTHING)
+        return await transaction.roll_back()
+
+    def select_schema(self, schema: types.SchemaName) -> handlers.AnswerResult:
         """Selects a schema that the sheet knows."""
-        sheet = self._fleet.sheet
+        sheet = self._env.fleet.sheet
         if sheet is None:
             return expression.Error(errors.NotReady())
         place = sheet.place(schema)
-        if place.is_ok():
-            self._session.schema = schema
-        return place.map(lambda _: _NOTHING)
-
-    def keep_locally(self, statement: statements.Statement) -> AnswerResult:
-        """Changes what the proxy remembers."""
-        if isinstance(statement, statements.SetAutocommit):
-            self._session.autocommit = statement.enabled
+        if place.is_error():
+            return expression.Error(place.error)
+        _, group = place.ok
+        if self._leaves_group(group.name):
+            return expression.Error(errors.TransactionSpansGroups(schema))
+        self._session.schema = schema
         return expression.Ok(_NOTHING)
 
-    async def _write(
-        self,
-        group: links.GroupLink,
-        statement: statements.Statement,
-        request: requests.Request,
-    ) -> AnswerResult:
-        primary = group.view.primary
-        if primary is None:
-            return expression.Error(errors.NoPrimary(group.view.group.name))
-        result = await self._on_database(
-            group.link(primary.database), statement, request
-        )
-        if result.is_error():
-            return result
-        return await self._durable(group, result)
-
-    async def _durable(
-        self, group: links.GroupLink, result: AnswerResult
-    ) -> AnswerResult:
-        name = group.view.group.name
-        primary = group.view.primary
-        if primary is None:
-            return expression.Error(errors.ReplicationUnconfirmed(name))
-        status = await group.refresh(primary.database)
-        if status.is_error():
-            return expression.Error(errors.ReplicationUnconfirmed(name))
-        position = positions.Position(status.ok.term, status.ok.received)
-        confirmed = await group.confirm(position)
-        if confirmed.is_error():
-            return expression.Error(confirmed.error)
-        self._session.raise_floor(name, position)
-        return result
-
-    async def _read(
-        self,
-        group: links.GroupLink,
-        statement: statements.Statement,
-        request: requests.Request,
-    ) -> AnswerResult:
-        name = group.view.group.name
-        settled = name in self._session.settled
-        floor = self._session.floor(name)
-        replicas = group.view.replicas_at(floor) if settled else ()
-        if replicas:
-            link = group.link(replicas[0].database)
-            return await self._on_database(link, statement, request)
-        primary = group.view.primary
-        if primary is None:
-            return expression.Error(errors.NoPrimary(name))
-        link = group.link(primary.database)
-        return await self._on_database(link, statement, request)
-
-    async def _open(
-        self,
-        group: links.GroupLink,
-        statement: statements.Statement,
-        request: requests.Request,
-    ) -> AnswerResult:
-        primary = group.view.primary
-        if primary is None:
-            return expression.Error(errors.NoPrimary(group.view.group.name))
-        link = group.link(primary.database)
-        lease = await self._lease(link, request)
-        if lease.is_error():
-            return expression.Error(lease.error)
-        self._pin = _Pin(group, link, lease.ok)
-        self._session.in_transaction = True
-        return await self.on_pinned(statement, request)
+    async def set_autocommit(self, enabled: bool) -> handlers.AnswerResult:
+        """Switches autocommit; switching it on keeps what is open."""
+        self._session.autocommit = enabled
+        if enabled:
+            return await self.commit()
+        return expression.Ok(_NOTHING)
 
-    def _unpin(self) -> None:
-        if self._pin is not None:
-            self._pin.link.pool.release(self._pin.connection)
-        self._pin = None
-        self._session.in_transaction = False
+    def _group(self) -> GroupResult:
+        sheet = self._env.fleet.sheet
+        if sheet is None:
+            return expression.Error(errors.NotReady())
+        return sheet.place(self._session.schema).map(
+            lambda place: self._env.fleet.group(place[1].name)
+        )
 
-    async def _lease(
-        self, link: links.DatabaseLink, request: requests.Request
-    ) -> expression.Result[connections.Connection, errors.Failure]:
-        lease = await link.pool.acquire(request)
-        if lease.is_error():
-            return lease
-        used = await lease.ok.use(self._session.schema, _STATEMENT_TIMEOUT)
-        if used.is_error():
-            link.pool.release(lease.ok)
-            return expression.Error(used.error)
-        return lease
-
-    async def _on_database(
-        self,
-        link: links.DatabaseLink,
-        statement: statements.Statement,
-        request: requests.Request,
-    ) -> AnswerResult:
-        lease = await self._lease(link, request)
-        if lease.is_error():
-            return expression.Error(lease.error)
-        connection = lease.ok
-        try:
-            result = await connection.execute(statement.sql, _STATEMENT_TIMEOUT)
-        except BaseException:
-            link.pool.release(connection)
-            raise
-        match result:
-            case expression.Result(tag="ok", ok=answers.Table() as table):
-                if isinstance(table.rows, AsyncIterator):
-                    rows = _released(table.rows, link, connection)
-                    return expression.Ok(dataclasses.replace(table, rows=rows))
-        link.pool.release(connection)
-        return result
+    def _leaves_group(self, name: types.GroupName) -> bool:
+        if self._transaction is None:
+            return False
+        return self._transaction.group.name != name
 
+    def _writer(self, group: links.GroupLink) -> writing.Writer:
+        return writing.Writer(self._env, group, self._session)
 
-async def _released(
-    rows: AsyncIterator[types.Row],
-    link: links.DatabaseLink,
-    connection: connections.Connection,
-) -> AsyncIterator[types.Row]:
-    """Passes rows on, then gives the connection back."""
-    try:
-        async for row in rows:
-            yield row
-    finally:
-        link.pool.release(connection)
+    def _forget_transaction(self) -> transactions.Transaction | None:
+        transaction, self._transaction = self._transaction, None
+        self._session.in_transaction = False
+        return transaction
 
 
 @functools.singledispatch
 async def _run(
-    route: routing.Route,
-    executor: Executor,
-    statement: statements.Statement,
-    request: requests.Request,
-) -> AnswerResult:
+    route: routing.Route, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
     raise TypeError(f"no way to run {route!r}; register one")
 
 
 @_run.register
 async def _(
-    route: routing.ToAny,
-    executor: Executor,
-    statement: statements.Statement,
-    request: requests.Request,
-) -> AnswerResult:
-    return await executor.on_any(statement, request)
+    route: routing.ToAny, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return await executor.read(work)
+
+
+@_run.register
+async def _(
+    route: routing.ToPrimary, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return await executor.write(work)
 
 
 @_run.register
 async def _(
-    route: routing.ToPrimary,
-    executor: Executor,
-    statement: statements.Statement,
-    request: requests.Request,
-) -> AnswerResult:
-    return await executor.on_primary(statement, request)
+    route: routing.ToPinned, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return await executor.in_transaction(work)
 
 
 @_run.register
 async def _(
-    route: routing.ToPinned,
-    executor: Executor,
-    statement: statements.Statement,
-    request: requests.Request,
-) -> AnswerResult:
-    return await executor.on_pinned(statement, request)
+    route: routing.OpenTransaction, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return await executor.begin(work.statement.sql, work)
 
 
 @_run.register
 async def _(
-    route: routing.OpenTransaction,
-    executor: Executor,
-    statement: statements.Statement,
-    request: requests.Request,
-) -> AnswerResult:
-    return await executor.open_transaction(statement, request)
+    route: routing.OpenImplicitly, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    begun = await executor.begin(_BEGIN, work)
+    if begun.is_error():
+        return begun
+    return await executor.in_transaction(work)
 
 
 @_run.register
 async def _(
-    route: routing.EndTransaction,
-    executor: Executor,
-    statement: statements.Statement,
-    request: requests.Request,
-) -> AnswerResult:
-    return await executor.end_transaction(statement, request, route.keep)
+    route: routing.EndTransaction, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    if route.keep:
+        return await executor.commit()
+    return await executor.roll_back()
 
 
 @_run.register
 async def _(
-    route: routing.SelectSchema,
-    executor: Executor,
-    statement: statements.Statement,
-    request: requests.Request,
-) -> AnswerResult:
+    route: routing.SelectSchema, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
     return executor.select_schema(route.schema)
 
 
 @_run.register
 async def _(
-    route: routing.KeepLocally,
-    executor: Executor,
-    statement: statements.Statement,
-    request: requests.Request,
-) -> AnswerResult:
-    return executor.keep_locally(statement)
+    route: routing.SwitchAutocommit, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return await executor.set_autocommit(route.enabled)
+
+
+@_run.register
+async def _(
+    route: routing.KeepLocally, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return expression.Ok(_NOTHING)
--- /dev/null
+++ b/hickorygate/callers/lease.py
@@ -0,0 +1,93 @@
+"""Runs statements on leased connections and gives the connections back."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+import dataclasses
+
+import expression
+
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import session as sessions
+from hickorygate.callers import work as works
+from hickorygate.core import errors
+from hickorygate.core import request as requests
+from hickorygate.core import types
+from hickorygate.upstreams import answer as answers
+from hickorygate.upstreams import connection as connections
+from hickorygate.upstreams import link as links
+
+__all__ = ["LeaseResult", "acquire", "run_once"]
+
+LeaseResult = expression.Result[connections.Connection, errors.Failure]
+
+
+async def acquire(
+    link: links.DatabaseLink,
+    session: sessions.Session,
+    request: requests.Request,
+) -> LeaseResult:
+    """Leases a connection on which the session's schema is selected."""
+    lease = await link.pool.acquire(request)
+    if lease.is_error():
+        return lease
+    connection = lease.ok
+    try:
+        used = await connection.use(session.schema, works.STATEMENT_TIMEOUT)
+    except BaseException:
+        link.pool.release(connection)
+        raise
+    if used.is_error():
+        link.pool.release(connection)
+        return expression.Error(_before_statement(used.error))
+    return lease
+
+
+async def run_once(
+    link: links.DatabaseLink, session: sessions.Session, work: works.Work
+) -> handlers.AnswerResult:
+    """Runs one statement on a connection of its own.
+
+    A connection whose rows are still arriving goes back once they are read
+    or given up.
+    """
+    lease = await acquire(link, session, work.request)
+    if lease.is_error():
+        return expression.Error(lease.error)
+    connection = lease.ok
+    try:
+        result = await connection.execute(
+            work.statement.sql, works.STATEMENT_TIMEOUT
+        )
+    except BaseException:
+        link.pool.release(connection)
+        raise
+    match result:
+        case expression.Result(
+            tag="ok", ok=answers.Table(rows=AsyncIterator()) as table
+        ):
+            rows = _released_after(table.rows, link, connection)
+            return expression.Ok(dataclasses.replace(table, rows=rows))
+    link.pool.release(connection)
+    return result
+
+
+def _before_statement(failure: errors.Failure) -> errors.Failure:
+    """Says that the statement itself was never sent."""
+    if isinstance(failure, errors.AnswerLost):
+        return errors.ConnectFailed(failure.database, failure.reason)
+    return failure
+
+
+async def _released_after(
+    rows: AsyncIterator[types.Row],
+    link: links.DatabaseLink,
+    connection: connections.Connection,
+) -> AsyncIterator[types.Row]:
+    try:
+        async for row in rows:
+            yield row
+    finally:
+        if hasattr(rows, "aclose"):
+            await rows.aclose()
+        link.pool.release(connection)
--- a/hickorygate/callers/routing.py
+++ b/hickorygate/callers/routing.py
@@ -12,9 +12,11 @@
 __all__ = [
     "EndTransaction",
     "KeepLocally",
+    "OpenImplicitly",
     "OpenTransaction",
     "Route",
     "SelectSchema",
+    "SwitchAutocommit",
     "ToAny",
     "ToPinned",
     "ToPrimary",
@@ -44,7 +46,12 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenTransaction(Route):
-    """A connection to the primary, held until the transaction ends."""
+    """A new transaction, as the caller asked."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenImplicitly(Route):
+    """A new transaction around the statement; autocommit is off."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +68,13 @@
     schema: types.SchemaName
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SwitchAutocommit(Route):
+    """Remembered; switching it on ends an open transaction."""
+
+    enabled: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeepLocally(Route):
     """Changes only what the proxy remembers of the session."""
@@ -81,7 +95,7 @@
     if session.in_transaction:
         return ToPinned()
     if not session.autocommit:
-        return OpenTransaction()
+        return OpenImplicitly()
     return alone
 
 
@@ -116,7 +130,7 @@
 
 @route.register
 def _(statement: statements.SetAutocommit, session: sessions.Session) -> Route:
-    return KeepLocally()
+    return SwitchAutocommit(statement.enabled)
 
 
 @route.register
--- /dev/null
+++ b/hickorygate/callers/writing.py
@@ -0,0 +1,113 @@
+"""Runs writes outside transactions: on the primary, until durable."""
+
+from __future__ import annotations
+
+import expression
+
+from hickorygate.callers import environment as environments
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import idempotency
+from hickorygate.callers import lease
+from hickorygate.callers import session as sessions
+from hickorygate.callers import work as works
+from hickorygate.core import errors
+from hickorygate.core import position as positions
+from hickorygate.core import retry
+from hickorygate.upstreams import link as links
+
+__all__ = ["Writer"]
+
+
+class Writer:
+    """Runs one session's writes to one group."""
+
+    __slots__ = ("_env", "_group", "_session")
+
+    def __init__(
+        self,
+        env: environments.Environment,
+        group: links.GroupLink,
+        session: sessions.Session,
+    ) -> None:
+        self._env = env
+        self._group = group
+        self._session = session
+
+    def __repr__(self) -> str:
+        return f"Writer({self._group!r})"
+
+    async def run(self, work: works.Work) -> handlers.AnswerResult:
+        """Runs a write; tries again where that can't run it twice."""
+        checked = idempotency.check(work, in_transaction=False)
+        if checked.is_error():
+            return expression.Error(checked.error)
+        self._env.retries.deposit()
+        keyed = work.request.idempotency_key is not None
+        number = 1
+        while True:
+            result = await self._try(work)
+            if result.is_ok():
+                return result
+            attempt = retry.Attempt(
+                number=number,
+                repeatable=keyed,
+                time_left=work.request.time_left(self._env.clock.now()),
+            )
+            verdict = retry.decide(
+                result.error, attempt, self._env.retries, self._env.rng
+            )
+            if not isinstance(verdict, retry.Delay):
+                return result
+            await self._env.clock.sleep(verdict.duration)
+            number += 1
+
+    async def durable(
+        self, status: positions.DatabaseStatus, result: handlers.AnswerResult
+    ) -> handlers.AnswerResult:
+        """Holds an answer back until a majority holds the write.
+
+        Args:
+          status: the primary that ran the write, as it was when chosen.
+          result: the answer.
+        """
+        position = await self._group.durable(status.database, status.term)
+        if position.is_error():
+            return expression.Error(position.error)
+        self._session.raise_floor(self._group.name, position.ok)
+        return result
+
+    async def primary(
+        self, work: works.Work
+    ) -> expression.Result[positions.DatabaseStatus, errors.Failure]:
+        """Returns the primary, waiting for one until the deadline."""
+        time_left = work.request.time_left(self._env.clock.now())
+        return await self._group.wait_writable(time_left)
+
+    async def _try(self, work: works.Work) -> handlers.AnswerResult:
+        primary = await self.primary(work)
+        if primary.is_error():
+            return expression.Error(primary.error)
+        link = self._group.link(primary.ok.database)
+        if work.request.idempotency_key is None:
+            result = await lease.run_once(link, self._session, work)
+        else:
+            result = await self._run_keyed(link, work)
+        if result.is_error():
+            return result
+        return await self.durable(primary.ok, result)
+
+    async def _run_keyed(
+        self, link: links.DatabaseLink, work: works.Work
+    ) -> handlers.AnswerResult:
+        key = idempotency.key_of(
+            self._session.user,
+            work.request.idempotency_key or "",
+            work.statement.sql,
+        )
+        leased = await lease.acquire(link, self._session, work.request)
+        if leased.is_error():
+            return expression.Error(leased.error)
+        try:
+            return await idempotency.run(leased.ok, work.statement.sql, key)
+        finally:
+            link.pool.release(leased.ok)
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -25,6 +25,7 @@
     "Failure",
     "FailureError",
     "GroupRefused",
+    "KeyReused",
     "MultipleStatements",
     "NoPrimary",
     "NoQuorum",
@@ -37,6 +38,7 @@
     "SheetInvalid",
     "StatementTooLarge",
     "StoreUnavailable",
+    "TransactionSpansGroups",
     "UnknownSchema",
     "UpstreamError",
     "UsageError",
@@ -110,6 +112,34 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransactionSpansGroups(Failure):
+    """A transaction would leave the group that it began in."""
+
+    schema: types.SchemaName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"schema {self.schema!r} is in another group than the open "
+            "transaction; commit or roll back first"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyReused(Failure):
+    """An idempotency key came with another statement than before."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            "this idempotency key was used with another statement; "
+            "use a new key for each write"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class BadHint(Failure):
     """A hint has an unknown name or an unusable value."""
--- /dev/null
+++ b/hickorygate/tests/test_idempotency.py
@@ -0,0 +1,176 @@
+"""A write with an idempotency key runs once."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+import expression
+
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import idempotency
+from hickorygate.callers import work as works
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import request as requests
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
+from hickorygate.core import statement as statements
+from hickorygate.testing import database as databases
+from hickorygate.upstreams import answer as answers
+from hickorygate.upstreams import connection as connections
+
+_TIMEOUT = datetime.timedelta(seconds=10)
+_REFUND = "INSERT INTO refunds (cup) VALUES (7)"
+_RANK = sheets.Rank("urgent", 0, _TIMEOUT, 0.5)
+
+
+def work(sql: str, key: str | None) -> works.Work:
+    """Returns a statement with an idempotency key."""
+    now = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+    request = requests.Request(_RANK, now, now, idempotency_key=key)
+    return works.Work(statements.classify(sql).ok, request)
+
+
+class CutConnection:
+    """Loses the answer to one statement after it took effect."""
+
+    def __init__(self, inner: connections.Connection, lost: str) -> None:
+        self._inner = inner
+        self._lost = lost
+
+    @property
+    def closed(self) -> bool:
+        return self._inner.closed
+
+    @property
+    def database(self) -> sheets.Database:
+        return self._inner.database
+
+    def close(self) -> None:
+        self._inner.close()
+
+    async def execute(
+        self, sql: str, timeout: datetime.timedelta
+    ) -> handlers.AnswerResult:
+        result = await self._inner.execute(sql, timeout)
+        if not sql.startswith(self._lost):
+            return result
+        self._inner.close()
+        name = self._inner.database.name
+        return expression.Error(errors.AnswerLost(name, "cut"))
+
+
+class IdempotencyTest(unittest.IsolatedAsyncioTestCase):
+    """Against a stand-in database."""
+
+    async def asyncSetUp(self) -> None:
+        self.group = databases.Group(clocks.SystemClock())
+        (self.database,) = await self.group.start(("cup-ledger-1a",))
+        self.addAsyncCleanup(self.group.stop)
+        self.connection = await self.connect()
+        await self.execute("CREATE TABLE refunds (cup INT UNIQUE)")
+
+    async def connect(self) -> connections.Connection:
+        target = sheets.Database(
+            self.database.name,
+            "127.0.0.1",
+            self.database.port,
+            "hobart",
+            connections=30,
+            slots=2,
+        )
+        opened = await connections.open_connection(
+            target, settings_lib.UpstreamSettings()
+        )
+        self.addCleanup(opened.ok.close)
+        return opened.ok
+
+    async def execute(self, sql: str) -> answers.Answer:
+        result = await self.connection.execute(sql, _TIMEOUT)
+        self.assertTrue(result.is_ok(), result)
+        return result.ok
+
+    async def refunds(self) -> int:
+        table = await self.execute("SELECT COUNT(*) FROM refunds")
+        return int(table.rows[0][0])
+
+    async def run_keyed(
+        self, key: str, sql: str = _REFUND
+    ) -> handlers.AnswerResult:
+        made = idempotency.key_of("keepcup", key, sql)
+        return await idempotency.run(self.connection, sql, made)
+
+    async def test_repeat_is_answered_from_the_first_run(self) -> None:
+        first = await self.run_keyed("scan-1")
+        again = await self.run_keyed("scan-1")
+        self.assertTrue(first.is_ok(), first)
+        self.assertEqual(again.ok.affected_rows, first.ok.affected_rows)
+        self.assertEqual(again.ok.last_insert_id, first.ok.last_insert_id)
+        self.assertEqual(await self.refunds(), 1)
+
+    async def test_repeat_after_a_lost_commit_does_not_run_again(self) -> None:
+        await self.run_keyed("other", "INSERT INTO refunds (cup) VALUES (1)")
+        made = idempotency.key_of("keepcup", "scan-1", _REFUND)
+        cut = CutConnection(self.connection, "COMMIT")
+        lost = await idempotency.run(cut, _REFUND, made)
+        self.assertEqual(lost.error.outcome, errors.Outcome.UNKNOWN)
+        self.connection = await self.connect()
+        self.assertTrue((await self.run_keyed("scan-1")).is_ok())
+        self.assertEqual(await self.refunds(), 2)
+
+    async def test_repeat_after_a_cut_before_the_commit_runs(self) -> None:
+        await self.run_keyed("other", "INSERT INTO refunds (cup) VALUES (1)")
+        made = idempotency.key_of("keepcup", "scan-1", _REFUND)
+        cut = CutConnection(self.connection, "UPDATE")
+        await idempotency.run(cut, _REFUND, made)
+        self.connection = await self.connect()
+        self.assertTrue((await self.run_keyed("scan-1")).is_ok())
+        self.assertEqual(await self.refunds(), 2)
+
+    async def test_failed_statement_leaves_the_key_free(self) -> None:
+        await self.execute(_REFUND)
+        refused = await self.run_keyed("scan-1")
+        self.assertEqual(refused.error.code, 1062)
+        await self.execute("DELETE FROM refunds")
+        self.assertTrue((await self.run_keyed("scan-1")).is_ok())
+        self.assertEqual(await self.refunds(), 1)
+
+    async def test_key_with_another_statement_is_refused(self) -> None:
+        await self.run_keyed("scan-1")
+        other = await self.run_keyed(
+            "scan-1", "INSERT INTO refunds (cup) VALUES (8)"
+        )
+        self.assertEqual(other.error, errors.KeyReused())
+        self.assertEqual(await self.refunds(), 1)
+
+    async def test_missing_table_of_the_caller_is_reported(self) -> None:
+        result = await self.run_keyed(
+            "scan-1", "INSERT INTO nowhere VALUES (1)"
+        )
+        self.assertEqual(result.error.code, 1146)
+
+    async def test_keys_of_two_callers_do_not_meet(self) -> None:
+        first = idempotency.key_of("a", "bc", _REFUND)
+        second = idempotency.key_of("ab", "c", _REFUND)
+        self.assertNotEqual(first.digest, second.digest)
+
+
+class CheckTest(unittest.TestCase):
+    """Where a key can't be kept with the work it is refused."""
+
+    def test_statement_without_a_key_passes(self) -> None:
+        checked = idempotency.check(work("DROP TABLE refunds", None), True)
+        self.assertTrue(checked.is_ok())
+
+    def test_key_on_definition_is_refused(self) -> None:
+        checked = idempotency.check(work("DROP TABLE refunds", "k"), False)
+        self.assertIsInstance(checked.error, errors.BadHint)
+
+    def test_key_inside_a_transaction_is_refused(self) -> None:
+        checked = idempotency.check(work(_REFUND, "k"), True)
+        self.assertIsInstance(checked.error, errors.BadHint)
+
+    def test_key_on_a_commented_insert_passes(self) -> None:
+        checked = idempotency.check(work(f"/* a */ {_REFUND}", "k"), False)
+        self.assertTrue(checked.is_ok())
--- /dev/null
+++ b/hickorygate/tests/test_retry.py
@@ -0,0 +1,76 @@
+"""Whether and when a failed request is tried again."""
+
+from __future__ import annotations
+
+import datetime
+import random
+import unittest
+
+from hickorygate.core import errors
+from hickorygate.core import retry
+
+_PLENTY = datetime.timedelta(seconds=5)
+_LOST = errors.AnswerLost("alert-db-1a", "cut")
+_NOT_CONNECTED = errors.ConnectFailed("alert-db-1a", "refused")
+
+
+class DecideTest(unittest.TestCase):
+    """What a failure knows of the request decides."""
+
+    def setUp(self) -> None:
+        self.budget = retry.Budget()
+        self.rng = random.Random(1)
+
+    def decide(
+        self,
+        failure: errors.Failure,
+        repeatable: bool,
+        time_left: datetime.timedelta = _PLENTY,
+        number: int = 1,
+    ) -> retry.Verdict:
+        attempt = retry.Attempt(number, repeatable, time_left)
+        return retry.decide(failure, attempt, self.budget, self.rng)
+
+    def test_unknown_outcome_is_not_repeated(self) -> None:
+        verdict = self.decide(_LOST, repeatable=False)
+        self.assertEqual(verdict, retry.GiveUp())
+
+    def test_unknown_outcome_is_repeated_where_harmless(self) -> None:
+        verdict = self.decide(_LOST, repeatable=True)
+        self.assertIsInstance(verdict, retry.Delay)
+
+    def test_not_run_is_tried_again(self) -> None:
+        verdict = self.decide(_NOT_CONNECTED, repeatable=False)
+        self.assertIsInstance(verdict, retry.Delay)
+
+    def test_answered_error_is_not_tried_again(self) -> None:
+        failure = errors.UpstreamError(1064, "42000", "syntax")
+        self.assertEqual(self.decide(failure, True), retry.GiveUp())
+
+    def test_overload_is_the_callers_to_retry(self) -> None:
+        failure = errors.Overloaded("urgent", _PLENTY)
+        self.assertEqual(self.decide(failure, True), retry.GiveUp())
+
+    def test_no_retry_past_the_deadline(self) -> None:
+        verdict = self.decide(
+            _NOT_CONNECTED, True, time_left=datetime.timedelta(milliseconds=4)
+        )
+        self.assertEqual(verdict, retry.GiveUp())
+
+    def test_delay_grows_and_is_bounded(self) -> None:
+        longest = datetime.timedelta(milliseconds=320)
+        for number in range(1, 15):
+            verdict = self.decide(_NOT_CONNECTED, True, number=number)
+            assert isinstance(verdict, retry.Delay)
+            ceiling = datetime.timedelta(milliseconds=10) * 2 ** (number - 1)
+            self.assertLessEqual(verdict.duration, min(ceiling, longest))
+            self.assertGreaterEqual(verdict.duration, min(ceiling, longest) / 2)
+
+    def test_budget_bounds_retries_to_a_share(self) -> None:
+        budget = retry.Budget(share=0.2, limit=5)
+        taken = 0
+        for _ in range(1_000):
+            budget.deposit()
+            taken += budget.withdraw()
+        self.assertLessEqual(taken, 5 + 0.2 * 1_000)
+        self.assertGreaterEqual(taken, 0.19 * 1_000)
