Give the stand-in advisory locks, a service model and a connection limit

A handler may refuse a connection in place of the greeting, as MySQL does with error 1040; before, the refusal followed an OK packet and the client took the login as done.

--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -74,6 +74,10 @@
     def __repr__(self) -> str:
         return f"Frontend({self._session.user!r})"
 
+    async def connect(self) -> expression.Result[None, errors.Failure]:
+        """Accepts every connection."""
+        return expression.Ok(None)
+
     async def login(
         self, user: types.CallerName, attributes: Mapping[str, str]
     ) -> expression.Result[None, errors.Failure]:
--- a/hickorygate/callers/server.py
+++ b/hickorygate/callers/server.py
@@ -128,9 +128,16 @@
 
     async def connection_phase(self) -> None:
         """Logs the caller in; a refused one is disconnected."""
-        async with asyncio.timeout(_LOGIN_TIMEOUT.total_seconds()):
-            await super().connection_phase()
-        await self._enter()
+        admitted = await self._handler.connect()
+        if admitted.is_error():
+            raise errors.FailureError(admitted.error)
+        try:
+            async with asyncio.timeout(_LOGIN_TIMEOUT.total_seconds()):
+                await super().connection_phase()
+            await self._enter()
+        except BaseException:
+            await self._handler.close()
+            raise
 
     async def handle_change_user(self, data: bytes) -> None:
         """Logs in again; a refusal ends the connection."""
--- a/hickorygate/testing/database.py
+++ b/hickorygate/testing/database.py
@@ -22,6 +22,8 @@
 from hickorygate.core import statement as statements
 from hickorygate.core import types
 from hickorygate.testing import engine as engines
+from hickorygate.testing import load as loads
+from hickorygate.testing import locks as advisory
 from hickorygate.testing import replication
 from hickorygate.upstreams import answer as answers
 
@@ -35,6 +37,9 @@
 _READ_ONLY = errors.UpstreamError(
     1290, "HY000", "running with --read-only", refused=True
 )
+_TOO_MANY = errors.UpstreamError(
+    1040, "08004", "Too many connections", refused=True
+)
 _LOCK_WAIT = errors.UpstreamError(1205, "HY000", "Lock wait timeout exceeded")
 _REFUSED_TERM = 3_100
 _PROCEDURE = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*$", re.I | re.S)
@@ -73,6 +78,8 @@
     ) -> None:
         self.log = replication.Log(name, uuid.uuid4().hex)
         self.engine = engines.Engine()
+        self.load = loads.Load(clock)
+        self.locks = advisory.Locks()
         self.lag = datetime.timedelta()
         self.paused = asyncio.Event()
         self.paused.set()
@@ -206,9 +213,19 @@
     def __init__(self, database: StandInDatabase) -> None:
         self._database = database
         self._pending: list[str] = []
+        self._idle = loads.IdleLimit()
+        self._connected = False
         self.autocommit = True
         self.in_transaction = False
 
+    async def connect(self) -> expression.Result[None, errors.Failure]:
+        """Accepts connections while there is room."""
+        self._connected = self._database.load.connect()
+        if not self._connected:
+            return expression.Error(_TOO_MANY)
+        await self._database.load.log_in()
+        return expression.Ok(None)
+
     async def login(
         self, user: types.CallerName, attributes: Mapping[str, str]
     ) -> expression.Result[None, errors.Failure]:
@@ -219,7 +236,15 @@
         self, sql: str, attributes: Mapping[str, str]
     ) -> handlers.AnswerResult:
         """Answers one statement."""
+        with self._idle.busy():
+            return await self._answer(sql)
+
+    async def _answer(self, sql: str) -> handlers.AnswerResult:
         await self._database.paused.wait()
+        columns = advisory.parse(sql)
+        if columns is not None:
+            row = await self._database.locks.evaluate(self, columns)
+            return expression.Ok(advisory.table(columns, row))
         procedure = _PROCEDURE.match(sql)
         if procedure:
             return await self._call(procedure.group(1), procedure.group(2))
@@ -235,11 +260,19 @@
         return expression.Ok(_NOTHING)
 
     async def reset(self) -> None:
-        """Rolls back."""
-        await self.close()
+        """Rolls back and gives the session's locks back."""
+        self._roll_back()
+        self._database.locks.release_all(self)
 
     async def close(self) -> None:
-        """Rolls back what the caller left open."""
+        """Ends the session and what it left open."""
+        await self.reset()
+        self._idle.stop()
+        if self._connected:
+            self._connected = False
+            self._database.load.disconnect()
+
+    def _roll_back(self) -> None:
         if self.in_transaction:
             self._database.engine.rollback()
             self._leave()
@@ -253,12 +286,13 @@
             case statements.Commit():
                 return await self._commit()
             case statements.Rollback():
-                await self.close()
+                self._roll_back()
                 return expression.Ok(_NOTHING)
             case statements.SetAutocommit(enabled=enabled):
                 self.autocommit = enabled
                 return expression.Ok(_NOTHING)
             case statements.SetVariable() | statements.Use():
+                self._idle.read(statement.sql)
                 return expression.Ok(_NOTHING)
         return await self._execute(statement)
 
@@ -288,7 +322,7 @@
         if not self.in_transaction:
             return expression.Ok(_NOTHING)
         if self._pending and not self._database.log.writable:
-            await self.close()
+            self._roll_back()
             return expression.Error(_READ_ONLY)
         self._database.engine.commit()
         sqls = tuple(self._pending)
@@ -304,6 +338,7 @@
         writes = isinstance(statement, statements.Write)
         if writes and not self._database.log.writable:
             return expression.Error(_READ_ONLY)
+        await self._database.load.run(statement.sql)
         if self.in_transaction:
             return self._in_transaction(statement, writes)
         if not await self._enter():
@@ -311,7 +346,7 @@
         result = self._in_transaction(statement, writes)
         if result.is_error() or not self.autocommit:
             if result.is_error():
-                await self.close()
+                self._roll_back()
             return result
         committed = await self._commit()
         return result if committed.is_ok() else committed
--- /dev/null
+++ b/hickorygate/testing/locks.py
@@ -0,0 +1,235 @@
+"""Advisory locks of a stand-in database, with MySQL's semantics.
+
+A lock belongs to a session, may be taken several times by it, and ends with
+it. Waiters are served in the order in which they came. `Locks.evaluate`
+answers a SELECT of lock functions, from left to right.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import functools
+
+import sqlglot
+from sqlglot import errors as sqlglot_errors
+from sqlglot import expressions
+
+from hickorygate.upstreams import answer as answers
+
+__all__ = ["Locks", "Value", "parse", "table"]
+
+_CACHED_STATEMENTS = 1_024
+_LONGLONG = 8
+_BINARY = 63
+_FUNCTIONS = frozenset(
+    {"GET_LOCK", "RELEASE_LOCK", "RELEASE_ALL_LOCKS", "IS_FREE_LOCK"}
+)
+
+Value = int | str | None
+"""A cell; None is SQL's NULL."""
+
+Owner = object
+"""Whoever holds a lock, compared by identity."""
+
+
+@functools.lru_cache(maxsize=_CACHED_STATEMENTS)
+def parse(sql: str) -> tuple[expressions.Expression, ...] | None:
+    """Returns the columns of a SELECT that calls a lock function, else None."""
+    upper = sql.upper()
+    if not any(name in upper for name in _FUNCTIONS):
+        return None
+    try:
+        tree = sqlglot.parse_one(sql, read="mysql")
+    except sqlglot_errors.SqlglotError:
+        return None
+    if not isinstance(tree, expressions.Select) or tree.args.get("from_"):
+        return None
+    return tuple(tree.expressions)
+
+
+def table(
+    columns: tuple[expressions.Expression, ...], row: tuple[Value, ...]
+) -> answers.Table:
+    """Returns the answer that carries the values."""
+    labels = tuple(
+        answers.Column(column.alias_or_name, _LONGLONG, _BINARY)
+        for column in columns
+    )
+    return answers.Table(warnings=0, columns=labels, rows=[row])
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    """One session's turn in the queue for a lock."""
+
+    owner: Owner
+    granted: asyncio.Future[None]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Lock:
+    """One named lock; it is free while `count` is 0."""
+
+    owner: Owner = None
+    count: int = 0
+    waiters: collections.deque[_Waiter] = dataclasses.field(
+        default_factory=collections.deque
+    )
+
+    def grant_next(self) -> None:
+        """Gives a free lock to the first who still waits."""
+        while not self.count and self.waiters:
+            waiter = self.waiters.popleft()
+            if not waiter.granted.done():
+                self.owner, self.count = waiter.owner, 1
+                waiter.granted.set_result(None)
+
+
+class Locks:
+    """All advisory locks of one database."""
+
+    __slots__ = ("_locks",)
+
+    def __init__(self) -> None:
+        self._locks: dict[str, _Lock] = {}
+
+    def __repr__(self) -> str:
+        return f"Locks(held={self.held})"
+
+    @property
+    def held(self) -> tuple[str, ...]:
+        """The names of the locks that are held."""
+        return tuple(n for n, lock in self._locks.items() if lock.count)
+
+    def is_free(self, name: str) -> bool:
+        """Tells whether nobody holds the lock."""
+        lock = self._locks.get(name)
+        return lock is None or not lock.count
+
+    async def take(self, owner: Owner, name: str, seconds: float) -> bool:
+        """Takes a lock.
+
+        Args:
+          owner: the session.
+          name: the lock.
+          seconds: how long to wait; negative for ever.
+        """
+        lock = self._locks.setdefault(name, _Lock())
+        if not lock.count or lock.owner is owner:
+            lock.owner = owner
+            lock.count += 1
+            return True
+        if seconds == 0:
+            return False
+        return await self._wait(lock, owner, seconds)
+
+    def release(self, owner: Owner, name: str) -> bool | None:
+        """Gives one hold back; None if nobody holds the lock."""
+        lock = self._locks.get(name)
+        if lock is None or not lock.count:
+            return None
+        if lock.owner is not owner:
+            return False
+        lock.count -= 1
+        lock.grant_next()
+        return True
+
+    def release_all(self, owner: Owner) -> int:
+        """Gives all holds of a session back; returns how many."""
+        released = 0
+        for lock in self._locks.values():
+            if lock.count and lock.owner is owner:
+                released += lock.count
+                lock.count = 0
+                lock.grant_next()
+        return released
+
+    async def evaluate(
+        self, owner: Owner, columns: tuple[expressions.Expression, ...]
+    ) -> tuple[Value, ...]:
+        """Answers the columns of a parsed SELECT."""
+        return tuple([await _value(c, self, owner) for c in columns])
+
+    async def _wait(self, lock: _Lock, owner: Owner, seconds: float) -> bool:
+        waiter = _Waiter(owner, asyncio.get_running_loop().create_future())
+        lock.waiters.append(waiter)
+        try:
+            await asyncio.wait(
+                (waiter.granted,), timeout=seconds if seconds > 0 else None
+            )
+        except asyncio.CancelledError:
+            self._leave(lock, waiter)
+            raise
+        if waiter.granted.done():
+            return True
+        self._leave(lock, waiter)
+        return False
+
+    def _leave(self, lock: _Lock, waiter: _Waiter) -> None:
+        """Undoes a wait; a lock granted meanwhile passes on."""
+        if waiter.granted.done():
+            lock.count -= 1
+            lock.grant_next()
+        else:
+            lock.waiters.remove(waiter)
+
+
+@functools.singledispatch
+async def _value(
+    node: expressions.Expression, locks: Locks, owner: Owner
+) -> Value:
+    raise TypeError(f"no value of {node.sql()!r} in a statement of locks")
+
+
+@_value.register
+async def _(node: expressions.Literal, locks: Locks, owner: Owner) -> Value:
+    if node.is_string:
+        return node.this
+    return int(float(node.this))
+
+
+@_value.register
+async def _(node: expressions.Null, locks: Locks, owner: Owner) -> Value:
+    return None
+
+
+@_value.register
+async def _(node: expressions.Alias, locks: Locks, owner: Owner) -> Value:
+    return await _value(node.this, locks, owner)
+
+
+@_value.register
+async def _(node: expressions.EQ, locks: Locks, owner: Owner) -> Value:
+    left = await _value(node.this, locks, owner)
+    right = await _value(node.expression, locks, owner)
+    if left is None or right is None:
+        return None
+    return int(left == right)
+
+
+@_value.register
+async def _(node: expressions.Case, locks: Locks, owner: Owner) -> Value:
+    for branch in node.args["ifs"]:
+        if await _value(branch.this, locks, owner):
+            return await _value(branch.args["true"], locks, owner)
+    default = node.args.get("default")
+    return None if default is None else await _value(default, locks, owner)
+
+
+@_value.register
+async def _(node: expressions.Anonymous, locks: Locks, owner: Owner) -> Value:
+    arguments = node.expressions
+    match node.name.upper():
+        case "RELEASE_ALL_LOCKS":
+            return locks.release_all(owner)
+        case "RELEASE_LOCK":
+            released = locks.release(owner, arguments[0].name)
+            return None if released is None else int(released)
+        case "IS_FREE_LOCK":
+            return int(locks.is_free(arguments[0].name))
+        case "GET_LOCK":
+            seconds = float(arguments[1].name)
+            return int(await locks.take(owner, arguments[0].name, seconds))
+    raise TypeError(f"{node.name} is no function of locks")
