--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -7,6 +7,7 @@
 import expression
 
 from hickorygate.callers import environment as environments
+from hickorygate.callers import failures
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import idempotency
 from hickorygate.callers import reading
@@ -135,7 +136,7 @@
             return expression.Error(place.error)
         _, group = place.ok
         if self._leaves_group(group.name):
-            return expression.Error(errors.TransactionSpansGroups(schema))
+            return expression.Error(failures.TransactionSpansGroups(schema))
         self._session.schema = schema
         return expression.Ok(_NOTHING)
 
@@ -157,7 +158,7 @@
     def _leaves_group(self, name: types.GroupName) -> bool:
         if self._transaction is None:
             return False
-        return self._transaction.group.name != name
+        return self._transaction.group.view.group.name != name
 
     def _writer(self, group: links.GroupLink) -> writing.Writer:
         return writing.Writer(self._env, group, self._session)
--- a/hickorygate/callers/freshness.py
+++ b/hickorygate/callers/freshness.py
@@ -16,17 +16,16 @@
 
 import dataclasses
 import datetime
-from typing import Protocol
 
 from hickorygate.callers import session as sessions
 from hickorygate.core import position as positions
 from hickorygate.core import request as requests
 from hickorygate.core import types
+from hickorygate.upstreams import group as groups
 
 __all__ = [
     "FromPrimary",
     "FromReplicas",
-    "Group",
     "OldView",
     "Plan",
     "UnsettledFloor",
@@ -34,37 +33,6 @@
 ]
 
 
-class Group(Protocol):
-    """What is known of a group; its view without the connections."""
-
-    @property
-    def name(self) -> types.GroupName:
-        """The group's name."""
-
-    @property
-    def term(self) -> types.Term:
-        """The newest term seen."""
-
-    @property
-    def primary(self) -> positions.DatabaseStatus | None:
-        """The primary of the newest term."""
-
-    def replicas_at(
-        self, floor: positions.Position
-    ) -> tuple[positions.DatabaseStatus, ...]:
-        """Replicas of the newest term that have reached a floor."""
-
-    def staleness(
-        self, name: types.DatabaseName, now: datetime.datetime
-    ) -> datetime.timedelta | None:
-        """The proven age of a replica's data; None if unknown."""
-
-    def confirmed_position(
-        self, since: datetime.datetime
-    ) -> positions.Position | None:
-        """The primary's position that a majority confirmed since then."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Plan:
     """Base of the plans."""
@@ -96,7 +64,7 @@
 
 
 def plan(
-    group: Group,
+    view: groups.GroupView,
     session: sessions.Session,
     request: requests.Request,
     now: datetime.datetime,
@@ -105,13 +73,13 @@
 
     Settles the session's floor where a confirmed position is known.
     """
-    if not _settled(group, session):
+    if not _settled(view, session):
         return UnsettledFloor()
-    floor = session.floor(group.name)
-    if floor.term > group.term:
+    floor = session.floor(view.group.name)
+    if floor.term > view.term:
         return OldView()
-    primary = group.primary
-    fresh = _fresh_replicas(group, floor, request, now)
+    primary = view.primary
+    fresh = _fresh_replicas(view, floor, request, now)
     if fresh:
         return FromReplicas(fresh, primary.database if primary else None)
     if primary is None:
@@ -119,18 +87,18 @@
     return FromPrimary(primary.database)
 
 
-def _settled(group: Group, session: sessions.Session) -> bool:
-    if group.name in session.settled:
+def _settled(view: groups.GroupView, session: sessions.Session) -> bool:
+    if view.group.name in session.settled:
         return True
-    position = group.confirmed_position(session.arrived)
+    position = view.confirmed_position(session.arrived)
     if position is None:
         return False
-    session.raise_floor(group.name, position)
+    session.raise_floor(view.group.name, position)
     return True
 
 
 def _fresh_replicas(
-    group: Group,
+    view: groups.GroupView,
     floor: positions.Position,
     request: requests.Request,
     now: datetime.datetime,
@@ -139,8 +107,8 @@
     if limit is None:
         return ()
     fresh = []
-    for status in group.replicas_at(floor):
-        age = group.staleness(status.database, now)
+    for status in view.replicas_at(floor):
+        age = view.staleness(status.database, now)
         if age is not None and age <= limit:
             fresh.append(status.database)
     return tuple(fresh)
--- a/hickorygate/callers/idempotency.py
+++ b/hickorygate/callers/idempotency.py
@@ -13,6 +13,7 @@
 
 import expression
 
+from hickorygate.callers import failures
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import work as works
 from hickorygate.core import errors
@@ -156,7 +157,7 @@
             tag="ok", ok=answers.Table(rows=[(statement, rows, insert_id)])
         ):
             if _text(statement) != key.statement:
-                return expression.Error(errors.KeyReused())
+                return expression.Error(failures.KeyReused())
             return expression.Ok(
                 answers.Done(
                     warnings=0,
--- a/hickorygate/callers/lease.py
+++ b/hickorygate/callers/lease.py
@@ -17,7 +17,7 @@
 from hickorygate.upstreams import connection as connections
 from hickorygate.upstreams import link as links
 
-__all__ = ["LeaseResult", "acquire", "run_once"]
+__all__ = ["LeaseResult", "acquire", "prepare", "run_once"]
 
 LeaseResult = expression.Result[connections.Connection, errors.Failure]
 
@@ -33,16 +33,27 @@
         return lease
     connection = lease.ok
     try:
-        used = await connection.use(session.schema, works.STATEMENT_TIMEOUT)
+        prepared = await prepare(connection, session)
     except BaseException:
         link.pool.release(connection)
         raise
-    if used.is_error():
+    if prepared.is_error():
         link.pool.release(connection)
-        return expression.Error(_before_statement(used.error))
+        return expression.Error(_before_statement(prepared.error))
     return lease
 
 
+async def prepare(
+    connection: connections.Connection, session: sessions.Session
+) -> expression.Result[None, errors.Failure]:
+    """Selects the session's schema and sets its variables."""
+    limit = works.STATEMENT_TIMEOUT
+    used = await connection.use(session.schema, limit)
+    if used.is_error():
+        return used
+    return await connection.apply(session.variables, limit)
+
+
 async def run_once(
     link: links.DatabaseLink, session: sessions.Session, work: works.Work
 ) -> handlers.AnswerResult:
--- a/hickorygate/callers/reading.py
+++ b/hickorygate/callers/reading.py
@@ -63,7 +63,9 @@
 
     async def _try(self, work: works.Work) -> handlers.AnswerResult:
         now = self._env.clock.now()
-        plan = freshness.plan(self._group, self._session, work.request, now)
+        plan = freshness.plan(
+            self._group.view, self._session, work.request, now
+        )
         return await _follow(plan, self, work)
 
     async def run_on(
@@ -86,12 +88,16 @@
 
     async def catch_up(self, work: works.Work) -> handlers.AnswerResult:
         """Waits for a newer view, then tries again or gives up."""
-        before = self._env.clock.now()
-        await self._group.next_round(work.request.time_left(before))
+        time_left = work.request.time_left(self._env.clock.now())
+        await self._group.next_round(time_left)
         now = self._env.clock.now()
-        plan = freshness.plan(self._group, self._session, work.request, now)
+        plan = freshness.plan(
+            self._group.view, self._session, work.request, now
+        )
         if isinstance(plan, (freshness.OldView, freshness.UnsettledFloor)):
-            return expression.Error(errors.NoPrimary(self._group.name))
+            return expression.Error(
+                errors.NoPrimary(self._group.view.group.name)
+            )
         return await _follow(plan, self, work)
 
     def _candidate(self, name: types.DatabaseName) -> balance.Candidate:
--- a/hickorygate/callers/transaction.py
+++ b/hickorygate/callers/transaction.py
@@ -13,7 +13,6 @@
 from hickorygate.callers import session as sessions
 from hickorygate.callers import work as works
 from hickorygate.callers import writing
-from hickorygate.core import errors
 from hickorygate.core import position as positions
 from hickorygate.core import statement as statements
 from hickorygate.upstreams import answer as answers
@@ -75,9 +74,10 @@
             begun = await self._open(work)
             if begun.is_error():
                 return begun
-        selected = await self._select_schema()
-        if selected.is_error():
-            return expression.Error(selected.error)
+        assert self._connection is not None, "opened above"
+        prepared = await lease.prepare(self._connection, self._session)
+        if prepared.is_error():
+            return expression.Error(prepared.error)
         if not isinstance(work.statement, statements.Read):
             self._wrote = True
         return await self._execute(work.statement.sql)
@@ -124,14 +124,6 @@
         self._connection = leased.ok
         return await self._execute(self._begin)
 
-    async def _select_schema(
-        self,
-    ) -> expression.Result[None, errors.Failure]:
-        assert self._connection is not None, "the transaction has not begun"
-        return await self._connection.use(
-            self._session.schema, works.STATEMENT_TIMEOUT
-        )
-
     async def _execute(self, sql: str) -> handlers.AnswerResult:
         assert self._connection is not None, "the transaction has not begun"
         try:
--- a/hickorygate/callers/writing.py
+++ b/hickorygate/callers/writing.py
@@ -73,7 +73,7 @@
         position = await self._group.durable(status.database, status.term)
         if position.is_error():
             return expression.Error(position.error)
-        self._session.raise_floor(self._group.name, position.ok)
+        self._session.raise_floor(self._group.view.group.name, position.ok)
         return result
 
     async def primary(
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -20,12 +20,16 @@
     "BadPeerMessage",
     "BadToken",
     "ConnectFailed",
+    "ConnectionLimit",
+    "DatabaseLeft",
     "DeadlinePassed",
     "Draining",
+    "EmptyStatement",
     "Failure",
     "FailureError",
+    "FileInvalid",
     "GroupRefused",
-    "KeyReused",
+    "ListenFailed",
     "MultipleStatements",
     "NoPrimary",
     "NoQuorum",
@@ -33,13 +37,16 @@
     "Outcome",
     "Overloaded",
     "PoolExhausted",
+    "Problem",
+    "ProxyUnreachable",
     "ReplicationUnconfirmed",
     "SheetConflict",
-    "SheetInvalid",
     "StatementTooLarge",
     "StoreUnavailable",
-    "TransactionSpansGroups",
     "UnknownSchema",
+    "UnsupportedCharset",
+    "UnsupportedStatement",
+    "UnsupportedVariable",
     "UpstreamError",
     "UsageError",
 ]
@@ -112,34 +119,6 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TransactionSpansGroups(Failure):
-    """A transaction would leave the group that it began in."""
-
-    schema: types.SchemaName
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"schema {self.schema!r} is in another group than the open "
-            "transaction; commit or roll back first"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeyReused(Failure):
-    """An idempotency key came with another statement than before."""
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            "this idempotency key was used with another statement; "
-            "use a new key for each write"
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class BadHint(Failure):
     """A hint has an unknown name or an unusable value."""
@@ -207,6 +186,57 @@
         return "several statements in one packet; send them one by one"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class EmptyStatement(Failure):
+    """A packet holds no statement."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return "the statement is empty; send one"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnsupportedStatement(Failure):
+    """The proxy takes no statement of this kind.
+
+    Attributes:
+      what: the words that name the kind.
+    """
+
+    what: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"{self.what} isn't passed on; send it to the database directly"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnsupportedVariable(Failure):
+    """A variable can't be set through the proxy."""
+
+    name: str
+    reason: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"variable {self.name!r} can't be set here: {self.reason}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnsupportedCharset(Failure):
+    """A caller wants a character set other than UTF-8."""
+
+    charset: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"character set {self.charset!r}: the proxy speaks utf8mb4 only"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotReady(Failure):
     """The proxy has no sheet yet."""
@@ -317,6 +347,33 @@
         return f"can't connect to {self.database!r}: {self.reason}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionLimit(Failure):
+    """A database has as many connections as it takes."""
+
+    database: types.DatabaseName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"{self.database!r} takes no more connections; retry in a second, "
+            "or raise its limit in the sheet"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseLeft(Failure):
+    """The database is leaving and gets no new work."""
+
+    database: types.DatabaseName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return f"{self.database!r} is leaving; retry, another one takes over"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLost(Failure):
     """A statement was sent and its answer never came."""
@@ -439,23 +496,72 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class SheetInvalid(Failure):
-    """A sheet or a settings file doesn't hold what it must.
+class Problem:
+    """One thing that is wrong in a file.
 
     Attributes:
-      path: file, and line where it is known.
+      line: counted from 1; None if it concerns the whole file.
       where: the key, as a dotted path.
-      reason: what is wrong and what would be right.
+      reason: what is wrong, what was found and what would be right.
     """
 
-    path: str
+    line: int | None
     where: str
     reason: str
 
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FileInvalid(Failure):
+    """A sheet or a settings file doesn't hold what it must.
+
+    Attributes:
+      path: the file.
+      problems: all that were found, at least one.
+    """
+
+    path: str
+    problems: tuple[Problem, ...]
+
+    @property
+    def message(self) -> str:
+        """Text for a person, a line for each problem."""
+        return "\n".join(self._line(problem) for problem in self.problems)
+
+    def _line(self, problem: Problem) -> str:
+        line = "" if problem.line is None else f"{problem.line}:"
+        return f"{self.path}:{line} {problem.where}: {problem.reason}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListenFailed(Failure):
+    """The process can't listen where its settings say."""
+
+    part: str
+    reason: str
+
     @property
     def message(self) -> str:
         """Text for a person."""
-        return f"{self.path}: {self.where}: {self.reason}"
+        return (
+            f"can't listen for {self.part}: {self.reason}; choose a free "
+            f"port and an address of this instance under {self.part!r}"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProxyUnreachable(Failure):
+    """A proxy's admin port doesn't answer."""
+
+    address: str
+    reason: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"no answer from the admin port {self.address}: {self.reason}; "
+            "check the address and that the proxy runs"
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/tests/test_idempotency.py
+++ b/hickorygate/tests/test_idempotency.py
@@ -7,6 +7,7 @@
 
 import expression
 
+from hickorygate.callers import failures
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import idempotency
 from hickorygate.callers import work as works
@@ -141,7 +142,7 @@
         other = await self.run_keyed(
             "scan-1", "INSERT INTO refunds (cup) VALUES (8)"
         )
-        self.assertEqual(other.error, errors.KeyReused())
+        self.assertEqual(other.error, failures.KeyReused())
         self.assertEqual(await self.refunds(), 1)
 
     async def test_missing_table_of_the_caller_is_reported(self) -> None:
