--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 import datetime
 
@@ -31,6 +32,7 @@
     "Stamp",
     "StampClock",
     "TimeLine",
+    "WritesResumed",
 ]
 
 _KEPT_EVENTS = 4_096
@@ -156,6 +158,14 @@
     outcome: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WritesResumed(Event):
+    """A write was answered again after a gap, as callers saw it."""
+
+    group: types.GroupName
+    gap: datetime.timedelta
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Recorded:
     """An event with its place on the time line."""
@@ -168,7 +178,7 @@
 class TimeLine:
     """Keeps the newest events of this process."""
 
-    __slots__ = ("_clock", "_events", "_process")
+    __slots__ = ("_clock", "_counts", "_events", "_process")
 
     def __init__(self, process: types.ProxyName, clock: StampClock) -> None:
         self._process = process
@@ -176,6 +186,12 @@
         self._events: collections.deque[Recorded] = collections.deque(
             maxlen=_KEPT_EVENTS
         )
+        self._counts: collections.Counter[type[Event]] = collections.Counter()
+
+    @property
+    def counts(self) -> Mapping[type[Event], int]:
+        """Events of each kind since the start, kept or not."""
+        return self._counts
 
     @property
     def events(self) -> tuple[Recorded, ...]:
@@ -187,4 +203,5 @@
 
     def record(self, event: Event) -> None:
         """Adds an event at the present."""
+        self._counts[type(event)] += 1
         self._events.append(Recorded(self._clock.next(), self._process, event))
