--- a/hickorygate/operators/sheet.py
+++ b/hickorygate/operators/sheet.py
@@ -6,6 +6,7 @@
 import dataclasses
 import getpass
 import pathlib
+import random
 
 from absl import flags
 import expression
@@ -140,7 +141,7 @@
     sheet = _read(command.path)
     if sheet.is_error():
         return expression.Error(sheet.error)
-    client = platform_client.Client(command.platform)
+    client = _client(command.platform)
     try:
         stored = await _store(client, sheet.ok, command.replaces)
     finally:
@@ -150,6 +151,12 @@
     return stored.map(lambda _: None)
 
 
+def _client(settings: settings_lib.PlatformSettings) -> platform_client.Client:
+    return platform_client.Client(
+        settings, clocks.SystemClock(), random.Random()
+    )
+
+
 async def _store(
     client: platform_client.Client,
     sheet: sheets.Sheet,
@@ -159,6 +166,8 @@
         found = await client.sheet()
         if found.is_error():
             return expression.Error(found.error)
+        if found.ok and found.ok.value.text == sheet.text:
+            return expression.Ok(found.ok.version)
         replaces = found.ok.version if found.ok else 0
     value = objects.SheetObject(
         text=sheet.text,
@@ -170,7 +179,7 @@
 
 @commands.execute.register
 async def _(command: Show) -> commands.Result:
-    client = platform_client.Client(command.platform)
+    client = _client(command.platform)
     try:
         found = await client.sheet()
     finally:
