Answer operators: metrics, readiness, status, time line, drain

Cause: nothing showed what a proxy does. Change: an admin port on the proxy's loop (aiohttp) with /live, /ready, /metrics (aioprometheus, filled at the scrape), /status, /timeline and POST /drain; commands status, drain, timeline and sheet status, which ask the named proxies and those that these know; heartbeats carry the admin address; SIGTERM drains and a second signal ends at once.

--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -41,6 +41,7 @@
     "ProxyUnreachable",
     "ReplicationUnconfirmed",
     "SheetConflict",
+    "SheetsDiffer",
     "StatementTooLarge",
     "StoreUnavailable",
     "UnknownSchema",
@@ -564,6 +565,19 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SheetsDiffer(Failure):
+    """Not all proxies have the same sheet in force."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            "the proxies' sheets differ; ask again in a few seconds, then "
+            "look at the log of the proxy that stays behind"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UsageError(Failure):
     """The command line can't be used."""
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -56,6 +56,9 @@
       tls: optional TLS.
       statement_limit: bytes of the longest statement.
       token_key: secret that signs session tokens; the same on all proxies.
+      drain_notice_ms: from "not ready" to the end of taking callers, so that
+        the balancer notices.
+      drain_timeout_ms: how long a shutdown waits for requests in progress.
     """
 
     host: str = "127.0.0.1"
@@ -64,6 +67,18 @@
     tls: TlsSettings | None = None
     statement_limit: Annotated[int, pydantic.Field(gt=0)] = 1_048_576
     token_key: pydantic.SecretStr
+    drain_notice_ms: _Milliseconds = 2_000
+    drain_timeout_ms: _Milliseconds = 30_000
+
+    @property
+    def drain_notice(self) -> datetime.timedelta:
+        """Time for the balancer to notice a shutdown."""
+        return datetime.timedelta(milliseconds=self.drain_notice_ms)
+
+    @property
+    def drain_timeout(self) -> datetime.timedelta:
+        """Time for requests in progress to end."""
+        return datetime.timedelta(milliseconds=self.drain_timeout_ms)
 
 
 class UpstreamSettings(_Model):
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -18,6 +18,8 @@
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
+from hickorygate.operators import admin
+from hickorygate.operators import recorder as recorders
 from hickorygate.platform import client as platform_client
 from hickorygate.platform import configuration as configurations
 from hickorygate.platform import watch
@@ -58,8 +60,27 @@
             settings, self, clock, self._stamps, self._time_line
         )
         self._groups: dict[types.GroupName, links.GroupLink] = {}
+        self._recorder = recorders.Recorder(self._time_line)
         self._server = self._build_server()
+        self._admin = admin.Admin(self, settings.admin)
         self._watch: asyncio.Task[None] | None = None
+        self._drain: asyncio.Task[None] | None = None
+        self._drained = asyncio.Event()
+
+    @property
+    def settings(self) -> settings_lib.Settings:
+        """The settings of this process."""
+        return self._settings
+
+    @property
+    def clock(self) -> clocks.Clock:
+        """The time."""
+        return self._clock
+
+    @property
+    def version(self) -> str:
+        """The program's version."""
+        return VERSION
 
     @property
     def sheet(self) -> sheets.Sheet | None:
@@ -76,6 +97,21 @@
         """The TCP port that callers connect to."""
         return self._server.port
 
+    @property
+    def admin(self) -> str:
+        """Address of the operators' port."""
+        return self._admin.address
+
+    @property
+    def callers(self) -> int:
+        """Connected callers."""
+        return self._server.connections
+
+    @property
+    def draining(self) -> bool:
+        """Whether it shuts down."""
+        return self._drain is not None
+
     @property
     def mesh(self) -> meshes.Mesh:
         """The link to the other proxies."""
@@ -86,6 +122,16 @@
         """This process's events."""
         return self._time_line
 
+    @property
+    def recorder(self) -> recorders.Recorder:
+        """The sums of what was measured here."""
+        return self._recorder
+
+    @property
+    def groups(self) -> tuple[links.GroupLink, ...]:
+        """The links to the groups of the sheet in force."""
+        return tuple(self._groups.values())
+
     def __repr__(self) -> str:
         return f"Daemon({self._settings.name!r})"
 
@@ -97,8 +143,10 @@
         """Starts all parts; after a failure `close` stops those that ran."""
         callers = self._settings.callers
         try:
+            part = "admin"
+            await self._admin.start()
             part = "peers"
-            await self._mesh.start()
+            await self._mesh.start(self._admin.address)
             part = "callers"
             await self._server.start(callers.host, callers.port)
         except (OSError, zmq.ZMQError) as error:
@@ -107,11 +155,23 @@
         self._time_line.record(events.ProcessStarted(VERSION))
         return expression.Ok(None)
 
+    def drain(self) -> None:
+        """Begins a graceful shutdown; `drained` tells when it is done."""
+        if self._drain is None:
+            self._time_line.record(events.ProcessDraining())
+            self._drain = asyncio.create_task(self._finish_work())
+
+    async def drained(self) -> None:
+        """Waits until someone asked for a shutdown and all work is done."""
+        await self._drained.wait()
+
     async def close(self) -> None:
         """Stops all parts."""
-        if self._watch is not None:
-            self._watch.cancel()
-            await asyncio.gather(self._watch, return_exceptions=True)
+        tasks = [t for t in (self._watch, self._drain) if t is not None]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._admin.close()
         await self._server.close()
         await self._mesh.close()
         await self._platform.close()
@@ -143,6 +203,12 @@
             events.ConfigApplied(sheet.version, effect.source)
         )
 
+    async def _finish_work(self) -> None:
+        """Lets the balancer notice, then ends without cutting a request."""
+        await self._clock.sleep(self._settings.callers.drain_notice)
+        await self._server.close()
+        self._drained.set()
+
     def _kept(
         self,
         old: dict[types.GroupName, links.GroupLink],
--- /dev/null
+++ b/hickorygate/operators/admin.py
@@ -0,0 +1,103 @@
+"""The operators' HTTP port, over aiohttp on the proxy's own loop."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from hickorygate.core import settings as settings_lib
+from hickorygate.operators import event_codec
+from hickorygate.operators import metrics
+from hickorygate.operators import status as statuses
+
+__all__ = ["Admin", "Paths"]
+
+_CLOSE_SECONDS = 0.5
+_JSON = "application/json"
+_JSON_LINES = "application/x-ndjson"
+
+
+class Paths:
+    """Where things are on the admin port."""
+
+    LIVE = "/live"
+    READY = "/ready"
+    METRICS = "/metrics"
+    STATUS = "/status"
+    TIME_LINE = "/timeline"
+    DRAIN = "/drain"
+
+
+class Admin:
+    """Answers operators and their monitors."""
+
+    __slots__ = ("_runner", "_settings", "_subject")
+
+    def __init__(
+        self, subject: statuses.Subject, settings: settings_lib.AdminSettings
+    ) -> None:
+        self._subject = subject
+        self._settings = settings
+        app = web.Application()
+        app.router.add_get(Paths.LIVE, self._live)
+        app.router.add_get(Paths.READY, self._ready)
+        app.router.add_get(Paths.METRICS, self._metrics)
+        app.router.add_get(Paths.STATUS, self._status)
+        app.router.add_get(Paths.TIME_LINE, self._time_line)
+        app.router.add_post(Paths.DRAIN, self._drain)
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=_CLOSE_SECONDS
+        )
+
+    @property
+    def address(self) -> str:
+        """Where it listens, as `host:port`; empty before it starts."""
+        if not self._runner.addresses:
+            return ""
+        host, port = self._runner.addresses[0][:2]
+        return f"{host}:{port}"
+
+    def __repr__(self) -> str:
+        return f"Admin({self.address!r})"
+
+    async def start(self) -> None:
+        """Begins to listen.
+
+        Raises:
+          OSError: the address can't be listened on.
+        """
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner, self._settings.host, self._settings.port
+        )
+        await site.start()
+
+    async def close(self) -> None:
+        """Stops listening."""
+        await self._runner.cleanup()
+
+    async def _live(self, request: web.Request) -> web.Response:
+        return web.Response(text="alive\n")
+
+    async def _ready(self, request: web.Request) -> web.Response:
+        reasons = statuses.unready_reasons(self._subject)
+        if reasons:
+            return web.Response(status=503, text="\n".join(reasons) + "\n")
+        return web.Response(text="ready\n")
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        accepts = request.headers.getall("Accept", [])
+        body, headers = metrics.render(self._subject, accepts)
+        return web.Response(body=body, headers=headers)
+
+    async def _status(self, request: web.Request) -> web.Response:
+        status = statuses.read(self._subject)
+        return web.Response(text=status.model_dump_json(), content_type=_JSON)
+
+    async def _time_line(self, request: web.Request) -> web.Response:
+        recorded = self._subject.time_line.events
+        lines = [event_codec.as_json(event) + "\n" for event in recorded]
+        return web.Response(text="".join(lines), content_type=_JSON_LINES)
+
+    async def _drain(self, request: web.Request) -> web.Response:
+        self._subject.drain()
+        return web.Response(status=202, text="shutting down\n")
--- /dev/null
+++ b/hickorygate/operators/client.py
@@ -0,0 +1,103 @@
+"""Asks proxies over their admin ports."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+
+import aiohttp
+import expression
+import pydantic
+
+from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.operators import admin
+from hickorygate.operators import event_codec
+from hickorygate.operators import status as statuses
+
+__all__ = ["AdminClient"]
+
+_TIMEOUT = datetime.timedelta(seconds=3)
+_LONGEST_ANSWER = 16 * 1_048_576
+"""Bytes."""
+
+
+class AdminClient:
+    """A client for the admin ports of any number of proxies."""
+
+    __slots__ = ("_http",)
+
+    def __init__(self) -> None:
+        self._http: aiohttp.ClientSession | None = None
+
+    def __repr__(self) -> str:
+        return "AdminClient()"
+
+    async def close(self) -> None:
+        """Closes its connections."""
+        if self._http is not None:
+            await self._http.close()
+
+    async def status(
+        self, address: str
+    ) -> expression.Result[statuses.ProxyStatus, errors.ProxyUnreachable]:
+        """Returns a proxy's status."""
+        text = await self._ask("GET", address, admin.Paths.STATUS)
+        return text.bind(lambda found: _read_status(found, address))
+
+    async def time_line(
+        self, address: str
+    ) -> expression.Result[
+        tuple[events.Recorded, ...], errors.ProxyUnreachable
+    ]:
+        """Returns a proxy's events, oldest first."""
+        text = await self._ask("GET", address, admin.Paths.TIME_LINE)
+        return text.bind(lambda found: _read_events(found, address))
+
+    async def drain(
+        self, address: str
+    ) -> expression.Result[str, errors.ProxyUnreachable]:
+        """Tells a proxy to shut down gracefully; returns its answer."""
+        return await self._ask("POST", address, admin.Paths.DRAIN)
+
+    async def _ask(
+        self, method: str, address: str, path: str
+    ) -> expression.Result[str, errors.ProxyUnreachable]:
+        if self._http is None:
+            self._http = aiohttp.ClientSession()
+        url = f"http://{address}{path}"
+        try:
+            async with asyncio.timeout(_TIMEOUT.total_seconds()):
+                async with self._http.request(method, url) as response:
+                    body = await response.content.read(_LONGEST_ANSWER)
+                    text = body.decode(errors="replace")
+                    if response.ok:
+                        return expression.Ok(text)
+                    reason = f"status {response.status}"
+        except (aiohttp.ClientError, OSError, ValueError) as error:
+            reason = str(error) or type(error).__name__
+        return expression.Error(errors.ProxyUnreachable(address, reason))
+
+
+def _read_status(
+    text: str, address: str
+) -> expression.Result[statuses.ProxyStatus, errors.ProxyUnreachable]:
+    try:
+        return expression.Ok(statuses.ProxyStatus.model_validate_json(text))
+    except pydantic.ValidationError as error:
+        first = error.errors(include_url=False)[0]
+        reason = f"no status of a proxy: {first['msg']}"
+        return expression.Error(errors.ProxyUnreachable(address, reason))
+
+
+def _read_events(
+    text: str, address: str
+) -> expression.Result[tuple[events.Recorded, ...], errors.ProxyUnreachable]:
+    found = []
+    for line in text.splitlines():
+        match event_codec.read_json(line, address):
+            case expression.Result(tag="error", error=failure):
+                return expression.Error(failure)
+            case expression.Result(tag="ok", ok=recorded):
+                found.append(recorded)
+    return expression.Ok(tuple(found))
--- a/hickorygate/operators/command.py
+++ b/hickorygate/operators/command.py
@@ -24,6 +24,7 @@
     "Family",
     "ParseResult",
     "Result",
+    "Usage",
     "execute",
     "exit_code",
     "new_flags",
@@ -52,19 +53,27 @@
 ParseResult: TypeAlias = expression.Result[Command, errors.Failure]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """How a command is written, and what it does."""
+
+    words: str
+    meaning: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Family:
     """Commands that share the first word of the command line.
 
     Attributes:
       name: that word.
-      usage: how the commands are written, one a line.
+      usages: its commands.
       flags: the flags of the family.
       parse: makes a command of the words after the name; the flags are set.
     """
 
     name: str
-    usage: str
+    usages: tuple[Usage, ...]
     flags: flags.FlagValues
     parse: Callable[[Sequence[str]], ParseResult]
 
--- a/hickorygate/operators/main.py
+++ b/hickorygate/operators/main.py
@@ -12,8 +12,10 @@
 
 from hickorygate.core import errors
 from hickorygate.operators import command as commands
+from hickorygate.operators import inspect
 from hickorygate.operators import serve
 from hickorygate.operators import sheet
+from hickorygate.operators import timeline
 
 __all__ = ["main", "parse", "run"]
 
@@ -24,21 +26,21 @@
     for family in (
         serve.FAMILY,
         sheet.FAMILY,
+        inspect.STATUS,
+        inspect.DRAIN,
+        timeline.FAMILY,
     )
 }
 
 
 def _usage() -> str:
-    lines = [f"  {_PROGRAM} {line}" for line in _usage_lines()]
-    return "\n".join(["usage:", *lines])
-
-
-def _usage_lines() -> list[str]:
-    return [
-        line
-        for family in _FAMILIES.values()
-        for line in family.usage.splitlines()
+    usages = [u for family in _FAMILIES.values() for u in family.usages]
+    width = max(len(usage.words) for usage in usages)
+    lines = [
+        f"  {_PROGRAM} {usage.words:<{width}}  {usage.meaning}"
+        for usage in usages
     ]
+    return "\n".join(["usage:", *lines])
 
 
 def parse(words: Sequence[str]) -> commands.ParseResult:
--- a/hickorygate/operators/serve.py
+++ b/hickorygate/operators/serve.py
@@ -44,7 +44,10 @@
 
 
 FAMILY = commands.Family(
-    _NAME, "serve --settings FILE    run one proxy", _FLAGS, _parse
+    _NAME,
+    (commands.Usage("serve --settings FILE", "run one proxy"),),
+    _FLAGS,
+    _parse,
 )
 
 
@@ -62,14 +65,27 @@
     daemon = daemons.Daemon(settings, clocks.SystemClock())
     started = await daemon.start()
     if started.is_ok():
-        await _stop_signal()
+        await _until_drained(daemon)
     await daemon.close()
     return started
 
 
-async def _stop_signal() -> None:
-    stopped = asyncio.Event()
+async def _until_drained(daemon: daemons.Daemon) -> None:
+    """Waits for a graceful shutdown; a second signal cuts it short."""
+    impatient = asyncio.Event()
+
+    def stop() -> None:
+        if daemon.draining:
+            impatient.set()
+        daemon.drain()
+
     loop = asyncio.get_running_loop()
     for number in _STOP_SIGNALS:
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+        loop.add_signal_handler(number, stop)
+    waits = {
+        asyncio.create_task(daemon.drained()),
+        asyncio.create_task(impatient.wait()),
+    }
+    _, left = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
+    for wait in left:
+        wait.cancel()
--- a/hickorygate/operators/sheet.py
+++ b/hickorygate/operators/sheet.py
@@ -17,17 +17,25 @@
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
+from hickorygate.operators import client as admin_client
 from hickorygate.operators import command as commands
+from hickorygate.operators import fleet
 from hickorygate.platform import client as platform_client
 from hickorygate.platform import objects
 
-__all__ = ["FAMILY", "Check", "Load", "Show"]
+__all__ = ["FAMILY", "Check", "Load", "Show", "Status"]
 
 _NAME = "sheet"
-_USAGE = """\
-sheet check FILE                              validate a sheet
-sheet load FILE --platform URL [--replaces N] put a sheet in force
-sheet show --platform URL                     print the sheet in force"""
+_USAGES = (
+    commands.Usage("sheet check FILE", "validate a sheet"),
+    commands.Usage(
+        "sheet load FILE --platform URL [--replaces N]", "put a sheet in force"
+    ),
+    commands.Usage("sheet show --platform URL", "print the stored sheet"),
+    commands.Usage(
+        "sheet status --admin HOST:PORT", "compare the proxies' sheets"
+    ),
+)
 
 _FLAGS = commands.new_flags()
 _PLATFORM = flags.DEFINE_string(
@@ -36,12 +44,7 @@
     "Base address of the platform's object API.",
     flag_values=_FLAGS,
 )
-_SETTINGS = flags.DEFINE_string(
-    "settings",
-    None,
-    "A proxy's settings file, to take the platform's address from.",
-    flag_values=_FLAGS,
-)
+_ADDRESSES = fleet.AddressFlags(_NAME, _FLAGS)
 _REPLACES = flags.DEFINE_integer(
     "replaces",
     None,
@@ -81,6 +84,13 @@
     platform: settings_lib.PlatformSettings
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Status(commands.Command):
+    """Tells which sheet is in force on each proxy."""
+
+    addresses: tuple[str, ...]
+
+
 def _parse(words: Sequence[str]) -> commands.ParseResult:
     match tuple(words):
         case ("check", path):
@@ -93,7 +103,10 @@
             )
         case ("show",):
             return _platform().map(Show)
-    return commands.usage(_NAME, f"use one of:\n{_USAGE}")
+        case ("status",):
+            return _ADDRESSES.read().map(Status)
+    known = "\n".join(f"  {usage.words}" for usage in _USAGES)
+    return commands.usage(_NAME, f"use one of:\n{known}")
 
 
 def _platform() -> expression.Result[
@@ -101,14 +114,14 @@
 ]:
     if _PLATFORM.value is not None:
         return settings_lib.platform_at(_PLATFORM.value)
-    if _SETTINGS.value is not None:
-        path = pathlib.Path(_SETTINGS.value)
+    if _ADDRESSES.settings is not None:
+        path = _ADDRESSES.settings
         return settings_lib.load(path).map(lambda found: found.platform)
     reason = "needs --platform URL or --settings FILE"
     return expression.Error(errors.UsageError(_NAME, reason))
 
 
-FAMILY = commands.Family(_NAME, _USAGE, _FLAGS, _parse)
+FAMILY = commands.Family(_NAME, _USAGES, _FLAGS, _parse)
 
 
 def _read(
@@ -196,3 +209,20 @@
     )
     print(value.text, end="")
     return expression.Ok(None)
+
+
+@commands.execute.register
+async def _(command: Status) -> commands.Result:
+    client = admin_client.AdminClient()
+    try:
+        survey = await fleet.survey(client, command.addresses)
+    finally:
+        await client.close()
+    versions = {status.sheet for status in survey.found.values()}
+    for address, status in sorted(survey.found.items()):
+        print(f"{status.name} ({address}): version {status.sheet or 'none'}")
+    if survey.missing:
+        return fleet.unless_missing(survey.missing)
+    if len(versions) > 1:
+        return expression.Error(errors.SheetsDiffer())
+    return expression.Ok(None)
--- /dev/null
+++ b/hickorygate/operators/timeline.py
@@ -0,0 +1,85 @@
+"""`hickorygate timeline`: the events of all processes in one order."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterable
+from collections.abc import Sequence
+import dataclasses
+import heapq
+
+from absl import flags
+
+from hickorygate.core import events
+from hickorygate.operators import client as admin_client
+from hickorygate.operators import command as commands
+from hickorygate.operators import event_codec
+from hickorygate.operators import fleet
+
+__all__ = ["FAMILY", "TimeLine", "merge"]
+
+_NAME = "timeline"
+_FLAGS = commands.new_flags()
+_ADDRESSES = fleet.AddressFlags(_NAME, _FLAGS)
+_JSON = flags.DEFINE_bool(
+    "json", False, "One JSON line an event.", flag_values=_FLAGS
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TimeLine(commands.Command):
+    """Prints the merged events of a fleet."""
+
+    addresses: tuple[str, ...]
+    json: bool
+
+
+def _parse(words: Sequence[str]) -> commands.ParseResult:
+    if words:
+        return commands.usage(_NAME, f"takes no {words[0]!r}")
+    return _ADDRESSES.read().map(lambda found: TimeLine(found, _JSON.value))
+
+
+FAMILY = commands.Family(
+    _NAME,
+    (
+        commands.Usage(
+            "timeline --admin HOST:PORT [--json]",
+            "show what happened, in order",
+        ),
+    ),
+    _FLAGS,
+    _parse,
+)
+
+
+def _order(recorded: events.Recorded) -> tuple[events.Stamp, str]:
+    return recorded.stamp, recorded.process
+
+
+def merge(
+    lines: Iterable[Sequence[events.Recorded]],
+) -> tuple[events.Recorded, ...]:
+    """Merges the events of several processes.
+
+    Each process's own order is kept, and no event comes before one that its
+    process had heard of in a message: stamps rise along both.
+    """
+    return tuple(heapq.merge(*lines, key=_order))
+
+
+@commands.execute.register
+async def _(command: TimeLine) -> commands.Result:
+    client = admin_client.AdminClient()
+    try:
+        survey = await fleet.survey(client, command.addresses)
+        answers = await asyncio.gather(
+            *(client.time_line(address) for address in survey.found)
+        )
+    finally:
+        await client.close()
+    missing = [*survey.missing, *(a.error for a in answers if a.is_error())]
+    shown = event_codec.as_json if command.json else event_codec.as_text
+    for recorded in merge(a.ok for a in answers if a.is_ok()):
+        print(shown(recorded))
+    return fleet.unless_missing(missing)
--- a/hickorygate/proxies/membership.py
+++ b/hickorygate/proxies/membership.py
@@ -15,10 +15,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
-    """Another proxy as it was last heard."""
+    """Another proxy as it was last heard.
+
+    Attributes:
+      name: its name.
+      address: where its peers reach it.
+      admin: where operators reach it.
+      zone: its availability zone.
+      sheet: the version in force there.
+      heard: when.
+    """
 
     name: types.ProxyName
     address: str
+    admin: str
     zone: types.ZoneName
     sheet: types.SheetVersion
     heard: datetime.datetime
--- a/hickorygate/proxies/mesh.py
+++ b/hickorygate/proxies/mesh.py
@@ -60,6 +60,7 @@
         self._inbox = self._context.socket(zmq.PULL)
         self._outboxes: dict[str, zmq.asyncio.Socket] = {}
         self._address = ""
+        self._admin = ""
         self._tasks: list[asyncio.Task[None]] = []
 
     @property
@@ -75,8 +76,13 @@
     def __repr__(self) -> str:
         return f"Mesh({self._address!r}, {self._membership!r})"
 
-    async def start(self) -> None:
-        """Begins to listen and to send heartbeats."""
+    async def start(self, admin: str) -> None:
+        """Begins to listen and to send heartbeats.
+
+        Args:
+          admin: where operators reach this process; told to the others.
+        """
+        self._admin = admin
         peers = self._settings.peers
         self._inbox.bind(f"tcp://{peers.host}:{peers.port or '*'}")
         endpoint = self._inbox.getsockopt_string(zmq.LAST_ENDPOINT)
@@ -119,7 +125,12 @@
             return
         self._stamps.see(events.Stamp(beat.wall, beat.count))
         member = memberships.Member(
-            beat.sender, beat.address, beat.zone, beat.sheet, self._clock.now()
+            name=beat.sender,
+            address=beat.address,
+            admin=beat.admin,
+            zone=beat.zone,
+            sheet=beat.sheet,
+            heard=self._clock.now(),
         )
         if self._membership.hear(member, beat.known):
             self._time_line.record(events.PeerJoined(beat.sender))
@@ -167,6 +178,7 @@
         return messages.Heartbeat(
             sender=self._settings.name,
             address=self._address,
+            admin=self._admin,
             zone=self._settings.zone,
             sheet=self._version(),
             wall=stamp.wall,
--- a/hickorygate/proxies/messages.py
+++ b/hickorygate/proxies/messages.py
@@ -40,6 +40,7 @@
     kind: Literal["heartbeat"] = "heartbeat"
     sender: types.ProxyName
     address: str
+    admin: str
     zone: types.ZoneName
     sheet: types.SheetVersion
     wall: datetime.datetime
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -61,6 +61,16 @@
             while not all(self._ready(daemon) for daemon in self.daemons):
                 await asyncio.sleep(_POLL.total_seconds())
 
+    async def wait_until_acquainted(self, timeout: datetime.timedelta) -> None:
+        """Waits until each proxy knows all others."""
+        others = len(self.daemons) - 1
+        async with asyncio.timeout(timeout.total_seconds()):
+            while any(
+                len(daemon.mesh.membership.members) < others
+                for daemon in self.daemons
+            ):
+                await asyncio.sleep(_POLL.total_seconds())
+
     async def stop(self) -> None:
         """Stops everything."""
         for daemon in self.daemons:
--- /dev/null
+++ b/hickorygate/tests/test_admin.py
@@ -0,0 +1,84 @@
+"""What operators see of running proxies, over HTTP and the command line."""
+
+from __future__ import annotations
+
+import contextlib
+import datetime
+import io
+import unittest
+
+import aiohttp
+
+from hickorygate.operators import command as commands
+from hickorygate.operators import inspect
+from hickorygate.operators import metrics
+from hickorygate.operators import sheet
+from hickorygate.operators import timeline
+from hickorygate.testing import cluster
+
+_TIMEOUT = datetime.timedelta(seconds=10)
+
+
+class AdminTest(unittest.IsolatedAsyncioTestCase):
+    """Two proxies, asked."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand = await cluster.start(proxies=2)
+        self.addAsyncCleanup(self.stand.stop)
+        self.http = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.http.close)
+        await self.stand.wait_until_ready(_TIMEOUT)
+        await self.stand.wait_until_acquainted(_TIMEOUT)
+        self.first = self.stand.daemons[0]
+
+    async def get(self, path: str) -> tuple[int, str]:
+        url = f"http://{self.first.admin}{path}"
+        async with self.http.get(url) as response:
+            return response.status, await response.text()
+
+    async def run_command(
+        self, command: commands.Command
+    ) -> tuple[commands.Result, str]:
+        out = io.StringIO()
+        with contextlib.redirect_stdout(out):
+            result = await commands.execute(command)
+        return result, out.getvalue()
+
+    async def test_ready_until_it_drains(self) -> None:
+        self.assertEqual(await self.get("/ready"), (200, "ready\n"))
+        self.first.drain()
+        self.assertEqual(await self.get("/ready"), (503, "shutting down\n"))
+        self.assertEqual((await self.get("/live"))[0], 200)
+
+    async def test_metrics_show_the_whole_catalogue(self) -> None:
+        status, text = await self.get("/metrics")
+        self.assertEqual(status, 200)
+        for metric in metrics.CATALOGUE:
+            self.assertIn(f"# TYPE {metric.full_name} ", text)
+        self.assertIn("hickorygate_ready 1", text)
+        self.assertIn('hickorygate_group_primary{group="alert-db-1"} 1', text)
+
+    async def test_status_of_the_fleet_learns_the_other_proxy(self) -> None:
+        command = inspect.Status((self.first.admin,), json=False)
+        result, out = await self.run_command(command)
+        self.assertTrue(result.is_ok(), result)
+        self.assertIn("proxy-0", out)
+        self.assertIn("proxy-1", out)
+        self.assertIn("alert-db-1a: primary", out)
+
+    async def test_sheet_status_compares_versions(self) -> None:
+        result, out = await self.run_command(sheet.Status((self.first.admin,)))
+        self.assertTrue(result.is_ok(), result)
+        self.assertEqual(out.count("version 1"), 2)
+
+    async def test_time_line_merges_and_names_who_is_missing(self) -> None:
+        addresses = (self.first.admin, "127.0.0.1:1")
+        command = timeline.TimeLine(addresses, json=False)
+        result, out = await self.run_command(command)
+        self.assertIn("127.0.0.1:1", result.error.message)
+        self.assertEqual(out.count("ConfigApplied"), 2)
+
+    async def test_drain_command_begins_a_shutdown(self) -> None:
+        result, _ = await self.run_command(inspect.Drain(self.first.admin))
+        self.assertTrue(result.is_ok(), result)
+        self.assertTrue(self.first.draining)
--- /dev/null
+++ b/hickorygate/tests/test_recorder.py
@@ -0,0 +1,139 @@
+"""Measurements add up to what operators are shown."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.core import measurement as measurements
+from hickorygate.core import sheet as sheets
+from hickorygate.operators import gap as gaps
+from hickorygate.operators import recorder as recorders
+
+_START = datetime.datetime(2026, 3, 1, tzinfo=datetime.UTC)
+_RANK = sheets.Rank(
+    name="report", order=0, target=datetime.timedelta(seconds=0.25), floor=0.5
+)
+_NO_PRIMARY = errors.NoPrimary("alert-db-1")
+
+
+def _at(seconds: float) -> datetime.datetime:
+    return _START + datetime.timedelta(seconds=seconds)
+
+
+def _write(
+    arrived: float, ended: float, failure: errors.Failure | None = None
+) -> measurements.StatementServed:
+    return measurements.StatementServed(
+        rank=_RANK,
+        work=measurements.Work.WRITE,
+        served_by=measurements.ServedBy.PRIMARY,
+        group="alert-db-1",
+        arrived=_at(arrived),
+        ended=_at(ended),
+        failure=failure,
+    )
+
+
+def _read(
+    served_by: measurements.ServedBy,
+) -> measurements.StatementServed:
+    return measurements.StatementServed(
+        rank=_RANK,
+        work=measurements.Work.READ,
+        served_by=served_by,
+        group="alert-db-1",
+        arrived=_at(0),
+        ended=_at(0.1),
+    )
+
+
+class _Clock:
+    def now(self) -> datetime.datetime:
+        return _START
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        raise AssertionError("decisions don't wait")
+
+
+class WriteGapTest(unittest.TestCase):
+    """The gap is what callers saw, whether refused or held."""
+
+    def setUp(self) -> None:
+        self.gap = gaps.WriteGap()
+        self.gap.take(_write(0, 0.01))
+
+    def test_refused_writes_open_a_gap_that_the_next_answer_ends(self) -> None:
+        self.gap.take(_write(1, 1.1, _NO_PRIMARY))
+        self.gap.take(_write(2, 2.1, _NO_PRIMARY))
+        self.assertEqual(self.gap.open_for(_at(2.5)).total_seconds(), 1.5)
+        self.gap.take(_write(3, 3.2))
+        self.assertEqual(self.gap.longest.total_seconds(), 2.2)
+        self.assertEqual(self.gap.open_for(_at(4)).total_seconds(), 0)
+
+    def test_held_write_counts_from_its_arrival(self) -> None:
+        self.gap.take(_write(1, 2.5))
+        self.assertEqual(self.gap.longest.total_seconds(), 1.5)
+
+    def test_idle_time_is_no_gap(self) -> None:
+        self.gap.take(_write(100, 100.01))
+        self.assertLess(self.gap.longest.total_seconds(), 0.02)
+
+    def test_others_answered_meanwhile_shorten_the_gap(self) -> None:
+        self.gap.take(_write(1, 2.0))
+        self.gap.take(_write(1, 2.1))
+        self.assertAlmostEqual(self.gap.last.total_seconds(), 0.1)
+
+
+class RecorderTest(unittest.TestCase):
+    """Sums by rank, and events for notable gaps."""
+
+    def setUp(self) -> None:
+        stamps = events.StampClock(_Clock())
+        self.time_line = events.TimeLine("proxy-0", stamps)
+        self.recorder = recorders.Recorder(self.time_line)
+
+    def test_statements_add_up_by_verdict_and_target(self) -> None:
+        for served in (
+            _write(0, 0.1),
+            _write(0, 0.3),
+            _write(0, 0.1, errors.UpstreamError(1062, "23000", "Duplicate")),
+            _write(0, 0.1, _NO_PRIMARY),
+            _write(0, 0.1, errors.AnswerLost("db-a", "cut")),
+        ):
+            self.recorder.record(served)
+        tally = self.recorder.ranks["report"]
+        self.assertEqual(
+            tally.verdicts,
+            {"served": 2, "failed": 1, "refused": 1, "unknown": 1},
+        )
+        self.assertEqual(tally.in_target, 2)
+        self.assertEqual(tally.latency.observations, 3)
+
+    def test_replica_share_counts_answered_reads(self) -> None:
+        self.assertIsNone(self.recorder.replica_share)
+        for served_by in (
+            measurements.ServedBy.REPLICA,
+            measurements.ServedBy.REPLICA,
+            measurements.ServedBy.REPLICA,
+            measurements.ServedBy.PRIMARY,
+        ):
+            self.recorder.record(_read(served_by))
+        self.assertEqual(self.recorder.replica_share, 0.75)
+
+    def test_notable_gap_gets_a_place_on_the_time_line(self) -> None:
+        self.recorder.record(_write(0, 0.1))
+        self.assertEqual(self.time_line.events, ())
+        self.recorder.record(_write(1, 1.1, _NO_PRIMARY))
+        self.recorder.record(_write(2, 2.5))
+        (recorded,) = self.time_line.events
+        gap = datetime.timedelta(seconds=1.5)
+        self.assertEqual(
+            recorded.event, events.WritesResumed("alert-db-1", gap)
+        )
+
+    def test_retries_are_counted_by_rank(self) -> None:
+        self.recorder.record(measurements.Retried(_RANK, _NO_PRIMARY))
+        self.assertEqual(self.recorder.ranks["report"].retries, 1)
--- /dev/null
+++ b/hickorygate/tests/test_timeline.py
@@ -0,0 +1,82 @@
+"""The time line keeps causes before effects, and says what is missing."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from hickorygate.core import events
+from hickorygate.operators import event_codec
+from hickorygate.operators import timeline
+
+_START = datetime.datetime(2026, 3, 1, 6, tzinfo=datetime.UTC)
+_EVENTS = (
+    events.ProcessStarted("0.1.0"),
+    events.ConfigApplied(3, "platform"),
+    events.PrimaryChanged("alert-db-1", "alert-db-1b", 2),
+    events.WritesResumed("alert-db-1", datetime.timedelta(seconds=1.25)),
+)
+
+
+class _Clock:
+    """A wall clock that is off by a fixed time."""
+
+    def __init__(self, offset: float) -> None:
+        self.time = _START + datetime.timedelta(seconds=offset)
+
+    def now(self) -> datetime.datetime:
+        return self.time
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        self.time += duration
+
+
+class MergeTest(unittest.TestCase):
+    """Merging respects cause when wall clocks differ."""
+
+    def test_effect_on_a_slow_clock_comes_after_its_cause(self) -> None:
+        fast = events.StampClock(_Clock(5))
+        slow = events.StampClock(_Clock(0))
+        cause = events.TimeLine("fast", fast)
+        effect = events.TimeLine("slow", slow)
+        cause.record(events.FailoverStarted("g", 2, "silent"))
+        slow.see(fast.next())
+        effect.record(events.PrimaryChanged("g", "b", 2))
+        fast.see(slow.next())
+        cause.record(events.FailoverEnded("g", 2, "done"))
+        merged = timeline.merge([effect.events, cause.events])
+        self.assertEqual(
+            [type(recorded.event) for recorded in merged],
+            [
+                events.FailoverStarted,
+                events.PrimaryChanged,
+                events.FailoverEnded,
+            ],
+        )
+
+
+class CodecTest(unittest.TestCase):
+    """Events survive the way through JSON."""
+
+    def test_every_event_comes_back_as_it_was(self) -> None:
+        line = events.TimeLine("proxy-0", events.StampClock(_Clock(0)))
+        for event in _EVENTS:
+            line.record(event)
+        for recorded in line.events:
+            text = event_codec.as_json(recorded)
+            read = event_codec.read_json(text, "here")
+            self.assertEqual(read.ok, recorded)
+
+    def test_unknown_kind_is_kept(self) -> None:
+        text = (
+            '{"wall":"2026-03-01T06:00:00Z","count":0,"process":"p",'
+            '"kind":"MoonRose","fields":{"phase":"full"}}'
+        )
+        read = event_codec.read_json(text, "here").ok
+        self.assertIn("MoonRose", event_codec.as_text(read))
+        self.assertIn("phase=full", event_codec.as_text(read))
+        self.assertIn('"kind":"MoonRose"', event_codec.as_json(read))
+
+    def test_malformed_line_names_its_source(self) -> None:
+        failure = event_codec.read_json("{}", "127.0.0.1:9").error
+        self.assertIn("127.0.0.1:9", failure.message)
