--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -212,6 +212,11 @@
         """Events of each kind since the start, kept or not."""
         return self._counts
 
+    @property
+    def process(self) -> types.ProxyName:
+        """The process whose events these are."""
+        return self._process
+
     @property
     def events(self) -> tuple[Recorded, ...]:
         """The kept events, oldest first."""
