--- a/hickorygate/platform/directory.py
+++ b/hickorygate/platform/directory.py
@@ -13,12 +13,13 @@
 
 import pydantic
 
+from hickorygate.core import document as documents
 from hickorygate.core import errors
 from hickorygate.core import sheet as sheets
 from hickorygate.platform import configuration as configurations
 from hickorygate.platform import objects
 
-__all__ = ["Directory", "Hold", "Leave", "Restore"]
+__all__ = ["Directory", "Hold", "Leaving"]
 
 _PLAN_LEAD = datetime.timedelta(seconds=5)
 """Time before a planned stop from which an instance gets no new work."""
@@ -34,15 +35,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Leave(configurations.Effect):
-    """These instances get no new work from now on."""
-
-    names: frozenset[str]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Restore(configurations.Effect):
-    """These instances may get work again."""
+class Leaving(configurations.Effect):
+    """These instances, and no others, get no new work from now on."""
 
     names: frozenset[str]
 
@@ -103,7 +97,7 @@
         return f"Directory(version={self._version})"
 
     def offer(
-        self, candidate: configurations.Candidate
+        self, candidate: documents.Candidate
     ) -> tuple[configurations.Effect, ...]:
         """Takes a list if it is newer and valid."""
         if candidate.version <= self._version:
@@ -128,17 +122,12 @@
     def review(
         self, now: datetime.datetime
     ) -> tuple[configurations.Effect, ...]:
-        """Tells which instances began to leave or came back."""
+        """Tells which instances are leaving if that changed."""
         leaving = self._listed_leaving() | self._planned_leaving(now)
-        began = leaving - self._leaving
-        ended = self._leaving - leaving
+        if leaving == self._leaving:
+            return ()
         self._leaving = leaving
-        found: list[configurations.Effect] = []
-        if began:
-            found.append(Leave(began))
-        if ended:
-            found.append(Restore(ended))
-        return tuple(found)
+        return (Leaving(leaving),)
 
     def _replace(self, found: objects.InstanceList) -> None:
         before = {instance.name for instance in self._list.instances}
@@ -163,7 +152,7 @@
 
     def _reject(
         self,
-        candidate: configurations.Candidate,
+        candidate: documents.Candidate,
         error: pydantic.ValidationError,
     ) -> tuple[configurations.Effect, ...]:
         if candidate.version <= self._rejected:
@@ -174,5 +163,10 @@
             "instances", (errors.Problem(None, "list", reason),)
         )
         return (
-            configurations.Reject(candidate.version, candidate.source, failure),
+            configurations.Reject(
+                documents.DocumentKind.INSTANCES,
+                candidate.version,
+                candidate.source,
+                failure,
+            ),
         )
--- a/hickorygate/proxies/codec.py
+++ b/hickorygate/proxies/codec.py
@@ -12,6 +12,7 @@
 import msgpack
 import pydantic
 
+from hickorygate.core import document as documents
 from hickorygate.core import errors
 from hickorygate.proxies import messages
 
@@ -105,6 +106,6 @@
 
 def _plain(value: object) -> object:
     """Encodes what msgpack doesn't know: the members of an enumeration."""
-    if isinstance(value, messages.DocumentKind):
+    if isinstance(value, documents.DocumentKind):
         return value.value
     raise TypeError(f"can't encode {value!r}")
--- a/hickorygate/proxies/detector.py
+++ b/hickorygate/proxies/detector.py
@@ -163,9 +163,7 @@
                 found.append(self.ping(probe.name, probe.address))
         return found
 
-    def _ask_others(
-        self, sequence: int, probe: _Probe
-    ) -> list[effects.Effect]:
+    def _ask_others(self, sequence: int, probe: _Probe) -> list[effects.Effect]:
         """Pings again over a new connection, and through others."""
         again = messages.Ping(sequence, reopen=True)
         found: list[effects.Effect] = [
--- a/hickorygate/proxies/documents.py
+++ b/hickorygate/proxies/documents.py
@@ -11,6 +11,7 @@
 import dataclasses
 import datetime
 
+from hickorygate.core import document as document_lib
 from hickorygate.proxies import effects
 from hickorygate.proxies import membership as memberships
 from hickorygate.proxies import messages
@@ -46,14 +47,14 @@
 
     def __init__(self, membership: memberships.Membership) -> None:
         self._membership = membership
-        self._states = {kind: _State() for kind in messages.DocumentKind}
+        self._states = {kind: _State() for kind in document_lib.DocumentKind}
 
     @property
     def versions(self) -> messages.Versions:
         """The versions held."""
         return messages.Versions(
-            self._states[messages.DocumentKind.SHEET].version,
-            self._states[messages.DocumentKind.INSTANCES].version,
+            self._states[document_lib.DocumentKind.SHEET].version,
+            self._states[document_lib.DocumentKind.INSTANCES].version,
         )
 
     def __repr__(self) -> str:
@@ -73,7 +74,7 @@
         )
 
     def hold(
-        self, kind: messages.DocumentKind, version: int
+        self, kind: document_lib.DocumentKind, version: int
     ) -> tuple[effects.Effect, ...]:
         """Notes a version that is now in force, and announces it."""
         state = self._states[kind]
@@ -87,7 +88,7 @@
 
     def reject(
         self,
-        kind: messages.DocumentKind,
+        kind: document_lib.DocumentKind,
         version: int,
         now: datetime.datetime,
     ) -> None:
@@ -96,9 +97,7 @@
         state.asked = max(state.asked, version)
         state.until = now + _REJECTED_TIME
 
-    def _ask(
-        self, state: _State, offered: int, now: datetime.datetime
-    ) -> bool:
+    def _ask(self, state: _State, offered: int, now: datetime.datetime) -> bool:
         if offered <= state.version:
             return False
         waiting = state.until is not None and now < state.until
--- a/hickorygate/proxies/member.py
+++ b/hickorygate/proxies/member.py
@@ -38,6 +38,7 @@
     Attributes:
       name: unique in the fleet.
       address: `host:port` of its inbox.
+      admin: `host:port` where operators reach it.
       zone: availability zone.
       incarnation: raised by the proxy itself to refute a suspicion.
       state: as its teller sees it.
@@ -45,6 +46,7 @@
 
     name: Name
     address: Address
+    admin: Address
     zone: Name
     incarnation: Incarnation
     state: State = State.ALIVE
@@ -59,7 +61,9 @@
         """A hash of what all proxies should agree on; 0 for a dead one."""
         if not self.live:
             return 0
-        return xxhash.xxh64_intdigest(f"{self.name} {self.incarnation}")
+        return xxhash.xxh64_intdigest(
+            f"{self.name} {self.incarnation}".encode()
+        )
 
     def supersedes(self, other: Member) -> bool:
         """Whether this is later knowledge than the other."""
--- a/hickorygate/proxies/membership.py
+++ b/hickorygate/proxies/membership.py
@@ -144,9 +144,7 @@
         self._note(found)
         return tuple(found)
 
-    def receive(
-        self, packet: codec.Packet, now: datetime.datetime
-    ) -> Effects:
+    def receive(self, packet: codec.Packet, now: datetime.datetime) -> Effects:
         """Takes in a packet."""
         sender = packet.header.sender
         if sender.name == self._roster.me.name:
--- a/hickorygate/proxies/mesh.py
+++ b/hickorygate/proxies/mesh.py
@@ -15,10 +15,13 @@
 import logbook
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import document as document_lib
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
+from hickorygate.core import task as tasks
 from hickorygate.core import types
+from hickorygate.platform import watch
 from hickorygate.proxies import codec
 from hickorygate.proxies import documents as documents_lib
 from hickorygate.proxies import effects
@@ -34,6 +37,8 @@
 _NEVER_MS = 2**31
 """Age of the store's last answer while no proxy has had one."""
 _GOODBYE_MS = 100
+_STORE_AGE_LIMIT = datetime.timedelta(seconds=45)
+"""Two waits of a relay's watch, and time for the news to spread."""
 
 _log = logbook.Logger(__name__)
 
@@ -41,15 +46,13 @@
 class DocumentHolder(Protocol):
     """Who keeps the documents in force."""
 
-    def document(self, kind: messages.DocumentKind) -> str:
+    def document(self, kind: document_lib.DocumentKind) -> str:
         """Returns the text of a document that is held."""
 
     async def take_document(
         self,
-        kind: messages.DocumentKind,
-        version: int,
-        text: str,
-        source: types.ProxyName,
+        kind: document_lib.DocumentKind,
+        candidate: document_lib.Candidate,
     ) -> None:
         """Takes a document that another proxy passed on."""
 
@@ -76,8 +79,9 @@
         self._subscribers = reports.Subscribers()
         self._counts: collections.Counter[str] = collections.Counter()
         self._store_reached: datetime.datetime | None = None
+        self._sheets: dict[types.ProxyName, types.SheetVersion] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._join("unbound:0")
+        self._join("unbound:0", "unbound:0")
 
     @property
     def address(self) -> members.Address:
@@ -99,6 +103,14 @@
         """Packets and bytes sent and received, packets dropped and refused."""
         return self._counts
 
+    @property
+    def role(self) -> watch.Role:
+        """What this proxy is to the others."""
+        return watch.Role(
+            relay=self._membership.is_relay,
+            hears_relay=self.store_age < _STORE_AGE_LIMIT,
+        )
+
     @property
     def store_age(self) -> datetime.timedelta:
         """Since any proxy heard of reached the store, as far as is known."""
@@ -109,12 +121,16 @@
     def __repr__(self) -> str:
         return f"Mesh({self.address!r}, {self._membership!r})"
 
-    async def start(self) -> None:
-        """Begins to listen and to look for the others."""
-        self._join(self._sockets.bind())
+    async def start(self, admin: members.Address) -> None:
+        """Begins to listen and to look for the others.
+
+        Args:
+          admin: where operators reach this process; told to the others.
+        """
+        self._join(self._sockets.bind(), admin)
         self._tasks = [
-            asyncio.create_task(self._receive()),
-            asyncio.create_task(self._tick()),
+            tasks.start(self._receive()),
+            tasks.start(self._tick()),
         ]
 
     async def close(self) -> None:
@@ -126,15 +142,19 @@
             self._perform_all(self._membership.leave())
         self._sockets.close(linger=_GOODBYE_MS)
 
+    def sheet_of(self, name: types.ProxyName) -> types.SheetVersion:
+        """Returns the sheet that a live proxy was last heard to hold."""
+        return self._sheets.get(name, 0)
+
     def reach_store(self) -> None:
         """Notes that this proxy had an answer of the store."""
         self._store_reached = self._clock.now()
 
-    def hold(self, kind: messages.DocumentKind, version: int) -> None:
+    def hold(self, kind: document_lib.DocumentKind, version: int) -> None:
         """Notes a document now in force, and announces it to a few."""
         self._perform_all(self._documents.hold(kind, version))
 
-    def reject(self, kind: messages.DocumentKind, version: int) -> None:
+    def reject(self, kind: document_lib.DocumentKind, version: int) -> None:
         """Notes a version that was of no use here."""
         self._documents.reject(kind, version, self._clock.now())
 
@@ -175,10 +195,11 @@
     def lose(self, member: members.Member) -> None:
         """Records a proxy that is no longer live."""
         self._sockets.close_link(member.address)
+        self._sheets.pop(member.name, None)
         self._time_line.record(events.PeerLost(member.name))
 
     def send_document(
-        self, kind: messages.DocumentKind, receiver: members.Member
+        self, kind: document_lib.DocumentKind, receiver: members.Member
     ) -> None:
         """Sends a document that another proxy asked for."""
         version = self._documents.versions.of(kind)
@@ -194,23 +215,23 @@
         """Takes a document that another proxy sent."""
         match _decompressed(copy.data):
             case expression.Result(tag="ok", ok=text):
-                await self._holder.take_document(
-                    copy.document, copy.version, text, sender.name
+                candidate = document_lib.Candidate(
+                    copy.version, text, sender.name
                 )
+                await self._holder.take_document(copy.document, candidate)
             case expression.Result(tag="error", error=failure):
                 self._refuse(failure)
 
-    def deliver(
-        self, report: messages.Report, sender: members.Member
-    ) -> None:
+    def deliver(self, report: messages.Report, sender: members.Member) -> None:
         """Hands a report to who takes its type."""
         self._subscribers.deliver(report, sender)
 
-    def _join(self, address: members.Address) -> None:
-        """Makes the decisions anew, under an address."""
+    def _join(self, address: members.Address, admin: members.Address) -> None:
+        """Makes the decisions anew, under the addresses of this process."""
         me = members.Member(
             name=self._settings.name,
             address=address,
+            admin=admin,
             zone=self._settings.zone,
             incarnation=int(self._clock.now().timestamp() * 1_000),
         )
@@ -269,6 +290,7 @@
         now = self._clock.now()
         self._stamps.see(events.Stamp(header.wall, header.count))
         self._note_store(header, now)
+        self._sheets[header.sender.name] = header.versions.sheet
         event = memberships.Received(packet)
         self._perform_all(self._membership.handle(event, now))
         self._perform_all(self._documents.hear(header, now))
--- a/hickorygate/proxies/messages.py
+++ b/hickorygate/proxies/messages.py
@@ -9,11 +9,11 @@
 
 import dataclasses
 import datetime
-import enum
 from typing import Annotated
 
 import pydantic
 
+from hickorygate.core import document as documents
 from hickorygate.core import types
 from hickorygate.proxies import member as members
 
@@ -22,7 +22,6 @@
     "Announce",
     "DemandReport",
     "DocumentCopy",
-    "DocumentKind",
     "DocumentWanted",
     "GroupReport",
     "Header",
@@ -51,13 +50,6 @@
 ]
 
 
-class DocumentKind(enum.Enum):
-    """The platform's objects that proxies pass on."""
-
-    SHEET = "sheet"
-    INSTANCES = "instances"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Versions:
     """Versions of the documents that a proxy holds; 0 for none."""
@@ -65,9 +57,9 @@
     sheet: _Count = 0
     instances: _Count = 0
 
-    def of(self, kind: DocumentKind) -> int:
+    def of(self, kind: documents.DocumentKind) -> int:
         """Returns the version of one document."""
-        if kind is DocumentKind.SHEET:
+        if kind is documents.DocumentKind.SHEET:
             return self.sheet
         return self.instances
 
@@ -159,7 +151,7 @@
 class DocumentWanted(Message):
     """Asks for a document."""
 
-    document: DocumentKind
+    document: documents.DocumentKind
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -172,7 +164,7 @@
       data: UTF-8, compressed.
     """
 
-    document: DocumentKind
+    document: documents.DocumentKind
     version: _Count
     data: Annotated[bytes, pydantic.Field(max_length=_DOCUMENT_LIMIT)]
 
--- a/hickorygate/proxies/rendezvous.py
+++ b/hickorygate/proxies/rendezvous.py
@@ -21,6 +21,6 @@
     """Returns the owners of a key, the first one first."""
 
     def weight(name: types.ProxyName) -> tuple[int, types.ProxyName]:
-        return xxhash.xxh64_intdigest(f"{key}\0{name}"), name
+        return xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name
 
     return tuple(sorted(candidates, key=weight, reverse=True)[:count])
--- a/hickorygate/proxies/roster.py
+++ b/hickorygate/proxies/roster.py
@@ -36,9 +36,7 @@
 
     __slots__ = ("_digest", "_live", "_me", "_news", "_period", "_records")
 
-    def __init__(
-        self, me: members.Member, period: datetime.timedelta
-    ) -> None:
+    def __init__(self, me: members.Member, period: datetime.timedelta) -> None:
         self._me = me
         self._period = period
         self._records: dict[types.ProxyName, _Record] = {}
--- a/hickorygate/proxies/sockets.py
+++ b/hickorygate/proxies/sockets.py
@@ -70,9 +70,9 @@
         self._settings = settings
         self._context = zmq.Context()
         self._inbox: zmq.asyncio.Socket | None = None
-        self._outboxes: collections.OrderedDict[
-            members.Address, zmq.Socket
-        ] = collections.OrderedDict()
+        self._outboxes: collections.OrderedDict[members.Address, zmq.Socket] = (
+            collections.OrderedDict()
+        )
         self._authenticator: zmq.auth.asyncio.AsyncioAuthenticator | None = None
 
     @property
@@ -147,7 +147,9 @@
             oldest.close(linger=0)
         return outbox
 
-    def _connect(self, address: members.Address, name: str) -> zmq.Socket | None:
+    def _connect(
+        self, address: members.Address, name: str
+    ) -> zmq.Socket | None:
         curve = self._settings.curve
         if curve is not None and name not in curve.public_keys:
             return None
@@ -175,9 +177,7 @@
         inbox.curve_server = True
 
 
-def _add_keys(
-    socket: zmq.Socket, curve: settings_lib.CurveSettings
-) -> None:
+def _add_keys(socket: zmq.Socket, curve: settings_lib.CurveSettings) -> None:
     secret = curve.secret_key.get_secret_value().encode()
     socket.curve_secretkey = secret
     socket.curve_publickey = zmq.curve_public(secret)
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime
 
 import expression
@@ -19,6 +20,7 @@
 from hickorygate.upstreams import group as groups
 from hickorygate.upstreams import pool as pools
 from hickorygate.upstreams import probe as probes
+from hickorygate.upstreams import rounds
 
 __all__ = ["DatabaseLink", "GroupLink"]
 
@@ -73,7 +75,9 @@
         "_confirmer",
         "_links",
         "_prober",
+        "_rounds",
         "_settings",
+        "_stragglers",
         "_view",
     )
 
@@ -99,6 +103,8 @@
             self._view, controls, settings, clock, time_line
         )
         self._confirmer: confirmers.Confirmer | None = None
+        self._rounds = rounds.Rounds(self._refresh_all)
+        self._stragglers: set[asyncio.Task[control.StatusResult]] = set()
 
     @property
     def view(self) -> groups.GroupView:
@@ -118,6 +124,7 @@
 
     async def close(self) -> None:
         """Stops the probes and closes the links."""
+        await self._rounds.close()
         await self._prober.close()
         if self._confirmer is not None:
             await self._confirmer.close()
@@ -163,6 +170,18 @@
         """Asks one database for its status and takes it into the view."""
         return await self._prober.refresh(name)
 
+    async def next_round(self, timeout: datetime.timedelta) -> None:
+        """Waits until all databases were asked after this call.
+
+        Args:
+          timeout: after which it gives up waiting.
+        """
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                await self._rounds.next()
+        except TimeoutError:
+            return
+
     async def durable(
         self, name: types.DatabaseName, term: types.Term
     ) -> confirmers.DurableResult:
@@ -179,6 +198,20 @@
             )
         return await self._confirmer_of(name, term).durable()
 
+    async def _refresh_all(self) -> None:
+        """Asks all databases, until a majority has confirmed the primary."""
+        begun = self._clock.now()
+        waiting = {
+            asyncio.create_task(self._prober.refresh(name))
+            for name in self._links
+        }
+        while waiting and self._view.confirmed_position(begun) is None:
+            _, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+        self._stragglers = {t for t in self._stragglers if not t.done()}
+        self._stragglers |= waiting
+
     def _confirmer_of(
         self, name: types.DatabaseName, term: types.Term
     ) -> confirmers.Confirmer:
