Show the whole system in one process, with a failover and an audit

Cause: nothing shows a newcomer what the system does. Change: hickorygate demo starts a platform, a group and two proxies, runs three ranks of callers that move between the proxies, stops the primary and compares what callers were told with the rows; exit code 1 on any lost, doubled or wrongly refused write.

--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -38,6 +38,7 @@
     "Overloaded",
     "PoolExhausted",
     "Problem",
+    "PromiseBroken",
     "ProxyUnreachable",
     "ReplicationUnconfirmed",
     "SheetConflict",
@@ -578,6 +579,21 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromiseBroken(Failure):
+    """A demonstration found writes that were lost, doubled or not read."""
+
+    count: int
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"{self.count} writes were lost, doubled, ran though refused, or "
+            "were not read by their own session; report it with this output"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UsageError(Failure):
     """The command line can't be used."""
--- /dev/null
+++ b/hickorygate/operators/demo.py
@@ -0,0 +1,248 @@
+"""`hickorygate demo`: the whole system in one process, with a failover."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Iterator
+from collections.abc import Sequence
+import dataclasses
+import datetime
+import random
+import signal
+
+from absl import flags
+import expression
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.core import sheet as sheets
+from hickorygate.operators import command as commands
+from hickorygate.operators import event_codec
+from hickorygate.operators import log
+from hickorygate.operators import recorder as recorders
+from hickorygate.operators import timeline
+from hickorygate.testing import cluster
+from hickorygate.testing import ledger as ledgers
+from hickorygate.testing import mixed_load
+
+__all__ = ["FAMILY", "Demo"]
+
+_NAME = "demo"
+_SCHEMA = "alerts_1"
+_PROXIES = 2
+_CALLERS = 4
+_READY_TIMEOUT = datetime.timedelta(seconds=30)
+_STOP_TIMEOUT = datetime.timedelta(seconds=30)
+_SECOND = datetime.timedelta(seconds=1)
+
+_FLAGS = commands.new_flags()
+_KEEP_RUNNING = flags.DEFINE_bool(
+    "keep-running",
+    False,
+    "Stay up after the report, until Ctrl-C.",
+    flag_values=_FLAGS,
+)
+_SECONDS = flags.DEFINE_integer(
+    "seconds",
+    8,
+    "How long the load runs; the primary is stopped after a third.",
+    lower_bound=3,
+    upper_bound=600,
+    flag_values=_FLAGS,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Demo(commands.Command):
+    """Runs a small fleet, a load and a failover in this process."""
+
+    duration: datetime.timedelta
+    keep_running: bool
+
+
+def _parse(words: Sequence[str]) -> commands.ParseResult:
+    if words:
+        return commands.usage(_NAME, f"takes no {words[0]!r}")
+    duration = datetime.timedelta(seconds=_SECONDS.value)
+    return expression.Ok(Demo(duration, _KEEP_RUNNING.value))
+
+
+FAMILY = commands.Family(
+    _NAME,
+    (
+        commands.Usage(
+            "demo [--seconds N] [--keep-running]",
+            "run a small fleet, a load and a failover here",
+        ),
+    ),
+    _FLAGS,
+    _parse,
+)
+
+
+@commands.execute.register
+async def _(command: Demo) -> commands.Result:
+    clock = clocks.SystemClock()
+    log.set_up_quietly(_NAME)
+    stand = await cluster.start(_PROXIES, _HEAD)
+    try:
+        await stand.wait_until_ready(_READY_TIMEOUT)
+        return await _run(command, stand, clock)
+    except errors.FailureError as error:
+        return expression.Error(error.failure)
+    finally:
+        await stand.stop()
+
+
+async def _run(
+    command: Demo, stand: cluster.Stand, clock: clocks.Clock
+) -> commands.Result:
+    _print(_how_to_connect(stand))
+    callers = events.TimeLine("callers", events.StampClock(clock))
+    recorder = recorders.Recorder(callers)
+    load = mixed_load.MixedLoad(_plan(stand), clock, recorder, random.Random(0))
+    await load.prepare()
+    tasks = load.start()
+    await clock.sleep(command.duration / 3)
+    stopped = stand.primary
+    print(f"\nstopping the primary, {stopped.name}")
+    await stopped.stop()
+    await clock.sleep(command.duration * 2 / 3)
+    load.stop()
+    await asyncio.wait(tasks, timeout=_STOP_TIMEOUT.total_seconds())
+    rows = await mixed_load.read_back(load.plan)
+    if rows.is_error():
+        _print(_time_line(stand, callers))
+        return expression.Error(rows.error)
+    audit = load.ledger.audit(rows.ok)
+    _print(_report(stand, load, recorder, audit))
+    _print(_time_line(stand, callers))
+    if command.keep_running:
+        await _until_interrupted()
+    return _verdict(load, audit)
+
+
+async def _until_interrupted() -> None:
+    print("\nstill running; Ctrl-C ends the demo", flush=True)
+    interrupted = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, interrupted.set)
+    await interrupted.wait()
+
+
+def _verdict(
+    load: mixed_load.MixedLoad, audit: ledgers.Audit
+) -> commands.Result:
+    if audit.clean and not load.stale:
+        return expression.Ok(None)
+    broken = len(audit.lost) + len(audit.doubled) + len(load.stale)
+    return expression.Error(
+        errors.PromiseBroken(broken + len(audit.ran_though_refused))
+    )
+
+
+def _plan(stand: cluster.Stand) -> mixed_load.Plan:
+    sheet = stand.daemons[0].sheet
+    assert sheet is not None, "the stand is ready"
+    service = sheet.services[0]
+    reports, sightings, histories = service.ranks
+    return mixed_load.Plan(
+        ports=tuple(daemon.port for daemon in stand.daemons),
+        user=cluster.USER,
+        password=cluster.PASSWORD,
+        schema=_SCHEMA,
+        ranks=(reports, sightings, histories),
+        callers=_CALLERS,
+        group=service.groups[0].name,
+    )
+
+
+def _print(lines: Iterator[str]) -> None:
+    print("\n".join(lines), flush=True)
+
+
+def _how_to_connect(stand: cluster.Stand) -> Iterator[str]:
+    yield "one platform, one group of three databases, two proxies; connect:"
+    for daemon in stand.daemons:
+        yield (
+            f"  mysql --host=127.0.0.1 --port={daemon.port} "
+            f"--user={cluster.USER} --password={cluster.PASSWORD} {_SCHEMA}"
+        )
+    for daemon in stand.daemons:
+        yield f"  http://{daemon.admin}/status (and /metrics, /timeline)"
+
+
+def _report(
+    stand: cluster.Stand,
+    load: mixed_load.MixedLoad,
+    recorder: recorders.Recorder,
+    audit: ledgers.Audit,
+) -> Iterator[str]:
+    yield ""
+    yield from _service(load.plan.ranks, recorder)
+    yield ""
+    yield from _shares(stand)
+    gap = recorder.gaps[load.plan.group]
+    yield f"failover gap             {gap.longest / _SECOND:.2f} s"
+    yield f"sessions that moved      {load.moves}"
+    yield f"own writes not read      {len(load.stale)}"
+    yield f"writes acknowledged      {audit.acknowledged}"
+    yield f"  lost                   {len(audit.lost)}"
+    yield f"  doubled                {len(audit.doubled)}"
+    yield f"  refused, and ran       {len(audit.ran_though_refused)}"
+    yield f'  told "unknown"         {audit.unknown}'
+
+
+def _service(
+    ranks: Sequence[sheets.Rank], recorder: recorders.Recorder
+) -> Iterator[str]:
+    yield "rank        target   answered  in target  refused  unknown"
+    for rank in ranks:
+        tally = recorder.ranks[rank.name]
+        answered = tally.latency.observations
+        share = tally.in_target / answered if answered else 0
+        yield (
+            f"{rank.name:<10} {rank.target / _SECOND:5.2f} s  {answered:>9}"
+            f"  {share:>9.1%}  {tally.verdicts['refused']:>7}"
+            f"  {tally.verdicts['unknown']:>7}"
+        )
+
+
+def _shares(stand: cluster.Stand) -> Iterator[str]:
+    reads = sum(
+        (daemon.recorder.reads for daemon in stand.daemons),
+        start=type(stand.daemons[0].recorder.reads)(),
+    )
+    total = reads.total()
+    replicas = recorders.replica_share(reads)
+    shown = "no reads" if replicas is None else f"{replicas:.1%} of {total}"
+    yield f"reads from replicas      {shown}"
+
+
+def _time_line(stand: cluster.Stand, callers: events.TimeLine) -> Iterator[str]:
+    yield "\ntime line of all processes:"
+    lines = [daemon.time_line.events for daemon in stand.daemons]
+    for recorded in timeline.merge([*lines, callers.events]):
+        yield "  " + event_codec.as_text(recorded)
+
+
+_HEAD = """\
+format: 1
+proxies: 5
+services:
+  - name: alert-db
+    ranks:
+      - {name: report, target_ms: 250, floor: 0.5}
+      - {name: sighting, target_ms: 1000, floor: 0.2}
+      - {name: history, target_ms: 10000, floor: 0.05}
+    reads:
+      - {name: lookup, staleness_ms: 2000}
+    users:
+      - {name: vindpoot, rank: sighting}
+    groups:
+      - name: alert-db-1
+        schemas: [alerts_1]
+        databases:
+"""
--- a/hickorygate/operators/log.py
+++ b/hickorygate/operators/log.py
@@ -10,7 +10,7 @@
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import types
 
-__all__ = ["JsonFormatter", "set_up"]
+__all__ = ["JsonFormatter", "set_up", "set_up_quietly"]
 
 
 class JsonFormatter:
@@ -47,3 +47,8 @@
     handler = logbook.StreamHandler(sys.stderr, level=settings.level)
     handler.formatter = JsonFormatter(process)
     handler.push_application()
+
+
+def set_up_quietly(process: types.ProxyName) -> None:
+    """Sends only what is severe to standard error, for the demo."""
+    set_up(process, settings_lib.LogSettings(level="CRITICAL"))
--- a/hickorygate/operators/main.py
+++ b/hickorygate/operators/main.py
@@ -12,6 +12,7 @@
 
 from hickorygate.core import errors
 from hickorygate.operators import command as commands
+from hickorygate.operators import demo
 from hickorygate.operators import inspect
 from hickorygate.operators import serve
 from hickorygate.operators import sheet
@@ -29,6 +30,7 @@
         inspect.STATUS,
         inspect.DRAIN,
         timeline.FAMILY,
+        demo.FAMILY,
     )
 }
 
--- a/hickorygate/operators/recorder.py
+++ b/hickorygate/operators/recorder.py
@@ -15,7 +15,7 @@
 from hickorygate.core import types
 from hickorygate.operators import gap as gaps
 
-__all__ = ["RankTally", "Recorder", "Verdict"]
+__all__ = ["RankTally", "Recorder", "Verdict", "replica_share"]
 
 _BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10)
 """Upper bounds of the latency histogram, in seconds."""
@@ -84,10 +84,7 @@
     @property
     def replica_share(self) -> float | None:
         """Share of answered reads that replicas served; None before any."""
-        total = self.reads.total()
-        if not total:
-            return None
-        return self.reads[measurements.ServedBy.REPLICA] / total
+        return replica_share(self.reads)
 
     def __repr__(self) -> str:
         return f"Recorder(ranks={list(self.ranks)})"
@@ -116,6 +113,14 @@
             self._time_line.record(events.WritesResumed(served.group, ended))
 
 
+def replica_share(
+    reads: collections.Counter[measurements.ServedBy],
+) -> float | None:
+    """Returns the share of reads that replicas served; None of none."""
+    total = reads.total()
+    return reads[measurements.ServedBy.REPLICA] / total if total else None
+
+
 @functools.singledispatch
 def _take(measurement: measurements.Measurement, recorder: Recorder) -> None:
     raise TypeError(f"no way to take {measurement!r}; register one")
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -15,7 +15,10 @@
 from hickorygate.testing import database as databases
 from hickorygate.testing import platform as platforms
 
-__all__ = ["Stand", "start"]
+__all__ = ["PASSWORD", "USER", "Stand", "start"]
+
+USER = "vindpoot"
+PASSWORD = "polder"
 
 _POLL = datetime.timedelta(milliseconds=10)
 _NAMES = ("alert-db-1a", "alert-db-1b", "alert-db-1c")
@@ -55,6 +58,11 @@
     group: databases.Group
     daemons: list[daemons.Daemon]
 
+    @property
+    def primary(self) -> databases.StandInDatabase:
+        """The database that takes writes."""
+        return next(db for db in self.group.databases if db.log.writable)
+
     async def wait_until_ready(self, timeout: datetime.timedelta) -> None:
         """Waits until each proxy has the sheet and sees the whole group."""
         async with asyncio.timeout(timeout.total_seconds()):
@@ -86,14 +94,19 @@
         return everyone and view.primary is not None
 
 
-def sheet_text(group: databases.Group) -> str:
-    """Returns a sheet for one group of stand-ins."""
+def sheet_text(group: databases.Group, head: str = _SHEET) -> str:
+    """Returns a sheet for one group of stand-ins.
+
+    Args:
+      group: the databases.
+      head: the YAML before the list of databases.
+    """
     rows = [
         f"          - {{name: {database.name}, host: 127.0.0.1, "
         f"port: {database.port}, zone: {zone}, connections: 20, slots: 3}}"
         for database, zone in zip(group.databases, _ZONES, strict=True)
     ]
-    return _SHEET + "\n".join(rows) + "\n"
+    return head + "\n".join(rows) + "\n"
 
 
 def settings(
@@ -104,7 +117,7 @@
         name=name,
         zone=zone,
         callers=settings_lib.CallerSettings(
-            port=0, users={"vindpoot": "polder"}, token_key="shared secret"
+            port=0, users={USER: PASSWORD}, token_key="shared secret"
         ),
         platform=settings_lib.PlatformSettings(url=url),
         peers=settings_lib.PeerSettings(seeds=seeds),
@@ -128,14 +141,19 @@
     assert stored.is_ok(), stored
 
 
-async def start(proxies: int) -> Stand:
-    """Starts a platform with a sheet, a group of three, and proxies."""
+async def start(proxies: int, head: str = _SHEET) -> Stand:
+    """Starts a platform with a sheet, a group of three, and proxies.
+
+    Args:
+      proxies: how many.
+      head: the sheet's YAML before the list of databases.
+    """
     clock = clocks.SystemClock()
     platform = platforms.StandInPlatform()
     await platform.start()
     group = databases.Group(clock)
     await group.start(_NAMES)
-    await load_sheet(platform, sheet_text(group), clock)
+    await load_sheet(platform, sheet_text(group, head), clock)
     stand = Stand(platform, group, [])
     for number in range(proxies):
         seeds = tuple(daemon.mesh.address for daemon in stand.daemons)
--- /dev/null
+++ b/hickorygate/tests/test_ledger.py
@@ -0,0 +1,37 @@
+"""The audit finds every kind of broken promise."""
+
+from __future__ import annotations
+
+import unittest
+
+from hickorygate.core import errors
+from hickorygate.testing import ledger as ledgers
+
+
+class LedgerTest(unittest.TestCase):
+    """What callers were told, against rows."""
+
+    def setUp(self) -> None:
+        self.ledger = ledgers.Ledger()
+
+    def test_kept_promises_are_clean(self) -> None:
+        self.ledger.acknowledge("a")
+        self.ledger.refuse("b", errors.Outcome.NOT_RUN)
+        self.ledger.refuse("c", errors.Outcome.UNKNOWN)
+        self.ledger.refuse("d", errors.Outcome.UNKNOWN)
+        self.assertTrue(self.ledger.audit({"a": 1, "c": 1}).clean)
+
+    def test_refused_write_that_was_repeated_may_have_run(self) -> None:
+        self.ledger.refuse("a", errors.Outcome.NOT_RUN)
+        self.ledger.acknowledge("a")
+        self.assertTrue(self.ledger.audit({"a": 1}).clean)
+
+    def test_lost_doubled_and_ran_though_refused_are_found(self) -> None:
+        self.ledger.acknowledge("lost")
+        self.ledger.acknowledge("twice")
+        self.ledger.refuse("ran", errors.Outcome.NOT_RUN)
+        audit = self.ledger.audit({"twice": 2, "ran": 1})
+        self.assertEqual(audit.lost, {"lost"})
+        self.assertEqual(audit.doubled, {"twice"})
+        self.assertEqual(audit.ran_though_refused, {"ran"})
+        self.assertFalse(audit.clean)
