--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -10,11 +10,14 @@
 import logbook
 import zmq
 
+from hickorygate.callers import balance
+from hickorygate.callers import environment as environments
 from hickorygate.callers import frontend
 from hickorygate.callers import server as servers
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
+from hickorygate.core import retry
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
@@ -231,12 +234,20 @@
 
     def _build_server(self) -> servers.Server:
         callers = self._settings.callers
+        env = environments.Environment(
+            fleet=self,
+            clock=self._clock,
+            rng=self._generator,
+            zone=self._settings.zone,
+            retries=retry.Budget(),
+            policy=balance.LeastBusy(),
+        )
         passwords = {
             name: password.get_secret_value()
             for name, password in callers.users.items()
         }
         return servers.Server(
-            lambda: frontend.Frontend(self, callers, self._clock),
+            lambda: frontend.Frontend(env, callers),
             passwords,
             callers.statement_limit,
         )
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -88,6 +88,11 @@
         """Requests that wait, by rank."""
         return self._queue.waiting
 
+    @property
+    def busy(self) -> int:
+        """Requests that run or wait."""
+        return self.leased + self._queue.size
+
     @property
     def refused(self) -> int:
         """Requests refused since the start."""
