--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -38,11 +38,8 @@
     "Overloaded",
     "PoolExhausted",
     "Problem",
-    "PromiseBroken",
-    "ProxyUnreachable",
     "ReplicationUnconfirmed",
     "SheetConflict",
-    "SheetsDiffer",
     "StatementTooLarge",
     "StoreUnavailable",
     "UnknownSchema",
@@ -50,7 +47,6 @@
     "UnsupportedStatement",
     "UnsupportedVariable",
     "UpstreamError",
-    "UsageError",
 ]
 
 
@@ -548,60 +544,3 @@
             f"can't listen for {self.part}: {self.reason}; choose a free "
             f"port and an address of this instance under {self.part!r}"
         )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProxyUnreachable(Failure):
-    """A proxy's admin port doesn't answer."""
-
-    address: str
-    reason: str
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"no answer from the admin port {self.address}: {self.reason}; "
-            "check the address and that the proxy runs"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SheetsDiffer(Failure):
-    """Not all proxies have the same sheet in force."""
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            "the proxies' sheets differ; ask again in a few seconds, then "
-            "look at the log of the proxy that stays behind"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PromiseBroken(Failure):
-    """A demonstration found writes that were lost, doubled or not read."""
-
-    count: int
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"{self.count} writes were lost, doubled, ran though refused, or "
-            "were not read by their own session; report it with this output"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UsageError(Failure):
-    """The command line can't be used."""
-
-    command: str
-    reason: str
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return f"{self.command}: {self.reason}"
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -27,7 +27,6 @@
     "TlsSettings",
     "UpstreamSettings",
     "load",
-    "platform_at",
 ]
 
 _Port = Annotated[int, pydantic.Field(ge=0, lt=65_536)]
@@ -213,14 +212,3 @@
     return border.read_file(path).bind(
         lambda text: border.read_yaml(Settings, text, str(path))
     )
-
-
-def platform_at(
-    url: str,
-) -> expression.Result[PlatformSettings, errors.UsageError]:
-    """Returns the settings for a platform at an address, else defaults."""
-    try:
-        return expression.Ok(PlatformSettings(url=url))
-    except pydantic.ValidationError:
-        reason = f"must look like http://HOST:PORT (found {url!r})"
-        return expression.Error(errors.UsageError("--platform", reason))
--- a/hickorygate/operators/client.py
+++ b/hickorygate/operators/client.py
@@ -9,10 +9,10 @@
 import expression
 import pydantic
 
-from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.operators import admin
 from hickorygate.operators import event_codec
+from hickorygate.operators import failures
 from hickorygate.operators import status as statuses
 
 __all__ = ["AdminClient"]
@@ -40,7 +40,7 @@
 
     async def status(
         self, address: str
-    ) -> expression.Result[statuses.ProxyStatus, errors.ProxyUnreachable]:
+    ) -> expression.Result[statuses.ProxyStatus, failures.ProxyUnreachable]:
         """Returns a proxy's status."""
         text = await self._ask("GET", address, admin.Paths.STATUS)
         return text.bind(lambda found: _read_status(found, address))
@@ -48,7 +48,7 @@
     async def time_line(
         self, address: str
     ) -> expression.Result[
-        tuple[events.Recorded, ...], errors.ProxyUnreachable
+        tuple[events.Recorded, ...], failures.ProxyUnreachable
     ]:
         """Returns a proxy's events, oldest first."""
         text = await self._ask("GET", address, admin.Paths.TIME_LINE)
@@ -56,13 +56,13 @@
 
     async def drain(
         self, address: str
-    ) -> expression.Result[str, errors.ProxyUnreachable]:
+    ) -> expression.Result[str, failures.ProxyUnreachable]:
         """Tells a proxy to shut down gracefully; returns its answer."""
         return await self._ask("POST", address, admin.Paths.DRAIN)
 
     async def _ask(
         self, method: str, address: str, path: str
-    ) -> expression.Result[str, errors.ProxyUnreachable]:
+    ) -> expression.Result[str, failures.ProxyUnreachable]:
         if self._http is None:
             self._http = aiohttp.ClientSession()
         url = f"http://{address}{path}"
@@ -76,23 +76,23 @@
                     reason = f"status {response.status}"
         except (aiohttp.ClientError, OSError, ValueError) as error:
             reason = str(error) or type(error).__name__
-        return expression.Error(errors.ProxyUnreachable(address, reason))
+        return expression.Error(failures.ProxyUnreachable(address, reason))
 
 
 def _read_status(
     text: str, address: str
-) -> expression.Result[statuses.ProxyStatus, errors.ProxyUnreachable]:
+) -> expression.Result[statuses.ProxyStatus, failures.ProxyUnreachable]:
     try:
         return expression.Ok(statuses.ProxyStatus.model_validate_json(text))
     except pydantic.ValidationError as error:
         first = error.errors(include_url=False)[0]
         reason = f"no status of a proxy: {first['msg']}"
-        return expression.Error(errors.ProxyUnreachable(address, reason))
+        return expression.Error(failures.ProxyUnreachable(address, reason))
 
 
 def _read_events(
     text: str, address: str
-) -> expression.Result[tuple[events.Recorded, ...], errors.ProxyUnreachable]:
+) -> expression.Result[tuple[events.Recorded, ...], failures.ProxyUnreachable]:
     found = []
     for line in text.splitlines():
         match event_codec.read_json(line, address):
--- a/hickorygate/operators/command.py
+++ b/hickorygate/operators/command.py
@@ -17,6 +17,7 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.operators import failures
 
 __all__ = [
     "Command",
@@ -87,7 +88,7 @@
 
 def usage(name: str, reason: str) -> ParseResult:
     """Refuses a command line."""
-    return expression.Error(errors.UsageError(name, reason))
+    return expression.Error(failures.UsageError(name, reason))
 
 
 @functools.singledispatch
@@ -103,7 +104,7 @@
 
 
 @exit_code.register
-def _(failure: errors.UsageError) -> ExitCode:
+def _(failure: failures.UsageError) -> ExitCode:
     return ExitCode.USAGE
 
 
@@ -123,5 +124,5 @@
 
 
 @exit_code.register
-def _(failure: errors.ProxyUnreachable) -> ExitCode:
+def _(failure: failures.ProxyUnreachable) -> ExitCode:
     return ExitCode.UNAVAILABLE
--- a/hickorygate/operators/demo.py
+++ b/hickorygate/operators/demo.py
@@ -19,6 +19,7 @@
 from hickorygate.core import sheet as sheets
 from hickorygate.operators import command as commands
 from hickorygate.operators import event_codec
+from hickorygate.operators import failures
 from hickorygate.operators import log
 from hickorygate.operators import recorder as recorders
 from hickorygate.operators import timeline
@@ -139,7 +140,7 @@
         return expression.Ok(None)
     broken = len(audit.lost) + len(audit.doubled) + len(load.stale)
     return expression.Error(
-        errors.PromiseBroken(broken + len(audit.ran_though_refused))
+        failures.PromiseBroken(broken + len(audit.ran_though_refused))
     )
 
 
--- a/hickorygate/operators/event_codec.py
+++ b/hickorygate/operators/event_codec.py
@@ -14,9 +14,9 @@
 import expression
 import pydantic
 
-from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import types
+from hickorygate.operators import failures
 
 __all__ = ["ForeignEvent", "as_json", "as_text", "read_json"]
 
@@ -60,7 +60,7 @@
 
 def read_json(
     text: str, address: str
-) -> expression.Result[events.Recorded, errors.ProxyUnreachable]:
+) -> expression.Result[events.Recorded, failures.ProxyUnreachable]:
     """Reads what `as_json` wrote.
 
     Args:
@@ -72,7 +72,7 @@
         event = _event(line)
     except pydantic.ValidationError as error:
         reason = f"malformed event: {error.errors(include_url=False)[0]['msg']}"
-        return expression.Error(errors.ProxyUnreachable(address, reason))
+        return expression.Error(failures.ProxyUnreachable(address, reason))
     stamp = events.Stamp(line.wall, line.count)
     return expression.Ok(events.Recorded(stamp, line.process, event))
 
--- a/hickorygate/operators/fleet.py
+++ b/hickorygate/operators/fleet.py
@@ -15,6 +15,7 @@
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.operators import client as admin_client
+from hickorygate.operators import failures
 from hickorygate.operators import status as statuses
 
 __all__ = ["AddressFlags", "Survey", "survey", "unless_missing"]
@@ -59,7 +60,7 @@
                 lambda found: (f"{found.admin.host}:{found.admin.port}",)
             )
         reason = "needs --admin HOST:PORT[,HOST:PORT...] or --settings FILE"
-        return expression.Error(errors.UsageError(self._name, reason))
+        return expression.Error(failures.UsageError(self._name, reason))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,7 +73,7 @@
     """
 
     found: dict[str, statuses.ProxyStatus]
-    missing: tuple[errors.ProxyUnreachable, ...]
+    missing: tuple[failures.ProxyUnreachable, ...]
 
 
 async def survey(
@@ -94,7 +95,7 @@
 
 
 def unless_missing(
-    missing: Sequence[errors.ProxyUnreachable],
+    missing: Sequence[failures.ProxyUnreachable],
 ) -> expression.Result[None, errors.Failure]:
     """Fails with the first proxy that is missing and prints the others."""
     for failure in missing[1:]:
--- a/hickorygate/operators/main.py
+++ b/hickorygate/operators/main.py
@@ -13,6 +13,7 @@
 from hickorygate.core import errors
 from hickorygate.operators import command as commands
 from hickorygate.operators import demo
+from hickorygate.operators import failures
 from hickorygate.operators import inspect
 from hickorygate.operators import serve
 from hickorygate.operators import sheet
@@ -57,7 +58,7 @@
         rest = family.flags(list(words))
     except flags.Error as error:
         reason = f"{error}; see `{_PROGRAM} help`"
-        return expression.Error(errors.UsageError(family.name, reason))
+        return expression.Error(failures.UsageError(family.name, reason))
     return family.parse(rest[1:])
 
 
--- a/hickorygate/operators/sheet.py
+++ b/hickorygate/operators/sheet.py
@@ -10,6 +10,7 @@
 
 from absl import flags
 import expression
+import pydantic
 
 from hickorygate.core import border
 from hickorygate.core import clock as clocks
@@ -19,6 +20,7 @@
 from hickorygate.core import types
 from hickorygate.operators import client as admin_client
 from hickorygate.operators import command as commands
+from hickorygate.operators import failures
 from hickorygate.operators import fleet
 from hickorygate.platform import client as platform_client
 from hickorygate.platform import objects
@@ -113,12 +115,23 @@
     settings_lib.PlatformSettings, errors.Failure
 ]:
     if _PLATFORM.value is not None:
-        return settings_lib.platform_at(_PLATFORM.value)
+        return _platform_at(_PLATFORM.value)
     if _ADDRESSES.settings is not None:
         path = _ADDRESSES.settings
         return settings_lib.load(path).map(lambda found: found.platform)
     reason = "needs --platform URL or --settings FILE"
-    return expression.Error(errors.UsageError(_NAME, reason))
+    return expression.Error(failures.UsageError(_NAME, reason))
+
+
+def _platform_at(
+    url: str,
+) -> expression.Result[settings_lib.PlatformSettings, errors.Failure]:
+    """Returns the settings for a platform at an address, else defaults."""
+    try:
+        return expression.Ok(settings_lib.PlatformSettings(url=url))
+    except pydantic.ValidationError:
+        reason = f"must look like http://HOST:PORT (found {url!r})"
+        return expression.Error(failures.UsageError("--platform", reason))
 
 
 FAMILY = commands.Family(_NAME, _USAGES, _FLAGS, _parse)
@@ -224,5 +237,5 @@
     if survey.missing:
         return fleet.unless_missing(survey.missing)
     if len(versions) > 1:
-        return expression.Error(errors.SheetsDiffer())
+        return expression.Error(failures.SheetsDiffer())
     return expression.Ok(None)
