Measure each statement where its answer is known

Cause: the recorder had no measurements. Change: the executor hands one StatementServed a statement to the recorder, readers and writers a Retried a retry; a trace on the work notes the group and the kind of database.

--- a/hickorygate/callers/environment.py
+++ b/hickorygate/callers/environment.py
@@ -8,6 +8,7 @@
 
 from hickorygate.callers import balance
 from hickorygate.core import clock as clocks
+from hickorygate.core import measurement as measurements
 from hickorygate.core import retry
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
@@ -38,6 +39,7 @@
       zone: the proxy's availability zone.
       retries: bounds the retries of all sessions together.
       policy: how a replica is chosen.
+      recorder: takes what is measured.
     """
 
     fleet: Fleet
@@ -46,3 +48,4 @@
     zone: types.ZoneName
     retries: retry.Budget
     policy: balance.Policy
+    recorder: measurements.Recorder
--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -10,6 +10,7 @@
 from hickorygate.callers import failures
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import idempotency
+from hickorygate.callers import measuring
 from hickorygate.callers import reading
 from hickorygate.callers import routing
 from hickorygate.callers import session as sessions
@@ -56,7 +57,15 @@
     ) -> handlers.AnswerResult:
         """Runs a statement where routing says."""
         route = routing.route(statement, self._session)
-        return await _run(route, self, works.Work(statement, request))
+        work = works.Work(statement, request)
+        if self._transaction is not None:
+            work.trace.group = self._transaction.group.view.group.name
+        result = await _run(route, self, work)
+        now = self._env.clock.now()
+        measured = measuring.served(route, work, result, now)
+        if measured is not None:
+            self._env.recorder.record(measured)
+        return result
 
     async def close(self) -> None:
         """Drops an open transaction."""
@@ -66,7 +75,7 @@
 
     async def read(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a read outside a transaction."""
-        group = self._group()
+        group = self._group(work)
         if group.is_error():
             return expression.Error(group.error)
         reader = reading.Reader(self._env, group.ok, self._session)
@@ -74,7 +83,7 @@
 
     async def write(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a write outside a transaction."""
-        group = self._group()
+        group = self._group(work)
         if group.is_error():
             return expression.Error(group.error)
         return await self._writer(group.ok).run(work)
@@ -90,7 +99,7 @@
             kept = await self.commit()
             if kept.is_error():
                 return kept
-        group = self._group()
+        group = self._group(work)
         if group.is_error():
             return expression.Error(group.error)
         self._transaction = transactions.Transaction(
@@ -147,13 +156,16 @@
             return await self.commit()
         return expression.Ok(_NOTHING)
 
-    def _group(self) -> GroupResult:
+    def _group(self, work: works.Work) -> GroupResult:
         sheet = self._env.fleet.sheet
         if sheet is None:
             return expression.Error(errors.NotReady())
-        return sheet.place(self._session.schema).map(
-            lambda place: self._env.fleet.group(place[1].name)
-        )
+        place = sheet.place(self._session.schema)
+        if place.is_error():
+            return expression.Error(place.error)
+        _, group = place.ok
+        work.trace.group = group.name
+        return expression.Ok(self._env.fleet.group(group.name))
 
     def _leaves_group(self, name: types.GroupName) -> bool:
         if self._transaction is None:
--- a/hickorygate/callers/reading.py
+++ b/hickorygate/callers/reading.py
@@ -14,6 +14,7 @@
 from hickorygate.callers import session as sessions
 from hickorygate.callers import work as works
 from hickorygate.core import errors
+from hickorygate.core import measurement as measurements
 from hickorygate.core import retry
 from hickorygate.core import types
 from hickorygate.upstreams import link as links
@@ -58,6 +59,8 @@
             )
             if not isinstance(verdict, retry.Delay):
                 return result
+            retried = measurements.Retried(work.request.rank, result.error)
+            self._env.recorder.record(retried)
             await self._env.clock.sleep(verdict.duration)
             number += 1
 
@@ -73,6 +76,7 @@
     ) -> handlers.AnswerResult:
         """Runs a read on one database."""
         link = self._group.link(name)
+        work.trace.served_by = self._kind_of(name)
         result = await lease.run_once(link, self._session, work)
         if result.is_error():
             self._failed.add(name)
@@ -100,6 +104,12 @@
             )
         return await _follow(plan, self, work)
 
+    def _kind_of(self, name: types.DatabaseName) -> measurements.ServedBy:
+        primary = self._group.view.primary
+        if primary is not None and primary.database == name:
+            return measurements.ServedBy.PRIMARY
+        return measurements.ServedBy.REPLICA
+
     def _candidate(self, name: types.DatabaseName) -> balance.Candidate:
         link = self._group.link(name)
         return balance.Candidate(
--- a/hickorygate/callers/writing.py
+++ b/hickorygate/callers/writing.py
@@ -11,6 +11,7 @@
 from hickorygate.callers import session as sessions
 from hickorygate.callers import work as works
 from hickorygate.core import errors
+from hickorygate.core import measurement as measurements
 from hickorygate.core import position as positions
 from hickorygate.core import retry
 from hickorygate.upstreams import link as links
@@ -58,6 +59,8 @@
             )
             if not isinstance(verdict, retry.Delay):
                 return result
+            retried = measurements.Retried(work.request.rank, result.error)
+            self._env.recorder.record(retried)
             await self._env.clock.sleep(verdict.duration)
             number += 1
 
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -241,6 +241,7 @@
             zone=self._settings.zone,
             retries=retry.Budget(),
             policy=balance.LeastBusy(),
+            recorder=self._recorder,
         )
         passwords = {
             name: password.get_secret_value()
--- a/hickorygate/tests/test_admin.py
+++ b/hickorygate/tests/test_admin.py
@@ -8,6 +8,7 @@
 import unittest
 
 import aiohttp
+import asyncmy
 
 from hickorygate.operators import command as commands
 from hickorygate.operators import inspect
@@ -58,6 +59,33 @@
         self.assertIn("hickorygate_ready 1", text)
         self.assertIn('hickorygate_group_primary{group="alert-db-1"} 1', text)
 
+    async def test_statements_are_measured_by_rank_and_server(self) -> None:
+        connection = await asyncmy.connect(
+            host="127.0.0.1",
+            port=self.first.port,
+            user=cluster.USER,
+            password=cluster.PASSWORD,
+            database="alerts_1",
+            autocommit=None,
+        )
+        self.addAsyncCleanup(connection.ensure_closed)
+        cursor = connection.cursor()
+        await cursor.execute("CREATE TABLE pets (id INT)")
+        await cursor.execute("SELECT id FROM pets")
+        with self.assertRaises(asyncmy.errors.MySQLError):
+            await cursor.execute("SELECT nothing FROM pets")
+        recorder = self.first.recorder
+        self.assertEqual(
+            recorder.ranks["normal"].verdicts, {"served": 2, "failed": 1}
+        )
+        self.assertEqual(recorder.reads.total(), 2)
+        self.assertEqual(list(recorder.gaps), ["alert-db-1"])
+        _, text = await self.get("/metrics")
+        self.assertIn(
+            'hickorygate_statements_total{rank="normal",verdict="served"} 2',
+            text,
+        )
+
     async def test_status_of_the_fleet_learns_the_other_proxy(self) -> None:
         command = inspect.Status((self.first.admin,), json=False)
         result, out = await self.run_command(command)
