--- a/hickorygate/platform/client.py
+++ b/hickorygate/platform/client.py
@@ -49,6 +49,7 @@
         settings: settings_lib.PlatformSettings,
         clock: clocks.Clock,
         generator: random.Random,
+        caller: transport.Caller | None = None,
     ) -> None:
         """Makes no call yet.
 
@@ -56,11 +57,12 @@
           settings: of the platform.
           clock: for time-outs and the budget.
           generator: source of jitter.
+          caller: makes the calls; over HTTP if None.
         """
         self._settings = settings
         self._clock = clock
         self._backoff = backoff.Backoff(_FIRST_WAIT, _LONGEST_WAIT, generator)
-        self._transport = transport.Transport(settings, clock)
+        self._transport = caller or transport.Transport(settings, clock)
 
     def __repr__(self) -> str:
         return f"Client({self._settings.url!r})"
--- a/hickorygate/platform/transport.py
+++ b/hickorygate/platform/transport.py
@@ -6,6 +6,7 @@
 from collections.abc import AsyncIterator
 import dataclasses
 import datetime
+from typing import Protocol
 
 import aiohttp
 import expression
@@ -16,7 +17,7 @@
 from hickorygate.platform import budget
 from hickorygate.platform import failures
 
-__all__ = ["Answer", "Call", "Transport"]
+__all__ = ["Answer", "AnswerResult", "Call", "Caller", "Transport"]
 
 _OK = 200
 _NOT_MODIFIED = 304
@@ -78,6 +79,16 @@
 AnswerResult = expression.Result[Answer, errors.Failure]
 
 
+class Caller(Protocol):
+    """Who makes calls."""
+
+    async def make(self, call: Call) -> AnswerResult:
+        """Makes a call."""
+
+    async def close(self) -> None:
+        """Closes what is open."""
+
+
 class Transport:
     """Makes calls within a budget; each has a time-out."""
 
--- a/hickorygate/proxies/detector.py
+++ b/hickorygate/proxies/detector.py
@@ -25,6 +25,9 @@
 """Proxies that this one pings in turn."""
 _HELPERS = 2
 """Proxies asked to ping one that didn't answer."""
+_TOLD = 4
+"""Proxies that are told at once of one that is suspected or lost."""
+_PINGS_IN_SMALL_FLEET = 2
 _LATE_PERIODS = 2.5
 """A tick that comes later than this says that this process was paused."""
 _REQUESTS_KEPT = 64
@@ -81,6 +84,12 @@
         self._queue: list[types.ProxyName] = []
         self._last_tick: datetime.datetime | None = None
 
+    @property
+    def _pings(self) -> int:
+        """Pings a period: more while that costs next to nothing."""
+        small = len(self._roster.live) <= _VIEW_SIZE
+        return _PINGS_IN_SMALL_FLEET if small else 1
+
     def __repr__(self) -> str:
         return f"Detector(view={len(self._view)}, probes={len(self._probes)})"
 
@@ -88,8 +97,9 @@
         """Ends a period and begins the next."""
         self._forgive_pause(now)
         found = list(self._end_period(now))
-        found.extend(self._roster.expire(now))
-        found.extend(self._ping_next())
+        found.extend(self._tell(self._roster.expire(now)))
+        for _ in range(self._pings):
+            found.extend(self._ping_next())
         return tuple(found)
 
     def ping(
@@ -159,10 +169,32 @@
             else:
                 del self._probes[sequence]
                 self._reopen.add(probe.name)
-                found.extend(self._roster.suspect(probe.name, now))
-                found.append(self.ping(probe.name, probe.address))
+                found.extend(self._suspect(probe, now))
+        return found
+
+    def _suspect(
+        self, probe: _Probe, now: datetime.datetime
+    ) -> list[effects.Effect]:
+        """Suspects a proxy, and tells it and a few others so."""
+        found = [*self._roster.suspect(probe.name, now)]
+        suspect = self._roster.get(probe.name)
+        if suspect is not None and suspect.state is members.State.SUSPECT:
+            found.extend(self._spread(suspect))
+        found.append(self.ping(probe.name, probe.address))
         return found
 
+    def _tell(self, found: tuple[effects.Effect, ...]) -> list[effects.Effect]:
+        """Adds to each loss that it is told to a few others at once."""
+        lost = [e.member for e in found if isinstance(e, effects.Lost)]
+        told = [send for member in lost for send in self._spread(member)]
+        return [*found, *told]
+
+    def _spread(self, member: members.Member) -> list[effects.Effect]:
+        others = [m for m in self._roster.live if m.name != member.name]
+        receivers = self._generator.sample(others, min(_TOLD, len(others)))
+        news = messages.MembersCopy((member,))
+        return [effects.Send(m.address, news, m.name) for m in receivers]
+
     def _ask_others(self, sequence: int, probe: _Probe) -> list[effects.Effect]:
         """Pings again over a new connection, and through others."""
         again = messages.Ping(sequence, reopen=True)
