--- a/properties/fleet.py
+++ b/properties/fleet.py
@@ -38,15 +38,20 @@
     def __init__(self) -> None:
         self.up = True
         self.texts: dict[int, str] = {}
+        self._newest = 0
 
     @property
     def version(self) -> int:
         """Of the newest sheet; 0 without one."""
         return max(self.texts, default=0)
 
+    def reset(self) -> None:
+        """Loses all but the oldest sheet; versions go on from there."""
+        self.texts = {v: t for v, t in self.texts.items() if v == 1}
+
     def load(self, text: str) -> int:
-        """Accepts a sheet."""
-        version = self.version + 1
+        """Accepts a sheet, as one who has seen the fleet would."""
+        version = self._newest = self._newest + 1
         self.texts[version] = text
         return version
 
@@ -192,6 +197,7 @@
         self.store = Store()
         self.store_calls = 0
         self.cut: frozenset[str] = frozenset()
+        self.blocked: frozenset[str] = frozenset()
         self.nodes: dict[str, Node] = {}
         self._posted: list[_Posted] = []
         self._order = 0
@@ -227,6 +233,8 @@
         receiver = address.partition(":")[0]
         if (sender.name in self.cut) != (receiver in self.cut):
             return
+        if {sender.name, receiver} <= self.blocked:
+            return
         if self.generator.random() < self.loss:
             return
         copies = 2 if self.loss and self.generator.random() < 0.1 else 1
--- a/properties/test_config.py
+++ b/properties/test_config.py
@@ -41,6 +41,8 @@
         strategies.tuples(strategies.just("run"), strategies.integers(1, 40)),
         strategies.tuples(strategies.just("load"), strategies.booleans()),
         strategies.tuples(strategies.just("store"), strategies.booleans()),
+        strategies.tuples(strategies.just("reset"), strategies.none()),
+        strategies.tuples(strategies.just("stale"), _names),
     ),
     max_size=12,
 )
@@ -55,6 +57,11 @@
                 fleet.store.load(text)
         case "store", bool(up):
             fleet.store.up = up
+        case "reset", None:
+            fleet.store.reset()
+        case "stale", str(name):
+            copy = sheets.text(comment="stale")
+            fleet.nodes[name].offer(1, copy, "a peer")
         case _:
             test_membership.act(fleet, kind, value)
 
@@ -186,7 +193,7 @@
     """Each operator is told the truth about its own sheet."""
 
     async def load(
-        self, caller: _Caller, operator: str
+        self, caller: _Caller, operator: str, look: bool
     ) -> expression.Result[int, errors.Failure]:
         client = clients.Client(
             settings_lib.PlatformSettings(url="http://store"),
@@ -197,13 +204,15 @@
         sheet = objects.SheetObject(
             text=operator, loaded_by=operator, loaded_at=_NOW
         )
-        return await client.store_sheet(sheet, expected=0)
+        found = await client.sheet() if look else expression.Ok(None)
+        seen = found.is_ok() and found.ok
+        return await client.store_sheet(sheet, seen.version if seen else 0)
 
     async def race(
-        self, caller: _Caller, operators: list[str]
+        self, caller: _Caller, operators: list[str], look: bool
     ) -> dict[str, expression.Result[int, errors.Failure]]:
         results = await asyncio.gather(
-            *(self.load(caller, operator) for operator in operators)
+            *(self.load(caller, operator, look) for operator in operators)
         )
         return dict(zip(operators, results, strict=True))
 
@@ -218,7 +227,7 @@
     ) -> None:
         caller = _Caller(random.Random(seed), loss)
         operators = [f"operator-{number}" for number in range(count)]
-        results = asyncio.run(self.race(caller, operators))
+        results = asyncio.run(self.race(caller, operators, look=True))
         for call in caller.late:
             caller.carry_out(call)
         loaded = {sheet.loaded_by for sheet in caller.history.values()}
@@ -235,7 +244,7 @@
     ) -> None:
         caller = _Caller(random.Random(seed), loss=0)
         operators = [f"operator-{number}" for number in range(count)]
-        results = asyncio.run(self.race(caller, operators))
+        results = asyncio.run(self.race(caller, operators, look=False))
         lost = {
             operator
             for operator, result in results.items()
--- a/properties/test_membership.py
+++ b/properties/test_membership.py
@@ -108,6 +108,15 @@
             for node in fleet.nodes.values():
                 self.assertEqual(len(node.membership.names), _SIZE)
 
+    def test_proxies_cut_from_each_other_alone_are_kept(self) -> None:
+        fleet = fleets.Fleet(5, random.Random(1))
+        fleet.run(30)
+        fleet.blocked = frozenset({"p0", "p1"})
+        for _ in range(100):
+            fleet.run(1)
+            for node in fleet.nodes.values():
+                self.assertEqual(len(node.membership.names), 5)
+
     def test_traffic_does_not_grow_with_the_fleet(self) -> None:
         for size in (20, 50):
             with self.subTest(size):
