Test the link between proxies over real sockets

Cause: a connection refused for its key took packets no more for good. Change: a connection that takes no packet is closed, the next packet opens one; closing waits on the loop for the last packets, not inside the library.

--- a/hickorygate/proxies/mesh.py
+++ b/hickorygate/proxies/mesh.py
@@ -36,7 +36,8 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _NEVER_MS = 2**31
 """Age of the store's last answer while no proxy has had one."""
-_GOODBYE_MS = 100
+_GOODBYE_TIME = datetime.timedelta(milliseconds=50)
+"""For the last packets to leave."""
 _STORE_AGE_LIMIT = datetime.timedelta(seconds=45)
 """Two waits of a relay's watch, and time for the news to spread."""
 
@@ -140,7 +141,9 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         if self._tasks:
             self._perform_all(self._membership.leave())
-        self._sockets.close(linger=_GOODBYE_MS)
+            self._tasks = []
+            await self._clock.sleep(_GOODBYE_TIME)
+        self._sockets.close()
 
     def sheet_of(self, name: types.ProxyName) -> types.SheetVersion:
         """Returns the sheet that a live proxy was last heard to hold."""
--- a/hickorygate/proxies/sockets.py
+++ b/hickorygate/proxies/sockets.py
@@ -103,13 +103,18 @@
         return Arrival(frame.bytes, key)
 
     def send(self, address: members.Address, name: str, data: bytes) -> bool:
-        """Queues a packet; False if it was dropped."""
+        """Queues a packet; False if it was dropped.
+
+        A connection that takes no more, be it full or refused for its key,
+        is closed, so that the next packet tries a new one.
+        """
         outbox = self._outbox(address, name)
         if outbox is None:
             return False
         try:
             outbox.send(data, zmq.NOBLOCK)
         except zmq.Again:
+            self.close_link(address)
             return False
         return True
 
@@ -119,16 +124,12 @@
         if outbox is not None:
             outbox.close(linger=0)
 
-    def close(self, linger: int = 0) -> None:
-        """Closes all sockets.
-
-        Args:
-          linger: milliseconds that queued packets may take to leave.
-        """
+    def close(self) -> None:
+        """Closes all sockets and drops what is queued."""
         if self._authenticator is not None:
             self._authenticator.stop()
         for outbox in self._outboxes.values():
-            outbox.close(linger=linger)
+            outbox.close(linger=0)
         self._outboxes.clear()
         if self._inbox is not None:
             self._inbox.close(linger=0)
--- /dev/null
+++ b/hickorygate/tests/test_mesh.py
@@ -0,0 +1,252 @@
+"""Proxies' link over real sockets, with and without a store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import datetime
+import random
+import unittest
+
+import msgpack
+import zmq
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import document as documents
+from hickorygate.core import events
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheet_lib
+from hickorygate.platform import client as clients
+from hickorygate.platform import keeper as keepers
+from hickorygate.platform import objects
+from hickorygate.proxies import mesh as meshes
+from hickorygate.proxies import messages
+from hickorygate.testing import platform as platforms
+from hickorygate.testing import sheets
+
+_GUARD = datetime.timedelta(seconds=20)
+_POLL = datetime.timedelta(milliseconds=10)
+_NOWHERE = "http://127.0.0.1:1"
+
+
+class ControlPlane:
+    """A proxy without callers and databases."""
+
+    def __init__(
+        self,
+        name: str,
+        url: str,
+        peers: settings_lib.PeerSettings,
+    ) -> None:
+        self.name = name
+        self.leaving: frozenset[str] = frozenset()
+        self.reports: list[messages.Report] = []
+        clock = clocks.SystemClock()
+        stamps = events.StampClock(clock)
+        generator = random.Random(name)
+        settings = settings_lib.Settings(
+            name=name,
+            zone="a",
+            callers=settings_lib.CallerSettings(users={}, token_key="key"),
+            platform=settings_lib.PlatformSettings(url=url),
+            peers=peers,
+        )
+        self.time_line = events.TimeLine(name, stamps)
+        self.keeper = keepers.Keeper(
+            settings.platform, self, clock, self.time_line, generator
+        )
+        self.mesh = meshes.Mesh(
+            settings, self.keeper, clock, stamps, self.time_line, generator
+        )
+        self.mesh.subscribers.register(
+            messages.Report, lambda report, _: self.reports.append(report)
+        )
+
+    @property
+    def version(self) -> int:
+        """Version of the sheet in force."""
+        return self.keeper.sheet.version if self.keeper.sheet else 0
+
+    async def apply(self, sheet: sheet_lib.Sheet) -> None:
+        """Builds nothing."""
+
+    def leave(self, names: frozenset[str]) -> None:
+        """Notes who is leaving."""
+        self.leaving = names
+
+    async def start(self) -> None:
+        """Starts the link and the watchers."""
+        await self.mesh.start("127.0.0.1:1")
+        self.keeper.start(self.mesh)
+
+    async def close(self) -> None:
+        """Stops both."""
+        await self.keeper.close()
+        await self.mesh.close()
+
+
+class MeshTest(unittest.IsolatedAsyncioTestCase):
+    """What proxies learn from each other and from the store."""
+
+    async def asyncSetUp(self) -> None:
+        self.platform = platforms.StandInPlatform()
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.stop)
+        self.planes: list[ControlPlane] = []
+
+    async def start(
+        self,
+        name: str,
+        url: str | None = None,
+        seeds: tuple[str, ...] | None = None,
+        curve: settings_lib.CurveSettings | None = None,
+    ) -> ControlPlane:
+        if seeds is None:
+            seeds = tuple(plane.mesh.address for plane in self.planes)
+        peers = settings_lib.PeerSettings(
+            seeds=seeds, heartbeat_ms=100, curve=curve
+        )
+        plane = ControlPlane(name, url or self.platform.url, peers)
+        await plane.start()
+        self.addAsyncCleanup(plane.close)
+        self.planes.append(plane)
+        return plane
+
+    async def wait_for(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(_GUARD.total_seconds()):
+            while not condition():
+                await asyncio.sleep(_POLL.total_seconds())
+
+    async def load(self, text: str, expected: int) -> clients.VersionResult:
+        client = clients.Client(
+            settings_lib.PlatformSettings(url=self.platform.url),
+            clocks.SystemClock(),
+            random.Random(text),
+        )
+        self.addAsyncCleanup(client.close)
+        now = datetime.datetime.now(datetime.UTC)
+        value = objects.SheetObject(text=text, loaded_by="t", loaded_at=now)
+        return await client.store_sheet(value, expected)
+
+    def knows(self, plane: ControlPlane, other: ControlPlane) -> bool:
+        return other.name in plane.mesh.membership.names
+
+    async def test_sheet_is_learned_from_a_peer_without_a_store(self) -> None:
+        await self.load(sheets.text(), 0)
+        await self.start("p1")
+        alone = await self.start("p2", _NOWHERE)
+        self.assertFalse(alone.version)
+        await self.wait_for(lambda: alone.version == 1)
+
+    async def test_load_is_in_force_on_every_proxy(self) -> None:
+        for number in range(5):
+            await self.start(f"p{number}")
+        await self.load(sheets.text(), 0)
+        await self.wait_for(lambda: all(p.version == 1 for p in self.planes))
+
+    async def test_racing_loads_leave_one_sheet_in_force(self) -> None:
+        for number in range(3):
+            await self.start(f"p{number}")
+        texts = [sheets.text(comment=name) for name in ("anna", "bert")]
+        results = await asyncio.gather(*(self.load(t, 0) for t in texts))
+        won = [t for t, r in zip(texts, results, strict=True) if r.is_ok()]
+        self.assertEqual(len(won), 1)
+        await self.wait_for(lambda: all(p.version == 1 for p in self.planes))
+        for plane in self.planes:
+            self.assertEqual(plane.keeper.sheet.text, won[0])
+
+    async def test_bad_sheet_is_reported_and_the_old_one_kept(self) -> None:
+        plane = await self.start("p1")
+        await self.load(sheets.text(), 0)
+        await self.wait_for(lambda: plane.version == 1)
+        await self.load("format: 9", 1)
+        rejected = events.ConfigRejected
+        await self.wait_for(
+            lambda: any(
+                isinstance(r.event, rejected) for r in plane.time_line.events
+            )
+        )
+        self.assertEqual(plane.version, 1)
+
+    async def test_leaving_instance_is_told_without_a_store(self) -> None:
+        await self.start("p1")
+        alone = await self.start("p2", _NOWHERE)
+        instance = {
+            "name": "alert-db-0a",
+            "address": "127.0.0.1:10000",
+            "zone": "a",
+            "state": "leaving",
+        }
+        self.platform.set_instances([instance])
+        await self.wait_for(lambda: "alert-db-0a" in alone.leaving)
+        self.platform.set_instances([dict(instance, state="live")])
+        await self.wait_for(lambda: not alone.leaving)
+
+    async def test_report_is_delivered(self) -> None:
+        first = await self.start("p1")
+        second = await self.start("p2")
+        await self.wait_for(lambda: self.knows(second, first))
+        report = messages.DemandReport(
+            "alert-db-0a", (messages.RankDemand("urgent", 3, 1),)
+        )
+        second.mesh.publish(report)
+        await self.wait_for(lambda: first.reports == [report])
+
+    async def test_packet_of_another_version_is_refused(self) -> None:
+        plane = await self.start("p1")
+        context = zmq.Context()
+        socket = context.socket(zmq.PUSH)
+        self.addCleanup(context.destroy, linger=0)
+        socket.connect(f"tcp://{plane.mesh.address}")
+        for packet in ([1, "ping", {}, {}], [2, "ping", {}, {}], "x"):
+            socket.send(msgpack.packb(packet))
+        await self.wait_for(lambda: plane.mesh.counts["packets_refused"] == 3)
+        self.assertEqual(plane.mesh.membership.names, ("p1",))
+
+    async def test_unknown_key_is_refused(self) -> None:
+        pairs = {name: zmq.curve_keypair() for name in ("p1", "p2", "p3")}
+        public = {name: pair[0].decode() for name, pair in pairs.items()}
+        known = {name: public[name] for name in ("p1", "p2")}
+
+        def curve(name: str) -> settings_lib.CurveSettings:
+            keys = known if name in known else public
+            secret = pairs[name][1].decode()
+            return settings_lib.CurveSettings(
+                secret_key=secret, public_keys=keys
+            )
+
+        first = await self.start("p1", curve=curve("p1"))
+        seeds = (f"p1@{first.mesh.address}",)
+        stranger = await self.start("p3", seeds=seeds, curve=curve("p3"))
+        friend = await self.start("p2", seeds=seeds, curve=curve("p2"))
+        await self.wait_for(lambda: self.knows(friend, first))
+        await self.wait_for(lambda: stranger.mesh.counts["packets_sent"] > 2)
+        self.assertEqual(first.mesh.membership.names, ("p1", "p2"))
+        self.assertEqual(stranger.mesh.counts["packets_received"], 0)
+
+    async def test_sender_must_own_the_name_it_gives(self) -> None:
+        pairs = {name: zmq.curve_keypair() for name in ("p1", "p2", "p3")}
+        public = {name: pair[0].decode() for name, pair in pairs.items()}
+
+        def curve(owner: str) -> settings_lib.CurveSettings:
+            secret = pairs[owner][1].decode()
+            return settings_lib.CurveSettings(
+                secret_key=secret, public_keys=public
+            )
+
+        first = await self.start("p1", curve=curve("p1"))
+        seeds = (f"p1@{first.mesh.address}",)
+        await self.start("p2", seeds=seeds, curve=curve("p3"))
+        await self.wait_for(lambda: first.mesh.counts["packets_refused"] > 0)
+        self.assertEqual(first.mesh.membership.names, ("p1",))
+
+    async def test_stopped_proxy_says_goodbye(self) -> None:
+        first = await self.start("p1")
+        second = await self.start("p2")
+        await self.wait_for(lambda: self.knows(first, second))
+        await self.wait_for(lambda: self.knows(second, first))
+        await second.close()
+        await self.wait_for(lambda: not self.knows(first, second))
+        self.assertEqual(
+            first.keeper.document(documents.DocumentKind.SHEET), ""
+        )
