--- a/hickorygate/operators/main.py
+++ b/hickorygate/operators/main.py
@@ -17,6 +17,7 @@
 from hickorygate.operators import inspect
 from hickorygate.operators import serve
 from hickorygate.operators import sheet
+from hickorygate.operators import standin
 from hickorygate.operators import timeline
 
 __all__ = ["main", "parse", "run"]
@@ -32,6 +33,7 @@
         inspect.DRAIN,
         timeline.FAMILY,
         demo.FAMILY,
+        standin.FAMILY,
     )
 }
 
--- a/hickorygate/operators/serve.py
+++ b/hickorygate/operators/serve.py
@@ -10,6 +10,7 @@
 
 from absl import flags
 import expression
+import logbook
 
 from hickorygate import daemon as daemons
 from hickorygate.core import clock as clocks
@@ -20,6 +21,7 @@
 __all__ = ["FAMILY", "Serve"]
 
 _NAME = "serve"
+_log = logbook.Logger(__name__)
 _STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
 _FLAGS = commands.new_flags()
@@ -65,6 +67,12 @@
     daemon = daemons.Daemon(settings, clocks.SystemClock())
     started = await daemon.start()
     if started.is_ok():
+        _log.info(
+            "callers on port {}, operators on {}, proxies on {}",
+            daemon.port,
+            daemon.admin,
+            daemon.mesh.address,
+        )
         await _until_drained(daemon)
     await daemon.close()
     return started
--- /dev/null
+++ b/hickorygate/operators/standin.py
@@ -0,0 +1,98 @@
+"""`hickorygate standin`: a platform and databases to try proxies against."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+import pathlib
+import signal
+
+from absl import flags
+import expression
+
+from hickorygate.core import border
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import sheet as sheets
+from hickorygate.operators import command as commands
+from hickorygate.testing import stand_ins
+
+__all__ = ["FAMILY", "StandIn"]
+
+_NAME = "standin"
+_STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
+
+_FLAGS = commands.new_flags()
+_SHEET = flags.DEFINE_string(
+    "sheet",
+    None,
+    "The sheet whose databases are wanted.",
+    flag_values=_FLAGS,
+)
+_PORT = flags.DEFINE_integer(
+    "platform-port",
+    0,
+    "TCP port of the platform's object API; 0 for a free one.",
+    lower_bound=0,
+    upper_bound=65_535,
+    flag_values=_FLAGS,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StandIn(commands.Command):
+    """Runs stand-ins for the platform and for a sheet's databases."""
+
+    sheet: pathlib.Path
+    platform_port: int
+
+
+def _parse(words: Sequence[str]) -> commands.ParseResult:
+    if words:
+        return commands.usage(_NAME, f"takes no {words[0]!r}")
+    if _SHEET.value is None:
+        return commands.usage(_NAME, "needs --sheet FILE")
+    return expression.Ok(StandIn(pathlib.Path(_SHEET.value), _PORT.value))
+
+
+FAMILY = commands.Family(
+    _NAME,
+    (
+        commands.Usage(
+            "standin --sheet FILE [--platform-port N]",
+            "run a platform and databases to try with",
+        ),
+    ),
+    _FLAGS,
+    _parse,
+)
+
+
+@commands.execute.register
+async def _(command: StandIn) -> commands.Result:
+    path = str(command.sheet)
+    sheet = border.read_file(command.sheet).bind(
+        lambda text: sheets.parse(text, path=path)
+    )
+    if sheet.is_error():
+        return expression.Error(sheet.error)
+    estate = stand_ins.StandIns(clocks.SystemClock())
+    try:
+        await estate.start(sheet.ok, command.platform_port)
+        print(f"platform at {estate.url}, databases where {path} says")
+        print("Ctrl-C ends them", flush=True)
+        await _stop_signal()
+    except OSError as error:
+        return expression.Error(errors.ListenFailed("standin", str(error)))
+    finally:
+        await estate.stop()
+    return expression.Ok(None)
+
+
+async def _stop_signal() -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in _STOP_SIGNALS:
+        loop.add_signal_handler(number, stopped.set)
+    await stopped.wait()
--- a/hickorygate/testing/database.py
+++ b/hickorygate/testing/database.py
@@ -169,13 +169,20 @@
         return f"Group({list(self._databases)})"
 
     async def start(
-        self, names: tuple[types.DatabaseName, ...]
+        self,
+        names: tuple[types.DatabaseName, ...],
+        ports: tuple[int, ...] = (),
     ) -> tuple[StandInDatabase, ...]:
-        """Starts databases; the first is the primary of term 1."""
-        for name in names:
+        """Starts databases; the first is the primary of term 1.
+
+        Args:
+          names: of the databases.
+          ports: one for each name; none for free ones.
+        """
+        for name, port in zip(names, ports or (0,) * len(names), strict=True):
             database = StandInDatabase(name, self, self._clock)
             self._databases[name] = database
-            await database.start()
+            await database.start(port=port)
         first = self._databases[names[0]]
         first.log.fence(1, "setup")
         first.log.promote(1, "setup")
--- /dev/null
+++ b/hickorygate/testing/stand_ins.py
@@ -0,0 +1,63 @@
+"""A stand-in platform and the databases of a whole sheet, in one process."""
+
+from __future__ import annotations
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import sheet as sheets
+from hickorygate.testing import database as databases
+from hickorygate.testing import load as loads
+from hickorygate.testing import platform as platforms
+
+__all__ = ["StandIns"]
+
+
+class StandIns:
+    """Listens where a sheet says that its databases are."""
+
+    __slots__ = ("_clock", "_groups", "_platform")
+
+    def __init__(self, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._platform = platforms.StandInPlatform()
+        self._groups: list[databases.Group] = []
+
+    @property
+    def url(self) -> str:
+        """Base address of the platform's object API."""
+        return self._platform.url
+
+    def __repr__(self) -> str:
+        return f"StandIns(groups={len(self._groups)})"
+
+    async def start(self, sheet: sheets.Sheet, port: int) -> None:
+        """Starts the platform and each database of the sheet.
+
+        Args:
+          sheet: whose databases are wanted; hosts must be of this machine.
+          port: of the platform's object API.
+
+        Raises:
+          OSError: an address can't be listened on.
+        """
+        await self._platform.start(port=port)
+        for service in sheet.services:
+            for group in service.groups:
+                await self._start_group(group)
+
+    async def stop(self) -> None:
+        """Stops everything."""
+        for group in self._groups:
+            await group.stop()
+        await self._platform.stop()
+
+    async def _start_group(self, group: sheets.Group) -> None:
+        stand_in = databases.Group(self._clock)
+        self._groups.append(stand_in)
+        started = await stand_in.start(
+            tuple(database.name for database in group.databases),
+            tuple(database.port for database in group.databases),
+        )
+        for database, declared in zip(started, group.databases, strict=True):
+            database.load.settings = loads.LoadSettings(
+                connections=declared.connections, slots=declared.slots
+            )
