--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -13,12 +13,16 @@
 import datetime
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import position as positions
 from hickorygate.core import types
 
 __all__ = [
     "ConfigApplied",
     "ConfigRejected",
+    "DatabaseFenced",
+    "DatabaseFollows",
     "DatabaseLost",
+    "DatabasePromoted",
     "DatabaseReturned",
     "Event",
     "FailoverEnded",
@@ -26,6 +30,7 @@
     "PeerJoined",
     "PeerLost",
     "PrimaryChanged",
+    "PrimarySuspected",
     "ProcessDraining",
     "ProcessStarted",
     "Recorded",
@@ -157,6 +162,43 @@
     term: types.Term
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimarySuspected(Event):
+    """A group seems to need another primary; higher ranks go first."""
+
+    group: types.GroupName
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseFenced(Event):
+    """A database took this process's fence, with its log at the position."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+    position: positions.Position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabasePromoted(Event):
+    """A database leads the term, whose history starts at the base."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+    base: types.Offset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseFollows(Event):
+    """A database was pointed at the primary of the term."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailoverStarted(Event):
     """This process began to replace a primary."""
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -159,6 +159,7 @@
             self._settings.upstreams,
             self._clock,
             self._time_line,
+            self._generator,
         )
         link.start()
         return link
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import datetime
+import random
 
 import expression
 
@@ -16,12 +18,18 @@
 from hickorygate.upstreams import confirmer as confirmers
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
+from hickorygate.upstreams import failover
 from hickorygate.upstreams import group as groups
+from hickorygate.upstreams import owners
 from hickorygate.upstreams import pool as pools
 from hickorygate.upstreams import probe as probes
+from hickorygate.upstreams import runner as runners
 
 __all__ = ["DatabaseLink", "GroupLink"]
 
+_OWNER_BITS = 64
+"""Random bits that keep a restarted proxy apart from its former self."""
+
 
 class DatabaseLink:
     """A database's pool and its control connections."""
@@ -73,6 +81,8 @@
         "_confirmer",
         "_links",
         "_prober",
+        "_process",
+        "_runner",
         "_settings",
         "_view",
     )
@@ -84,13 +94,16 @@
         settings: settings_lib.UpstreamSettings,
         clock: clocks.Clock,
         time_line: events.TimeLine,
+        generator: random.Random,
     ) -> None:
+        owner = f"{time_line.process}/{generator.getrandbits(_OWNER_BITS):x}"
         self._settings = settings
         self._clock = clock
+        self._process = time_line.process
         self._view = groups.GroupView(group)
         self._links = {
             database.name: DatabaseLink(
-                database, time_line.process, proxies, settings, clock
+                database, owner, proxies, settings, clock
             )
             for database in group.databases
         }
@@ -98,6 +111,15 @@
         self._prober = probes.Prober(
             self._view, controls, settings, clock, time_line
         )
+        self._runner = runners.Runner(
+            group,
+            controls,
+            self._prober,
+            failover.Timing(detection=settings.detection_time),
+            clock,
+            time_line,
+            generator,
+        )
         self._confirmer: confirmers.Confirmer | None = None
 
     @property
@@ -113,11 +135,13 @@
         return self._links[name]
 
     def start(self) -> None:
-        """Starts the probes."""
-        self._prober.start()
+        """Starts the probes and the watch over the primary."""
+        self._prober.start(self._runner)
+        self._runner.start()
 
     async def close(self) -> None:
         """Stops the probes and closes the links."""
+        await self._runner.close()
         await self._prober.close()
         if self._confirmer is not None:
             await self._confirmer.close()
@@ -126,6 +150,8 @@
 
     def writable(self) -> groups.WritableResult:
         """Returns the primary if a majority was lately seen in its term."""
+        if self._runner.holds_writes:
+            return expression.Error(errors.NoPrimary(self._view.group.name))
         return self._view.writable(
             self._clock.now(), self._settings.detection_time
         )
@@ -144,8 +170,17 @@
         self._prober.doubt(name)
 
     def leave(self, names: frozenset[types.DatabaseName]) -> None:
-        """Sets the databases that are leaving; they get no new reads."""
+        """Sets the databases that are leaving.
+
+        They get no new reads; a primary among them is replaced first.
+        """
         self._view.leave(names)
+        self._runner.leave(names)
+
+    def set_proxies(self, names: Iterable[types.ProxyName]) -> None:
+        """Sets the live proxies, of which a few look after the group."""
+        name = self._view.group.name
+        self._runner.set_rank(owners.rank(name, self._process, names))
 
     def confirmed_position(
         self, since: datetime.datetime
--- a/hickorygate/upstreams/probe.py
+++ b/hickorygate/upstreams/probe.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import datetime
+from typing import Protocol
 
 import expression
 
@@ -19,12 +20,32 @@
 from hickorygate.upstreams import control_link
 from hickorygate.upstreams import group as groups
 
-__all__ = ["Prober"]
+__all__ = ["Listener", "Prober"]
 
 _HURRIED_PERIOD = datetime.timedelta(milliseconds=20)
 """Between probes while somebody waits for a primary."""
 
 
+class Listener(Protocol):
+    """Who hears what the probes learn."""
+
+    def status_seen(self, status: positions.DatabaseStatus) -> None:
+        """Takes in an answered probe."""
+
+    def probe_lost(self, name: types.DatabaseName) -> None:
+        """Takes in a probe that wasn't answered."""
+
+
+class _Nobody:
+    """Listens until a listener comes."""
+
+    def status_seen(self, status: positions.DatabaseStatus) -> None:
+        """Does nothing."""
+
+    def probe_lost(self, name: types.DatabaseName) -> None:
+        """Does nothing."""
+
+
 class Prober:
     """Asks each database for its status, and faster while it is awaited."""
 
@@ -33,6 +54,8 @@
         "_changed",
         "_clock",
         "_controls",
+        "_listener",
+        "_recorded_term",
         "_settings",
         "_tasks",
         "_time_line",
@@ -54,13 +77,16 @@
         self._time_line = time_line
         self._changed = asyncio.Event()
         self._awaited = asyncio.Event()
+        self._listener: Listener = _Nobody()
+        self._recorded_term: types.Term = 0
         self._tasks: list[asyncio.Task[None]] = []
 
     def __repr__(self) -> str:
         return f"Prober({self._view!r})"
 
-    def start(self) -> None:
-        """Starts one task a database."""
+    def start(self, listener: Listener) -> None:
+        """Starts one task a database; the listener hears what they learn."""
+        self._listener = listener
         self._tasks = [
             asyncio.create_task(self._probe(name)) for name in self._controls
         ]
@@ -77,11 +103,16 @@
         result = await self._controls[name].status()
         match result:
             case expression.Result(tag="ok", ok=status):
-                self._observe(status, asked)
+                self.take(status, asked)
+                self._listener.status_seen(status)
             case expression.Result(tag="error", error=failure):
                 self._lose(name, failure)
         return result
 
+    def hurry(self) -> None:
+        """Asks all databases again soon."""
+        self._awaited.set()
+
     async def wait_until(
         self,
         condition: Callable[[], groups.WritableResult],
@@ -92,7 +123,7 @@
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 while result.is_error():
-                    self._awaited.set()
+                    self.hurry()
                     await self._changed.wait()
                     result = condition()
         except TimeoutError:
@@ -102,28 +133,29 @@
     def doubt(self, name: types.DatabaseName) -> None:
         """Drops what is known of a database and asks all again at once."""
         self._view.forget(name)
-        self._awaited.set()
+        self.hurry()
 
-    def _observe(
+    def take(
         self, status: positions.DatabaseStatus, asked: datetime.datetime
     ) -> None:
-        before = self._view.primary
+        """Takes in a status that a call asked for at that time returned."""
         self._view.observe(groups.Sighting(status, asked, self._clock.now()))
         after = self._view.primary
         self._wake()
-        if after is None or after == before:
+        if after is None or after.term == self._recorded_term:
             return
-        if before is None or before.database != after.database:
-            name = self._view.group.name
-            self._time_line.record(
-                events.PrimaryChanged(name, after.database, after.term)
-            )
+        self._recorded_term = after.term
+        name = self._view.group.name
+        self._time_line.record(
+            events.PrimaryChanged(name, after.database, after.term)
+        )
 
     def _lose(self, name: types.DatabaseName, failure: errors.Failure) -> None:
         known = {s.status.database for s in self._view.sightings}
         if name in known:
             self._view.forget(name)
             self._time_line.record(events.DatabaseLost(name, failure.message))
+        self._listener.probe_lost(name)
         self._wake()
 
     def _wake(self) -> None:
