--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -10,12 +10,12 @@
 
 import expression
 
+from hickorygate.callers import environment as environments
 from hickorygate.callers import executor as executors
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import hints as hints_lib
 from hickorygate.callers import session as sessions
 from hickorygate.core import assignment as assignments
-from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
@@ -48,17 +48,15 @@
 class Frontend:
     """One caller's handler."""
 
-    __slots__ = ("_clock", "_executor", "_fleet", "_session", "_settings")
+    __slots__ = ("_env", "_executor", "_session", "_settings")
 
     def __init__(
         self,
-        fleet: executors.Fleet,
+        env: environments.Environment,
         settings: settings_lib.CallerSettings,
-        clock: clocks.Clock,
     ) -> None:
-        self._fleet = fleet
+        self._env = env
         self._settings = settings
-        self._clock = clock
         self._start_session("", hints_lib.Hints())
 
     @property
@@ -93,7 +91,7 @@
         self, sql: str, attributes: Mapping[str, str]
     ) -> handlers.AnswerResult:
         """Answers one statement."""
-        arrived = self._clock.now()
+        arrived = self._env.clock.now()
         commented = hints_lib.in_comments(sql)
         if commented.is_error():
             return expression.Error(commented.error)
@@ -171,11 +169,9 @@
         self, user: types.CallerName, attributes: hints_lib.Hints
     ) -> None:
         self._session = sessions.Session(
-            user, self._clock.now(), attributes=attributes
-        )
-        self._executor = executors.Executor(
-            self._session, self._fleet, self._clock
+            user, self._env.clock.now(), attributes=attributes
         )
+        self._executor = executors.Executor(self._session, self._env)
 
     def _request(
         self,
@@ -200,7 +196,7 @@
         return hints_lib.resolve(merged, service.ok, session.user, arrived)
 
     def _service(self) -> expression.Result[sheets.Service, errors.Failure]:
-        sheet = self._fleet.sheet
+        sheet = self._env.fleet.sheet
         if sheet is None:
             return expression.Error(errors.NotReady())
         return sheet.place(self._session.schema).map(lambda place: place[0])
--- a/hickorygate/upstreams/failover.py
+++ b/hickorygate/upstreams/failover.py
@@ -28,7 +28,8 @@
 
 _BACK_OFF_DOUBLINGS = 4
 _RUNNERS = 3
-"""Proxies of the lowest ranks that may begin a run."""
+"""Proxies of the first ranks that may begin a run; no rank is known yet at
+the start."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,7 +86,7 @@
         self._random = generator
         self._suspicion = suspicions.Suspicion(group.majority, timing.detection)
         self._leaving: frozenset[types.DatabaseName] = frozenset()
-        self._rank = 0
+        self._rank = _RUNNERS
         self._run: runs.Run | None = None
         self._calls: set[steps.Call] = set()
         self._reason_since: datetime.datetime | None = None
@@ -113,7 +114,8 @@
 
     def hurried(self, now: datetime.datetime) -> bool:
         """Tells whether statuses are wanted faster than usual."""
-        return self._run is not None or self._suspicion.suspects(now)
+        begun = self._run is not None or self._reason_since is not None
+        return begun or self._suspicion.suspects(now)
 
     def set_rank(self, rank: int) -> None:
         """Takes in this proxy's place."""
@@ -193,8 +195,8 @@
         run = self._run
         assert run is not None, "finish() found the run"
         run.refusals.add(name)
-        if run.promoted == name and run.stage is runs.Stage.PROMOTING:
-            return self._give_up(run, "the database to promote refused", now)
+        if run.stage is runs.Stage.QUIESCING or run.promoted == name:
+            return self._give_up(run, f"{name} refused", now)
         able = len(self._group.databases) - len(run.refusals)
         if able < self._group.majority:
             return self._give_up(run, "another proxy's term is newer", now)
@@ -285,6 +287,8 @@
     def _advance(self, run: runs.Run, now: datetime.datetime) -> _Effects:
         if now - run.started >= self._timing.limit:
             return self._give_up(run, "took too long", now)
+        if self._overtaken(run):
+            return self._give_up(run, "another proxy was faster", now)
         if run.stage is runs.Stage.QUIESCING:
             self._quiesce(run, now)
         if run.stage is runs.Stage.FENCING:
@@ -293,6 +297,12 @@
             return self._end(run)
         return self._issue(self._calls_of(run))
 
+    def _overtaken(self, run: runs.Run) -> bool:
+        """Whether another run's primary was seen; ours may be of our term."""
+        chosen = run.promoted is not None
+        newest = self._suspicion.newest_term
+        return newest > run.term or (newest == run.term and not chosen)
+
     def _quiesce(self, run: runs.Run, now: datetime.datetime) -> None:
         """Goes on once a replica holds all that the old primary wrote."""
         ready = any(self._caught_up(w, run) for w in self._others())
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+import asyncio
 import datetime
 import random
 
@@ -20,9 +20,9 @@
 from hickorygate.upstreams import control_link
 from hickorygate.upstreams import failover
 from hickorygate.upstreams import group as groups
-from hickorygate.upstreams import owners
 from hickorygate.upstreams import pool as pools
 from hickorygate.upstreams import probe as probes
+from hickorygate.upstreams import rounds
 from hickorygate.upstreams import runner as runners
 
 __all__ = ["DatabaseLink", "GroupLink"]
@@ -81,9 +81,10 @@
         "_confirmer",
         "_links",
         "_prober",
-        "_process",
         "_runner",
+        "_rounds",
         "_settings",
+        "_stragglers",
         "_view",
     )
 
@@ -95,11 +96,11 @@
         clock: clocks.Clock,
         time_line: events.TimeLine,
         generator: random.Random,
+        live: runners.Live,
     ) -> None:
         owner = f"{time_line.process}/{generator.getrandbits(_OWNER_BITS):x}"
         self._settings = settings
         self._clock = clock
-        self._process = time_line.process
         self._view = groups.GroupView(group)
         self._links = {
             database.name: DatabaseLink(
@@ -119,8 +120,11 @@
             clock,
             time_line,
             generator,
+            live,
         )
         self._confirmer: confirmers.Confirmer | None = None
+        self._rounds = rounds.Rounds(self._refresh_all)
+        self._stragglers: set[asyncio.Task[control.StatusResult]] = set()
 
     @property
     def view(self) -> groups.GroupView:
@@ -142,6 +146,7 @@
     async def close(self) -> None:
         """Stops the probes and closes the links."""
         await self._runner.close()
+        await self._rounds.close()
         await self._prober.close()
         if self._confirmer is not None:
             await self._confirmer.close()
@@ -177,11 +182,6 @@
         self._view.leave(names)
         self._runner.leave(names)
 
-    def set_proxies(self, names: Iterable[types.ProxyName]) -> None:
-        """Sets the live proxies, of which a few look after the group."""
-        name = self._view.group.name
-        self._runner.set_rank(owners.rank(name, self._process, names))
-
     def confirmed_position(
         self, since: datetime.datetime
     ) -> positions.Position | None:
@@ -198,6 +198,18 @@
         """Asks one database for its status and takes it into the view."""
         return await self._prober.refresh(name)
 
+    async def next_round(self, timeout: datetime.timedelta) -> None:
+        """Waits until all databases were asked after this call.
+
+        Args:
+          timeout: after which it gives up waiting.
+        """
+        try:
+            async with asyncio.timeout(timeout.total_seconds()):
+                await self._rounds.next()
+        except TimeoutError:
+            return
+
     async def durable(
         self, name: types.DatabaseName, term: types.Term
     ) -> confirmers.DurableResult:
@@ -214,6 +226,20 @@
             )
         return await self._confirmer_of(name, term).durable()
 
+    async def _refresh_all(self) -> None:
+        """Asks all databases, until a majority has confirmed the primary."""
+        begun = self._clock.now()
+        waiting = {
+            asyncio.create_task(self._prober.refresh(name))
+            for name in self._links
+        }
+        while waiting and self._view.confirmed_position(begun) is None:
+            _, waiting = await asyncio.wait(
+                waiting, return_when=asyncio.FIRST_COMPLETED
+            )
+        self._stragglers = {t for t in self._stragglers if not t.done()}
+        self._stragglers |= waiting
+
     def _confirmer_of(
         self, name: types.DatabaseName, term: types.Term
     ) -> confirmers.Confirmer:
--- a/hickorygate/upstreams/runner.py
+++ b/hickorygate/upstreams/runner.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
+from collections.abc import Iterable
 from collections.abc import Mapping
 import datetime
 import functools
@@ -19,10 +21,14 @@
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
 from hickorygate.upstreams import failover
+from hickorygate.upstreams import owners
 from hickorygate.upstreams import probe as probes
 from hickorygate.upstreams import steps
 
-__all__ = ["Runner"]
+__all__ = ["Live", "Runner"]
+
+Live = Callable[[], Iterable[types.ProxyName]]
+"""Returns the other live proxies."""
 
 _PERIOD = datetime.timedelta(milliseconds=20)
 
@@ -35,6 +41,8 @@
         "_clock",
         "_controls",
         "_failover",
+        "_group",
+        "_live",
         "_prober",
         "_task",
         "_time_line",
@@ -49,7 +57,10 @@
         clock: clocks.Clock,
         time_line: events.TimeLine,
         generator: random.Random,
+        live: Live,
     ) -> None:
+        self._group = group
+        self._live = live
         self._failover = failover.Failover(group, timing, generator)
         self._controls = controls
         self._prober = prober
@@ -91,10 +102,6 @@
         """Takes in the databases that are about to stop."""
         self._take(steps.LeavingChanged(names))
 
-    def set_rank(self, rank: int) -> None:
-        """Takes in this proxy's place among those that look after it."""
-        self._take(steps.RankChanged(rank))
-
     def record(self, event: events.Event) -> None:
         """Puts an event on the time line."""
         self._time_line.record(event)
@@ -125,9 +132,15 @@
     async def _watch(self) -> None:
         while True:
             await self._clock.sleep(_PERIOD)
-            self._take(steps.Tick())
             if self._failover.hurried(self._clock.now()):
                 self._prober.hurry()
+                self._take(steps.RankChanged(self._rank()))
+            self._take(steps.Tick())
+
+    def _rank(self) -> int:
+        return owners.rank(
+            self._group.name, self._time_line.process, self._live()
+        )
 
 
 @functools.singledispatch
