Free callers of a silent former primary; count silence from its term

Cause: trials on one machine: a writer that waited on a paused primary was freed after the 10 s statement time-out, and a run against a primary cut off from its replicas was repeated at once, since the re-pointed replicas still reported their old silence. Change: connections of a former primary that no probe reaches are closed once its successor is seen; silence counts from when a database was first seen in its term.

--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -140,7 +140,7 @@
 
     def start(self) -> None:
         """Starts the probes and the watch over the primary."""
-        self._prober.start(self._runner)
+        self._prober.start(self)
         self._runner.start()
 
     async def close(self) -> None:
@@ -153,6 +153,21 @@
         for link in self._links.values():
             link.close()
 
+    def status_seen(self, status: positions.DatabaseStatus) -> None:
+        """Takes in an answered probe."""
+        self._runner.status_seen(status)
+
+    def probe_lost(self, name: types.DatabaseName) -> None:
+        """Takes in a probe that wasn't answered."""
+        self._runner.probe_lost(name)
+
+    def primary_changed(self, primary: types.DatabaseName) -> None:
+        """Frees the callers that wait for a former primary's answer."""
+        seen = {s.status.database for s in self._view.sightings}
+        for name, link in self._links.items():
+            if name not in seen and name != primary:
+                link.pool.drop_connections()
+
     def writable(self) -> groups.WritableResult:
         """Returns the primary if a majority was lately seen in its term."""
         if self._runner.holds_writes:
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -131,6 +131,13 @@
         while self._idle:
             self._idle.pop().close()
 
+    def drop_connections(self) -> None:
+        """Closes all connections; statements that run lose their answers."""
+        while self._idle:
+            self._idle.pop().close()
+        for connection in self._leases:
+            connection.close()
+
     def close(self) -> None:
         """Closes what is idle; what is leased closes when it comes back."""
         self.leave()
--- a/hickorygate/upstreams/probe.py
+++ b/hickorygate/upstreams/probe.py
@@ -35,6 +35,9 @@
     def probe_lost(self, name: types.DatabaseName) -> None:
         """Takes in a probe that wasn't answered."""
 
+    def primary_changed(self, primary: types.DatabaseName) -> None:
+        """Takes in that a new term's primary was seen."""
+
 
 class _Nobody:
     """Listens until a listener comes."""
@@ -45,6 +48,9 @@
     def probe_lost(self, name: types.DatabaseName) -> None:
         """Does nothing."""
 
+    def primary_changed(self, primary: types.DatabaseName) -> None:
+        """Does nothing."""
+
 
 class Prober:
     """Asks each database for its status, and faster while it is awaited."""
@@ -149,6 +155,7 @@
         self._time_line.record(
             events.PrimaryChanged(name, after.database, after.term)
         )
+        self._listener.primary_changed(after.database)
 
     def _lose(self, name: types.DatabaseName, failure: errors.Failure) -> None:
         known = {s.status.database for s in self._view.sightings}
--- a/hickorygate/upstreams/suspicion.py
+++ b/hickorygate/upstreams/suspicion.py
@@ -33,6 +33,7 @@
     Attributes:
       status: its newest status.
       seen: when that came.
+      in_term_since: when it was first seen in its present term.
       answers: whether the newest probe was answered.
       alone_since: since when it has had no primary, None if it has one.
       confirmations: answers in a row that say so for the detection time.
@@ -40,6 +41,7 @@
 
     status: positions.DatabaseStatus
     seen: datetime.datetime
+    in_term_since: datetime.datetime
     answers: bool = True
     alone_since: datetime.datetime | None = None
     confirmations: int = 0
@@ -109,7 +111,9 @@
     ) -> None:
         """Takes in an answered probe."""
         known = self._watched.get(status.database)
-        fresh = Watched(status, now)
+        fresh = Watched(status, now, now)
+        if known is not None and known.status.term == status.term:
+            fresh.in_term_since = known.in_term_since
         fresh.alone_since = self._alone_since(fresh, known)
         if self._long_alone(fresh, now):
             fresh.confirmations = 1 + (known.confirmations if known else 0)
@@ -170,7 +174,8 @@
     ) -> datetime.datetime | None:
         """Returns since when a database has been without a primary."""
         if not watched.leads:
-            return watched.seen - watched.status.primary_silence
+            heard = watched.seen - watched.status.primary_silence
+            return max(heard, watched.in_term_since)
         replaced = watched.status.term < self.newest_term
         if not watched.fenced_off and not replaced:
             return None
