--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -28,6 +28,7 @@
     "Event",
     "FailoverEnded",
     "FailoverStarted",
+    "InstancesLeaving",
     "PeerJoined",
     "PeerLost",
     "PrimaryChanged",
@@ -126,6 +127,13 @@
     in_force: types.SheetVersion
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancesLeaving(Event):
+    """These instances, and no others, get no new work here."""
+
+    names: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerJoined(Event):
     """Another proxy was heard for the first time."""
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -3,11 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-import functools
 import random
 
 import expression
-import logbook
 import zmq
 
 from hickorygate.callers import balance
@@ -23,10 +21,7 @@
 from hickorygate.core import types
 from hickorygate.operators import admin
 from hickorygate.operators import recorder as recorders
-from hickorygate.platform import client as platform_client
-from hickorygate.platform import configuration as configurations
-from hickorygate.platform import watch
-from hickorygate.platform import watcher as watchers
+from hickorygate.platform import keeper as keepers
 from hickorygate.proxies import mesh as meshes
 from hickorygate.upstreams import link as links
 
@@ -34,8 +29,6 @@
 
 VERSION = "0.1.0"
 
-_log = logbook.Logger(__name__)
-
 
 class Daemon:
     """A proxy: callers in front, databases behind, proxies beside it."""
@@ -48,25 +41,25 @@
         self._stamps = events.StampClock(clock)
         self._time_line = events.TimeLine(settings.name, self._stamps)
         self._generator = random.Random()
-        self._platform = platform_client.Client(
-            settings.platform, clock, self._generator
-        )
-        self._configuration = configurations.Configuration()
-        self._watcher = watchers.Watcher(
-            self._platform,
-            watch.WatchPlan(self._configuration, self._generator),
-            self._configuration,
+        self._keeper = keepers.Keeper(
+            settings.platform,
             self,
             clock,
+            self._time_line,
+            self._generator,
         )
         self._mesh = meshes.Mesh(
-            settings, self, clock, self._stamps, self._time_line
+            settings,
+            self._keeper,
+            clock,
+            self._stamps,
+            self._time_line,
+            self._generator,
         )
         self._groups: dict[types.GroupName, links.GroupLink] = {}
         self._recorder = recorders.Recorder(self._time_line)
         self._server = self._build_server()
         self._admin = admin.Admin(self, settings.admin)
-        self._watch: asyncio.Task[None] | None = None
         self._drain: asyncio.Task[None] | None = None
         self._drained = asyncio.Event()
 
@@ -88,12 +81,12 @@
     @property
     def sheet(self) -> sheets.Sheet | None:
         """The sheet in force."""
-        return self._configuration.sheet
+        return self._keeper.sheet
 
     @property
-    def role(self) -> watch.Role:
-        """Whether this proxy watches the store."""
-        return watch.Role(relay=True, hears_relay=True)
+    def keeper(self) -> keepers.Keeper:
+        """The sheet and the list of instances."""
+        return self._keeper
 
     @property
     def port(self) -> int:
@@ -154,7 +147,7 @@
             await self._server.start(callers.host, callers.port)
         except (OSError, zmq.ZMQError) as error:
             return expression.Error(errors.ListenFailed(part, str(error)))
-        self._watch = asyncio.create_task(self._watcher.run())
+        self._keeper.start(self._mesh)
         self._time_line.record(events.ProcessStarted(VERSION))
         return expression.Ok(None)
 
@@ -170,41 +163,29 @@
 
     async def close(self) -> None:
         """Stops all parts."""
-        tasks = [t for t in (self._watch, self._drain) if t is not None]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        if self._drain is not None:
+            self._drain.cancel()
+            await asyncio.gather(self._drain, return_exceptions=True)
+        await self._keeper.close()
         await self._admin.close()
         await self._server.close()
         await self._mesh.close()
-        await self._platform.close()
         for group in self._groups.values():
             await group.close()
 
-    async def offer(
-        self, text: str, version: types.SheetVersion, source: str
-    ) -> None:
-        """Puts a sheet in force if it is newer than the present one."""
-        candidate = configurations.Candidate(version, text, source)
-        for effect in self._configuration.offer(candidate):
-            await self.perform(effect)
-
-    async def perform(self, effect: configurations.Effect) -> None:
-        """Carries out a decision about the sheet."""
-        await _perform(effect, self)
-
-    async def apply(self, effect: configurations.Apply) -> None:
-        """Builds the links that the sheet in force asks for."""
-        sheet = effect.sheet
+    async def apply(self, sheet: sheets.Sheet) -> None:
+        """Builds the links that a sheet asks for."""
         old, self._groups = self._groups, {}
         for service in sheet.services:
             for group in service.groups:
                 self._groups[group.name] = self._kept(old, group, sheet)
         for group_link in old.values():
             await group_link.close()
-        self._time_line.record(
-            events.ConfigApplied(sheet.version, effect.source)
-        )
+
+    def leave(self, names: frozenset[str]) -> None:
+        """Sets the instances that get no new work."""
+        for group in self._groups.values():
+            group.leave(names)
 
     async def _finish_work(self) -> None:
         """Lets the balancer notice, then ends without cutting a request."""
@@ -246,6 +227,7 @@
             zone=self._settings.zone,
             retries=retry.Budget(),
             policy=balance.LeastBusy(),
+            recorder=self._recorder,
         )
         passwords = {
             name: password.get_secret_value()
@@ -256,27 +238,3 @@
             passwords,
             callers.statement_limit,
         )
-
-
-@functools.singledispatch
-async def _perform(effect: configurations.Effect, daemon: Daemon) -> None:
-    raise TypeError(f"no way to perform {effect!r}; register one")
-
-
-@_perform.register
-async def _(effect: configurations.Apply, daemon: Daemon) -> None:
-    await daemon.apply(effect)
-
-
-@_perform.register
-async def _(effect: configurations.Reject, daemon: Daemon) -> None:
-    reason = effect.failure.message
-    _log.error(reason)
-    daemon.time_line.record(
-        events.ConfigRejected(effect.version, effect.source, reason)
-    )
-
-
-@_perform.register
-async def _(effect: configurations.ReportReset, daemon: Daemon) -> None:
-    daemon.time_line.record(events.StoreReset(effect.found, effect.in_force))
--- a/hickorygate/platform/objects.py
+++ b/hickorygate/platform/objects.py
@@ -23,6 +23,7 @@
     "Stored",
     "StoredSheet",
     "Unchanged",
+    "ValueT",
 ]
 
 ValueT = TypeVar("ValueT", bound=pydantic.BaseModel)
