--- a/hickorygate/operators/status.py
+++ b/hickorygate/operators/status.py
@@ -179,7 +179,7 @@
             zone=member.zone,
             address=member.address,
             admin=member.admin,
-            sheet=member.sheet,
+            sheet=mesh.sheet_of(member.name),
         )
 
 
--- a/hickorygate/platform/client.py
+++ b/hickorygate/platform/client.py
@@ -33,6 +33,9 @@
 SheetResult = expression.Result[
     objects.StoredSheet | objects.Unchanged, errors.Failure
 ]
+InstancesResult = expression.Result[
+    objects.Stored[objects.InstanceList] | objects.Unchanged, errors.Failure
+]
 VersionResult = expression.Result[types.SheetVersion, errors.Failure]
 
 
@@ -75,7 +78,7 @@
             return answered
         if not answered.ok.found:
             return expression.Ok(None)
-        return _stored(key, model, answered.ok)
+        return _stored(key.path, model, answered.ok)
 
     async def store(
         self,
@@ -113,23 +116,44 @@
         """Returns the stored sheet; None if none was ever stored."""
         return await self.read(objects.SHEET_KEY, objects.SheetObject)
 
-    async def newer_sheet(
+    async def newer(
         self,
-        after: types.SheetVersion,
+        path: str,
+        model: type[ValueT],
+        after: int,
         wait: datetime.timedelta = datetime.timedelta(),
-    ) -> SheetResult:
-        """Returns a sheet newer than a version, waiting for one if asked."""
+    ) -> expression.Result[
+        objects.Stored[ValueT] | objects.Unchanged, errors.Failure
+    ]:
+        """Returns an object newer than a version, waiting for one if asked."""
         query = {"after": str(after)}
         if wait:
             query["wait"] = str(wait.total_seconds())
-        key = objects.SHEET_KEY
-        call = transport.Call(key.path, query, wait=wait)
+        call = transport.Call(path, query, wait=wait)
         answered = await self._transport.make(call)
         if answered.is_error():
             return answered
         if not answered.ok.found:
             return expression.Ok(objects.Unchanged(answered.ok.version))
-        return _stored(key, objects.SheetObject, answered.ok)
+        return _stored(path, model, answered.ok)
+
+    async def newer_sheet(
+        self,
+        after: types.SheetVersion,
+        wait: datetime.timedelta = datetime.timedelta(),
+    ) -> SheetResult:
+        """Returns a sheet newer than a version, waiting for one if asked."""
+        path = objects.SHEET_KEY.path
+        return await self.newer(path, objects.SheetObject, after, wait)
+
+    async def newer_instances(
+        self,
+        after: int,
+        wait: datetime.timedelta = datetime.timedelta(),
+    ) -> InstancesResult:
+        """Returns a list of instances newer than a version, as for a sheet."""
+        model = objects.InstanceList
+        return await self.newer(_INSTANCES_PATH, model, after, wait)
 
     async def store_sheet(
         self, sheet: objects.SheetObject, expected: types.SheetVersion
@@ -159,19 +183,6 @@
             return expression.Ok(stored.ok.version)
         return expression.Error(errors.SheetConflict(expected, found))
 
-    async def instances(
-        self,
-    ) -> expression.Result[objects.InstanceList, errors.Failure]:
-        """Returns the list of live and leaving instances."""
-        answered = await self._transport.make(transport.Call(_INSTANCES_PATH))
-        if answered.is_error():
-            return answered
-        try:
-            found = objects.InstanceList.model_validate_json(answered.ok.body)
-        except pydantic.ValidationError as error:
-            return _malformed(_INSTANCES_PATH, error)
-        return expression.Ok(found)
-
     async def _put(self, call: transport.Call) -> VersionResult:
         answered = await self._transport.make(call)
         if answered.is_error():
@@ -219,14 +230,14 @@
 
 
 def _stored(
-    key: objects.Key, model: type[ValueT], answer: transport.Answer
+    path: str, model: type[ValueT], answer: transport.Answer
 ) -> expression.Result[objects.Stored[ValueT], errors.Failure]:
     try:
         return expression.Ok(
             objects.Stored[model].model_validate_json(answer.body)
         )
     except pydantic.ValidationError as error:
-        return _malformed(key.path, error)
+        return _malformed(path, error)
 
 
 def _malformed(
--- a/hickorygate/platform/configuration.py
+++ b/hickorygate/platform/configuration.py
@@ -11,13 +11,13 @@
 
 import expression
 
+from hickorygate.core import document as documents
 from hickorygate.core import errors
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
 
 __all__ = [
     "Apply",
-    "Candidate",
     "Configuration",
     "Effect",
     "Reject",
@@ -25,21 +25,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Candidate:
-    """A sheet that was heard of.
-
-    Attributes:
-      version: as the store counts it.
-      text: YAML.
-      source: the platform, or the proxy that passed it on.
-    """
-
-    version: types.SheetVersion
-    text: str
-    source: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Effect:
     """Base of what the adapter has to do."""
@@ -55,8 +40,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Reject(Effect):
-    """Report a sheet that can't be used."""
+    """Report a copy of a document that can't be used."""
 
+    document: documents.DocumentKind
     version: types.SheetVersion
     source: str
     failure: errors.Failure
@@ -103,7 +89,7 @@
     def __repr__(self) -> str:
         return f"Configuration(version={self.version})"
 
-    def offer(self, candidate: Candidate) -> tuple[Effect, ...]:
+    def offer(self, candidate: documents.Candidate) -> tuple[Effect, ...]:
         """Takes a sheet if it is newer and valid."""
         if candidate.version <= self.version:
             return ()
@@ -129,9 +115,16 @@
         return (ReportReset(found, self.version),)
 
     def _reject(
-        self, candidate: Candidate, failure: errors.Failure
+        self, candidate: documents.Candidate, failure: errors.Failure
     ) -> tuple[Effect, ...]:
         if candidate.version <= self._rejected:
             return ()
         self._rejected = candidate.version
-        return (Reject(candidate.version, candidate.source, failure),)
+        return (
+            Reject(
+                documents.DocumentKind.SHEET,
+                candidate.version,
+                candidate.source,
+                failure,
+            ),
+        )
--- a/hickorygate/platform/watcher.py
+++ b/hickorygate/platform/watcher.py
@@ -1,7 +1,10 @@
-"""Asks the store for newer sheets, as the plan says."""
+"""Asks the store for newer versions of a document, as the plan says."""
 
 from __future__ import annotations
 
+from collections.abc import Awaitable
+from collections.abc import Callable
+import datetime
 import functools
 from typing import Protocol
 
@@ -9,51 +12,62 @@
 import logbook
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import document as documents
+from hickorygate.core import errors
 from hickorygate.platform import client as clients
 from hickorygate.platform import configuration as configurations
 from hickorygate.platform import objects
 from hickorygate.platform import watch
 
-__all__ = ["SOURCE", "SheetHolder", "Watcher"]
+__all__ = ["Fetch", "SOURCE", "Holder", "Watcher", "instances", "sheet"]
 
 SOURCE = "platform"
-"""Named as the source of sheets that came from the store."""
+"""Named as the source of documents that came from the store."""
+
+FetchResult = expression.Result[
+    documents.Candidate | objects.Unchanged, errors.Failure
+]
+Fetch = Callable[[int, datetime.timedelta], Awaitable[FetchResult]]
+"""Reads a document newer than a version; waits for one if asked."""
 
 _log = logbook.Logger(__name__)
 
 
-class SheetHolder(Protocol):
-    """Who keeps the sheet in force."""
+class Holder(Protocol):
+    """Who keeps the documents in force."""
 
     @property
     def role(self) -> watch.Role:
         """What the other proxies make of this one."""
 
+    def reach_store(self) -> None:
+        """Notes that the store answered."""
+
     async def perform(self, effect: configurations.Effect) -> None:
-        """Carries out a decision about the sheet."""
+        """Carries out a decision about a document."""
 
 
 class Watcher:
-    """Runs the plan's steps."""
+    """Runs the steps of one document's plan."""
 
-    __slots__ = ("_client", "_clock", "_configuration", "_holder", "_plan")
+    __slots__ = ("_clock", "_document", "_fetch", "_holder", "_plan")
 
     def __init__(
         self,
-        client: clients.Client,
+        fetch: Fetch,
         plan: watch.WatchPlan,
-        configuration: configurations.Configuration,
-        holder: SheetHolder,
+        document: watch.Document,
+        holder: Holder,
         clock: clocks.Clock,
     ) -> None:
-        self._client = client
+        self._fetch = fetch
         self._plan = plan
-        self._configuration = configuration
+        self._document = document
         self._holder = holder
         self._clock = clock
 
     def __repr__(self) -> str:
-        return f"Watcher({self._client!r}, {self._plan!r})"
+        return f"Watcher({self._document!r}, {self._plan!r})"
 
     async def run(self) -> None:
         """Takes steps until cancelled."""
@@ -61,14 +75,15 @@
             step = self._plan.step(self._holder.role, self._clock.now())
             await _run(step, self)
 
-    async def pause(self, step: watch.Pause) -> None:
+    async def pause(self, duration: datetime.timedelta) -> None:
         """Waits."""
-        await self._clock.sleep(step.duration)
+        await self._clock.sleep(duration)
 
-    async def take(self, result: clients.SheetResult) -> None:
-        """Takes in an answer of the store."""
-        match result:
+    async def ask(self, after: int, wait: datetime.timedelta) -> None:
+        """Asks the store and takes in its answer."""
+        match await self._fetch(after, wait):
             case expression.Result(tag="ok", ok=found):
+                self._holder.reach_store()
                 await self._offer(found)
                 outcome = watch.Answered(found.version)
             case expression.Result(tag="error", error=failure):
@@ -77,27 +92,46 @@
         for effect in self._plan.take(outcome, self._clock.now()):
             await self._holder.perform(effect)
 
-    async def watch(self, step: watch.Watch) -> None:
-        """Holds a watch until it answers or fails."""
-        result = await self._client.newer_sheet(step.after, step.wait)
-        await self.take(result)
-
-    async def read(self, step: watch.Read) -> None:
-        """Reads once."""
-        await self.take(await self._client.newer_sheet(step.after))
-
     async def _offer(
-        self, found: objects.StoredSheet | objects.Unchanged
+        self, found: documents.Candidate | objects.Unchanged
     ) -> None:
         if isinstance(found, objects.Unchanged):
             return
-        candidate = configurations.Candidate(
-            found.version, found.value.text, SOURCE
-        )
-        for effect in self._configuration.offer(candidate):
+        for effect in self._document.offer(found):
             await self._holder.perform(effect)
 
 
+def sheet(client: clients.Client) -> Fetch:
+    """Returns the way to read the sheet."""
+
+    async def fetch(after: int, wait: datetime.timedelta) -> FetchResult:
+        found = await client.newer_sheet(after, wait)
+        return found.map(lambda f: _candidate(f, lambda value: value.text))
+
+    return fetch
+
+
+def instances(client: clients.Client) -> Fetch:
+    """Returns the way to read the list of instances."""
+
+    async def fetch(after: int, wait: datetime.timedelta) -> FetchResult:
+        found = await client.newer_instances(after, wait)
+        return found.map(
+            lambda f: _candidate(f, lambda value: value.model_dump_json())
+        )
+
+    return fetch
+
+
+def _candidate(
+    found: objects.Stored[objects.ValueT] | objects.Unchanged,
+    text: Callable[[objects.ValueT], str],
+) -> documents.Candidate | objects.Unchanged:
+    if isinstance(found, objects.Unchanged):
+        return found
+    return documents.Candidate(found.version, text(found.value), SOURCE)
+
+
 @functools.singledispatch
 async def _run(step: watch.Step, watcher: Watcher) -> None:
     raise TypeError(f"no way to run {step!r}; register one")
@@ -105,14 +139,14 @@
 
 @_run.register
 async def _(step: watch.Pause, watcher: Watcher) -> None:
-    await watcher.pause(step)
+    await watcher.pause(step.duration)
 
 
 @_run.register
 async def _(step: watch.Watch, watcher: Watcher) -> None:
-    await watcher.watch(step)
+    await watcher.ask(step.after, step.wait)
 
 
 @_run.register
 async def _(step: watch.Read, watcher: Watcher) -> None:
-    await watcher.read(step)
+    await watcher.ask(step.after, datetime.timedelta())
--- a/hickorygate/testing/database.py
+++ b/hickorygate/testing/database.py
@@ -1,69 +1,31 @@
 """A stand-in database: MySQL protocol over a log and an engine.
 
-Faults are attributes that a test or the demo sets: `stopped`, `paused`,
-`lag`, and links cut in the `Group` that it belongs to.
+Faults are methods and attributes that a test or the demo uses: `stop`,
+`restart`, `paused`, `lag`, `cut_users`, and links cut in the `Group` that it
+belongs to.
 """
 
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping
 import datetime
-import re
 import uuid
 
-import expression
-
-from hickorygate.callers import handler as handlers
 from hickorygate.callers import server as servers
 from hickorygate.core import clock as clocks
-from hickorygate.core import errors
 from hickorygate.core import position as positions
-from hickorygate.core import statement as statements
 from hickorygate.core import types
 from hickorygate.testing import engine as engines
+from hickorygate.testing import handler as handlers
 from hickorygate.testing import load as loads
 from hickorygate.testing import locks as advisory
 from hickorygate.testing import replication
-from hickorygate.upstreams import answer as answers
 
 __all__ = ["Group", "StandInDatabase"]
 
 _STATEMENT_LIMIT = 64 * 1_048_576
+_USER = "hickorygate"
 _PULL_PERIOD = datetime.timedelta(milliseconds=2)
-_LOCK_TIMEOUT = datetime.timedelta(seconds=5)
-_VAR_STRING = 253
-_UTF8MB4 = 45
-_READ_ONLY = errors.UpstreamError(
-    1290, "HY000", "running with --read-only", refused=True
-)
-_TOO_MANY = errors.UpstreamError(
-    1040, "08004", "Too many connections", refused=True
-)
-_LOCK_WAIT = errors.UpstreamError(1205, "HY000", "Lock wait timeout exceeded")
-_REFUSED_TERM = 3_100
-_PROCEDURE = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*$", re.I | re.S)
-_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
-
-
-def _status_table(status: positions.DatabaseStatus) -> answers.Table:
-    silence = status.primary_silence / datetime.timedelta(milliseconds=1)
-    cells = {
-        "role": status.role.value,
-        "term": status.term,
-        "base": status.base,
-        "log_term": status.log_term,
-        "received": status.received,
-        "applied": status.applied,
-        "fenced": status.fenced,
-        "primary_silence_ms": int(silence),
-        "boot": status.boot,
-    }
-    columns = tuple(
-        answers.Column(name, _VAR_STRING, _UTF8MB4) for name in cells
-    )
-    row = tuple(str(cell) for cell in cells.values())
-    return answers.Table(warnings=0, columns=columns, rows=[row])
 
 
 class StandInDatabase:
@@ -75,6 +37,7 @@
         group: Group,
         clock: clocks.Clock,
         password: str = "",
+        users: tuple[types.CallerName, ...] = (_USER,),
     ) -> None:
         self.log = replication.Log(name, uuid.uuid4().hex)
         self.engine = engines.Engine()
@@ -85,11 +48,17 @@
         self.paused.set()
         self.lock = asyncio.Lock()
         self.changed = asyncio.Condition()
+        self.cut_users: set[types.CallerName] = set()
+        self.open_transaction: handlers.Handler | None = None
+        self._must_rebuild = False
         self._group = group
         self._clock = clock
         self._server = servers.Server(
-            lambda: _Handler(self), {"hickorygate": password}, _STATEMENT_LIMIT
+            lambda: handlers.Handler(self),
+            dict.fromkeys(users, password),
+            _STATEMENT_LIMIT,
         )
+        self._last_port = 0
         self._puller: asyncio.Task[None] | None = None
 
     @property
@@ -102,12 +71,18 @@
         """The TCP port that it listens on."""
         return self._server.port
 
+    @property
+    def stopped(self) -> bool:
+        """Whether it doesn't run."""
+        return self._puller is None
+
     def __repr__(self) -> str:
         return f"StandInDatabase({self.log!r})"
 
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> None:
         """Begins to listen and to replicate."""
         await self._server.start(host, port)
+        self._last_port = self._server.port
         self._puller = asyncio.create_task(self._replicate())
 
     async def stop(self) -> None:
@@ -115,8 +90,24 @@
         if self._puller is not None:
             self._puller.cancel()
             await asyncio.gather(self._puller, return_exceptions=True)
+            self._puller = None
         await self._server.close()
 
+    async def restart(self, blank: bool = False) -> None:
+        """Comes back on its port, without its log if blank."""
+        boot = uuid.uuid4().hex
+        if blank:
+            self.log.lose(boot)
+            self._must_rebuild = True
+        self.log.boot = boot
+        await self.start(port=self._last_port)
+
+    async def reachable(self, user: types.CallerName) -> None:
+        """Waits while it is paused or cut off from a user."""
+        while not self.paused.is_set() or user in self.cut_users:
+            await self.paused.wait()
+            await self._clock.sleep(_PULL_PERIOD)
+
     def status(self) -> positions.DatabaseStatus:
         """Returns what the database says about itself."""
         return self.log.status(self._clock.now())
@@ -132,24 +123,44 @@
             self.changed.notify_all()
 
     async def _replicate(self) -> None:
+        copied = self._clock.now()
         while True:
-            await self._clock.sleep(max(_PULL_PERIOD, self.lag))
+            await self._clock.sleep(_PULL_PERIOD)
             await self.paused.wait()
             primary = self._group.source_of(self)
-            if primary is not None:
-                await self._pull(primary)
+            if primary is None:
+                continue
+            now = self._clock.now()
+            if now - copied < self.lag:
+                self.log.hear(primary.log, now)
+                continue
+            copied = now
+            await self._pull(primary)
 
     async def _pull(self, primary: StandInDatabase) -> None:
         before = self.log.position
+        if self.log.pull(primary.log, self._clock.now()):
+            self._must_rebuild = True
+        if self.log.position != before:
+            await self.apply()
+
+    async def apply(self) -> None:
+        """Runs what the log holds and reads can't see yet."""
         async with self.lock:
-            if self.log.pull(primary.log, self._clock.now()):
+            if self._must_rebuild:
                 self.engine.clear()
+                self._must_rebuild = False
             for entry in self.log.entries[self.log.applied :]:
                 for sql in entry.statements:
                     self.engine.run(sql)
             self.log.applied = len(self.log.entries)
-        if self.log.position != before:
-            await self.notify()
+        await self.notify()
+
+    async def end_transaction(self) -> None:
+        """Rolls back the open transaction once it may not commit any more."""
+        if self.open_transaction is not None and not self.log.writable:
+            self.open_transaction.abort()
+        await self.notify()
 
 
 class Group:
@@ -171,16 +182,18 @@
     async def start(
         self,
         names: tuple[types.DatabaseName, ...],
+        users: tuple[types.CallerName, ...] = (_USER,),
         ports: tuple[int, ...] = (),
     ) -> tuple[StandInDatabase, ...]:
         """Starts databases; the first is the primary of term 1.
 
         Args:
           names: of the databases.
+          users: who may log in.
           ports: one for each name; none for free ones.
         """
         for name, port in zip(names, ports or (0,) * len(names), strict=True):
-            database = StandInDatabase(name, self, self._clock)
+            database = StandInDatabase(name, self, self._clock, users=users)
             self._databases[name] = database
             await database.start(port=port)
         first = self._databases[names[0]]
@@ -209,203 +222,6 @@
         if name is None or frozenset((name, database.name)) in self._cuts:
             return None
         source = self._databases.get(name)
-        if source is None or not source.paused.is_set():
+        if source is None or source.stopped or not source.paused.is_set():
             return None
         return source
-
-
-class _Handler:
-    """Answers one connection of the stand-in."""
-
-    def __init__(self, database: StandInDatabase) -> None:
-        self._database = database
-        self._pending: list[str] = []
-        self._idle = loads.IdleLimit()
-        self._connected = False
-        self.autocommit = True
-        self.in_transaction = False
-
-    async def connect(self) -> expression.Result[None, errors.Failure]:
-        """Accepts connections while there is room."""
-        self._connected = self._database.load.connect()
-        if not self._connected:
-            return expression.Error(_TOO_MANY)
-        await self._database.load.log_in()
-        return expression.Ok(None)
-
-    async def login(
-        self, user: types.CallerName, attributes: Mapping[str, str]
-    ) -> expression.Result[None, errors.Failure]:
-        """Accepts whoever knew the password."""
-        return expression.Ok(None)
-
-    async def query(
-        self, sql: str, attributes: Mapping[str, str]
-    ) -> handlers.AnswerResult:
-        """Answers one statement."""
-        with self._idle.busy():
-            return await self._answer(sql)
-
-    async def _answer(self, sql: str) -> handlers.AnswerResult:
-        await self._database.paused.wait()
-        columns = advisory.parse(sql)
-        if columns is not None:
-            row = await self._database.locks.evaluate(self, columns)
-            return expression.Ok(advisory.table(columns, row))
-        procedure = _PROCEDURE.match(sql)
-        if procedure:
-            return await self._call(procedure.group(1), procedure.group(2))
-        statement = statements.classify(sql)
-        if statement.is_error():
-            return expression.Error(statement.error)
-        result = await self._run(statement.ok)
-        await self._database.paused.wait()
-        return result
-
-    async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
-        """Accepts any schema; all share one set of tables."""
-        return expression.Ok(_NOTHING)
-
-    async def reset(self) -> None:
-        """Rolls back and gives the session's locks back."""
-        self._roll_back()
-        self._database.locks.release_all(self)
-
-    async def close(self) -> None:
-        """Ends the session and what it left open."""
-        await self.reset()
-        self._idle.stop()
-        if self._connected:
-            self._connected = False
-            self._database.load.disconnect()
-
-    def _roll_back(self) -> None:
-        if self.in_transaction:
-            self._database.engine.rollback()
-            self._leave()
-
-    async def _run(
-        self, statement: statements.Statement
-    ) -> handlers.AnswerResult:
-        match statement:
-            case statements.Begin():
-                return await self._begin()
-            case statements.Commit():
-                return await self._commit()
-            case statements.Rollback():
-                self._roll_back()
-                return expression.Ok(_NOTHING)
-            case statements.SetAutocommit(enabled=enabled):
-                self.autocommit = enabled
-                return expression.Ok(_NOTHING)
-            case statements.SetVariable() | statements.Use():
-                self._idle.read(statement.sql)
-                return expression.Ok(_NOTHING)
-        return await self._execute(statement)
-
-    async def _begin(self) -> handlers.AnswerResult:
-        if self.in_transaction:
-            await self._commit()
-        if not await self._enter():
-            return expression.Error(_LOCK_WAIT)
-        return expression.Ok(_NOTHING)
-
-    async def _enter(self) -> bool:
-        try:
-            async with asyncio.timeout(_LOCK_TIMEOUT.total_seconds()):
-                await self._database.lock.acquire()
-        except TimeoutError:
-            return False
-        self._database.engine.begin()
-        self.in_transaction = True
-        return True
-
-    def _leave(self) -> None:
-        self._pending.clear()
-        self.in_transaction = False
-        self._database.lock.release()
-
-    async def _commit(self) -> handlers.AnswerResult:
-        if not self.in_transaction:
-            return expression.Ok(_NOTHING)
-        if self._pending and not self._database.log.writable:
-            self._roll_back()
-            return expression.Error(_READ_ONLY)
-        self._database.engine.commit()
-        sqls = tuple(self._pending)
-        if sqls:
-            self._database.log.append(sqls)
-        self._leave()
-        await self._database.notify()
-        return expression.Ok(_NOTHING)
-
-    async def _execute(
-        self, statement: statements.Statement
-    ) -> handlers.AnswerResult:
-        writes = isinstance(statement, statements.Write)
-        if writes and not self._database.log.writable:
-            return expression.Error(_READ_ONLY)
-        await self._database.load.run(statement.sql)
-        if self.in_transaction:
-            return self._in_transaction(statement, writes)
-        if not await self._enter():
-            return expression.Error(_LOCK_WAIT)
-        result = self._in_transaction(statement, writes)
-        if result.is_error() or not self.autocommit:
-            if result.is_error():
-                self._roll_back()
-            return result
-        committed = await self._commit()
-        return result if committed.is_ok() else committed
-
-    def _in_transaction(
-        self, statement: statements.Statement, writes: bool
-    ) -> handlers.AnswerResult:
-        result = self._database.engine.run(statement.sql)
-        if writes and result.is_ok():
-            self._pending.append(statement.sql)
-        return result
-
-    async def _call(self, name: str, arguments: str) -> handlers.AnswerResult:
-        parts = [part.strip().strip("'") for part in arguments.split(",")]
-        log = self._database.log
-        match name.lower():
-            case "status":
-                result = expression.Ok(None)
-            case "fence":
-                result = log.fence(int(parts[0]), parts[1])
-            case "promote":
-                result = log.promote(int(parts[0]), parts[1])
-            case "follow":
-                result = log.follow(int(parts[0]), parts[1])
-            case "wait":
-                await self._wait(int(parts[0]), int(parts[1]), int(parts[2]))
-                result = expression.Ok(None)
-            case _:
-                result = expression.Error(
-                    errors.UpstreamError(1305, "42000", f"no group_{name}")
-                )
-        if result.is_error():
-            return expression.Error(
-                errors.UpstreamError(
-                    _REFUSED_TERM, "HY000", result.error.message
-                )
-            )
-        await self._database.notify()
-        return expression.Ok(_status_table(self._database.status()))
-
-    async def _wait(
-        self, term: types.Term, offset: types.Offset, milliseconds: int
-    ) -> None:
-        target = positions.Position(term, offset)
-
-        def settled() -> bool:
-            status = self._database.status()
-            return positions.holds(status, target) or status.term > term
-
-        try:
-            async with asyncio.timeout(milliseconds / 1_000):
-                async with self._database.changed:
-                    await self._database.changed.wait_for(settled)
-        except TimeoutError:
-            return
--- a/hickorygate/testing/stand_ins.py
+++ b/hickorygate/testing/stand_ins.py
@@ -55,7 +55,7 @@
         self._groups.append(stand_in)
         started = await stand_in.start(
             tuple(database.name for database in group.databases),
-            tuple(database.port for database in group.databases),
+            ports=tuple(database.port for database in group.databases),
         )
         for database, declared in zip(started, group.databases, strict=True):
             database.load.settings = loads.LoadSettings(
--- a/hickorygate/tests/test_configuration.py
+++ b/hickorygate/tests/test_configuration.py
@@ -6,6 +6,7 @@
 import random
 import unittest
 
+from hickorygate.core import document as documents
 from hickorygate.core import errors
 from hickorygate.platform import budget
 from hickorygate.platform import configuration as configurations
@@ -23,7 +24,7 @@
     configuration: configurations.Configuration, version: int, text: str = ""
 ) -> tuple[configurations.Effect, ...]:
     return configuration.offer(
-        configurations.Candidate(version, text or sheets.text(), "test")
+        documents.Candidate(version, text or sheets.text(), "test")
     )
 
 
