--- a/hickorygate/core/statement.py
+++ b/hickorygate/core/statement.py
@@ -39,8 +39,8 @@
 """Characters; longer statements are classified each time."""
 
 _QUOTED = r"""
-    '(?:[^'\\]++|\\.|'')*+(?:'|\Z)        # a string
-    | "(?:[^"\\]++|\\.|"")*+(?:"|\Z)      # a string, or a name in ANSI mode
+    '(?:[^'\\]++|\\(?:.|\Z)|'')*+(?:'|\Z)        # a string
+    | "(?:[^"\\]++|\\(?:.|\Z)|"")*+(?:"|\Z)      # a string, or a name in ANSI mode
     | `[^`]*+(?:`|\Z)                     # a name
 """
 _COMMENT = r"""
@@ -55,7 +55,8 @@
 _EXECUTABLE_COMMENT = re.compile(r"/\*M?!")
 
 _CALL = re.compile(r"(?<![\w$])((?:\.\s*+)?[\w$]++)\s*+\(")
-_QUOTED_CALL = re.compile(r"[`\"]\s*+(?:\(|/\*|--|#)")
+_MAYBE_QUOTED_CALL = re.compile(r"[`\"]\s*+(?:\(|/\*|--|#)")
+_QUOTED_CALL = re.compile(r"`\s*+\(")
 _CHANGE = re.compile(
     r"\b(?:UPDATE|DELETE|INTO|SHARE)\b"
     r"|\b(?:INSERT|REPLACE)\b(?!\s*+\()"
@@ -240,13 +241,25 @@
         return ConnectionBound(sql)
     if outline.startswith("SHOW "):
         return Read(sql)
-    if _CHANGE.search(outline) or _QUOTED_CALL.search(sql):
+    if _CHANGE.search(outline) or _calls_quoted_name(sql):
         return Write(sql)
     if not words.READ_CALLS.issuperset(_CALL.findall(outline)):
         return Write(sql)
     return Read(sql)
 
 
+def _calls_quoted_name(sql: str) -> bool:
+    """Tells whether a quoted name stands before a parenthesis."""
+    if not _MAYBE_QUOTED_CALL.search(sql):
+        return False
+    marked = _BLANKED.sub(_name_mark, sql)
+    return _QUOTED_CALL.search(marked) is not None
+
+
+def _name_mark(match: re.Match[str]) -> str:
+    return "`" if match.group()[0] in '`"' else " "
+
+
 def _write(sql: str, outline: str, word: str) -> Statement:
     if word in words.PINNING or _TEMPORARY.match(outline):
         return Pinning(sql)
--- /dev/null
+++ b/hickorygate/tests/test_assignment.py
@@ -0,0 +1,89 @@
+"""What SET assigns, what is refused, and how it is replayed."""
+
+from __future__ import annotations
+
+import unittest
+
+from hickorygate.core import assignment as assignments
+from hickorygate.core import errors
+
+_MODE = "CONCAT(@@sql_mode, ',STRICT_ALL_TABLES')"
+_MEGABYTE = 1_048_576
+
+
+class ParseTest(unittest.TestCase):
+    """The text of SET statements."""
+
+    def test_taken(self) -> None:
+        variable = assignments.SessionVariable
+        for sql, expected in {
+            "SET NAMES utf8mb4": (variable("collation_connection", None),),
+            "SET NAMES 'utf8' COLLATE utf8mb4_bin": (
+                variable("collation_connection", "'utf8mb4_bin'"),
+            ),
+            "SET character_set_results = NULL": (assignments.Nothing(),),
+            "SET @@SESSION.time_zone = '+00:00'": (
+                variable("time_zone", "'+00:00'"),
+            ),
+            "SET SESSION TRANSACTION ISOLATION LEVEL READ COMMITTED": (
+                variable("transaction_isolation", "'READ-COMMITTED'"),
+            ),
+            f"set autocommit=0, session sql_mode={_MODE}": (
+                assignments.Autocommit(False),
+                variable("sql_mode", _MODE),
+            ),
+            "SET hickorygate_rank = 'a''b', @@hickorygate_token = NULL": (
+                assignments.Hint("hickorygate_rank", "a'b"),
+                assignments.Hint("hickorygate_token", None),
+            ),
+        }.items():
+            with self.subTest(sql):
+                self.assertEqual(assignments.parse(sql).ok, expected)
+
+    def test_refused(self) -> None:
+        for sql, expected in {
+            "SET NAMES latin1": errors.UnsupportedCharset,
+            "SET character_set_client = gbk": errors.UnsupportedCharset,
+            "SET GLOBAL time_zone = 'UTC'": errors.UnsupportedVariable,
+            "SET @@PERSIST.time_zone = 'UTC'": errors.UnsupportedVariable,
+            "SET sql_log_bin = 0": errors.UnsupportedVariable,
+            "SET sql_mode = 'NO_BACKSLASH_ESCAPES'": errors.UnsupportedVariable,
+            "SET sql_mode = (SELECT f())": errors.UnsupportedVariable,
+            "SET time_zone = 'UTC', sql_log_bin = 0": (
+                errors.UnsupportedVariable
+            ),
+            "SET TRANSACTION READ ONLY": errors.UnsupportedStatement,
+            "SET PASSWORD = 'x'": errors.UnsupportedVariable,
+            "SET ROLE admin": errors.UnsupportedStatement,
+            "SET": errors.UnsupportedStatement,
+            "SET a": errors.UnsupportedStatement,
+            "SET hickorygate_rank = f()": errors.BadHint,
+        }.items():
+            with self.subTest(sql):
+                self.assertIsInstance(assignments.parse(sql).error, expected)
+
+    def test_hostile_megabytes_take_one_pass(self) -> None:
+        for word in ("'", "(", "a=", ",", "a=(", "a ", "@@", "a='", "\\'"):
+            with self.subTest(word):
+                text = "SET a=" + word * (_MEGABYTE // len(word))
+                self.assertTrue(assignments.parse(text).is_error())
+
+
+class ReplayTest(unittest.TestCase):
+    """From one session's variables to another's."""
+
+    def test_old_ones_are_reset_before_new_ones_are_set(self) -> None:
+        old = (
+            assignments.SessionVariable("time_zone", "'+01:00'"),
+            assignments.SessionVariable("collation_connection", "'utf8_bin'"),
+        )
+        new = (assignments.SessionVariable("sql_mode", "'ANSI'"),)
+        steps = assignments.replay(old, new)
+        self.assertEqual(
+            [step.sql for step in steps],
+            [
+                "SET time_zone = DEFAULT, NAMES utf8mb4",
+                "SET sql_mode = 'ANSI'",
+            ],
+        )
+        self.assertEqual([step.variables for step in steps], [(), new])
--- /dev/null
+++ b/properties/test_statement.py
@@ -0,0 +1,103 @@
+"""A statement that changes something is never taken for a read."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from hickorygate.core import errors
+from hickorygate.core import statement as statements
+import properties as properties
+
+_WRITES = (
+    "INSERT INTO t VALUES ( 1 )",
+    "REPLACE INTO t SELECT a FROM u",
+    "UPDATE t SET a = 1",
+    "DELETE FROM t",
+    "WITH c AS ( SELECT 1 ) UPDATE t SET a = 2",
+    "WITH c AS ( SELECT 1 ) DELETE FROM t",
+    "SELECT a FROM t FOR UPDATE",
+    "SELECT a FROM t FOR SHARE",
+    "SELECT a FROM t LOCK IN SHARE MODE",
+    "( SELECT a FROM t FOR UPDATE )",
+    "SELECT a INTO OUTFILE 'f' FROM t",
+    "SELECT a INTO @v FROM t",
+    "SELECT @v := 1",
+    "SELECT GET_LOCK ( 'a' , 1 )",
+    "SELECT stored ( 1 )",
+    "SELECT db . count ( 1 )",
+    "SELECT `count` ( 1 )",
+    "EXPLAIN ANALYZE DELETE FROM t",
+    "CREATE TABLE t ( a INT )",
+    "CALL p ( 1 )",
+    "TRUNCATE t",
+    "SAVEPOINT a",
+)
+_READS = (
+    "SELECT 1",
+    "SELECT a FROM t WHERE b = 'x' AND c IN ( 1 , 2 )",
+    "( SELECT a FROM t ) UNION ( SELECT COUNT ( * ) FROM u )",
+    "WITH c AS ( SELECT 1 ) SELECT * FROM c",
+    "SELECT REPLACE ( a , 'UPDATE' , 'DELETE' ) FROM t",
+    "SELECT `update` FROM t",
+    "SHOW TABLES",
+    "EXPLAIN SELECT 1",
+)
+_STRING = strategies.sampled_from(
+    ["';'", "'FOR UPDATE'", '"a\\"; b"', "'it''s'", "'\\\\'", "'--'", "'/*'"]
+)
+_GAP = strategies.sampled_from(
+    [
+        " ",
+        "\n\t",
+        "/* ; ' */",
+        "/**/",
+        "/*** FOR UPDATE ***/",
+        " -- ' ; \n",
+        '#"\n',
+        " /*+ NO_ICP(t) */ ",
+    ]
+)
+
+
+@strategies.composite
+def dressed(draw: strategies.DrawFn, texts: tuple[str, ...]) -> str:
+    """Returns a statement in other letters, with other gaps and strings."""
+    words = []
+    for word in draw(strategies.sampled_from(texts)).split():
+        if word.startswith("'"):
+            word = draw(_STRING)
+        elif draw(strategies.booleans()):
+            word = word.lower()
+        words.append(word)
+        words.append(draw(_GAP))
+    ending = draw(strategies.sampled_from(["", ";", "; -- done", ";;\n"]))
+    return draw(_GAP) + "".join(words) + ending
+
+
+class StatementProperty(unittest.TestCase):
+    """Classification under any dress."""
+
+    @hypothesis.given(dressed(_WRITES))
+    def test_write_is_never_a_read(self, sql: str) -> None:
+        result = statements.classify(sql)
+        self.assertIsInstance(result.ok, statements.Write, sql)
+
+    @hypothesis.given(dressed(_READS))
+    def test_read_stays_a_read(self, sql: str) -> None:
+        result = statements.classify(sql)
+        self.assertIsInstance(result.ok, statements.Read, sql)
+
+    @hypothesis.given(dressed(_READS), dressed(_READS + _WRITES))
+    def test_second_statement_is_refused(self, one: str, two: str) -> None:
+        result = statements.classify(f"{one}\n;{two}")
+        self.assertEqual(result.error, errors.MultipleStatements(), one)
+
+    @hypothesis.given(strategies.text("'\"`\\;/*!-# \nSELTa(@:=.", max_size=40))
+    def test_any_text_has_a_verdict(self, text: str) -> None:
+        result = statements.classify("SELECT " + text)
+        if result.is_ok():
+            self.assertNotIn("\x00", result.ok.sql)
+            self.assertIsInstance(result.ok, statements.Statement)
