--- /dev/null
+++ b/hickorygate/callers/failures.py
@@ -0,0 +1,38 @@
+"""Failures that only the callers' side knows."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from hickorygate.core import errors
+from hickorygate.core import types
+
+__all__ = ["KeyReused", "TransactionSpansGroups"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransactionSpansGroups(errors.Failure):
+    """A transaction would leave the group that it began in."""
+
+    schema: types.SchemaName
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"schema {self.schema!r} is in another group than the open "
+            "transaction; commit or roll back first"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyReused(errors.Failure):
+    """An idempotency key came with another statement than before."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            "this idempotency key was used with another statement; "
+            "use a new key for each write"
+        )
--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -9,23 +9,30 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 import datetime
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import position as positions
 from hickorygate.core import types
 
 __all__ = [
     "ConfigApplied",
     "ConfigRejected",
+    "DatabaseFenced",
+    "DatabaseFollows",
     "DatabaseLost",
+    "DatabasePromoted",
     "DatabaseReturned",
     "Event",
     "FailoverEnded",
     "FailoverStarted",
+    "InstancesLeaving",
     "PeerJoined",
     "PeerLost",
     "PrimaryChanged",
+    "PrimarySuspected",
     "ProcessDraining",
     "ProcessStarted",
     "Recorded",
@@ -33,6 +40,7 @@
     "StampClock",
     "StoreReset",
     "TimeLine",
+    "WritesResumed",
 ]
 
 _KEPT_EVENTS = 4_096
@@ -119,6 +127,13 @@
     in_force: types.SheetVersion
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancesLeaving(Event):
+    """These instances, and no others, get no new work here."""
+
+    names: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerJoined(Event):
     """Another proxy was heard for the first time."""
@@ -157,6 +172,43 @@
     term: types.Term
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimarySuspected(Event):
+    """A group seems to need another primary; higher ranks go first."""
+
+    group: types.GroupName
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseFenced(Event):
+    """A database took this process's fence, with its log at the position."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+    position: positions.Position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabasePromoted(Event):
+    """A database leads the term, whose history starts at the base."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+    base: types.Offset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseFollows(Event):
+    """A database was pointed at the primary of the term."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailoverStarted(Event):
     """This process began to replace a primary."""
@@ -175,6 +227,14 @@
     outcome: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WritesResumed(Event):
+    """A write was answered again after a gap, as callers saw it."""
+
+    group: types.GroupName
+    gap: datetime.timedelta
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Recorded:
     """An event with its place on the time line."""
@@ -187,7 +247,7 @@
 class TimeLine:
     """Keeps the newest events of this process."""
 
-    __slots__ = ("_clock", "_events", "_process")
+    __slots__ = ("_clock", "_counts", "_events", "_process")
 
     def __init__(self, process: types.ProxyName, clock: StampClock) -> None:
         self._process = process
@@ -195,6 +255,17 @@
         self._events: collections.deque[Recorded] = collections.deque(
             maxlen=_KEPT_EVENTS
         )
+        self._counts: collections.Counter[type[Event]] = collections.Counter()
+
+    @property
+    def counts(self) -> Mapping[type[Event], int]:
+        """Events of each kind since the start, kept or not."""
+        return self._counts
+
+    @property
+    def process(self) -> types.ProxyName:
+        """The process whose events these are."""
+        return self._process
 
     @property
     def events(self) -> tuple[Recorded, ...]:
@@ -206,4 +277,5 @@
 
     def record(self, event: Event) -> None:
         """Adds an event at the present."""
+        self._counts[type(event)] += 1
         self._events.append(Recorded(self._clock.next(), self._process, event))
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import pathlib
 from typing import Annotated
@@ -20,18 +21,25 @@
 __all__ = [
     "AdminSettings",
     "CallerSettings",
+    "CurveSettings",
     "LogSettings",
     "PeerSettings",
     "PlatformSettings",
+    "Seed",
     "Settings",
     "TlsSettings",
     "UpstreamSettings",
     "load",
-    "platform_at",
 ]
 
 _Port = Annotated[int, pydantic.Field(ge=0, lt=65_536)]
 _Milliseconds = Annotated[int, pydantic.Field(gt=0)]
+_CurveKey = Annotated[
+    str, pydantic.StringConstraints(min_length=40, max_length=40)
+]
+_CurveSecret = Annotated[
+    pydantic.SecretStr, pydantic.Field(min_length=40, max_length=40)
+]
 
 
 class _Model(pydantic.BaseModel):
@@ -56,6 +64,9 @@
       tls: optional TLS.
       statement_limit: bytes of the longest statement.
       token_key: secret that signs session tokens; the same on all proxies.
+      drain_notice_ms: from "not ready" to the end of taking callers, so that
+        the balancer notices.
+      drain_timeout_ms: how long a shutdown waits for requests in progress.
     """
 
     host: str = "127.0.0.1"
@@ -64,6 +75,18 @@
     tls: TlsSettings | None = None
     statement_limit: Annotated[int, pydantic.Field(gt=0)] = 1_048_576
     token_key: pydantic.SecretStr
+    drain_notice_ms: _Milliseconds = 2_000
+    drain_timeout_ms: _Milliseconds = 30_000
+
+    @property
+    def drain_notice(self) -> datetime.timedelta:
+        """Time for the balancer to notice a shutdown."""
+        return datetime.timedelta(milliseconds=self.drain_notice_ms)
+
+    @property
+    def drain_timeout(self) -> datetime.timedelta:
+        """Time for requests in progress to end."""
+        return datetime.timedelta(milliseconds=self.drain_timeout_ms)
 
 
 class UpstreamSettings(_Model):
@@ -76,6 +99,8 @@
       connect_timeout_ms: to open a connection.
       probe_period_ms: between two status probes of a database.
       probe_timeout_ms: after which a probe counts as unanswered.
+      detection_ms: how long a primary must be out of reach, for us and
+        for its replicas, before it is replaced.
       confirm_timeout_ms: how long a write waits for a majority.
     """
 
@@ -85,6 +110,7 @@
     connect_timeout_ms: _Milliseconds = 1_000
     probe_period_ms: _Milliseconds = 200
     probe_timeout_ms: _Milliseconds = 500
+    detection_ms: _Milliseconds = 800
     confirm_timeout_ms: _Milliseconds = 2_000
 
     @property
@@ -102,6 +128,11 @@
         """Time after which a probe counts as unanswered."""
         return datetime.timedelta(milliseconds=self.probe_timeout_ms)
 
+    @property
+    def detection_time(self) -> datetime.timedelta:
+        """Time out of reach after which a primary is replaced."""
+        return datetime.timedelta(milliseconds=self.detection_ms)
+
     @property
     def confirm_timeout(self) -> datetime.timedelta:
         """Time that a write waits for a majority."""
@@ -131,20 +162,66 @@
         return datetime.timedelta(milliseconds=self.timeout_ms)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Seed:
+    """A proxy to find the others through.
+
+    Attributes:
+      name: empty if the settings don't tell it.
+      address: `host:port`.
+    """
+
+    name: str
+    address: str
+
+
+class CurveSettings(_Model):
+    """Keys of the link between proxies, in Z85, 40 characters each.
+
+    Attributes:
+      secret_key: this proxy's own.
+      public_keys: each proxy's, by its name, this one's included.
+    """
+
+    secret_key: _CurveSecret
+    public_keys: dict[str, _CurveKey]
+
+
 class PeerSettings(_Model):
     """The link to the other proxies.
 
     Attributes:
       host: address that the others reach this proxy by.
       port: TCP port of the pyzmq socket; 0 lets the system choose.
-      seeds: `host:port` of proxies to find the others through.
+      seeds: proxies to find the others through, `host:port` or
+        `name@host:port`; with keys, the name is needed.
       heartbeat_ms: time between two heartbeats.
+      curve: keys; without them the link is open and unencrypted.
     """
 
     host: str = "127.0.0.1"
     port: _Port = 0
     seeds: tuple[str, ...] = ()
     heartbeat_ms: _Milliseconds = 250
+    curve: CurveSettings | None = None
+
+    @property
+    def parsed_seeds(self) -> tuple[Seed, ...]:
+        """The seeds, name and address apart."""
+        parts = (seed.rpartition("@") for seed in self.seeds)
+        return tuple(Seed(name, address) for name, _, address in parts)
+
+    @pydantic.model_validator(mode="after")
+    def _name_seeds(self) -> PeerSettings:
+        if self.curve is None:
+            return self
+        for seed in self.parsed_seeds:
+            if seed.name not in self.curve.public_keys:
+                raise ValueError(
+                    f"seed {seed.address!r} needs the form name@host:port "
+                    "with a name of curve.public_keys"
+                )
+        return self
 
     @property
     def heartbeat(self) -> datetime.timedelta:
@@ -190,14 +267,3 @@
     return border.read_file(path).bind(
         lambda text: border.read_yaml(Settings, text, str(path))
     )
-
-
-def platform_at(
-    url: str,
-) -> expression.Result[PlatformSettings, errors.UsageError]:
-    """Returns the settings for a platform at an address, else defaults."""
-    try:
-        return expression.Ok(PlatformSettings(url=url))
-    except pydantic.ValidationError:
-        reason = f"must look like http://HOST:PORT (found {url!r})"
-        return expression.Error(errors.UsageError("--platform", reason))
--- a/hickorygate/operators/command.py
+++ b/hickorygate/operators/command.py
@@ -17,6 +17,7 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.operators import failures
 
 __all__ = [
     "Command",
@@ -24,6 +25,7 @@
     "Family",
     "ParseResult",
     "Result",
+    "Usage",
     "execute",
     "exit_code",
     "new_flags",
@@ -52,19 +54,27 @@
 ParseResult: TypeAlias = expression.Result[Command, errors.Failure]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Usage:
+    """How a command is written, and what it does."""
+
+    words: str
+    meaning: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Family:
     """Commands that share the first word of the command line.
 
     Attributes:
       name: that word.
-      usage: how the commands are written, one a line.
+      usages: its commands.
       flags: the flags of the family.
       parse: makes a command of the words after the name; the flags are set.
     """
 
     name: str
-    usage: str
+    usages: tuple[Usage, ...]
     flags: flags.FlagValues
     parse: Callable[[Sequence[str]], ParseResult]
 
@@ -78,7 +88,7 @@
 
 def usage(name: str, reason: str) -> ParseResult:
     """Refuses a command line."""
-    return expression.Error(errors.UsageError(name, reason))
+    return expression.Error(failures.UsageError(name, reason))
 
 
 @functools.singledispatch
@@ -94,7 +104,7 @@
 
 
 @exit_code.register
-def _(failure: errors.UsageError) -> ExitCode:
+def _(failure: failures.UsageError) -> ExitCode:
     return ExitCode.USAGE
 
 
@@ -114,5 +124,5 @@
 
 
 @exit_code.register
-def _(failure: errors.ProxyUnreachable) -> ExitCode:
+def _(failure: failures.ProxyUnreachable) -> ExitCode:
     return ExitCode.UNAVAILABLE
--- a/hickorygate/operators/main.py
+++ b/hickorygate/operators/main.py
@@ -12,8 +12,12 @@
 
 from hickorygate.core import errors
 from hickorygate.operators import command as commands
+from hickorygate.operators import demo
+from hickorygate.operators import failures
+from hickorygate.operators import inspect
 from hickorygate.operators import serve
 from hickorygate.operators import sheet
+from hickorygate.operators import timeline
 
 __all__ = ["main", "parse", "run"]
 
@@ -24,21 +28,22 @@
     for family in (
         serve.FAMILY,
         sheet.FAMILY,
+        inspect.STATUS,
+        inspect.DRAIN,
+        timeline.FAMILY,
+        demo.FAMILY,
     )
 }
 
 
 def _usage() -> str:
-    lines = [f"  {_PROGRAM} {line}" for line in _usage_lines()]
-    return "\n".join(["usage:", *lines])
-
-
-def _usage_lines() -> list[str]:
-    return [
-        line
-        for family in _FAMILIES.values()
-        for line in family.usage.splitlines()
+    usages = [u for family in _FAMILIES.values() for u in family.usages]
+    width = max(len(usage.words) for usage in usages)
+    lines = [
+        f"  {_PROGRAM} {usage.words:<{width}}  {usage.meaning}"
+        for usage in usages
     ]
+    return "\n".join(["usage:", *lines])
 
 
 def parse(words: Sequence[str]) -> commands.ParseResult:
@@ -53,7 +58,7 @@
         rest = family.flags(list(words))
     except flags.Error as error:
         reason = f"{error}; see `{_PROGRAM} help`"
-        return expression.Error(errors.UsageError(family.name, reason))
+        return expression.Error(failures.UsageError(family.name, reason))
     return family.parse(rest[1:])
 
 
--- a/hickorygate/platform/watch.py
+++ b/hickorygate/platform/watch.py
@@ -1,7 +1,7 @@
-"""When to ask the store for a newer sheet: decisions without I/O.
+"""When to ask the store for a newer document: decisions without I/O.
 
-A relay holds a watch. The others hear of new sheets from their peers; they
-read on their own at long intervals, at short ones while they have no sheet
+A relay holds a watch. The others hear of new versions from their peers; they
+read on their own at long intervals, at short ones while they hold none
 or hear no relay.
 """
 
@@ -11,7 +11,9 @@
 import datetime
 import functools
 import random
+from typing import Protocol
 
+from hickorygate.core import document as documents
 from hickorygate.core import errors
 from hickorygate.core import types
 from hickorygate.platform import backoff
@@ -20,6 +22,7 @@
 
 __all__ = [
     "Answered",
+    "Document",
     "Failed",
     "Pause",
     "Read",
@@ -32,8 +35,10 @@
 _WATCH_WAIT = datetime.timedelta(seconds=20)
 _READ_INTERVAL = datetime.timedelta(seconds=60)
 """Between the reads of a proxy that hears a relay."""
-_LONE_READ_INTERVAL = datetime.timedelta(seconds=3)
-"""Between the reads of one that hears no relay or has no sheet."""
+_LONE_READ_INTERVAL = datetime.timedelta(seconds=15)
+"""Between the reads of one that hears of no relay that reaches the store."""
+_EMPTY_READ_INTERVAL = datetime.timedelta(seconds=3)
+"""Between the reads of one that holds no version."""
 _FIRST_RETRY = datetime.timedelta(milliseconds=200)
 _LONGEST_RETRY = datetime.timedelta(seconds=3)
 _NO_SHEET_RETRY = datetime.timedelta(seconds=1)
@@ -41,13 +46,33 @@
 """Between two looks at the role while there is nothing to ask."""
 
 
+class Document(Protocol):
+    """A document of the store, as far as it is held here."""
+
+    @property
+    def examined(self) -> int:
+        """The newest version held or rejected."""
+
+    @property
+    def ready(self) -> bool:
+        """Whether any version is held."""
+
+    def offer(
+        self, candidate: documents.Candidate
+    ) -> tuple[configurations.Effect, ...]:
+        """Takes a copy if it is newer and valid."""
+
+    def compare(self, found: int) -> tuple[configurations.Effect, ...]:
+        """Compares the store's version with the one held."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Role:
     """What the other proxies make of this one.
 
     Attributes:
       relay: it watches the store for its availability zone.
-      hears_relay: it heard a relay lately.
+      hears_relay: it heard lately of a relay that reached the store.
     """
 
     relay: bool
@@ -83,7 +108,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answered:
-    """The store answered; its version is 0 if it has no sheet."""
+    """The store answered; its version is 0 if it has none."""
 
     version: types.SheetVersion
 
@@ -100,7 +125,7 @@
 
     __slots__ = (
         "_backoff",
-        "_configuration",
+        "_document",
         "_generator",
         "_jitter",
         "_last_read",
@@ -109,10 +134,10 @@
 
     def __init__(
         self,
-        configuration: configurations.Configuration,
+        document: Document,
         generator: random.Random,
     ) -> None:
-        self._configuration = configuration
+        self._document = document
         self._generator = generator
         self._backoff = backoff.Backoff(_FIRST_RETRY, _LONGEST_RETRY, generator)
         self._jitter = 1.0
@@ -127,7 +152,7 @@
         due = self._due(role)
         if due is not None and now < due:
             return Pause(min(due - now, _ROLE_CHECK))
-        after = self._configuration.examined
+        after = self._document.examined
         if role.relay:
             return Watch(after, _WATCH_WAIT)
         self._last_read = now
@@ -146,7 +171,7 @@
         """Ends the back-off; a store without a sheet is asked again later."""
         self._backoff.succeed()
         self._retry_at = None if version else now + _NO_SHEET_RETRY
-        return self._configuration.compare(version)
+        return self._document.compare(version)
 
     def failed(self, least: datetime.timedelta, now: datetime.datetime) -> None:
         """Waits at least this long before the next call."""
@@ -159,9 +184,9 @@
         return max(read_at, self._retry_at or read_at)
 
     def _interval(self, role: Role) -> datetime.timedelta:
-        if role.hears_relay and self._configuration.ready:
-            return _READ_INTERVAL
-        return _LONE_READ_INTERVAL
+        if not self._document.ready:
+            return _EMPTY_READ_INTERVAL
+        return _READ_INTERVAL if role.hears_relay else _LONE_READ_INTERVAL
 
 
 @functools.singledispatch
--- a/hickorygate/testing/platform.py
+++ b/hickorygate/testing/platform.py
@@ -22,6 +22,7 @@
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
 _LONGEST_WATCH = datetime.timedelta(seconds=30)
+_INSTANCES = "instances"
 _VALUE_LIMIT = 1_048_576
 
 
@@ -55,8 +56,7 @@
         self._objects: dict[str, _Stored] = {}
         self._version = 0
         self._faults: collections.deque[Fault] = collections.deque()
-        self._instances: list[object] = []
-        self._changed = asyncio.Condition()
+        self._changed = asyncio.Event()
         self._runner: web.AppRunner | None = None
 
     @property
@@ -76,7 +76,7 @@
         )
         app.router.add_get("/v1/objects/{kind}/{name}", self._get)
         app.router.add_put("/v1/objects/{kind}/{name}", self._put)
-        app.router.add_get("/v1/instances", self._list_instances)
+        app.router.add_get("/v1/instances", self._get)
         self._runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
@@ -88,7 +88,7 @@
 
     def set_instances(self, instances: list[object]) -> None:
         """Replaces the list of live and leaving instances."""
-        self._instances = instances
+        self._put_object(_INSTANCES, {"instances": instances})
 
     def fail_next(self, *faults: Fault) -> None:
         """Makes the next calls fail, one fault a call."""
@@ -118,6 +118,8 @@
             raise web.HTTPServiceUnavailable
 
     def _key(self, request: web.Request) -> str:
+        if "kind" not in request.match_info:
+            return _INSTANCES
         return f"{request.match_info['kind']}/{request.match_info['name']}"
 
     async def _get(self, request: web.Request) -> web.Response:
@@ -147,8 +149,8 @@
 
         try:
             async with asyncio.timeout(wait):
-                async with self._changed:
-                    await self._changed.wait_for(newer)
+                while not newer():
+                    await self._changed.wait()
         except TimeoutError:
             return
 
@@ -163,15 +165,14 @@
             raise web.HTTPPreconditionFailed(headers={"ETag": f'"{found}"'})
         if request.headers.get("If-None-Match") == "*" and stored:
             raise web.HTTPPreconditionFailed(headers={"ETag": f'"{found}"'})
-        self._version += 1
-        self._objects[key] = _Stored(self._version, value)
-        async with self._changed:
-            self._changed.notify_all()
+        self._put_object(key, value)
         return self._answer(self._objects[key])
 
-    async def _list_instances(self, request: web.Request) -> web.Response:
-        self._check_up()
-        return web.json_response({"instances": self._instances})
+    def _put_object(self, key: str, value: object) -> None:
+        self._version += 1
+        self._objects[key] = _Stored(self._version, value)
+        self._changed.set()
+        self._changed = asyncio.Event()
 
     def _answer(self, stored: _Stored) -> web.Response:
         return web.json_response(
