--- a/hickorygate/core/statement.py
+++ b/hickorygate/core/statement.py
@@ -40,7 +40,7 @@
 
 _QUOTED = r"""
     '(?:[^'\\]++|\\(?:.|\Z)|'')*+(?:'|\Z)        # a string
-    | "(?:[^"\\]++|\\(?:.|\Z)|"")*+(?:"|\Z)      # a string, or a name in ANSI mode
+    | "(?:[^"\\]++|\\(?:.|\Z)|"")*+(?:"|\Z)      # the same, or a name
     | `[^`]*+(?:`|\Z)                     # a name
 """
 _COMMENT = r"""
