Build one file that carries its interpreter and becomes the program

Cause: shiv's file needs Python on the instance; PyInstaller's and Nuitka's one file starts a child. Change: make binary packs the interpreter, the standard library, the pinned packages and the shared libraries beyond the C library's behind a small C launcher, which unpacks once (HICKORYGATE_UNPACK_DIR) and execs in the same process; tools/binary/check.sh runs serve without the checkout and lists the processes. Conclusion: the only choice of those weighed that needs no Python there and stays one process.

--- a/Makefile
+++ b/Makefile
@@ -28,5 +28,9 @@
 demo: $(VENV)/ready
 	$(BIN)/hickorygate demo $(ARGS)
 
+binary: $(VENV)/ready
+	tools/binary/build.sh $(BIN)/python
+	tools/binary/check.sh
+
 clean:
 	rm -rf $(VENV) build dist
--- /dev/null
+++ b/tools/binary/__init__.py
@@ -0,0 +1,1 @@
+"""Builds the one file that runs on an instance without Python."""
