Count each class and module whose setup fails

Cause: two classes with a failing setUpClass were counted as one failure, since both were named setUpClass.

--- a/tools/binary/pack.py
+++ b/tools/binary/pack.py
@@ -35,7 +35,9 @@
     yield _ENTRY.pack(0, 0, 0)
 
 
-def main(launcher: pathlib.Path, root: pathlib.Path, output: pathlib.Path) -> None:
+def main(
+    launcher: pathlib.Path, root: pathlib.Path, output: pathlib.Path
+) -> None:
     """Writes the one file."""
     program = launcher.read_bytes()
     packer = zlib.compressobj(_LEVEL)
--- a/tools/summary.py
+++ b/tools/summary.py
@@ -26,6 +26,17 @@
     )
 
 
+def _identifier(raw: str) -> str:
+    """Returns a test's name without its parameters or its subtest.
+
+    A class or a module whose setup failed stands for its tests, as in
+    `setUpClass (test_pool.PoolTest)`, and keeps its whole name.
+    """
+    line = raw.split("\n")[0]
+    first = line.split(" ")[0]
+    return first if "." in first else line
+
+
 def _passed_subtest(event: events.TestOutcomeEvent) -> bool:
     return event.outcome == result.SUBTEST and event.exc_info is None
 
@@ -45,7 +56,7 @@
 
     def setTestOutcome(self, event: events.TestOutcomeEvent) -> None:  # noqa: N802
         """Files the outcome of one test, or of one of its subtests."""
-        name = event.test.id().split("\n")[0].split(" ")[0]
+        name = _identifier(event.test.id())
         if event.outcome == "skipped":
             self._skipped.add(name)
         elif event.expected or _passed_subtest(event):
