--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -10,6 +10,7 @@
 from hickorygate.callers import failures
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import idempotency
+from hickorygate.callers import pin as pins
 from hickorygate.callers import reading
 from hickorygate.callers import routing
 from hickorygate.callers import session as sessions
@@ -28,13 +29,14 @@
 GroupResult = expression.Result[links.GroupLink, errors.Failure]
 
 _BEGIN = "BEGIN"
-_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
+_LONGLONG = 8
+_BINARY = 63
 
 
 class Executor:
     """Runs one session's statements, one at a time."""
 
-    __slots__ = ("_env", "_session", "_transaction")
+    __slots__ = ("_env", "_pin", "_session", "_transaction")
 
     def __init__(
         self, session: sessions.Session, env: environments.Environment
@@ -42,6 +44,7 @@
         self._session = session
         self._env = env
         self._transaction: transactions.Transaction | None = None
+        self._pin: pins.Pin | None = None
 
     @property
     def session(self) -> sessions.Session:
@@ -55,14 +58,24 @@
         self, statement: statements.Statement, request: requests.Request
     ) -> handlers.AnswerResult:
         """Runs a statement where routing says."""
+        if self._pin is not None and self._pin.lost:
+            return expression.Error(failures.SessionStateLost())
         route = routing.route(statement, self._session)
-        return await _run(route, self, works.Work(statement, request))
+        result = await _run(route, self, works.Work(statement, request))
+        match result:
+            case expression.Result(tag="ok", ok=answers.Done() as done):
+                self._remember_insert(done)
+        return result
 
     async def close(self) -> None:
-        """Drops an open transaction."""
+        """Drops an open transaction and what the session left behind."""
         if self._transaction is not None:
             self._transaction.drop()
             self._forget_transaction()
+        if self._pin is not None:
+            self._pin.drop()
+            self._pin = None
+            self._session.pinned = False
 
     async def read(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a read outside a transaction."""
@@ -79,6 +92,24 @@
             return expression.Error(group.error)
         return await self._writer(group.ok).run(work)
 
+    async def pinned(self, work: works.Work) -> handlers.AnswerResult:
+        """Runs a statement on the connection that the session keeps."""
+        group = self._group()
+        if group.is_error():
+            return expression.Error(group.error)
+        writer = self._writer(group.ok)
+        if self._pin is None:
+            taken = await self._take_pin(group.ok, writer, work)
+            if taken.is_error():
+                return expression.Error(taken.error)
+        pin = self._pin
+        assert pin is not None, "taken above"
+        result = await pin.run(self._session, work.statement.sql)
+        reads = isinstance(work.statement, statements.Read)
+        if result.is_error() or reads:
+            return result
+        return await writer.durable(pin.primary, result)
+
     async def begin(
         self, sql: str, work: works.Work
     ) -> expression.Result[answers.Answer, errors.Failure]:
@@ -94,10 +125,10 @@
         if group.is_error():
             return expression.Error(group.error)
         self._transaction = transactions.Transaction(
-            group.ok, self._session, self._writer(group.ok), sql
+            group.ok, self._session, self._writer(group.ok), sql, self._pin
         )
         self._session.in_transaction = True
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     async def in_transaction(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a statement of the open transaction."""
@@ -116,14 +147,14 @@
         """Keeps the open transaction."""
         transaction = self._forget_transaction()
         if transaction is None:
-            return expression.Ok(_NOTHING)
+            return expression.Ok(answers.NOTHING)
         return await transaction.commit()
 
     async def roll_back(self) -> handlers.AnswerResult:
         """Drops the open transaction."""
         transaction = self._forget_transaction()
         if transaction is None:
-            return expression.Ok(_NOTHING)
+            return expression.Ok(answers.NOTHING)
         return await transaction.roll_back()
 
     def select_schema(self, schema: types.SchemaName) -> handlers.AnswerResult:
@@ -138,14 +169,14 @@
         if self._leaves_group(group.name):
             return expression.Error(failures.TransactionSpansGroups(schema))
         self._session.schema = schema
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     async def set_autocommit(self, enabled: bool) -> handlers.AnswerResult:
         """Switches autocommit; switching it on keeps what is open."""
         self._session.autocommit = enabled
         if enabled:
             return await self.commit()
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     def _group(self) -> GroupResult:
         sheet = self._env.fleet.sheet
@@ -156,9 +187,30 @@
         )
 
     def _leaves_group(self, name: types.GroupName) -> bool:
-        if self._transaction is None:
+        """Whether a schema's group isn't that of what is held open."""
+        if self._transaction is None and self._pin is None:
             return False
-        return self._transaction.group.view.group.name != name
+        held = self._group()
+        return held.is_error() or held.ok.view.group.name != name
+
+    async def _take_pin(
+        self,
+        group: links.GroupLink,
+        writer: writing.Writer,
+        work: works.Work,
+    ) -> pins.PinResult:
+        primary = await writer.primary_for_reads(work)
+        if primary.is_error():
+            return expression.Error(primary.error)
+        taken = await pins.take(group, primary.ok, self._session, work.request)
+        if taken.is_ok():
+            self._pin = taken.ok
+            self._session.pinned = True
+        return taken
+
+    def _remember_insert(self, done: answers.Done) -> None:
+        if done.last_insert_id:
+            self._session.last_insert_id = done.last_insert_id
 
     def _writer(self, group: links.GroupLink) -> writing.Writer:
         return writing.Writer(self._env, group, self._session)
@@ -193,10 +245,38 @@
 @_run.register
 async def _(
     route: routing.ToPinned, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return await executor.pinned(work)
+
+
+@_run.register
+async def _(
+    route: routing.InTransaction, executor: Executor, work: works.Work
 ) -> handlers.AnswerResult:
     return await executor.in_transaction(work)
 
 
+@_run.register
+async def _(
+    route: routing.CommitFirst, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return await executor.commit_first(work)
+
+
+@_run.register
+async def _(
+    route: routing.LastInsertId, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return executor.last_insert_id()
+
+
+@_run.register
+async def _(
+    route: routing.Refuse, executor: Executor, work: works.Work
+) -> handlers.AnswerResult:
+    return expression.Error(failures.ConnectionStateNeeded())
+
+
 @_run.register
 async def _(
     route: routing.OpenTransaction, executor: Executor, work: works.Work
@@ -241,4 +321,4 @@
 async def _(
     route: routing.KeepLocally, executor: Executor, work: works.Work
 ) -> handlers.AnswerResult:
-    return expression.Ok(_NOTHING)
+    return expression.Ok(answers.NOTHING)
--- a/hickorygate/callers/failures.py
+++ b/hickorygate/callers/failures.py
@@ -7,7 +7,12 @@
 from hickorygate.core import errors
 from hickorygate.core import types
 
-__all__ = ["KeyReused", "TransactionSpansGroups"]
+__all__ = [
+    "ConnectionStateNeeded",
+    "KeyReused",
+    "SessionStateLost",
+    "TransactionSpansGroups",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -36,3 +41,30 @@
             "this idempotency key was used with another statement; "
             "use a new key for each write"
         )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionStateLost(errors.Failure):
+    """The connection that held the session's state has ended."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            "the session's user variables, temporary tables and locks are "
+            "gone with their connection; reset the session or reconnect"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionStateNeeded(errors.Failure):
+    """A statement needs a connection that the session doesn't keep."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            "this statement depends on the connection of the one before; "
+            "send both in one transaction, or set a user variable before "
+            "the transaction to keep the connection"
+        )
--- a/hickorygate/callers/freshness.py
+++ b/hickorygate/callers/freshness.py
@@ -30,6 +30,7 @@
     "Plan",
     "UnsettledFloor",
     "plan",
+    "plan_primary",
 ]
 
 
@@ -71,29 +72,43 @@
 ) -> Plan:
     """Tells which databases may serve a read.
 
+    Settles the session's floor where a confirmed position is known.
+    """
+    alone = plan_primary(view, session)
+    if isinstance(alone, UnsettledFloor) or _behind(view, session):
+        return alone
+    fresh = _fresh_replicas(view, session.floor(view.group.name), request, now)
+    if not fresh:
+        return alone
+    primary = view.primary
+    return FromReplicas(fresh, primary.database if primary else None)
+
+
+def plan_primary(view: groups.GroupView, session: sessions.Session) -> Plan:
+    """Tells whether the primary may serve the session's reads.
+
     Settles the session's floor where a confirmed position is known.
     """
     if not _settled(view, session):
         return UnsettledFloor()
-    floor = session.floor(view.group.name)
-    if floor.term > view.term:
-        return OldView()
-    primary = view.primary
-    fresh = _fresh_replicas(view, floor, request, now)
-    if fresh:
-        return FromReplicas(fresh, primary.database if primary else None)
-    if primary is None:
+    if _behind(view, session) or view.primary is None:
         return OldView()
-    return FromPrimary(primary.database)
+    return FromPrimary(view.primary.database)
+
+
+def _behind(view: groups.GroupView, session: sessions.Session) -> bool:
+    """Whether the session has seen a newer term than the view."""
+    return session.floor(view.group.name).term > view.term
 
 
 def _settled(view: groups.GroupView, session: sessions.Session) -> bool:
-    if view.group.name in session.settled:
+    name = view.group.name
+    if name in session.settled:
         return True
     position = view.confirmed_position(session.arrived)
     if position is None:
         return False
-    session.raise_floor(view.group.name, position)
+    session.raise_floor(name, position)
     return True
 
 
--- a/hickorygate/callers/routing.py
+++ b/hickorygate/callers/routing.py
@@ -4,16 +4,21 @@
 
 import dataclasses
 import functools
+import re
 
 from hickorygate.callers import session as sessions
 from hickorygate.core import statement as statements
 from hickorygate.core import types
 
 __all__ = [
+    "CommitFirst",
     "EndTransaction",
+    "InTransaction",
     "KeepLocally",
+    "LastInsertId",
     "OpenImplicitly",
     "OpenTransaction",
+    "Refuse",
     "Route",
     "SelectSchema",
     "SwitchAutocommit",
@@ -24,6 +29,13 @@
 ]
 
 
+_LAST_INSERT_ID = re.compile(
+    r"SELECT\s+(?:LAST_INSERT_ID\(\)|@@(?:SESSION\.)?(?:IDENTITY"
+    r"|LAST_INSERT_ID))\s*$",
+    re.I,
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """Base of all routes."""
@@ -41,9 +53,29 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ToPinned(Route):
+    """The connection that the session keeps; taken if it has none."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InTransaction(Route):
     """The connection that the open transaction holds."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitFirst(Route):
+    """An open transaction is kept, then the statement runs alone."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LastInsertId(Route):
+    """Answered from what the proxy remembers of the last write."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refuse(Route):
+    """Not run: its meaning depends on a connection the session lost."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class OpenTransaction(Route):
     """A new transaction, as the caller asked."""
@@ -93,9 +125,11 @@
 
 def _with_transaction(session: sessions.Session, alone: Route) -> Route:
     if session.in_transaction:
-        return ToPinned()
+        return InTransaction()
     if not session.autocommit:
         return OpenImplicitly()
+    if session.pinned:
+        return ToPinned()
     return alone
 
 
@@ -104,6 +138,31 @@
     return _with_transaction(session, ToAny())
 
 
+@route.register
+def _(statement: statements.Pinning, session: sessions.Session) -> Route:
+    if session.in_transaction and not session.pinned:
+        return Refuse()
+    return _with_transaction(session, ToPinned())
+
+
+@route.register
+def _(
+    statement: statements.ConnectionBound, session: sessions.Session
+) -> Route:
+    if session.in_transaction or session.pinned:
+        return _with_transaction(session, ToPinned())
+    if _LAST_INSERT_ID.match(statement.sql):
+        return LastInsertId()
+    return Refuse()
+
+
+@route.register
+def _(statement: statements.ImplicitCommit, session: sessions.Session) -> Route:
+    if session.in_transaction:
+        return CommitFirst()
+    return ToPinned() if session.pinned else ToPrimary()
+
+
 @route.register
 def _(statement: statements.Begin, session: sessions.Session) -> Route:
     return OpenTransaction()
--- a/hickorygate/callers/session.py
+++ b/hickorygate/callers/session.py
@@ -23,6 +23,8 @@
       schema: the selected schema.
       autocommit: whether each statement is its own transaction.
       in_transaction: whether a transaction is open.
+      pinned: whether it keeps a connection for what it left there.
+      last_insert_id: of its newest write that made one.
       floors: the newest position that it must see in each group.
       settled: groups whose floor is known, by a token or an observation.
       variables: set again on each connection that the session is lent.
@@ -35,6 +37,8 @@
     schema: types.SchemaName | None = None
     autocommit: bool = True
     in_transaction: bool = False
+    pinned: bool = False
+    last_insert_id: int = 0
     floors: dict[types.GroupName, positions.Position] = dataclasses.field(
         default_factory=dict
     )
--- a/hickorygate/callers/writing.py
+++ b/hickorygate/callers/writing.py
@@ -5,6 +5,7 @@
 import expression
 
 from hickorygate.callers import environment as environments
+from hickorygate.callers import freshness
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import idempotency
 from hickorygate.callers import lease
@@ -83,6 +84,20 @@
         time_left = work.request.time_left(self._env.clock.now())
         return await self._group.wait_writable(time_left)
 
+    async def primary_for_reads(
+        self, work: works.Work
+    ) -> expression.Result[positions.DatabaseStatus, errors.Failure]:
+        """Returns a primary that may also serve the session's reads."""
+        plan = freshness.plan_primary(self._group.view, self._session)
+        if not isinstance(plan, freshness.FromPrimary):
+            time_left = work.request.time_left(self._env.clock.now())
+            await self._group.next_round(time_left)
+            plan = freshness.plan_primary(self._group.view, self._session)
+        if not isinstance(plan, freshness.FromPrimary):
+            name = self._group.view.group.name
+            return expression.Error(errors.NoPrimary(name))
+        return await self.primary(work)
+
     async def _try(self, work: works.Work) -> handlers.AnswerResult:
         primary = await self.primary(work)
         if primary.is_error():
--- a/hickorygate/upstreams/answer.py
+++ b/hickorygate/upstreams/answer.py
@@ -8,7 +8,7 @@
 
 from hickorygate.core import types
 
-__all__ = ["Answer", "Column", "Done", "Table"]
+__all__ = ["NOTHING", "Answer", "Column", "Done", "Table"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,3 +52,7 @@
 
     columns: tuple[Column, ...]
     rows: Sequence[types.Row] | AsyncIterator[types.Row]
+
+
+NOTHING = Done(warnings=0, affected_rows=0, last_insert_id=0)
+"""The answer to a statement that changed nothing."""
