Answer what clients ask at connect, and SHOW WARNINGS, in the proxy

Cause: such questions need no database, and warnings belong to the connection of the statement before, which is back in the pool. Change: a SELECT of known items is answered locally; the warnings' text is fetched on the same connection before it goes back.

--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -14,6 +14,8 @@
 from hickorygate.callers import executor as executors
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import hints as hints_lib
+from hickorygate.callers import local
+from hickorygate.callers import replies
 from hickorygate.callers import session as sessions
 from hickorygate.core import assignment as assignments
 from hickorygate.core import errors
@@ -42,13 +44,14 @@
     statements.SetAutocommit,
     statements.Use,
 )
+_NOTE_TABLES = (local.NOTE_COLUMNS, local.COUNT_COLUMNS)
 _GET_TOKEN = re.compile(r"SELECT\s+@@hickorygate_token\s*$", re.I)
 
 
 class Frontend:
     """One caller's handler."""
 
-    __slots__ = ("_env", "_executor", "_session", "_settings")
+    __slots__ = ("_env", "_executor", "_facts", "_session", "_settings")
 
     def __init__(
         self,
@@ -57,6 +60,7 @@
     ) -> None:
         self._env = env
         self._settings = settings
+        self._facts = local.Facts(0, settings.statement_limit)
         self._start_session("", hints_lib.Hints())
 
     @property
@@ -72,8 +76,11 @@
     def __repr__(self) -> str:
         return f"Frontend({self._session.user!r})"
 
-    async def connect(self) -> expression.Result[None, errors.Failure]:
+    async def connect(
+        self, connection_id: int
+    ) -> expression.Result[None, errors.Failure]:
         """Accepts every connection."""
+        self._facts.connection_id = connection_id
         return expression.Ok(None)
 
     async def login(
@@ -90,7 +97,14 @@
     async def query(
         self, sql: str, attributes: Mapping[str, str]
     ) -> handlers.AnswerResult:
-        """Answers one statement."""
+        """Answers one statement and remembers what is asked of it later."""
+        result = await self._query(sql, attributes)
+        self._note(result)
+        return result
+
+    async def _query(
+        self, sql: str, attributes: Mapping[str, str]
+    ) -> handlers.AnswerResult:
         arrived = self._env.clock.now()
         commented = hints_lib.in_comments(sql)
         if commented.is_error():
@@ -106,6 +120,13 @@
         taken = self._take_token(hints.token)
         if taken.is_error():
             return expression.Error(taken.error)
+        if self._is_unbound(statement.ok):
+            return expression.Error(
+                errors.UnsupportedStatement(
+                    "LAST_INSERT_ID() and the like outside a transaction, "
+                    "but for a SELECT of nothing else,"
+                )
+            )
         return await _answer(statement.ok, self, hints, arrived)
 
     async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
@@ -158,6 +179,14 @@
         self._session.hints = dataclasses.replace(changed.ok, token=None)
         return expression.Ok(_NOTHING)
 
+    def known(self, statement: statements.Statement) -> answers.Table | None:
+        """Returns the answer to what the proxy itself knows."""
+        return local.select(statement.sql, self._session, self._facts)
+
+    def show_notes(self, sql: str) -> answers.Table:
+        """Returns the notes of the statement before; they stay."""
+        return local.note_table(sql, self._facts.notes)
+
     def token_table(self) -> answers.Table:
         """Returns the session's token as a result."""
         key = self._settings.token_key.get_secret_value().encode()
@@ -165,6 +194,31 @@
         column = answers.Column("@@hickorygate_token", _VAR_STRING, _UTF8MB4)
         return answers.Table(warnings=0, columns=(column,), rows=[(token,)])
 
+    def _is_unbound(self, statement: statements.Statement) -> bool:
+        """Tells whether it asks for what another connection has."""
+        bound = isinstance(statement, statements.ConnectionBound)
+        if not bound or self._session.in_transaction:
+            return False
+        return self.known(statement) is None
+
+    def _note(self, result: handlers.AnswerResult) -> None:
+        facts = self._facts
+        match result:
+            case expression.Result(tag="ok", ok=answers.Done() as done):
+                facts.row_count = done.affected_rows
+                facts.last_insert_id = (
+                    done.last_insert_id or facts.last_insert_id
+                )
+                facts.notes = done.notes
+            case expression.Result(tag="ok", ok=table):
+                facts.row_count = -1
+                if table.columns not in _NOTE_TABLES:
+                    facts.notes = table.notes
+            case expression.Result(tag="error", error=failure):
+                reply = replies.error_reply(failure)
+                note = answers.Note("Error", reply.code, reply.text)
+                facts.notes = (note,)
+
     def _start_session(
         self, user: types.CallerName, attributes: hints_lib.Hints
     ) -> None:
@@ -258,9 +312,35 @@
 ) -> handlers.AnswerResult:
     if _GET_TOKEN.match(statement.sql):
         return expression.Ok(frontend.token_table())
+    known = frontend.known(statement)
+    if known is not None:
+        return expression.Ok(known)
+    return await frontend.run(statement, hints, arrived)
+
+
+@_answer.register
+async def _(
+    statement: statements.ConnectionBound,
+    frontend: Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    known = frontend.known(statement)
+    if known is not None:
+        return expression.Ok(known)
     return await frontend.run(statement, hints, arrived)
 
 
+@_answer.register
+async def _(
+    statement: statements.ShowWarnings,
+    frontend: Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    return expression.Ok(frontend.show_notes(statement.sql))
+
+
 @_answer.register
 async def _(
     statement: statements.SetVariable,
--- a/hickorygate/callers/handler.py
+++ b/hickorygate/callers/handler.py
@@ -27,7 +27,9 @@
     def in_transaction(self) -> bool:
         """Whether a transaction is open."""
 
-    async def connect(self) -> expression.Result[None, errors.Failure]:
+    async def connect(
+        self, connection_id: int
+    ) -> expression.Result[None, errors.Failure]:
         """Takes in a connection; a refusal goes out in place of a greeting."""
 
     async def login(
--- /dev/null
+++ b/hickorygate/callers/local.py
@@ -0,0 +1,191 @@
+"""Answers what the proxy itself knows, without asking a database.
+
+Clients and drivers ask such things when they connect. A SELECT is answered
+here only if every item of it is known; else it goes to a database whole.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import re
+
+from hickorygate.callers import session as sessions
+from hickorygate.core import types
+from hickorygate.upstreams import answer as answers
+
+__all__ = [
+    "COUNT_COLUMNS",
+    "NOTE_COLUMNS",
+    "SERVER_VERSION",
+    "Facts",
+    "note_table",
+    "select",
+]
+
+SERVER_VERSION = "8.0.29"
+"""The MySQL version whose protocol the front end speaks."""
+
+_VERSION_COMMENT = "hickorygate"
+_LONGEST = 4_096
+"""Characters of the longest SELECT that is looked at."""
+
+_CACHED_SELECTS = 256
+_LONGLONG = 8
+_VAR_STRING = 253
+_BINARY = 63
+_UTF8MB4 = 45
+_SELECT = re.compile(
+    r"\s*(?:/\*[^*!]*\*/\s*)?SELECT\s+(?P<items>[^'\"#]+?)"
+    r"(?:\s+LIMIT\s+1)?\s*\Z",
+    re.I,
+)
+_ITEM = re.compile(
+    r"(?:@@(?:(?:SESSION|LOCAL|GLOBAL)\s*\.\s*)?(?P<variable>\w+)"
+    r"|(?P<call>[A-Za-z_]+)\s*\(\s*\)|(?P<number>\d{1,18}))"
+    r"(?:\s+(?:AS\s+)?`?(?P<alias>\w+)`?)?\Z",
+    re.I,
+)
+_LIMIT = re.compile(r"\bLIMIT\s+(?:(\d+)\s*,\s*)?(\d+)\s*\Z", re.I)
+_COUNT = re.compile(r"\s*SHOW\s+COUNT\b", re.I)
+_ONLY_ERRORS = re.compile(r"\bERRORS\b", re.I)
+
+NOTE_COLUMNS = (
+    answers.Column("Level", _VAR_STRING, _UTF8MB4),
+    answers.Column("Code", _LONGLONG, _BINARY),
+    answers.Column("Message", _VAR_STRING, _UTF8MB4),
+)
+"""The columns of SHOW WARNINGS."""
+
+COUNT_COLUMNS = (answers.Column("@@session.warning_count", _LONGLONG, _BINARY),)
+"""The column of SHOW COUNT(*) WARNINGS."""
+
+_CONSTANTS: dict[str, types.Cell] = {
+    "auto_increment_increment": 1,
+    "character_set_client": "utf8mb4",
+    "character_set_connection": "utf8mb4",
+    "character_set_results": "utf8mb4",
+    "character_set_server": "utf8mb4",
+    "init_connect": "",
+    "interactive_timeout": 28_800,
+    "license": "",
+    "net_read_timeout": 30,
+    "net_write_timeout": 60,
+    "performance_schema": 0,
+    "version": SERVER_VERSION,
+    "version_comment": _VERSION_COMMENT,
+    "wait_timeout": 28_800,
+}
+
+
+@dataclasses.dataclass(slots=True)
+class Facts:
+    """What the proxy knows of one connection.
+
+    Attributes:
+      connection_id: as the greeting said.
+      statement_limit: bytes of the longest statement.
+      last_insert_id: of the last write that generated one.
+      row_count: rows that the last statement changed; -1 after a result.
+      notes: of the last statement.
+    """
+
+    connection_id: int
+    statement_limit: int
+    last_insert_id: int = 0
+    row_count: int = -1
+    notes: tuple[answers.Note, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Item:
+    """One item of a SELECT: a variable or a call, in lower case."""
+
+    label: str
+    name: str
+    number: int | None
+
+
+def select(
+    sql: str, session: sessions.Session, facts: Facts
+) -> answers.Table | None:
+    """Answers a SELECT of what the proxy knows; None if it isn't one."""
+    if len(sql) > _LONGEST:
+        return None
+    items = _items(sql)
+    if items is None:
+        return None
+    known = _known(session, facts)
+    cells: list[types.Cell] = []
+    for item in items:
+        if item.number is None and item.name not in known:
+            return None
+        cells.append(known[item.name] if item.number is None else item.number)
+    columns = tuple(
+        _column(item.label, cell)
+        for item, cell in zip(items, cells, strict=True)
+    )
+    return answers.Table(warnings=0, columns=columns, rows=[tuple(cells)])
+
+
+def note_table(sql: str, notes: tuple[answers.Note, ...]) -> answers.Table:
+    """Answers SHOW WARNINGS and its kin."""
+    if _ONLY_ERRORS.search(sql):
+        notes = tuple(note for note in notes if note.level == "Error")
+    if _COUNT.match(sql):
+        return answers.Table(0, COUNT_COLUMNS, [(len(notes),)])
+    limit = _LIMIT.search(sql)
+    if limit:
+        first = int(limit.group(1) or 0)
+        notes = notes[first : first + int(limit.group(2))]
+    rows = [(note.level, note.code, note.text) for note in notes]
+    return answers.Table(0, NOTE_COLUMNS, rows)
+
+
+@functools.lru_cache(maxsize=_CACHED_SELECTS)
+def _items(sql: str) -> tuple[_Item, ...] | None:
+    match = _SELECT.match(" ".join(sql.split()))
+    if match is None:
+        return None
+    items = []
+    for text in match["items"].split(","):
+        item = _ITEM.match(text.strip())
+        if item is None:
+            return None
+        items.append(_item(item))
+    return tuple(items)
+
+
+def _item(match: re.Match[str]) -> _Item:
+    label = match["alias"] or match.group().split()[0]
+    if match["number"]:
+        return _Item(label, "", int(match["number"]))
+    if match["call"]:
+        return _Item(label, match["call"].lower() + "()", None)
+    return _Item(label, match["variable"].lower(), None)
+
+
+def _known(session: sessions.Session, facts: Facts) -> dict[str, types.Cell]:
+    user = f"{session.user}@%"
+    return _CONSTANTS | {
+        "autocommit": int(session.autocommit),
+        "connection_id()": facts.connection_id,
+        "current_user()": user,
+        "database()": session.schema,
+        "hickorygate_rank": session.hints.rank or session.attributes.rank,
+        "last_insert_id": facts.last_insert_id,
+        "last_insert_id()": facts.last_insert_id,
+        "max_allowed_packet": facts.statement_limit,
+        "row_count()": facts.row_count,
+        "schema()": session.schema,
+        "session_user()": user,
+        "user()": user,
+        "version()": SERVER_VERSION,
+        "warning_count": len(facts.notes),
+    }
+
+
+def _column(label: str, cell: types.Cell) -> answers.Column:
+    if isinstance(cell, int):
+        return answers.Column(label, _LONGLONG, _BINARY)
+    return answers.Column(label, _VAR_STRING, _UTF8MB4)
--- a/hickorygate/callers/server.py
+++ b/hickorygate/callers/server.py
@@ -128,7 +128,7 @@
 
     async def connection_phase(self) -> None:
         """Logs the caller in; a refused one is disconnected."""
-        admitted = await self._handler.connect()
+        admitted = await self._handler.connect(self.connection_id)
         if admitted.is_error():
             raise errors.FailureError(admitted.error)
         try:
--- a/hickorygate/testing/handler.py
+++ b/hickorygate/testing/handler.py
@@ -72,7 +72,9 @@
         self.autocommit = True
         self.in_transaction = False
 
-    async def connect(self) -> expression.Result[None, errors.Failure]:
+    async def connect(
+        self, connection_id: int
+    ) -> expression.Result[None, errors.Failure]:
         """Accepts connections while there is room."""
         self._connected = self._database.load.connect()
         if not self._connected:
--- /dev/null
+++ b/hickorygate/tests/test_local.py
@@ -0,0 +1,74 @@
+"""What the proxy answers by itself."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from hickorygate.callers import local
+from hickorygate.callers import session as sessions
+from hickorygate.upstreams import answer as answers
+
+_NOTES = (
+    answers.Note("Warning", 1265, "Data truncated"),
+    answers.Note("Error", 1062, "Duplicate entry"),
+)
+
+
+class SelectTest(unittest.TestCase):
+    """SELECTs of what the proxy knows, and the rest."""
+
+    def setUp(self) -> None:
+        now = datetime.datetime(2026, 3, 1, tzinfo=datetime.UTC)
+        self.session = sessions.Session("vindpoot", now, schema="alerts_1")
+        self.facts = local.Facts(7, 1_024, last_insert_id=9)
+
+    def rows(self, sql: str) -> list[tuple[object, ...]] | None:
+        table = local.select(sql, self.session, self.facts)
+        return None if table is None else list(table.rows)
+
+    def test_known_items_are_answered(self) -> None:
+        for sql, row in {
+            "SELECT 1": (1,),
+            "select @@version_comment limit 1": ("hickorygate",),
+            "SELECT DATABASE(), connection_id()": ("alerts_1", 7),
+            "/* driver */ SELECT  @@session.autocommit AS a": (1,),
+            "SELECT @@max_allowed_packet, LAST_INSERT_ID()": (1_024, 9),
+        }.items():
+            with self.subTest(sql):
+                self.assertEqual(self.rows(sql), [row])
+
+    def test_anything_else_goes_to_a_database(self) -> None:
+        for sql in (
+            "SELECT @@server_uuid",
+            "SELECT 1, @@server_uuid",
+            "SELECT '1'",
+            "SELECT a FROM t",
+            "SELECT 1 FROM t",
+            "SELECT NOW()",
+            "SELECT 1 " + " " * 5_000,
+        ):
+            with self.subTest(sql):
+                self.assertIsNone(self.rows(sql))
+
+    def test_labels(self) -> None:
+        sql = "SELECT @@autocommit, @@version AS `v`"
+        table = local.select(sql, self.session, self.facts)
+        labels = [column.name for column in table.columns]
+        self.assertEqual(labels, ["@@autocommit", "v"])
+
+
+class NoteTest(unittest.TestCase):
+    """SHOW WARNINGS and its kin."""
+
+    def test_rows(self) -> None:
+        both = [(n.level, n.code, n.text) for n in _NOTES]
+        for sql, rows in {
+            "SHOW WARNINGS": both,
+            "SHOW WARNINGS LIMIT 1, 5": both[1:],
+            "show errors": both[1:],
+            "SHOW COUNT(*) WARNINGS": [(2,)],
+            "SHOW COUNT(*) ERRORS": [(1,)],
+        }.items():
+            with self.subTest(sql):
+                self.assertEqual(local.note_table(sql, _NOTES).rows, rows)
--- a/hickorygate/upstreams/answer.py
+++ b/hickorygate/upstreams/answer.py
@@ -8,7 +8,7 @@
 
 from hickorygate.core import types
 
-__all__ = ["Answer", "Column", "Done", "Table"]
+__all__ = ["Answer", "Column", "Done", "Note", "Table"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,11 +26,32 @@
     charset: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """One line of SHOW WARNINGS.
+
+    Attributes:
+      level: Note, Warning or Error.
+      code: MySQL error number.
+      text: the database's message.
+    """
+
+    level: str
+    code: int
+    text: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """Base of the answers."""
+    """Base of the answers.
+
+    Attributes:
+      warnings: how many the database counted.
+      notes: their text, where the answer came whole.
+    """
 
     warnings: int
+    notes: tuple[Note, ...] = dataclasses.field(default=(), kw_only=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import dataclasses
 import datetime
 
 import asyncmy
@@ -51,6 +52,10 @@
     return isinstance(code, int) and code > 0 and code not in _CLIENT_ERRORS
 
 
+def _text(cell: bytes | str) -> str:
+    return cell.decode() if isinstance(cell, bytes) else cell
+
+
 class Connection:
     """A logged-in connection to one database."""
 
@@ -103,6 +108,7 @@
             async with asyncio.timeout(timeout.total_seconds()):
                 await cursor.execute(sql)
                 answer = await self._answer(cursor)
+                answer = await self._with_notes(answer)
         except asyncio.CancelledError:
             self.close()
             raise
@@ -164,6 +170,22 @@
             return answers.Table(warnings, columns, rows)
         return answers.Table(warnings, columns, self._stream(cursor, rows))
 
+    async def _with_notes(self, answer: answers.Answer) -> answers.Answer:
+        """Fetches the warnings' text before anything else runs here."""
+        streams = isinstance(answer, answers.Table) and isinstance(
+            answer.rows, AsyncIterator
+        )
+        if not answer.warnings or streams:
+            return answer
+        cursor = self._raw.cursor(cursors.SSCursor)
+        await cursor.execute("SHOW WARNINGS")
+        rows = await cursor.fetchall()
+        notes = tuple(
+            answers.Note(_text(level), int(code), _text(text))
+            for level, code, text in rows
+        )
+        return dataclasses.replace(answer, notes=notes)
+
     async def _stream(
         self, cursor: cursors.SSCursor, rows: list[types.Row]
     ) -> AsyncIterator[types.Row]:
