--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -40,9 +40,11 @@
     "Problem",
     "ProxyUnreachable",
     "ReplicationUnconfirmed",
+    "ReservedLock",
     "SheetConflict",
     "StatementTooLarge",
     "StoreUnavailable",
+    "TransactionIdle",
     "UnknownSchema",
     "UnsupportedCharset",
     "UnsupportedStatement",
@@ -374,6 +376,36 @@
         return f"{self.database!r} is leaving; retry, another one takes over"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReservedLock(Failure):
+    """A statement names advisory locks that the proxies rely on."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            "RELEASE_ALL_LOCKS and locks named 'hickorygate.*' are reserved; "
+            "release your own locks by name"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TransactionIdle(Failure):
+    """A transaction was idle for too long and has been rolled back."""
+
+    database: types.DatabaseName
+    limit: datetime.timedelta
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"the transaction on {self.database!r} sent nothing for "
+            f"{self.limit.total_seconds():.1f} s and was rolled back; "
+            "begin again, or raise upstreams.transaction_idle_ms"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLost(Failure):
     """A statement was sent and its answer never came."""
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -79,6 +79,11 @@
       detection_ms: how long a primary must be out of reach, for us and
         for its replicas, before it is replaced.
       confirm_timeout_ms: how long a write waits for a majority.
+      keepalive_ms: between two checks of connections that aren't in use; a
+        database ends a connection that sends nothing for 1 s.
+      stall_ms: how long a statement may be silent before a second connection
+        stands by for its slot.
+      transaction_idle_ms: how long an open transaction may send nothing.
     """
 
     user: str = "hickorygate"
@@ -89,6 +94,9 @@
     probe_timeout_ms: _Milliseconds = 500
     detection_ms: _Milliseconds = 800
     confirm_timeout_ms: _Milliseconds = 2_000
+    keepalive_ms: Annotated[int, pydantic.Field(gt=0, lt=1_000)] = 400
+    stall_ms: _Milliseconds = 500
+    transaction_idle_ms: _Milliseconds = 5_000
 
     @property
     def connect_timeout(self) -> datetime.timedelta:
@@ -110,6 +118,21 @@
         """Time out of reach after which a primary is replaced."""
         return datetime.timedelta(milliseconds=self.detection_ms)
 
+    @property
+    def keepalive(self) -> datetime.timedelta:
+        """Time between two checks of unused connections."""
+        return datetime.timedelta(milliseconds=self.keepalive_ms)
+
+    @property
+    def stall(self) -> datetime.timedelta:
+        """Time after which a silent statement is looked into."""
+        return datetime.timedelta(milliseconds=self.stall_ms)
+
+    @property
+    def transaction_idle(self) -> datetime.timedelta:
+        """Time that an open transaction may send nothing."""
+        return datetime.timedelta(milliseconds=self.transaction_idle_ms)
+
     @property
     def confirm_timeout(self) -> datetime.timedelta:
         """Time that a write waits for a majority."""
--- a/hickorygate/testing/locks.py
+++ b/hickorygate/testing/locks.py
@@ -218,6 +218,14 @@
     return None if default is None else await _value(default, locks, owner)
 
 
+@_value.register
+async def _(node: expressions.If, locks: Locks, owner: Owner) -> Value:
+    if await _value(node.this, locks, owner):
+        return await _value(node.args["true"], locks, owner)
+    default = node.args.get("false")
+    return None if default is None else await _value(default, locks, owner)
+
+
 @_value.register
 async def _(node: expressions.Anonymous, locks: Locks, owner: Owner) -> Value:
     arguments = node.expressions
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -9,6 +9,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 import datetime
+import re
 
 import asyncmy
 from asyncmy import connection as asyncmy_connection
@@ -31,6 +32,15 @@
 _READ_ONLY = frozenset({1290, 1792, 1836})
 _SHUTDOWN = frozenset({1053, 1077, 1079})
 _DEFAULT_SQLSTATE = "HY000"
+_TOO_MANY_CONNECTIONS = 1040
+_RESERVED = re.compile(
+    r"\bRELEASE_ALL_LOCKS\s*\(|_LOCK\s*\(\s*['\"]hickorygate\.", re.I
+)
+_TRACES = re.compile(
+    r"\bTEMPORARY\b|\bGET_LOCK\b|\bLOCK\s+TABLES?\b|\bPREPARE\b"
+    r"|\bHANDLER\b|:=|\bINTO\s+@|\bSET\s+@(?!@)",
+    re.I,
+)
 
 
 def _upstream_error(error: asyncmy_errors.MySQLError) -> errors.UpstreamError:
@@ -54,7 +64,18 @@
 class Connection:
     """A logged-in connection to one database."""
 
-    __slots__ = ("_closed", "_database", "_raw", "_schema", "_variables")
+    __slots__ = (
+        "_busy",
+        "_cause",
+        "_closed",
+        "_database",
+        "_lock",
+        "_raw",
+        "_schema",
+        "_statements",
+        "_tainted",
+        "_variables",
+    )
 
     def __init__(
         self,
@@ -66,6 +87,28 @@
         self._closed = False
         self._schema: types.SchemaName | None = None
         self._variables: assignments.Variables = ()
+        self._lock = asyncio.Lock()
+        self._busy = False
+        self._cause: errors.Failure | None = None
+        self._statements = 0
+        self._tainted = False
+
+    @property
+    def busy(self) -> bool:
+        """Whether a statement runs or its rows are still arriving."""
+        return self._busy
+
+    @property
+    def statements(self) -> int:
+        """Statements begun since it was opened."""
+        return self._statements
+
+    @property
+    def reusable(self) -> bool:
+        """Whether another session may use it: whole, idle, without traces."""
+        if self.closed or self._busy or self._tainted:
+            return False
+        return not self._raw.get_transaction_status()
 
     @property
     def closed(self) -> bool:
@@ -89,16 +132,53 @@
     async def execute(
         self, sql: str, timeout: datetime.timedelta
     ) -> expression.Result[answers.Answer, errors.Failure]:
-        """Runs one statement and reads the first batch of its answer.
+        """Runs a caller's statement and reads the first batch of its answer.
+
+        A statement that leaves traces in the session (temporary tables,
+        locks, user variables) bars the connection from other sessions.
 
         Args:
           sql: the statement.
           timeout: after which the answer counts as lost.
         """
-        if self.closed:
-            name = self._database.name
-            return expression.Error(errors.ConnectFailed(name, "closed"))
+        if _RESERVED.search(sql):
+            return expression.Error(errors.ReservedLock())
+        if _TRACES.search(sql):
+            self._tainted = True
+        return await self.control(sql, timeout)
+
+    async def control(
+        self, sql: str, timeout: datetime.timedelta
+    ) -> expression.Result[answers.Answer, errors.Failure]:
+        """Runs a statement of the proxy's own, without a caller's checks."""
+        async with self._lock:
+            if self.closed:
+                return expression.Error(self._closed_failure())
+            return await self._run(sql, timeout)
+
+    async def ping(
+        self, timeout: datetime.timedelta
+    ) -> expression.Result[None, errors.Failure]:
+        """Checks that the other end answers; closes the connection if not."""
+        async with self._lock:
+            if self.closed:
+                return expression.Error(self._closed_failure())
+            try:
+                async with asyncio.timeout(timeout.total_seconds()):
+                    await self._raw.ping(reconnect=False)
+            except asyncio.CancelledError:
+                self.close()
+                raise
+            except Exception as error:  # noqa: BLE001 - as in _run
+                return expression.Error(self._failure(error))
+        return expression.Ok(None)
+
+    async def _run(
+        self, sql: str, timeout: datetime.timedelta
+    ) -> expression.Result[answers.Answer, errors.Failure]:
         cursor = self._raw.cursor(cursors.SSCursor)
+        self._busy = True
+        self._statements += 1
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 await cursor.execute(sql)
@@ -107,6 +187,7 @@
             self.close()
             raise
         except Exception as error:  # noqa: BLE001 - the library's many kinds
+            self._busy = False
             return expression.Error(self._failure(error))
         return expression.Ok(answer)
 
@@ -135,11 +216,20 @@
             self._variables = left
         return expression.Ok(None)
 
-    def close(self) -> None:
-        """Closes the socket at once."""
+    def close(self, cause: errors.Failure | None = None) -> None:
+        """Closes the socket at once.
+
+        Args:
+          cause: what the next statement on it is told; says NOT_RUN.
+        """
         self._closed = True
+        self._cause = self._cause or cause
         self._raw.close()
 
+    def _closed_failure(self) -> errors.Failure:
+        name = self._database.name
+        return self._cause or errors.ConnectFailed(name, "closed")
+
     def _failure(self, error: Exception) -> errors.Failure:
         if _is_answer(error):
             return _upstream_error(error)
@@ -150,6 +240,7 @@
     async def _answer(self, cursor: cursors.SSCursor) -> answers.Answer:
         warnings = cursor._result.warning_count  # noqa: SLF001
         if cursor.description is None:
+            self._busy = False
             return answers.Done(
                 warnings=warnings,
                 affected_rows=cursor.rowcount,
@@ -161,6 +252,7 @@
         )
         rows = await cursor.fetchmany(_BATCH_ROWS)
         if len(rows) < _BATCH_ROWS:
+            self._busy = False
             return answers.Table(warnings, columns, rows)
         return answers.Table(warnings, columns, self._stream(cursor, rows))
 
@@ -174,6 +266,7 @@
                     yield row
                 rows = await cursor.fetchmany(_BATCH_ROWS)
             complete = True
+            self._busy = False
         except asyncmy_errors.MySQLError as error:
             raise errors.FailureError(self._failure(error)) from error
         finally:
@@ -181,10 +274,24 @@
                 self.close()
 
 
+def _connect_failure(
+    database: sheets.Database, error: Exception
+) -> errors.Failure:
+    if error.args and error.args[0] == _TOO_MANY_CONNECTIONS:
+        return errors.ConnectionLimit(database.name)
+    reason = str(error) or type(error).__name__
+    return errors.ConnectFailed(database.name, reason)
+
+
 async def open_connection(
     database: sheets.Database, settings: settings_lib.UpstreamSettings
-) -> expression.Result[Connection, errors.ConnectFailed]:
-    """Connects and logs in."""
+) -> expression.Result[Connection, errors.Failure]:
+    """Connects and logs in.
+
+    Returns:
+      `ConnectionLimit` if the database takes no more connections, or
+      `ConnectFailed`.
+    """
     limit = settings.connect_timeout.total_seconds()
     try:
         async with asyncio.timeout(limit):
@@ -197,6 +304,5 @@
                 conv={},
             )
     except (asyncmy_errors.MySQLError, OSError, TimeoutError) as error:
-        reason = str(error) or type(error).__name__
-        return expression.Error(errors.ConnectFailed(database.name, reason))
+        return expression.Error(_connect_failure(database, error))
     return expression.Ok(Connection(raw, database))
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -19,6 +19,7 @@
 from hickorygate.upstreams import group as groups
 from hickorygate.upstreams import pool as pools
 from hickorygate.upstreams import probe as probes
+from hickorygate.upstreams import slots
 
 __all__ = ["DatabaseLink", "GroupLink"]
 
@@ -36,9 +37,10 @@
         settings: settings_lib.UpstreamSettings,
         clock: clocks.Clock,
     ) -> None:
-        share = database.connections // proxies - control_link.CONNECTIONS
+        limit = database.connections - proxies * control_link.CONNECTIONS
+        share = slots.Share(limit=max(1, limit), proxies=proxies)
         self._database = database
-        self._pool = pools.Pool(database, max(1, share), settings, clock)
+        self._pool = pools.Pool(database, share, settings, clock)
         self._control = control_link.ControlLink(database, owner, settings)
 
     @property
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -1,10 +1,17 @@
-"""A pool of connections to one database."""
+"""Lends connections to one database, in the order that admission decides.
+
+An adapter: `RankQueue` decides who is next, `SlotKeeper` which connection
+opens, seeks a slot, or gives it back; this module does it and reports back.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import collections
+from collections.abc import Coroutine
 import dataclasses
 import datetime
+import functools
 
 import expression
 
@@ -16,56 +23,84 @@
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
 from hickorygate.upstreams import connection as connections
+from hickorygate.upstreams import keepalive as keepalives
+from hickorygate.upstreams import locks
+from hickorygate.upstreams import slot_events as events
+from hickorygate.upstreams import slots as slots_lib
 
 __all__ = ["LeaseResult", "Pool"]
 
 LeaseResult = expression.Result[connections.Connection, errors.Failure]
 
+_QUEUE_WAIT = datetime.timedelta(milliseconds=500)
+"""How long one statement queues for a slot; also bounds how long a silent
+connection goes unnoticed there."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Lease:
     """A connection that runs a request."""
 
+    channel: int
     waiter: admission.Waiter
     started: datetime.datetime
 
 
 class Pool:
-    """Lends connections in the order that admission decides."""
+    """Connections to one database for callers' statements."""
 
     __slots__ = (
         "_answers",
         "_clock",
+        "_connections",
         "_database",
-        "_idle",
+        "_events",
+        "_handling",
+        "_keepalive",
+        "_keeper",
         "_leases",
         "_left",
+        "_opened",
         "_queue",
         "_refused",
         "_settings",
-        "_size",
+        "_share",
         "_tasks",
+        "_timer",
     )
 
     def __init__(
         self,
         database: sheets.Database,
-        size: int,
+        share: slots_lib.Share,
         settings: settings_lib.UpstreamSettings,
         clock: clocks.Clock,
+        policy: admission.Policy | None = None,
     ) -> None:
         self._clock = clock
         self._database = database
         self._settings = settings
-        self._size = size
+        self._share = share
         self._queue = admission.RankQueue(
-            admission.QueueSettings(slots=size, capacity=size)
+            admission.QueueSettings(
+                policy=policy or admission.Floors(),
+                slots=database.slots,
+                capacity=database.slots / share.proxies,
+            )
+        )
+        self._keeper = slots_lib.SlotKeeper(
+            database.slots, share, slots_lib.SlotSettings()
         )
         self._answers: dict[admission.Waiter, asyncio.Future[LeaseResult]] = {}
-        self._idle: list[connections.Connection] = []
+        self._connections: dict[int, connections.Connection] = {}
         self._leases: dict[connections.Connection, _Lease] = {}
+        self._events: collections.deque[events.Event] = collections.deque()
+        self._handling = False
         self._tasks: set[asyncio.Task[None]] = set()
+        self._timer: asyncio.TimerHandle | None = None
+        self._keepalive = keepalives.Keepalive(self, settings, clock)
         self._left = False
+        self._opened = 0
         self._refused = 0
 
     @property
@@ -73,21 +108,36 @@
         """The database at the other end."""
         return self._database
 
+    @property
+    def connections(self) -> dict[int, connections.Connection]:
+        """The open connections by channel."""
+        return dict(self._connections)
+
     @property
     def idle(self) -> int:
         """Connections that no one uses."""
-        return len(self._idle)
+        return len(self._connections) - len(self._leases)
 
     @property
     def leased(self) -> int:
         """Connections in use."""
         return len(self._leases)
 
+    @property
+    def held(self) -> int:
+        """Slots held."""
+        return self._keeper.held
+
     @property
     def waiting(self) -> dict[types.RankName, int]:
         """Requests that wait, by rank."""
         return self._queue.waiting
 
+    @property
+    def opened(self) -> int:
+        """Connections opened since the start."""
+        return self._opened
+
     @property
     def refused(self) -> int:
         """Requests refused since the start."""
@@ -107,53 +157,90 @@
         return result
 
     def release(self, connection: connections.Connection) -> None:
-        """Takes a connection back; a closed one is dropped."""
-        lease = self._leases.pop(connection)
+        """Takes a connection back; one with traces of a session is closed."""
+        lease = self._leases.pop(connection, None)
+        if lease is None:
+            return
         now = self._clock.now()
         self._queue.finish(lease.waiter, now - lease.started, now)
-        if self._left:
+        if not connection.reusable:
             connection.close()
-        if not connection.closed:
-            self._idle.append(connection)
-        self._start_next()
+        if self._connections.get(lease.channel) is not connection:
+            self._note_demand()
+        elif connection.closed:
+            self.lose(lease.channel)
+        else:
+            self._note_demand()
+            self.note(events.Returned(lease.channel))
 
     def leave(self) -> None:
         """The database is leaving: nothing new, what runs may finish."""
         self._left = True
         failure = errors.DatabaseLeft(self._database.name)
-        for waiter in self._queue.clear():
-            self._answer(waiter, expression.Error(failure))
-        while self._idle:
-            self._idle.pop().close()
+        self._refuse(self._queue.clear(), failure)
+        self.note(events.Leave())
 
     def close(self) -> None:
         """Closes what is idle; what is leased closes when it comes back."""
         self.leave()
+        self._keepalive.stop()
+        if self._timer is not None:
+            self._timer.cancel()
+
+    def note(self, event: events.Event) -> None:
+        """Lets the keeper decide on an event, and does what it says."""
+        self._events.append(event)
+        if self._handling:
+            return
+        self._handling = True
+        try:
+            while self._events:
+                now = self._clock.now()
+                for effect in self._keeper.handle(self._events.popleft(), now):
+                    _perform(effect, self)
+        finally:
+            self._handling = False
+
+    def lose(self, channel: int) -> None:
+        """Drops the connection of a channel."""
+        connection = self._connections.pop(channel, None)
+        if connection is not None:
+            connection.close()
+            self._note_demand()
+            self.note(events.Lost(channel))
+
+    def is_leased(self, connection: connections.Connection) -> bool:
+        """Tells whether a caller has the connection."""
+        return connection in self._leases
 
     async def _acquire(self, request: requests.Request) -> LeaseResult:
         if self._left:
             return expression.Error(errors.DatabaseLeft(self._database.name))
-        free = self._queue.running < self._size
+        self._drop_late()
+        free = self._queue.running < self._database.slots
         offered = self._queue.offer(request, self._clock.now(), free)
         if offered.is_error():
             return expression.Error(offered.error)
         waiter = offered.ok
         answer = asyncio.get_running_loop().create_future()
         self._answers[waiter] = answer
-        self._start_next()
-        left = request.time_left(self._clock.now())
+        self._keepalive.start()
+        self._note_demand()
         try:
-            await asyncio.wait((answer,), timeout=left.total_seconds())
+            return await self._answered(waiter, answer)
         except asyncio.CancelledError:
             self._abandon(waiter, answer)
             raise
+
+    async def _answered(
+        self, waiter: admission.Waiter, answer: asyncio.Future[LeaseResult]
+    ) -> LeaseResult:
+        left = waiter.request.time_left(self._clock.now())
+        await asyncio.wait((answer,), timeout=left.total_seconds())
         if answer.done():
             return answer.result()
         self._abandon(waiter, answer)
-        waited = self._clock.now() - request.arrived
-        return expression.Error(
-            errors.DeadlinePassed(request.rank.name, waited)
-        )
+        return expression.Error(self._passed(waiter))
 
     def _abandon(
         self, waiter: admission.Waiter, answer: asyncio.Future[LeaseResult]
@@ -163,51 +250,179 @@
         self._queue.withdraw(waiter)
         if answer.done() and answer.result().is_ok():
             self.release(answer.result().ok)
+        else:
+            self._note_demand()
+
+    def _passed(self, waiter: admission.Waiter) -> errors.DeadlinePassed:
+        waited = self._clock.now() - waiter.request.arrived
+        return errors.DeadlinePassed(waiter.request.rank.name, waited)
+
+    def _refuse(
+        self, waiters: tuple[admission.Waiter, ...], failure: errors.Failure
+    ) -> None:
+        for waiter in waiters:
+            self._answer(waiter, expression.Error(failure))
 
     def _answer(self, waiter: admission.Waiter, result: LeaseResult) -> None:
         answer = self._answers.pop(waiter, None)
         if answer is not None:
             answer.set_result(result)
-        elif result.is_ok():
-            self.release(result.ok)
 
-    def _start_next(self) -> None:
-        """Runs what the queue gives while there is room."""
+    def _drop_late(self) -> None:
+        for waiter in self._queue.late(self._clock.now()):
+            self._answer(waiter, expression.Error(self._passed(waiter)))
+
+    def _note_demand(self) -> None:
+        urgent = self._queue.urgency == 0
+        self.note(events.Demand(self._queue.size, urgent))
+
+    def _lend(self, channel: int) -> None:
+        """Gives a ready connection to who is next."""
+        self._drop_late()
         now = self._clock.now()
-        for waiter in self._queue.late(now):
-            waited = now - waiter.request.arrived
-            failure = errors.DeadlinePassed(waiter.request.rank.name, waited)
-            self._answer(waiter, expression.Error(failure))
-        while self._queue.running < self._size:
-            waiter = self._queue.take(now)
-            if waiter is None:
-                return
-            self._lend(waiter)
-
-    def _lend(self, waiter: admission.Waiter) -> None:
-        while self._idle:
-            connection = self._idle.pop()
-            if not connection.closed:
-                self._lease(waiter, connection)
-                return
-        task = asyncio.create_task(self._open(waiter))
+        waiter = self._queue.take(now)
+        if waiter is None:
+            self._note_demand()
+            self.note(events.Returned(channel))
+            return
+        connection = self._connections[channel]
+        self._leases[connection] = _Lease(channel, waiter, now)
+        self._answer(waiter, expression.Ok(connection))
+
+    def _spawn(self, work: Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _lease(
-        self, waiter: admission.Waiter, connection: connections.Connection
-    ) -> None:
-        self._leases[connection] = _Lease(waiter, self._clock.now())
-        self._answer(waiter, expression.Ok(connection))
-
-    async def _open(self, waiter: admission.Waiter) -> None:
-        result = await connections.open_connection(
+    async def _open(self, channel: int) -> None:
+        opened = await connections.open_connection(
             self._database, self._settings
         )
+        if opened.is_ok():
+            opened = await self._enter(opened.ok)
+        if opened.is_error():
+            self.note(events.OpenFailed(channel, opened.error))
+            return
+        self._opened += 1
+        self._connections[channel] = opened.ok
+        self.note(events.Opened(channel))
+
+    async def _enter(self, connection: connections.Connection) -> LeaseResult:
+        entered = await locks.enter(
+            connection, self._share.limit, self._settings.connect_timeout
+        )
+        if entered.is_error():
+            connection.close()
+            return expression.Error(_before_work(entered.error))
+        return expression.Ok(connection)
+
+    async def _seek(
+        self,
+        channel: int,
+        connection: connections.Connection,
+        work: Coroutine[None, None, locks.SlotResult],
+    ) -> None:
+        """Reports what became of a request for a slot."""
+        result = await work
+        if self._connections.get(channel) is not connection:
+            return
         match result:
-            case expression.Result(tag="ok", ok=connection):
-                self._lease(waiter, connection)
-            case expression.Result(tag="error", error=failure):
-                self._queue.finish(waiter, None, self._clock.now())
-                self._answer(waiter, expression.Error(failure))
-                self._start_next()
+            case expression.Result(tag="ok", ok=None):
+                self._note_demand()
+                self.note(events.NotFree(channel))
+            case expression.Result(tag="ok", ok=slot):
+                self._note_demand()
+                self.note(events.Granted(channel, slot))
+            case _:
+                self._keepalive.suspect()
+                self.lose(channel)
+
+    async def _release(
+        self, channel: int, connection: connections.Connection, slot: int
+    ) -> None:
+        result = await locks.release(
+            connection, slot, self._settings.probe_timeout
+        )
+        if self._connections.get(channel) is not connection:
+            return
+        if result.is_error():
+            self.lose(channel)
+        else:
+            self.note(events.Released(channel))
+
+    def _wake_at(self, at: datetime.datetime) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+        delay = max((at - self._clock.now()).total_seconds(), 0)
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(delay, self.note, events.Tick())
+
+
+def _before_work(failure: errors.Failure) -> errors.Failure:
+    """Says that no request was sent yet."""
+    if isinstance(failure, errors.AnswerLost):
+        return errors.ConnectFailed(failure.database, failure.reason)
+    return failure
+
+
+@functools.singledispatch
+def _perform(effect: events.Effect, pool: Pool) -> None:
+    raise TypeError(f"no way to do {effect!r}; register one")
+
+
+@_perform.register
+def _(effect: events.Open, pool: Pool) -> None:
+    pool._spawn(pool._open(effect.channel))
+
+
+@_perform.register
+def _(effect: events.Try, pool: Pool) -> None:
+    connection = pool._connections[effect.channel]
+    timeout = pool._settings.probe_timeout
+    work = locks.take_any(connection, effect.slots, timeout)
+    pool._spawn(pool._seek(effect.channel, connection, work))
+
+
+@_perform.register
+def _(effect: events.Await, pool: Pool) -> None:
+    connection = pool._connections[effect.channel]
+    timeout = pool._settings.probe_timeout
+    work = locks.queue(connection, effect.slot, _QUEUE_WAIT, timeout)
+    pool._spawn(pool._seek(effect.channel, connection, work))
+
+
+@_perform.register
+def _(effect: events.Yield, pool: Pool) -> None:
+    connection = pool._connections[effect.channel]
+    timeout = pool._settings.probe_timeout
+    work = locks.swap(connection, effect.slot, timeout)
+    pool._spawn(pool._seek(effect.channel, connection, work))
+
+
+@_perform.register
+def _(effect: events.Release, pool: Pool) -> None:
+    connection = pool._connections[effect.channel]
+    work = pool._release(effect.channel, connection, effect.slot)
+    pool._spawn(work)
+
+
+@_perform.register
+def _(effect: events.Lend, pool: Pool) -> None:
+    pool._lend(effect.channel)
+
+
+@_perform.register
+def _(effect: events.Close, pool: Pool) -> None:
+    connection = pool._connections.pop(effect.channel, None)
+    if connection is not None:
+        connection.close()
+
+
+@_perform.register
+def _(effect: events.Refuse, pool: Pool) -> None:
+    pool._refuse(pool._queue.clear(), effect.failure)
+
+
+@_perform.register
+def _(effect: events.Wake, pool: Pool) -> None:
+    pool._wake_at(effect.at)
