--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -20,8 +20,6 @@
     "BadPeerMessage",
     "BadToken",
     "ConnectFailed",
-    "ConnectionLimit",
-    "DatabaseLeft",
     "DeadlinePassed",
     "Draining",
     "EmptyStatement",
@@ -40,11 +38,10 @@
     "Problem",
     "ProxyUnreachable",
     "ReplicationUnconfirmed",
-    "ReservedLock",
     "SheetConflict",
+    "SheetsDiffer",
     "StatementTooLarge",
     "StoreUnavailable",
-    "TransactionIdle",
     "UnknownSchema",
     "UnsupportedCharset",
     "UnsupportedStatement",
@@ -349,63 +346,6 @@
         return f"can't connect to {self.database!r}: {self.reason}"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectionLimit(Failure):
-    """A database has as many connections as it takes."""
-
-    database: types.DatabaseName
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"{self.database!r} takes no more connections; retry in a second, "
-            "or raise its limit in the sheet"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DatabaseLeft(Failure):
-    """The database is leaving and gets no new work."""
-
-    database: types.DatabaseName
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return f"{self.database!r} is leaving; retry, another one takes over"
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ReservedLock(Failure):
-    """A statement names advisory locks that the proxies rely on."""
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            "RELEASE_ALL_LOCKS and locks named 'hickorygate.*' are reserved; "
-            "release your own locks by name"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TransactionIdle(Failure):
-    """A transaction was idle for too long and has been rolled back."""
-
-    database: types.DatabaseName
-    limit: datetime.timedelta
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"the transaction on {self.database!r} sent nothing for "
-            f"{self.limit.total_seconds():.1f} s and was rolled back; "
-            "begin again, or raise upstreams.transaction_idle_ms"
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLost(Failure):
     """A statement was sent and its answer never came."""
@@ -596,6 +536,19 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SheetsDiffer(Failure):
+    """Not all proxies have the same sheet in force."""
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            "the proxies' sheets differ; ask again in a few seconds, then "
+            "look at the log of the proxy that stays behind"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class UsageError(Failure):
     """The command line can't be used."""
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -19,6 +19,7 @@
 
 from hickorygate.core import assignment as assignments
 from hickorygate.core import errors
+from hickorygate.core import pool_errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
@@ -142,7 +143,7 @@
           timeout: after which the answer counts as lost.
         """
         if _RESERVED.search(sql):
-            return expression.Error(errors.ReservedLock())
+            return expression.Error(pool_errors.ReservedLock())
         if _TRACES.search(sql):
             self._tainted = True
         return await self.control(sql, timeout)
@@ -278,7 +279,7 @@
     database: sheets.Database, error: Exception
 ) -> errors.Failure:
     if error.args and error.args[0] == _TOO_MANY_CONNECTIONS:
-        return errors.ConnectionLimit(database.name)
+        return pool_errors.ConnectionLimit(database.name)
     reason = str(error) or type(error).__name__
     return errors.ConnectFailed(database.name, reason)
 
--- a/hickorygate/upstreams/keepalive.py
+++ b/hickorygate/upstreams/keepalive.py
@@ -14,7 +14,7 @@
 from typing import Protocol
 
 from hickorygate.core import clock as clocks
-from hickorygate.core import errors
+from hickorygate.core import pool_errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.upstreams import connection as connections
@@ -144,7 +144,7 @@
         elif leased and silent >= self._settings.transaction_idle:
             limit = self._settings.transaction_idle
             name = self._keeper.database.name
-            connection.close(errors.TransactionIdle(name, limit))
+            connection.close(pool_errors.TransactionIdle(name, limit))
             self._keeper.lose(channel)
         else:
             await self._ping(channel, connection)
--- a/hickorygate/upstreams/locks.py
+++ b/hickorygate/upstreams/locks.py
@@ -14,6 +14,7 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.core import pool_errors
 from hickorygate.upstreams import answer as answers
 from hickorygate.upstreams import connection as connections
 
@@ -66,7 +67,7 @@
     taken = await _ask(connection, _first_free(names), timeout)
     if taken.is_ok() and taken.ok is None:
         name = connection.database.name
-        return expression.Error(errors.ConnectionLimit(name))
+        return expression.Error(pool_errors.ConnectionLimit(name))
     return taken.map(lambda _: None)
 
 
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -18,6 +18,7 @@
 from hickorygate.core import admission
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import pool_errors
 from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
@@ -138,6 +139,11 @@
         """Connections opened since the start."""
         return self._opened
 
+    @property
+    def busy(self) -> int:
+        """Requests that run or wait."""
+        return self.leased + self._queue.size
+
     @property
     def refused(self) -> int:
         """Requests refused since the start."""
@@ -176,7 +182,7 @@
     def leave(self) -> None:
         """The database is leaving: nothing new, what runs may finish."""
         self._left = True
-        failure = errors.DatabaseLeft(self._database.name)
+        failure = pool_errors.DatabaseLeft(self._database.name)
         self._refuse(self._queue.clear(), failure)
         self.note(events.Leave())
 
@@ -215,7 +221,9 @@
 
     async def _acquire(self, request: requests.Request) -> LeaseResult:
         if self._left:
-            return expression.Error(errors.DatabaseLeft(self._database.name))
+            return expression.Error(
+                pool_errors.DatabaseLeft(self._database.name)
+            )
         self._drop_late()
         free = self._queue.running < self._database.slots
         offered = self._queue.offer(request, self._clock.now(), free)
--- a/hickorygate/upstreams/slots.py
+++ b/hickorygate/upstreams/slots.py
@@ -19,7 +19,7 @@
 import enum
 import functools
 
-from hickorygate.core import errors
+from hickorygate.core import pool_errors
 from hickorygate.upstreams import slot_events as events
 
 __all__ = ["Channel", "Phase", "Share", "SlotKeeper", "SlotSettings"]
@@ -324,7 +324,7 @@
     channel = keeper._channels[event.channel]
     channel.enter(Phase.CLOSED)
     channel.retry = now + keeper._settings.reopen
-    full = isinstance(event.failure, errors.ConnectionLimit)
+    full = isinstance(event.failure, pool_errors.ConnectionLimit)
     keeper._limited = keeper._limited + 1 if full else 0
     if full and keeper._limited < _LIMIT_TRIES:
         return
