--- a/hickorygate/core/admission.py
+++ b/hickorygate/core/admission.py
@@ -9,7 +9,10 @@
 goes first.
 
 A request is admitted only if the work ahead of it in its lane, at the speed
-at which that lane was seen to drain, leaves time to answer it.
+at which that lane was seen to drain, leaves time to answer it, with a margin.
+The margin follows a high quantile of how much longer requests took than
+planned, by steps up and down whose sizes are in the proportion of misses to
+hits that is asked for (stochastic approximation, Robbins and Monro, 1951).
 """
 
 from __future__ import annotations
@@ -49,6 +52,15 @@
 _LEAST_SHARE = 0.01
 """Share assumed for a lane without a floor behind a more urgent one."""
 
+_PASSED_OVER = datetime.timedelta(milliseconds=500)
+"""Waiting work of which nothing ran for so long is pressing."""
+
+_MARGIN_STEP = 0.05
+"""Step of the margin, as a part of the rank's target."""
+
+_MARGIN_RANGE = (0.2, 0.6)
+"""Least and greatest margin, as parts of the rank's target."""
+
 _LEAST_RETRY = datetime.timedelta(milliseconds=10)
 
 
@@ -83,7 +95,7 @@
         where proxies share a database.
       depth: the most requests that wait in one lane.
       service: service time assumed until one was measured.
-      headroom: part of the time left that may be planned for, 0 to 1.
+      misses: the part of what is admitted that may be late, 0 to 1.
     """
 
     policy: Policy = Floors()
@@ -91,7 +103,7 @@
     capacity: float = 1.0
     depth: int = 1_024
     service: datetime.timedelta = datetime.timedelta(milliseconds=10)
-    headroom: float = 0.8
+    misses: float = 0.002
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -102,11 +114,13 @@
       number: unique in its queue.
       request: what asked to run.
       admitted: when it began to wait.
+      planned: how long it was planned to take from then on.
     """
 
     number: int
     request: requests.Request
     admitted: datetime.datetime
+    planned: datetime.timedelta
 
     @property
     def order(self) -> tuple[datetime.datetime, int]:
@@ -120,6 +134,7 @@
     __slots__ = (
         "credit",
         "drained",
+        "margin",
         "rank",
         "running",
         "service",
@@ -133,6 +148,7 @@
         self.service = service
         self.waiters: list[Waiter] = []
         self.credit = 0.0
+        self.margin = _MARGIN_RANGE[0] * rank.target.total_seconds()
         self.drained = 0.0
         self.waited = 0.0
 
@@ -157,17 +173,28 @@
         drained = self.drained + _PRIOR_SECONDS * prior
         return min(drained / (self.waited + _PRIOR_SECONDS), limit)
 
+    def learn(self, excess: float, misses: float) -> None:
+        """Moves the margin after a request took longer than planned by this."""
+        target = self.rank.target.total_seconds()
+        if excess > self.margin:
+            self.margin += _MARGIN_STEP * target * (1 - misses)
+        else:
+            self.margin -= _MARGIN_STEP * target * misses
+        least, most = (part * target for part in _MARGIN_RANGE)
+        self.margin = min(max(self.margin, least), most)
+
 
 class RankQueue:
     """Requests that wait for one database."""
 
-    __slots__ = ("_lanes", "_now", "_numbers", "_settings")
+    __slots__ = ("_lanes", "_now", "_numbers", "_settings", "_taken")
 
     def __init__(self, settings: QueueSettings) -> None:
         self._settings = settings
         self._lanes: dict[types.RankName, _Lane] = {}
         self._numbers = 0
         self._now: datetime.datetime | None = None
+        self._taken: datetime.datetime | None = None
 
     @property
     def waiting(self) -> dict[types.RankName, int]:
@@ -184,17 +211,23 @@
         """How many were taken and haven't finished."""
         return sum(lane.running for lane in self._lanes.values())
 
-    @property
-    def urgency(self) -> int | None:
-        """The order of the most urgent rank that waits."""
-        orders = [
-            lane.rank.order for lane in self._lanes.values() if lane.waiters
-        ]
-        return min(orders, default=None)
-
     def __repr__(self) -> str:
         return f"RankQueue(waiting={self.waiting}, running={self.running})"
 
+    def pressing(self, now: datetime.datetime) -> bool:
+        """Tells whether work waits that may go before other proxies' work.
+
+        It is of the most urgent rank, or nothing was taken for long.
+        """
+        for lane in self._lanes.values():
+            if not lane.waiters:
+                continue
+            first = lane.waiters[0].admitted
+            since = max(first, self._taken or first)
+            if lane.rank.order == 0 or now - since >= _PASSED_OVER:
+                return True
+        return False
+
     def offer(
         self, request: requests.Request, now: datetime.datetime, free: bool
     ) -> expression.Result[Waiter, errors.Failure]:
@@ -214,7 +247,8 @@
             waited = now - request.arrived
             failure = errors.DeadlinePassed(request.rank.name, waited)
             return expression.Error(failure)
-        waiter = Waiter(self._numbers, request, now)
+        planned = self._plan(lane, request)
+        waiter = Waiter(self._numbers, request, now, planned)
         late = datetime.timedelta()
         if not (free and self.size == 0):
             late = _lateness(self._settings.policy, self, lane, waiter)
@@ -235,6 +269,7 @@
         if lane is None:
             return None
         waiter = lane.waiters.pop(0)
+        self._taken = now
         self._charge(lane)
         if now > waiter.admitted:
             lane.drained += lane.service
@@ -261,13 +296,16 @@
             return
         difference = service.total_seconds() - lane.service
         lane.service += _SERVICE_WEIGHT * difference
+        self._learn(lane, waiter, now)
 
-    def withdraw(self, waiter: Waiter) -> bool:
+    def withdraw(self, waiter: Waiter, now: datetime.datetime) -> bool:
         """Removes one that still waits; tells whether it did."""
         lane = self._lane(waiter.request.rank)
         if waiter not in lane.waiters:
             return False
         lane.waiters.remove(waiter)
+        if now >= waiter.request.deadline:
+            self._learn(lane, waiter, now)
         return True
 
     def late(self, now: datetime.datetime) -> tuple[Waiter, ...]:
@@ -275,7 +313,9 @@
         removed: list[Waiter] = []
         for lane in self._lanes.values():
             while lane.waiters and self._is_late(lane, now):
-                removed.append(lane.waiters.pop(0))
+                waiter = lane.waiters.pop(0)
+                self._learn(lane, waiter, waiter.request.deadline)
+                removed.append(waiter)
         return tuple(removed)
 
     def clear(self) -> tuple[Waiter, ...]:
@@ -289,13 +329,22 @@
     def _is_late(self, lane: _Lane, now: datetime.datetime) -> bool:
         """Tells whether the first of a lane is too late to start.
 
-        One that waits alone may try until its deadline: a service time that
-        has grown beyond the target must be measured anew.
+        One whose deadline never left time for the service that was measured
+        may try until then, so that the service is measured anew.
         """
-        deadline = lane.waiters[0].request.deadline
-        if isinstance(self._settings.policy, Fifo) or len(lane.waiters) == 1:
+        waiter = lane.waiters[0]
+        deadline = waiter.request.deadline
+        service = datetime.timedelta(seconds=lane.service)
+        hopeless = waiter.admitted + service > deadline
+        if hopeless or isinstance(self._settings.policy, Fifo):
             return now >= deadline
-        return now + datetime.timedelta(seconds=lane.service) > deadline
+        return now + service > deadline
+
+    def _learn(
+        self, lane: _Lane, waiter: Waiter, ended: datetime.datetime
+    ) -> None:
+        excess = ended - waiter.admitted - waiter.planned
+        lane.learn(excess.total_seconds(), self._settings.misses)
 
     def _lane(self, rank: sheets.Rank) -> _Lane:
         lane = self._lanes.get(rank.name)
@@ -343,24 +392,42 @@
             share = 1.0 - sum(other.rank.floor for other in waiting)
         return self._settings.capacity * max(share, _LEAST_SHARE)
 
+    def _plan(
+        self, lane: _Lane, request: requests.Request
+    ) -> datetime.timedelta:
+        """Returns how long a newcomer should take, its wait included."""
+        order = (request.deadline, self._numbers)
+        place = bisect.bisect(lane.waiters, order, key=lambda w: w.order)
+        seconds = self._first(lane) + place * self._pace(lane)
+        return datetime.timedelta(seconds=seconds)
+
+    def _first(self, lane: _Lane) -> float:
+        """Returns the seconds that the first of a lane takes."""
+        blocking = max(
+            (other.service for other in self._lanes.values() if other.running),
+            default=0.0,
+        )
+        return blocking + lane.service
+
+    def _pace(self, lane: _Lane) -> float:
+        """Returns the seconds that each one ahead in the lane takes."""
+        speed = lane.speed(self._prior(lane), self._settings.slots)
+        return lane.service / speed
+
     def _lateness(self, lane: _Lane, waiter: Waiter) -> datetime.timedelta:
-        """Returns how far past its deadline a newcomer would be planned.
+        """Returns how far past its deadline a newcomer is planned to be.
 
         A newcomer in front of others must not make them late either.
         """
         assert self._now is not None, "time passes before anything else"
-        speed = lane.speed(self._prior(lane), self._settings.slots)
-        blocking = max(
-            (other.service for other in self._lanes.values() if other.running),
-            default=0.0,
-        )
+        first, pace = self._first(lane), self._pace(lane)
         place = bisect.bisect(lane.waiters, waiter.order, key=lambda w: w.order)
         worst = -math.inf
         behind = [waiter, *lane.waiters[place:]]
         for ahead, other in enumerate(behind, start=place):
             left = other.request.time_left(self._now).total_seconds()
-            planned = blocking + ahead * lane.service / speed + lane.service
-            worst = max(worst, planned - left * self._settings.headroom)
+            planned = first + ahead * pace + lane.margin
+            worst = max(worst, planned - left)
         return datetime.timedelta(seconds=max(worst, 0.0))
 
 
--- a/hickorygate/testing/locks.py
+++ b/hickorygate/testing/locks.py
@@ -218,6 +218,20 @@
     return None if default is None else await _value(default, locks, owner)
 
 
+@_value.register
+async def _(node: expressions.Add, locks: Locks, owner: Owner) -> Value:
+    left = await _value(node.this, locks, owner)
+    right = await _value(node.expression, locks, owner)
+    return None if left is None or right is None else left + right
+
+
+@_value.register
+async def _(node: expressions.Mul, locks: Locks, owner: Owner) -> Value:
+    left = await _value(node.this, locks, owner)
+    right = await _value(node.expression, locks, owner)
+    return None if left is None or right is None else left * right
+
+
 @_value.register
 async def _(node: expressions.If, locks: Locks, owner: Owner) -> Value:
     if await _value(node.this, locks, owner):
--- a/hickorygate/upstreams/locks.py
+++ b/hickorygate/upstreams/locks.py
@@ -17,6 +17,7 @@
 from hickorygate.core import pool_errors
 from hickorygate.upstreams import answer as answers
 from hickorygate.upstreams import connection as connections
+from hickorygate.upstreams import slot_events as events
 
 __all__ = ["RESERVED_PREFIX", "enter", "queue", "release", "swap", "take_any"]
 
@@ -37,11 +38,14 @@
     return f"'{RESERVED_PREFIX}slot.{number}'"
 
 
-def _first_free(names: Sequence[tuple[int, str]]) -> str:
-    branches = " ".join(
+def _branches(names: Sequence[tuple[int, str]]) -> str:
+    return " ".join(
         f"WHEN GET_LOCK({name}, 0) = 1 THEN {number}" for number, name in names
     )
-    return f"SELECT CASE {branches} END"
+
+
+def _first_free(names: Sequence[tuple[int, str]]) -> str:
+    return f"SELECT CASE {_branches(names)} END"
 
 
 async def enter(
@@ -83,25 +87,39 @@
 
 async def queue(
     connection: connections.Connection,
-    slot: int,
+    effect: events.Await,
     wait: datetime.timedelta,
     timeout: datetime.timedelta,
 ) -> SlotResult:
     """Queues for a slot behind those who came before.
 
+    Ordinary work queues for the slot's gate first, which only one of all
+    connections holds, so that pressing work finds at most one ordinary
+    request ahead of it.
+
     Args:
       connection: takes the slot.
-      slot: its number.
-      wait: how long to queue.
-      timeout: for the answer, beyond that wait.
+      effect: which slot, and whether the work is pressing.
+      wait: how long to queue for the gate, and again for the slot.
+      timeout: for the answer, beyond those waits.
 
     Returns:
-      The slot, or None if it didn't come free.
+      The slot, or None if none came free.
     """
-    seconds = wait.total_seconds()
-    sql = f"SELECT GET_LOCK({_slot(slot)}, {seconds:.3f})"
-    taken = await _ask(connection, sql, wait + timeout)
-    return taken.map(lambda cell: slot if cell == 1 else None)
+    slot, seconds = effect.slot, wait.total_seconds()
+    taken = f"GET_LOCK({_slot(slot)}, {seconds:.3f})"
+    gate = f"'{RESERVED_PREFIX}gate.{slot}'"
+    if not effect.pressing:
+        # The terms are evaluated in order: 3 is a slot, 2 is none.
+        taken = (
+            f"IF(GET_LOCK({gate}, {seconds:.3f}) = 1, "
+            f"{taken} + 2 * RELEASE_LOCK({gate}), 0)"
+        )
+    got = 1 if effect.pressing else 3
+    names = [(number, _slot(number)) for number in effect.others]
+    branches = _branches(names) + f" WHEN {taken} = {got} THEN {slot}"
+    sql = f"SELECT CASE {branches.strip()} END"
+    return await _ask(connection, sql, wait * 2 + timeout)
 
 
 async def swap(
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -12,6 +12,7 @@
 import dataclasses
 import datetime
 import functools
+import random
 
 import expression
 
@@ -90,7 +91,7 @@
             )
         )
         self._keeper = slots_lib.SlotKeeper(
-            database.slots, share, slots_lib.SlotSettings()
+            database.slots, share, slots_lib.SlotSettings(), random.Random()
         )
         self._answers: dict[admission.Waiter, asyncio.Future[LeaseResult]] = {}
         self._connections: dict[int, connections.Connection] = {}
@@ -225,7 +226,8 @@
                 pool_errors.DatabaseLeft(self._database.name)
             )
         self._drop_late()
-        free = self._queue.running < self._database.slots
+        busy = self._queue.running >= self._database.slots
+        free = not busy and not self._keeper.contended
         offered = self._queue.offer(request, self._clock.now(), free)
         if offered.is_error():
             return expression.Error(offered.error)
@@ -255,7 +257,7 @@
     ) -> None:
         """Undoes a request that no one waits for any more."""
         self._answers.pop(waiter, None)
-        self._queue.withdraw(waiter)
+        self._queue.withdraw(waiter, self._clock.now())
         if answer.done() and answer.result().is_ok():
             self.release(answer.result().ok)
         else:
@@ -281,8 +283,8 @@
             self._answer(waiter, expression.Error(self._passed(waiter)))
 
     def _note_demand(self) -> None:
-        urgent = self._queue.urgency == 0
-        self.note(events.Demand(self._queue.size, urgent))
+        pressing = self._queue.pressing(self._clock.now())
+        self.note(events.Demand(self._queue.size, pressing))
 
     def _lend(self, channel: int) -> None:
         """Gives a ready connection to who is next."""
@@ -395,7 +397,7 @@
 def _(effect: events.Await, pool: Pool) -> None:
     connection = pool._connections[effect.channel]
     timeout = pool._settings.probe_timeout
-    work = locks.queue(connection, effect.slot, _QUEUE_WAIT, timeout)
+    work = locks.queue(connection, effect, _QUEUE_WAIT, timeout)
     pool._spawn(pool._seek(effect.channel, connection, work))
 
 
--- a/hickorygate/upstreams/slot_events.py
+++ b/hickorygate/upstreams/slot_events.py
@@ -46,11 +46,12 @@
 
     Attributes:
       waiting: how many.
-      urgent: whether one of them is of the most urgent rank.
+      pressing: whether one of them may go before the other proxies' ordinary
+        work: it is of the most urgent rank, or has been passed over for long.
     """
 
     waiting: int
-    urgent: bool
+    pressing: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,9 +155,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Await(ChannelEffect):
-    """Queue for a slot; answers with `Granted` or `NotFree`."""
+    """Try the others, then queue; answers with `Granted` or `NotFree`.
+
+    Attributes:
+      slot: the one to queue for.
+      others: tried first.
+      pressing: whether to queue in front of ordinary work.
+    """
 
     slot: int
+    others: tuple[int, ...]
+    pressing: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/upstreams/slots.py
+++ b/hickorygate/upstreams/slots.py
@@ -6,9 +6,11 @@
 when to open a connection, which slot to try or to queue for, when to let the
 others have a turn, and when to give back or close.
 
-A channel is one place for a connection. The first `own` channels are this
-proxy's share; the others are borrowed: they close as soon as they are idle or
-another proxy is seen waiting.
+A channel is one place for a connection. There are as many as this proxy's
+share of the limit, so that the shares of all proxies fit in it, and as many
+again that only replace connections which seem to have gone silent. While
+others wait, one channel stays out of the queue of ordinary work, so that
+pressing work finds a connection at once.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 import datetime
 import enum
 import functools
+import random
 
 from hickorygate.core import pool_errors
 from hickorygate.upstreams import slot_events as events
@@ -50,14 +53,13 @@
     Attributes:
       idle: how long an unused slot is kept where nobody else was waiting.
       check: how long a slot is held before asking whether others wait.
-      turn: how long a slot is held for the most urgent rank while others
-        wait; other work passes it on after each request.
+      turn: how long it is held, at the end of a request, if others do.
       reopen: time until a connection that failed to open is tried again.
     """
 
     idle: datetime.timedelta = datetime.timedelta(milliseconds=50)
     check: datetime.timedelta = datetime.timedelta(milliseconds=20)
-    turn: datetime.timedelta = datetime.timedelta(milliseconds=50)
+    turn: datetime.timedelta = datetime.timedelta(milliseconds=10)
     reopen: datetime.timedelta = datetime.timedelta(milliseconds=100)
 
 
@@ -121,20 +123,25 @@
         "_demand",
         "_left",
         "_limited",
+        "_own",
+        "_random",
         "_settings",
-        "_share",
         "_slots",
     )
 
     def __init__(
-        self, slots: int, share: Share, settings: SlotSettings
+        self,
+        slots: int,
+        share: Share,
+        settings: SlotSettings,
+        choice: random.Random,
     ) -> None:
         self._slots = slots
-        self._share = share
+        self._own = min(slots, share.own)
         self._settings = settings
-        # As many again replace connections that have gone silent.
-        self._channels = [Channel(number) for number in range(2 * slots)]
-        self._demand = events.Demand(waiting=0, urgent=False)
+        self._random = choice
+        self._channels = [Channel(number) for number in range(2 * self._own)]
+        self._demand = events.Demand(waiting=0, pressing=False)
         self._left = False
         self._limited = 0
 
@@ -148,6 +155,11 @@
         """Slots held."""
         return sum(channel.phase in _HOLDING for channel in self._channels)
 
+    @property
+    def contended(self) -> bool:
+        """Whether a connection queues behind other proxies."""
+        return any(c.phase is Phase.QUEUED for c in self._channels)
+
     def __repr__(self) -> str:
         phases = [channel.phase.value for channel in self._channels]
         return f"SlotKeeper({phases})"
@@ -189,39 +201,39 @@
                 yield events.Open(channel.number)
 
     def _wanted(self) -> bool:
+        """Tells whether one more channel should seek a slot."""
         if not self._demand.waiting:
             return False
         active = [c for c in self._channels if not c.stalled]
         pending = sum(c.phase in _PENDING for c in active)
         held = sum(c.phase in _HOLDING for c in active)
-        if held + pending >= self._slots:
+        if held + pending >= self._own:
             return False
-        return self._contended or pending < self._demand.waiting
-
-    @property
-    def _contended(self) -> bool:
-        return any(c.phase is Phase.QUEUED for c in self._channels)
-
-    @property
-    def _replacing(self) -> bool:
-        return any(c.stalled for c in self._channels)
+        if not self.contended:
+            return pending < self._demand.waiting
+        return self._demand.pressing or pending < max(1, self._own - 1)
 
     def _may_open(self, channel: Channel, now: datetime.datetime) -> bool:
         if channel.retry is not None and channel.retry > now:
             return False
-        return self._replacing or not (
-            self._borrowed(channel) and self._contended
-        )
+        replacing = any(c.stalled for c in self._channels)
+        return replacing or channel.number < self._own
 
     def _seek(self, channel: Channel) -> Iterator[events.Effect]:
         """Tries what may be free; queues where others are waiting."""
-        slots = self._seekable()
-        if self._contended:
-            channel.enter(Phase.QUEUED, slots[0])
-            yield events.Await(channel.number, slots[0])
+        if self.contended:
+            yield from self._queue(channel)
         else:
             channel.enter(Phase.ASKING)
-            yield events.Try(channel.number, slots)
+            yield events.Try(channel.number, self._seekable())
+
+    def _queue(self, channel: Channel) -> Iterator[events.Effect]:
+        slots = self._seekable()
+        slot = self._random.choice(slots)
+        others = tuple(other for other in slots if other != slot)
+        channel.enter(Phase.QUEUED, slot)
+        pressing = self._demand.pressing
+        yield events.Await(channel.number, slot, others, pressing)
 
     def _seekable(self) -> tuple[int, ...]:
         """Returns the slots that no healthy channel holds or queues for."""
@@ -229,9 +241,9 @@
         return tuple(s for s in range(self._slots) if s not in taken)
 
     def _give_back(self, now: datetime.datetime) -> Iterator[events.Effect]:
-        """Gives back unused slots and closes unused borrowed connections."""
+        """Gives back unused slots and closes replaced connections' spares."""
         for channel in self._channels:
-            if channel.phase is Phase.IDLE and self._borrowed(channel):
+            if channel.phase is Phase.IDLE and channel.number >= self._own:
                 yield self._close(channel)
             if channel.phase is not Phase.READY:
                 continue
@@ -257,20 +269,15 @@
         if times:
             yield events.Wake(min(times))
 
-    def _borrowed(self, channel: Channel) -> bool:
-        return channel.number >= self._share.own
-
     def _close(self, channel: Channel) -> events.Close:
         channel.enter(Phase.CLOSED)
         channel.retry = None
         return events.Close(channel.number)
 
     def _turn(self, channel: Channel) -> datetime.timedelta:
-        if not channel.contended:
-            return self._settings.check
-        if self._demand.urgent:
+        if channel.contended:
             return self._settings.turn
-        return datetime.timedelta()
+        return self._settings.check
 
 
 @functools.singledispatch
@@ -329,7 +336,7 @@
     if full and keeper._limited < _LIMIT_TRIES:
         return
     if all(c.phase is Phase.CLOSED for c in keeper._channels):
-        keeper._demand = events.Demand(waiting=0, urgent=False)
+        keeper._demand = events.Demand(waiting=0, pressing=False)
         yield events.Refuse(event.failure)
 
 
@@ -354,13 +361,10 @@
 ) -> Iterator[events.Effect]:
     channel = keeper._channels[event.channel]
     channel.enter(Phase.IDLE)
-    seekable = keeper._seekable()
-    if keeper._borrowed(channel) and not keeper._replacing:
-        yield keeper._close(channel)
-        channel.retry = now + keeper._settings.reopen
-    elif keeper._demand.waiting and seekable:
-        channel.enter(Phase.QUEUED, seekable[0])
-        yield events.Await(channel.number, seekable[0])
+    queued = sum(c.phase is Phase.QUEUED for c in keeper._channels)
+    ordinary = queued < max(1, keeper._own - 1)
+    if keeper._demand.waiting and (keeper._demand.pressing or ordinary):
+        yield from keeper._queue(channel)
 
 
 @_apply.register
