--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -14,19 +14,25 @@
 import datetime
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import position as positions
 from hickorygate.core import types
 
 __all__ = [
     "ConfigApplied",
     "ConfigRejected",
+    "DatabaseFenced",
+    "DatabaseFollows",
     "DatabaseLost",
+    "DatabasePromoted",
     "DatabaseReturned",
     "Event",
     "FailoverEnded",
     "FailoverStarted",
+    "InstancesLeaving",
     "PeerJoined",
     "PeerLost",
     "PrimaryChanged",
+    "PrimarySuspected",
     "ProcessDraining",
     "ProcessStarted",
     "Recorded",
@@ -121,6 +127,13 @@
     in_force: types.SheetVersion
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstancesLeaving(Event):
+    """These instances, and no others, get no new work here."""
+
+    names: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PeerJoined(Event):
     """Another proxy was heard for the first time."""
@@ -159,6 +172,43 @@
     term: types.Term
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimarySuspected(Event):
+    """A group seems to need another primary; higher ranks go first."""
+
+    group: types.GroupName
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseFenced(Event):
+    """A database took this process's fence, with its log at the position."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+    position: positions.Position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabasePromoted(Event):
+    """A database leads the term, whose history starts at the base."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+    base: types.Offset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseFollows(Event):
+    """A database was pointed at the primary of the term."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailoverStarted(Event):
     """This process began to replace a primary."""
