--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -10,6 +10,7 @@
 from hickorygate.callers import failures
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import idempotency
+from hickorygate.callers import measuring
 from hickorygate.callers import pin as pins
 from hickorygate.callers import reading
 from hickorygate.callers import routing
@@ -19,6 +20,7 @@
 from hickorygate.callers import writing
 from hickorygate.core import errors
 from hickorygate.core import request as requests
+from hickorygate.core import sheet as sheets
 from hickorygate.core import statement as statements
 from hickorygate.core import types
 from hickorygate.upstreams import answer as answers
@@ -61,7 +63,11 @@
         if self._pin is not None and self._pin.lost:
             return expression.Error(failures.SessionStateLost())
         route = routing.route(statement, self._session)
-        result = await _run(route, self, works.Work(statement, request))
+        work = works.Work(statement, request)
+        if self._transaction is not None:
+            work.trace.group = self._transaction.group.view.group.name
+        result = await _run(route, self, work)
+        self._measure(route, work, result)
         match result:
             case expression.Result(tag="ok", ok=answers.Done() as done):
                 self._remember_insert(done)
@@ -79,7 +85,7 @@
 
     async def read(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a read outside a transaction."""
-        group = self._group()
+        group = self._group(work)
         if group.is_error():
             return expression.Error(group.error)
         reader = reading.Reader(self._env, group.ok, self._session)
@@ -87,14 +93,14 @@
 
     async def write(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a write outside a transaction."""
-        group = self._group()
+        group = self._group(work)
         if group.is_error():
             return expression.Error(group.error)
         return await self._writer(group.ok).run(work)
 
     async def pinned(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a statement on the connection that the session keeps."""
-        group = self._group()
+        group = self._group(work)
         if group.is_error():
             return expression.Error(group.error)
         writer = self._writer(group.ok)
@@ -121,7 +127,7 @@
             kept = await self.commit()
             if kept.is_error():
                 return kept
-        group = self._group()
+        group = self._group(work)
         if group.is_error():
             return expression.Error(group.error)
         self._transaction = transactions.Transaction(
@@ -178,20 +184,37 @@
             return await self.commit()
         return expression.Ok(answers.NOTHING)
 
-    def _group(self) -> GroupResult:
+    def _place(self) -> expression.Result[sheets.Group, errors.Failure]:
+        """Finds the group that owns the selected schema."""
         sheet = self._env.fleet.sheet
         if sheet is None:
             return expression.Error(errors.NotReady())
-        return sheet.place(self._session.schema).map(
-            lambda place: self._env.fleet.group(place[1].name)
-        )
+        return sheet.place(self._session.schema).map(lambda place: place[1])
+
+    def _group(self, work: works.Work) -> GroupResult:
+        place = self._place()
+        if place.is_error():
+            return expression.Error(place.error)
+        work.trace.group = place.ok.name
+        return expression.Ok(self._env.fleet.group(place.ok.name))
+
+    def _measure(
+        self,
+        route: routing.Route,
+        work: works.Work,
+        result: handlers.AnswerResult,
+    ) -> None:
+        now = self._env.clock.now()
+        measured = measuring.served(route, work, result, now)
+        if measured is not None:
+            self._env.recorder.record(measured)
 
     def _leaves_group(self, name: types.GroupName) -> bool:
         """Whether a schema's group isn't that of what is held open."""
         if self._transaction is None and self._pin is None:
             return False
-        held = self._group()
-        return held.is_error() or held.ok.view.group.name != name
+        held = self._place()
+        return held.is_error() or held.ok.name != name
 
     async def _take_pin(
         self,
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -20,8 +20,6 @@
     "BadPeerMessage",
     "BadToken",
     "ConnectFailed",
-    "ConnectionLimit",
-    "DatabaseLeft",
     "DeadlinePassed",
     "Draining",
     "EmptyStatement",
@@ -38,10 +36,8 @@
     "Overloaded",
     "PoolExhausted",
     "Problem",
-    "ProxyUnreachable",
     "ReplicationUnconfirmed",
     "SheetConflict",
-    "SheetsDiffer",
     "StatementTooLarge",
     "StoreUnavailable",
     "UnknownSchema",
@@ -49,7 +45,6 @@
     "UnsupportedStatement",
     "UnsupportedVariable",
     "UpstreamError",
-    "UsageError",
 ]
 
 
@@ -348,33 +343,6 @@
         return f"can't connect to {self.database!r}: {self.reason}"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ConnectionLimit(Failure):
-    """A database has as many connections as it takes."""
-
-    database: types.DatabaseName
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"{self.database!r} takes no more connections; retry in a second, "
-            "or raise its limit in the sheet"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class DatabaseLeft(Failure):
-    """The database is leaving and gets no new work."""
-
-    database: types.DatabaseName
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return f"{self.database!r} is leaving; retry, another one takes over"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLost(Failure):
     """A statement was sent and its answer never came."""
@@ -547,45 +515,3 @@
             f"can't listen for {self.part}: {self.reason}; choose a free "
             f"port and an address of this instance under {self.part!r}"
         )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ProxyUnreachable(Failure):
-    """A proxy's admin port doesn't answer."""
-
-    address: str
-    reason: str
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"no answer from the admin port {self.address}: {self.reason}; "
-            "check the address and that the proxy runs"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class SheetsDiffer(Failure):
-    """Not all proxies have the same sheet in force."""
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            "the proxies' sheets differ; ask again in a few seconds, then "
-            "look at the log of the proxy that stays behind"
-        )
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class UsageError(Failure):
-    """The command line can't be used."""
-
-    command: str
-    reason: str
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return f"{self.command}: {self.reason}"
--- /dev/null
+++ b/hickorygate/platform/keeper.py
@@ -0,0 +1,240 @@
+"""Holds the sheet and the list of instances that are in force here."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import functools
+import random
+from typing import Protocol
+
+import logbook
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import document as documents
+from hickorygate.core import events
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
+from hickorygate.core import task as tasks
+from hickorygate.core import types
+from hickorygate.platform import client as clients
+from hickorygate.platform import configuration as configurations
+from hickorygate.platform import directory as directories
+from hickorygate.platform import watch
+from hickorygate.platform import watcher as watchers
+
+__all__ = ["Fleet", "Keeper", "Parts"]
+
+_REVIEW_INTERVAL = datetime.timedelta(milliseconds=250)
+"""Between two looks at the planned stops."""
+
+_log = logbook.Logger(__name__)
+
+
+class Parts(Protocol):
+    """What is built after the sheet."""
+
+    async def apply(self, sheet: sheets.Sheet) -> None:
+        """Builds what a sheet asks for."""
+
+    def leave(self, names: frozenset[str]) -> None:
+        """Sets the instances that get no new work."""
+
+
+class Fleet(Protocol):
+    """The other proxies."""
+
+    @property
+    def role(self) -> watch.Role:
+        """What they make of this one."""
+
+    def reach_store(self) -> None:
+        """Notes that the store answered."""
+
+    def hold(self, kind: documents.DocumentKind, version: int) -> None:
+        """Tells them of a version that is held here."""
+
+    def reject(self, kind: documents.DocumentKind, version: int) -> None:
+        """Notes a version that was of no use here."""
+
+
+class Keeper:
+    """The documents in force, and the watchers that keep them new."""
+
+    def __init__(
+        self,
+        settings: settings_lib.PlatformSettings,
+        parts: Parts,
+        clock: clocks.Clock,
+        time_line: events.TimeLine,
+        generator: random.Random,
+    ) -> None:
+        self._parts = parts
+        self._clock = clock
+        self._time_line = time_line
+        self._generator = generator
+        self._client = clients.Client(settings, clock, generator)
+        self._configuration = configurations.Configuration()
+        self._directory = directories.Directory()
+        self._fleet: Fleet | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def client(self) -> clients.Client:
+        """The client of the object API."""
+        return self._client
+
+    @property
+    def sheet(self) -> sheets.Sheet | None:
+        """The sheet in force; None until one was learned."""
+        return self._configuration.sheet
+
+    @property
+    def directory(self) -> directories.Directory:
+        """The list of instances."""
+        return self._directory
+
+    @property
+    def role(self) -> watch.Role:
+        """What the other proxies make of this one."""
+        return self._others.role
+
+    @property
+    def _others(self) -> Fleet:
+        assert self._fleet is not None, "not started; call start()"
+        return self._fleet
+
+    def __repr__(self) -> str:
+        return f"Keeper({self._configuration!r}, {self._directory!r})"
+
+    def start(self, fleet: Fleet) -> None:
+        """Begins to watch, and to tell the other proxies."""
+        self._fleet = fleet
+        self._tasks = [
+            tasks.start(
+                self._watcher(
+                    watchers.sheet(self._client), self._configuration
+                ).run()
+            ),
+            tasks.start(
+                self._watcher(
+                    watchers.instances(self._client), self._directory
+                ).run()
+            ),
+            tasks.start(self._review()),
+        ]
+
+    async def close(self) -> None:
+        """Stops watching."""
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._client.close()
+
+    def document(self, kind: documents.DocumentKind) -> str:
+        """Returns the text of a document that is held."""
+        if kind is documents.DocumentKind.INSTANCES:
+            return self._directory.text
+        return self.sheet.text if self.sheet else ""
+
+    async def take_document(
+        self, kind: documents.DocumentKind, candidate: documents.Candidate
+    ) -> None:
+        """Takes a document that another proxy passed on."""
+        document = (
+            self._directory
+            if kind is documents.DocumentKind.INSTANCES
+            else self._configuration
+        )
+        for effect in document.offer(candidate):
+            await self.perform(effect)
+
+    def reach_store(self) -> None:
+        """Notes that the store answered."""
+        self._others.reach_store()
+
+    async def perform(self, effect: configurations.Effect) -> None:
+        """Carries out a decision about a document."""
+        await _perform(effect, self)
+
+    async def apply(self, effect: configurations.Apply) -> None:
+        """Puts a sheet in force."""
+        sheet = effect.sheet
+        self._directory.plan(sheet.planned_stops)
+        await self._parts.apply(sheet)
+        self._parts.leave(self._directory.leaving)
+        self._time_line.record(
+            events.ConfigApplied(sheet.version, effect.source)
+        )
+        self._others.hold(documents.DocumentKind.SHEET, sheet.version)
+
+    async def hold_instances(self, version: int) -> None:
+        """Puts a list of instances in force."""
+        await self.review()
+        self._others.hold(documents.DocumentKind.INSTANCES, version)
+
+    async def review(self) -> None:
+        """Looks which instances are leaving now."""
+        for effect in self._directory.review(self._clock.now()):
+            await self.perform(effect)
+
+    def leave(self, names: frozenset[str]) -> None:
+        """Sets the instances that get no new work."""
+        self._time_line.record(events.InstancesLeaving(tuple(sorted(names))))
+        self._parts.leave(names)
+
+    def reject(self, effect: configurations.Reject) -> None:
+        """Reports a document that can't be used."""
+        reason = effect.failure.message
+        _log.error(reason)
+        self._time_line.record(
+            events.ConfigRejected(effect.version, effect.source, reason)
+        )
+        self._others.reject(effect.document, effect.version)
+
+    def report_reset(
+        self, found: types.SheetVersion, in_force: types.SheetVersion
+    ) -> None:
+        """Reports that the store went back."""
+        self._time_line.record(events.StoreReset(found, in_force))
+
+    def _watcher(
+        self, fetch: watchers.Fetch, document: watch.Document
+    ) -> watchers.Watcher:
+        plan = watch.WatchPlan(document, self._generator)
+        return watchers.Watcher(fetch, plan, document, self, self._clock)
+
+    async def _review(self) -> None:
+        while True:
+            await self.review()
+            await self._clock.sleep(_REVIEW_INTERVAL)
+
+
+@functools.singledispatch
+async def _perform(effect: configurations.Effect, keeper: Keeper) -> None:
+    raise TypeError(f"no way to perform {effect!r}; register one")
+
+
+@_perform.register
+async def _(effect: configurations.Apply, keeper: Keeper) -> None:
+    await keeper.apply(effect)
+
+
+@_perform.register
+async def _(effect: configurations.Reject, keeper: Keeper) -> None:
+    keeper.reject(effect)
+
+
+@_perform.register
+async def _(effect: configurations.ReportReset, keeper: Keeper) -> None:
+    keeper.report_reset(effect.found, effect.in_force)
+
+
+@_perform.register
+async def _(effect: directories.Hold, keeper: Keeper) -> None:
+    await keeper.hold_instances(effect.version)
+
+
+@_perform.register
+async def _(effect: directories.Leaving, keeper: Keeper) -> None:
+    keeper.leave(effect.names)
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import datetime
+import random
 
 import expression
 
@@ -17,13 +18,19 @@
 from hickorygate.upstreams import confirmer as confirmers
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
+from hickorygate.upstreams import failover
 from hickorygate.upstreams import group as groups
 from hickorygate.upstreams import pool as pools
 from hickorygate.upstreams import probe as probes
 from hickorygate.upstreams import rounds
+from hickorygate.upstreams import runner as runners
+from hickorygate.upstreams import slots
 
 __all__ = ["DatabaseLink", "GroupLink"]
 
+_OWNER_BITS = 64
+"""Random bits that keep a restarted proxy apart from its former self."""
+
 
 class DatabaseLink:
     """A database's pool and its control connections."""
@@ -38,9 +45,10 @@
         settings: settings_lib.UpstreamSettings,
         clock: clocks.Clock,
     ) -> None:
-        share = database.connections // proxies - control_link.CONNECTIONS
+        limit = database.connections - proxies * control_link.CONNECTIONS
+        share = slots.Share(limit=max(1, limit), proxies=proxies)
         self._database = database
-        self._pool = pools.Pool(database, max(1, share), settings, clock)
+        self._pool = pools.Pool(database, share, settings, clock)
         self._control = control_link.ControlLink(database, owner, settings)
 
     @property
@@ -75,6 +83,7 @@
         "_confirmer",
         "_links",
         "_prober",
+        "_runner",
         "_rounds",
         "_settings",
         "_stragglers",
@@ -88,13 +97,16 @@
         settings: settings_lib.UpstreamSettings,
         clock: clocks.Clock,
         time_line: events.TimeLine,
+        generator: random.Random,
+        live: runners.Live,
     ) -> None:
+        owner = f"{time_line.process}/{generator.getrandbits(_OWNER_BITS):x}"
         self._settings = settings
         self._clock = clock
         self._view = groups.GroupView(group)
         self._links = {
             database.name: DatabaseLink(
-                database, time_line.process, proxies, settings, clock
+                database, owner, proxies, settings, clock
             )
             for database in group.databases
         }
@@ -102,6 +114,16 @@
         self._prober = probes.Prober(
             self._view, controls, settings, clock, time_line
         )
+        self._runner = runners.Runner(
+            group,
+            controls,
+            self._prober,
+            failover.Timing(detection=settings.detection_time),
+            clock,
+            time_line,
+            generator,
+            live,
+        )
         self._confirmer: confirmers.Confirmer | None = None
         self._rounds = rounds.Rounds(self._refresh_all)
         self._stragglers: set[asyncio.Task[control.StatusResult]] = set()
@@ -119,11 +141,13 @@
         return self._links[name]
 
     def start(self) -> None:
-        """Starts the probes."""
-        self._prober.start()
+        """Starts the probes and the watch over the primary."""
+        self._prober.start(self)
+        self._runner.start()
 
     async def close(self) -> None:
         """Stops the probes and closes the links."""
+        await self._runner.close()
         await self._rounds.close()
         await self._prober.close()
         if self._confirmer is not None:
@@ -131,8 +155,25 @@
         for link in self._links.values():
             link.close()
 
+    def status_seen(self, status: positions.DatabaseStatus) -> None:
+        """Takes in an answered probe."""
+        self._runner.status_seen(status)
+
+    def probe_lost(self, name: types.DatabaseName) -> None:
+        """Takes in a probe that wasn't answered."""
+        self._runner.probe_lost(name)
+
+    def primary_changed(self, primary: types.DatabaseName) -> None:
+        """Frees the callers that wait for a former primary's answer."""
+        seen = {s.status.database for s in self._view.sightings}
+        for name, link in self._links.items():
+            if name not in seen and name != primary:
+                link.pool.drop_connections()
+
     def writable(self) -> groups.WritableResult:
         """Returns the primary if a majority was lately seen in its term."""
+        if self._runner.holds_writes:
+            return expression.Error(errors.NoPrimary(self._view.group.name))
         return self._view.writable(
             self._clock.now(), self._settings.detection_time
         )
@@ -151,8 +192,12 @@
         self._prober.doubt(name)
 
     def leave(self, names: frozenset[types.DatabaseName]) -> None:
-        """Sets the databases that are leaving; they get no new reads."""
+        """Sets the databases that are leaving.
+
+        They get no new reads; a primary among them is replaced first.
+        """
         self._view.leave(names)
+        self._runner.leave(names)
 
     def confirmed_position(
         self, since: datetime.datetime
