--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -25,6 +25,7 @@
     "DatabaseLost",
     "DatabasePromoted",
     "DatabaseReturned",
+    "DatabaseStopped",
     "Event",
     "FailoverEnded",
     "FailoverStarted",
@@ -148,6 +149,13 @@
     peer: types.ProxyName
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseStopped(Event):
+    """A stand-in database was stopped on purpose."""
+
+    database: types.DatabaseName
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DatabaseLost(Event):
     """A database stopped answering probes."""
--- a/hickorygate/operators/demo.py
+++ b/hickorygate/operators/demo.py
@@ -107,7 +107,8 @@
     tasks = load.start()
     await clock.sleep(command.duration / 3)
     stopped = stand.primary
-    print(f"\nstopping the primary, {stopped.name}")
+    print(f"\nstopping the primary, {stopped.name}", flush=True)
+    callers.record(events.DatabaseStopped(stopped.name))
     await stopped.stop()
     await clock.sleep(command.duration * 2 / 3)
     load.stop()
--- a/hickorygate/operators/event_codec.py
+++ b/hickorygate/operators/event_codec.py
@@ -15,6 +15,7 @@
 import pydantic
 
 from hickorygate.core import events
+from hickorygate.core import position as positions
 from hickorygate.core import types
 from hickorygate.operators import failures
 
@@ -81,12 +82,12 @@
     """Returns an event as a line for people."""
     wall = recorded.stamp.wall.astimezone(datetime.UTC)
     time = wall.strftime("%H:%M:%S.%f")
-    fields = _fields(recorded.event)
-    shown = " ".join(f"{name}={value}" for name, value in fields.items())
+    values = _values(recorded.event)
+    shown = " ".join(f"{name}={_shown(v)}" for name, v in values.items())
     kind = _kind(recorded.event)
     return (
         f"{time}+{recorded.stamp.count:<3} {recorded.process:<12} "
-        f"{kind:<17} {shown}"
+        f"{kind:<16} {shown}"
     ).rstrip()
 
 
@@ -116,3 +117,31 @@
 @_fields.register
 def _(event: ForeignEvent) -> Mapping[str, pydantic.JsonValue]:
     return event.fields
+
+
+@functools.singledispatch
+def _values(event: events.Event) -> Mapping[str, object]:
+    """Returns the fields of an event as they are inside."""
+    names = [field.name for field in dataclasses.fields(event)]
+    return {name: getattr(event, name) for name in names}
+
+
+@_values.register
+def _(event: ForeignEvent) -> Mapping[str, object]:
+    return event.fields
+
+
+@functools.singledispatch
+def _shown(value: object) -> str:
+    """Returns a field as text for people."""
+    return str(value)
+
+
+@_shown.register
+def _(value: datetime.timedelta) -> str:
+    return f"{value.total_seconds():.3f}s"
+
+
+@_shown.register
+def _(value: positions.Position) -> str:
+    return f"{value.term}/{value.offset}"
--- a/hickorygate/tests/test_timeline.py
+++ b/hickorygate/tests/test_timeline.py
@@ -67,6 +67,16 @@
             read = event_codec.read_json(text, "here")
             self.assertEqual(read.ok, recorded)
 
+    def test_text_shows_times_and_positions_for_people(self) -> None:
+        line = events.TimeLine("proxy-0", events.StampClock(_Clock(0)))
+        line.record(events.WritesResumed("g", datetime.timedelta(seconds=1.5)))
+        text = event_codec.as_text(line.events[0])
+        self.assertEqual(
+            text,
+            "06:00:00.000000+0   proxy-0      WritesResumed    "
+            "group=g gap=1.500s",
+        )
+
     def test_unknown_kind_is_kept(self) -> None:
         text = (
             '{"wall":"2026-03-01T06:00:00Z","count":0,"process":"p",'
