--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -42,6 +42,7 @@
     "StoreReset",
     "TimeLine",
     "WritesResumed",
+    "kinds",
 ]
 
 _KEPT_EVENTS = 4_096
@@ -287,3 +288,14 @@
         """Adds an event at the present."""
         self._counts[type(event)] += 1
         self._events.append(Recorded(self._clock.next(), self._process, event))
+
+
+def kinds() -> tuple[type[Event], ...]:
+    """Returns all kinds of event, by name."""
+    exported = (globals()[name] for name in sorted(__all__))
+    return tuple(
+        kind
+        for kind in exported
+        if isinstance(kind, type) and issubclass(kind, Event)
+        if kind is not Event
+    )
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -11,6 +11,7 @@
 import datetime
 import pathlib
 from typing import Annotated
+from typing import Literal
 
 import expression
 import pydantic
@@ -47,7 +48,13 @@
 
 
 class TlsSettings(_Model):
-    """Certificate files; `authority` checks the other end."""
+    """Certificate files, in PEM form.
+
+    Attributes:
+      certificate: of this end.
+      key: its private key.
+      authority: checks the other end's certificate.
+    """
 
     certificate: pathlib.Path | None = None
     key: pathlib.Path | None = None
@@ -253,16 +260,25 @@
 
 
 class AdminSettings(_Model):
-    """The operators' HTTP port: metrics, readiness, status, time line."""
+    """The operators' HTTP port: metrics, readiness, status, time line.
+
+    Attributes:
+      host: address to listen on; whoever reaches it can shut the proxy down.
+      port: TCP port; 0 lets the system choose.
+    """
 
     host: str = "127.0.0.1"
     port: _Port = 0
 
 
 class LogSettings(_Model):
-    """JSON-line logs on standard error."""
+    """JSON-line logs on standard error.
+
+    Attributes:
+      level: the least that is logged.
+    """
 
-    level: str = "INFO"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"] = "INFO"
 
 
 class Settings(_Model):
@@ -271,6 +287,12 @@
     Attributes:
       name: unique name of this proxy.
       zone: its availability zone.
+      callers: the front end.
+      upstreams: the link to databases.
+      platform: the link to the platform.
+      peers: the link to the other proxies.
+      admin: the operators' port.
+      log: the log.
     """
 
     name: str
--- a/hickorygate/operators/command.py
+++ b/hickorygate/operators/command.py
@@ -34,7 +34,17 @@
 
 
 class ExitCode(enum.IntEnum):
-    """What the program ends with."""
+    """What the program ends with.
+
+    Attributes:
+      DONE: done.
+      FAILED: failed; the message says why.
+      USAGE: the command line can't be used.
+      CONFLICT: another operator changed the sheet first.
+      INVALID: a sheet or a settings file is invalid or can't be read.
+      UNAVAILABLE: the platform or a proxy doesn't answer.
+      INTERRUPTED: ended by Ctrl-C.
+    """
 
     DONE = 0
     FAILED = 1
--- a/hickorygate/operators/event_codec.py
+++ b/hickorygate/operators/event_codec.py
@@ -22,8 +22,7 @@
 __all__ = ["ForeignEvent", "as_json", "as_text", "read_json"]
 
 _ADAPTERS: Mapping[str, pydantic.TypeAdapter[events.Event]] = {
-    kind.__name__: pydantic.TypeAdapter(kind)
-    for kind in events.Event.__subclasses__()
+    kind.__name__: pydantic.TypeAdapter(kind) for kind in events.kinds()
 }
 
 
--- a/hickorygate/operators/main.py
+++ b/hickorygate/operators/main.py
@@ -20,11 +20,11 @@
 from hickorygate.operators import standin
 from hickorygate.operators import timeline
 
-__all__ = ["main", "parse", "run"]
+__all__ = ["FAMILIES", "main", "parse", "run"]
 
 _PROGRAM = "hickorygate"
 _HELP = frozenset({"help", "-h", "--help"})
-_FAMILIES = {
+FAMILIES = {
     family.name: family
     for family in (
         serve.FAMILY,
@@ -39,7 +39,7 @@
 
 
 def _usage() -> str:
-    usages = [u for family in _FAMILIES.values() for u in family.usages]
+    usages = [u for family in FAMILIES.values() for u in family.usages]
     width = max(len(usage.words) for usage in usages)
     lines = [
         f"  {_PROGRAM} {usage.words:<{width}}  {usage.meaning}"
@@ -50,10 +50,10 @@
 
 def parse(words: Sequence[str]) -> commands.ParseResult:
     """Makes a command of the words after the program's name."""
-    family = _FAMILIES.get(words[0]) if words else None
+    family = FAMILIES.get(words[0]) if words else None
     if family is None:
         name = words[0] if words else _PROGRAM
-        known = ", ".join(_FAMILIES)
+        known = ", ".join(FAMILIES)
         return commands.usage(name, f"not a command; known: {known}")
     family.flags.unparse_flags()
     try:
--- /dev/null
+++ b/tools/test_reference.py
@@ -0,0 +1,28 @@
+"""The pages for operators say what the code does."""
+
+from __future__ import annotations
+
+import pathlib
+import unittest
+
+from hickorygate.operators import metrics
+from tools import reference
+
+_DOCS = pathlib.Path(__file__).parent.parent / "docs"
+
+
+class ReferenceTest(unittest.TestCase):
+    """docs/REFERENCE.md and docs/OPERATIONS.md."""
+
+    def test_page_is_up_to_date(self) -> None:
+        self.assertEqual(
+            reference.PAGE.read_text(),
+            reference.page(),
+            "run `make reference` and commit docs/REFERENCE.md",
+        )
+
+    def test_operations_tells_when_to_act_on_each_metric(self) -> None:
+        text = (_DOCS / "OPERATIONS.md").read_text()
+        for metric in metrics.CATALOGUE:
+            with self.subTest(metric.name):
+                self.assertIn(f"| `{metric.name}` |", text)
