--- a/hickorygate/operators/log.py
+++ b/hickorygate/operators/log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import datetime
 import sys
 
 import logbook
@@ -29,7 +30,7 @@
     ) -> str:
         """Formats a record; logbook calls it for each."""
         line = {
-            "time": record.time.isoformat(),
+            "time": record.time.replace(tzinfo=datetime.UTC).isoformat(),
             "level": record.level_name,
             "process": self._process,
             "module": record.channel,
--- a/tools/reference.py
+++ b/tools/reference.py
@@ -35,6 +35,12 @@
 work with all this is in [OPERATIONS.md](OPERATIONS.md).
 """
 _ATTRIBUTE = re.compile(r"^(\w+): (.*)$")
+_TYPES = {
+    "Path": "path",
+    "float": "number",
+    "int": "integer",
+    "str": "text",
+}
 _KINDS = {
     "Counter": "counter",
     "Gauge": "gauge",
@@ -92,12 +98,7 @@
     if annotation is pydantic.AwareDatetime:
         return "time"
     name = getattr(annotation, "__name__", str(annotation))
-    return {
-        "str": "text",
-        "int": "integer",
-        "float": "number",
-        "Path": "path",
-    }.get(name, name)
+    return _TYPES.get(name, name)
 
 
 def _default(field: pydantic.fields.FieldInfo) -> str:
