Decode callers' packets ourselves; parameters, rows and errors by type

Cause: the library's parser loops for ever on a login that is cut short, puts string parameters into SQL without quoting, loses a row at fetch, and holds a large result whole. Change: typed commands, a bounded reader, our own literals and row encoders, a queue of 64 KB towards the caller, one table of error codes that a test compares with docs/ERRORS.md.

--- a/hickorygate/callers/stream.py
+++ b/hickorygate/callers/stream.py
@@ -1,4 +1,9 @@
-"""Reads packets from a caller, within the limit on a statement's size."""
+"""Packets from and to a caller, bounded in both directions.
+
+What comes in is bounded by the limit on a statement's size. What goes out
+waits for the caller once a buffer is full, so that a large result is never
+held whole.
+"""
 
 from __future__ import annotations
 
@@ -6,27 +11,29 @@
 from collections.abc import Sequence
 import ssl
 
-from mysql_mimic import results
 from mysql_mimic import stream as mimic_stream
 
 from hickorygate.core import errors
-from hickorygate.core import types
 
-__all__ = ["Stream"]
+__all__ = ["BUFFER_BYTES", "Stream"]
+
+BUFFER_BYTES = 65_536
+"""What is queued at the most before the caller must take some of it."""
 
 _HEADER_BYTES = 4
 _LENGTH_BYTES = 3
 _FULL_PACKET = 0xFFFFFF
+_SEQUENCE = 256
 
 
 class Stream:
     """A packet stream that bounds what it holds in memory.
 
     It stands where the library expects its own stream, which is compiled and
-    can't be subclassed; writing is passed on to one.
+    can't be subclassed.
     """
 
-    __slots__ = ("_limit", "_raw", "_reader")
+    __slots__ = ("_buffer", "_limit", "_reader", "_sequence", "_writer")
 
     def __init__(
         self,
@@ -34,12 +41,31 @@
         writer: asyncio.StreamWriter,
         limit: int,
     ) -> None:
-        self._raw = mimic_stream.MysqlStream(reader, writer)
         self._reader = reader
+        self._writer = writer
         self._limit = limit
+        self._buffer = bytearray()
+        self._sequence = 0
+
+    @property
+    def limit(self) -> int:
+        """Bytes of the longest packet that is taken in."""
+        return self._limit
+
+    @property
+    def queued(self) -> int:
+        """Bytes that the caller hasn't taken yet."""
+        return (
+            len(self._buffer) + self._writer.transport.get_write_buffer_size()
+        )
+
+    @property
+    def over_tls(self) -> bool:
+        """Whether it is encrypted."""
+        return self._writer.get_extra_info("ssl_object") is not None
 
     def __repr__(self) -> str:
-        return f"Stream(limit={self._limit})"
+        return f"Stream(limit={self._limit}, queued={self.queued})"
 
     async def read(self) -> bytes:
         """Returns one packet; a cut or foreign one ends the connection."""
@@ -49,32 +75,47 @@
             raise mimic_stream.ConnectionClosed from error
 
     async def write(self, data: bytes, drain: bool = True) -> None:
-        """Sends one packet."""
-        await self._raw.write(data, drain)
+        """Queues one packet, and sends the queue if it is asked or full."""
+        self._frame(data)
+        if drain or len(self._buffer) >= BUFFER_BYTES:
+            await self.drain()
+
+    def queue(self, data: bytes) -> bool:
+        """Queues one packet; tells whether it is time to drain."""
+        self._frame(data)
+        return len(self._buffer) >= BUFFER_BYTES
 
     def write_many(self, packets: Sequence[bytes]) -> None:
         """Queues packets."""
-        self._raw.write_many(packets)
-
-    def write_text_rows(
-        self,
-        rows: Sequence[types.Row],
-        columns: Sequence[results.ResultColumn],
-    ) -> int:
-        """Queues rows in the text protocol; returns how many."""
-        return self._raw.write_text_rows(rows, columns)
+        for data in packets:
+            self._frame(data)
 
     async def drain(self) -> None:
-        """Sends what is queued."""
-        await self._raw.drain()
+        """Sends what is queued and waits until the caller takes it."""
+        if self._buffer:
+            self._writer.write(bytes(self._buffer))
+            self._buffer.clear()
+        await self._writer.drain()
 
     def reset_seq(self) -> None:
         """Begins a new command."""
-        self._raw.reset_seq()
+        self._sequence = 0
+
+    def skip_request(self) -> None:
+        """Goes on as if a command had been read."""
+        self._sequence = 1
 
     async def start_tls(self, context: ssl.SSLContext) -> None:
-        """Goes on over TLS."""
-        await self._raw.start_tls(context)
+        """Goes on over TLS; nothing may have come after the request."""
+        if self._reader._buffer:  # noqa: SLF001 - there is no other way
+            raise mimic_stream.ConnectionClosed
+        await self._writer.start_tls(context)
+
+    async def end(self) -> None:
+        """Sends what is queued and says that nothing follows."""
+        await self.drain()
+        if self._writer.can_write_eof():
+            self._writer.write_eof()
 
     async def _read(self) -> bytes:
         data = bytearray()
@@ -82,15 +123,35 @@
         while True:
             header = await self._reader.readexactly(_HEADER_BYTES)
             length = int.from_bytes(header[:_LENGTH_BYTES], "little")
-            if header[_LENGTH_BYTES] != next(self._raw.seq):
+            if header[_LENGTH_BYTES] != self._next():
                 raise mimic_stream.ConnectionClosed
             size += length
-            part = await self._reader.readexactly(length)
-            if size <= self._limit:
-                data += part
+            await self._take(length, data if size <= self._limit else None)
             if length < _FULL_PACKET:
                 break
         if size > self._limit:
             failure = errors.StatementTooLarge(size, self._limit)
             raise errors.FailureError(failure)
         return bytes(data)
+
+    async def _take(self, length: int, data: bytearray | None) -> None:
+        """Reads a packet's body; without a place for it, it is dropped."""
+        while length:
+            part = await self._reader.read(min(length, BUFFER_BYTES))
+            if not part:
+                raise mimic_stream.ConnectionClosed
+            length -= len(part)
+            if data is not None:
+                data += part
+
+    def _frame(self, data: bytes) -> None:
+        for start in range(0, len(data) + 1, _FULL_PACKET):
+            part = data[start : start + _FULL_PACKET]
+            self._buffer += len(part).to_bytes(_LENGTH_BYTES, "little")
+            self._buffer.append(self._next())
+            self._buffer += part
+
+    def _next(self) -> int:
+        number = self._sequence
+        self._sequence = (number + 1) % _SEQUENCE
+        return number
--- a/hickorygate/core/statement.py
+++ b/hickorygate/core/statement.py
@@ -15,6 +15,7 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.core import lexer
 from hickorygate.core import words
 
 __all__ = [
@@ -38,20 +39,7 @@
 _LONGEST_CACHED = 4_096
 """Characters; longer statements are classified each time."""
 
-_QUOTED = r"""
-    '(?:[^'\\]++|\\(?:.|\Z)|'')*+(?:'|\Z)        # a string
-    | "(?:[^"\\]++|\\(?:.|\Z)|"")*+(?:"|\Z)      # the same, or a name
-    | `[^`]*+(?:`|\Z)                     # a name
-"""
-_COMMENT = r"""
-    /\*(?!M?!)[^*]*+(?:\*(?!/)[^*]*+)*+(?:\*/|\Z)   # but not an executable one
-    | --(?=\s|\Z)[^\n]*+
-    | \#[^\n]*+
-"""
-_BLANKED = re.compile(f"(?:{_QUOTED}|{_COMMENT})", re.S | re.X)
-_END = re.compile(f"(?:{_QUOTED}|{_COMMENT})|(?P<end>;)", re.S | re.X)
 _FIRST_WORD = re.compile(r"[\s(]*+([A-Z]++)")
-_COMMENTS = re.compile(_COMMENT, re.S | re.X)
 _EXECUTABLE_COMMENT = re.compile(r"/\*M?!")
 
 _CALL = re.compile(r"(?<![\w$])((?:\.\s*+)?[\w$]++)\s*+\(")
@@ -184,7 +172,7 @@
 
 
 def _classify(text: str) -> ClassifyResult:
-    blanked = " ".join(_BLANKED.split(text)).upper()
+    blanked = " ".join(lexer.BLANKED.split(text)).upper()
     outline = " ".join(blanked.split()).strip("; ")
     if not outline:
         return expression.Error(errors.EmptyStatement())
@@ -201,7 +189,7 @@
     if ";" not in text:
         return text.strip()
     text = text.lstrip("; \t\r\n")
-    for match in _END.finditer(text):
+    for match in lexer.SEPARATOR.finditer(text):
         if match["end"]:
             return text[: match.start()].strip()
     return text.strip()
@@ -252,7 +240,7 @@
     """Tells whether a quoted name stands before a parenthesis."""
     if not _MAYBE_QUOTED_CALL.search(sql):
         return False
-    marked = _BLANKED.sub(_name_mark, sql)
+    marked = lexer.BLANKED.sub(_name_mark, sql)
     return _QUOTED_CALL.search(marked) is not None
 
 
@@ -318,7 +306,7 @@
 
 
 def _use(sql: str, outline: str) -> ClassifyResult:
-    match = _USE.match(_COMMENTS.sub(" ", sql))
+    match = _USE.match(lexer.COMMENT.sub(" ", sql))
     if match:
         return expression.Ok(Use(sql, match.group(1)))
     return _refused("USE without one schema's name")
--- /dev/null
+++ b/hickorygate/tests/test_encoding.py
@@ -0,0 +1,77 @@
+"""Rows in the text and in the binary protocol."""
+
+from __future__ import annotations
+
+import struct
+import unittest
+
+from hickorygate.callers import encoding
+from hickorygate.upstreams import answer as answers
+
+_UNSIGNED = 32
+
+
+class BinaryRowTest(unittest.TestCase):
+    """Cells as the database's text, by the column's type."""
+
+    def cell(self, code: int, cell: object, flags: int = 0) -> bytes:
+        column = answers.Column("a", code, 63, flags)
+        encoders = encoding.binary_encoders((column,))
+        return encoding.binary_row(encoders, (cell,))[2:]
+
+    def test_cells(self) -> None:
+        for code, flags, cell, data in (
+            (1, 0, "-1", b"\xff"),
+            (1, _UNSIGNED, b"255", b"\xff"),
+            (8, 0, 7, (7).to_bytes(8, "little")),
+            (8, _UNSIGNED, "18446744073709551615", b"\xff" * 8),
+            (13, 0, "2026", b"\xea\x07"),
+            (4, 0, "1.5", struct.pack("<f", 1.5)),
+            (5, 0, "0.1", struct.pack("<d", 0.1)),
+            (246, 0, "1.50", b"\x041.50"),
+            (253, 0, "é", b"\x02\xc3\xa9"),
+            (252, 0, b"\x00\xff", b"\x02\x00\xff"),
+            (245, 0, "{}", b"\x02{}"),
+            (16, 0, b"\x01", b"\x01\x01"),
+            (10, 0, "2026-03-01", b"\x04\xea\x07\x03\x01"),
+            (12, 0, "0000-00-00 00:00:00", b"\x00"),
+            (
+                12,
+                0,
+                "2026-03-01 06:07:08",
+                b"\x07\xea\x07\x03\x01\x06\x07\x08",
+            ),
+            (
+                7,
+                0,
+                "2026-03-01 06:07:08.5",
+                b"\x0b\xea\x07\x03\x01\x06\x07\x08\x20\xa1\x07\x00",
+            ),
+            (11, 0, "-26:03:04", b"\x08\x01\x01\x00\x00\x00\x02\x03\x04"),
+            (11, 0, "00:00:00", b"\x00"),
+        ):
+            with self.subTest(code=code, cell=cell):
+                self.assertEqual(self.cell(code, cell, flags), data)
+
+    def test_nulls_are_in_the_bitmap(self) -> None:
+        columns = tuple(answers.Column("a", 6, 63) for _ in range(7))
+        encoders = encoding.binary_encoders(columns)
+        row = encoding.binary_row(encoders, (None,) * 7)
+        self.assertEqual(row, b"\x00\xfc\x01")
+
+
+class TextRowTest(unittest.TestCase):
+    """Cells as text."""
+
+    def test_cells(self) -> None:
+        row = encoding.text_row((None, "é", b"\xff", 7, 1.5, "x" * 300))
+        long = b"\xfc\x2c\x01" + b"x" * 300
+        self.assertEqual(row, b"\xfb\x02\xc3\xa9\x01\xff\x017\x031.5" + long)
+
+    def test_column_tells_charset_flags_and_decimals(self) -> None:
+        column = answers.Column("n", 246, 63, _UNSIGNED, 2, 12)
+        self.assertEqual(
+            encoding.column(column),
+            b"\x03def\x00\x00\x00\x01n\x01n\x0c\x3f\x00\x0c\x00\x00\x00"
+            b"\xf6\x20\x00\x02\x00\x00",
+        )
--- /dev/null
+++ b/hickorygate/tests/test_prepared.py
@@ -0,0 +1,152 @@
+"""Prepared statements: places, parameters and their literals."""
+
+from __future__ import annotations
+
+import decimal
+import struct
+import unittest
+
+from hickorygate.callers import failures
+from hickorygate.callers import packet as packets
+from hickorygate.callers import parameter as parameters
+from hickorygate.callers import prepared as prepareds
+from hickorygate.core import errors
+
+_LIMIT = 1_000_000
+_MEGABYTE = 1_048_576
+
+
+def _body(kinds: list[tuple[int, int]], nulls: int, values: bytes) -> bytes:
+    """Builds the part of an execution behind the statement's number."""
+    bitmap = nulls.to_bytes((len(kinds) + 7) // 8, "little")
+    types = b"".join(bytes(kind) for kind in kinds)
+    return b"\x00" + b"\x01\x00\x00\x00" + bitmap + b"\x01" + types + values
+
+
+class PlacesTest(unittest.TestCase):
+    """Where the parameters are."""
+
+    def test_places_in_text_are_none(self) -> None:
+        for sql, count in {
+            "SELECT ?": 1,
+            "SELECT '?', \"?\", `?` /* ? */ -- ?\n, ?, ?": 2,
+            "SELECT 'it''s ?\\'?', ?": 1,
+            "SELECT 1": 0,
+        }.items():
+            with self.subTest(sql):
+                self.assertEqual(prepareds.prepare(1, sql).parameters, count)
+
+    def test_hostile_megabytes_take_one_pass(self) -> None:
+        for word in ("'\\", "\"'", "?'", "/*", "`?"):
+            with self.subTest(word):
+                sql = word * (_MEGABYTE // 64 // len(word))
+                self.assertTrue(prepareds.prepare(1, sql).parts)
+
+
+class LiteralTest(unittest.TestCase):
+    """Values as SQL."""
+
+    def test_literals(self) -> None:
+        for value, sql in (
+            (None, "NULL"),
+            (-5, " -5"),
+            (18_446_744_073_709_551_615, " 18446744073709551615"),
+            (1.5, " 1.5e0"),
+            (1e300, " 1e+300"),
+            (decimal.Decimal("-0.10"), " -0.10"),
+            ("it's", "'it''s'"),
+            ("a\\' OR 1=1 -- ", "'a\\\\'' OR 1=1 -- '"),
+            ("nul\x00", "'nul\\0'"),
+            (parameters.Binary(b"\x00'\xff"), "x'0027ff'"),
+        ):
+            with self.subTest(value):
+                self.assertEqual(parameters.literal(value), sql)
+
+    def test_no_number(self) -> None:
+        for value in (float("nan"), float("inf")):
+            with self.assertRaises(errors.FailureError) as caught:
+                parameters.literal(value)
+            failure = caught.exception.failure
+            self.assertIsInstance(failure, failures.BadParameter)
+
+
+class ExecuteTest(unittest.TestCase):
+    """Executions as callers send them."""
+
+    def run_body(self, sql: str, body: bytes) -> str:
+        statement = prepareds.prepare(1, sql)
+        reader = packets.Reader(body)
+        return prepareds.execute(reader, statement, False, _LIMIT).sql
+
+    def test_values_of_all_kinds(self) -> None:
+        for kind, unsigned, data, sql in (
+            (1, 0, b"\xff", " -1"),
+            (1, 0x80, b"\xff", " 255"),
+            (3, 0, b"\xfe\xff\xff\xff", " -2"),
+            (8, 0x80, b"\xff" * 8, " 18446744073709551615"),
+            (5, 0, struct.pack("<d", 0.1), " 0.1e0"),
+            (253, 0, b"\x04a'b?", "'a''b?'"),
+            (253, 0, b"\x02\xff\xfe", "x'fffe'"),
+            (252, 0, b"\x02ab", "x'6162'"),
+            (246, 0, b"\x041.50", " 1.50"),
+            (10, 0, b"\x04\xea\x07\x03\x01", "'2026-03-01'"),
+            (12, 0, b"\x00", "'0000-00-00'"),
+            (
+                12,
+                0,
+                b"\x0b\xea\x07\x03\x01\x06\x07\x08\x01\x00\x00\x00",
+                "'2026-03-01 06:07:08.000001'",
+            ),
+            (11, 0, b"\x08\x01\x01\x00\x00\x00\x02\x03\x04", "'-26:03:04'"),
+            (6, 0, b"", "NULL"),
+        ):
+            with self.subTest(kind=kind, data=data):
+                body = _body([(kind, unsigned)], 0, data)
+                self.assertEqual(
+                    self.run_body("SELECT ?", body), f"SELECT {sql}"
+                )
+
+    def test_nulls_and_parts_keep_their_places(self) -> None:
+        statement = prepareds.prepare(1, "VALUES (?, ?, ?)")
+        statement.append(2, b"lo", _LIMIT)
+        statement.append(2, b"ng", _LIMIT)
+        body = _body([(3, 0), (253, 0), (253, 0)], 0b010, b"\x07\x00\x00\x00")
+        execution = prepareds.execute(
+            packets.Reader(body), statement, False, _LIMIT
+        )
+        self.assertEqual(execution.sql, "VALUES ( 7, NULL, 'long')")
+
+    def test_types_are_kept_for_the_next_execution(self) -> None:
+        statement = prepareds.prepare(1, "SELECT ?")
+        first = _body([(1, 0)], 0, b"\x01")
+        again = b"\x00\x01\x00\x00\x00\x00\x00\x02"
+        sqls = [
+            prepareds.execute(packets.Reader(b), statement, False, _LIMIT).sql
+            for b in (first, again)
+        ]
+        self.assertEqual(sqls, ["SELECT  1", "SELECT  2"])
+
+    def test_query_attributes_are_no_parameters(self) -> None:
+        attributes = b"\x01\x01\x00\x01\xfe\x00\x10hickorygate_rank\x06urgent"
+        self.assertEqual(
+            prepareds.read_attributes(packets.Reader(attributes)),
+            {"hickorygate_rank": "urgent"},
+        )
+
+    def test_bodies_cut_short_are_malformed(self) -> None:
+        whole = _body([(3, 0), (253, 0)], 0, b"\x07\x00\x00\x00\x02ab")
+        for size in range(len(whole)):
+            with self.subTest(size):
+                with self.assertRaises(errors.FailureError) as caught:
+                    self.run_body("SELECT ?, ?", whole[:size])
+                failure = caught.exception.failure
+                self.assertIsInstance(failure, failures.MalformedPacket)
+
+    def test_too_much_in_parts_is_refused(self) -> None:
+        statement = prepareds.prepare(1, "SELECT ?")
+        statement.append(0, b"x" * 11, 10)
+        body = packets.Reader(_body([(253, 0)], 0, b""))
+        with self.assertRaises(errors.FailureError) as caught:
+            prepareds.execute(body, statement, False, 10)
+        failure = caught.exception.failure
+        self.assertEqual(failure, errors.StatementTooLarge(11, 10))
--- /dev/null
+++ b/hickorygate/tests/test_replies.py
@@ -0,0 +1,69 @@
+"""The page of errors and the code agree."""
+
+from __future__ import annotations
+
+import importlib
+import pathlib
+import pkgutil
+import unittest
+
+from hickorygate import callers
+from hickorygate import core
+from hickorygate.callers import replies
+from hickorygate.core import errors
+
+_PAGE = pathlib.Path(__file__).parents[2] / "docs" / "ERRORS.md"
+_VARIES = "varies"
+
+
+def _failures() -> dict[str, type[errors.Failure]]:
+    """Returns the failures of all modules that callers can reach."""
+    found = {}
+    for package in (callers, core):
+        for module in pkgutil.iter_modules(package.__path__):
+            path = f"{package.__name__}.{module.name}"
+            for name, value in vars(importlib.import_module(path)).items():
+                if isinstance(value, type) and issubclass(
+                    value, errors.Failure
+                ):
+                    found[name] = value
+    del found["Failure"]
+    return found
+
+
+def _row(kind: type[errors.Failure]) -> tuple[str, str, str]:
+    bare = kind.__new__(kind)
+    code = replies.code_of(bare)
+    try:
+        outcome = bare.outcome.value
+    except AttributeError:
+        outcome = _VARIES
+    return str(code.number), code.sqlstate, outcome
+
+
+def _page_rows() -> dict[str, tuple[str, str, str]]:
+    rows = {}
+    for line in _PAGE.read_text().splitlines():
+        cells = [cell.strip() for cell in line.split("|")]
+        if len(cells) == 7 and cells[2].isdigit():
+            rows[cells[1]] = (cells[2], cells[3], cells[4])
+    return rows
+
+
+class ErrorsPageTest(unittest.TestCase):
+    """`docs/ERRORS.md` against `callers/replies.py`."""
+
+    def test_page_lists_each_failure_as_it_is_sent(self) -> None:
+        expected = {name: _row(kind) for name, kind in _failures().items()}
+        self.assertEqual(_page_rows(), expected)
+
+    def test_databases_own_error_is_passed_on(self) -> None:
+        failure = errors.UpstreamError(1062, "23000", "Duplicate entry")
+        reply = replies.error_reply(failure)
+        self.assertEqual(
+            reply, replies.ErrorReply(1062, "23000", "Duplicate entry")
+        )
+
+    def test_own_failures_say_their_outcome(self) -> None:
+        lost = errors.AnswerLost("alert-db-1a", "cut")
+        self.assertTrue(replies.error_reply(lost).text.startswith("[unknown] "))
--- a/hickorygate/upstreams/answer.py
+++ b/hickorygate/upstreams/answer.py
@@ -19,11 +19,17 @@
       name: its label.
       type_code: MySQL's column type number.
       charset: MySQL's character set number; 63 is binary.
+      flags: MySQL's column flags, such as unsigned.
+      decimals: digits behind the point.
+      length: the longest cell, in bytes; 0 if it isn't known.
     """
 
     name: str
     type_code: int
     charset: int
+    flags: int = 0
+    decimals: int = 0
+    length: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -29,7 +29,6 @@
 __all__ = ["Connection", "open_connection"]
 
 _BATCH_ROWS = 1_000
-_BINARY_CHARSET = 63
 _CLIENT_ERRORS = range(2_000, 3_000)
 _READ_ONLY = frozenset({1290, 1792, 1836})
 _SHUTDOWN = frozenset({1053, 1077, 1079})
@@ -254,8 +253,15 @@
                 last_insert_id=cursor.lastrowid,
             )
         columns = tuple(
-            answers.Column(field[0], field[1], _BINARY_CHARSET)
-            for field in cursor.description
+            answers.Column(
+                name=field.name,
+                type_code=field.type_code,
+                charset=field.charsetnr,
+                flags=field.flags,
+                decimals=field.scale,
+                length=field.length,
+            )
+            for field in cursor._result.fields  # noqa: SLF001
         )
         rows = await cursor.fetchmany(_BATCH_ROWS)
         if len(rows) < _BATCH_ROWS:
