--- /dev/null
+++ b/hickorygate/testing/raw_client.py
@@ -0,0 +1,91 @@
+"""A MySQL client that sends what it is told, for tests of bad input."""
+
+from __future__ import annotations
+
+import asyncio
+
+from hickorygate.core import types
+
+__all__ = ["RawClient", "connect", "log_in"]
+
+_CAPABILITIES = 0x0000_8201
+"""Protocol 4.1, long passwords, secure connection."""
+
+_LOGIN_HEAD = (
+    _CAPABILITIES.to_bytes(4, "little")
+    + (1 << 24).to_bytes(4, "little")
+    + b"\x2d"
+    + bytes(23)
+)
+_ERROR = 0xFF
+
+
+class RawClient:
+    """One connection, packet by packet."""
+
+    __slots__ = ("_reader", "_writer")
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+
+    def __repr__(self) -> str:
+        return f"RawClient({self._writer.get_extra_info('peername')})"
+
+    def send_bytes(self, data: bytes) -> None:
+        """Sends bytes as they are."""
+        self._writer.write(data)
+
+    def send(self, payload: bytes, sequence: int = 0) -> None:
+        """Sends one packet."""
+        header = len(payload).to_bytes(3, "little") + bytes((sequence,))
+        self._writer.write(header + payload)
+
+    def query(self, sql: str) -> None:
+        """Sends a statement and doesn't wait for its answer."""
+        self.send(b"\x03" + sql.encode())
+
+    async def read(self) -> bytes:
+        """Returns one packet; an empty one if the connection ended."""
+        try:
+            header = await self._reader.readexactly(4)
+            length = int.from_bytes(header[:3], "little")
+            return await self._reader.readexactly(length)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return b""
+
+    async def error(self) -> int:
+        """Returns the number in the next packet if it is an error, else 0."""
+        packet = await self.read()
+        if not packet or packet[0] != _ERROR:
+            return 0
+        return int.from_bytes(packet[1:3], "little")
+
+    async def read_to_end(self) -> None:
+        """Reads until the server hangs up."""
+        while await self.read():
+            pass
+
+    async def close(self) -> None:
+        """Hangs up."""
+        self._writer.close()
+        try:
+            await self._writer.wait_closed()
+        except ConnectionError:
+            return
+
+
+async def connect(port: int) -> RawClient:
+    """Connects and doesn't log in."""
+    return RawClient(*await asyncio.open_connection("127.0.0.1", port))
+
+
+async def log_in(port: int, user: types.CallerName) -> RawClient:
+    """Connects and logs in a user that has no password."""
+    client = await connect(port)
+    await client.read()
+    client.send(_LOGIN_HEAD + user.encode() + b"\x00\x00", sequence=1)
+    await client.read()
+    return client
--- /dev/null
+++ b/hickorygate/tests/test_server.py
@@ -0,0 +1,238 @@
+"""The server side: bad input, hang-ups, shutdown, back-pressure."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+import datetime
+import unittest
+
+import expression
+
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import server as servers
+from hickorygate.callers import stream as streams
+from hickorygate.core import errors
+from hickorygate.core import types
+from hickorygate.testing import raw_client
+from hickorygate.upstreams import answer as answers
+
+_GUARD = datetime.timedelta(seconds=10)
+_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
+_COLUMN = answers.Column("a", 253, 45)
+_ROW = "x" * 1_000
+_ROWS = 40_000
+_SOCKET_BYTES = 16 * 1_048_576
+"""More than the kernel holds between two sockets on one machine."""
+
+
+class _Handler:
+    """Answers by what the statement says."""
+
+    def __init__(self, test: _ServerCase) -> None:
+        self._test = test
+        self.autocommit = True
+        self.in_transaction = False
+        test.handlers.append(self)
+        self.closed = asyncio.Event()
+        self.produced = 0
+
+    async def connect(
+        self, connection_id: int
+    ) -> expression.Result[None, errors.Failure]:
+        return expression.Ok(None)
+
+    async def login(
+        self, user: types.CallerName, attributes: Mapping[str, str]
+    ) -> expression.Result[None, errors.Failure]:
+        return expression.Ok(None)
+
+    async def query(
+        self, sql: str, attributes: Mapping[str, str]
+    ) -> handlers.AnswerResult:
+        match sql:
+            case "wait":
+                self._test.waiting.set()
+                await self._test.go_on.wait()
+            case "begin":
+                self.in_transaction = True
+            case "commit":
+                self.in_transaction = False
+            case "rows":
+                table = answers.Table(0, (_COLUMN,), self._rows())
+                return expression.Ok(table)
+            case "fault":
+                raise ZeroDivisionError
+        return expression.Ok(_NOTHING)
+
+    async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
+        return expression.Ok(_NOTHING)
+
+    async def reset(self) -> None:
+        self.in_transaction = False
+
+    async def close(self) -> None:
+        self.closed.set()
+
+    async def _rows(self) -> AsyncIterator[types.Row]:
+        for _ in range(_ROWS):
+            self.produced += 1
+            yield (_ROW,)
+
+
+class _ServerCase(unittest.IsolatedAsyncioTestCase):
+    """A server with a handler of the test's own."""
+
+    async def asyncSetUp(self) -> None:
+        self.handlers: list[_Handler] = []
+        self.waiting = asyncio.Event()
+        self.go_on = asyncio.Event()
+        self.server = servers.Server(
+            lambda: _Handler(self), {"vet": ""}, statement_limit=1_000
+        )
+        await self.server.start("127.0.0.1", 0)
+        self.addAsyncCleanup(self.server.close)
+
+    async def log_in(self) -> raw_client.RawClient:
+        client = await raw_client.log_in(self.server.port, "vet")
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def assert_lives(self, client: raw_client.RawClient) -> None:
+        client.send(b"\x0e")
+        self.assertEqual((await client.read())[:1], b"\x00")
+
+
+class BadInputTest(_ServerCase):
+    """What a caller may do wrong."""
+
+    async def test_bad_packets_end_their_connection_alone(self) -> None:
+        other = await self.log_in()
+        for name, data in {
+            "cut short": b"\x0a\x00\x00\x00\x03SEL",
+            "wrong sequence": b"\x01\x00\x00\x07\x0e",
+            "empty": b"\x00\x00\x00\x00",
+            "cut body": b"\x03\x00\x00\x00\x17\x01\x00",
+        }.items():
+            with self.subTest(name):
+                client = await self.log_in()
+                client.send_bytes(data)
+                if name == "cut short":
+                    await client.close()
+                async with asyncio.timeout(_GUARD.total_seconds()):
+                    await client.read_to_end()
+                await self.assert_lives(other)
+
+    async def test_login_cut_short_ends(self) -> None:
+        for size in range(0, 36, 5):
+            with self.subTest(size):
+                client = await raw_client.connect(self.server.port)
+                await client.read()
+                client.send(b"\x01\x82\x00\x00" + b"a" * size, sequence=1)
+                async with asyncio.timeout(_GUARD.total_seconds()):
+                    self.assertEqual(await client.error(), 1835)
+                    await client.read_to_end()
+                await client.close()
+
+    async def test_refusals_leave_the_connection(self) -> None:
+        client = await self.log_in()
+        for payload, code in (
+            (b"\x03" + b"x" * 2_000, 1153),
+            (b"\x1d", 1047),
+            (b"\x17\x09\x00\x00\x00\x00\x01\x00\x00\x00", 1243),
+            (b"\x1c\x09\x00\x00\x00\x01\x00\x00\x00", 1421),
+            (b"\x03\xff\xfe", 1115),
+        ):
+            with self.subTest(code):
+                client.send(payload)
+                self.assertEqual(await client.error(), code)
+                await self.assert_lives(client)
+
+    async def test_fault_is_answered_and_ends_the_connection(self) -> None:
+        client = await self.log_in()
+        client.query("fault")
+        self.assertEqual(await client.error(), 1105)
+        self.assertEqual(await client.read(), b"")
+
+
+class CallerTest(_ServerCase):
+    """Callers that hang up or read slowly."""
+
+    async def test_hang_up_gives_the_statement_up(self) -> None:
+        client = await self.log_in()
+        client.query("wait")
+        await self.waiting.wait()
+        await client.close()
+        async with asyncio.timeout(_GUARD.total_seconds()):
+            await self.handlers[0].closed.wait()
+
+    async def test_slow_caller_holds_the_rows_back(self) -> None:
+        client = await self.log_in()
+        client.query("rows")
+        produced = -1
+        while produced != self.handlers[0].produced:
+            produced = self.handlers[0].produced
+            await asyncio.sleep(0.05)
+        held = produced * len(_ROW)
+        self.assertLess(held, _SOCKET_BYTES + 4 * streams.BUFFER_BYTES)
+        received = 0
+        while not (packet := await client.read()).startswith(b"\xfe"):
+            received += packet == b"\xfc\xe8\x03" + _ROW.encode()
+        received += await self.rows_behind_columns(client)
+        self.assertEqual(received, _ROWS)
+
+    async def rows_behind_columns(self, client: raw_client.RawClient) -> int:
+        received = 0
+        while not (await client.read()).startswith(b"\xfe"):
+            received += 1
+        return received
+
+
+class DrainTest(_ServerCase):
+    """A planned stop cuts no request in progress."""
+
+    def drain(self, timeout: datetime.timedelta = _GUARD) -> asyncio.Task:
+        return asyncio.create_task(self.server.drain(timeout))
+
+    async def test_idle_caller_finds_a_refusal(self) -> None:
+        client = await self.log_in()
+        drained = self.drain()
+        await asyncio.sleep(0)
+        client.query("late")
+        self.assertEqual(await client.error(), 1053)
+        await client.close()
+        await drained
+        self.assertEqual(self.server.connections, 0)
+
+    async def test_statement_is_answered_first(self) -> None:
+        client = await self.log_in()
+        client.query("wait")
+        await self.waiting.wait()
+        drained = self.drain()
+        await asyncio.sleep(0)
+        self.go_on.set()
+        self.assertEqual((await client.read())[:1], b"\x00")
+        self.assertEqual(await client.error(), 1053)
+        await client.close()
+        await drained
+
+    async def test_transaction_may_end(self) -> None:
+        client = await self.log_in()
+        client.query("begin")
+        await client.read()
+        drained = self.drain()
+        for sql in ("insert", "commit"):
+            client.query(sql)
+            self.assertEqual((await client.read())[:1], b"\x00")
+        self.assertEqual(await client.error(), 1053)
+        await client.close()
+        await drained
+
+    async def test_time_limit_cuts_off_the_rest(self) -> None:
+        client = await self.log_in()
+        client.query("begin")
+        await client.read()
+        await self.drain(datetime.timedelta(milliseconds=20))
+        self.assertEqual(await client.read(), b"")
+        self.assertTrue(self.handlers[0].closed.is_set())
--- /dev/null
+++ b/properties/test_server.py
@@ -0,0 +1,81 @@
+"""Whatever bytes one caller sends, the others are served."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from hickorygate.callers import server as servers
+from hickorygate.core import clock as clocks
+from hickorygate.testing import database as databases
+from hickorygate.testing import handler as handlers
+from hickorygate.testing import raw_client
+import properties as properties
+
+_GUARD_SECONDS = 10
+_LIMIT = 1_000
+_PAYLOAD = strategies.builds(
+    lambda code, rest: bytes((code,)) + rest,
+    strategies.sampled_from([*range(32), 255]),
+    strategies.binary(max_size=60),
+)
+_PACKET = strategies.one_of(
+    strategies.tuples(strategies.just("packet"), _PAYLOAD),
+    strategies.tuples(strategies.just("bytes"), strategies.binary(max_size=60)),
+)
+
+
+class ServerProperty(unittest.TestCase):
+    """Bytes of all kinds, before and after the login."""
+
+    def setUp(self) -> None:
+        self.runner = asyncio.Runner()
+        self.addCleanup(self.runner.close)
+        group = databases.Group(clocks.SystemClock())
+        database = databases.StandInDatabase(
+            "db", group, clocks.SystemClock(), password=""
+        )
+        self.server = servers.Server(
+            lambda: handlers.Handler(database), {"vet": ""}, _LIMIT
+        )
+        self.runner.run(self.server.start("127.0.0.1", 0))
+        self.witness = self.runner.run(self.log_in())
+
+    def tearDown(self) -> None:
+        self.runner.run(self.witness.close())
+        self.runner.run(self.server.close())
+
+    async def log_in(self) -> raw_client.RawClient:
+        return await raw_client.log_in(self.server.port, "vet")
+
+    async def disturb(
+        self, logged_in: bool, packets: list[tuple[str, bytes]]
+    ) -> bytes:
+        if logged_in:
+            client = await self.log_in()
+        else:
+            client = await raw_client.connect(self.server.port)
+        for kind, data in packets:
+            if kind == "packet":
+                client.send(data, sequence=int(not logged_in))
+            else:
+                client.send_bytes(data)
+        await client.close()
+        async with asyncio.timeout(_GUARD_SECONDS):
+            while self.server.connections > 1:
+                await asyncio.sleep(0.001)
+            self.witness.send(b"\x0e")
+            return await self.witness.read()
+
+    @hypothesis.settings(max_examples=150)
+    @hypothesis.given(
+        strategies.booleans(), strategies.lists(_PACKET, max_size=4)
+    )
+    def test_other_callers_are_served(
+        self, logged_in: bool, packets: list[tuple[str, bytes]]
+    ) -> None:
+        answer = self.runner.run(self.disturb(logged_in, packets))
+        self.assertEqual(answer[:1], b"\x00")
