--- a/hickorygate/callers/connection.py
+++ b/hickorygate/callers/connection.py
@@ -29,12 +29,12 @@
 
 from hickorygate.callers import command as commands
 from hickorygate.callers import encoding
-from hickorygate.callers import failures
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import local
 from hickorygate.callers import login as logins
 from hickorygate.callers import packet as packets
 from hickorygate.callers import prepared as prepareds
+from hickorygate.callers import protocol_errors
 from hickorygate.callers import replies
 from hickorygate.callers import stream as streams
 from hickorygate.core import errors
@@ -53,8 +53,8 @@
 _MOST_WARNINGS = 0xFFFF
 _FATAL = (
     errors.AccessDenied,
-    failures.MalformedPacket,
-    failures.Unexpected,
+    protocol_errors.MalformedPacket,
+    protocol_errors.Unexpected,
 )
 _Capability = mimic_types.Capabilities
 _Status = mimic_types.ServerStatus
@@ -199,7 +199,7 @@
     async def prepare(self, sql: str) -> None:
         """Takes in a statement with places for parameters."""
         if len(self._prepared) >= _PREPARED_LIMIT:
-            failure = failures.TooManyPrepared(_PREPARED_LIMIT)
+            failure = protocol_errors.TooManyPrepared(_PREPARED_LIMIT)
             raise errors.FailureError(failure)
         prepared = prepareds.prepare(next(self._numbers), sql)
         self._prepared[prepared.number] = prepared
@@ -239,7 +239,7 @@
         """Returns a prepared statement."""
         found = self._prepared.get(number)
         if found is None:
-            raise errors.FailureError(failures.UnknownPrepared(number))
+            raise errors.FailureError(protocol_errors.UnknownPrepared(number))
         return found
 
     def append(self, command: commands.SendLongData) -> None:
@@ -278,7 +278,7 @@
         if isinstance(error, errors.FailureError):
             failure = error.failure
         else:
-            failure = failures.MalformedPacket("no login in time")
+            failure = protocol_errors.MalformedPacket("no login in time")
         reply = replies.error_reply(failure)
         return b"".join(
             (
@@ -310,7 +310,7 @@
             await self.stream.start_tls(self.ssl)
             data = await self.stream.read()
         elif self._terms.tls_required:
-            raise errors.FailureError(failures.TlsRequired())
+            raise errors.FailureError(protocol_errors.TlsRequired())
         login = logins.read_login(data, self.server_capabilities)
         self.capabilities = login.capabilities
         await self._authenticate(login)
@@ -368,7 +368,7 @@
             raise
         except Exception as error:  # noqa: BLE001 - it must not end the loop
             _log.exception("a command failed unexpectedly")
-            failure = failures.Unexpected(type(error).__name__)
+            failure = protocol_errors.Unexpected(type(error).__name__)
         await self._refuse(failure)
         return not isinstance(failure, _FATAL)
 
@@ -508,7 +508,7 @@
 
 @_run.register
 async def _(command: commands.Fetch, connection: Connection) -> bool:
-    raise errors.FailureError(failures.NoCursor(command.number))
+    raise errors.FailureError(protocol_errors.NoCursor(command.number))
 
 
 @_run.register
@@ -550,4 +550,4 @@
 
 @_run.register
 async def _(command: commands.Unknown, connection: Connection) -> bool:
-    raise errors.FailureError(failures.UnknownCommand(command.code))
+    raise errors.FailureError(protocol_errors.UnknownCommand(command.code))
--- a/hickorygate/callers/measuring.py
+++ b/hickorygate/callers/measuring.py
@@ -65,8 +65,9 @@
     return _Kind.READ
 
 
-@_kind.register
-def _(route: routing.ToPrimary) -> _Kind | None:
+@_kind.register(routing.ToPrimary)
+@_kind.register(routing.CommitFirst)
+def _(route: routing.Route) -> _Kind | None:
     return _Kind.WRITE
 
 
@@ -76,7 +77,7 @@
 
 
 @_kind.register(routing.ToPinned)
-@_kind.register(routing.OpenTransaction)
+@_kind.register(routing.InTransaction)
 @_kind.register(routing.OpenImplicitly)
 def _(route: routing.Route) -> _Kind | None:
     return _Kind.TRANSACTION
--- a/hickorygate/callers/packet.py
+++ b/hickorygate/callers/packet.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from hickorygate.callers import failures
+from hickorygate.callers import protocol_errors
 from hickorygate.core import errors
 
 __all__ = ["Reader", "length", "length_bytes", "malformed", "text", "uint"]
@@ -76,7 +76,7 @@
 
 def malformed(reason: str) -> errors.FailureError:
     """Returns what to raise for a packet that can't be read."""
-    return errors.FailureError(failures.MalformedPacket(reason))
+    return errors.FailureError(protocol_errors.MalformedPacket(reason))
 
 
 def text(data: bytes) -> str:
--- a/hickorygate/callers/parameter.py
+++ b/hickorygate/callers/parameter.py
@@ -9,8 +9,8 @@
 import math
 import struct
 
-from hickorygate.callers import failures
 from hickorygate.callers import packet as packets
+from hickorygate.callers import protocol_errors
 from hickorygate.core import errors
 
 __all__ = [
@@ -33,6 +33,9 @@
 _DECIMALS = frozenset({0, 246})
 _BINARIES = frozenset({16, 249, 250, 251, 252, 255})
 _TEXTS = frozenset({15, 245, 247, 248, 253, 254})
+_DIGITS = 65
+"""The most digits of a DECIMAL."""
+
 _ESCAPES = str.maketrans({"\\": "\\\\", "'": "''", "\x00": "\\0"})
 
 
@@ -97,7 +100,7 @@
         return Binary(data)
     if kind.code not in _TEXTS:
         reason = f"type {kind.code} of a parameter is unknown"
-        raise errors.FailureError(failures.BadParameter(reason))
+        raise errors.FailureError(protocol_errors.BadParameter(reason))
     try:
         return data.decode()
     except UnicodeDecodeError:
@@ -125,7 +128,7 @@
 def _(value: float) -> str:
     if not math.isfinite(value):
         reason = f"{value} is no number that MySQL knows"
-        raise errors.FailureError(failures.BadParameter(reason))
+        raise errors.FailureError(protocol_errors.BadParameter(reason))
     digits = repr(value)
     return f" {digits}" if "e" in digits else f" {digits}e0"
 
@@ -150,17 +153,15 @@
         number = decimal.Decimal(data.decode("ascii"))
     except (UnicodeDecodeError, decimal.InvalidOperation) as error:
         reason = f"{data[:40]!r} is no decimal number"
-        raise errors.FailureError(failures.BadParameter(reason)) from error
+        raise errors.FailureError(
+            protocol_errors.BadParameter(reason)
+        ) from error
     if not number.is_finite() or abs(number.adjusted()) > _DIGITS:
         reason = f"{data[:40]!r} is out of a decimal's range"
-        raise errors.FailureError(failures.BadParameter(reason))
+        raise errors.FailureError(protocol_errors.BadParameter(reason))
     return number
 
 
-_DIGITS = 65
-"""The most digits of a DECIMAL."""
-
-
 def _date(reader: packets.Reader) -> str:
     size = _size(reader, (0, 4, 7, 11))
     year = reader.uint(2) if size else 0
--- a/hickorygate/callers/prepared.py
+++ b/hickorygate/callers/prepared.py
@@ -8,9 +8,9 @@
 
 import dataclasses
 
-from hickorygate.callers import failures
 from hickorygate.callers import packet as packets
 from hickorygate.callers import parameter as parameters
+from hickorygate.callers import protocol_errors
 from hickorygate.core import errors
 from hickorygate.core import lexer
 
@@ -84,7 +84,7 @@
     parts.append(sql[end:])
     if len(parts) - 1 > _MOST_PARAMETERS:
         reason = f"{len(parts) - 1} parameters, over {_MOST_PARAMETERS}"
-        raise errors.FailureError(failures.BadParameter(reason))
+        raise errors.FailureError(protocol_errors.BadParameter(reason))
     return Prepared(number, tuple(parts))
 
 
--- a/hickorygate/callers/replies.py
+++ b/hickorygate/callers/replies.py
@@ -10,6 +10,7 @@
 from typing import NamedTuple
 
 from hickorygate.callers import failures
+from hickorygate.callers import protocol_errors
 from hickorygate.core import errors
 from hickorygate.core import pool_errors
 
@@ -28,7 +29,7 @@
 _CANNOT_CONNECT = Code(1429, "HY000")
 _EMPTY_QUERY = Code(1065, "42000")
 _GENERAL = Code(1105, "HY000")
-_IN_TRANSACTION = Code(1192, "HY000")
+_WRONG_STATE = Code(1192, "HY000")
 _MALFORMED = Code(1835, "HY000")
 _NO_CURSOR = Code(1421, "HY000")
 _OFFLINE = Code(3032, "HY000")
@@ -87,7 +88,7 @@
 
 @code_of.register(errors.BadHint)
 @code_of.register(errors.BadToken)
-@code_of.register(failures.BadParameter)
+@code_of.register(protocol_errors.BadParameter)
 @code_of.register(failures.KeyReused)
 def _(failure: errors.Failure) -> Code:
     return _BAD_ARGUMENTS
@@ -103,17 +104,19 @@
     return _EMPTY_QUERY
 
 
+@code_of.register(failures.ConnectionStateNeeded)
+@code_of.register(failures.SessionStateLost)
 @code_of.register(failures.TransactionSpansGroups)
 def _(failure: errors.Failure) -> Code:
-    return _IN_TRANSACTION
+    return _WRONG_STATE
 
 
-@code_of.register(failures.MalformedPacket)
+@code_of.register(protocol_errors.MalformedPacket)
 def _(failure: errors.Failure) -> Code:
     return _MALFORMED
 
 
-@code_of.register(failures.NoCursor)
+@code_of.register(protocol_errors.NoCursor)
 def _(failure: errors.Failure) -> Code:
     return _NO_CURSOR
 
@@ -144,12 +147,12 @@
     return _SHUTDOWN
 
 
-@code_of.register(failures.TlsRequired)
+@code_of.register(protocol_errors.TlsRequired)
 def _(failure: errors.Failure) -> Code:
     return _TLS_REQUIRED
 
 
-@code_of.register(failures.TooManyPrepared)
+@code_of.register(protocol_errors.TooManyPrepared)
 def _(failure: errors.Failure) -> Code:
     return _TOO_MANY_PREPARED
 
@@ -174,7 +177,7 @@
     return _UNKNOWN_CHARSET
 
 
-@code_of.register(failures.UnknownCommand)
+@code_of.register(protocol_errors.UnknownCommand)
 def _(failure: errors.Failure) -> Code:
     return _UNKNOWN_COMMAND
 
@@ -184,7 +187,7 @@
     return _UNKNOWN_SCHEMA
 
 
-@code_of.register(failures.UnknownPrepared)
+@code_of.register(protocol_errors.UnknownPrepared)
 def _(failure: errors.Failure) -> Code:
     return _UNKNOWN_STATEMENT
 
--- a/hickorygate/tests/test_prepared.py
+++ b/hickorygate/tests/test_prepared.py
@@ -6,10 +6,10 @@
 import struct
 import unittest
 
-from hickorygate.callers import failures
 from hickorygate.callers import packet as packets
 from hickorygate.callers import parameter as parameters
 from hickorygate.callers import prepared as prepareds
+from hickorygate.callers import protocol_errors
 from hickorygate.core import errors
 
 _LIMIT = 1_000_000
@@ -67,7 +67,7 @@
             with self.assertRaises(errors.FailureError) as caught:
                 parameters.literal(value)
             failure = caught.exception.failure
-            self.assertIsInstance(failure, failures.BadParameter)
+            self.assertIsInstance(failure, protocol_errors.BadParameter)
 
 
 class ExecuteTest(unittest.TestCase):
@@ -140,7 +140,7 @@
                 with self.assertRaises(errors.FailureError) as caught:
                     self.run_body("SELECT ?, ?", whole[:size])
                 failure = caught.exception.failure
-                self.assertIsInstance(failure, failures.MalformedPacket)
+                self.assertIsInstance(failure, protocol_errors.MalformedPacket)
 
     def test_too_much_in_parts_is_refused(self) -> None:
         statement = prepareds.prepare(1, "SELECT ?")
