Never say 'not run' after an attempt that may have run

Cause: with a key, an attempt of unknown outcome followed by one that found no primary was reported as not run; reader and writer had the same loop twice. A commit whose connection isn't closed after an error is not caught: the fake pool closes every connection.

--- a/hickorygate/callers/idempotency.py
+++ b/hickorygate/callers/idempotency.py
@@ -21,10 +21,10 @@
 from hickorygate.upstreams import answer as answers
 from hickorygate.upstreams import connection as connections
 
-__all__ = ["Key", "check", "key_of", "run"]
+__all__ = ["CREATE_TABLE", "Key", "check", "key_of", "run"]
 
 _TABLE = "hickorygate_idempotency"
-_CREATE = (
+CREATE_TABLE = (
     f"CREATE TABLE IF NOT EXISTS {_TABLE} ("
     "request_key CHAR(64) PRIMARY KEY, "
     "statement CHAR(64) NOT NULL, "
@@ -32,6 +32,8 @@
     "insert_id BIGINT NOT NULL DEFAULT 0, "
     "created_at TIMESTAMP NOT NULL DEFAULT CURRENT_TIMESTAMP)"
 )
+"""Makes the table of keys; run when a group has none yet."""
+
 _DUPLICATE_KEY = 1062
 _NO_SUCH_TABLE = 1146
 _KEYED_STATEMENT = re.compile(
@@ -104,7 +106,7 @@
     probe = await _execute(connection, _select(key))
     if probe.is_ok():
         return result
-    created = await _execute(connection, _CREATE)
+    created = await _execute(connection, CREATE_TABLE)
     if created.is_error():
         return created
     return await _first_run(connection, sql, key)
--- a/hickorygate/callers/reading.py
+++ b/hickorygate/callers/reading.py
@@ -6,6 +6,7 @@
 
 import expression
 
+from hickorygate.callers import attempts
 from hickorygate.callers import balance
 from hickorygate.callers import environment as environments
 from hickorygate.callers import freshness
@@ -15,7 +16,6 @@
 from hickorygate.callers import work as works
 from hickorygate.core import errors
 from hickorygate.core import measurement as measurements
-from hickorygate.core import retry
 from hickorygate.core import types
 from hickorygate.upstreams import link as links
 
@@ -43,26 +43,9 @@
 
     async def run(self, work: works.Work) -> handlers.AnswerResult:
         """Runs a read; tries another database where one fails."""
-        self._env.retries.deposit()
-        number = 1
-        while True:
-            result = await self._try(work)
-            if result.is_ok():
-                return result
-            attempt = retry.Attempt(
-                number=number,
-                repeatable=True,
-                time_left=work.request.time_left(self._env.clock.now()),
-            )
-            verdict = retry.decide(
-                result.error, attempt, self._env.retries, self._env.rng
-            )
-            if not isinstance(verdict, retry.Delay):
-                return result
-            retried = measurements.Retried(work.request.rank, result.error)
-            self._env.recorder.record(retried)
-            await self._env.clock.sleep(verdict.duration)
-            number += 1
+        return await attempts.run(
+            self._env, work, True, lambda: self._try(work)
+        )
 
     async def _try(self, work: works.Work) -> handlers.AnswerResult:
         now = self._env.clock.now()
--- a/hickorygate/callers/writing.py
+++ b/hickorygate/callers/writing.py
@@ -4,6 +4,7 @@
 
 import expression
 
+from hickorygate.callers import attempts
 from hickorygate.callers import environment as environments
 from hickorygate.callers import freshness
 from hickorygate.callers import handler as handlers
@@ -12,9 +13,7 @@
 from hickorygate.callers import session as sessions
 from hickorygate.callers import work as works
 from hickorygate.core import errors
-from hickorygate.core import measurement as measurements
 from hickorygate.core import position as positions
-from hickorygate.core import retry
 from hickorygate.upstreams import link as links
 
 __all__ = ["Writer"]
@@ -43,27 +42,10 @@
         checked = idempotency.check(work, in_transaction=False)
         if checked.is_error():
             return expression.Error(checked.error)
-        self._env.retries.deposit()
         keyed = work.request.idempotency_key is not None
-        number = 1
-        while True:
-            result = await self._try(work)
-            if result.is_ok():
-                return result
-            attempt = retry.Attempt(
-                number=number,
-                repeatable=keyed,
-                time_left=work.request.time_left(self._env.clock.now()),
-            )
-            verdict = retry.decide(
-                result.error, attempt, self._env.retries, self._env.rng
-            )
-            if not isinstance(verdict, retry.Delay):
-                return result
-            retried = measurements.Retried(work.request.rank, result.error)
-            self._env.recorder.record(retried)
-            await self._env.clock.sleep(verdict.duration)
-            number += 1
+        return await attempts.run(
+            self._env, work, keyed, lambda: self._try(work)
+        )
 
     async def durable(
         self, status: positions.DatabaseStatus, result: handlers.AnswerResult
--- /dev/null
+++ b/properties/test_at_most_once.py
@@ -0,0 +1,278 @@
+"""At most once: what an answer says against what the databases hold.
+
+The writer's own code runs against two fake databases of one group, an old
+and a new primary, that share a log as a failover without loss leaves it.
+Each step of each attempt may fail: not connected, cut before it ran, cut
+after it ran, refused as read-only.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+import enum
+import random
+import unittest
+
+import expression
+import hypothesis
+from hypothesis import strategies as st
+
+from hickorygate.callers import balance
+from hickorygate.callers import environment as environments
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import idempotency
+from hickorygate.callers import session as sessions
+from hickorygate.callers import work as works
+from hickorygate.callers import writing
+from hickorygate.core import errors
+from hickorygate.core import position as positions
+from hickorygate.core import request as requests
+from hickorygate.core import retry
+from hickorygate.core import sheet as sheets
+from hickorygate.core import statement as statements
+from hickorygate.testing import clock as clocks
+from hickorygate.testing import engine as engines
+
+_RANK = sheets.Rank("urgent", 0, datetime.timedelta(seconds=2), 0.5)
+_DATABASE = sheets.Database("a", "127.0.0.1", 3306, "zone", 20, 3)
+_GROUP = sheets.Group("g", ("s",), (_DATABASE,))
+_REFUND = "INSERT INTO refunds (cup) VALUES (7)"
+_READ_ONLY = errors.UpstreamError(1290, "HY000", "read-only", refused=True)
+
+
+class Fault(enum.Enum):
+    """What happens to one step."""
+
+    NONE = "none"
+    NOT_CONNECTED = "not connected"
+    CUT_BEFORE = "cut before it ran"
+    CUT_AFTER = "cut after it ran"
+    REFUSED = "refused"
+    UNCONFIRMED = "unconfirmed"
+    NO_PRIMARY = "no primary"
+
+
+_USUALLY_NONE = [Fault.NONE] * 8 + list(Fault)
+_LASTING = [Fault.NONE, Fault.NO_PRIMARY, Fault.NOT_CONNECTED]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Faults:
+    """What happens step by step, and from then on."""
+
+    steps: list[Fault]
+    lasting: Fault
+
+
+_faults = st.builds(
+    Faults,
+    steps=st.lists(st.sampled_from(_USUALLY_NONE), max_size=24),
+    lasting=st.sampled_from(_LASTING),
+)
+
+
+_STEPS_BEFORE_COMMIT = 6
+_COMMIT_LOST = Faults(
+    [Fault.NONE] * _STEPS_BEFORE_COMMIT + [Fault.CUT_AFTER], Fault.NO_PRIMARY
+)
+"""The answer to the commit is lost, and then there is no primary."""
+
+
+class Script:
+    """Deals out the faults."""
+
+    def __init__(self, faults: Faults) -> None:
+        self._steps = list(faults.steps)
+        self._lasting = faults.lasting
+
+    def next(self) -> Fault:
+        """Returns what happens to the next step."""
+        return self._steps.pop(0) if self._steps else self._lasting
+
+
+class FakeConnection:
+    """A connection to the group's data; closing it rolls back."""
+
+    def __init__(self, engine: engines.Engine, script: Script) -> None:
+        self._engine = engine
+        self._script = script
+        self.closed = False
+        self.database = _DATABASE
+
+    def close(self) -> None:
+        self.closed = True
+        self._engine.rollback()
+
+    async def use(self, *_: object) -> expression.Result[None, errors.Failure]:
+        return expression.Ok(None)
+
+    apply = use
+
+    async def execute(
+        self, sql: str, timeout: datetime.timedelta
+    ) -> handlers.AnswerResult:
+        match self._script.next():
+            case Fault.CUT_BEFORE:
+                self.close()
+                return expression.Error(errors.AnswerLost("a", "cut"))
+            case Fault.CUT_AFTER:
+                self._run(sql)
+                self.close()
+                return expression.Error(errors.AnswerLost("a", "cut"))
+            case Fault.REFUSED:
+                return expression.Error(_READ_ONLY)
+        return self._run(sql)
+
+    def _run(self, sql: str) -> handlers.AnswerResult:
+        return self._engine.run(sql)
+
+
+class FakePool:
+    """Opens a connection for each lease."""
+
+    def __init__(self, engine: engines.Engine, script: Script) -> None:
+        self._engine = engine
+        self._script = script
+
+    async def acquire(
+        self, request: requests.Request
+    ) -> expression.Result[FakeConnection, errors.Failure]:
+        if self._script.next() is Fault.NOT_CONNECTED:
+            return expression.Error(errors.ConnectFailed("a", "refused"))
+        return expression.Ok(FakeConnection(self._engine, self._script))
+
+    def release(self, connection: FakeConnection) -> None:
+        connection.close()
+
+
+class FakeGroup:
+    """A group whose primary may be missing and whose majority may fail."""
+
+    def __init__(self, engine: engines.Engine, script: Script) -> None:
+        self._script = script
+        self.pool = FakePool(engine, script)
+        self.database = _DATABASE
+        self.group = _GROUP
+
+    @property
+    def view(self) -> FakeGroup:
+        return self
+
+    def link(self, name: str) -> FakeGroup:
+        return self
+
+    async def wait_writable(
+        self, timeout: datetime.timedelta
+    ) -> expression.Result[positions.DatabaseStatus, errors.Failure]:
+        if self._script.next() is Fault.NO_PRIMARY:
+            return expression.Error(errors.NoPrimary("g"))
+        return expression.Ok(_primary())
+
+    async def durable(
+        self, name: str, term: int
+    ) -> expression.Result[positions.Position, errors.Failure]:
+        if self._script.next() is Fault.UNCONFIRMED:
+            return expression.Error(errors.ReplicationUnconfirmed("g"))
+        return expression.Ok(positions.Position(term, 1))
+
+
+class Unrecorded:
+    """Drops measurements."""
+
+    def record(self, measurement: object) -> None:
+        pass
+
+
+def _primary() -> positions.DatabaseStatus:
+    return positions.DatabaseStatus(
+        database="a",
+        role=positions.Role.PRIMARY,
+        term=1,
+        base=0,
+        log_term=1,
+        received=1,
+        applied=1,
+        fenced=1,
+        primary_silence=datetime.timedelta(),
+        boot="1",
+    )
+
+
+class Bench:
+    """One writer against the fakes."""
+
+    def __init__(self, faults: Faults, seed: int) -> None:
+        self.engine = engines.Engine()
+        self.engine.run("CREATE TABLE refunds (cup INT)")
+        self.engine.run(idempotency.CREATE_TABLE)
+        self.clock = clocks.FakeClock()
+        group = FakeGroup(self.engine, Script(faults))
+        env = environments.Environment(
+            fleet=group,
+            clock=self.clock,
+            rng=random.Random(seed),
+            zone="zone",
+            retries=retry.Budget(),
+            policy=balance.First(),
+            recorder=Unrecorded(),
+        )
+        session = sessions.Session("keepcup", self.clock.now())
+        self.writer = writing.Writer(env, group, session)
+
+    def write(self, key: str | None) -> handlers.AnswerResult:
+        """Runs the refund once, as a caller would."""
+        now = self.clock.now()
+        request = requests.Request(
+            _RANK, now, now + _RANK.target, idempotency_key=key
+        )
+        statement = statements.classify(_REFUND).ok
+        work = works.Work(statement, request)
+        return asyncio.run(self.writer.run(work))
+
+    def refunds(self) -> int:
+        """Counts what ran."""
+        return self.engine.run("SELECT COUNT(*) FROM refunds").ok.rows[0][0]
+
+
+class AtMostOnceTest(unittest.TestCase):
+    """What an answer says is so."""
+
+    @hypothesis.given(faults=_faults, seed=st.integers(0, 9))
+    @hypothesis.settings(max_examples=300)
+    def test_without_a_key(self, faults: Faults, seed: int) -> None:
+        bench = Bench(faults, seed)
+        result = bench.write(key=None)
+        ran = bench.refunds()
+        if result.is_ok():
+            self.assertEqual(ran, 1)
+        elif result.error.outcome is errors.Outcome.NOT_RUN:
+            self.assertEqual(ran, 0)
+        self.assertLessEqual(ran, 1)
+
+    @hypothesis.given(
+        faults=_faults,
+        seed=st.integers(0, 9),
+        repeats=st.integers(1, 4),
+    )
+    @hypothesis.example(faults=_COMMIT_LOST, seed=0, repeats=1)
+    @hypothesis.settings(max_examples=400)
+    def test_with_a_key_however_often_repeated(
+        self, faults: Faults, seed: int, repeats: int
+    ) -> None:
+        bench = Bench(faults, seed)
+        succeeded = False
+        for _ in range(repeats):
+            before = bench.refunds()
+            result = bench.write(key="scan-1")
+            ran = bench.refunds()
+            self.assertLessEqual(ran, 1)
+            succeeded = succeeded or result.is_ok()
+            if result.is_ok():
+                self.assertEqual(ran, 1)
+                self.assertEqual(result.ok.affected_rows, 1)
+            elif result.error.outcome is errors.Outcome.NOT_RUN:
+                self.assertEqual(ran, before)
+        if succeeded:
+            self.assertEqual(bench.refunds(), 1)
