--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -14,13 +14,18 @@
 import datetime
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import position as positions
 from hickorygate.core import types
 
 __all__ = [
     "ConfigApplied",
     "ConfigRejected",
+    "DatabaseFenced",
+    "DatabaseFollows",
     "DatabaseLost",
+    "DatabasePromoted",
     "DatabaseReturned",
+    "DatabaseStopped",
     "Event",
     "FailoverEnded",
     "FailoverStarted",
@@ -28,6 +33,7 @@
     "PeerJoined",
     "PeerLost",
     "PrimaryChanged",
+    "PrimarySuspected",
     "ProcessDraining",
     "ProcessStarted",
     "Recorded",
@@ -36,6 +42,7 @@
     "StoreReset",
     "TimeLine",
     "WritesResumed",
+    "kinds",
 ]
 
 _KEPT_EVENTS = 4_096
@@ -143,6 +150,13 @@
     peer: types.ProxyName
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseStopped(Event):
+    """A stand-in database was stopped on purpose."""
+
+    database: types.DatabaseName
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DatabaseLost(Event):
     """A database stopped answering probes."""
@@ -167,6 +181,43 @@
     term: types.Term
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PrimarySuspected(Event):
+    """A group seems to need another primary; higher ranks go first."""
+
+    group: types.GroupName
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseFenced(Event):
+    """A database took this process's fence, with its log at the position."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+    position: positions.Position
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabasePromoted(Event):
+    """A database leads the term, whose history starts at the base."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+    base: types.Offset
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DatabaseFollows(Event):
+    """A database was pointed at the primary of the term."""
+
+    group: types.GroupName
+    database: types.DatabaseName
+    term: types.Term
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class FailoverStarted(Event):
     """This process began to replace a primary."""
@@ -237,3 +288,14 @@
         """Adds an event at the present."""
         self._counts[type(event)] += 1
         self._events.append(Recorded(self._clock.next(), self._process, event))
+
+
+def kinds() -> tuple[type[Event], ...]:
+    """Returns all kinds of event, by name."""
+    exported = (globals()[name] for name in sorted(__all__))
+    return tuple(
+        kind
+        for kind in exported
+        if isinstance(kind, type) and issubclass(kind, Event)
+        if kind is not Event
+    )
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -11,6 +11,7 @@
 import datetime
 import pathlib
 from typing import Annotated
+from typing import Literal
 
 import expression
 import pydantic
@@ -47,7 +48,13 @@
 
 
 class TlsSettings(_Model):
-    """Certificate files; `authority` checks the other end."""
+    """Certificate files, in PEM form.
+
+    Attributes:
+      certificate: of this end.
+      key: its private key.
+      authority: checks the other end's certificate.
+    """
 
     certificate: pathlib.Path | None = None
     key: pathlib.Path | None = None
@@ -102,6 +109,11 @@
       detection_ms: how long a primary must be out of reach, for us and
         for its replicas, before it is replaced.
       confirm_timeout_ms: how long a write waits for a majority.
+      keepalive_ms: between two checks of connections that aren't in use; a
+        database ends a connection that sends nothing for 1 s.
+      stall_ms: how long a statement may be silent before a second connection
+        stands by for its slot.
+      transaction_idle_ms: how long an open transaction may send nothing.
     """
 
     user: str = "hickorygate"
@@ -112,6 +124,9 @@
     probe_timeout_ms: _Milliseconds = 500
     detection_ms: _Milliseconds = 800
     confirm_timeout_ms: _Milliseconds = 2_000
+    keepalive_ms: Annotated[int, pydantic.Field(gt=0, lt=1_000)] = 400
+    stall_ms: _Milliseconds = 500
+    transaction_idle_ms: _Milliseconds = 5_000
 
     @property
     def connect_timeout(self) -> datetime.timedelta:
@@ -133,6 +148,21 @@
         """Time out of reach after which a primary is replaced."""
         return datetime.timedelta(milliseconds=self.detection_ms)
 
+    @property
+    def keepalive(self) -> datetime.timedelta:
+        """Time between two checks of unused connections."""
+        return datetime.timedelta(milliseconds=self.keepalive_ms)
+
+    @property
+    def stall(self) -> datetime.timedelta:
+        """Time after which a silent statement is looked into."""
+        return datetime.timedelta(milliseconds=self.stall_ms)
+
+    @property
+    def transaction_idle(self) -> datetime.timedelta:
+        """Time that an open transaction may send nothing."""
+        return datetime.timedelta(milliseconds=self.transaction_idle_ms)
+
     @property
     def confirm_timeout(self) -> datetime.timedelta:
         """Time that a write waits for a majority."""
@@ -230,16 +260,25 @@
 
 
 class AdminSettings(_Model):
-    """The operators' HTTP port: metrics, readiness, status, time line."""
+    """The operators' HTTP port: metrics, readiness, status, time line.
+
+    Attributes:
+      host: address to listen on; whoever reaches it can shut the proxy down.
+      port: TCP port; 0 lets the system choose.
+    """
 
     host: str = "127.0.0.1"
     port: _Port = 0
 
 
 class LogSettings(_Model):
-    """JSON-line logs on standard error."""
+    """JSON-line logs on standard error.
+
+    Attributes:
+      level: the least that is logged.
+    """
 
-    level: str = "INFO"
+    level: Literal["DEBUG", "INFO", "WARNING", "ERROR", "CRITICAL"] = "INFO"
 
 
 class Settings(_Model):
@@ -248,6 +287,12 @@
     Attributes:
       name: unique name of this proxy.
       zone: its availability zone.
+      callers: the front end.
+      upstreams: the link to databases.
+      platform: the link to the platform.
+      peers: the link to the other proxies.
+      admin: the operators' port.
+      log: the log.
     """
 
     name: str
--- a/hickorygate/core/statement.py
+++ b/hickorygate/core/statement.py
@@ -15,6 +15,7 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.core import lexer
 from hickorygate.core import words
 
 __all__ = [
@@ -38,24 +39,12 @@
 _LONGEST_CACHED = 4_096
 """Characters; longer statements are classified each time."""
 
-_QUOTED = r"""
-    '(?:[^'\\]++|\\.|'')*+(?:'|\Z)        # a string
-    | "(?:[^"\\]++|\\.|"")*+(?:"|\Z)      # a string, or a name in ANSI mode
-    | `[^`]*+(?:`|\Z)                     # a name
-"""
-_COMMENT = r"""
-    /\*(?!M?!)[^*]*+(?:\*(?!/)[^*]*+)*+(?:\*/|\Z)   # but not an executable one
-    | --(?=\s|\Z)[^\n]*+
-    | \#[^\n]*+
-"""
-_BLANKED = re.compile(f"(?:{_QUOTED}|{_COMMENT})", re.S | re.X)
-_END = re.compile(f"(?:{_QUOTED}|{_COMMENT})|(?P<end>;)", re.S | re.X)
 _FIRST_WORD = re.compile(r"[\s(]*+([A-Z]++)")
-_COMMENTS = re.compile(_COMMENT, re.S | re.X)
 _EXECUTABLE_COMMENT = re.compile(r"/\*M?!")
 
 _CALL = re.compile(r"(?<![\w$])((?:\.\s*+)?[\w$]++)\s*+\(")
-_QUOTED_CALL = re.compile(r"[`\"]\s*+(?:\(|/\*|--|#)")
+_MAYBE_QUOTED_CALL = re.compile(r"[`\"]\s*+(?:\(|/\*|--|#)")
+_QUOTED_CALL = re.compile(r"`\s*+\(")
 _CHANGE = re.compile(
     r"\b(?:UPDATE|DELETE|INTO|SHARE)\b"
     r"|\b(?:INSERT|REPLACE)\b(?!\s*+\()"
@@ -183,7 +172,7 @@
 
 
 def _classify(text: str) -> ClassifyResult:
-    blanked = " ".join(_BLANKED.split(text)).upper()
+    blanked = " ".join(lexer.BLANKED.split(text)).upper()
     outline = " ".join(blanked.split()).strip("; ")
     if not outline:
         return expression.Error(errors.EmptyStatement())
@@ -200,7 +189,7 @@
     if ";" not in text:
         return text.strip()
     text = text.lstrip("; \t\r\n")
-    for match in _END.finditer(text):
+    for match in lexer.SEPARATOR.finditer(text):
         if match["end"]:
             return text[: match.start()].strip()
     return text.strip()
@@ -240,13 +229,25 @@
         return ConnectionBound(sql)
     if outline.startswith("SHOW "):
         return Read(sql)
-    if _CHANGE.search(outline) or _QUOTED_CALL.search(sql):
+    if _CHANGE.search(outline) or _calls_quoted_name(sql):
         return Write(sql)
     if not words.READ_CALLS.issuperset(_CALL.findall(outline)):
         return Write(sql)
     return Read(sql)
 
 
+def _calls_quoted_name(sql: str) -> bool:
+    """Tells whether a quoted name stands before a parenthesis."""
+    if not _MAYBE_QUOTED_CALL.search(sql):
+        return False
+    marked = lexer.BLANKED.sub(_name_mark, sql)
+    return _QUOTED_CALL.search(marked) is not None
+
+
+def _name_mark(match: re.Match[str]) -> str:
+    return "`" if match.group()[0] in '`"' else " "
+
+
 def _write(sql: str, outline: str, word: str) -> Statement:
     if word in words.PINNING or _TEMPORARY.match(outline):
         return Pinning(sql)
@@ -305,7 +306,7 @@
 
 
 def _use(sql: str, outline: str) -> ClassifyResult:
-    match = _USE.match(_COMMENTS.sub(" ", sql))
+    match = _USE.match(lexer.COMMENT.sub(" ", sql))
     if match:
         return expression.Ok(Use(sql, match.group(1)))
     return _refused("USE without one schema's name")
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -189,8 +189,9 @@
 
     async def _finish_work(self) -> None:
         """Lets the balancer notice, then ends without cutting a request."""
-        await self._clock.sleep(self._settings.callers.drain_notice)
-        await self._server.close()
+        callers = self._settings.callers
+        await self._clock.sleep(callers.drain_notice)
+        await self._server.drain(callers.drain_timeout)
         self._drained.set()
 
     def _kept(
@@ -209,10 +210,15 @@
             self._settings.upstreams,
             self._clock,
             self._time_line,
+            self._generator,
+            self._live_proxies,
         )
         link.start()
         return link
 
+    def _live_proxies(self) -> tuple[types.ProxyName, ...]:
+        return tuple(m.name for m in self._mesh.membership.members)
+
     def _build_server(self) -> servers.Server:
         callers = self._settings.callers
         env = environments.Environment(
--- /dev/null
+++ b/hickorygate/testing/handler.py
@@ -0,0 +1,284 @@
+"""Answers the connections of a stand-in database."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Mapping
+import datetime
+import re
+from typing import TYPE_CHECKING
+
+import expression
+
+from hickorygate.callers import handler as handlers
+from hickorygate.core import errors
+from hickorygate.core import position as positions
+from hickorygate.core import statement as statements
+from hickorygate.core import types
+from hickorygate.testing import load as loads
+from hickorygate.testing import locks as advisory
+from hickorygate.upstreams import answer as answers
+
+if TYPE_CHECKING:
+    from hickorygate.testing import database as databases
+
+__all__ = ["Handler"]
+
+_LOCK_TIMEOUT = datetime.timedelta(seconds=5)
+_VAR_STRING = 253
+_UTF8MB4 = 45
+_READ_ONLY = errors.UpstreamError(
+    1290, "HY000", "running with --read-only", refused=True
+)
+_TOO_MANY = errors.UpstreamError(
+    1040, "08004", "Too many connections", refused=True
+)
+_LOCK_WAIT = errors.UpstreamError(1205, "HY000", "Lock wait timeout exceeded")
+_REFUSED_TERM = 3_100
+_PROCEDURE = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*$", re.I | re.S)
+_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
+
+
+def _status_table(status: positions.DatabaseStatus) -> answers.Table:
+    silence = status.primary_silence / datetime.timedelta(milliseconds=1)
+    cells = {
+        "role": status.role.value,
+        "term": status.term,
+        "base": status.base,
+        "log_term": status.log_term,
+        "received": status.received,
+        "applied": status.applied,
+        "fenced": status.fenced,
+        "primary_silence_ms": int(silence),
+        "boot": status.boot,
+    }
+    columns = tuple(
+        answers.Column(name, _VAR_STRING, _UTF8MB4) for name in cells
+    )
+    row = tuple(str(cell) for cell in cells.values())
+    return answers.Table(warnings=0, columns=columns, rows=[row])
+
+
+class Handler:
+    """Answers one connection of the stand-in."""
+
+    def __init__(self, database: databases.StandInDatabase) -> None:
+        self._database = database
+        self._pending: list[str] = []
+        self._idle = loads.IdleLimit()
+        self._connected = False
+        self._user = ""
+        self._aborted = False
+        self.autocommit = True
+        self.in_transaction = False
+
+    async def connect(
+        self, connection_id: int
+    ) -> expression.Result[None, errors.Failure]:
+        """Accepts connections while there is room."""
+        self._connected = self._database.load.connect()
+        if not self._connected:
+            return expression.Error(_TOO_MANY)
+        await self._database.load.log_in()
+        return expression.Ok(None)
+
+    async def login(
+        self, user: types.CallerName, attributes: Mapping[str, str]
+    ) -> expression.Result[None, errors.Failure]:
+        """Accepts whoever knew the password."""
+        self._user = user
+        await self._database.reachable(user)
+        return expression.Ok(None)
+
+    async def query(
+        self, sql: str, attributes: Mapping[str, str]
+    ) -> handlers.AnswerResult:
+        """Answers one statement."""
+        with self._idle.busy():
+            return await self._answer(sql)
+
+    async def _answer(self, sql: str) -> handlers.AnswerResult:
+        await self._database.reachable(self._user)
+        result = await self._evaluate(sql)
+        await self._database.reachable(self._user)
+        return result
+
+    async def _evaluate(self, sql: str) -> handlers.AnswerResult:
+        columns = advisory.parse(sql)
+        if columns is not None:
+            row = await self._database.locks.evaluate(self, columns)
+            return expression.Ok(advisory.table(columns, row))
+        procedure = _PROCEDURE.match(sql)
+        if procedure:
+            return await self._call(procedure.group(1), procedure.group(2))
+        statement = statements.classify(sql)
+        if statement.is_error():
+            return expression.Error(statement.error)
+        return await self._run(statement.ok)
+
+    async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
+        """Accepts any schema; all share one set of tables."""
+        return expression.Ok(_NOTHING)
+
+    async def reset(self) -> None:
+        """Rolls back and gives the session's locks back."""
+        self._roll_back()
+        self._database.locks.release_all(self)
+
+    async def close(self) -> None:
+        """Ends the session and what it left open."""
+        await self.reset()
+        self._idle.stop()
+        if self._connected:
+            self._connected = False
+            self._database.load.disconnect()
+
+    def abort(self) -> None:
+        """Rolls back; the session learns it with its next statement."""
+        self._roll_back()
+        self._aborted = True
+
+    def _take_abort(self) -> bool:
+        aborted, self._aborted = self._aborted, False
+        return aborted
+
+    def _roll_back(self) -> None:
+        if self.in_transaction:
+            self._database.engine.rollback()
+            self._leave()
+
+    async def _run(
+        self, statement: statements.Statement
+    ) -> handlers.AnswerResult:
+        if self._take_abort() and not isinstance(
+            statement, statements.Rollback
+        ):
+            return expression.Error(_READ_ONLY)
+        match statement:
+            case statements.Begin():
+                return await self._begin()
+            case statements.Commit():
+                return await self._commit()
+            case statements.Rollback():
+                self._roll_back()
+                return expression.Ok(_NOTHING)
+            case statements.SetAutocommit(enabled=enabled):
+                self.autocommit = enabled
+                return expression.Ok(_NOTHING)
+            case statements.SetVariable() | statements.Use():
+                self._idle.read(statement.sql)
+                return expression.Ok(_NOTHING)
+        return await self._execute(statement)
+
+    async def _begin(self) -> handlers.AnswerResult:
+        if self.in_transaction:
+            await self._commit()
+        if not await self._enter():
+            return expression.Error(_LOCK_WAIT)
+        return expression.Ok(_NOTHING)
+
+    async def _enter(self) -> bool:
+        try:
+            async with asyncio.timeout(_LOCK_TIMEOUT.total_seconds()):
+                await self._database.lock.acquire()
+        except TimeoutError:
+            return False
+        self._database.engine.begin()
+        self._database.open_transaction = self
+        self.in_transaction = True
+        return True
+
+    def _leave(self) -> None:
+        self._pending.clear()
+        self.in_transaction = False
+        self._database.open_transaction = None
+        self._database.lock.release()
+
+    async def _commit(self) -> handlers.AnswerResult:
+        if not self.in_transaction:
+            return expression.Ok(_NOTHING)
+        if self._pending and not self._database.log.writable:
+            self._roll_back()
+            return expression.Error(_READ_ONLY)
+        self._database.engine.commit()
+        sqls = tuple(self._pending)
+        if sqls:
+            self._database.log.append(sqls)
+        self._leave()
+        await self._database.notify()
+        return expression.Ok(_NOTHING)
+
+    async def _execute(
+        self, statement: statements.Statement
+    ) -> handlers.AnswerResult:
+        writes = isinstance(statement, statements.Write)
+        if writes and not self._database.log.writable:
+            return expression.Error(_READ_ONLY)
+        await self._database.load.run(statement.sql)
+        if self._take_abort():
+            return expression.Error(_READ_ONLY)
+        if self.in_transaction:
+            return self._in_transaction(statement, writes)
+        if not await self._enter():
+            return expression.Error(_LOCK_WAIT)
+        result = self._in_transaction(statement, writes)
+        if result.is_error() or not self.autocommit:
+            if result.is_error():
+                self._roll_back()
+            return result
+        committed = await self._commit()
+        return result if committed.is_ok() else committed
+
+    def _in_transaction(
+        self, statement: statements.Statement, writes: bool
+    ) -> handlers.AnswerResult:
+        result = self._database.engine.run(statement.sql)
+        if writes and result.is_ok():
+            self._pending.append(statement.sql)
+        return result
+
+    async def _call(self, name: str, arguments: str) -> handlers.AnswerResult:
+        parts = [part.strip().strip("'") for part in arguments.split(",")]
+        log = self._database.log
+        match name.lower():
+            case "status":
+                result = expression.Ok(None)
+            case "fence":
+                result = log.fence(int(parts[0]), parts[1])
+            case "promote":
+                await self._database.apply()
+                result = log.promote(int(parts[0]), parts[1])
+            case "follow":
+                result = log.follow(int(parts[0]), parts[1])
+            case "wait":
+                await self._wait(int(parts[0]), int(parts[1]), int(parts[2]))
+                result = expression.Ok(None)
+            case _:
+                result = expression.Error(
+                    errors.UpstreamError(1305, "42000", f"no group_{name}")
+                )
+        if result.is_error():
+            return expression.Error(
+                errors.UpstreamError(
+                    _REFUSED_TERM, "HY000", result.error.message
+                )
+            )
+        await self._database.end_transaction()
+        return expression.Ok(_status_table(self._database.status()))
+
+    async def _wait(
+        self, term: types.Term, offset: types.Offset, milliseconds: int
+    ) -> None:
+        target = positions.Position(term, offset)
+
+        def settled() -> bool:
+            status = self._database.status()
+            newest = max(status.term, status.fenced)
+            return positions.holds(status, target) or newest > term
+
+        try:
+            async with asyncio.timeout(milliseconds / 1_000):
+                async with self._database.changed:
+                    await self._database.changed.wait_for(settled)
+        except TimeoutError:
+            return
--- a/hickorygate/testing/replication.py
+++ b/hickorygate/testing/replication.py
@@ -2,7 +2,9 @@
 
 The rules are those that hickorygate asks of the platform's databases: a term
 is taken once, by one owner; a fenced database takes nothing from a lower
-term; a replica that follows a new primary drops what the primary lacks.
+term; a replica that follows a new primary drops what the primary lacks, and
+says that it is of the primary's term only once it holds all that came before
+it. One that lost its log says so until it holds what it may have held.
 """
 
 from __future__ import annotations
@@ -18,6 +20,9 @@
 
 __all__ = ["Entry", "Log"]
 
+_NEVER_HEARD = datetime.timedelta(days=1)
+"""The silence of a replica that never heard from a primary."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Entry:
@@ -46,6 +51,7 @@
         "following",
         "heard",
         "log_term",
+        "rebuilt_at",
         "role",
         "term",
     )
@@ -63,11 +69,18 @@
         self.applied: types.Offset = 0
         self.following: types.DatabaseName | None = None
         self.heard: datetime.datetime | None = None
+        self.rebuilt_at: types.Offset | None = None
 
     @property
     def writable(self) -> bool:
-        """Whether it takes writes: a primary that no one has fenced off."""
-        return self.role is positions.Role.PRIMARY and self.fenced <= self.term
+        """Whether it takes writes.
+
+        It must be a primary that no one has fenced off and whose reads see
+        all that it took over.
+        """
+        leads = self.role is positions.Role.PRIMARY
+        current = self.applied == len(self.entries)
+        return leads and current and self.fenced <= self.term
 
     @property
     def position(self) -> positions.Position:
@@ -79,7 +92,7 @@
 
     def status(self, now: datetime.datetime) -> positions.DatabaseStatus:
         """Returns what the database says about itself."""
-        silence = now - self.heard if self.heard else datetime.timedelta()
+        silence = now - self.heard if self.heard else _NEVER_HEARD
         return positions.DatabaseStatus(
             database=self.database,
             role=self.role,
@@ -114,6 +127,8 @@
             return self._refuse(term, f"fenced at {self.fenced}")
         if self.role is positions.Role.PRIMARY and self.term == term:
             return expression.Ok(None)
+        if self.term == term:
+            return self._refuse(term, f"follows {self.following}")
         self.role = positions.Role.PRIMARY
         self.term = term
         self.log_term = term
@@ -129,7 +144,9 @@
             return self._refuse(term, f"already at {self.fenced}")
         if self.role is positions.Role.PRIMARY and self.term == term:
             return self._refuse(term, "is its primary")
-        self.fenced = max(self.fenced, term)
+        if term > self.fenced:
+            self.fenced = term
+            self.fence_owner = ""
         self.role = positions.Role.REPLICA
         self.term = term
         self.following = primary
@@ -140,28 +157,54 @@
         self.entries.append(Entry(self.term, statements))
         self.applied = len(self.entries)
 
-    def pull(self, primary: Log, now: datetime.datetime) -> bool:
+    def lose(self, boot: str) -> None:
+        """Restarts without its log and its promises."""
+        self.__init__(self.database, boot)
+
+    def hear(self, primary: Log, now: datetime.datetime) -> bool:
+        """Takes in a heartbeat; tells whether it may copy from the sender."""
+        if self.term != primary.term or self.fenced > primary.term:
+            return False
+        if primary.role is not positions.Role.PRIMARY:
+            return False
+        self.heard = now
+        return True
+
+    def pull(
+        self, primary: Log, now: datetime.datetime, most: int | None = None
+    ) -> bool:
         """Copies what the followed primary has.
 
+        Args:
+          primary: the log to copy from.
+          now: the present.
+          most: entries to copy at once, None for all.
+
         Returns:
           Whether applied entries were dropped, so that the data must be
           built again from the log.
         """
-        if self.term != primary.term or self.fenced > primary.term:
+        if not self.hear(primary, now):
             return False
-        if primary.role is not positions.Role.PRIMARY:
-            return False
-        self.heard = now
+        if self.log_term == 0 and self.rebuilt_at is None:
+            self.rebuilt_at = len(primary.entries)
         shared = self._shared_with(primary)
         dropped = shared < self.applied
         del self.entries[shared:]
-        self.entries.extend(primary.entries[shared:])
+        end = None if most is None else shared + most
+        self.entries.extend(primary.entries[shared:end])
         self.base = primary.base
-        self.log_term = primary.term
+        self._reach(primary.term)
         if dropped:
             self.applied = 0
         return dropped
 
+    def _reach(self, term: types.Term) -> None:
+        """Raises its log's term once it holds all that came before it."""
+        if len(self.entries) >= max(self.base, self.rebuilt_at or 0):
+            self.log_term = term
+            self.rebuilt_at = None
+
     def _shared_with(self, primary: Log) -> int:
         """Finds how many leading entries both logs share."""
         shared = min(len(self.entries), len(primary.entries))
