--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks; each writes its figures to `results/`."""
--- /dev/null
+++ b/benchmarks/control.py
@@ -0,0 +1,237 @@
+"""Control cost of a daemon against the sizes of fleet and sheet.
+
+Runs the control planes of a growing fleet (link to the other proxies, watch
+of the store) in one process on one loop, with the stand-in platform beside
+them, and divides by their number: processor time of the whole process, bytes
+of the packets, resident memory. Then loads sheets of growing size. Run:
+
+    python -m benchmarks.control
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import dataclasses
+import datetime
+import gc
+import json
+import pathlib
+import random
+import time
+
+from absl import app
+from absl import flags
+import uvloop
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import settings as settings_lib
+from hickorygate.platform import client as clients
+from hickorygate.platform import objects
+from hickorygate.testing import control
+from hickorygate.testing import platform as platforms
+from hickorygate.testing import sheets
+
+_FLEETS = flags.DEFINE_list("fleets", ["5", "20", "50", "100"], "Proxies.")
+_SHEETS = flags.DEFINE_list(
+    "sheets", ["30", "90", "270", "801"], "Databases of a sheet."
+)
+_WINDOW_S = flags.DEFINE_float("window", 5.0, "Seconds of a measurement.")
+_RUNS = flags.DEFINE_integer("runs", 3, "Measurements of a size.")
+_RESULT = flags.DEFINE_string(
+    "result",
+    str(pathlib.Path(__file__).parent / "results" / "control.json"),
+    "Where the figures go.",
+)
+_ZONES = ("a", "b", "c", "d")
+_SEEDS = 3
+_CHANGING_FLEET = 5
+_SETTLE = datetime.timedelta(seconds=6)
+_LONGEST_SETTLE = datetime.timedelta(seconds=60)
+_POLL = datetime.timedelta(milliseconds=20)
+_PAGE_BYTES = 4_096
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """Sums of the process at one moment."""
+
+    wall_s: float
+    processor_s: float
+    packets: int
+    bytes: int
+    store_calls: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Range:
+    """Least, median and greatest of the runs."""
+
+    least: float
+    median: float
+    greatest: float
+
+
+class Bench:
+    """The fleet, the store, and what was measured."""
+
+    def __init__(self) -> None:
+        self.platform = platforms.StandInPlatform()
+        self.planes: list[control.ControlPlane] = []
+        self.base_memory = 0
+        self.version = 0
+
+    async def run(self) -> dict[str, object]:
+        """Measures all sizes."""
+        await self.platform.start()
+        await self.load(sheets.text(10, comment="first"))
+        gc.collect()
+        self.base_memory = _resident_bytes()
+        idle = [await self.measure_fleet(int(n)) for n in _FLEETS.value]
+        await self.shrink(_CHANGING_FLEET)
+        changes = [await self.measure_sheet(int(n)) for n in _SHEETS.value]
+        await self.shrink(0)
+        await self.platform.stop()
+        return {"idle": idle, "changes": changes}
+
+    async def measure_fleet(self, size: int) -> dict[str, object]:
+        """Returns the idle cost of a daemon in a fleet of a size."""
+        while len(self.planes) < size:
+            await self.start()
+        await self.settle(size)
+        runs = [await self.measure_window() for _ in range(_RUNS.value)]
+        gc.collect()
+        memory = (_resident_bytes() - self.base_memory) / size
+        return {"proxies": size, "memory_kb": memory / 1_024, **_ranges(runs)}
+
+    async def measure_window(self) -> dict[str, float]:
+        """Returns the cost of a daemon a second, while nothing changes."""
+        before = self.read()
+        await asyncio.sleep(_WINDOW_S.value)
+        after = self.read()
+        seconds = after.wall_s - before.wall_s
+        share = 1 / seconds / len(self.planes)
+        return {
+            "core_percent": 100
+            * (after.processor_s - before.processor_s)
+            * share,
+            "packets_a_second": (after.packets - before.packets) * share,
+            "bytes_a_second": (after.bytes - before.bytes) * share,
+            "fleet_store_calls_a_second": (
+                after.store_calls - before.store_calls
+            )
+            / seconds,
+        }
+
+    async def measure_sheet(self, databases: int) -> dict[str, object]:
+        """Returns the cost for a daemon of one change of a sheet."""
+        runs = []
+        for run in range(_RUNS.value):
+            idle = await self.measure_window()
+            before = self.read()
+            text = sheets.text(databases // 3, comment=f"run {run}")
+            await self.load(text)
+            await self.in_force()
+            in_force_s = time.monotonic() - before.wall_s
+            await asyncio.sleep(1)
+            after = self.read()
+            seconds = after.wall_s - before.wall_s
+            count = len(self.planes)
+            processor = (after.processor_s - before.processor_s) / count
+            sent = (after.bytes - before.bytes) / count
+            runs.append(
+                {
+                    "processor_ms": 1_000 * processor
+                    - 10 * idle["core_percent"] * seconds,
+                    "bytes": sent - idle["bytes_a_second"] * seconds,
+                    "in_force_s": in_force_s,
+                }
+            )
+        size = len(text.encode())
+        return {"databases": databases, "sheet_bytes": size, **_ranges(runs)}
+
+    async def start(self) -> None:
+        """Adds one proxy."""
+        number = len(self.planes)
+        seeds = tuple(p.mesh.address for p in self.planes[:_SEEDS])
+        plane = control.ControlPlane(
+            f"proxy-{number}",
+            _ZONES[number % len(_ZONES)],
+            self.platform.url,
+            settings_lib.PeerSettings(seeds=seeds),
+        )
+        await plane.start()
+        self.planes.append(plane)
+
+    async def settle(self, size: int) -> None:
+        """Waits until all know all and hold the sheet, and a while more."""
+        async with asyncio.timeout(_LONGEST_SETTLE.total_seconds()):
+            while not all(
+                len(p.mesh.membership.names) == size for p in self.planes
+            ):
+                await asyncio.sleep(_POLL.total_seconds())
+            await self.in_force()
+        await asyncio.sleep(_SETTLE.total_seconds())
+
+    async def in_force(self) -> None:
+        """Waits until the newest sheet is in force on all."""
+        while not all(p.version == self.version for p in self.planes):
+            await asyncio.sleep(_POLL.total_seconds())
+
+    async def shrink(self, size: int) -> None:
+        """Stops proxies."""
+        while len(self.planes) > size:
+            await self.planes.pop().close()
+        if size:
+            await self.settle(size)
+
+    async def load(self, text: str) -> None:
+        """Stores a sheet."""
+        clock = clocks.SystemClock()
+        settings = settings_lib.PlatformSettings(url=self.platform.url)
+        client = clients.Client(settings, clock, random.Random(0))
+        sheet = objects.SheetObject(
+            text=text, loaded_by="bench", loaded_at=clock.now()
+        )
+        stored = await client.store_sheet(sheet, self.version)
+        await client.close()
+        assert stored.is_ok(), stored.error.message
+        self.version = stored.ok
+
+    def read(self) -> Reading:
+        """Returns the sums at this moment."""
+        counts = [plane.mesh.counts for plane in self.planes]
+        directions = ("sent", "received")
+        return Reading(
+            time.monotonic(),
+            time.process_time(),
+            sum(c[f"packets_{d}"] for c in counts for d in directions),
+            sum(c[f"bytes_{d}"] for c in counts for d in directions),
+            self.platform.calls,
+        )
+
+
+def _ranges(runs: list[dict[str, float]]) -> dict[str, object]:
+    found = {}
+    for name in runs[0]:
+        values = sorted(run[name] for run in runs)
+        median = values[len(values) // 2]
+        found[name] = dataclasses.asdict(Range(values[0], median, values[-1]))
+    return found
+
+
+def _resident_bytes() -> int:
+    fields = pathlib.Path("/proc/self/statm").read_text().split()
+    return int(fields[1]) * _PAGE_BYTES
+
+
+def _main(argv: Sequence[str]) -> None:
+    del argv
+    result = uvloop.run(Bench().run())
+    text = json.dumps(result, indent=1)
+    pathlib.Path(_RESULT.value).write_text(text + "\n")
+    print(text)
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- /dev/null
+++ b/benchmarks/roster.py
@@ -0,0 +1,123 @@
+"""Memory and processor time of membership against the size of the fleet.
+
+Drives the decisions of one proxy without sockets: each ping that it sends is
+answered, and it is pinged as often as it pings. Run:
+
+    python -m benchmarks.roster
+"""
+
+from __future__ import annotations
+
+import datetime
+import json
+import pathlib
+import random
+import time
+import tracemalloc
+
+from absl import app
+from absl import flags
+
+from hickorygate.core import settings as settings_lib
+from hickorygate.proxies import codec
+from hickorygate.proxies import effects
+from hickorygate.proxies import member as members
+from hickorygate.proxies import membership as memberships
+from hickorygate.proxies import messages
+
+_SIZES = flags.DEFINE_list("sizes", ["50", "100", "250", "750"], "Proxies.")
+_TICKS = flags.DEFINE_integer("ticks", 2_000, "Periods of a measurement.")
+_RUNS = flags.DEFINE_integer("runs", 3, "Measurements of a size.")
+_RESULT = flags.DEFINE_string(
+    "result",
+    str(pathlib.Path(__file__).parent / "results" / "roster.json"),
+    "Where the figures go.",
+)
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_ZONES = tuple(f"zone-{letter}" for letter in "abcdefgh")
+
+
+def _member(number: int) -> members.Member:
+    return members.Member(
+        name=f"proxy-{number}",
+        address=f"10.0.{number // 250}.{number % 250}:7000",
+        admin=f"10.0.{number // 250}.{number % 250}:7001",
+        zone=_ZONES[number % len(_ZONES)],
+        incarnation=1,
+    )
+
+
+class Bench:
+    """One proxy among many."""
+
+    def __init__(self, size: int) -> None:
+        self.settings = settings_lib.PeerSettings()
+        self.now = _START
+        self.membership = memberships.Membership(
+            _member(0), self.settings, random.Random(1)
+        )
+        for number in range(1, size):
+            self.hear(_member(number), messages.Announce())
+        self.by_name = {m.name: m for m in self.membership.members}
+
+    def hear(
+        self, sender: members.Member, message: messages.Message
+    ) -> tuple[effects.Effect, ...]:
+        """Takes in a message of another proxy."""
+        header = messages.Header(
+            sender=sender,
+            wall=self.now,
+            count=0,
+            versions=messages.Versions(),
+            digest=self.membership.digest,
+            store_age_ms=0,
+        )
+        event = memberships.Received(codec.Packet(header, message))
+        return self.membership.handle(event, self.now)
+
+    def period(self) -> None:
+        """Lets one period pass."""
+        self.now += self.settings.heartbeat
+        found = self.membership.handle(memberships.Tick(), self.now)
+        for effect in found:
+            if isinstance(effect.message, messages.Ping):
+                sender = self.by_name[effect.name]
+                self.hear(sender, messages.Ack(effect.message.sequence))
+                self.hear(sender, messages.Ping(1))
+        _ = self.membership.is_relay
+
+
+def _measure(size: int) -> dict[str, float]:
+    tracemalloc.start()
+    bench = Bench(size)
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    for _ in range(200):
+        bench.period()
+    times = []
+    for _ in range(_RUNS.value):
+        began = time.process_time()
+        for _ in range(_TICKS.value):
+            bench.period()
+        spent = time.process_time() - began
+        times.append(1e6 * spent / _TICKS.value)
+    times.sort()
+    return {
+        "proxies": size,
+        "memory_kb": used / 1_024,
+        "period_us_least": times[0],
+        "period_us_median": times[len(times) // 2],
+        "period_us_greatest": times[-1],
+    }
+
+
+def _main(argv: list[str]) -> None:
+    del argv
+    result = [_measure(int(size)) for size in _SIZES.value]
+    text = json.dumps(result, indent=1)
+    pathlib.Path(_RESULT.value).write_text(text + "\n")
+    print(text)
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- a/hickorygate/proxies/membership.py
+++ b/hickorygate/proxies/membership.py
@@ -62,6 +62,8 @@
         "_detector",
         "_generator",
         "_periods",
+        "_relay",
+        "_relay_among",
         "_roster",
         "_settings",
     )
@@ -78,6 +80,8 @@
         self._detector = detectors.Detector(
             self._roster, settings.heartbeat, generator
         )
+        self._relay = True
+        self._relay_among: tuple[members.Member, ...] | None = None
         self._periods = 0
         self._changed = 0
         self._copied = 0
@@ -107,12 +111,11 @@
     @property
     def is_relay(self) -> bool:
         """Whether this proxy watches the store for its zone."""
-        me = self._roster.me
-        names = [m.name for m in self._roster.live if m.zone == me.zone]
-        chosen = rendezvous.owners(
-            f"relay {me.zone}", [*names, me.name], _RELAYS_A_ZONE
-        )
-        return me.name in chosen
+        live = self._roster.live
+        if live is not self._relay_among:
+            self._relay_among = live
+            self._relay = self._chosen_relay(live)
+        return self._relay
 
     def __repr__(self) -> str:
         return f"Membership({self._roster!r})"
@@ -206,6 +209,14 @@
             for start in range(0, len(everyone), size)
         )
 
+    def _chosen_relay(self, live: tuple[members.Member, ...]) -> bool:
+        me = self._roster.me
+        names = [m.name for m in live if m.zone == me.zone]
+        chosen = rendezvous.owners(
+            f"relay {me.zone}", [*names, me.name], _RELAYS_A_ZONE
+        )
+        return me.name in chosen
+
     def _contact(self) -> list[effects.Effect]:
         """Tries one seed or dead proxy."""
         known = {m.address for m in (self._roster.me, *self._roster.live)}
--- a/hickorygate/proxies/roster.py
+++ b/hickorygate/proxies/roster.py
@@ -34,7 +34,15 @@
 class Roster:
     """The members, and the news of them that is still to be passed on."""
 
-    __slots__ = ("_digest", "_live", "_me", "_news", "_period", "_records")
+    __slots__ = (
+        "_digest",
+        "_doubted",
+        "_live",
+        "_me",
+        "_news",
+        "_period",
+        "_records",
+    )
 
     def __init__(self, me: members.Member, period: datetime.timedelta) -> None:
         self._me = me
@@ -43,6 +51,7 @@
         self._live: tuple[members.Member, ...] | None = ()
         self._news = updates.UpdateQueue()
         self._digest = 0
+        self._doubted: set[types.ProxyName] = set()
 
     @property
     def me(self) -> members.Member:
@@ -62,9 +71,9 @@
     def dead(self) -> tuple[members.Member, ...]:
         """The others that are remembered as dead."""
         return tuple(
-            record.member
-            for record in self._records.values()
-            if not record.member.live
+            self._records[name].member
+            for name in sorted(self._doubted)
+            if not self._records[name].member.live
         )
 
     @property
@@ -112,6 +121,10 @@
             return ()
         self._records[member.name] = _Record(member, now)
         self._live = None
+        if member.state is members.State.ALIVE:
+            self._doubted.discard(member.name)
+        else:
+            self._doubted.add(member.name)
         self._digest ^= member.digest ^ (known.digest if known else 0)
         self._news.add(member, len(self._records))
         return _transition(known, member)
@@ -130,7 +143,8 @@
         """Declares dead the suspects that didn't refute; forgets old dead."""
         found: list[effects.Effect] = []
         suspicion = self.suspicion
-        for name, record in list(self._records.items()):
+        for name in sorted(self._doubted):
+            record = self._records[name]
             age = now - record.changed
             state = record.member.state
             if state is members.State.SUSPECT and age >= suspicion:
@@ -140,12 +154,13 @@
                 found.extend(self.merge(dead, now))
             elif state is members.State.DEAD and age >= _DEAD_KEPT:
                 del self._records[name]
+                self._doubted.discard(name)
         return tuple(found)
 
     def forgive(self, delay: datetime.timedelta) -> None:
         """Lengthens all suspicions by a time in which nothing was heard."""
-        for record in self._records.values():
-            record.changed += delay
+        for name in self._doubted:
+            self._records[name].changed += delay
 
     def leave(self) -> None:
         """Marks this proxy as dead, on purpose."""
--- a/hickorygate/tests/test_mesh.py
+++ b/hickorygate/tests/test_mesh.py
@@ -15,12 +15,10 @@
 from hickorygate.core import document as documents
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
-from hickorygate.core import sheet as sheet_lib
 from hickorygate.platform import client as clients
-from hickorygate.platform import keeper as keepers
 from hickorygate.platform import objects
-from hickorygate.proxies import mesh as meshes
 from hickorygate.proxies import messages
+from hickorygate.testing import control
 from hickorygate.testing import platform as platforms
 from hickorygate.testing import sheets
 
@@ -29,62 +27,6 @@
 _NOWHERE = "http://127.0.0.1:1"
 
 
-class ControlPlane:
-    """A proxy without callers and databases."""
-
-    def __init__(
-        self,
-        name: str,
-        url: str,
-        peers: settings_lib.PeerSettings,
-    ) -> None:
-        self.name = name
-        self.leaving: frozenset[str] = frozenset()
-        self.reports: list[messages.Report] = []
-        clock = clocks.SystemClock()
-        stamps = events.StampClock(clock)
-        generator = random.Random(name)
-        settings = settings_lib.Settings(
-            name=name,
-            zone="a",
-            callers=settings_lib.CallerSettings(users={}, token_key="key"),
-            platform=settings_lib.PlatformSettings(url=url),
-            peers=peers,
-        )
-        self.time_line = events.TimeLine(name, stamps)
-        self.keeper = keepers.Keeper(
-            settings.platform, self, clock, self.time_line, generator
-        )
-        self.mesh = meshes.Mesh(
-            settings, self.keeper, clock, stamps, self.time_line, generator
-        )
-        self.mesh.subscribers.register(
-            messages.Report, lambda report, _: self.reports.append(report)
-        )
-
-    @property
-    def version(self) -> int:
-        """Version of the sheet in force."""
-        return self.keeper.sheet.version if self.keeper.sheet else 0
-
-    async def apply(self, sheet: sheet_lib.Sheet) -> None:
-        """Builds nothing."""
-
-    def leave(self, names: frozenset[str]) -> None:
-        """Notes who is leaving."""
-        self.leaving = names
-
-    async def start(self) -> None:
-        """Starts the link and the watchers."""
-        await self.mesh.start("127.0.0.1:1")
-        self.keeper.start(self.mesh)
-
-    async def close(self) -> None:
-        """Stops both."""
-        await self.keeper.close()
-        await self.mesh.close()
-
-
 class MeshTest(unittest.IsolatedAsyncioTestCase):
     """What proxies learn from each other and from the store."""
 
@@ -92,7 +34,7 @@
         self.platform = platforms.StandInPlatform()
         await self.platform.start()
         self.addAsyncCleanup(self.platform.stop)
-        self.planes: list[ControlPlane] = []
+        self.planes: list[control.ControlPlane] = []
 
     async def start(
         self,
@@ -100,13 +42,13 @@
         url: str | None = None,
         seeds: tuple[str, ...] | None = None,
         curve: settings_lib.CurveSettings | None = None,
-    ) -> ControlPlane:
+    ) -> control.ControlPlane:
         if seeds is None:
             seeds = tuple(plane.mesh.address for plane in self.planes)
         peers = settings_lib.PeerSettings(
             seeds=seeds, heartbeat_ms=100, curve=curve
         )
-        plane = ControlPlane(name, url or self.platform.url, peers)
+        plane = control.ControlPlane(name, "a", url or self.platform.url, peers)
         await plane.start()
         self.addAsyncCleanup(plane.close)
         self.planes.append(plane)
@@ -128,7 +70,9 @@
         value = objects.SheetObject(text=text, loaded_by="t", loaded_at=now)
         return await client.store_sheet(value, expected)
 
-    def knows(self, plane: ControlPlane, other: ControlPlane) -> bool:
+    def knows(
+        self, plane: control.ControlPlane, other: control.ControlPlane
+    ) -> bool:
         return other.name in plane.mesh.membership.names
 
     async def test_sheet_is_learned_from_a_peer_without_a_store(self) -> None:
