--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Coroutine
 from collections.abc import Sequence
 import dataclasses
 import datetime
@@ -36,6 +37,9 @@
 _SHEETS = flags.DEFINE_list(
     "sheets", ["30", "90", "270", "801"], "Databases of a sheet."
 )
+_LISTS = flags.DEFINE_list(
+    "lists", ["50", "200", "600", "1550"], "Instances of a list."
+)
 _WINDOW_S = flags.DEFINE_float("window", 5.0, "Seconds of a measurement.")
 _RUNS = flags.DEFINE_integer("runs", 3, "Measurements of a size.")
 _RESULT = flags.DEFINE_string(
@@ -80,6 +84,7 @@
         self.planes: list[control.ControlPlane] = []
         self.base_memory = 0
         self.version = 0
+        self.listed = 0
 
     async def run(self) -> dict[str, object]:
         """Measures all sizes."""
@@ -90,9 +95,10 @@
         idle = [await self.measure_fleet(int(n)) for n in _FLEETS.value]
         await self.shrink(_CHANGING_FLEET)
         changes = [await self.measure_sheet(int(n)) for n in _SHEETS.value]
+        lists = [await self.measure_list(int(n)) for n in _LISTS.value]
         await self.shrink(0)
         await self.platform.stop()
-        return {"idle": idle, "changes": changes}
+        return {"idle": idle, "sheets": changes, "lists": lists}
 
     async def measure_fleet(self, size: int) -> dict[str, object]:
         """Returns the idle cost of a daemon in a fleet of a size."""
@@ -127,28 +133,41 @@
         """Returns the cost for a daemon of one change of a sheet."""
         runs = []
         for run in range(_RUNS.value):
-            idle = await self.measure_window()
-            before = self.read()
             text = sheets.text(databases // 3, comment=f"run {run}")
-            await self.load(text)
-            await self.in_force()
-            in_force_s = time.monotonic() - before.wall_s
-            await asyncio.sleep(1)
-            after = self.read()
-            seconds = after.wall_s - before.wall_s
-            count = len(self.planes)
-            processor = (after.processor_s - before.processor_s) / count
-            sent = (after.bytes - before.bytes) / count
-            runs.append(
-                {
-                    "processor_ms": 1_000 * processor
-                    - 10 * idle["core_percent"] * seconds,
-                    "bytes": sent - idle["bytes_a_second"] * seconds,
-                    "in_force_s": in_force_s,
-                }
-            )
+            runs.append(await self.measure_change(self.load(text)))
         size = len(text.encode())
-        return {"databases": databases, "sheet_bytes": size, **_ranges(runs)}
+        return {"databases": databases, "text_bytes": size, **_ranges(runs)}
+
+    async def measure_list(self, instances: int) -> dict[str, object]:
+        """Returns the cost for a daemon of one change of the instances."""
+        runs = []
+        for run in range(_RUNS.value):
+            listed = _instances(instances, leaving=run)
+            runs.append(await self.measure_change(self.list(listed)))
+        size = len(json.dumps(listed))
+        return {"instances": instances, "text_bytes": size, **_ranges(runs)}
+
+    async def measure_change(
+        self, change: Coroutine[None, None, None]
+    ) -> dict[str, float]:
+        """Returns what a change costs a daemon beyond the idle cost."""
+        idle = await self.measure_window()
+        before = self.read()
+        await change
+        await self.in_force()
+        in_force_s = time.monotonic() - before.wall_s
+        await asyncio.sleep(1)
+        after = self.read()
+        seconds = after.wall_s - before.wall_s
+        count = len(self.planes)
+        processor = (after.processor_s - before.processor_s) / count
+        moved = (after.bytes - before.bytes) / count
+        return {
+            "processor_ms": 1_000 * processor
+            - 10 * idle["core_percent"] * seconds,
+            "bytes": moved - idle["bytes_a_second"] * seconds,
+            "in_force_s": in_force_s,
+        }
 
     async def start(self) -> None:
         """Adds one proxy."""
@@ -175,7 +194,11 @@
 
     async def in_force(self) -> None:
         """Waits until the newest sheet is in force on all."""
-        while not all(p.version == self.version for p in self.planes):
+        while not all(
+            p.version == self.version
+            and p.keeper.directory.version >= self.listed
+            for p in self.planes
+        ):
             await asyncio.sleep(_POLL.total_seconds())
 
     async def shrink(self, size: int) -> None:
@@ -198,6 +221,10 @@
         assert stored.is_ok(), stored.error.message
         self.version = stored.ok
 
+    async def list(self, instances: Sequence[dict[str, str]]) -> None:
+        """Stores a list of instances."""
+        self.listed = self.platform.set_instances(instances)
+
     def read(self) -> Reading:
         """Returns the sums at this moment."""
         counts = [plane.mesh.counts for plane in self.planes]
@@ -211,6 +238,18 @@
         )
 
 
+def _instances(count: int, leaving: int) -> list[dict[str, str]]:
+    return [
+        {
+            "name": f"alert-db-{number}",
+            "address": f"10.0.{number // 250}.{number % 250}:3306",
+            "zone": _ZONES[number % len(_ZONES)],
+            "state": "leaving" if number == leaving else "live",
+        }
+        for number in range(count)
+    ]
+
+
 def _ranges(runs: list[dict[str, float]]) -> dict[str, object]:
     found = {}
     for name in runs[0]:
--- a/hickorygate/testing/platform.py
+++ b/hickorygate/testing/platform.py
@@ -11,6 +11,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import datetime
 import enum
@@ -86,9 +87,14 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def set_instances(self, instances: list[object]) -> None:
-        """Replaces the list of live and leaving instances."""
-        self._put_object(_INSTANCES, {"instances": instances})
+    def set_instances(self, instances: Sequence[object]) -> int:
+        """Replaces the list of live and leaving instances.
+
+        Returns:
+          The list's new version.
+        """
+        self._put_object(_INSTANCES, {"instances": list(instances)})
+        return self._version
 
     def fail_next(self, *faults: Fault) -> None:
         """Makes the next calls fail, one fault a call."""
--- /dev/null
+++ b/hickorygate/tests/test_directory.py
@@ -0,0 +1,76 @@
+"""Which instances are leaving."""
+
+from __future__ import annotations
+
+import datetime
+import json
+import unittest
+
+from hickorygate.core import document as documents
+from hickorygate.core import sheet as sheet_lib
+from hickorygate.platform import configuration as configurations
+from hickorygate.platform import directory as directories
+from hickorygate.proxies import rendezvous
+
+_NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_SECOND = datetime.timedelta(seconds=1)
+
+
+class DirectoryTest(unittest.TestCase):
+    """The list, its lag and the planned stops together."""
+
+    def setUp(self) -> None:
+        self.directory = directories.Directory()
+
+    def offer(self, version: int, **states: str) -> None:
+        instances = [
+            {"name": name, "address": "h:1", "zone": "a", "state": state}
+            for name, state in states.items()
+        ]
+        text = json.dumps({"instances": instances})
+        self.directory.offer(documents.Candidate(version, text, "test"))
+        self.directory.review(_NOW)
+
+    def test_marked_instance_is_leaving(self) -> None:
+        self.offer(1, one="live", two="leaving")
+        self.assertEqual(self.directory.leaving, {"two"})
+
+    def test_instance_that_is_no_longer_listed_is_leaving(self) -> None:
+        self.offer(1, one="live", two="live")
+        self.offer(2, one="live")
+        self.assertEqual(self.directory.leaving, {"two"})
+        self.offer(3, one="live", two="live")
+        self.assertEqual(self.directory.leaving, frozenset())
+
+    def test_older_list_brings_nothing_back(self) -> None:
+        self.offer(2, one="leaving")
+        self.offer(1, one="live")
+        self.assertEqual(self.directory.leaving, {"one"})
+
+    def test_malformed_list_is_rejected_once(self) -> None:
+        bad = documents.Candidate(2, '{"instances": 3}', "test")
+        (effect,) = self.directory.offer(bad)
+        self.assertIsInstance(effect, configurations.Reject)
+        self.assertEqual(self.directory.offer(bad), ())
+        self.assertEqual(self.directory.examined, 2)
+
+    def test_planned_stop_counts_before_its_time(self) -> None:
+        stop = sheet_lib.PlannedStop("one", _NOW + 60 * _SECOND)
+        self.directory.plan((stop,))
+        self.assertEqual(self.directory.review(_NOW), ())
+        (effect,) = self.directory.review(stop.at - 3 * _SECOND)
+        self.assertEqual(effect, directories.Leaving(frozenset({"one"})))
+        (effect,) = self.directory.review(stop.at + 3_600 * _SECOND)
+        self.assertEqual(effect, directories.Leaving(frozenset()))
+
+
+class RendezvousTest(unittest.TestCase):
+    """Owners move only with those that owned."""
+
+    def test_loss_of_a_candidate_moves_only_its_keys(self) -> None:
+        names = [f"p{number}" for number in range(9)]
+        for key in (f"group-{number}" for number in range(50)):
+            before = rendezvous.owners(key, names, 2)
+            after = rendezvous.owners(key, names[1:], 2)
+            kept = [name for name in before if name != "p0"]
+            self.assertEqual(list(after[: len(kept)]), kept)
