--- a/hickorygate/testing/platform.py
+++ b/hickorygate/testing/platform.py
@@ -78,7 +78,7 @@
         app.router.add_get("/v1/objects/{kind}/{name}", self._get)
         app.router.add_put("/v1/objects/{kind}/{name}", self._put)
         app.router.add_get("/v1/instances", self._get)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
 
