Count a statement that the database broke off as unknown

Cause: errors 1053, 1077 and 1079 (shutdown) counted as not run, and 1317 as ran; a shutdown can break off a commit after it took effect. Change: UpstreamError.interrupted, whose outcome is unknown. Conclusion: only read-only refusals count as not run.

--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -392,18 +392,22 @@
       code: MySQL error number.
       sqlstate: five characters.
       text: the database's message.
-      refused: the database says that it ran nothing (read-only, shutdown).
+      refused: the database says that it ran nothing, being read-only.
+      interrupted: the database broke off, perhaps in the middle of a commit.
     """
 
     code: int
     sqlstate: str
     text: str
     refused: bool = False
+    interrupted: bool = False
 
     @property
     def outcome(self) -> Outcome:
-        """The database answered, so the request is settled."""
-        return Outcome.NOT_RUN if self.refused else Outcome.RAN
+        """The database answered, so most often the request is settled."""
+        if self.refused:
+            return Outcome.NOT_RUN
+        return Outcome.UNKNOWN if self.interrupted else Outcome.RAN
 
     @property
     def message(self) -> str:
--- a/hickorygate/core/retry.py
+++ b/hickorygate/core/retry.py
@@ -140,4 +140,4 @@
 
 @_worth_retrying.register
 def _(failure: errors.UpstreamError) -> bool:
-    return failure.refused
+    return failure.refused or failure.interrupted
--- a/hickorygate/tests/test_retry.py
+++ b/hickorygate/tests/test_retry.py
@@ -47,6 +47,12 @@
         failure = errors.UpstreamError(1064, "42000", "syntax")
         self.assertEqual(self.decide(failure, True), retry.GiveUp())
 
+    def test_interrupted_write_is_not_repeated(self) -> None:
+        failure = errors.UpstreamError(1053, "08S01", "", interrupted=True)
+        self.assertEqual(failure.outcome, errors.Outcome.UNKNOWN)
+        self.assertEqual(self.decide(failure, False), retry.GiveUp())
+        self.assertIsInstance(self.decide(failure, True), retry.Delay)
+
     def test_overload_is_the_callers_to_retry(self) -> None:
         failure = errors.Overloaded("urgent", _PLENTY)
         self.assertEqual(self.decide(failure, True), retry.GiveUp())
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -32,7 +32,9 @@
 _BINARY_CHARSET = 63
 _CLIENT_ERRORS = range(2_000, 3_000)
 _READ_ONLY = frozenset({1290, 1792, 1836})
-_SHUTDOWN = frozenset({1053, 1077, 1079})
+_INTERRUPTED = frozenset({1053, 1077, 1079, 1152, 1184, 1317})
+"""Shutdown, a killed query, an aborted connection."""
+
 _DEFAULT_SQLSTATE = "HY000"
 _TOO_MANY_CONNECTIONS = 1040
 _RESERVED = re.compile(
@@ -51,7 +53,8 @@
         code=code,
         sqlstate=getattr(error, "sqlstate", None) or _DEFAULT_SQLSTATE,
         text=str(error.args[1]),
-        refused=code in _READ_ONLY or code in _SHUTDOWN,
+        refused=code in _READ_ONLY,
+        interrupted=code in _INTERRUPTED,
     )
 
 
