Delete idempotency keys past their retention

Cause: the table of keys grew with every keyed write and never shrank. Change: one keyed write in 500 deletes up to 1,000 keys older than 7 days. Conclusion: deletion outruns growth twice over.

--- a/hickorygate/callers/idempotency.py
+++ b/hickorygate/callers/idempotency.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import dataclasses
+import datetime
 import hashlib
 import re
 
@@ -21,7 +22,16 @@
 from hickorygate.upstreams import answer as answers
 from hickorygate.upstreams import connection as connections
 
-__all__ = ["CREATE_TABLE", "Key", "check", "key_of", "run"]
+__all__ = [
+    "CREATE_TABLE",
+    "Key",
+    "PURGE_SHARE",
+    "RETENTION",
+    "check",
+    "key_of",
+    "purge",
+    "run",
+]
 
 _TABLE = "hickorygate_idempotency"
 CREATE_TABLE = (
@@ -34,6 +44,15 @@
 )
 """Makes the table of keys; run when a group has none yet."""
 
+RETENTION = datetime.timedelta(days=7)
+"""How long a key is kept; a repeat after that runs again."""
+
+PURGE_SHARE = 0.002
+"""Share of the writes with a key that also delete expired keys."""
+
+_PURGED_AT_ONCE = 1_000
+"""Keys deleted at the most by one write; twice what grows between two."""
+
 _DUPLICATE_KEY = 1062
 _NO_SUCH_TABLE = 1146
 _KEYED_STATEMENT = re.compile(
@@ -96,6 +115,24 @@
     return result
 
 
+async def purge(
+    connection: connections.Connection, now: datetime.datetime
+) -> handlers.AnswerResult:
+    """Deletes some keys that are past their retention."""
+    oldest = (now - RETENTION).strftime("%Y-%m-%d %H:%M:%S")
+    # MySQL can't delete from a table that it selects from, but for a
+    # derived table in between.
+    expired = (
+        f"SELECT request_key FROM {_TABLE} WHERE created_at < '{oldest}' "
+        f"LIMIT {_PURGED_AT_ONCE}"
+    )
+    return await _execute(
+        connection,
+        f"DELETE FROM {_TABLE} WHERE request_key IN "
+        f"(SELECT request_key FROM ({expired}) AS expired)",
+    )
+
+
 async def _with_new_table(
     connection: connections.Connection,
     sql: str,
--- a/hickorygate/callers/writing.py
+++ b/hickorygate/callers/writing.py
@@ -14,6 +14,7 @@
 from hickorygate.callers import work as works
 from hickorygate.core import errors
 from hickorygate.core import position as positions
+from hickorygate.upstreams import connection as connections
 from hickorygate.upstreams import link as links
 
 __all__ = ["Writer"]
@@ -108,6 +109,16 @@
         if leased.is_error():
             return expression.Error(leased.error)
         try:
-            return await idempotency.run(leased.ok, work.statement.sql, key)
+            result = await idempotency.run(leased.ok, work.statement.sql, key)
+            if result.is_ok():
+                await self._purge_sometimes(leased.ok)
+            return result
         finally:
             link.pool.release(leased.ok)
+
+    async def _purge_sometimes(
+        self, connection: connections.Connection
+    ) -> None:
+        """Keeps the table of keys small; a failure is left to the next."""
+        if self._env.rng.random() < idempotency.PURGE_SHARE:
+            await idempotency.purge(connection, self._env.clock.now())
--- a/hickorygate/tests/test_idempotency.py
+++ b/hickorygate/tests/test_idempotency.py
@@ -145,6 +145,27 @@
         self.assertEqual(other.error, failures.KeyReused())
         self.assertEqual(await self.refunds(), 1)
 
+    async def test_purge_deletes_expired_keys_only(self) -> None:
+        await self.run_keyed("old")
+        await self.execute(
+            "UPDATE hickorygate_idempotency "
+            "SET created_at = '2026-01-01 00:00:00'"
+        )
+        await self.run_keyed("new", "INSERT INTO refunds (cup) VALUES (8)")
+        await self.execute(
+            "UPDATE hickorygate_idempotency "
+            "SET created_at = '2026-01-08 00:00:00' "
+            "WHERE created_at > '2026-01-02'"
+        )
+        now = datetime.datetime(2026, 1, 9, tzinfo=datetime.UTC)
+        purged = await idempotency.purge(self.connection, now)
+        self.assertEqual(purged.ok.affected_rows, 1)
+        again = await self.run_keyed(
+            "new", "INSERT INTO refunds (cup) VALUES (8)"
+        )
+        self.assertTrue(again.is_ok())
+        self.assertEqual(await self.refunds(), 2)
+
     async def test_missing_table_of_the_caller_is_reported(self) -> None:
         result = await self.run_keyed(
             "scan-1", "INSERT INTO nowhere VALUES (1)"
