Prove the slots over sessions that end, answers that are lost, crashes

properties/test_slots.py drives three proxies' decisions against one fake database: opened, granted and lost answers in any order, sessions that the database ends unseen, crashes. It found a queue for a slot where every slot was the proxy's own already (choice from an empty sequence); now no channel seeks then.

--- a/hickorygate/upstreams/slots.py
+++ b/hickorygate/upstreams/slots.py
@@ -176,6 +176,21 @@
             effects.extend(self._wake(now))
         return tuple(effects)
 
+    def _look_into_stalls(
+        self, now: datetime.datetime
+    ) -> Iterator[events.Effect]:
+        """Tries the slots of stalled channels on another connection."""
+        for channel in self._channels:
+            if channel.phase is Phase.IDLE:
+                channel.enter(Phase.ASKING)
+                yield events.Try(channel.number, self._stalled)
+                return
+        for channel in self._channels:
+            if channel.phase is Phase.CLOSED and self._may_open(channel, now):
+                channel.enter(Phase.OPENING)
+                yield events.Open(channel.number)
+                return
+
     def _lend(self) -> Iterator[events.Effect]:
         for channel in self._channels:
             if not self._demand.waiting:
@@ -202,7 +217,7 @@
 
     def _wanted(self) -> bool:
         """Tells whether one more channel should seek a slot."""
-        if not self._demand.waiting:
+        if not self._demand.waiting or not self._seekable():
             return False
         active = [c for c in self._channels if not c.stalled]
         pending = sum(c.phase in _PENDING for c in active)
@@ -216,8 +231,7 @@
     def _may_open(self, channel: Channel, now: datetime.datetime) -> bool:
         if channel.retry is not None and channel.retry > now:
             return False
-        replacing = any(c.stalled for c in self._channels)
-        return replacing or channel.number < self._own
+        return bool(self._stalled) or channel.number < self._own
 
     def _seek(self, channel: Channel) -> Iterator[events.Effect]:
         """Tries what may be free; queues where others are waiting."""
@@ -236,14 +250,24 @@
         yield events.Await(channel.number, slot, others, pressing)
 
     def _seekable(self) -> tuple[int, ...]:
-        """Returns the slots that no healthy channel holds or queues for."""
+        """Returns the slots that no healthy channel holds or queues for.
+
+        Those of stalled channels come first: one that is free shows that the
+        connection there has ended.
+        """
         taken = {c.slot for c in self._channels if not c.stalled}
-        return tuple(s for s in range(self._slots) if s not in taken)
+        free = [s for s in range(self._slots) if s not in taken]
+        return tuple(sorted(free, key=lambda s: s not in self._stalled))
+
+    @property
+    def _stalled(self) -> tuple[int, ...]:
+        return tuple(c.slot for c in self._channels if c.stalled)
 
     def _give_back(self, now: datetime.datetime) -> Iterator[events.Effect]:
         """Gives back unused slots and closes replaced connections' spares."""
         for channel in self._channels:
-            if channel.phase is Phase.IDLE and channel.number >= self._own:
+            spare = channel.number >= self._own and not self._stalled
+            if spare and channel.phase is Phase.IDLE:
                 yield self._close(channel)
             if channel.phase is not Phase.READY:
                 continue
@@ -362,8 +386,8 @@
     channel = keeper._channels[event.channel]
     channel.enter(Phase.IDLE)
     queued = sum(c.phase is Phase.QUEUED for c in keeper._channels)
-    ordinary = queued < max(1, keeper._own - 1)
-    if keeper._demand.waiting and (keeper._demand.pressing or ordinary):
+    room = keeper._demand.pressing or queued < max(1, keeper._own - 1)
+    if keeper._demand.waiting and room and keeper._seekable():
         yield from keeper._queue(channel)
 
 
@@ -407,4 +431,4 @@
     event: events.Stalled, keeper: SlotKeeper, now: datetime.datetime
 ) -> Iterator[events.Effect]:
     keeper._channels[event.channel].stalled = True
-    return iter(())
+    yield from keeper._look_into_stalls(now)
--- /dev/null
+++ b/properties/test_slots.py
@@ -0,0 +1,355 @@
+"""Slots of one database among several proxies, under any order of events."""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import functools
+import random
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from hickorygate.core import pool_errors
+from hickorygate.upstreams import slot_events as events
+from hickorygate.upstreams import slots
+import properties
+
+__all__ = ["SlotsTest"]
+
+assert properties.__doc__, "loads the profile"
+
+_SLOTS = 2
+_PROXIES = 3
+_SHARE = slots.Share(limit=4, proxies=2)
+"""Fewer than there are proxies, as while instances are replaced."""
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_FULL = pool_errors.ConnectionLimit("one")
+_DRAIN_STEPS = 2_000
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Session:
+    """One connection as the database sees it."""
+
+    proxy: int
+    channel: int
+    entered: bool = False
+    slot: int | None = None
+    lent: bool = False
+    closed_here: bool = False
+    ended: bool = False
+
+
+class _Database:
+    """The locks of a database: each has one holder and a queue."""
+
+    def __init__(self) -> None:
+        self.sessions: list[_Session] = []
+        self.holders: dict[int, _Session] = {}
+        self.queues: dict[int, list[_Session]] = {
+            slot: [] for slot in range(_SLOTS)
+        }
+
+    def enter(self, session: _Session) -> bool:
+        """Counts a connection in the limit."""
+        if len([s for s in self.sessions if s.entered]) >= _SHARE.limit:
+            return False
+        session.entered = True
+        self.sessions.append(session)
+        return True
+
+    def take(self, session: _Session, slot: int) -> bool:
+        """Takes a free slot."""
+        if session.ended or self.holders.get(slot) is not None:
+            return False
+        self.holders[slot] = session
+        session.slot = slot
+        return True
+
+    def free(self, session: _Session) -> list[_Session]:
+        """Gives a session's slot back; returns who got it."""
+        slot, session.slot = session.slot, None
+        if slot is None:
+            return []
+        self.holders.pop(slot, None)
+        queue = self.queues[slot]
+        while queue:
+            first = queue.pop(0)
+            if self.take(first, slot):
+                return [first]
+        return []
+
+    def end(self, session: _Session) -> list[_Session]:
+        """Ends a session with its locks."""
+        session.ended = True
+        session.entered = False
+        self.sessions.remove(session)
+        for queue in self.queues.values():
+            if session in queue:
+                queue.remove(session)
+        return self.free(session)
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Letter:
+    """An answer on its way to a proxy."""
+
+    session: _Session
+    event: events.Event
+
+
+class SlotMachine(stateful.RuleBasedStateMachine):
+    """Proxies, a database, and answers between them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = _START
+        self.database = _Database()
+        self.letters: list[_Letter] = []
+        self.waiting = [0] * _PROXIES
+        self.keepers = [self.keeper(p) for p in range(_PROXIES)]
+        self.sessions: dict[tuple[int, int], _Session] = {}
+
+    def keeper(self, proxy: int) -> slots.SlotKeeper:
+        """Returns a proxy's decisions as after its start."""
+        return slots.SlotKeeper(
+            _SLOTS, _SHARE, slots.SlotSettings(), random.Random(proxy)
+        )
+
+    def note(self, proxy: int, event: events.Event) -> None:
+        """Lets a proxy decide and does what it says."""
+        for effect in self.keepers[proxy].handle(event, self.now):
+            _perform(effect, self, proxy)
+
+    def demand(self, proxy: int) -> None:
+        """Tells a proxy how much waits."""
+        self.note(proxy, events.Demand(self.waiting[proxy], False))
+
+    def answer(self, session: _Session, event: events.Event) -> None:
+        """Sends an answer on its way."""
+        self.letters.append(_Letter(session, event))
+
+    def grant(self, granted: list[_Session]) -> None:
+        """Tells those who waited that they hold a slot."""
+        for session in granted:
+            self.answer(session, events.Granted(session.channel, session.slot))
+
+    def drop(self, session: _Session) -> None:
+        """Closes a connection on the proxy's side only."""
+        session.closed_here = True
+        session.lent = False
+        self.sessions.pop((session.proxy, session.channel), None)
+
+    @property
+    def current(self) -> list[_Session]:
+        """The connections that proxies have open."""
+        return list(self.sessions.values())
+
+    @stateful.rule(
+        proxy=strategies.integers(0, _PROXIES - 1),
+        count=strategies.integers(1, 3),
+    )
+    def request(self, proxy: int, count: int) -> None:
+        self.waiting[proxy] += count
+        self.demand(proxy)
+
+    @stateful.rule(
+        numbers=strategies.lists(strategies.integers(0, 99), min_size=1)
+    )
+    def deliver_some(self, numbers: list[int]) -> None:
+        for number in numbers:
+            self.deliver(number)
+            self.limits_hold()
+
+    def deliver(self, number: int) -> None:
+        """Delivers one of the answers on their way."""
+        if not self.letters:
+            return
+        letter = self.letters.pop(number % len(self.letters))
+        session = letter.session
+        key = (session.proxy, session.channel)
+        if isinstance(letter.event, events.Opened | events.OpenFailed):
+            if session.closed_here:
+                return
+            if isinstance(letter.event, events.Opened):
+                self.sessions[key] = session
+            self.note(session.proxy, letter.event)
+        elif self.sessions.get(key) is session:
+            self.note(session.proxy, letter.event)
+
+    @stateful.rule(number=strategies.integers(0, 99))
+    def lose_answer(self, number: int) -> None:
+        """An answer is lost after its effect: the connection is dropped."""
+        lost = [
+            letter for letter in self.letters if letter.session in self.current
+        ]
+        if not lost:
+            return
+        letter = lost[number % len(lost)]
+        self.letters.remove(letter)
+        self.drop(letter.session)
+        self.note(letter.session.proxy, events.Lost(letter.session.channel))
+
+    @stateful.rule(number=strategies.integers(0, 99))
+    def finish(self, number: int) -> None:
+        lent = [session for session in self.current if session.lent]
+        if lent:
+            session = lent[number % len(lent)]
+            session.lent = False
+            self.note(session.proxy, events.Returned(session.channel))
+
+    @stateful.rule(number=strategies.integers(0, 99))
+    def stall(self, number: int) -> None:
+        lent = [session for session in self.current if session.lent]
+        if lent:
+            session = lent[number % len(lent)]
+            self.note(session.proxy, events.Stalled(session.channel))
+
+    @stateful.rule(number=strategies.integers(0, 99))
+    def database_ends_one(self, number: int) -> None:
+        """The database ends a session; its proxy doesn't notice."""
+        if self.database.sessions:
+            count = len(self.database.sessions)
+            session = self.database.sessions[number % count]
+            self.grant(self.database.end(session))
+
+    @stateful.rule(proxy=strategies.integers(0, _PROXIES - 1))
+    def crash(self, proxy: int) -> None:
+        """A proxy is replaced; the database notices later, if ever."""
+        for session in self.current:
+            if session.proxy == proxy:
+                self.drop(session)
+        for letter in self.letters:
+            if letter.session.proxy == proxy:
+                letter.session.closed_here = True
+        self.keepers[proxy] = self.keeper(proxy)
+        self.waiting[proxy] = 0
+
+    @stateful.rule(milliseconds=strategies.integers(1, 200))
+    def pass_time(self, milliseconds: int) -> None:
+        self.now += datetime.timedelta(milliseconds=milliseconds)
+        for proxy in range(_PROXIES):
+            self.note(proxy, events.Tick())
+
+    @stateful.invariant()
+    def limits_hold(self) -> None:
+        running = [s for s in self.current if s.lent and not s.ended]
+        assert len(running) <= _SLOTS
+        for session in running:
+            assert self.database.holders.get(session.slot) is session
+        entered = [s for s in self.database.sessions if s.entered]
+        assert len(entered) <= _SHARE.limit
+
+    def teardown(self) -> None:
+        """Once faults stop and dead sessions end, all work is done."""
+        for _ in range(_DRAIN_STEPS):
+            if not any(self.waiting):
+                return
+            for session in list(self.database.sessions):
+                if session not in self.current:
+                    opening = any(
+                        letter.session is session for letter in self.letters
+                    )
+                    if session.closed_here or not opening:
+                        self.grant(self.database.end(session))
+            for session in self.current:
+                if session.ended:
+                    self.drop(session)
+                    lost = events.Lost(session.channel)
+                    self.note(session.proxy, lost)
+            self.deliver(0)
+            self.finish(0)
+            self.pass_time(20)
+            for proxy in range(_PROXIES):
+                self.demand(proxy)
+        assert not any(self.waiting), self.keepers
+
+
+@functools.singledispatch
+def _perform(effect: events.Effect, machine: SlotMachine, proxy: int) -> None:
+    raise TypeError(f"no fake of {effect!r}")
+
+
+@_perform.register
+def _(effect: events.Open, machine: SlotMachine, proxy: int) -> None:
+    session = _Session(proxy, effect.channel)
+    if machine.database.enter(session):
+        machine.answer(session, events.Opened(effect.channel))
+    else:
+        failed = events.OpenFailed(effect.channel, _FULL)
+        machine.answer(session, failed)
+
+
+@_perform.register
+def _(effect: events.Try, machine: SlotMachine, proxy: int) -> None:
+    session = machine.sessions[proxy, effect.channel]
+    for slot in effect.slots:
+        if machine.database.take(session, slot):
+            machine.answer(session, events.Granted(effect.channel, slot))
+            return
+    machine.answer(session, events.NotFree(effect.channel))
+
+
+@_perform.register
+def _(effect: events.Await, machine: SlotMachine, proxy: int) -> None:
+    session = machine.sessions[proxy, effect.channel]
+    for slot in (*effect.others, effect.slot):
+        if machine.database.take(session, slot):
+            machine.answer(session, events.Granted(effect.channel, slot))
+            return
+    if not session.ended:
+        machine.database.queues[effect.slot].append(session)
+
+
+@_perform.register
+def _(effect: events.Yield, machine: SlotMachine, proxy: int) -> None:
+    session = machine.sessions[proxy, effect.channel]
+    if machine.database.queues[effect.slot]:
+        machine.grant(machine.database.free(session))
+        machine.answer(session, events.NotFree(effect.channel))
+    elif session.slot == effect.slot:
+        machine.answer(session, events.Granted(effect.channel, effect.slot))
+    else:
+        machine.answer(session, events.NotFree(effect.channel))
+
+
+@_perform.register
+def _(effect: events.Release, machine: SlotMachine, proxy: int) -> None:
+    session = machine.sessions[proxy, effect.channel]
+    machine.grant(machine.database.free(session))
+    machine.answer(session, events.Released(effect.channel))
+
+
+@_perform.register
+def _(effect: events.Lend, machine: SlotMachine, proxy: int) -> None:
+    session = machine.sessions[proxy, effect.channel]
+    assert not session.lent, "a connection serves one request at a time"
+    assert machine.waiting[proxy] > 0
+    machine.waiting[proxy] -= 1
+    session.lent = True
+
+
+@_perform.register
+def _(effect: events.Close, machine: SlotMachine, proxy: int) -> None:
+    session = machine.sessions.get((proxy, effect.channel))
+    if session is not None:
+        machine.drop(session)
+
+
+@_perform.register
+def _(effect: events.Refuse, machine: SlotMachine, proxy: int) -> None:
+    machine.waiting[proxy] = 0
+
+
+@_perform.register
+def _(effect: events.Wake, machine: SlotMachine, proxy: int) -> None:
+    return
+
+
+SlotsTest = SlotMachine.TestCase
+SlotsTest.settings = hypothesis.settings(
+    max_examples=200, stateful_step_count=50
+)
