--- a/hickorygate/upstreams/answer.py
+++ b/hickorygate/upstreams/answer.py
@@ -8,7 +8,7 @@
 
 from hickorygate.core import types
 
-__all__ = ["Answer", "Column", "Done", "Table"]
+__all__ = ["NOTHING", "Answer", "Column", "Done", "Note", "Table"]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,18 +19,45 @@
       name: its label.
       type_code: MySQL's column type number.
       charset: MySQL's character set number; 63 is binary.
+      flags: MySQL's column flags, such as unsigned.
+      decimals: digits behind the point.
+      length: the longest cell, in bytes; 0 if it isn't known.
     """
 
     name: str
     type_code: int
     charset: int
+    flags: int = 0
+    decimals: int = 0
+    length: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Note:
+    """One line of SHOW WARNINGS.
+
+    Attributes:
+      level: Note, Warning or Error.
+      code: MySQL error number.
+      text: the database's message.
+    """
+
+    level: str
+    code: int
+    text: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
-    """Base of the answers."""
+    """Base of the answers.
+
+    Attributes:
+      warnings: how many the database counted.
+      notes: their text, where the answer came whole.
+    """
 
     warnings: int
+    notes: tuple[Note, ...] = dataclasses.field(default=(), kw_only=True)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,3 +79,7 @@
 
     columns: tuple[Column, ...]
     rows: Sequence[types.Row] | AsyncIterator[types.Row]
+
+
+NOTHING = Done(warnings=0, affected_rows=0, last_insert_id=0)
+"""The answer to a statement that changed nothing."""
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -8,6 +8,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+import dataclasses
 import datetime
 import re
 
@@ -28,7 +29,6 @@
 __all__ = ["Connection", "open_connection"]
 
 _BATCH_ROWS = 1_000
-_BINARY_CHARSET = 63
 _CLIENT_ERRORS = range(2_000, 3_000)
 _READ_ONLY = frozenset({1290, 1792, 1836})
 _SHUTDOWN = frozenset({1053, 1077, 1079})
@@ -62,6 +62,10 @@
     return isinstance(code, int) and code > 0 and code not in _CLIENT_ERRORS
 
 
+def _text(cell: bytes | str) -> str:
+    return cell.decode() if isinstance(cell, bytes) else cell
+
+
 class Connection:
     """A logged-in connection to one database."""
 
@@ -184,6 +188,7 @@
             async with asyncio.timeout(timeout.total_seconds()):
                 await cursor.execute(sql)
                 answer = await self._answer(cursor)
+                answer = await self._with_notes(answer)
         except asyncio.CancelledError:
             self.close()
             raise
@@ -248,8 +253,15 @@
                 last_insert_id=cursor.lastrowid,
             )
         columns = tuple(
-            answers.Column(field[0], field[1], _BINARY_CHARSET)
-            for field in cursor.description
+            answers.Column(
+                name=field.name,
+                type_code=field.type_code,
+                charset=field.charsetnr,
+                flags=field.flags,
+                decimals=field.scale,
+                length=field.length,
+            )
+            for field in cursor._result.fields  # noqa: SLF001
         )
         rows = await cursor.fetchmany(_BATCH_ROWS)
         if len(rows) < _BATCH_ROWS:
@@ -257,6 +269,22 @@
             return answers.Table(warnings, columns, rows)
         return answers.Table(warnings, columns, self._stream(cursor, rows))
 
+    async def _with_notes(self, answer: answers.Answer) -> answers.Answer:
+        """Fetches the warnings' text before anything else runs here."""
+        streams = isinstance(answer, answers.Table) and isinstance(
+            answer.rows, AsyncIterator
+        )
+        if not answer.warnings or streams:
+            return answer
+        cursor = self._raw.cursor(cursors.SSCursor)
+        await cursor.execute("SHOW WARNINGS")
+        rows = await cursor.fetchall()
+        notes = tuple(
+            answers.Note(_text(level), int(code), _text(text))
+            for level, code, text in rows
+        )
+        return dataclasses.replace(answer, notes=notes)
+
     async def _stream(
         self, cursor: cursors.SSCursor, rows: list[types.Row]
     ) -> AsyncIterator[types.Row]:
