--- /dev/null
+++ b/benchmarks/idle_daemons.py
@@ -0,0 +1,69 @@
+"""Processor time of whole idle daemons before one group of three.
+
+Each daemon probes the three databases, and takes part in membership. The
+stand-in databases run in the same process, so that a probe counts with both
+its ends. Run:
+
+    python -m benchmarks.idle_daemons
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import datetime
+import json
+import pathlib
+import time
+
+from absl import app
+from absl import flags
+import uvloop
+
+from hickorygate.testing import cluster
+
+_DAEMONS = flags.DEFINE_list("daemons", ["1", "2", "3", "5"], "Daemons.")
+_WINDOW_S = flags.DEFINE_float("window", 4.0, "Seconds of a measurement.")
+_RUNS = flags.DEFINE_integer("runs", 3, "Measurements of a size.")
+_RESULT = flags.DEFINE_string(
+    "result",
+    str(pathlib.Path(__file__).parent / "results" / "idle_daemons.json"),
+    "Where the figures go.",
+)
+_TIMEOUT = datetime.timedelta(seconds=30)
+_SETTLE_S = 2.0
+
+
+async def _measure(count: int) -> dict[str, float]:
+    stand = await cluster.start(proxies=count)
+    await stand.wait_until_ready(_TIMEOUT)
+    await asyncio.sleep(_SETTLE_S)
+    shares = []
+    for _ in range(_RUNS.value):
+        wall, spent = time.monotonic(), time.process_time()
+        await asyncio.sleep(_WINDOW_S.value)
+        spent = time.process_time() - spent
+        shares.append(100 * spent / (time.monotonic() - wall) / count)
+    await stand.stop()
+    shares.sort()
+    return {
+        "daemons": count,
+        "core_percent_least": shares[0],
+        "core_percent_median": shares[len(shares) // 2],
+        "core_percent_greatest": shares[-1],
+    }
+
+
+async def _measure_all() -> list[dict[str, float]]:
+    return [await _measure(int(count)) for count in _DAEMONS.value]
+
+
+def _main(argv: Sequence[str]) -> None:
+    del argv
+    text = json.dumps(uvloop.run(_measure_all()), indent=1)
+    pathlib.Path(_RESULT.value).write_text(text + "\n")
+    print(text)
+
+
+if __name__ == "__main__":
+    app.run(_main)
--- a/benchmarks/roster.py
+++ b/benchmarks/roster.py
@@ -8,6 +8,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Sequence
 import datetime
 import json
 import pathlib
@@ -111,7 +112,7 @@
     }
 
 
-def _main(argv: list[str]) -> None:
+def _main(argv: Sequence[str]) -> None:
     del argv
     result = [_measure(int(size)) for size in _SIZES.value]
     text = json.dumps(result, indent=1)
