--- a/hickorygate/callers/connection.py
+++ b/hickorygate/callers/connection.py
@@ -67,17 +67,11 @@
 
     __slots__ = ("control", "limit", "tls", "tls_required", "users")
 
-    def __init__(
-        self,
-        users: logins.Users,
-        limit: int,
-        tls: ssl.SSLContext | None,
-        tls_required: bool,
-    ) -> None:
+    def __init__(self, users: logins.Users, limit: int) -> None:
         self.users = users
         self.limit = limit
-        self.tls = tls
-        self.tls_required = tls_required
+        self.tls: ssl.SSLContext | None = None
+        self.tls_required = False
         self.control = mimic_control.LocalControl()
 
 
--- a/hickorygate/callers/server.py
+++ b/hickorygate/callers/server.py
@@ -42,13 +42,10 @@
         handler_factory: Callable[[], handlers.Handler],
         passwords: Mapping[types.CallerName, str],
         statement_limit: int,
-        tls: ssl.SSLContext | None = None,
-        tls_required: bool = False,
     ) -> None:
         self._handler_factory = handler_factory
-        self._terms = connections.Terms(
-            logins.Users(passwords), statement_limit, tls, tls_required
-        )
+        users = logins.Users(passwords)
+        self._terms = connections.Terms(users, statement_limit)
         self._server: asyncio.Server | None = None
         self._callers: dict[asyncio.Task[None], _Protocol] = {}
 
@@ -66,6 +63,11 @@
     def __repr__(self) -> str:
         return f"Server(connections={self.connections})"
 
+    def use_tls(self, context: ssl.SSLContext, required: bool) -> None:
+        """Offers TLS to the callers that connect from now on."""
+        self._terms.tls = context
+        self._terms.tls_required = required
+
     async def start(self, host: str, port: int) -> None:
         """Begins to listen."""
         loop = asyncio.get_running_loop()
--- a/hickorygate/callers/stream.py
+++ b/hickorygate/callers/stream.py
@@ -106,10 +106,19 @@
         self._sequence = 1
 
     async def start_tls(self, context: ssl.SSLContext) -> None:
-        """Goes on over TLS; nothing may have come after the request."""
-        if self._reader._buffer:  # noqa: SLF001 - there is no other way
-            raise mimic_stream.ConnectionClosed
-        await self._writer.start_tls(context)
+        """Goes on over TLS.
+
+        A client doesn't wait after its request: what it has sent by now
+        belongs to the handshake and is handed over to it.
+        """
+        upgrade = asyncio.create_task(self._writer.start_tls(context))
+        await asyncio.sleep(0)  # The transport has its new protocol,
+        await asyncio.sleep(0)  # and the protocol its transport.
+        early = bytes(self._reader._buffer)  # noqa: SLF001 - no other way
+        self._reader._buffer.clear()  # noqa: SLF001
+        if early:
+            _feed(self._writer.transport.get_protocol(), early)
+        await upgrade
 
     async def end(self) -> None:
         """Sends what is queued and says that nothing follows."""
@@ -155,3 +164,14 @@
         number = self._sequence
         self._sequence = (number + 1) % _SEQUENCE
         return number
+
+
+def _feed(protocol: asyncio.BaseProtocol, data: bytes) -> None:
+    """Gives data to a buffered protocol, as its transport would."""
+    assert isinstance(protocol, asyncio.BufferedProtocol), protocol
+    while data:
+        buffer = protocol.get_buffer(len(data))
+        size = min(len(buffer), len(data))
+        buffer[:size] = data[:size]
+        protocol.buffer_updated(size)
+        data = data[size:]
--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -62,6 +62,7 @@
       port: TCP port; 0 lets the system choose.
       users: password of each user.
       tls: optional TLS.
+      tls_required: whether callers without TLS are refused.
       statement_limit: bytes of the longest statement.
       token_key: secret that signs session tokens; the same on all proxies.
       drain_notice_ms: from "not ready" to the end of taking callers, so that
@@ -73,6 +74,7 @@
     port: _Port = 3306
     users: dict[str, pydantic.SecretStr]
     tls: TlsSettings | None = None
+    tls_required: bool = False
     statement_limit: Annotated[int, pydantic.Field(gt=0)] = 1_048_576
     token_key: pydantic.SecretStr
     drain_notice_ms: _Milliseconds = 2_000
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -18,6 +18,7 @@
 from hickorygate.core import retry
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
+from hickorygate.core import tls
 from hickorygate.core import types
 from hickorygate.operators import admin
 from hickorygate.operators import recorder as recorders
@@ -135,9 +136,14 @@
         """Returns the link to a group of the sheet in force."""
         return self._groups[name]
 
-    async def start(self) -> expression.Result[None, errors.ListenFailed]:
+    async def start(self) -> expression.Result[None, errors.Failure]:
         """Starts all parts; after a failure `close` stops those that ran."""
         callers = self._settings.callers
+        context = tls.server_context(callers.tls)
+        if context.is_error():
+            return expression.Error(context.error)
+        if context.ok is not None:
+            self._server.use_tls(context.ok, callers.tls_required)
         try:
             part = "admin"
             await self._admin.start()
--- /dev/null
+++ b/hickorygate/tests/test_tls.py
@@ -0,0 +1,132 @@
+"""TLS towards callers and databases, with a certificate made here."""
+
+from __future__ import annotations
+
+import datetime
+import ipaddress
+import pathlib
+import ssl
+import tempfile
+import unittest
+
+import asyncmy
+from asyncmy import errors as asyncmy_errors
+from cryptography import x509
+from cryptography.hazmat.primitives import hashes
+from cryptography.hazmat.primitives import serialization
+from cryptography.hazmat.primitives.asymmetric import ec
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
+from hickorygate.core import tls
+from hickorygate.testing import database as databases
+from hickorygate.upstreams import connection as connections
+
+_DAY = datetime.timedelta(days=1)
+_TIMEOUT = datetime.timedelta(seconds=5)
+
+
+def _make_certificate(folder: pathlib.Path) -> settings_lib.TlsSettings:
+    """Writes a key and a certificate that vouches for itself."""
+    key = ec.generate_private_key(ec.SECP256R1())
+    name = x509.Name([x509.NameAttribute(x509.NameOID.COMMON_NAME, "test")])
+    now = datetime.datetime.now(datetime.UTC)
+    address = x509.IPAddress(ipaddress.ip_address("127.0.0.1"))
+    certificate = (
+        x509.CertificateBuilder()
+        .subject_name(name)
+        .issuer_name(name)
+        .public_key(key.public_key())
+        .serial_number(1)
+        .not_valid_before(now - _DAY)
+        .not_valid_after(now + _DAY)
+        .add_extension(x509.SubjectAlternativeName([address]), False)
+        .add_extension(x509.BasicConstraints(True, None), True)
+        .sign(key, hashes.SHA256())
+    )
+    paths = folder / "certificate.pem", folder / "key.pem"
+    pem = serialization.Encoding.PEM
+    paths[0].write_bytes(certificate.public_bytes(pem))
+    paths[1].write_bytes(
+        key.private_bytes(
+            pem,
+            serialization.PrivateFormat.PKCS8,
+            serialization.NoEncryption(),
+        )
+    )
+    return settings_lib.TlsSettings(
+        certificate=paths[0], key=paths[1], authority=paths[0]
+    )
+
+
+class TlsTest(unittest.IsolatedAsyncioTestCase):
+    """A server that requires TLS."""
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.files = _make_certificate(pathlib.Path(folder.name))
+        clock = clocks.SystemClock()
+        group = databases.Group(clock)
+        self.database = databases.StandInDatabase("db", group, clock)
+        self.server = self.database._server
+        only_server = self.files.model_copy(update={"authority": None})
+        context = tls.server_context(only_server).ok
+        self.server.use_tls(context, required=True)
+        await self.database.start()
+        self.addAsyncCleanup(self.database.stop)
+
+    async def test_caller_over_tls(self) -> None:
+        context = ssl.create_default_context(cafile=self.files.authority)
+        connection = await asyncmy.connect(
+            host="127.0.0.1",
+            port=self.database.port,
+            user="hickorygate",
+            ssl=context,
+        )
+        cursor = connection.cursor()
+        await cursor.execute("SELECT 'over TLS'")
+        self.assertEqual(await cursor.fetchall(), (("over TLS",),))
+        await connection.ensure_closed()
+
+    async def test_caller_without_tls_is_refused(self) -> None:
+        with self.assertRaises(asyncmy_errors.MySQLError) as caught:
+            await asyncmy.connect(
+                host="127.0.0.1", port=self.database.port, user="hickorygate"
+            )
+        self.assertEqual(caught.exception.args[0], 3159)
+
+    async def connect_to_database(
+        self, files: settings_lib.TlsSettings
+    ) -> bool:
+        database = sheets.Database(
+            "db", "127.0.0.1", self.database.port, "nl-west-a", 20, 3
+        )
+        result = await connections.open_connection(
+            database, settings_lib.UpstreamSettings(tls=files)
+        )
+        if result.is_ok():
+            answer = await result.ok.execute("SELECT 1", _TIMEOUT)
+            self.assertTrue(answer.is_ok())
+            result.ok.close()
+        return result.is_ok()
+
+    async def test_database_over_tls(self) -> None:
+        only_authority = self.files.model_copy(
+            update={"certificate": None, "key": None}
+        )
+        self.assertTrue(await self.connect_to_database(only_authority))
+
+    async def test_foreign_database_is_refused(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            other = _make_certificate(pathlib.Path(folder))
+            self.assertFalse(await self.connect_to_database(other))
+
+    def test_bad_files_are_named(self) -> None:
+        missing = pathlib.Path("missing.pem")
+        files = settings_lib.TlsSettings(certificate=missing)
+        self.assertIn("missing.pem", tls.server_context(files).error.message)
+        nothing = settings_lib.TlsSettings()
+        self.assertTrue(tls.server_context(nothing).is_error())
+        self.assertTrue(tls.client_context(nothing).is_error())
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -23,6 +23,7 @@
 from hickorygate.core import pool_errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
+from hickorygate.core import tls
 from hickorygate.core import types
 from hickorygate.upstreams import answer as answers
 
@@ -322,6 +323,10 @@
       `ConnectFailed`.
     """
     limit = settings.connect_timeout.total_seconds()
+    context = tls.client_context(settings.tls)
+    if context.is_error():
+        reason = context.error.message
+        return expression.Error(errors.ConnectFailed(database.name, reason))
     try:
         async with asyncio.timeout(limit):
             raw = await asyncmy.connect(
@@ -331,6 +336,7 @@
                 password=settings.password.get_secret_value(),
                 autocommit=None,
                 conv={},
+                ssl=context.ok,
             )
     except (asyncmy_errors.MySQLError, OSError, TimeoutError) as error:
         return expression.Error(_connect_failure(database, error))
