--- a/Makefile
+++ b/Makefile
@@ -10,9 +10,9 @@
 	$(BIN)/pip install --quiet --no-deps --editable .
 	touch $@
 
-.PHONY: test lint format unit demo binary clean
+.PHONY: test lint format clients unit demo binary clean
 
-test: lint unit
+test: lint clients unit
 
 lint: $(VENV)/ready
 	$(BIN)/ruff format --check .
@@ -22,6 +22,9 @@
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
+clients: $(VENV)/ready
+	tools/clients.sh $(BIN)/python
+
 unit: $(VENV)/ready
 	$(BIN)/nose2
 
--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; each module prints its figures."""
--- /dev/null
+++ b/benchmarks/client_pymysql.py
@@ -0,0 +1,83 @@
+"""PyMySQL, a blocking client, through a proxy in another process.
+
+    python -m benchmarks.client_pymysql --port PORT
+
+Checks text statements, a transaction, an error and a change of user, and
+exits with 1 at the first that fails.
+"""
+
+from __future__ import annotations
+
+from absl import app
+from absl import flags
+import pymysql
+
+from hickorygate.testing import cluster
+
+_PORT = flags.DEFINE_integer("port", None, "The proxy's port.")
+_TRICKY = 'it\'s \\ "quoted" ? é \n'
+_DUPLICATE = 1062
+_DENIED = 1045
+
+
+def _check(name: str, found: object, expected: object) -> None:
+    if found != expected:
+        raise SystemExit(f"{name}: found {found!r}, expected {expected!r}")
+    print(f"pymysql {name}: ok")
+
+
+def _connect(password: str) -> pymysql.Connection:
+    return pymysql.connect(
+        host="127.0.0.1",
+        port=_PORT.value,
+        user=cluster.USER,
+        password=password,
+        database="alerts_1",
+        autocommit=True,
+    )
+
+
+def _error(call: str, cursor: pymysql.cursors.Cursor) -> int:
+    try:
+        cursor.execute(call)
+    except pymysql.MySQLError as error:
+        return error.args[0]
+    return 0
+
+
+def _denied() -> int:
+    try:
+        _connect("wrong")
+    except pymysql.MySQLError as error:
+        return error.args[0]
+    return 0
+
+
+def main(argv: list[str]) -> None:
+    """Runs all checks."""
+    del argv
+    connection = _connect(cluster.PASSWORD)
+    cursor = connection.cursor()
+    cursor.execute("CREATE TABLE pymysql_t (id INT PRIMARY KEY, a TEXT)")
+    count = cursor.execute("INSERT INTO pymysql_t VALUES (1, %s)", (_TRICKY,))
+    _check("affected rows", count, 1)
+    cursor.execute("SELECT id, a FROM pymysql_t")
+    _check("text", cursor.fetchall(), ((1, _TRICKY),))
+    for ending in (connection.rollback, connection.commit):
+        connection.begin()
+        cursor.execute("INSERT INTO pymysql_t VALUES (2, 'b')")
+        ending()
+    cursor.execute("SELECT COUNT(*) FROM pymysql_t")
+    _check("transaction", cursor.fetchall(), ((2,),))
+    sql = "INSERT INTO pymysql_t VALUES (1, 'c')"
+    _check("error", _error(sql, cursor), _DUPLICATE)
+    _check("wrong password", _denied(), _DENIED)
+    connection.ping(reconnect=False)
+    cursor.execute("SELECT DATABASE()")
+    _check("schema", cursor.fetchall(), (("alerts_1",),))
+    connection.close()
+
+
+if __name__ == "__main__":
+    flags.mark_flag_as_required("port")
+    app.run(main)
--- /dev/null
+++ b/benchmarks/idle_callers.py
@@ -0,0 +1,103 @@
+"""Memory of a proxy for each idle caller.
+
+    python -m benchmarks.idle_callers --callers 500,1000,1500,2000
+
+The callers are bare sockets in the same process, logged in and idle, so the
+growth of the process is the proxy's side and a socket object.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import gc
+import hashlib
+import socket
+
+from absl import app
+from absl import flags
+import psutil
+import uvloop
+
+from hickorygate.testing import cluster
+
+_CALLERS = flags.DEFINE_list(
+    "callers", ["500", "1000", "1500", "2000"], "Counts to measure at."
+)
+_READY_TIMEOUT = datetime.timedelta(seconds=30)
+_CAPABILITIES = 0x0000_8209
+"""Protocol 4.1, a schema at login, secure connection."""
+
+_PACKET_BYTES = 4_096
+
+
+def _proof(password: str, nonce: bytes) -> bytes:
+    """Scrambles a password as mysql_native_password does."""
+    once = hashlib.sha1(password.encode()).digest()
+    twice = hashlib.sha1(once).digest()
+    mask = hashlib.sha1(nonce + twice).digest()
+    return bytes(a ^ b for a, b in zip(once, mask, strict=True))
+
+
+def _nonce(greeting: bytes) -> bytes:
+    """Returns the nonce of a greeting, which comes in two parts."""
+    start = greeting.index(b"\x00", 5) + 5
+    second = start + 8 + 19
+    return greeting[start : start + 8] + greeting[second : second + 12]
+
+
+def _login(nonce: bytes) -> bytes:
+    payload = (
+        _CAPABILITIES.to_bytes(4, "little")
+        + (1 << 24).to_bytes(4, "little")
+        + b"\x2d"
+        + bytes(23)
+        + cluster.USER.encode()
+        + b"\x00\x14"
+        + _proof(cluster.PASSWORD, nonce)
+        + b"alerts_1\x00"
+    )
+    return len(payload).to_bytes(3, "little") + b"\x01" + payload
+
+
+async def _caller(port: int) -> socket.socket:
+    loop = asyncio.get_running_loop()
+    caller = socket.socket()
+    caller.setblocking(False)
+    await loop.sock_connect(caller, ("127.0.0.1", port))
+    greeting = await loop.sock_recv(caller, _PACKET_BYTES)
+    await loop.sock_sendall(caller, _login(_nonce(greeting)))
+    answer = await loop.sock_recv(caller, _PACKET_BYTES)
+    assert answer[4] == 0, answer
+    return caller
+
+
+def _resident_bytes() -> int:
+    gc.collect()
+    return psutil.Process().memory_info().rss
+
+
+async def _run() -> None:
+    stand = await cluster.start(proxies=1)
+    await stand.wait_until_ready(_READY_TIMEOUT)
+    port = stand.daemons[0].port
+    callers = [await _caller(port)]
+    before = _resident_bytes()
+    for count in map(int, _CALLERS.value):
+        while len(callers) < count:
+            callers.append(await _caller(port))
+        growth = _resident_bytes() - before
+        print(f"callers={count} bytes_a_caller={growth // (count - 1)}")
+    for caller in callers:
+        caller.close()
+    await stand.stop()
+
+
+def main(argv: list[str]) -> None:
+    """Prints a line for each count."""
+    del argv
+    uvloop.run(_run())
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/benchmarks/large_result.py
@@ -0,0 +1,145 @@
+"""A large result through a proxy's two ends, and the memory it takes.
+
+    python -m benchmarks.large_result --rows 1000000
+
+An origin streams rows to a connection of the upstreams' side, whose answer a
+second server streams to a caller that counts and drops them; all of it in
+one process. Prints the time and how far the process grew at its peak.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+import datetime
+import resource
+import time
+
+from absl import app
+from absl import flags
+import expression
+
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import server as servers
+from hickorygate.core import errors
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
+from hickorygate.core import types
+from hickorygate.testing import raw_client
+from hickorygate.upstreams import answer as answers
+from hickorygate.upstreams import connection as connections
+
+_ROWS = flags.DEFINE_integer("rows", 1_000_000, "Rows of the result.")
+_CELL = "x" * 100
+_COLUMNS = (answers.Column("id", 8, 63), answers.Column("a", 253, 45))
+_LIMIT = 1_048_576
+_USER = "hickorygate"
+_TIMEOUT = datetime.timedelta(seconds=60)
+_OK = expression.Ok(None)
+_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
+
+
+class _Handler:
+    """Accepts everybody and answers with rows."""
+
+    autocommit = True
+    in_transaction = False
+
+    async def connect(
+        self, connection_id: int
+    ) -> expression.Result[None, errors.Failure]:
+        """Accepts the connection."""
+        return _OK
+
+    async def login(
+        self, user: types.CallerName, attributes: Mapping[str, str]
+    ) -> expression.Result[None, errors.Failure]:
+        """Accepts the user."""
+        return _OK
+
+    async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
+        """Accepts the schema."""
+        return expression.Ok(_NOTHING)
+
+    async def reset(self) -> None:
+        """Nothing is remembered."""
+
+    async def close(self) -> None:
+        """Nothing is held."""
+
+
+class _Origin(_Handler):
+    """Makes the rows."""
+
+    async def query(
+        self, sql: str, attributes: Mapping[str, str]
+    ) -> handlers.AnswerResult:
+        """Streams the rows."""
+        if not sql.startswith("SELECT"):
+            return expression.Ok(_NOTHING)
+        return expression.Ok(answers.Table(0, _COLUMNS, _rows()))
+
+
+class _Relay(_Handler):
+    """Passes an origin's rows on."""
+
+    def __init__(self, connection: connections.Connection) -> None:
+        self._connection = connection
+
+    async def query(
+        self, sql: str, attributes: Mapping[str, str]
+    ) -> handlers.AnswerResult:
+        """Asks the origin."""
+        return await self._connection.execute(sql, _TIMEOUT)
+
+
+async def _rows() -> AsyncIterator[types.Row]:
+    for number in range(_ROWS.value):
+        yield (number, _CELL)
+
+
+def _peak_mebibytes() -> float:
+    return resource.getrusage(resource.RUSAGE_SELF).ru_maxrss / 1_024
+
+
+async def _run() -> None:
+    origin = servers.Server(_Origin, {_USER: ""}, _LIMIT)
+    await origin.start("127.0.0.1", 0)
+    database = sheets.Database(
+        "origin", "127.0.0.1", origin.port, "nl-west-a", 20, 3
+    )
+    settings = settings_lib.UpstreamSettings(user=_USER)
+    opened = await connections.open_connection(database, settings)
+    relay = servers.Server(lambda: _Relay(opened.ok), {_USER: ""}, _LIMIT)
+    await relay.start("127.0.0.1", 0)
+    client = await raw_client.log_in(relay.port, _USER)
+    before = _peak_mebibytes()
+    started = time.perf_counter()
+    client.query("SELECT * FROM everything")
+    received = 0
+    ending = b""
+    while not ending.endswith(b"\xfe\x00\x00\x02\x00"):
+        part = await client.read_bytes()
+        received += len(part)
+        ending = (ending + part)[-5:]
+    seconds = time.perf_counter() - started
+    growth = _peak_mebibytes() - before
+    print(
+        f"rows={_ROWS.value} bytes={received} seconds={seconds:.2f} "
+        f"peak_growth_mebibytes={growth:.1f}"
+    )
+    await client.close()
+    await relay.close()
+    opened.ok.close()
+    await origin.close()
+
+
+def main(argv: list[str]) -> None:
+    """Prints one line."""
+    del argv
+    asyncio.run(_run())
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/benchmarks/stand.py
@@ -0,0 +1,43 @@
+"""Runs a test cluster for clients in other processes.
+
+    python -m benchmarks.stand --port_file FILE
+
+Writes the first proxy's port to the file once it serves, and runs until it
+is ended.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import pathlib
+
+from absl import app
+from absl import flags
+
+from hickorygate.testing import cluster
+
+_PORT_FILE = flags.DEFINE_string("port_file", None, "Gets the port.")
+_PROXIES = flags.DEFINE_integer("proxies", 1, "Proxies to start.")
+_READY_TIMEOUT = datetime.timedelta(seconds=30)
+
+
+async def _serve() -> None:
+    stand = await cluster.start(proxies=_PROXIES.value)
+    await stand.wait_until_ready(_READY_TIMEOUT)
+    path = pathlib.Path(_PORT_FILE.value)
+    whole = path.with_suffix(".new")
+    whole.write_text(str(stand.daemons[0].port))
+    whole.rename(path)
+    await asyncio.Event().wait()
+
+
+def main(argv: list[str]) -> None:
+    """Runs until the process is ended."""
+    del argv
+    asyncio.run(_serve())
+
+
+if __name__ == "__main__":
+    flags.mark_flag_as_required("port_file")
+    app.run(main)
--- /dev/null
+++ b/benchmarks/statement_cost.py
@@ -0,0 +1,82 @@
+"""What a statement costs through the proxy, against a direct connection.
+
+    python -m benchmarks.statement_cost --statements 2000 --rounds 5
+
+Caller, proxy and stand-in database share one process and one core, so the
+ratio compares processor time. The two ways take turns, round by round.
+"""
+
+from __future__ import annotations
+
+import datetime
+import statistics
+import time
+
+from absl import app
+from absl import flags
+import asyncmy
+from asyncmy import cursors
+import uvloop
+
+from hickorygate.testing import cluster
+
+_STATEMENTS = flags.DEFINE_integer("statements", 1_000, "A round's statements.")
+_ROUNDS = flags.DEFINE_integer("rounds", 5, "Rounds of each way.")
+_READY_TIMEOUT = datetime.timedelta(seconds=30)
+_READ = "SELECT a FROM t WHERE id = 1"
+
+
+async def _microseconds(cursor: cursors.Cursor) -> float:
+    started = time.perf_counter()
+    for _ in range(_STATEMENTS.value):
+        await cursor.execute(_READ)
+        await cursor.fetchall()
+    return (time.perf_counter() - started) / _STATEMENTS.value * 1e6
+
+
+async def _run() -> None:
+    stand = await cluster.start(proxies=1)
+    await stand.wait_until_ready(_READY_TIMEOUT)
+    through = await asyncmy.connect(
+        host="127.0.0.1",
+        port=stand.daemons[0].port,
+        user=cluster.USER,
+        password=cluster.PASSWORD,
+        database="alerts_1",
+        autocommit=True,
+    )
+    direct = await asyncmy.connect(
+        host="127.0.0.1",
+        port=stand.group.databases[0].port,
+        user="hickorygate",
+        autocommit=True,
+    )
+    async with through.cursor() as cursor:
+        await cursor.execute("CREATE TABLE t (id INT PRIMARY KEY, a TEXT)")
+        await cursor.execute("INSERT INTO t VALUES (1, 'Bello')")
+    ways: dict[str, list[float]] = {"direct": [], "proxy": []}
+    for _ in range(_ROUNDS.value):
+        async with direct.cursor() as cursor:
+            ways["direct"].append(await _microseconds(cursor))
+        async with through.cursor() as cursor:
+            ways["proxy"].append(await _microseconds(cursor))
+    medians = {name: statistics.median(us) for name, us in ways.items()}
+    for name, figures in ways.items():
+        print(
+            f"{name}: median {medians[name]:.0f} us a statement, "
+            f"range {min(figures):.0f} to {max(figures):.0f}"
+        )
+    print(f"ratio proxy/direct: {medians['proxy'] / medians['direct']:.2f}")
+    await through.ensure_closed()
+    await direct.ensure_closed()
+    await stand.stop()
+
+
+def main(argv: list[str]) -> None:
+    """Prints both ways and their ratio."""
+    del argv
+    uvloop.run(_run())
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/hickorygate/callers/stream.py
+++ b/hickorygate/callers/stream.py
@@ -166,9 +166,8 @@
         return number
 
 
-def _feed(protocol: asyncio.BaseProtocol, data: bytes) -> None:
+def _feed(protocol: asyncio.BufferedProtocol, data: bytes) -> None:
     """Gives data to a buffered protocol, as its transport would."""
-    assert isinstance(protocol, asyncio.BufferedProtocol), protocol
     while data:
         buffer = protocol.get_buffer(len(data))
         size = min(len(buffer), len(data))
--- a/hickorygate/testing/raw_client.py
+++ b/hickorygate/testing/raw_client.py
@@ -17,6 +17,7 @@
     + b"\x2d"
     + bytes(23)
 )
+_BUFFER_BYTES = 65_536
 _ERROR = 0xFF
 
 
@@ -56,6 +57,10 @@
         except (asyncio.IncompleteReadError, ConnectionError):
             return b""
 
+    async def read_bytes(self) -> bytes:
+        """Returns what has come, a buffer full at the most."""
+        return await self._reader.read(_BUFFER_BYTES)
+
     async def error(self) -> int:
         """Returns the number in the next packet if it is an error, else 0."""
         packet = await self.read()
--- /dev/null
+++ b/hickorygate/tests/test_large_result.py
@@ -0,0 +1,81 @@
+"""A large result waits for whoever reads it, on the upstreams' side too."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Mapping
+import datetime
+import unittest
+
+import expression
+
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import server as servers
+from hickorygate.core import clock as clocks
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
+from hickorygate.core import types
+from hickorygate.testing import database as databases
+from hickorygate.testing import handler as stand_in
+from hickorygate.upstreams import answer as answers
+from hickorygate.upstreams import connection as connections
+
+_TIMEOUT = datetime.timedelta(seconds=10)
+_CELL = "x" * 1_000
+_ROWS = 40_000
+_SOCKET_BYTES = 16 * 1_048_576
+"""More than the kernel holds between two sockets on one machine."""
+
+
+class _Origin(stand_in.Handler):
+    """A database with one large result."""
+
+    produced = 0
+
+    async def query(
+        self, sql: str, attributes: Mapping[str, str]
+    ) -> handlers.AnswerResult:
+        if not sql.startswith("SELECT"):
+            return await super().query(sql, attributes)
+        column = answers.Column("a", 253, 45)
+        return expression.Ok(answers.Table(0, (column,), self._rows()))
+
+    async def _rows(self) -> AsyncIterator[types.Row]:
+        for _ in range(_ROWS):
+            _Origin.produced += 1
+            yield (_CELL,)
+
+
+class LargeResultTest(unittest.IsolatedAsyncioTestCase):
+    """One result, read in two goes."""
+
+    async def asyncSetUp(self) -> None:
+        clock = clocks.SystemClock()
+        database = databases.StandInDatabase(
+            "origin", databases.Group(clock), clock
+        )
+        self.origin = servers.Server(
+            lambda: _Origin(database), {"hickorygate": ""}, 1_000
+        )
+        await self.origin.start("127.0.0.1", 0)
+        self.addAsyncCleanup(self.origin.close)
+
+    async def test_rows_wait_for_their_reader(self) -> None:
+        database = sheets.Database(
+            "origin", "127.0.0.1", self.origin.port, "nl-west-a", 20, 3
+        )
+        settings = settings_lib.UpstreamSettings()
+        opened = await connections.open_connection(database, settings)
+        self.addCleanup(opened.ok.close)
+        result = await opened.ok.execute("SELECT", _TIMEOUT)
+        rows = result.ok.rows
+        received = len([await anext(rows)])
+        produced = -1
+        while produced != _Origin.produced:
+            produced = _Origin.produced
+            await asyncio.sleep(0.05)
+        self.assertLess(produced * len(_CELL), _SOCKET_BYTES)
+        async for _ in rows:
+            received += 1
+        self.assertEqual(received, _ROWS)
--- a/hickorygate/tests/test_tls.py
+++ b/hickorygate/tests/test_tls.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime
 import ipaddress
 import pathlib
@@ -15,6 +16,7 @@
 from cryptography.hazmat.primitives import hashes
 from cryptography.hazmat.primitives import serialization
 from cryptography.hazmat.primitives.asymmetric import ec
+import uvloop
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import settings as settings_lib
@@ -60,6 +62,52 @@
     )
 
 
+def _make_database(
+    files: settings_lib.TlsSettings,
+) -> databases.StandInDatabase:
+    """Returns a database that requires TLS."""
+    clock = clocks.SystemClock()
+    group = databases.Group(clock)
+    database = databases.StandInDatabase("db", group, clock)
+    only_server = files.model_copy(update={"authority": None})
+    context = tls.server_context(only_server).ok
+    database._server.use_tls(context, required=True)
+    return database
+
+
+async def _ask(port: int, files: settings_lib.TlsSettings) -> object:
+    """Asks a database over TLS."""
+    connection = await asyncmy.connect(
+        host="127.0.0.1",
+        port=port,
+        user="hickorygate",
+        ssl=ssl.create_default_context(cafile=files.authority),
+    )
+    cursor = connection.cursor()
+    await cursor.execute("SELECT 'over TLS'")
+    rows = await cursor.fetchall()
+    await connection.ensure_closed()
+    return rows
+
+
+class UvloopTest(unittest.TestCase):
+    """The loop that the program runs on."""
+
+    def test_caller_over_tls(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            files = _make_certificate(pathlib.Path(folder))
+            with asyncio.Runner(loop_factory=uvloop.new_event_loop) as runner:
+                rows = runner.run(self.ask(files))
+        self.assertEqual(rows, (("over TLS",),))
+
+    async def ask(self, files: settings_lib.TlsSettings) -> object:
+        database = _make_database(files)
+        await database.start()
+        rows = await _ask(database.port, files)
+        await database.stop()
+        return rows
+
+
 class TlsTest(unittest.IsolatedAsyncioTestCase):
     """A server that requires TLS."""
 
@@ -67,28 +115,13 @@
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.files = _make_certificate(pathlib.Path(folder.name))
-        clock = clocks.SystemClock()
-        group = databases.Group(clock)
-        self.database = databases.StandInDatabase("db", group, clock)
-        self.server = self.database._server
-        only_server = self.files.model_copy(update={"authority": None})
-        context = tls.server_context(only_server).ok
-        self.server.use_tls(context, required=True)
+        self.database = _make_database(self.files)
         await self.database.start()
         self.addAsyncCleanup(self.database.stop)
 
     async def test_caller_over_tls(self) -> None:
-        context = ssl.create_default_context(cafile=self.files.authority)
-        connection = await asyncmy.connect(
-            host="127.0.0.1",
-            port=self.database.port,
-            user="hickorygate",
-            ssl=context,
-        )
-        cursor = connection.cursor()
-        await cursor.execute("SELECT 'over TLS'")
-        self.assertEqual(await cursor.fetchall(), (("over TLS",),))
-        await connection.ensure_closed()
+        rows = await _ask(self.database.port, self.files)
+        self.assertEqual(rows, (("over TLS",),))
 
     async def test_caller_without_tls_is_refused(self) -> None:
         with self.assertRaises(asyncmy_errors.MySQLError) as caught:
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -286,14 +286,27 @@
         )
         return dataclasses.replace(answer, notes=notes)
 
+    def _hold(self, held: bool) -> None:
+        transport = self._raw._transport  # noqa: SLF001
+        if transport is None or transport.is_closing():
+            return
+        if held:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
     async def _stream(
         self, cursor: cursors.SSCursor, rows: list[types.Row]
     ) -> AsyncIterator[types.Row]:
         complete = False
         try:
             while rows:
+                # The library takes in all that the database sends, so it is
+                # kept from reading while the caller takes its rows.
+                self._hold(True)
                 for row in rows:
                     yield row
+                self._hold(False)
                 rows = await cursor.fetchmany(_BATCH_ROWS)
             complete = True
             self._busy = False
