Cut a shutdown short only at a second signal, and say so

Cause: a signal after POST /drain ended the process at once, and a shutdown that was cut short ended with code 0. Change: signals are counted, not shutdowns; cutting one short is a typed failure with code 1. A test drains a proxy with an open transaction.

--- a/hickorygate/operators/failures.py
+++ b/hickorygate/operators/failures.py
@@ -6,7 +6,28 @@
 
 from hickorygate.core import errors
 
-__all__ = ["PromiseBroken", "ProxyUnreachable", "SheetsDiffer", "UsageError"]
+__all__ = [
+    "PromiseBroken",
+    "ProxyUnreachable",
+    "SheetsDiffer",
+    "ShutdownCutShort",
+    "UsageError",
+]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ShutdownCutShort(errors.Failure):
+    """A second signal ended a graceful shutdown before it was done."""
+
+    callers: int
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"a second signal cut the shutdown short with {self.callers} "
+            "callers connected; send one and wait to cut no request"
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/operators/serve.py
+++ b/hickorygate/operators/serve.py
@@ -16,6 +16,7 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import settings as settings_lib
 from hickorygate.operators import command as commands
+from hickorygate.operators import failures
 from hickorygate.operators import log
 
 __all__ = ["FAMILY", "Serve"]
@@ -65,26 +66,32 @@
 async def _serve(settings: settings_lib.Settings) -> commands.Result:
     log.set_up(settings.name, settings.log)
     daemon = daemons.Daemon(settings, clocks.SystemClock())
-    started = await daemon.start()
-    if started.is_ok():
-        _log.info(
-            "callers on port {}, operators on {}, proxies on {}",
-            daemon.port,
-            daemon.admin,
-            daemon.mesh.address,
-        )
-        await _until_drained(daemon)
+    ended = await daemon.start()
+    if ended.is_ok():
+        _tell_addresses(daemon)
+        ended = await _until_drained(daemon)
     await daemon.close()
-    return started
+    return ended
 
 
-async def _until_drained(daemon: daemons.Daemon) -> None:
+def _tell_addresses(daemon: daemons.Daemon) -> None:
+    _log.info(
+        "callers on port {}, operators on {}, proxies on {}",
+        daemon.port,
+        daemon.admin,
+        daemon.mesh.address,
+    )
+
+
+async def _until_drained(daemon: daemons.Daemon) -> commands.Result:
     """Waits for a graceful shutdown; a second signal cuts it short."""
+    signalled = asyncio.Event()
     impatient = asyncio.Event()
 
     def stop() -> None:
-        if daemon.draining:
+        if signalled.is_set():
             impatient.set()
+        signalled.set()
         daemon.drain()
 
     loop = asyncio.get_running_loop()
@@ -97,3 +104,6 @@
     _, left = await asyncio.wait(waits, return_when=asyncio.FIRST_COMPLETED)
     for wait in left:
         wait.cancel()
+    if impatient.is_set():
+        return expression.Error(failures.ShutdownCutShort(daemon.callers))
+    return expression.Ok(None)
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -20,6 +20,7 @@
 USER = "vindpoot"
 PASSWORD = "polder"
 
+_DRAIN_NOTICE_MS = 50
 _POLL = datetime.timedelta(milliseconds=10)
 _NAMES = ("alert-db-1a", "alert-db-1b", "alert-db-1c")
 _ZONES = ("nl-west-a", "nl-west-b", "nl-west-c")
@@ -117,7 +118,10 @@
         name=name,
         zone=zone,
         callers=settings_lib.CallerSettings(
-            port=0, users={USER: PASSWORD}, token_key="shared secret"
+            port=0,
+            users={USER: PASSWORD},
+            token_key="shared secret",
+            drain_notice_ms=_DRAIN_NOTICE_MS,
         ),
         platform=settings_lib.PlatformSettings(url=url),
         peers=settings_lib.PeerSettings(seeds=seeds),
--- a/hickorygate/tests/test_admin.py
+++ b/hickorygate/tests/test_admin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import datetime
 import io
@@ -31,6 +32,7 @@
         await self.stand.wait_until_ready(_TIMEOUT)
         await self.stand.wait_until_acquainted(_TIMEOUT)
         self.first = self.stand.daemons[0]
+        self.first_port = self.first.port
 
     async def get(self, path: str) -> tuple[int, str]:
         url = f"http://{self.first.admin}{path}"
@@ -45,6 +47,18 @@
             result = await commands.execute(command)
         return result, out.getvalue()
 
+    async def connect(self) -> asyncmy.Connection:
+        connection = await asyncmy.connect(
+            host="127.0.0.1",
+            port=self.first_port,
+            user=cluster.USER,
+            password=cluster.PASSWORD,
+            database="alerts_1",
+            autocommit=None,
+        )
+        self.addAsyncCleanup(connection.ensure_closed)
+        return connection
+
     async def test_ready_until_it_drains(self) -> None:
         self.assertEqual(await self.get("/ready"), (200, "ready\n"))
         self.first.drain()
@@ -60,16 +74,7 @@
         self.assertIn('hickorygate_group_primary{group="alert-db-1"} 1', text)
 
     async def test_statements_are_measured_by_rank_and_server(self) -> None:
-        connection = await asyncmy.connect(
-            host="127.0.0.1",
-            port=self.first.port,
-            user=cluster.USER,
-            password=cluster.PASSWORD,
-            database="alerts_1",
-            autocommit=None,
-        )
-        self.addAsyncCleanup(connection.ensure_closed)
-        cursor = connection.cursor()
+        cursor = (await self.connect()).cursor()
         await cursor.execute("CREATE TABLE pets (id INT)")
         await cursor.execute("SELECT id FROM pets")
         with self.assertRaises(asyncmy.errors.MySQLError):
@@ -106,6 +111,25 @@
         self.assertIn("127.0.0.1:1", result.error.message)
         self.assertEqual(out.count("ConfigApplied"), 2)
 
+    async def test_drain_refuses_new_callers_and_cuts_no_transaction(
+        self,
+    ) -> None:
+        connection = await self.connect()
+        cursor = connection.cursor()
+        await cursor.execute("CREATE TABLE pets (id INT)")
+        await connection.begin()
+        await cursor.execute("INSERT INTO pets VALUES (1)")
+        self.first.drain()
+        async with asyncio.timeout(_TIMEOUT.total_seconds()):
+            while True:
+                try:
+                    await (await self.connect()).ensure_closed()
+                except (OSError, asyncmy.errors.OperationalError):
+                    break
+            await connection.commit()
+            await self.first.drained()
+        self.assertEqual(self.first.callers, 0)
+
     async def test_drain_command_begins_a_shutdown(self) -> None:
         result, _ = await self.run_command(inspect.Drain(self.first.admin))
         self.assertTrue(result.is_ok(), result)
