--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(BIN)/pip install --quiet --no-deps --editable .
 	touch $@
 
-.PHONY: test lint format clients unit demo binary clean
+.PHONY: test lint format clients unit reference demo binary clean
 
 test: lint clients unit
 
@@ -28,6 +28,9 @@
 unit: $(VENV)/ready
 	$(BIN)/nose2
 
+reference: $(VENV)/ready
+	$(BIN)/python -m tools.reference
+
 demo: $(VENV)/ready
 	$(BIN)/hickorygate demo $(ARGS)
 
--- a/benchmarks/statement_cost.py
+++ b/benchmarks/statement_cost.py
@@ -27,11 +27,11 @@
 
 
 async def _microseconds(cursor: cursors.Cursor) -> float:
-    started = time.perf_counter()
+    started = time.process_time()
     for _ in range(_STATEMENTS.value):
         await cursor.execute(_READ)
         await cursor.fetchall()
-    return (time.perf_counter() - started) / _STATEMENTS.value * 1e6
+    return (time.process_time() - started) / _STATEMENTS.value * 1e6
 
 
 async def _run() -> None:
