Property and socket tests of failover; a blank database is fenced first

Cause: a database that lost its log has forgotten its promises; pointed at a term by a call of before, it could have helped a replaced primary. Change: such a database follows only a term that it was fenced at since; the property drives the real decisions of two or three proxies against three or five logs with loss, delay, repeats, pauses, crashes, lost logs and cuts.

--- a/hickorygate/testing/database.py
+++ b/hickorygate/testing/database.py
@@ -193,7 +193,9 @@
         first.log.fence(1, "setup")
         first.log.promote(1, "setup")
         for name in names[1:]:
+            self._databases[name].log.fence(1, "setup")
             self._databases[name].log.follow(1, names[0])
+            self._databases[name].log.pull(first.log, self._clock.now())
         return self.databases
 
     async def stop(self) -> None:
--- a/hickorygate/testing/replication.py
+++ b/hickorygate/testing/replication.py
@@ -144,6 +144,8 @@
             return self._refuse(term, f"already at {self.fenced}")
         if self.role is positions.Role.PRIMARY and self.term == term:
             return self._refuse(term, "is its primary")
+        if self.log_term == 0 and term not in (self.fenced, self.term):
+            return self._refuse(term, "has lost its log, fence it first")
         if term > self.fenced:
             self.fenced = term
             self.fence_owner = ""
--- /dev/null
+++ b/hickorygate/tests/test_runner.py
@@ -0,0 +1,161 @@
+"""A primary fails under a writing caller, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import unittest
+
+import asyncmy
+
+from hickorygate.core import errors
+from hickorygate.core import position as positions
+from hickorygate.testing import cluster
+from hickorygate.testing import database as databases
+from hickorygate.testing import ledger as ledgers
+
+_GUARD_SECONDS = 30
+_WRITES = 25
+_PAUSE_SECONDS = 0.005
+_GROUP = "alert-db-1"
+
+
+class _Writer:
+    """A caller that writes numbered rows and remembers what it was told."""
+
+    def __init__(self, port: int) -> None:
+        self.ledger = ledgers.Ledger()
+        self.refused: list[str] = []
+        self._port = port
+        self._number = 0
+        self._connection: asyncmy.Connection | None = None
+
+    async def write(self, count: int) -> None:
+        """Writes until so many rows are acknowledged."""
+        done = 0
+        while done < count:
+            self._number += 1
+            done += await self._insert(str(self._number))
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    async def run(self, sql: str) -> tuple[tuple[object, ...], ...]:
+        """Runs one statement and returns its rows."""
+        if self._connection is None:
+            self._connection = await asyncmy.connect(
+                host="127.0.0.1",
+                port=self._port,
+                user="vindpoot",
+                password="polder",
+                database="alerts_1",
+                autocommit=True,
+            )
+        cursor = self._connection.cursor()
+        await cursor.execute(sql)
+        return tuple(await cursor.fetchall())
+
+    async def close(self) -> None:
+        """Hangs up."""
+        if self._connection is not None:
+            await self._connection.ensure_closed()
+
+    async def _insert(self, key: str) -> bool:
+        try:
+            await self.run(f"INSERT INTO reports VALUES ('{key}')")
+        except asyncmy.errors.MySQLError as error:
+            self.refused.append(str(error))
+            not_run = "[not run]" in str(error)
+            outcome = (
+                errors.Outcome.NOT_RUN if not_run else errors.Outcome.UNKNOWN
+            )
+            self.ledger.refuse(key, outcome)
+            return False
+        self.ledger.acknowledge(key)
+        return True
+
+
+class RunnerTest(unittest.IsolatedAsyncioTestCase):
+    """Writes flow again; nothing acknowledged is lost or doubled."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand = await cluster.start(proxies=2)
+        self.addAsyncCleanup(self.stand.stop)
+        guard = datetime.timedelta(seconds=_GUARD_SECONDS)
+        await self.stand.wait_until_ready(guard)
+        self.writer = _Writer(self.stand.daemons[0].port)
+        self.addAsyncCleanup(self.writer.close)
+        await self.writer.run("CREATE TABLE reports (id VARCHAR(20))")
+
+    def primary(self) -> databases.StandInDatabase:
+        leaders = [
+            database
+            for database in self.stand.group.databases
+            if database.log.role is positions.Role.PRIMARY
+        ]
+        return max(leaders, key=lambda database: database.log.term)
+
+    async def write_more(self) -> None:
+        async with asyncio.timeout(_GUARD_SECONDS):
+            await self.writer.write(_WRITES)
+
+    async def check(self, old: databases.StandInDatabase) -> None:
+        """The old primary follows, and the rows are as they should be."""
+        async with asyncio.timeout(_GUARD_SECONDS):
+            while old.log.position != self.primary().log.position:
+                await asyncio.sleep(_PAUSE_SECONDS)
+        self.assertIsNot(self.primary(), old)
+        for database in (old, self.primary()):
+            with self.subTest(database.name):
+                result = database.engine.run(
+                    "SELECT id, COUNT(*) FROM reports GROUP BY id"
+                )
+                rows = {str(key): int(count) for key, count in result.ok.rows}
+                audit = self.writer.ledger.audit(rows)
+                self.assertTrue(audit.clean, audit)
+
+    async def test_a_killed_primary_is_replaced_and_returns(self) -> None:
+        await self.write_more()
+        old = self.primary()
+        await old.stop()
+        await self.write_more()
+        await old.restart()
+        await self.check(old)
+
+    async def test_a_primary_that_lost_its_log_returns_empty(self) -> None:
+        await self.write_more()
+        old = self.primary()
+        await old.stop()
+        await self.write_more()
+        await old.restart(blank=True)
+        await self.write_more()
+        await self.check(old)
+
+    async def test_a_silent_primary_is_replaced(self) -> None:
+        await self.write_more()
+        old = self.primary()
+        old.paused.clear()
+        await self.write_more()
+        old.paused.set()
+        await self.check(old)
+
+    async def test_a_primary_cut_off_from_its_replicas_is_replaced(
+        self,
+    ) -> None:
+        await self.write_more()
+        old = self.primary()
+        for other in self.stand.group.databases:
+            if other is not old:
+                self.stand.group.cut(old.name, other.name)
+        await self.write_more()
+        self.stand.group.mend()
+        await self.check(old)
+
+    async def test_a_leaving_primary_is_replaced_without_refusal(self) -> None:
+        await self.write_more()
+        old = self.primary()
+        for daemon in self.stand.daemons:
+            daemon.group(_GROUP).leave(frozenset({old.name}))
+        while self.primary() is old:
+            await self.write_more()
+        await self.write_more()
+        self.assertEqual(self.writer.refused, [])
+        await self.check(old)
--- a/hickorygate/upstreams/failover.py
+++ b/hickorygate/upstreams/failover.py
@@ -273,10 +273,7 @@
         avoided = self._leaving
         if old is not None and stage is runs.Stage.FENCING:
             avoided |= {old}
-        blanks = frozenset(
-            w.status.database for w in self._suspicion.watched if w.blank
-        )
-        run = runs.Run(term, reason, now, stage, now, old, avoided, blanks)
+        run = runs.Run(term, reason, now, stage, now, old, avoided)
         self._run = run
         self._reason_since = None
         event = events.FailoverStarted(self._group.name, term, reason)
@@ -327,10 +324,21 @@
 
     def _choose(self, run: runs.Run, now: datetime.datetime) -> None:
         patient = now - run.since < self._timing.preference
+        if patient and self._blanks_due(run):
+            return
         run.promoted = runs.candidate(run, self._group.majority, patient)
         if run.promoted is not None:
             run.enter(runs.Stage.PROMOTING, now)
 
+    def _blanks_due(self, run: runs.Run) -> bool:
+        """Whether a database without a log may still be fenced in time."""
+        return any(
+            w.blank
+            and w.answers
+            and w.status.database not in run.fences.keys() | run.refusals
+            for w in self._suspicion.watched
+        )
+
     def _pointed(self, run: runs.Run) -> bool:
         return 1 + len(run.followers) >= self._group.majority
 
@@ -365,11 +373,13 @@
         ]
 
     def _may_follow(self, name: types.DatabaseName, run: runs.Run) -> bool:
-        """A database without a log joins only a term begun after its loss."""
+        """A database without a log joins only a term it was fenced at."""
         watched = self._suspicion.get(name)
         if watched is None:
             return False
-        return not watched.blank or name in run.blanks
+        fenced = run.fences.get(name)
+        fenced_blank = fenced is not None and fenced.log_term == 0
+        return fenced_blank or not watched.blank
 
     def _issue(self, calls: list[steps.Call]) -> _Effects:
         """Makes the calls whose databases have none outstanding."""
--- a/hickorygate/upstreams/run.py
+++ b/hickorygate/upstreams/run.py
@@ -33,7 +33,6 @@
       since: when that stage began.
       old: the primary to replace, None if none is known.
       avoided: databases to promote only if no majority does without them.
-      blanks: databases that were seen without a log before it began.
       fences: statuses of the databases that took the fence.
       refusals: databases that have promised themselves to another.
       promoted: the one database that this term is for, once it is chosen.
@@ -47,7 +46,6 @@
     since: datetime.datetime
     old: types.DatabaseName | None
     avoided: frozenset[types.DatabaseName]
-    blanks: frozenset[types.DatabaseName] = frozenset()
     fences: dict[types.DatabaseName, positions.DatabaseStatus] = (
         dataclasses.field(default_factory=dict)
     )
--- /dev/null
+++ b/properties/group_world.py
@@ -0,0 +1,399 @@
+"""A group, proxies and a network that loses, delays and repeats packets.
+
+Everything runs in one thread on a time of its own. The proxies are the real
+decisions (failover and confirmation); the databases are the stand-in's logs.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import functools
+import itertools
+import random
+
+from hickorygate.core import position as positions
+from hickorygate.core import sheet as sheets
+from hickorygate.core import types
+from hickorygate.testing import replication
+from hickorygate.upstreams import confirm
+from hickorygate.upstreams import failover
+from hickorygate.upstreams import steps
+
+__all__ = ["Packet", "Probe", "Proxy", "Wait", "World", "Write"]
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_DETECTION = datetime.timedelta(milliseconds=100)
+_TIMING = failover.Timing(
+    detection=_DETECTION,
+    rank_delay=datetime.timedelta(0),
+    readmission=datetime.timedelta(milliseconds=300),
+    limit=datetime.timedelta(seconds=1),
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Probe:
+    """Asks for the status."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Write:
+    """Writes one entry; `label` is unique."""
+
+    label: str
+    term: types.Term
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Read:
+    """Asks a primary for its position, for the writes of a term.
+
+    Its number ties the answer to the call, as a connection does.
+    """
+
+    term: types.Term
+    number: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wait:
+    """Asks a replica what it holds, for the writes of a term."""
+
+    term: types.Term
+    number: int
+
+
+Request = steps.Call | Probe | Write | Read | Wait
+Reply = positions.DatabaseStatus | None
+"""None says that it was refused."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Packet:
+    """A request on its way, or its reply."""
+
+    proxy: str
+    database: types.DatabaseName
+    request: Request
+    replied: bool = False
+    reply: Reply = None
+
+
+class Proxy:
+    """One proxy's decisions about the group."""
+
+    def __init__(self, name: str, world: World) -> None:
+        self.name = name
+        self.world = world
+        self.failover = failover.Failover(
+            world.group, _TIMING, random.Random(name)
+        )
+        self.handle(steps.RankChanged(0))
+        self.seen: dict[types.DatabaseName, positions.DatabaseStatus] = {}
+        self.confirmations: dict[types.Term, confirm.Confirmation] = {}
+        self.labels: dict[int, str] = {}
+        self.numbers = itertools.count()
+        self.expected: set[int] = set()
+        self.paused = False
+
+    @property
+    def primary(self) -> positions.DatabaseStatus | None:
+        """The primary of the newest term that it has seen."""
+        leaders = [
+            s for s in self.seen.values() if s.role is positions.Role.PRIMARY
+        ]
+        return max(leaders, key=lambda s: s.term, default=None)
+
+    def send(self, database: types.DatabaseName, request: Request) -> None:
+        """Puts a request on the network."""
+        self.world.network.append(Packet(self.name, database, request))
+
+    def probe(self) -> None:
+        """Asks all databases for their status."""
+        for name in self.world.logs:
+            self.send(name, Probe())
+
+    def write(self, label: str) -> None:
+        """Writes to whom it takes for the primary."""
+        primary = self.primary
+        if primary is not None:
+            self.send(primary.database, Write(label, primary.term))
+
+    def handle(self, event: steps.Event) -> None:
+        """Lets the failover decide and sends what it asks for."""
+        effects = failover.handle(event, self.failover, self.world.now)
+        for effect in effects:
+            if isinstance(effect, steps.Call):
+                self.send(effect.database, effect)
+
+    def next_number(self) -> int:
+        """Returns a number whose answer is awaited."""
+        number = next(self.numbers)
+        self.expected.add(number)
+        return number
+
+    def expects(self, number: int) -> bool:
+        """Tells once whether an answer is awaited."""
+        awaited = number in self.expected
+        self.expected.discard(number)
+        return awaited
+
+    def confirm(self, term: types.Term, event: confirm.Event) -> None:
+        """Lets the confirmation decide and does what it asks for."""
+        confirmation = self.confirmations[term]
+        for effect in confirm.handle(event, confirmation):
+            _do(effect, self, term)
+
+    def start_confirming(self, write: Write, primary: str) -> None:
+        """A write's answer came: waits until it is durable."""
+        others = [name for name in self.world.logs if name != primary]
+        self.confirmations.setdefault(
+            write.term,
+            confirm.Confirmation(write.term, others, self.world.group.majority),
+        )
+        ticket = len(self.labels)
+        self.labels[ticket] = write.label
+        self.confirm(write.term, confirm.WriteRan(ticket))
+
+
+class World:
+    """The databases, the proxies, the network and the promises."""
+
+    def __init__(self, databases: int, proxies: int) -> None:
+        names = [f"db-{number}" for number in range(databases)]
+        self.group = sheets.Group(
+            "g",
+            ("s",),
+            tuple(
+                sheets.Database(name, "127.0.0.1", 1, "hobart", 20, 3)
+                for name in names
+            ),
+        )
+        self.now = _START
+        self.logs = {name: replication.Log(name, "first") for name in names}
+        self.down: set[types.DatabaseName] = set()
+        self.cuts: set[frozenset[types.DatabaseName]] = set()
+        self.network: list[Packet] = []
+        self.acknowledged: dict[str, types.Term] = {}
+        self.primaries: dict[types.Term, types.DatabaseName] = {1: names[0]}
+        self.inherited: dict[types.Term, frozenset[str]] = {}
+        for log in self.logs.values():
+            log.fence(1, "setup")
+        self.logs[names[0]].promote(1, "setup")
+        for name in names[1:]:
+            self.logs[name].follow(1, names[0])
+            self.replicate(name, None)
+        self.proxies = {
+            f"proxy-{number}": Proxy(f"proxy-{number}", self)
+            for number in range(proxies)
+        }
+
+    def advance(self, milliseconds: int) -> None:
+        """Lets time pass; proxies that aren't paused notice it."""
+        self.now += datetime.timedelta(milliseconds=milliseconds)
+        for proxy in self.proxies.values():
+            if not proxy.paused:
+                proxy.handle(steps.Tick())
+
+    def replicate(self, name: types.DatabaseName, most: int | None) -> None:
+        """Lets a replica copy from the primary that it follows."""
+        log = self.logs[name]
+        source = log.following
+        if source is None or frozenset((name, source)) in self.cuts:
+            return
+        if not self.down & {name, source}:
+            log.pull(self.logs[source], self.now, most)
+            log.applied = len(log.entries)
+
+    def deliver(self, packet: Packet) -> None:
+        """Runs a request, or hands its reply to the proxy."""
+        proxy = self.proxies[packet.proxy]
+        if packet.replied:
+            _take(packet.request, packet.reply, packet.database, proxy)
+        elif packet.database in self.down:
+            self.lose(packet)
+        else:
+            log = self.logs[packet.database]
+            ran = _run(packet.request, log, packet.proxy, self)
+            reply = log.status(self.now) if ran else None
+            self.network.append(
+                dataclasses.replace(packet, replied=True, reply=reply)
+            )
+
+    def lose(self, packet: Packet) -> None:
+        """Drops a packet; the proxy's call times out."""
+        _time_out(packet.request, packet.database, self.proxies[packet.proxy])
+
+    def crash(self, name: types.DatabaseName) -> None:
+        """Stops a database; requests on their way to it die with it."""
+        self.down.add(name)
+        dead = [p for p in self.network if p.database == name and not p.replied]
+        self.network = [p for p in self.network if p not in dead]
+        for packet in dead:
+            self.lose(packet)
+
+    def acknowledge(self, label: str, term: types.Term) -> None:
+        """A proxy acknowledges a write: later primaries must have it."""
+        self.acknowledged[label] = term
+        for later, labels in self.inherited.items():
+            if later > term:
+                assert label in labels, f"{label} acknowledged, lost by {later}"
+
+    def promoted(self, log: replication.Log) -> None:
+        """A database has taken over: it must have all acknowledged writes."""
+        known = self.primaries.setdefault(log.term, log.database)
+        assert known == log.database, f"two primaries of term {log.term}"
+        if log.term in self.inherited:
+            return
+        labels = frozenset(
+            label for entry in log.entries for label in entry.statements
+        )
+        self.inherited[log.term] = labels
+        for label, term in self.acknowledged.items():
+            if term < log.term:
+                assert label in labels, f"{label} lost by term {log.term}"
+
+
+@functools.singledispatch
+def _run(
+    request: Request, log: replication.Log, owner: str, world: World
+) -> bool:
+    """Runs a request on a database; tells whether it was taken."""
+    return True
+
+
+@_run.register
+def _(request: Write, log: replication.Log, owner: str, world: World) -> bool:
+    if not log.writable:
+        return False
+    log.append((request.label,))
+    return True
+
+
+@_run.register
+def _(
+    request: steps.Fence, log: replication.Log, owner: str, world: World
+) -> bool:
+    return log.fence(request.term, owner).is_ok()
+
+
+@_run.register
+def _(
+    request: steps.Promote, log: replication.Log, owner: str, world: World
+) -> bool:
+    taken = log.promote(request.term, owner).is_ok()
+    if taken:
+        world.promoted(log)
+    return taken
+
+
+@_run.register
+def _(
+    request: steps.Follow, log: replication.Log, owner: str, world: World
+) -> bool:
+    return log.follow(request.term, request.primary).is_ok()
+
+
+@functools.singledispatch
+def _take(
+    request: Request, reply: Reply, database: types.DatabaseName, proxy: Proxy
+) -> None:
+    """Hands a reply to the proxy's decisions."""
+    raise TypeError(f"no way to take the reply to {request!r}")
+
+
+@_take.register
+def _(
+    request: Probe, reply: Reply, database: types.DatabaseName, proxy: Proxy
+) -> None:
+    assert reply is not None, "a status is never refused"
+    proxy.seen[database] = reply
+    proxy.handle(steps.StatusSeen(reply))
+
+
+@_take.register
+def _(
+    request: Write, reply: Reply, database: types.DatabaseName, proxy: Proxy
+) -> None:
+    if reply is not None:
+        proxy.start_confirming(request, database)
+
+
+@_take.register
+def _(
+    request: Read, reply: Reply, database: types.DatabaseName, proxy: Proxy
+) -> None:
+    if proxy.expects(request.number):
+        proxy.confirm(request.term, confirm.PositionRead(reply))
+
+
+@_take.register
+def _(
+    request: Wait, reply: Reply, database: types.DatabaseName, proxy: Proxy
+) -> None:
+    if proxy.expects(request.number):
+        proxy.confirm(request.term, confirm.ReplicaAnswered(database, reply))
+
+
+@_take.register
+def _(
+    request: steps.Call,
+    reply: Reply,
+    database: types.DatabaseName,
+    proxy: Proxy,
+) -> None:
+    if reply is None:
+        proxy.handle(steps.Refused(request))
+    else:
+        proxy.handle(steps.Answered(request, reply))
+
+
+@functools.singledispatch
+def _time_out(
+    request: Request, database: types.DatabaseName, proxy: Proxy
+) -> None:
+    """Tells the proxy's decisions that an answer was lost."""
+
+
+@_time_out.register
+def _(request: Probe, database: types.DatabaseName, proxy: Proxy) -> None:
+    proxy.seen.pop(database, None)
+    proxy.handle(steps.ProbeLost(database))
+
+
+@_time_out.register
+def _(request: Read, database: types.DatabaseName, proxy: Proxy) -> None:
+    if proxy.expects(request.number):
+        proxy.confirm(request.term, confirm.PositionRead(None))
+
+
+@_time_out.register
+def _(request: Wait, database: types.DatabaseName, proxy: Proxy) -> None:
+    if proxy.expects(request.number):
+        proxy.confirm(request.term, confirm.ReplicaAnswered(database, None))
+
+
+@_time_out.register
+def _(request: steps.Call, database: types.DatabaseName, proxy: Proxy) -> None:
+    proxy.handle(steps.Lost(request))
+
+
+@functools.singledispatch
+def _do(effect: confirm.Effect, proxy: Proxy, term: types.Term) -> None:
+    """Does what the confirmation asks for."""
+
+
+@_do.register
+def _(effect: confirm.ReadPosition, proxy: Proxy, term: types.Term) -> None:
+    proxy.send(proxy.world.primaries[term], Read(term, proxy.next_number()))
+
+
+@_do.register
+def _(effect: confirm.WaitForReplica, proxy: Proxy, term: types.Term) -> None:
+    proxy.send(effect.database, Wait(term, proxy.next_number()))
+
+
+@_do.register
+def _(effect: confirm.Confirmed, proxy: Proxy, term: types.Term) -> None:
+    proxy.world.acknowledge(proxy.labels[effect.ticket], term)
--- /dev/null
+++ b/properties/test_failover.py
@@ -0,0 +1,195 @@
+"""Acknowledged writes survive whatever proxies, databases and network do.
+
+Two or three proxies' decisions run against a group of three or five while
+packets are lost, delayed, repeated and reordered, proxies are paused,
+databases crash, return or lose their logs, and replication is cut.
+"""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from properties import group_world
+
+_STEPS = 1_500
+_QUIET_ROUNDS = 400
+_QUIET_MILLISECONDS = 20
+
+
+class _Chaos:
+    """Random steps of a world, from one seed."""
+
+    def __init__(self, seed: int, databases: int) -> None:
+        self.random = random.Random(seed)
+        self.world = group_world.World(databases, self.random.choice((2, 3)))
+        self.writes = 0
+        self.faults = (
+            self.drop,
+            self.drop,
+            self.duplicate,
+            self.duplicate,
+            self.pause,
+            self.resume,
+            self.resume,
+            self.crash,
+            self.restart,
+            self.restart,
+            self.cut,
+            self.mend,
+            self.lose_log,
+        )
+        self.calm = self.random.choice((1, 3, 10))
+
+    def step(self) -> None:
+        """Does one random thing."""
+        kind = self.random.randrange(12)
+        if kind < 6:
+            self.deliver()
+        elif kind < 8:
+            self.world.advance(self.random.randrange(30))
+        elif kind < 9:
+            self.probe()
+        elif kind < 10:
+            self.write()
+        elif kind < 11:
+            self.replicate()
+        elif self.random.randrange(self.calm) == 0:
+            self.random.choice(self.faults)()
+
+    def any_proxy(self) -> group_world.Proxy:
+        return self.random.choice(list(self.world.proxies.values()))
+
+    def any_database(self) -> str:
+        return self.random.choice(list(self.world.logs))
+
+    def take_packet(self) -> group_world.Packet | None:
+        """Removes any packet whose proxy, if it is for one, isn't paused."""
+        ready = [
+            index
+            for index, packet in enumerate(self.world.network)
+            if not (packet.replied and self.paused(packet))
+        ]
+        if not ready:
+            return None
+        return self.world.network.pop(self.random.choice(ready))
+
+    def paused(self, packet: group_world.Packet) -> bool:
+        return self.world.proxies[packet.proxy].paused
+
+    def deliver(self) -> None:
+        packet = self.take_packet()
+        if packet is not None:
+            self.world.deliver(packet)
+
+    def drop(self) -> None:
+        packet = self.take_packet()
+        if packet is not None and not self.paused(packet):
+            self.world.lose(packet)
+
+    def duplicate(self) -> None:
+        if self.world.network:
+            packet = self.random.choice(self.world.network)
+            if not isinstance(packet.request, group_world.Write):
+                self.world.network.append(packet)
+
+    def probe(self) -> None:
+        proxy = self.any_proxy()
+        if not proxy.paused and len(self.world.network) < 60:
+            proxy.probe()
+
+    def write(self) -> None:
+        self.writes += 1
+        proxy = self.any_proxy()
+        if not proxy.paused:
+            proxy.write(f"w{self.writes}")
+
+    def replicate(self) -> None:
+        most = self.random.choice((1, 3, None))
+        for name in self.world.logs:
+            self.world.replicate(name, most)
+
+    def pause(self) -> None:
+        self.any_proxy().paused = True
+
+    def resume(self) -> None:
+        self.any_proxy().paused = False
+
+    def crash(self) -> None:
+        if len(self.world.down) + 1 < self.world.group.majority:
+            self.world.crash(self.any_database())
+
+    def restart(self) -> None:
+        self.world.down.discard(self.any_database())
+
+    def cut(self) -> None:
+        pair = frozenset((self.any_database(), self.any_database()))
+        self.world.cuts.add(pair)
+
+    def mend(self) -> None:
+        self.world.cuts.clear()
+
+    def lose_log(self) -> None:
+        """One database at a time may lose its log and its promises."""
+        logs = self.world.logs.values()
+        if all(log.log_term > 0 for log in logs) and not self.world.down:
+            name = self.any_database()
+            self.world.crash(name)
+            self.world.logs[name].lose("again")
+            self.world.down.discard(name)
+
+    def end_faults(self) -> None:
+        """All databases, links and proxies are well again."""
+        self.world.down.clear()
+        self.world.cuts.clear()
+        for proxy in self.world.proxies.values():
+            proxy.paused = False
+
+    def run_quietly(self) -> None:
+        """Everything is delivered in order; time passes."""
+        for proxy in self.world.proxies.values():
+            proxy.probe()
+        packets, self.world.network = self.world.network, []
+        for packet in packets:
+            self.world.deliver(packet)
+        for name in self.world.logs:
+            self.world.replicate(name, None)
+        self.world.advance(_QUIET_MILLISECONDS)
+
+
+class FailoverProperty(unittest.TestCase):
+    """What the world's own checks assert, and that it recovers."""
+
+    @hypothesis.given(
+        seed=strategies.integers(0, 2**32), databases=strategies.just(3)
+    )
+    @hypothesis.settings(max_examples=150)
+    def test_acknowledged_writes_survive_in_a_group_of_three(
+        self, seed: int, databases: int
+    ) -> None:
+        self.check(seed, databases)
+
+    @hypothesis.given(
+        seed=strategies.integers(0, 2**32), databases=strategies.just(5)
+    )
+    @hypothesis.settings(max_examples=60)
+    def test_acknowledged_writes_survive_in_a_group_of_five(
+        self, seed: int, databases: int
+    ) -> None:
+        self.check(seed, databases)
+
+    def check(self, seed: int, databases: int) -> None:
+        chaos = _Chaos(seed, databases)
+        for _ in range(_STEPS):
+            chaos.step()
+        chaos.end_faults()
+        before = len(chaos.world.acknowledged)
+        for _ in range(_QUIET_ROUNDS):
+            chaos.run_quietly()
+            chaos.write()
+            if len(chaos.world.acknowledged) > before:
+                return
+        self.fail("no write was acknowledged after the faults had ended")
