--- a/hickorygate/testing/database.py
+++ b/hickorygate/testing/database.py
@@ -183,12 +183,19 @@
         self,
         names: tuple[types.DatabaseName, ...],
         users: tuple[types.CallerName, ...] = (_USER,),
+        ports: tuple[int, ...] = (),
     ) -> tuple[StandInDatabase, ...]:
-        """Starts databases; the first is the primary of term 1."""
-        for name in names:
+        """Starts databases; the first is the primary of term 1.
+
+        Args:
+          names: of the databases.
+          users: who may log in.
+          ports: one for each name; none for free ones.
+        """
+        for name, port in zip(names, ports or (0,) * len(names), strict=True):
             database = StandInDatabase(name, self, self._clock, users=users)
             self._databases[name] = database
-            await database.start()
+            await database.start(port=port)
         first = self._databases[names[0]]
         first.log.fence(1, "setup")
         first.log.promote(1, "setup")
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -24,6 +24,7 @@
 from hickorygate.upstreams import probe as probes
 from hickorygate.upstreams import rounds
 from hickorygate.upstreams import runner as runners
+from hickorygate.upstreams import slots
 
 __all__ = ["DatabaseLink", "GroupLink"]
 
@@ -44,9 +45,10 @@
         settings: settings_lib.UpstreamSettings,
         clock: clocks.Clock,
     ) -> None:
-        share = database.connections // proxies - control_link.CONNECTIONS
+        limit = database.connections - proxies * control_link.CONNECTIONS
+        share = slots.Share(limit=max(1, limit), proxies=proxies)
         self._database = database
-        self._pool = pools.Pool(database, max(1, share), settings, clock)
+        self._pool = pools.Pool(database, share, settings, clock)
         self._control = control_link.ControlLink(database, owner, settings)
 
     @property
