Close a former primary's connections through the pool's channels

Change: connections are closed by channel, only those of a primary that was known before; the test has a guard.

--- a/hickorygate/tests/test_runner.py
+++ b/hickorygate/tests/test_runner.py
@@ -154,8 +154,9 @@
         old = self.primary()
         for daemon in self.stand.daemons:
             daemon.group(_GROUP).leave(frozenset({old.name}))
-        while self.primary() is old:
-            await self.write_more()
+        async with asyncio.timeout(_GUARD_SECONDS):
+            while self.primary() is old:
+                await self.writer.write(1)
         await self.write_more()
         self.assertEqual(self.writer.refused, [])
         await self.check(old)
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -163,12 +163,10 @@
         """Takes in a probe that wasn't answered."""
         self._runner.probe_lost(name)
 
-    def primary_changed(self, primary: types.DatabaseName) -> None:
+    def primary_replaced(self, former: types.DatabaseName) -> None:
         """Frees the callers that wait for a former primary's answer."""
-        seen = {s.status.database for s in self._view.sightings}
-        for name, link in self._links.items():
-            if name not in seen and name != primary:
-                link.pool.drop_connections()
+        if former not in {s.status.database for s in self._view.sightings}:
+            self._links[former].pool.drop_connections()
 
     def writable(self) -> groups.WritableResult:
         """Returns the primary if a majority was lately seen in its term."""
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -189,10 +189,11 @@
 
     def drop_connections(self) -> None:
         """Closes all connections; statements that run lose their answers."""
-        while self._idle:
-            self._idle.pop().close()
-        for connection in self._leases:
-            connection.close()
+        for channel, connection in self.connections.items():
+            if self.is_leased(connection):
+                connection.close()
+            else:
+                self.lose(channel)
 
     def close(self) -> None:
         """Closes what is idle; what is leased closes when it comes back."""
--- a/hickorygate/upstreams/probe.py
+++ b/hickorygate/upstreams/probe.py
@@ -35,8 +35,8 @@
     def probe_lost(self, name: types.DatabaseName) -> None:
         """Takes in a probe that wasn't answered."""
 
-    def primary_changed(self, primary: types.DatabaseName) -> None:
-        """Takes in that a new term's primary was seen."""
+    def primary_replaced(self, former: types.DatabaseName) -> None:
+        """Takes in that a former primary's successor was seen."""
 
 
 class _Nobody:
@@ -48,7 +48,7 @@
     def probe_lost(self, name: types.DatabaseName) -> None:
         """Does nothing."""
 
-    def primary_changed(self, primary: types.DatabaseName) -> None:
+    def primary_replaced(self, former: types.DatabaseName) -> None:
         """Does nothing."""
 
 
@@ -61,7 +61,7 @@
         "_clock",
         "_controls",
         "_listener",
-        "_recorded_term",
+        "_primary",
         "_settings",
         "_tasks",
         "_time_line",
@@ -84,7 +84,7 @@
         self._changed = asyncio.Event()
         self._awaited = asyncio.Event()
         self._listener: Listener = _Nobody()
-        self._recorded_term: types.Term = 0
+        self._primary: positions.DatabaseStatus | None = None
         self._tasks: list[asyncio.Task[None]] = []
 
     def __repr__(self) -> str:
@@ -148,14 +148,20 @@
         self._view.observe(groups.Sighting(status, asked, self._clock.now()))
         after = self._view.primary
         self._wake()
-        if after is None or after.term == self._recorded_term:
+        if after is not None:
+            self._note_primary(after)
+
+    def _note_primary(self, primary: positions.DatabaseStatus) -> None:
+        former = self._primary
+        if former is not None and former.term == primary.term:
             return
-        self._recorded_term = after.term
+        self._primary = primary
         name = self._view.group.name
         self._time_line.record(
-            events.PrimaryChanged(name, after.database, after.term)
+            events.PrimaryChanged(name, primary.database, primary.term)
         )
-        self._listener.primary_changed(after.database)
+        if former is not None and former.database != primary.database:
+            self._listener.primary_replaced(former.database)
 
     def _lose(self, name: types.DatabaseName, failure: errors.Failure) -> None:
         known = {s.status.database for s in self._view.sightings}
