--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -120,13 +120,6 @@
         taken = self._take_token(hints.token)
         if taken.is_error():
             return expression.Error(taken.error)
-        if self._is_unbound(statement.ok):
-            return expression.Error(
-                errors.UnsupportedStatement(
-                    "LAST_INSERT_ID() and the like outside a transaction, "
-                    "but for a SELECT of nothing else,"
-                )
-            )
         return await _answer(statement.ok, self, hints, arrived)
 
     async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
@@ -194,13 +187,6 @@
         column = answers.Column("@@hickorygate_token", _VAR_STRING, _UTF8MB4)
         return answers.Table(warnings=0, columns=(column,), rows=[(token,)])
 
-    def _is_unbound(self, statement: statements.Statement) -> bool:
-        """Tells whether it asks for what another connection has."""
-        bound = isinstance(statement, statements.ConnectionBound)
-        if not bound or self._session.in_transaction:
-            return False
-        return self.known(statement) is None
-
     def _note(self, result: handlers.AnswerResult) -> None:
         facts = self._facts
         match result:
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -189,8 +189,9 @@
 
     async def _finish_work(self) -> None:
         """Lets the balancer notice, then ends without cutting a request."""
-        await self._clock.sleep(self._settings.callers.drain_notice)
-        await self._server.close()
+        callers = self._settings.callers
+        await self._clock.sleep(callers.drain_notice)
+        await self._server.drain(callers.drain_timeout)
         self._drained.set()
 
     def _kept(
