Learn replicas' positions from the answers that confirm writes

Cause: after a write, a session's floor was above every replica's known position until the next probe (up to 200 ms), so its reads that accept staleness went to the primary. Change: the status in each answer of a confirmation goes into the view. Conclusion: positions travel on answers that come anyway; no extra call.

--- a/hickorygate/upstreams/confirmer.py
+++ b/hickorygate/upstreams/confirmer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 from collections.abc import Mapping
 import datetime
@@ -11,6 +12,7 @@
 
 import expression
 
+from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import position as positions
 from hickorygate.core import settings as settings_lib
@@ -24,6 +26,9 @@
 
 _RETRY_DELAY = datetime.timedelta(milliseconds=20)
 
+Observe = Callable[[positions.DatabaseStatus, datetime.datetime], None]
+"""Takes a status and when it was asked for."""
+
 DurableResult = expression.Result[
     positions.Position, errors.ReplicationUnconfirmed
 ]
@@ -33,9 +38,11 @@
     """Confirms the writes of one primary under one term."""
 
     __slots__ = (
+        "_clock",
         "_confirmation",
         "_group",
         "_links",
+        "_observe",
         "_primary",
         "_settings",
         "_tasks",
@@ -50,6 +57,8 @@
         term: types.Term,
         links: Mapping[types.DatabaseName, control_link.ControlLink],
         settings: settings_lib.UpstreamSettings,
+        clock: clocks.Clock,
+        observe: Observe,
         policy: confirm.Policy = confirm.Policy.GROUP,
     ) -> None:
         others = [name for name in links if name != primary]
@@ -57,6 +66,8 @@
         self._primary = primary
         self._links = links
         self._settings = settings
+        self._clock = clock
+        self._observe = observe
         self._confirmation = confirm.Confirmation(
             term, others, group.majority, policy
         )
@@ -134,22 +145,29 @@
         task.add_done_callback(self._tasks.discard)
 
     async def _read(self) -> None:
+        asked = self._clock.now()
         result = await self._links[self._primary].position()
-        status = await self._status_or_none(result)
+        status = await self._status_or_none(result, asked)
         self._take(confirm.PositionRead(status))
 
     async def _wait(
         self, name: types.DatabaseName, position: positions.Position
     ) -> None:
+        asked = self._clock.now()
         result = await self._links[name].wait(position)
-        status = await self._status_or_none(result)
+        status = await self._status_or_none(result, asked)
         self._take(confirm.ReplicaAnswered(name, status))
 
     async def _status_or_none(
-        self, result: control.StatusResult
+        self, result: control.StatusResult, asked: datetime.datetime
     ) -> positions.DatabaseStatus | None:
-        """Delays a lost answer, so that the next try doesn't follow at once."""
+        """Delays a lost answer, so that the next try doesn't follow at once.
+
+        A status that came shows more than this write's fate: replicas that
+        are known to be at a session's floor may serve its reads.
+        """
         if result.is_ok():
+            self._observe(result.ok, asked)
             return result.ok
         await asyncio.sleep(_RETRY_DELAY.total_seconds())
         return None
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -271,5 +271,7 @@
             term,
             {name: link.control for name, link in self._links.items()},
             self._settings,
+            self._clock,
+            self._prober.take,
         )
         return self._confirmer
