--- a/benchmarks/__init__.py
+++ b/benchmarks/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks; each writes its figures to `results/`."""
+"""Measurements; each module prints its figures."""
