--- a/hickorygate/proxies/membership.py
+++ b/hickorygate/proxies/membership.py
@@ -25,6 +25,8 @@
 __all__ = ["Event", "Membership", "Received", "Tick"]
 
 _RELAYS_A_ZONE = 2
+_GOODBYES = 8
+"""Proxies that are told directly of a stop on purpose."""
 _CONTACT_PERIODS = 8
 """Periods between two tries of a seed or a dead proxy."""
 _QUIET_PERIODS = 8
@@ -140,7 +142,7 @@
         goodbye = messages.MembersCopy((self._roster.me,))
         return tuple(
             effects.Send(member.address, goodbye, member.name)
-            for member in self.sample(messages.MEMBERS_A_MESSAGE // 8)
+            for member in self.sample(_GOODBYES)
         )
 
     def tick(self, now: datetime.datetime) -> Effects:
@@ -225,21 +227,12 @@
     def _contact(self) -> list[effects.Effect]:
         """Tries one seed or dead proxy."""
         known = {m.address for m in (self._roster.me, *self._roster.live)}
-        seeds = [
-            effects.Send(seed.address, messages.MembersWanted(), seed.name)
-            for seed in self._settings.parsed_seeds
-            if seed.address not in known
-        ]
-        dead = [
-            self._detector.ping(member.name, member.address)
-            for member in self._some_dead()
-        ]
-        found = seeds + dead
-        return [self._generator.choice(found)] if found else []
-
-    def _some_dead(self) -> list[members.Member]:
-        dead = self._roster.dead
-        return [self._generator.choice(dead)] if dead else []
+        seeds = self._settings.parsed_seeds
+        unheard = [seed for seed in seeds if seed.address not in known]
+        targets = [*unheard, *self._roster.dead]
+        if not targets:
+            return []
+        return [_reach(self._generator.choice(targets), self._detector)]
 
     def _compare(self, header: messages.Header) -> list[effects.Effect]:
         """Asks for all members of one that long believes in others."""
@@ -277,6 +270,23 @@
     return membership.receive(event.packet, now)
 
 
+@functools.singledispatch
+def _reach(
+    target: settings_lib.Seed | members.Member, detector: detectors.Detector
+) -> effects.Send:
+    raise TypeError(f"no way to reach {target!r}; register one")
+
+
+@_reach.register
+def _(target: settings_lib.Seed, detector: detectors.Detector) -> effects.Send:
+    return effects.Send(target.address, messages.MembersWanted(), target.name)
+
+
+@_reach.register
+def _(target: members.Member, detector: detectors.Detector) -> effects.Send:
+    return detector.ping(target.name, target.address)
+
+
 @functools.singledispatch
 def _take(
     message: messages.Message,
