Report service in the demo as a share of all calls

Cause: 'in target' was a share of the answered calls, so a refused call didn't count against it. Change: it is a share of all calls; the handling of stop signals stands in one module. Conclusion: the report now shows what a failover costs callers.

--- a/hickorygate/operators/demo.py
+++ b/hickorygate/operators/demo.py
@@ -8,7 +8,6 @@
 import dataclasses
 import datetime
 import random
-import signal
 
 from absl import flags
 import expression
@@ -22,6 +21,7 @@
 from hickorygate.operators import failures
 from hickorygate.operators import log
 from hickorygate.operators import recorder as recorders
+from hickorygate.operators import signals
 from hickorygate.operators import timeline
 from hickorygate.testing import cluster
 from hickorygate.testing import ledger as ledgers
@@ -37,6 +37,25 @@
 _STOP_TIMEOUT = datetime.timedelta(seconds=30)
 _SECOND = datetime.timedelta(seconds=1)
 
+_HEAD = """\
+format: 1
+proxies: 5
+services:
+  - name: alert-db
+    ranks:
+      - {name: report, target_ms: 250, floor: 0.5}
+      - {name: sighting, target_ms: 1000, floor: 0.2}
+      - {name: history, target_ms: 10000, floor: 0.05}
+    reads:
+      - {name: lookup, staleness_ms: 2000}
+    users:
+      - {name: vindpoot, rank: sighting}
+    groups:
+      - name: alert-db-1
+        schemas: [alerts_1]
+        databases:
+"""
+
 _FLAGS = commands.new_flags()
 _KEEP_RUNNING = flags.DEFINE_bool(
     "keep-running",
@@ -121,19 +140,11 @@
     _print(_report(stand, load, recorder, audit))
     _print(_time_line(stand, callers))
     if command.keep_running:
-        await _until_interrupted()
+        print("\nstill running; Ctrl-C ends the demo", flush=True)
+        await signals.wait_for_stop()
     return _verdict(load, audit)
 
 
-async def _until_interrupted() -> None:
-    print("\nstill running; Ctrl-C ends the demo", flush=True)
-    interrupted = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGINT, signal.SIGTERM):
-        loop.add_signal_handler(number, interrupted.set)
-    await interrupted.wait()
-
-
 def _verdict(
     load: mixed_load.MixedLoad, audit: ledgers.Audit
 ) -> commands.Result:
@@ -200,13 +211,13 @@
 def _service(
     ranks: Sequence[sheets.Rank], recorder: recorders.Recorder
 ) -> Iterator[str]:
-    yield "rank        target   answered  in target  refused  unknown"
+    yield "rank        target       calls  in target  refused  unknown"
     for rank in ranks:
         tally = recorder.ranks[rank.name]
-        answered = tally.latency.observations
-        share = tally.in_target / answered if answered else 0
+        calls = tally.verdicts.total()
+        share = tally.in_target / calls if calls else 0
         yield (
-            f"{rank.name:<10} {rank.target / _SECOND:5.2f} s  {answered:>9}"
+            f"{rank.name:<10} {rank.target / _SECOND:5.2f} s  {calls:>9}"
             f"  {share:>9.1%}  {tally.verdicts['refused']:>7}"
             f"  {tally.verdicts['unknown']:>7}"
         )
@@ -228,23 +239,3 @@
     lines = [daemon.time_line.events for daemon in stand.daemons]
     for recorded in timeline.merge([*lines, callers.events]):
         yield "  " + event_codec.as_text(recorded)
-
-
-_HEAD = """\
-format: 1
-proxies: 5
-services:
-  - name: alert-db
-    ranks:
-      - {name: report, target_ms: 250, floor: 0.5}
-      - {name: sighting, target_ms: 1000, floor: 0.2}
-      - {name: history, target_ms: 10000, floor: 0.05}
-    reads:
-      - {name: lookup, staleness_ms: 2000}
-    users:
-      - {name: vindpoot, rank: sighting}
-    groups:
-      - name: alert-db-1
-        schemas: [alerts_1]
-        databases:
-"""
--- a/hickorygate/operators/serve.py
+++ b/hickorygate/operators/serve.py
@@ -6,7 +6,6 @@
 from collections.abc import Sequence
 import dataclasses
 import pathlib
-import signal
 
 from absl import flags
 import expression
@@ -18,12 +17,12 @@
 from hickorygate.operators import command as commands
 from hickorygate.operators import failures
 from hickorygate.operators import log
+from hickorygate.operators import signals
 
 __all__ = ["FAMILY", "Serve"]
 
 _NAME = "serve"
 _log = logbook.Logger(__name__)
-_STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
 _FLAGS = commands.new_flags()
 _SETTINGS = flags.DEFINE_string(
@@ -94,9 +93,7 @@
         signalled.set()
         daemon.drain()
 
-    loop = asyncio.get_running_loop()
-    for number in _STOP_SIGNALS:
-        loop.add_signal_handler(number, stop)
+    signals.handle_stop(stop)
     waits = {
         asyncio.create_task(daemon.drained()),
         asyncio.create_task(impatient.wait()),
--- a/hickorygate/operators/standin.py
+++ b/hickorygate/operators/standin.py
@@ -2,11 +2,9 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Sequence
 import dataclasses
 import pathlib
-import signal
 
 from absl import flags
 import expression
@@ -16,12 +14,12 @@
 from hickorygate.core import errors
 from hickorygate.core import sheet as sheets
 from hickorygate.operators import command as commands
+from hickorygate.operators import signals
 from hickorygate.testing import stand_ins
 
 __all__ = ["FAMILY", "StandIn"]
 
 _NAME = "standin"
-_STOP_SIGNALS = (signal.SIGINT, signal.SIGTERM)
 
 _FLAGS = commands.new_flags()
 _SHEET = flags.DEFINE_string(
@@ -82,17 +80,9 @@
         await estate.start(sheet.ok, command.platform_port)
         print(f"platform at {estate.url}, databases where {path} says")
         print("Ctrl-C ends them", flush=True)
-        await _stop_signal()
+        await signals.wait_for_stop()
     except OSError as error:
         return expression.Error(errors.ListenFailed("standin", str(error)))
     finally:
         await estate.stop()
     return expression.Ok(None)
-
-
-async def _stop_signal() -> None:
-    stopped = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in _STOP_SIGNALS:
-        loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
