--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -23,6 +23,7 @@
 from hickorygate.core import pool_errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
+from hickorygate.core import tls
 from hickorygate.core import types
 from hickorygate.upstreams import answer as answers
 
@@ -288,14 +289,27 @@
         )
         return dataclasses.replace(answer, notes=notes)
 
+    def _hold(self, held: bool) -> None:
+        transport = self._raw._transport  # noqa: SLF001
+        if transport is None or transport.is_closing():
+            return
+        if held:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
     async def _stream(
         self, cursor: cursors.SSCursor, rows: list[types.Row]
     ) -> AsyncIterator[types.Row]:
         complete = False
         try:
             while rows:
+                # The library takes in all that the database sends, so it is
+                # kept from reading while the caller takes its rows.
+                self._hold(True)
                 for row in rows:
                     yield row
+                self._hold(False)
                 rows = await cursor.fetchmany(_BATCH_ROWS)
             complete = True
             self._busy = False
@@ -325,6 +339,10 @@
       `ConnectFailed`.
     """
     limit = settings.connect_timeout.total_seconds()
+    context = tls.client_context(settings.tls)
+    if context.is_error():
+        reason = context.error.message
+        return expression.Error(errors.ConnectFailed(database.name, reason))
     try:
         async with asyncio.timeout(limit):
             raw = await asyncmy.connect(
@@ -334,6 +352,7 @@
                 password=settings.password.get_secret_value(),
                 autocommit=None,
                 conv={},
+                ssl=context.ok,
             )
     except (asyncmy_errors.MySQLError, OSError, TimeoutError) as error:
         return expression.Error(_connect_failure(database, error))
