--- /dev/null
+++ b/benchmarks/replica_share.py
@@ -0,0 +1,144 @@
+"""Share of reads that replicas serve, under a cafe's mix of work.
+
+Five proxies and one group of three; callers look up stock, pull wash-run
+histories, and refund deposits and then look at their own refund. Every read
+states a staleness, so each may use a replica; sessions move between proxies.
+
+    python -m benchmarks.replica_share --seconds=10 --callers=20
+"""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import json
+import random
+import sys
+
+from absl import app
+from absl import flags
+import asyncmy
+
+from hickorygate.core import measurement as measurements
+from hickorygate.testing import cluster
+
+_SECONDS = flags.DEFINE_integer("seconds", 10, "How long the load runs.")
+_CALLERS = flags.DEFINE_integer("callers", 20, "Callers at once.")
+_LAG_MS = flags.DEFINE_integer("lag_ms", 20, "Replication lag.")
+_SEED = flags.DEFINE_integer("seed", 1, "Of the mix.")
+
+_PROXIES = 5
+_TARGET = 0.95
+_SETTLE = datetime.timedelta(seconds=30)
+_PAUSE_SECONDS = 0.02
+_REFUND_SHARE = 0.15
+_HISTORY_SHARE = 0.10
+_MOVE_SHARE = 0.02
+_STOCK = "/*hickorygate_staleness_ms='2000'*/ SELECT COUNT(*) FROM refunds"
+_HISTORY = "/*hickorygate_staleness_ms='60000'*/ SELECT COUNT(*) FROM refunds"
+_OWN = "/*hickorygate_staleness_ms='2000'*/ SELECT cup FROM refunds WHERE id="
+
+
+class Cafe:
+    """One caller."""
+
+    def __init__(
+        self, stand: cluster.Stand, number: int, rng: random.Random
+    ) -> None:
+        self._stand = stand
+        self._number = number
+        self._rng = rng
+        self._connection: asyncmy.Connection | None = None
+        self.refunds = 0
+        self.unseen = 0
+
+    async def run(self, until: float) -> None:
+        """Sends work until the loop's time says to stop."""
+        await self._connect()
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            await self._step()
+            await asyncio.sleep(_PAUSE_SECONDS)
+        await self._connection.ensure_closed()
+
+    async def _connect(self) -> None:
+        daemon = self._rng.choice(self._stand.daemons)
+        self._connection = await asyncmy.connect(
+            host="127.0.0.1",
+            port=daemon.port,
+            user=cluster.USER,
+            password=cluster.PASSWORD,
+            database="alerts_1",
+            autocommit=None,
+        )
+
+    async def _step(self) -> None:
+        draw = self._rng.random()
+        if draw < _REFUND_SHARE:
+            await self._refund()
+        elif draw < _REFUND_SHARE + _HISTORY_SHARE:
+            await self._query(_HISTORY)
+        else:
+            await self._query(_STOCK)
+        if self._rng.random() < _MOVE_SHARE:
+            await self._move()
+
+    async def _refund(self) -> None:
+        self.refunds += 1
+        key = f"'{self._number}-{self.refunds}'"
+        await self._query(f"INSERT INTO refunds VALUES ({key}, 7)")
+        self.unseen += not await self._query(_OWN + key)
+
+    async def _move(self) -> None:
+        ((token,),) = await self._query("SELECT @@hickorygate_token")
+        await self._connection.ensure_closed()
+        await self._connect()
+        await self._query(f"SET hickorygate_token = '{token}'")
+
+    async def _query(self, sql: str) -> tuple[tuple[object, ...], ...]:
+        cursor = self._connection.cursor()
+        await cursor.execute(sql)
+        return await cursor.fetchall()
+
+
+async def _measure() -> dict[str, object]:
+    rng = random.Random(_SEED.value)
+    stand = await cluster.start(_PROXIES)
+    await stand.wait_until_ready(_SETTLE)
+    for database in stand.group.databases:
+        database.lag = datetime.timedelta(milliseconds=_LAG_MS.value)
+    cafes = [Cafe(stand, number, rng) for number in range(_CALLERS.value)]
+    await cafes[0]._connect()  # noqa: SLF001 - same module
+    await cafes[0]._query("CREATE TABLE refunds (id VARCHAR(20), cup INT)")  # noqa: SLF001
+    await asyncio.sleep(1)
+    for daemon in stand.daemons:
+        daemon.recorder.reads.clear()
+    until = asyncio.get_running_loop().time() + _SECONDS.value
+    await asyncio.gather(*(cafe.run(until) for cafe in cafes))
+    reads = sum(d.recorder.reads.total() for d in stand.daemons)
+    replica = measurements.ServedBy.REPLICA
+    served = sum(d.recorder.reads[replica] for d in stand.daemons)
+    await stand.stop()
+    return {
+        "reads": reads,
+        "replica_share": round(served / reads, 4),
+        "target": _TARGET,
+        "refunds": sum(cafe.refunds for cafe in cafes),
+        "own_refunds_not_seen": sum(cafe.unseen for cafe in cafes),
+        "lag_ms": _LAG_MS.value,
+        "callers": _CALLERS.value,
+        "seconds": _SECONDS.value,
+        "seed": _SEED.value,
+    }
+
+
+def main(argv: list[str]) -> None:
+    """Measures and prints one JSON object."""
+    if len(argv) > 1:
+        print(f"unexpected argument {argv[1]!r}", file=sys.stderr)
+        raise SystemExit(2)
+    print(json.dumps(asyncio.run(_measure()), indent=2))
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/hickorygate/tests/test_background.py
@@ -0,0 +1,39 @@
+"""Tasks beside their owner."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hickorygate.core import background
+
+
+class BackgroundTest(unittest.IsolatedAsyncioTestCase):
+    """Tasks end with their owner, and never fail in silence."""
+
+    async def asyncSetUp(self) -> None:
+        self.background = background.Background()
+        self.reported: list[BaseException] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(
+            lambda _, context: self.reported.append(context["exception"])
+        )
+
+    async def test_close_ends_all_tasks(self) -> None:
+        tasks = [
+            self.background.start(asyncio.Event().wait()) for _ in range(3)
+        ]
+        await asyncio.sleep(0)
+        await self.background.close()
+        self.assertTrue(all(task.cancelled() for task in tasks))
+        self.assertEqual(self.reported, [])
+
+    async def test_failure_is_reported(self) -> None:
+        async def fail() -> None:
+            raise LookupError("gone")
+
+        self.background.start(fail())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        self.assertIsInstance(self.reported[0], LookupError)
+        self.assertEqual(repr(self.background), "Background(tasks=0)")
