--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 	$(BIN)/pip install --quiet --no-deps --editable .
 	touch $@
 
-.PHONY: test lint format unit reference demo binary clean
+.PHONY: test lint format unit reference demo binary processes clean
 
 test: lint unit
 
@@ -35,5 +35,8 @@
 	tools/binary/build.sh $(BIN)/python
 	tools/binary/check.sh
 
+processes: $(VENV)/ready
+	tools/processes.sh $(BIN)
+
 clean:
 	rm -rf $(VENV) build dist
