--- a/benchmarks/replica_share.py
+++ b/benchmarks/replica_share.py
@@ -13,6 +13,7 @@
 import datetime
 import json
 import random
+import statistics
 import sys
 
 from absl import app
@@ -50,6 +51,8 @@
         self._rng = rng
         self._connection: asyncmy.Connection | None = None
         self.refunds = 0
+        self.refused = 0
+        self.latencies: list[float] = []
         self.unseen = 0
 
     async def run(self, until: float) -> None:
@@ -96,9 +99,18 @@
         await self._query(f"SET hickorygate_token = '{token}'")
 
     async def _query(self, sql: str) -> tuple[tuple[object, ...], ...]:
+        """Sends a statement again until it isn't refused."""
+        begun = asyncio.get_running_loop().time()
         cursor = self._connection.cursor()
-        await cursor.execute(sql)
-        return await cursor.fetchall()
+        while True:
+            try:
+                await cursor.execute(sql)
+            except asyncmy.errors.OperationalError:
+                self.refused += 1
+                continue
+            ended = asyncio.get_running_loop().time()
+            self.latencies.append(ended - begun)
+            return await cursor.fetchall()
 
 
 async def _measure() -> dict[str, object]:
@@ -125,6 +137,9 @@
         "target": _TARGET,
         "refunds": sum(cafe.refunds for cafe in cafes),
         "own_refunds_not_seen": sum(cafe.unseen for cafe in cafes),
+        "refused": sum(cafe.refused for cafe in cafes),
+        "p50_ms": _quantile(cafes, 50),
+        "p99_ms": _quantile(cafes, 99),
         "lag_ms": _LAG_MS.value,
         "callers": _CALLERS.value,
         "seconds": _SECONDS.value,
@@ -132,6 +147,12 @@
     }
 
 
+def _quantile(cafes: list[Cafe], percent: int) -> float:
+    latencies = [seconds for cafe in cafes for seconds in cafe.latencies]
+    cuts = statistics.quantiles(latencies, n=100)
+    return round(cuts[percent - 1] * 1_000, 1)
+
+
 def main(argv: list[str]) -> None:
     """Measures and prints one JSON object."""
     if len(argv) > 1:
