Read on in a loop after an oversized statement; split the connection

Cause: each oversized statement in a row deepened the call stack; about 1,000 of them ended the connection with a RecursionError and no answer. Change: a loop.

--- a/hickorygate/callers/connection.py
+++ b/hickorygate/callers/connection.py
@@ -8,8 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterator
-from collections.abc import Callable
 import datetime
 import functools
 import itertools
@@ -28,6 +26,7 @@
 from mysql_mimic import variables
 
 from hickorygate.callers import command as commands
+from hickorygate.callers import dispatch
 from hickorygate.callers import encoding
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import local
@@ -36,6 +35,7 @@
 from hickorygate.callers import prepared as prepareds
 from hickorygate.callers import protocol_errors
 from hickorygate.callers import replies
+from hickorygate.callers import results
 from hickorygate.callers import stream as streams
 from hickorygate.core import errors
 from hickorygate.core import types
@@ -161,7 +161,6 @@
     async def command_phase(self) -> None:
         """Answers commands until the caller leaves or is sent away."""
         while True:
-            self.stream.reset_seq()
             data = await self._next_packet()
             if self._leaving and not self._handler.in_transaction:
                 await self._send_away(answers_request=data is not None)
@@ -338,24 +337,24 @@
 
     async def _next_packet(self) -> bytes | None:
         """Returns the next command; None when the caller has left."""
-        if self._leaving and not self._handler.in_transaction:
-            return None
-        self._busy = False
-        try:
-            return await self.stream.read()
-        except mimic_stream.ConnectionClosed:
-            return None
-        except errors.FailureError as error:
-            await self._refuse(error.failure)
+        while not self._leaving or self._handler.in_transaction:
             self.stream.reset_seq()
-            return await self._next_packet()
-        finally:
-            self._busy = True
+            self._busy = False
+            try:
+                return await self.stream.read()
+            except mimic_stream.ConnectionClosed:
+                return None
+            except errors.FailureError as error:
+                failure = error.failure
+            finally:
+                self._busy = True
+            await self._refuse(failure)
+        return None
 
     async def _answer(self, data: bytes) -> bool:
         """Answers one command; False when the connection ends."""
         try:
-            return await _run(commands.decode(data), self)
+            return await dispatch.run(commands.decode(data), self)
         except errors.FailureError as error:
             failure = error.failure
         except (OSError, mimic_stream.ConnectionClosed):
@@ -396,13 +395,13 @@
         return result.ok
 
     async def _send(
-        self, answer: answers.Answer, encode: Callable[[types.Row], bytes]
+        self, answer: answers.Answer, encode: results.RowEncoder
     ) -> None:
         warnings = min(answer.warnings, _MOST_WARNINGS)
         if isinstance(answer, answers.Table):
-            await self._send_table(answer, encode)
-            end = self.ok_or_eof(warnings=warnings)
-            await self.stream.write(end)
+            middle = None if self.deprecate_eof() else self.eof()
+            await results.send(self.stream, answer, encode, middle)
+            await self.stream.write(self.ok_or_eof(warnings=warnings))
             return
         assert isinstance(answer, answers.Done), answer
         await self.stream.write(
@@ -413,27 +412,6 @@
             )
         )
 
-    async def _send_table(
-        self, table: answers.Table, encode: Callable[[types.Row], bytes]
-    ) -> None:
-        stream = self.stream
-        stream.write_many([packets.length(len(table.columns))])
-        stream.write_many([encoding.column(c) for c in table.columns])
-        if not self.deprecate_eof():
-            stream.write_many([self.eof()])
-        rows = table.rows
-        if not isinstance(rows, AsyncIterator):
-            for row in rows:
-                if stream.queue(encode(row)):
-                    await stream.drain()
-            return
-        try:
-            async for row in rows:
-                if stream.queue(encode(row)):
-                    await stream.drain()
-        finally:
-            await rows.aclose()
-
     def _set_status_flags(self) -> None:
         flags = _Status(0)
         if self._handler.autocommit:
@@ -456,92 +434,3 @@
     except UnicodeDecodeError as error:
         failure = errors.UnsupportedCharset("of a statement")
         raise errors.FailureError(failure) from error
-
-
-@functools.singledispatch
-async def _run(command: commands.Command, connection: Connection) -> bool:
-    raise TypeError(f"no way to run {command!r}; register one")
-
-
-@_run.register
-async def _(command: commands.Query, connection: Connection) -> bool:
-    await connection.run_query(command.body)
-    return True
-
-
-@_run.register
-async def _(command: commands.Prepare, connection: Connection) -> bool:
-    await connection.prepare(command.sql)
-    return True
-
-
-@_run.register
-async def _(command: commands.Execute, connection: Connection) -> bool:
-    await connection.execute(command.number, command.body)
-    return True
-
-
-@_run.register
-async def _(command: commands.SendLongData, connection: Connection) -> bool:
-    connection.append(command)
-    return True
-
-
-@_run.register
-async def _(command: commands.CloseStatement, connection: Connection) -> bool:
-    connection.forget(command.number)
-    return True
-
-
-@_run.register
-async def _(command: commands.ResetStatement, connection: Connection) -> bool:
-    connection.prepared(command.number).forget()
-    await connection.acknowledge()
-    return True
-
-
-@_run.register
-async def _(command: commands.Fetch, connection: Connection) -> bool:
-    raise errors.FailureError(protocol_errors.NoCursor(command.number))
-
-
-@_run.register
-async def _(command: commands.Ping, connection: Connection) -> bool:
-    await connection.acknowledge()
-    return True
-
-
-@_run.register
-async def _(command: commands.Statistics, connection: Connection) -> bool:
-    await connection.stream.write(local.SERVER_VERSION.encode())
-    return True
-
-
-@_run.register
-async def _(command: commands.SelectSchema, connection: Connection) -> bool:
-    await connection.select_schema(command.schema)
-    await connection.acknowledge()
-    return True
-
-
-@_run.register
-async def _(command: commands.ChangeUser, connection: Connection) -> bool:
-    await connection.change_user(command.body)
-    return True
-
-
-@_run.register
-async def _(command: commands.ResetConnection, connection: Connection) -> bool:
-    await connection.reset()
-    await connection.acknowledge()
-    return True
-
-
-@_run.register
-async def _(command: commands.Quit, connection: Connection) -> bool:
-    return False
-
-
-@_run.register
-async def _(command: commands.Unknown, connection: Connection) -> bool:
-    raise errors.FailureError(protocol_errors.UnknownCommand(command.code))
--- /dev/null
+++ b/hickorygate/callers/dispatch.py
@@ -0,0 +1,136 @@
+"""What each command of a caller does: dispatches on the command."""
+
+from __future__ import annotations
+
+import functools
+from typing import TYPE_CHECKING
+
+from hickorygate.callers import command as commands
+from hickorygate.callers import local
+from hickorygate.callers import protocol_errors
+from hickorygate.core import errors
+
+if TYPE_CHECKING:
+    from hickorygate.callers import connection as connections
+
+__all__ = ["run"]
+
+
+@functools.singledispatch
+async def run(
+    command: commands.Command, connection: connections.Connection
+) -> bool:
+    """Runs a command and answers it; False when the connection ends.
+
+    Raises:
+      errors.FailureError: the command is refused.
+    """
+    raise TypeError(f"no way to run {command!r}; register one")
+
+
+@run.register(commands.Query)
+async def _(
+    command: commands.Query, connection: connections.Connection
+) -> bool:
+    await connection.run_query(command.body)
+    return True
+
+
+@run.register(commands.Prepare)
+async def _(
+    command: commands.Prepare, connection: connections.Connection
+) -> bool:
+    await connection.prepare(command.sql)
+    return True
+
+
+@run.register(commands.Execute)
+async def _(
+    command: commands.Execute, connection: connections.Connection
+) -> bool:
+    await connection.execute(command.number, command.body)
+    return True
+
+
+@run.register(commands.SendLongData)
+async def _(
+    command: commands.SendLongData, connection: connections.Connection
+) -> bool:
+    connection.append(command)
+    return True
+
+
+@run.register(commands.CloseStatement)
+async def _(
+    command: commands.CloseStatement, connection: connections.Connection
+) -> bool:
+    connection.forget(command.number)
+    return True
+
+
+@run.register(commands.ResetStatement)
+async def _(
+    command: commands.ResetStatement, connection: connections.Connection
+) -> bool:
+    connection.prepared(command.number).forget()
+    await connection.acknowledge()
+    return True
+
+
+@run.register(commands.Fetch)
+async def _(
+    command: commands.Fetch, connection: connections.Connection
+) -> bool:
+    raise errors.FailureError(protocol_errors.NoCursor(command.number))
+
+
+@run.register(commands.Ping)
+async def _(command: commands.Ping, connection: connections.Connection) -> bool:
+    await connection.acknowledge()
+    return True
+
+
+@run.register(commands.Statistics)
+async def _(
+    command: commands.Statistics, connection: connections.Connection
+) -> bool:
+    await connection.stream.write(local.SERVER_VERSION.encode())
+    return True
+
+
+@run.register(commands.SelectSchema)
+async def _(
+    command: commands.SelectSchema, connection: connections.Connection
+) -> bool:
+    await connection.select_schema(command.schema)
+    await connection.acknowledge()
+    return True
+
+
+@run.register(commands.ChangeUser)
+async def _(
+    command: commands.ChangeUser, connection: connections.Connection
+) -> bool:
+    await connection.change_user(command.body)
+    return True
+
+
+@run.register(commands.ResetConnection)
+async def _(
+    command: commands.ResetConnection, connection: connections.Connection
+) -> bool:
+    await connection.reset()
+    await connection.acknowledge()
+    return True
+
+
+@run.register(commands.Quit)
+async def _(command: commands.Quit, connection: connections.Connection) -> bool:
+    return False
+
+
+@run.register(commands.Unknown)
+async def _(
+    command: commands.Unknown, connection: connections.Connection
+) -> bool:
+    raise errors.FailureError(protocol_errors.UnknownCommand(command.code))
--- a/hickorygate/callers/server.py
+++ b/hickorygate/callers/server.py
@@ -9,6 +9,7 @@
 import logging
 import ssl
 
+import logbook
 from mysql_mimic import stream as mimic_stream
 
 from hickorygate.callers import connection as connections
@@ -28,6 +29,8 @@
 )
 _BACKLOG = 1_024
 
+_log = logbook.Logger(__name__)
+
 # The library logs each refused login with a trace; ours are answered.
 logging.getLogger("mysql_mimic").setLevel(logging.CRITICAL)
 
@@ -128,6 +131,8 @@
             await connection.start()
         except _ENDINGS:
             pass
+        except Exception:  # noqa: BLE001 - nobody awaits this task
+            _log.exception("a connection ended unexpectedly")
         finally:
             await control.remove(connection.connection_id)
             protocol.hang_up()
--- a/hickorygate/tests/test_server.py
+++ b/hickorygate/tests/test_server.py
@@ -149,6 +149,13 @@
                 self.assertEqual(await client.error(), code)
                 await self.assert_lives(client)
 
+    async def test_any_number_of_oversized_statements_is_refused(self) -> None:
+        client = await self.log_in()
+        for _ in range(1_500):
+            client.query("x" * 1_001)
+            self.assertEqual(await client.error(), 1153)
+        await self.assert_lives(client)
+
     async def test_fault_is_answered_and_ends_the_connection(self) -> None:
         client = await self.log_in()
         client.query("fault")
