Keep one module for rendezvous hashing

Cause: proxies/rendezvous.py and upstreams/owners.py did the same. Change: core/rendezvous.py has both questions, owners and rank. Conclusion: one weight function, so one answer to who comes first.

--- a/hickorygate/proxies/membership.py
+++ b/hickorygate/proxies/membership.py
@@ -12,6 +12,7 @@
 import functools
 import random
 
+from hickorygate.core import rendezvous
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import types
 from hickorygate.proxies import codec
@@ -19,7 +20,6 @@
 from hickorygate.proxies import effects
 from hickorygate.proxies import member as members
 from hickorygate.proxies import messages
-from hickorygate.proxies import rendezvous
 from hickorygate.proxies import roster as rosters
 
 __all__ = ["Event", "Membership", "Received", "Tick"]
--- a/hickorygate/tests/test_directory.py
+++ b/hickorygate/tests/test_directory.py
@@ -7,10 +7,10 @@
 import unittest
 
 from hickorygate.core import document as documents
+from hickorygate.core import rendezvous
 from hickorygate.core import sheet as sheet_lib
 from hickorygate.platform import configuration as configurations
 from hickorygate.platform import directory as directories
-from hickorygate.proxies import rendezvous
 
 _NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _SECOND = datetime.timedelta(seconds=1)
--- a/hickorygate/upstreams/runner.py
+++ b/hickorygate/upstreams/runner.py
@@ -16,12 +16,12 @@
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import position as positions
+from hickorygate.core import rendezvous
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
 from hickorygate.upstreams import failover
-from hickorygate.upstreams import owners
 from hickorygate.upstreams import probe as probes
 from hickorygate.upstreams import steps
 
@@ -138,7 +138,7 @@
             self._take(steps.Tick())
 
     def _rank(self) -> int:
-        return owners.rank(
+        return rendezvous.rank(
             self._group.name, self._time_line.process, self._live()
         )
 
