--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -23,6 +23,7 @@
 from hickorygate.core import pool_errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
+from hickorygate.core import tls
 from hickorygate.core import types
 from hickorygate.upstreams import answer as answers
 
@@ -31,7 +32,9 @@
 _BATCH_ROWS = 1_000
 _CLIENT_ERRORS = range(2_000, 3_000)
 _READ_ONLY = frozenset({1290, 1792, 1836})
-_SHUTDOWN = frozenset({1053, 1077, 1079})
+_INTERRUPTED = frozenset({1053, 1077, 1079, 1152, 1184, 1317})
+"""Shutdown, a killed query, an aborted connection."""
+
 _DEFAULT_SQLSTATE = "HY000"
 _TOO_MANY_CONNECTIONS = 1040
 _RESERVED = re.compile(
@@ -50,7 +53,8 @@
         code=code,
         sqlstate=getattr(error, "sqlstate", None) or _DEFAULT_SQLSTATE,
         text=str(error.args[1]),
-        refused=code in _READ_ONLY or code in _SHUTDOWN,
+        refused=code in _READ_ONLY,
+        interrupted=code in _INTERRUPTED,
     )
 
 
@@ -285,14 +289,27 @@
         )
         return dataclasses.replace(answer, notes=notes)
 
+    def _hold(self, held: bool) -> None:
+        transport = self._raw._transport  # noqa: SLF001
+        if transport is None or transport.is_closing():
+            return
+        if held:
+            transport.pause_reading()
+        else:
+            transport.resume_reading()
+
     async def _stream(
         self, cursor: cursors.SSCursor, rows: list[types.Row]
     ) -> AsyncIterator[types.Row]:
         complete = False
         try:
             while rows:
+                # The library takes in all that the database sends, so it is
+                # kept from reading while the caller takes its rows.
+                self._hold(True)
                 for row in rows:
                     yield row
+                self._hold(False)
                 rows = await cursor.fetchmany(_BATCH_ROWS)
             complete = True
             self._busy = False
@@ -322,6 +339,10 @@
       `ConnectFailed`.
     """
     limit = settings.connect_timeout.total_seconds()
+    context = tls.client_context(settings.tls)
+    if context.is_error():
+        reason = context.error.message
+        return expression.Error(errors.ConnectFailed(database.name, reason))
     try:
         async with asyncio.timeout(limit):
             raw = await asyncmy.connect(
@@ -331,6 +352,7 @@
                 password=settings.password.get_secret_value(),
                 autocommit=None,
                 conv={},
+                ssl=context.ok,
             )
     except (asyncmy_errors.MySQLError, OSError, TimeoutError) as error:
         return expression.Error(_connect_failure(database, error))
