Learn a rank's service time from its first requests

The moving average started at 10 ms with a weight of 0.1, so the first tens of requests of a flood were planned at half their time; the first ones now count as in a plain mean.

--- a/hickorygate/core/admission.py
+++ b/hickorygate/core/admission.py
@@ -137,6 +137,7 @@
     __slots__ = (
         "credit",
         "drained",
+        "finished",
         "margin",
         "rank",
         "running",
@@ -153,6 +154,7 @@
         self.credit = 0.0
         self.margin = _FIRST_MARGIN * rank.target.total_seconds()
         self.drained = 0.0
+        self.finished = 0
         self.waited = 0.0
 
     @property
@@ -176,6 +178,12 @@
         drained = self.drained + _PRIOR_SECONDS * prior
         return min(drained / (self.waited + _PRIOR_SECONDS), limit)
 
+    def serve(self, seconds: float) -> None:
+        """Takes in a service time; the first ones count for more."""
+        self.finished += 1
+        weight = max(_SERVICE_WEIGHT, 1 / self.finished)
+        self.service += weight * (seconds - self.service)
+
     def learn(self, excess: float, misses: float) -> None:
         """Moves the margin after a request took longer than planned by this."""
         target = self.rank.target.total_seconds()
@@ -297,8 +305,7 @@
         lane.running -= 1
         if service is None:
             return
-        difference = service.total_seconds() - lane.service
-        lane.service += _SERVICE_WEIGHT * difference
+        lane.serve(service.total_seconds())
         self._learn(lane, waiter, now)
 
     def withdraw(self, waiter: Waiter, now: datetime.datetime) -> bool:
