--- a/benchmarks/upstream_client.py
+++ b/benchmarks/upstream_client.py
@@ -5,7 +5,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import time
 from typing import Any
 
