Give back the connection of rows that nobody reads

Cause: rows still arriving whose reader never began (a caller gone between answer and first row) kept their connection and slot for good. Change: LeasedRows gives it back at the end, at a failure, when given up or when dropped; all but the first close it. Conclusion: a lease ends with its rows, whatever becomes of the reader.

--- a/hickorygate/callers/lease.py
+++ b/hickorygate/callers/lease.py
@@ -8,11 +8,11 @@
 import expression
 
 from hickorygate.callers import handler as handlers
+from hickorygate.callers import rows
 from hickorygate.callers import session as sessions
 from hickorygate.callers import work as works
 from hickorygate.core import errors
 from hickorygate.core import request as requests
-from hickorygate.core import types
 from hickorygate.upstreams import answer as answers
 from hickorygate.upstreams import connection as connections
 from hickorygate.upstreams import link as links
@@ -77,8 +77,8 @@
         case expression.Result(
             tag="ok", ok=answers.Table(rows=AsyncIterator()) as table
         ):
-            rows = _released_after(table.rows, link, connection)
-            return expression.Ok(dataclasses.replace(table, rows=rows))
+            leased = rows.LeasedRows(table.rows, link.pool, connection)
+            return expression.Ok(dataclasses.replace(table, rows=leased))
     link.pool.release(connection)
     return result
 
@@ -88,17 +88,3 @@
     if isinstance(failure, errors.AnswerLost):
         return errors.ConnectFailed(failure.database, failure.reason)
     return failure
-
-
-async def _released_after(
-    rows: AsyncIterator[types.Row],
-    link: links.DatabaseLink,
-    connection: connections.Connection,
-) -> AsyncIterator[types.Row]:
-    try:
-        async for row in rows:
-            yield row
-    finally:
-        if hasattr(rows, "aclose"):
-            await rows.aclose()
-        link.pool.release(connection)
