Let no background task end in silence

Cause: a merge left a probing task dead of an AttributeError for a while; the proxy went on, blind, and said that it was alive. Five modules kept their own lists of tasks.

--- a/hickorygate/core/background.py
+++ b/hickorygate/core/background.py
@@ -6,7 +6,10 @@
 from collections.abc import Coroutine
 from typing import Any
 
-__all__ = ["Background"]
+__all__ = ["FAILED", "Background"]
+
+FAILED = "a background task failed"
+"""Message of the context that the loop's exception handler gets."""
 
 
 class Background:
@@ -21,6 +24,11 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[Any]] = set()
 
+    @property
+    def running(self) -> bool:
+        """Whether any task has not ended."""
+        return bool(self._tasks)
+
     def __repr__(self) -> str:
         return f"Background(tasks={len(self._tasks)})"
 
@@ -44,7 +52,7 @@
             return
         task.get_loop().call_exception_handler(
             {
-                "message": "a background task failed",
+                "message": FAILED,
                 "exception": task.exception(),
                 "task": task,
             }
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -60,6 +60,7 @@
         self._groups: dict[types.GroupName, links.GroupLink] = {}
         self._recorder = recorders.Recorder(self._time_line)
         self._server = self._build_server()
+        self._crashed = False
         self._admin = admin.Admin(self, settings.admin)
         self._drain: asyncio.Task[None] | None = None
         self._drained = asyncio.Event()
@@ -104,6 +105,11 @@
         """Connected callers."""
         return self._server.connections
 
+    @property
+    def crashed(self) -> bool:
+        """Whether a part of the process has ended by a fault."""
+        return self._crashed
+
     @property
     def draining(self) -> bool:
         """Whether it shuts down."""
@@ -157,6 +163,10 @@
         self._time_line.record(events.ProcessStarted(VERSION))
         return expression.Ok(None)
 
+    def note_crash(self) -> None:
+        """Takes in that a part of the process has ended by a fault."""
+        self._crashed = True
+
     def drain(self) -> None:
         """Begins a graceful shutdown; `drained` tells when it is done."""
         if self._drain is None:
--- a/hickorygate/operators/admin.py
+++ b/hickorygate/operators/admin.py
@@ -76,6 +76,9 @@
         await self._runner.cleanup()
 
     async def _live(self, request: web.Request) -> web.Response:
+        if self._subject.crashed:
+            reason = "a background task failed; replace this process\n"
+            return web.Response(status=503, text=reason)
         return web.Response(text="alive\n")
 
     async def _ready(self, request: web.Request) -> web.Response:
--- a/hickorygate/operators/serve.py
+++ b/hickorygate/operators/serve.py
@@ -6,12 +6,14 @@
 from collections.abc import Sequence
 import dataclasses
 import pathlib
+from typing import Any
 
 from absl import flags
 import expression
 import logbook
 
 from hickorygate import daemon as daemons
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import settings as settings_lib
 from hickorygate.operators import command as commands
@@ -65,6 +67,7 @@
 async def _serve(settings: settings_lib.Settings) -> commands.Result:
     log.set_up(settings.name, settings.log)
     daemon = daemons.Daemon(settings, clocks.SystemClock())
+    _watch_for_crashes(daemon)
     ended = await daemon.start()
     if ended.is_ok():
         _tell_addresses(daemon)
@@ -73,6 +76,20 @@
     return ended
 
 
+def _watch_for_crashes(daemon: daemons.Daemon) -> None:
+    """Makes a failed background task end the liveness of the process."""
+    loop = asyncio.get_running_loop()
+
+    def take(_: asyncio.AbstractEventLoop, context: dict[str, Any]) -> None:
+        error = context.get("exception")
+        trace = (type(error), error, error.__traceback__) if error else None
+        _log.error("{}", context["message"], exc_info=trace)
+        if context["message"] == background.FAILED:
+            daemon.note_crash()
+
+    loop.set_exception_handler(take)
+
+
 def _tell_addresses(daemon: daemons.Daemon) -> None:
     _log.info(
         "callers on port {}, operators on {}, proxies on {}",
--- a/hickorygate/operators/status.py
+++ b/hickorygate/operators/status.py
@@ -49,6 +49,10 @@
     def sheet(self) -> sheets.Sheet | None:
         """The sheet in force."""
 
+    @property
+    def crashed(self) -> bool:
+        """Whether a part of the process has ended by a fault."""
+
     @property
     def draining(self) -> bool:
         """Whether it shuts down."""
--- a/hickorygate/platform/keeper.py
+++ b/hickorygate/platform/keeper.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import datetime
 import functools
 import random
@@ -10,12 +9,12 @@
 
 import logbook
 
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import document as documents
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
-from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.platform import client as clients
 from hickorygate.platform import configuration as configurations
@@ -77,7 +76,7 @@
         self._configuration = configurations.Configuration()
         self._directory = directories.Directory()
         self._fleet: Fleet | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = background.Background()
 
     @property
     def client(self) -> clients.Client:
@@ -110,25 +109,17 @@
     def start(self, fleet: Fleet) -> None:
         """Begins to watch, and to tell the other proxies."""
         self._fleet = fleet
-        self._tasks = [
-            tasks.start(
-                self._watcher(
-                    watchers.sheet(self._client), self._configuration
-                ).run()
-            ),
-            tasks.start(
-                self._watcher(
-                    watchers.instances(self._client), self._directory
-                ).run()
-            ),
-            tasks.start(self._review()),
-        ]
+        for watched, documents_of in (
+            (watchers.sheet(self._client), self._configuration),
+            (watchers.instances(self._client), self._directory),
+        ):
+            watcher = self._watcher(watched, documents_of)
+            self._background.start(watcher.run())
+        self._background.start(self._review())
 
     async def close(self) -> None:
         """Stops watching."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.close()
         await self._client.close()
 
     def document(self, kind: documents.DocumentKind) -> str:
--- a/hickorygate/proxies/mesh.py
+++ b/hickorygate/proxies/mesh.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import collections
 from collections.abc import Iterable
 import datetime
@@ -14,12 +13,12 @@
 import expression
 import logbook
 
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import document as document_lib
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
-from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.platform import watch
 from hickorygate.proxies import codec
@@ -81,7 +80,7 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._store_reached: datetime.datetime | None = None
         self._sheets: dict[types.ProxyName, types.SheetVersion] = {}
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = background.Background()
         self._join("unbound:0", "unbound:0")
 
     @property
@@ -134,19 +133,15 @@
           admin: where operators reach this process; told to the others.
         """
         self._join(self._sockets.bind(), admin)
-        self._tasks = [
-            tasks.start(self._receive()),
-            tasks.start(self._tick()),
-        ]
+        self._background.start(self._receive())
+        self._background.start(self._tick())
 
     async def close(self) -> None:
         """Tells the others, stops, and drops what is unsent."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
-        if self._tasks:
+        started = self._background.running
+        await self._background.close()
+        if started:
             self._perform_all(self._membership.leave())
-            self._tasks = []
             await self._clock.sleep(_GOODBYE_TIME)
         self._sockets.close()
 
--- a/hickorygate/tests/test_admin.py
+++ b/hickorygate/tests/test_admin.py
@@ -65,6 +65,10 @@
         self.assertEqual(await self.get("/ready"), (503, "shutting down\n"))
         self.assertEqual((await self.get("/live"))[0], 200)
 
+    async def test_not_live_after_a_background_task_failed(self) -> None:
+        self.first.note_crash()
+        self.assertEqual((await self.get("/live"))[0], 503)
+
     async def test_metrics_show_the_whole_catalogue(self) -> None:
         status, text = await self.get("/metrics")
         self.assertEqual(status, 200)
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -17,6 +17,7 @@
 import expression
 
 from hickorygate.core import admission
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import pool_errors
@@ -53,6 +54,7 @@
 
     __slots__ = (
         "_answers",
+        "_background",
         "_clock",
         "_connections",
         "_database",
@@ -67,7 +69,6 @@
         "_refused",
         "_settings",
         "_share",
-        "_tasks",
         "_timer",
     )
 
@@ -98,7 +99,7 @@
         self._leases: dict[connections.Connection, _Lease] = {}
         self._events: collections.deque[events.Event] = collections.deque()
         self._handling = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = background.Background()
         self._timer: asyncio.TimerHandle | None = None
         self._keepalive = keepalives.Keepalive(self, settings, clock)
         self._left = False
@@ -307,11 +308,6 @@
         self._leases[connection] = _Lease(channel, waiter, now)
         self._answer(waiter, expression.Ok(connection))
 
-    def _spawn(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
     async def _open(self, channel: int) -> None:
         opened = await connections.open_connection(
             self._database, self._settings
@@ -390,7 +386,7 @@
 
 @_perform.register
 def _(effect: events.Open, pool: Pool) -> None:
-    pool._spawn(pool._open(effect.channel))
+    pool._background.start(pool._open(effect.channel))
 
 
 @_perform.register
@@ -398,7 +394,7 @@
     connection = pool._connections[effect.channel]
     timeout = pool._settings.probe_timeout
     work = locks.take_any(connection, effect.slots, timeout)
-    pool._spawn(pool._seek(effect.channel, connection, work))
+    pool._background.start(pool._seek(effect.channel, connection, work))
 
 
 @_perform.register
@@ -406,7 +402,7 @@
     connection = pool._connections[effect.channel]
     timeout = pool._settings.probe_timeout
     work = locks.queue(connection, effect, _QUEUE_WAIT, timeout)
-    pool._spawn(pool._seek(effect.channel, connection, work))
+    pool._background.start(pool._seek(effect.channel, connection, work))
 
 
 @_perform.register
@@ -414,14 +410,14 @@
     connection = pool._connections[effect.channel]
     timeout = pool._settings.probe_timeout
     work = locks.swap(connection, effect.slot, timeout)
-    pool._spawn(pool._seek(effect.channel, connection, work))
+    pool._background.start(pool._seek(effect.channel, connection, work))
 
 
 @_perform.register
 def _(effect: events.Release, pool: Pool) -> None:
     connection = pool._connections[effect.channel]
     work = pool._release(effect.channel, connection, effect.slot)
-    pool._spawn(work)
+    pool._background.start(work)
 
 
 @_perform.register
