--- /dev/null
+++ b/hickorygate/callers/answering.py
@@ -0,0 +1,87 @@
+"""Who answers a statement, the proxy or a database: dispatches on its class."""
+
+from __future__ import annotations
+
+import datetime
+import functools
+import re
+from typing import TYPE_CHECKING
+
+import expression
+
+from hickorygate.callers import handler as handlers
+from hickorygate.callers import hints as hints_lib
+from hickorygate.core import statement as statements
+
+if TYPE_CHECKING:
+    from hickorygate.callers import frontend as frontends
+
+__all__ = ["answer"]
+
+_GET_TOKEN = re.compile(r"SELECT\s+@@hickorygate_token\s*$", re.I)
+
+
+@functools.singledispatch
+async def answer(
+    statement: statements.Statement,
+    frontend: frontends.Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    """Answers a statement.
+
+    Args:
+      statement: what the caller sent.
+      frontend: the caller's.
+      hints: of the comment and the query's attributes.
+      arrived: when the proxy read it.
+    """
+    return await frontend.run(statement, hints, arrived)
+
+
+@answer.register(statements.Read)
+async def _(
+    statement: statements.Read,
+    frontend: frontends.Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    if _GET_TOKEN.match(statement.sql):
+        return expression.Ok(frontend.token_table())
+    known = frontend.known(statement)
+    if known is not None:
+        return expression.Ok(known)
+    return await frontend.run(statement, hints, arrived)
+
+
+@answer.register(statements.ConnectionBound)
+async def _(
+    statement: statements.ConnectionBound,
+    frontend: frontends.Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    known = frontend.known(statement)
+    if known is not None:
+        return expression.Ok(known)
+    return await frontend.run(statement, hints, arrived)
+
+
+@answer.register(statements.ShowWarnings)
+async def _(
+    statement: statements.ShowWarnings,
+    frontend: frontends.Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    return expression.Ok(frontend.show_notes(statement.sql))
+
+
+@answer.register(statements.SetVariable)
+async def _(
+    statement: statements.SetVariable,
+    frontend: frontends.Frontend,
+    hints: hints_lib.Hints,
+    arrived: datetime.datetime,
+) -> handlers.AnswerResult:
+    return await frontend.assign(statement, hints, arrived)
--- a/hickorygate/callers/connection.py
+++ b/hickorygate/callers/connection.py
@@ -432,5 +432,5 @@
     try:
         return data.decode()
     except UnicodeDecodeError as error:
-        failure = errors.UnsupportedCharset("of a statement")
+        failure = errors.UnsupportedCharset("not UTF-8")
         raise errors.FailureError(failure) from error
--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -5,11 +5,10 @@
 from collections.abc import Mapping
 import dataclasses
 import datetime
-import functools
-import re
 
 import expression
 
+from hickorygate.callers import answering
 from hickorygate.callers import environment as environments
 from hickorygate.callers import executor as executors
 from hickorygate.callers import handler as handlers
@@ -45,7 +44,6 @@
     statements.Use,
 )
 _NOTE_TABLES = (local.NOTE_COLUMNS, local.COUNT_COLUMNS)
-_GET_TOKEN = re.compile(r"SELECT\s+@@hickorygate_token\s*$", re.I)
 
 
 class Frontend:
@@ -120,7 +118,7 @@
         taken = self._take_token(hints.token)
         if taken.is_error():
             return expression.Error(taken.error)
-        return await _answer(statement.ok, self, hints, arrived)
+        return await answering.answer(statement.ok, self, hints, arrived)
 
     async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
         """Selects a schema."""
@@ -277,61 +275,3 @@
                 switch = statements.SetAutocommit(sql, enabled)
                 return await self.run(switch, hints, arrived)
         return expression.Ok(_NOTHING)
-
-
-@functools.singledispatch
-async def _answer(
-    statement: statements.Statement,
-    frontend: Frontend,
-    hints: hints_lib.Hints,
-    arrived: datetime.datetime,
-) -> handlers.AnswerResult:
-    return await frontend.run(statement, hints, arrived)
-
-
-@_answer.register
-async def _(
-    statement: statements.Read,
-    frontend: Frontend,
-    hints: hints_lib.Hints,
-    arrived: datetime.datetime,
-) -> handlers.AnswerResult:
-    if _GET_TOKEN.match(statement.sql):
-        return expression.Ok(frontend.token_table())
-    known = frontend.known(statement)
-    if known is not None:
-        return expression.Ok(known)
-    return await frontend.run(statement, hints, arrived)
-
-
-@_answer.register
-async def _(
-    statement: statements.ConnectionBound,
-    frontend: Frontend,
-    hints: hints_lib.Hints,
-    arrived: datetime.datetime,
-) -> handlers.AnswerResult:
-    known = frontend.known(statement)
-    if known is not None:
-        return expression.Ok(known)
-    return await frontend.run(statement, hints, arrived)
-
-
-@_answer.register
-async def _(
-    statement: statements.ShowWarnings,
-    frontend: Frontend,
-    hints: hints_lib.Hints,
-    arrived: datetime.datetime,
-) -> handlers.AnswerResult:
-    return expression.Ok(frontend.show_notes(statement.sql))
-
-
-@_answer.register
-async def _(
-    statement: statements.SetVariable,
-    frontend: Frontend,
-    hints: hints_lib.Hints,
-    arrived: datetime.datetime,
-) -> handlers.AnswerResult:
-    return await frontend.assign(statement, hints, arrived)
