Say 'not run' where only the session's preparation failed

Cause: an error of a database to USE or SET before a statement was passed on as the statement's own, with outcome ran. Change: PreparationFailed (1231, not run); a broken-off preparation counts as a failed connection. Conclusion: what was never sent is never said to have run.

--- a/hickorygate/callers/failures.py
+++ b/hickorygate/callers/failures.py
@@ -10,6 +10,7 @@
 __all__ = [
     "ConnectionStateNeeded",
     "KeyReused",
+    "PreparationFailed",
     "SessionStateLost",
     "TransactionSpansGroups",
 ]
@@ -43,6 +44,27 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PreparationFailed(errors.Failure):
+    """A database refused the session's schema or variables.
+
+    Attributes:
+      database: which one.
+      text: its own error.
+    """
+
+    database: types.DatabaseName
+    text: str
+
+    @property
+    def message(self) -> str:
+        """Text for a person."""
+        return (
+            f"{self.database!r} refuses the session's schema or variables "
+            f"({self.text}); set them right, or reset the session"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class SessionStateLost(errors.Failure):
     """The connection that held the session's state has ended."""
--- a/hickorygate/callers/lease.py
+++ b/hickorygate/callers/lease.py
@@ -4,15 +4,18 @@
 
 from collections.abc import AsyncIterator
 import dataclasses
+import functools
 
 import expression
 
+from hickorygate.callers import failures
 from hickorygate.callers import handler as handlers
 from hickorygate.callers import rows
 from hickorygate.callers import session as sessions
 from hickorygate.callers import work as works
 from hickorygate.core import errors
 from hickorygate.core import request as requests
+from hickorygate.core import types
 from hickorygate.upstreams import answer as answers
 from hickorygate.upstreams import connection as connections
 from hickorygate.upstreams import link as links
@@ -39,7 +42,8 @@
         raise
     if prepared.is_error():
         link.pool.release(connection)
-        return expression.Error(_before_statement(prepared.error))
+        name = connection.database.name
+        return expression.Error(_before_statement(prepared.error, name))
     return lease
 
 
@@ -83,8 +87,25 @@
     return result
 
 
-def _before_statement(failure: errors.Failure) -> errors.Failure:
+@functools.singledispatch
+def _before_statement(
+    failure: errors.Failure, database: types.DatabaseName
+) -> errors.Failure:
     """Says that the statement itself was never sent."""
-    if isinstance(failure, errors.AnswerLost):
-        return errors.ConnectFailed(failure.database, failure.reason)
     return failure
+
+
+@_before_statement.register
+def _(
+    failure: errors.AnswerLost, database: types.DatabaseName
+) -> errors.Failure:
+    return errors.ConnectFailed(database, failure.reason)
+
+
+@_before_statement.register
+def _(
+    failure: errors.UpstreamError, database: types.DatabaseName
+) -> errors.Failure:
+    if failure.interrupted:
+        return errors.ConnectFailed(database, failure.text)
+    return failures.PreparationFailed(database, failure.text)
--- a/hickorygate/callers/replies.py
+++ b/hickorygate/callers/replies.py
@@ -47,6 +47,7 @@
 _UNKNOWN_STATEMENT = Code(1243, "HY000")
 _UNKNOWN_VARIABLE = Code(1193, "HY000")
 _UNSUPPORTED = Code(1235, "42000")
+_WRONG_VALUE = Code(1231, "42000")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -94,6 +95,11 @@
     return _BAD_ARGUMENTS
 
 
+@code_of.register
+def _(failure: failures.PreparationFailed) -> Code:
+    return _WRONG_VALUE
+
+
 @code_of.register(errors.ConnectFailed)
 def _(failure: errors.Failure) -> Code:
     return _CANNOT_CONNECT
--- /dev/null
+++ b/hickorygate/tests/test_lease.py
@@ -0,0 +1,83 @@
+"""What a failure before the statement says of the statement."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+import expression
+
+from hickorygate.callers import failures
+from hickorygate.callers import lease
+from hickorygate.callers import session as sessions
+from hickorygate.core import errors
+from hickorygate.core import request as requests
+from hickorygate.core import sheet as sheets
+from hickorygate.testing import clock as clocks
+
+_DATABASE = sheets.Database("a", "127.0.0.1", 3306, "zone", 20, 3)
+_RANK = sheets.Rank("urgent", 0, datetime.timedelta(seconds=1), 0.5)
+
+
+class FailingConnection:
+    """Can't be prepared for a session."""
+
+    def __init__(self, failure: errors.Failure) -> None:
+        self._failure = failure
+        self.database = _DATABASE
+
+    async def use(self, *_: object) -> expression.Result[None, errors.Failure]:
+        return expression.Error(self._failure)
+
+
+class FakeLink:
+    """A database link and its pool of one connection."""
+
+    def __init__(self, failure: errors.Failure) -> None:
+        self.connection = FailingConnection(failure)
+        self.released: list[FailingConnection] = []
+
+    @property
+    def pool(self) -> FakeLink:
+        return self
+
+    async def acquire(
+        self, request: requests.Request
+    ) -> expression.Result[FailingConnection, errors.Failure]:
+        return expression.Ok(self.connection)
+
+    def release(self, connection: FailingConnection) -> None:
+        self.released.append(connection)
+
+
+class AcquireTest(unittest.IsolatedAsyncioTestCase):
+    """The statement was never sent, whatever went wrong."""
+
+    async def acquire(self, failure: errors.Failure) -> errors.Failure:
+        link = FakeLink(failure)
+        now = clocks.FakeClock().now()
+        request = requests.Request(_RANK, now, now + _RANK.target)
+        session = sessions.Session("vindpoot", now)
+        leased = await lease.acquire(link, session, request)
+        self.assertEqual(link.released, [link.connection])
+        self.assertEqual(leased.error.outcome, errors.Outcome.NOT_RUN)
+        return leased.error
+
+    async def test_refused_variable(self) -> None:
+        refused = errors.UpstreamError(1231, "42000", "bad value")
+        self.assertEqual(
+            await self.acquire(refused),
+            failures.PreparationFailed("a", "bad value"),
+        )
+
+    async def test_shutdown(self) -> None:
+        ended = errors.UpstreamError(1053, "08S01", "bye", interrupted=True)
+        self.assertEqual(
+            await self.acquire(ended), errors.ConnectFailed("a", "bye")
+        )
+
+    async def test_lost_answer(self) -> None:
+        lost = errors.AnswerLost("a", "cut")
+        self.assertEqual(
+            await self.acquire(lost), errors.ConnectFailed("a", "cut")
+        )
