--- /dev/null
+++ b/benchmarks/failover.py
@@ -0,0 +1,411 @@
+"""Measures failovers: how long callers can't write, and what is lost.
+
+    python -m benchmarks.failover [--kills=15] [--seed=1] [--output=FILE]
+
+Callers write numbered rows through four proxies while a primary is killed,
+paused, cut off from its replicas, cut off from one proxy, or asked to leave.
+The gap of a fault is the longest time between two acknowledged writes of any
+caller. All in one process on one loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Sequence
+import dataclasses
+import datetime
+import functools
+import json
+import pathlib
+import random
+import re
+import time
+
+from absl import app
+from absl import flags
+import asyncmy
+import logbook
+
+from hickorygate import daemon as daemons
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.core import position as positions
+from hickorygate.core import settings as settings_lib
+from hickorygate.testing import cluster
+from hickorygate.testing import database as databases
+from hickorygate.testing import ledger as ledgers
+from hickorygate.testing import platform as platforms
+
+_KILLS = flags.DEFINE_integer("kills", 15, "Faults of each kind.")
+_STALLED = flags.DEFINE_integer(
+    "stalled", 15, "Seconds of stalling databases for each detection time."
+)
+_SEED = flags.DEFINE_integer("seed", 1, "Of the random choices.")
+_OUTPUT = flags.DEFINE_string(
+    "output", "benchmarks/results/failover.json", "Where the figures go."
+)
+
+_GROUP = "alert-db-1"
+_NAMES = ("alert-db-1a", "alert-db-1b", "alert-db-1c")
+_ZONES = ("nl-west-a", "nl-west-b", "nl-west-c")
+_USERS = tuple(f"proxy-{number}" for number in range(len(_ZONES)))
+_PAUSE_SECONDS = 0.02
+_SETTLE_SECONDS = (0.3, 0.8)
+_AFTER_SECONDS = 0.3
+_GUARD_SECONDS = 20
+_DETECTIONS_MS = (200, 400, 800, 1_600)
+_STALL_MEAN_SECONDS = 0.15
+_STALL_REST_SECONDS = 0.5
+_OUTCOME = re.compile(r"\[(not run|ran|unknown)\]")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fault:
+    """Base of the faults."""
+
+    database: databases.StandInDatabase
+    stand: cluster.Stand
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Killed(Fault):
+    """It stops, and its connections end."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Silent(Fault):
+    """It answers nothing more."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutOff(Fault):
+    """Its replicas don't reach it; the proxies do."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CutFromProxy(Fault):
+    """One proxy doesn't reach it; all else does."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Leaving(Fault):
+    """The platform says that it is about to stop."""
+
+
+@functools.singledispatch
+async def _begin(fault: Fault) -> None:
+    raise TypeError(f"no way to begin {fault!r}; register one")
+
+
+@_begin.register
+async def _(fault: Killed) -> None:
+    await fault.database.stop()
+
+
+@_begin.register
+async def _(fault: Silent) -> None:
+    fault.database.paused.clear()
+
+
+@_begin.register
+async def _(fault: CutOff) -> None:
+    for other in fault.stand.group.databases:
+        if other is not fault.database:
+            fault.stand.group.cut(fault.database.name, other.name)
+
+
+@_begin.register
+async def _(fault: CutFromProxy) -> None:
+    fault.database.cut_users.add(_USERS[0])
+
+
+@_begin.register
+async def _(fault: Leaving) -> None:
+    for daemon in fault.stand.daemons:
+        daemon.group(_GROUP).leave(frozenset({fault.database.name}))
+
+
+@functools.singledispatch
+async def _end(fault: Fault) -> None:
+    raise TypeError(f"no way to end {fault!r}; register one")
+
+
+@_end.register
+async def _(fault: Killed) -> None:
+    await fault.database.restart()
+
+
+@_end.register
+async def _(fault: Silent) -> None:
+    fault.database.paused.set()
+
+
+@_end.register
+async def _(fault: CutOff) -> None:
+    fault.stand.group.mend()
+
+
+@_end.register
+async def _(fault: CutFromProxy) -> None:
+    fault.database.cut_users.clear()
+
+
+@_end.register
+async def _(fault: Leaving) -> None:
+    for daemon in fault.stand.daemons:
+        daemon.group(_GROUP).leave(frozenset())
+
+
+class Caller:
+    """Writes numbered rows through one proxy, one after another."""
+
+    def __init__(self, number: int, port: int, ledger: ledgers.Ledger) -> None:
+        self.acknowledged: list[float] = []
+        self.refusals: collections.Counter[str] = collections.Counter()
+        self._number = number
+        self._port = port
+        self._ledger = ledger
+        self._count = 0
+        self._connection: asyncmy.Connection | None = None
+
+    @property
+    def newest(self) -> float:
+        """When its newest write was acknowledged, in seconds."""
+        return self.acknowledged[-1] if self.acknowledged else 0
+
+    async def run(self) -> None:
+        """Writes until it is cancelled."""
+        while True:
+            await self._insert()
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    async def query(self, sql: str) -> Sequence[Sequence[object]]:
+        """Runs one statement."""
+        if self._connection is None or not self._connection.connected:
+            self._connection = await asyncmy.connect(
+                host="127.0.0.1",
+                port=self._port,
+                user=cluster.USER,
+                password=cluster.PASSWORD,
+                database="alerts_1",
+                autocommit=True,
+            )
+        cursor = self._connection.cursor()
+        await cursor.execute(sql)
+        return await cursor.fetchall()
+
+    def gap(self, since: float) -> float:
+        """Returns the longest time without an acknowledgement, in seconds."""
+        times = [t for t in self.acknowledged if t >= since]
+        ends = [since, *times]
+        return max(
+            (b - a for a, b in zip(ends, times, strict=False)), default=0
+        )
+
+    async def _insert(self) -> None:
+        self._count += 1
+        key = f"{self._number}-{self._count}"
+        try:
+            await self.query(f"INSERT INTO reports VALUES ('{key}')")
+        except (asyncmy.errors.MySQLError, OSError) as error:
+            found = _OUTCOME.search(str(error))
+            outcome = errors.Outcome(found.group(1) if found else "unknown")
+            self.refusals[outcome.value] += 1
+            self._ledger.refuse(key, outcome)
+            return
+        self._ledger.acknowledge(key)
+        self.acknowledged.append(time.monotonic())
+
+
+async def _start(detection_ms: int | None = None) -> cluster.Stand:
+    """Starts a group of three and proxies with a user name each."""
+    clock = clocks.SystemClock()
+    platform = platforms.StandInPlatform()
+    await platform.start()
+    group = databases.Group(clock)
+    await group.start(_NAMES, _USERS)
+    await cluster.load_sheet(platform, cluster.sheet_text(group), clock)
+    stand = cluster.Stand(platform, group, [])
+    for name, zone in zip(_USERS, _ZONES, strict=True):
+        seeds = tuple(daemon.mesh.address for daemon in stand.daemons)
+        upstreams = settings_lib.UpstreamSettings(user=name)
+        if detection_ms is not None:
+            upstreams = settings_lib.UpstreamSettings(
+                user=name, detection_ms=detection_ms
+            )
+        settings = cluster.settings(name, zone, platform.url, seeds)
+        daemon = daemons.Daemon(
+            settings.model_copy(update={"upstreams": upstreams}), clock
+        )
+        await daemon.start()
+        stand.daemons.append(daemon)
+    guard = datetime.timedelta(seconds=_GUARD_SECONDS)
+    await stand.wait_until_ready(guard)
+    return stand
+
+
+def _primary(stand: cluster.Stand) -> databases.StandInDatabase:
+    leaders = [
+        d for d in stand.group.databases if d.log.role is positions.Role.PRIMARY
+    ]
+    return max(leaders, key=lambda d: d.log.term)
+
+
+def _whole(stand: cluster.Stand) -> bool:
+    """Whether all databases follow the newest primary."""
+    newest = _primary(stand).log.term
+    return all(
+        d.log.term == d.log.log_term == newest and d.log.fenced <= newest
+        for d in stand.group.databases
+    )
+
+
+async def _until_whole(stand: cluster.Stand) -> None:
+    async with asyncio.timeout(_GUARD_SECONDS):
+        while not _whole(stand):
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+
+async def _fault(
+    kind: type[Fault], stand: cluster.Stand, callers: list[Caller]
+) -> float:
+    """Lets one fault happen and end; returns the worst caller's gap."""
+    fault = kind(_primary(stand), stand)
+    affected = callers[1:] if kind is CutFromProxy else callers
+    since = time.monotonic()
+    await _begin(fault)
+    async with asyncio.timeout(_GUARD_SECONDS):
+        while not all(
+            caller.newest > since + _AFTER_SECONDS
+            and (kind is CutFromProxy or _primary(stand) is not fault.database)
+            for caller in affected
+        ):
+            await asyncio.sleep(_PAUSE_SECONDS)
+    gap = max(caller.gap(since) for caller in affected)
+    await _end(fault)
+    await _until_whole(stand)
+    return gap
+
+
+def _figures(gaps: list[float]) -> dict[str, float]:
+    ordered = sorted(gaps)
+    return {
+        "faults": len(ordered),
+        "gap_p50_s": round(ordered[len(ordered) // 2], 3),
+        "gap_p99_s": round(ordered[int(0.99 * (len(ordered) - 1))], 3),
+        "gap_max_s": round(ordered[-1], 3),
+    }
+
+
+async def _measure(
+    kind: type[Fault], count: int, generator: random.Random
+) -> dict[str, object]:
+    """Lets faults of one kind happen, one after another."""
+    stand = await _start()
+    ledger = ledgers.Ledger()
+    callers = [
+        Caller(number, daemon.port, ledger)
+        for number, daemon in enumerate(stand.daemons)
+    ]
+    await callers[0].query("CREATE TABLE reports (id VARCHAR(20))")
+    tasks = [asyncio.create_task(caller.run()) for caller in callers]
+    gaps = []
+    for _ in range(count):
+        await asyncio.sleep(generator.uniform(*_SETTLE_SECONDS))
+        gaps.append(await _fault(kind, stand, callers))
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+    figures = _figures(gaps) | _audit(stand, ledger, callers)
+    await stand.stop()
+    return figures
+
+
+def _audit(
+    stand: cluster.Stand, ledger: ledgers.Ledger, callers: list[Caller]
+) -> dict[str, object]:
+    result = _primary(stand).engine.run(
+        "SELECT id, COUNT(*) FROM reports GROUP BY id"
+    )
+    audit = ledger.audit({str(key): int(n) for key, n in result.ok.rows})
+    refusals: collections.Counter[str] = collections.Counter()
+    for caller in callers:
+        refusals += caller.refusals
+    return {
+        "promotions": _primary(stand).log.term - 1,
+        "acknowledged": audit.acknowledged,
+        "lost": len(audit.lost),
+        "doubled": len(audit.doubled),
+        "ran_though_refused": len(audit.ran_though_refused),
+        "refusals": dict(refusals),
+    }
+
+
+async def _stall(
+    database: databases.StandInDatabase, generator: random.Random
+) -> None:
+    """Stops a database for short random times."""
+    while True:
+        rest = generator.expovariate(1 / _STALL_REST_SECONDS)
+        await asyncio.sleep(rest)
+        database.paused.clear()
+        await asyncio.sleep(generator.expovariate(1 / _STALL_MEAN_SECONDS))
+        database.paused.set()
+
+
+async def _measure_stalls(
+    detection_ms: int, seconds: int, generator: random.Random
+) -> dict[str, object]:
+    """Counts promotions while nothing fails and databases are slow."""
+    stand = await _start(detection_ms)
+    tasks = [
+        asyncio.create_task(_stall(database, generator))
+        for database in stand.group.databases
+    ]
+    await asyncio.sleep(seconds)
+    for task in tasks:
+        task.cancel()
+    for database in stand.group.databases:
+        database.paused.set()
+    runs = sum(
+        isinstance(recorded.event, events.FailoverStarted)
+        for daemon in stand.daemons
+        for recorded in daemon.time_line.events
+    )
+    promotions = _primary(stand).log.term - 1
+    await stand.stop()
+    return {"seconds": seconds, "runs": runs, "promotions": promotions}
+
+
+async def _main() -> dict[str, object]:
+    seed = _SEED.value
+    generator = random.Random(seed)
+    kinds = (Killed, Silent, CutOff, CutFromProxy, Leaving)
+    report: dict[str, object] = {"seed": seed, "proxies": len(_USERS)}
+    for kind in kinds:
+        name = kind.__name__
+        report[name] = await _measure(kind, _KILLS.value, generator)
+        print(name, json.dumps(report[name]), flush=True)
+    for detection in _DETECTIONS_MS:
+        name = f"stalls, detection {detection} ms"
+        report[name] = await _measure_stalls(
+            detection, _STALLED.value, generator
+        )
+        print(name, json.dumps(report[name]), flush=True)
+    return report
+
+
+def main(argv: Sequence[str]) -> None:
+    """Runs the benchmark and writes its figures."""
+    del argv
+    with logbook.NullHandler().applicationbound():
+        report = asyncio.run(_main())
+    path = pathlib.Path(_OUTPUT.value)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(report, indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- /dev/null
+++ b/benchmarks/group_commit.py
@@ -0,0 +1,116 @@
+"""Measures the wait for a majority: group commit against each on its own.
+
+    python -m benchmarks.group_commit [--seconds=2] [--output=FILE]
+
+Writers append to a stand-in primary's log and wait until a majority holds
+it, over real sockets, in one process on one loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import json
+import pathlib
+import time
+
+from absl import app
+from absl import flags
+import logbook
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import settings as settings_lib
+from hickorygate.core import sheet as sheets
+from hickorygate.testing import database as databases
+from hickorygate.upstreams import confirm
+from hickorygate.upstreams import confirmer as confirmers
+from hickorygate.upstreams import control_link
+
+_SECONDS = flags.DEFINE_float("seconds", 2.0, "For each case.")
+_OUTPUT = flags.DEFINE_string(
+    "output", "benchmarks/results/group_commit.json", "Where the figures go."
+)
+
+_NAMES = ("alert-db-1a", "alert-db-1b", "alert-db-1c")
+_WRITERS = (1, 8, 32)
+
+
+async def _write(
+    database: databases.StandInDatabase,
+    confirmer: confirmers.Confirmer,
+    until: float,
+    waits: list[float],
+    failed: list[float],
+) -> None:
+    while time.monotonic() < until:
+        started = time.monotonic()
+        await database.commit(("SELECT 1",))
+        result = await confirmer.durable()
+        (waits if result.is_ok() else failed).append(time.monotonic() - started)
+
+
+async def _measure(policy: confirm.Policy, writers: int) -> dict[str, object]:
+    group = databases.Group(clocks.SystemClock())
+    members = await group.start(_NAMES)
+    described = sheets.Group(
+        "alert-db-1",
+        ("alerts_1",),
+        tuple(
+            sheets.Database(d.name, "127.0.0.1", d.port, "nl-west-a", 20, 3)
+            for d in members
+        ),
+    )
+    settings = settings_lib.UpstreamSettings()
+    links = {
+        database.name: control_link.ControlLink(database, "bench", settings)
+        for database in described.databases
+    }
+    confirmer = confirmers.Confirmer(
+        described, members[0].name, 1, links, settings, policy
+    )
+    waits: list[float] = []
+    failed: list[float] = []
+    until = time.monotonic() + _SECONDS.value
+    await asyncio.gather(
+        *(
+            _write(members[0], confirmer, until, waits, failed)
+            for _ in range(writers)
+        )
+    )
+    await confirmer.close()
+    for link in links.values():
+        link.close()
+    await group.stop()
+    waits.sort()
+    return {
+        "policy": policy.value,
+        "writers": writers,
+        "writes_a_second": round(len(waits) / _SECONDS.value),
+        "wait_p50_ms": round(1_000 * waits[len(waits) // 2], 2),
+        "wait_p99_ms": round(1_000 * waits[int(0.99 * (len(waits) - 1))], 2),
+        "unconfirmed": len(failed),
+    }
+
+
+async def _main() -> list[dict[str, object]]:
+    report = []
+    for writers in _WRITERS:
+        for policy in confirm.Policy:
+            figures = await _measure(policy, writers)
+            report.append(figures)
+            print(json.dumps(figures), flush=True)
+    return report
+
+
+def main(argv: Sequence[str]) -> None:
+    """Runs the benchmark and writes its figures."""
+    del argv
+    with logbook.NullHandler().applicationbound():
+        report = asyncio.run(_main())
+    path = pathlib.Path(_OUTPUT.value)
+    path.parent.mkdir(parents=True, exist_ok=True)
+    path.write_text(json.dumps(report, indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/hickorygate/upstreams/failover.py
+++ b/hickorygate/upstreams/failover.py
@@ -9,7 +9,6 @@
 
 from __future__ import annotations
 
-import dataclasses
 import datetime
 import functools
 import random
@@ -18,11 +17,13 @@
 from hickorygate.core import position as positions
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
+from hickorygate.upstreams import planned
 from hickorygate.upstreams import run as runs
 from hickorygate.upstreams import steps
 from hickorygate.upstreams import suspicion as suspicions
+from hickorygate.upstreams import timing as timings
 
-__all__ = ["Failover", "Timing", "handle"]
+__all__ = ["Failover", "handle"]
 
 _Effects = list[steps.Effect]
 
@@ -32,34 +33,6 @@
 the start."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Timing:
-    """How long each part of a failover may take.
-
-    Attributes:
-      detection: a majority must be without a primary for this long.
-      rank_delay: each rank begins this much later than the one before.
-      preference: how long a run waits for a majority without the databases
-        that it would rather not promote.
-      settle: between a quiet old primary and the fence of its successor, so
-        that waits for the last writes are answered first.
-      quiet: how long the successor may take to catch up.
-      limit: after which a run is given up.
-      back_off: mean wait after the first run that was given up.
-      readmission: how long a healthy group does without a database that
-        only a new term can bring back.
-    """
-
-    detection: datetime.timedelta
-    rank_delay: datetime.timedelta = datetime.timedelta(milliseconds=200)
-    preference: datetime.timedelta = datetime.timedelta(milliseconds=150)
-    settle: datetime.timedelta = datetime.timedelta(milliseconds=40)
-    quiet: datetime.timedelta = datetime.timedelta(seconds=1)
-    limit: datetime.timedelta = datetime.timedelta(seconds=2)
-    back_off: datetime.timedelta = datetime.timedelta(milliseconds=200)
-    readmission: datetime.timedelta = datetime.timedelta(seconds=5)
-
-
 class Failover:
     """Watches one group and replaces its primary when it must."""
 
@@ -79,7 +52,10 @@
     )
 
     def __init__(
-        self, group: sheets.Group, timing: Timing, generator: random.Random
+        self,
+        group: sheets.Group,
+        timing: timings.Timing,
+        generator: random.Random,
     ) -> None:
         self._group = group
         self._timing = timing
@@ -208,47 +184,14 @@
         reason = self._suspicion.reason(now)
         if reason is not None:
             return self._begin_when_due(reason, runs.Stage.FENCING, now)
-        reason = self._planned_reason(now)
+        reason = planned.reason(
+            self._suspicion, self._group, self._leaving, self._timing, now
+        )
         if reason is not None:
             return self._begin_when_due(reason, runs.Stage.QUIESCING, now)
         self._reason_since = None
         return []
 
-    def _planned_reason(self, now: datetime.datetime) -> str | None:
-        """Tells why a healthy primary should be replaced."""
-        primary = self._suspicion.primary
-        if primary is None or not primary.answers or primary.fenced_off:
-            return None
-        if primary.status.database in self._leaving:
-            return "primary leaves" if self._successors(primary) else None
-        stranded = any(self._stranded(w, primary, now) for w in self._others())
-        return "a database needs a new term" if stranded else None
-
-    def _successors(self, primary: suspicions.Watched) -> bool:
-        """Whether enough replicas that stay are close behind the primary."""
-        near = [
-            w
-            for w in self._others()
-            if w.answers
-            and w.status.term == w.status.log_term == primary.status.term
-            and w.status.primary_silence < self._timing.detection / 2
-            and w.status.database not in self._leaving
-        ]
-        return 1 + len(near) >= self._group.majority
-
-    def _stranded(
-        self,
-        watched: suspicions.Watched,
-        primary: suspicions.Watched,
-        now: datetime.datetime,
-    ) -> bool:
-        """Whether only a new term can bring a database back."""
-        if not watched.answers or watched.alone_since is None:
-            return False
-        above = watched.status.fenced > primary.status.term
-        long = now - watched.alone_since >= self._timing.readmission
-        return long and (above or watched.blank)
-
     def _begin_when_due(
         self, reason: str, stage: runs.Stage, now: datetime.datetime
     ) -> _Effects:
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -18,13 +18,13 @@
 from hickorygate.upstreams import confirmer as confirmers
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
-from hickorygate.upstreams import failover
 from hickorygate.upstreams import group as groups
 from hickorygate.upstreams import pool as pools
 from hickorygate.upstreams import probe as probes
 from hickorygate.upstreams import rounds
 from hickorygate.upstreams import runner as runners
 from hickorygate.upstreams import slots
+from hickorygate.upstreams import timing as timings
 
 __all__ = ["DatabaseLink", "GroupLink"]
 
@@ -118,7 +118,7 @@
             group,
             controls,
             self._prober,
-            failover.Timing(detection=settings.detection_time),
+            timings.Timing(detection=settings.detection_time),
             clock,
             time_line,
             generator,
--- a/hickorygate/upstreams/runner.py
+++ b/hickorygate/upstreams/runner.py
@@ -24,6 +24,7 @@
 from hickorygate.upstreams import owners
 from hickorygate.upstreams import probe as probes
 from hickorygate.upstreams import steps
+from hickorygate.upstreams import timing as timings
 
 __all__ = ["Live", "Runner"]
 
@@ -53,7 +54,7 @@
         group: sheets.Group,
         controls: Mapping[types.DatabaseName, control_link.ControlLink],
         prober: probes.Prober,
-        timing: failover.Timing,
+        timing: timings.Timing,
         clock: clocks.Clock,
         time_line: events.TimeLine,
         generator: random.Random,
--- a/properties/group_world.py
+++ b/properties/group_world.py
@@ -19,12 +19,13 @@
 from hickorygate.upstreams import confirm
 from hickorygate.upstreams import failover
 from hickorygate.upstreams import steps
+from hickorygate.upstreams import timing as timings
 
 __all__ = ["Packet", "Probe", "Proxy", "Wait", "World", "Write"]
 
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _DETECTION = datetime.timedelta(milliseconds=100)
-_TIMING = failover.Timing(
+_TIMING = timings.Timing(
     detection=_DETECTION,
     rank_delay=datetime.timedelta(0),
     readmission=datetime.timedelta(milliseconds=300),
