Free writers of an unreachable primary; hurry probes while one waits

Change: waits of a former primary that no probe reaches are given up once its successor is seen; probes stay fast while anybody waits; a refused write makes the proxy look at once.

--- a/hickorygate/callers/writing.py
+++ b/hickorygate/callers/writing.py
@@ -94,9 +94,18 @@
         else:
             result = await self._run_keyed(link, work)
         if result.is_error():
+            self._note_refusal(primary.ok, result.error)
             return result
         return await self.durable(primary.ok, result)
 
+    def _note_refusal(
+        self, primary: positions.DatabaseStatus, failure: errors.Failure
+    ) -> None:
+        """A primary that refuses may have been replaced: looks at once."""
+        match failure:
+            case errors.UpstreamError(refused=True):
+                self._group.doubt(primary.database)
+
     async def _run_keyed(
         self, link: links.DatabaseLink, work: works.Work
     ) -> handlers.AnswerResult:
--- a/hickorygate/upstreams/confirmer.py
+++ b/hickorygate/upstreams/confirmer.py
@@ -106,12 +106,17 @@
 
     async def close(self) -> None:
         """Ends all waits; their writes stay unconfirmed."""
-        for ticket in tuple(self._waiting):
-            self.settle(ticket, self._unconfirmed())
+        self.give_up()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def give_up(self) -> None:
+        """Answers all writes that wait: they stay unconfirmed."""
+        for ticket in tuple(self._waiting):
+            self.fail(ticket)
+            self._take(confirm.WriteAbandoned(ticket))
+
     def settle(self, ticket: int, result: DurableResult) -> None:
         """Answers the caller that waits on a ticket."""
         future = self._waiting.pop(ticket, None)
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -164,9 +164,13 @@
         self._runner.probe_lost(name)
 
     def primary_replaced(self, former: types.DatabaseName) -> None:
-        """Frees the callers that wait for a former primary's answer."""
-        if former not in {s.status.database for s in self._view.sightings}:
-            self._links[former].pool.drop_connections()
+        """Frees the callers that wait for an unreachable former primary."""
+        if former in {s.status.database for s in self._view.sightings}:
+            return
+        self._links[former].pool.drop_connections()
+        confirmer = self._confirmer
+        if confirmer is not None and confirmer.primary == former:
+            confirmer.give_up()
 
     def writable(self) -> groups.WritableResult:
         """Returns the primary if a majority was lately seen in its term."""
--- a/hickorygate/upstreams/probe.py
+++ b/hickorygate/upstreams/probe.py
@@ -56,16 +56,17 @@
     """Asks each database for its status, and faster while it is awaited."""
 
     __slots__ = (
-        "_awaited",
         "_changed",
         "_clock",
         "_controls",
+        "_hurried",
         "_listener",
         "_primary",
         "_settings",
         "_tasks",
         "_time_line",
         "_view",
+        "_waiters",
     )
 
     def __init__(
@@ -82,7 +83,8 @@
         self._clock = clock
         self._time_line = time_line
         self._changed = asyncio.Event()
-        self._awaited = asyncio.Event()
+        self._hurried = asyncio.Event()
+        self._waiters = 0
         self._listener: Listener = _Nobody()
         self._primary: positions.DatabaseStatus | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -117,7 +119,8 @@
 
     def hurry(self) -> None:
         """Asks all databases again soon."""
-        self._awaited.set()
+        self._hurried.set()
+        self._hurried = asyncio.Event()
 
     async def wait_until(
         self,
@@ -126,14 +129,19 @@
     ) -> groups.WritableResult:
         """Probes faster until the condition holds or the time is over."""
         result = condition()
+        if result.is_ok():
+            return result
+        self._waiters += 1
+        self.hurry()
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 while result.is_error():
-                    self.hurry()
                     await self._changed.wait()
                     result = condition()
         except TimeoutError:
             return result
+        finally:
+            self._waiters -= 1
         return result
 
     def doubt(self, name: types.DatabaseName) -> None:
@@ -184,10 +192,11 @@
     async def _rest(self) -> None:
         """Waits for the next probe; a shorter time while it is awaited."""
         await self._clock.sleep(_HURRIED_PERIOD)
-        self._awaited.clear()
+        if self._waiters:
+            return
         rest = self._settings.probe_period - _HURRIED_PERIOD
         try:
             async with asyncio.timeout(max(rest.total_seconds(), 0)):
-                await self._awaited.wait()
+                await self._hurried.wait()
         except TimeoutError:
             return
