--- a/benchmarks/group_commit.py
+++ b/benchmarks/group_commit.py
@@ -10,6 +10,7 @@
 
 import asyncio
 from collections.abc import Sequence
+import datetime
 import json
 import pathlib
 import time
@@ -19,6 +20,7 @@
 import logbook
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import position as positions
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.testing import database as databases
@@ -49,8 +51,13 @@
         (waits if result.is_ok() else failed).append(time.monotonic() - started)
 
 
+def _ignore(status: positions.DatabaseStatus, asked: datetime.datetime) -> None:
+    """Needs no view of the group."""
+
+
 async def _measure(policy: confirm.Policy, writers: int) -> dict[str, object]:
-    group = databases.Group(clocks.SystemClock())
+    clock = clocks.SystemClock()
+    group = databases.Group(clock)
     members = await group.start(_NAMES)
     described = sheets.Group(
         "alert-db-1",
@@ -66,7 +73,14 @@
         for database in described.databases
     }
     confirmer = confirmers.Confirmer(
-        described, members[0].name, 1, links, settings, policy
+        described,
+        members[0].name,
+        1,
+        links,
+        settings,
+        clock,
+        _ignore,
+        policy,
     )
     waits: list[float] = []
     failed: list[float] = []
