--- a/hickorygate/upstreams/confirmer.py
+++ b/hickorygate/upstreams/confirmer.py
@@ -17,6 +17,7 @@
 from hickorygate.core import position as positions
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
+from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.upstreams import confirm
 from hickorygate.upstreams import control
@@ -145,7 +146,7 @@
             _apply(effect, self)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
+        task = tasks.start(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/hickorygate/upstreams/probe.py
+++ b/hickorygate/upstreams/probe.py
@@ -15,6 +15,7 @@
 from hickorygate.core import events
 from hickorygate.core import position as positions
 from hickorygate.core import settings as settings_lib
+from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
@@ -96,7 +97,7 @@
         """Starts one task a database; the listener hears what they learn."""
         self._listener = listener
         self._tasks = [
-            asyncio.create_task(self._probe(name)) for name in self._controls
+            tasks.start(self._probe(name)) for name in self._controls
         ]
 
     async def close(self) -> None:
--- a/hickorygate/upstreams/runner.py
+++ b/hickorygate/upstreams/runner.py
@@ -17,6 +17,7 @@
 from hickorygate.core import events
 from hickorygate.core import position as positions
 from hickorygate.core import sheet as sheets
+from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
@@ -80,7 +81,7 @@
 
     def start(self) -> None:
         """Begins to watch."""
-        self._task = asyncio.create_task(self._watch())
+        self._task = tasks.start(self._watch())
 
     async def close(self) -> None:
         """Stops; a run that is under way is left to another proxy."""
@@ -109,7 +110,7 @@
 
     def call(self, call: steps.Call) -> None:
         """Starts a call to a database."""
-        task = asyncio.create_task(self._call(call))
+        task = tasks.start(self._call(call))
         self._calls.add(task)
         task.add_done_callback(self._calls.discard)
 
