--- a/hickorygate/testing/platform.py
+++ b/hickorygate/testing/platform.py
@@ -11,6 +11,7 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import datetime
 import enum
@@ -77,7 +78,7 @@
         app.router.add_get("/v1/objects/{kind}/{name}", self._get)
         app.router.add_put("/v1/objects/{kind}/{name}", self._put)
         app.router.add_get("/v1/instances", self._get)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.1)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.1, access_log=None)
         await self._runner.setup()
         await web.TCPSite(self._runner, host, port).start()
 
@@ -86,9 +87,14 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
-    def set_instances(self, instances: list[object]) -> None:
-        """Replaces the list of live and leaving instances."""
-        self._put_object(_INSTANCES, {"instances": instances})
+    def set_instances(self, instances: Sequence[object]) -> int:
+        """Replaces the list of live and leaving instances.
+
+        Returns:
+          The list's new version.
+        """
+        self._put_object(_INSTANCES, {"instances": list(instances)})
+        return self._version
 
     def fail_next(self, *faults: Fault) -> None:
         """Makes the next calls fail, one fault a call."""
