Give the at-most-once property's group the call that writing now makes

Cause: a refused write makes the proxy ask the group again (GroupLink.doubt); the property's stand-in for the group lacked the method and failed with an AttributeError. The method does nothing there; no check changed.

--- a/properties/test_at_most_once.py
+++ b/properties/test_at_most_once.py
@@ -170,6 +170,9 @@
             return expression.Error(errors.NoPrimary("g"))
         return expression.Ok(_primary())
 
+    def doubt(self, name: str) -> None:
+        """The primary refused; this one has nothing to look up."""
+
     async def durable(
         self, name: str, term: int
     ) -> expression.Result[positions.Position, errors.Failure]:
