--- a/hickorygate/upstreams/confirmer.py
+++ b/hickorygate/upstreams/confirmer.py
@@ -17,6 +17,7 @@
 from hickorygate.core import position as positions
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
+from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.upstreams import confirm
 from hickorygate.upstreams import control
@@ -106,12 +107,17 @@
 
     async def close(self) -> None:
         """Ends all waits; their writes stay unconfirmed."""
-        for ticket in tuple(self._waiting):
-            self.settle(ticket, self._unconfirmed())
+        self.give_up()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    def give_up(self) -> None:
+        """Answers all writes that wait: they stay unconfirmed."""
+        for ticket in tuple(self._waiting):
+            self.fail(ticket)
+            self._take(confirm.WriteAbandoned(ticket))
+
     def settle(self, ticket: int, result: DurableResult) -> None:
         """Answers the caller that waits on a ticket."""
         future = self._waiting.pop(ticket, None)
@@ -140,7 +146,7 @@
             _apply(effect, self)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = asyncio.create_task(work)
+        task = tasks.start(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -18,13 +18,13 @@
 from hickorygate.upstreams import confirmer as confirmers
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
-from hickorygate.upstreams import failover
 from hickorygate.upstreams import group as groups
 from hickorygate.upstreams import pool as pools
 from hickorygate.upstreams import probe as probes
 from hickorygate.upstreams import rounds
 from hickorygate.upstreams import runner as runners
 from hickorygate.upstreams import slots
+from hickorygate.upstreams import timing as timings
 
 __all__ = ["DatabaseLink", "GroupLink"]
 
@@ -118,7 +118,7 @@
             group,
             controls,
             self._prober,
-            failover.Timing(detection=settings.detection_time),
+            timings.Timing(detection=settings.detection_time),
             clock,
             time_line,
             generator,
@@ -164,9 +164,13 @@
         self._runner.probe_lost(name)
 
     def primary_replaced(self, former: types.DatabaseName) -> None:
-        """Frees the callers that wait for a former primary's answer."""
-        if former not in {s.status.database for s in self._view.sightings}:
-            self._links[former].pool.drop_connections()
+        """Frees the callers that wait for an unreachable former primary."""
+        if former in {s.status.database for s in self._view.sightings}:
+            return
+        self._links[former].pool.drop_connections()
+        confirmer = self._confirmer
+        if confirmer is not None and confirmer.primary == former:
+            confirmer.give_up()
 
     def writable(self) -> groups.WritableResult:
         """Returns the primary if a majority was lately seen in its term."""
--- a/hickorygate/upstreams/probe.py
+++ b/hickorygate/upstreams/probe.py
@@ -15,6 +15,7 @@
 from hickorygate.core import events
 from hickorygate.core import position as positions
 from hickorygate.core import settings as settings_lib
+from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
@@ -56,16 +57,17 @@
     """Asks each database for its status, and faster while it is awaited."""
 
     __slots__ = (
-        "_awaited",
         "_changed",
         "_clock",
         "_controls",
+        "_hurried",
         "_listener",
         "_primary",
         "_settings",
         "_tasks",
         "_time_line",
         "_view",
+        "_waiters",
     )
 
     def __init__(
@@ -82,7 +84,8 @@
         self._clock = clock
         self._time_line = time_line
         self._changed = asyncio.Event()
-        self._awaited = asyncio.Event()
+        self._hurried = asyncio.Event()
+        self._waiters = 0
         self._listener: Listener = _Nobody()
         self._primary: positions.DatabaseStatus | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -94,7 +97,7 @@
         """Starts one task a database; the listener hears what they learn."""
         self._listener = listener
         self._tasks = [
-            asyncio.create_task(self._probe(name)) for name in self._controls
+            tasks.start(self._probe(name)) for name in self._controls
         ]
 
     async def close(self) -> None:
@@ -117,7 +120,8 @@
 
     def hurry(self) -> None:
         """Asks all databases again soon."""
-        self._awaited.set()
+        self._hurried.set()
+        self._hurried = asyncio.Event()
 
     async def wait_until(
         self,
@@ -126,14 +130,19 @@
     ) -> groups.WritableResult:
         """Probes faster until the condition holds or the time is over."""
         result = condition()
+        if result.is_ok():
+            return result
+        self._waiters += 1
+        self.hurry()
         try:
             async with asyncio.timeout(timeout.total_seconds()):
                 while result.is_error():
-                    self.hurry()
                     await self._changed.wait()
                     result = condition()
         except TimeoutError:
             return result
+        finally:
+            self._waiters -= 1
         return result
 
     def doubt(self, name: types.DatabaseName) -> None:
@@ -184,10 +193,11 @@
     async def _rest(self) -> None:
         """Waits for the next probe; a shorter time while it is awaited."""
         await self._clock.sleep(_HURRIED_PERIOD)
-        self._awaited.clear()
+        if self._waiters:
+            return
         rest = self._settings.probe_period - _HURRIED_PERIOD
         try:
             async with asyncio.timeout(max(rest.total_seconds(), 0)):
-                await self._awaited.wait()
+                await self._hurried.wait()
         except TimeoutError:
             return
