Offer a slot to the other proxies also where nothing waits here

Cause: a proxy whose one caller works at a steady pace used its slot each 27 ms, never let it lie idle for 50 ms, and asked whether others wait only when another request of its own was waiting. With three slots and five proxies, two proxies got no service. Ruled out: priority (all of one rank) and the connection limit (10 places, 5 used). Besides, an effect on a channel whose connection had just been lost raised KeyError in a callback. Change: a returned slot is offered once it was held for its turn, always; effects on a lost connection do nothing; runner, confirmer and probe use core/background.py.

--- a/hickorygate/upstreams/confirmer.py
+++ b/hickorygate/upstreams/confirmer.py
@@ -12,12 +12,12 @@
 
 import expression
 
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import position as positions
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
-from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.upstreams import confirm
 from hickorygate.upstreams import control
@@ -39,6 +39,7 @@
     """Confirms the writes of one primary under one term."""
 
     __slots__ = (
+        "_background",
         "_clock",
         "_confirmation",
         "_group",
@@ -46,7 +47,6 @@
         "_observe",
         "_primary",
         "_settings",
-        "_tasks",
         "_tickets",
         "_waiting",
     )
@@ -74,7 +74,7 @@
         )
         self._tickets = itertools.count()
         self._waiting: dict[int, asyncio.Future[DurableResult]] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = background.Background()
 
     @property
     def term(self) -> types.Term:
@@ -108,9 +108,7 @@
     async def close(self) -> None:
         """Ends all waits; their writes stay unconfirmed."""
         self.give_up()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.close()
 
     def give_up(self) -> None:
         """Answers all writes that wait: they stay unconfirmed."""
@@ -146,9 +144,7 @@
             _apply(effect, self)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
-        task = tasks.start(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._background.start(work)
 
     async def _read(self) -> None:
         asked = self._clock.now()
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 from collections.abc import Coroutine
 import dataclasses
 import datetime
@@ -33,6 +34,11 @@
 
 __all__ = ["LeaseResult", "Pool"]
 
+Ask = Callable[
+    [connections.Connection], Coroutine[None, None, locks.SlotResult]
+]
+"""Asks for a slot on a connection."""
+
 LeaseResult = expression.Result[connections.Connection, errors.Failure]
 
 _QUEUE_WAIT = datetime.timedelta(milliseconds=500)
@@ -330,6 +336,16 @@
             return expression.Error(_before_work(entered.error))
         return expression.Ok(connection)
 
+    def _seek_slot(self, channel: int, ask: Ask) -> None:
+        """Asks for a slot on a channel's connection, if it still has one.
+
+        One that was just lost is about to be told to the keeper.
+        """
+        connection = self._connections.get(channel)
+        if connection is not None:
+            work = self._seek(channel, connection, ask(connection))
+            self._background.start(work)
+
     async def _seek(
         self,
         channel: int,
@@ -391,33 +407,40 @@
 
 @_perform.register
 def _(effect: events.Try, pool: Pool) -> None:
-    connection = pool._connections[effect.channel]
-    timeout = pool._settings.probe_timeout
-    work = locks.take_any(connection, effect.slots, timeout)
-    pool._background.start(pool._seek(effect.channel, connection, work))
+    pool._seek_slot(
+        effect.channel,
+        lambda connection: locks.take_any(
+            connection, effect.slots, pool._settings.probe_timeout
+        ),
+    )
 
 
 @_perform.register
 def _(effect: events.Await, pool: Pool) -> None:
-    connection = pool._connections[effect.channel]
-    timeout = pool._settings.probe_timeout
-    work = locks.queue(connection, effect, _QUEUE_WAIT, timeout)
-    pool._background.start(pool._seek(effect.channel, connection, work))
+    pool._seek_slot(
+        effect.channel,
+        lambda connection: locks.queue(
+            connection, effect, _QUEUE_WAIT, pool._settings.probe_timeout
+        ),
+    )
 
 
 @_perform.register
 def _(effect: events.Yield, pool: Pool) -> None:
-    connection = pool._connections[effect.channel]
-    timeout = pool._settings.probe_timeout
-    work = locks.swap(connection, effect.slot, timeout)
-    pool._background.start(pool._seek(effect.channel, connection, work))
+    pool._seek_slot(
+        effect.channel,
+        lambda connection: locks.swap(
+            connection, effect.slot, pool._settings.probe_timeout
+        ),
+    )
 
 
 @_perform.register
 def _(effect: events.Release, pool: Pool) -> None:
-    connection = pool._connections[effect.channel]
-    work = pool._release(effect.channel, connection, effect.slot)
-    pool._background.start(work)
+    connection = pool._connections.get(effect.channel)
+    if connection is not None:
+        work = pool._release(effect.channel, connection, effect.slot)
+        pool._background.start(work)
 
 
 @_perform.register
--- a/hickorygate/upstreams/probe.py
+++ b/hickorygate/upstreams/probe.py
@@ -10,12 +10,12 @@
 
 import expression
 
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import position as positions
 from hickorygate.core import settings as settings_lib
-from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
@@ -57,6 +57,7 @@
     """Asks each database for its status, and faster while it is awaited."""
 
     __slots__ = (
+        "_background",
         "_changed",
         "_clock",
         "_controls",
@@ -64,7 +65,6 @@
         "_listener",
         "_primary",
         "_settings",
-        "_tasks",
         "_time_line",
         "_view",
         "_waiters",
@@ -88,7 +88,7 @@
         self._waiters = 0
         self._listener: Listener = _Nobody()
         self._primary: positions.DatabaseStatus | None = None
-        self._tasks: list[asyncio.Task[None]] = []
+        self._background = background.Background()
 
     def __repr__(self) -> str:
         return f"Prober({self._view!r})"
@@ -96,15 +96,12 @@
     def start(self, listener: Listener) -> None:
         """Starts one task a database; the listener hears what they learn."""
         self._listener = listener
-        self._tasks = [
-            tasks.start(self._probe(name)) for name in self._controls
-        ]
+        for name in self._controls:
+            self._background.start(self._probe(name))
 
     async def close(self) -> None:
         """Stops the tasks."""
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.close()
 
     async def refresh(self, name: types.DatabaseName) -> control.StatusResult:
         """Asks one database for its status and takes it into the view."""
--- a/hickorygate/upstreams/runner.py
+++ b/hickorygate/upstreams/runner.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
@@ -12,13 +11,13 @@
 
 import expression
 
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import position as positions
 from hickorygate.core import rendezvous
 from hickorygate.core import sheet as sheets
-from hickorygate.core import task as tasks
 from hickorygate.core import types
 from hickorygate.upstreams import control
 from hickorygate.upstreams import control_link
@@ -39,14 +38,13 @@
     """Watches one group and replaces its primary."""
 
     __slots__ = (
-        "_calls",
+        "_background",
         "_clock",
         "_controls",
         "_failover",
         "_group",
         "_live",
         "_prober",
-        "_task",
         "_time_line",
     )
 
@@ -68,8 +66,7 @@
         self._prober = prober
         self._clock = clock
         self._time_line = time_line
-        self._calls: set[asyncio.Task[None]] = set()
-        self._task: asyncio.Task[None] | None = None
+        self._background = background.Background()
 
     @property
     def holds_writes(self) -> bool:
@@ -81,16 +78,11 @@
 
     def start(self) -> None:
         """Begins to watch."""
-        self._task = tasks.start(self._watch())
+        self._background.start(self._watch())
 
     async def close(self) -> None:
         """Stops; a run that is under way is left to another proxy."""
-        tasks = set(self._calls)
-        if self._task is not None:
-            tasks.add(self._task)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await self._background.close()
 
     def status_seen(self, status: positions.DatabaseStatus) -> None:
         """Takes in an answered probe."""
@@ -110,9 +102,7 @@
 
     def call(self, call: steps.Call) -> None:
         """Starts a call to a database."""
-        task = tasks.start(self._call(call))
-        self._calls.add(task)
-        task.add_done_callback(self._calls.discard)
+        self._background.start(self._call(call))
 
     def _take(self, event: steps.Event) -> None:
         now = self._clock.now()
--- a/hickorygate/upstreams/slots.py
+++ b/hickorygate/upstreams/slots.py
@@ -400,7 +400,9 @@
     assert slot is not None and since is not None, "it was lent"
     if keeper._left:
         yield keeper._close(channel)
-    elif keeper._demand.waiting and now - since >= keeper._turn(channel):
+    elif now - since >= keeper._turn(channel):
+        # Also where nothing waits here: work that comes at a steady pace
+        # would otherwise keep the slot from the other proxies for good.
         channel.enter(Phase.ASKING, slot)
         yield events.Yield(channel.number, slot)
     else:
