Take in progress that an answer shows, though it was asked for earlier

Cause: the answer to a wait for a position was asked for before the last probe, so the view dropped it as old, and the replica that had just confirmed a write still counted as behind the session's floor. Change: under one term and boot a status with more received, applied or fenced was computed later, so it replaces the known one and keeps its time.

--- a/hickorygate/tests/test_group.py
+++ b/hickorygate/tests/test_group.py
@@ -103,6 +103,25 @@
             self.view.staleness("b", _at(4)), datetime.timedelta(seconds=3)
         )
 
+    def test_a_late_answer_that_shows_progress_counts(self) -> None:
+        self.see("b", 2, received=5)
+        self.see("b", 1, received=7)
+        (sighting,) = self.view.sightings
+        self.assertEqual(sighting.status.received, 7)
+        self.assertEqual(sighting.asked, _at(2))
+
+    def test_a_late_answer_without_progress_changes_nothing(self) -> None:
+        self.see("b", 2, received=5)
+        self.see("b", 1, received=4)
+        (sighting,) = self.view.sightings
+        self.assertEqual(sighting.status.received, 5)
+
+    def test_a_late_answer_of_another_term_changes_nothing(self) -> None:
+        self.see("b", 2, received=5, term=2, fenced=2)
+        self.see("b", 1, received=7, term=1)
+        (sighting,) = self.view.sightings
+        self.assertEqual(sighting.status.term, 2)
+
     def test_a_leaving_replica_gets_no_reads(self) -> None:
         self.see("a", 1, received=5)
         self.see("b", 1, received=5)
--- a/hickorygate/upstreams/group.py
+++ b/hickorygate/upstreams/group.py
@@ -112,7 +112,10 @@
         status = sighting.status
         known = self._sightings.get(status.database)
         if known is not None and known.asked > sighting.asked:
-            return
+            if not _computed_later(status, known.status):
+                return
+            # It was computed after the known one, so after that was asked.
+            sighting = dataclasses.replace(sighting, asked=known.asked)
         self._sightings[status.database] = sighting
         self._term = max(self._term, status.term)
         if status.role is positions.Role.PRIMARY:
@@ -203,3 +206,20 @@
     def _current(self, status: positions.DatabaseStatus) -> bool:
         """Whether a database knows of no newer term than the view's."""
         return status.term == self._term and status.fenced <= self._term
+
+
+def _computed_later(
+    status: positions.DatabaseStatus, known: positions.DatabaseStatus
+) -> bool:
+    """Tells whether a status shows progress beyond another of one term.
+
+    An answer that waited for a position was asked for long before it was
+    computed. What a database holds only grows under one term and boot.
+    """
+    if (status.boot, status.term) != (known.boot, known.term):
+        return False
+    progress = (status.received, status.applied, status.fenced)
+    before = (known.received, known.applied, known.fenced)
+    return progress != before and all(
+        now >= then for now, then in zip(progress, before, strict=True)
+    )
