Let a changed sheet cut no request; stop a proxy as planned

Cause: a sheet that changed a group closed its link at once, and writes that waited for a majority were told unknown, each morning that a limit changed; another number of proxies changed nothing; a planned stop of a proxy was checked and then ignored. Change: a replaced link ends once its work is done, or after the drain limit; another number of proxies rebuilds the links; a proxy drains at its planned time, unless it began after it.

--- a/benchmarks/replica_share.py
+++ b/benchmarks/replica_share.py
@@ -57,14 +57,15 @@
 
     async def run(self, until: float) -> None:
         """Sends work until the loop's time says to stop."""
-        await self._connect()
+        await self.connect()
         loop = asyncio.get_running_loop()
         while loop.time() < until:
             await self._step()
             await asyncio.sleep(_PAUSE_SECONDS)
         await self._connection.ensure_closed()
 
-    async def _connect(self) -> None:
+    async def connect(self) -> None:
+        """Connects to any proxy."""
         daemon = self._rng.choice(self._stand.daemons)
         self._connection = await asyncmy.connect(
             host="127.0.0.1",
@@ -80,25 +81,25 @@
         if draw < _REFUND_SHARE:
             await self._refund()
         elif draw < _REFUND_SHARE + _HISTORY_SHARE:
-            await self._query(_HISTORY)
+            await self.query(_HISTORY)
         else:
-            await self._query(_STOCK)
+            await self.query(_STOCK)
         if self._rng.random() < _MOVE_SHARE:
             await self._move()
 
     async def _refund(self) -> None:
         self.refunds += 1
         key = f"'{self._number}-{self.refunds}'"
-        await self._query(f"INSERT INTO refunds VALUES ({key}, 7)")
-        self.unseen += not await self._query(_OWN + key)
+        await self.query(f"INSERT INTO refunds VALUES ({key}, 7)")
+        self.unseen += not await self.query(_OWN + key)
 
     async def _move(self) -> None:
-        ((token,),) = await self._query("SELECT @@hickorygate_token")
+        ((token,),) = await self.query("SELECT @@hickorygate_token")
         await self._connection.ensure_closed()
-        await self._connect()
-        await self._query(f"SET hickorygate_token = '{token}'")
+        await self.connect()
+        await self.query(f"SET hickorygate_token = '{token}'")
 
-    async def _query(self, sql: str) -> tuple[tuple[object, ...], ...]:
+    async def query(self, sql: str) -> tuple[tuple[object, ...], ...]:
         """Sends a statement again until it isn't refused."""
         begun = asyncio.get_running_loop().time()
         cursor = self._connection.cursor()
@@ -120,8 +121,8 @@
     for database in stand.group.databases:
         database.lag = datetime.timedelta(milliseconds=_LAG_MS.value)
     cafes = [Cafe(stand, number, rng) for number in range(_CALLERS.value)]
-    await cafes[0]._connect()  # noqa: SLF001 - same module
-    await cafes[0]._query("CREATE TABLE refunds (id VARCHAR(20), cup INT)")  # noqa: SLF001
+    await cafes[0].connect()
+    await cafes[0].query("CREATE TABLE refunds (id VARCHAR(20), cup INT)")
     await asyncio.sleep(1)
     for daemon in stand.daemons:
         daemon.recorder.reads.clear()
--- /dev/null
+++ b/benchmarks/store_outage.py
@@ -0,0 +1,123 @@
+"""A store that is down: what callers notice, and a failover meanwhile.
+
+    python -m benchmarks.store_outage --seconds=600
+
+Callers write through four proxies. The platform's object API answers nothing
+from the start; in the middle the primary is killed. A write that fails
+outside the failover's gap counts as failed for the store.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import json
+
+from absl import app
+from absl import flags
+import asyncmy
+import logbook
+
+from hickorygate.testing import cluster
+
+_SECONDS = flags.DEFINE_integer("seconds", 600, "How long the store is down.")
+
+_PROXIES = 4
+_SETTLE = datetime.timedelta(seconds=30)
+_PAUSE_SECONDS = 0.1
+_GAP_TARGET_SECONDS = 2.0
+
+
+class Writer:
+    """One caller that writes numbered rows."""
+
+    def __init__(self, stand: cluster.Stand, number: int) -> None:
+        self._stand = stand
+        self._number = number
+        self._connection: asyncmy.Connection | None = None
+        self.acknowledged: list[float] = []
+        self.failed: list[float] = []
+
+    async def run(self, until: float) -> None:
+        """Writes until the loop's time says to stop."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            begun = loop.time()
+            try:
+                await self._write()
+                self.acknowledged.append(loop.time())
+            except asyncmy.errors.MySQLError:
+                self.failed.append(begun)
+                self._connection = None
+            await asyncio.sleep(_PAUSE_SECONDS)
+
+    async def _write(self) -> None:
+        if self._connection is None:
+            daemon = self._stand.daemons[self._number]
+            self._connection = await asyncmy.connect(
+                host="127.0.0.1",
+                port=daemon.port,
+                user=cluster.USER,
+                password=cluster.PASSWORD,
+                database="alerts_1",
+                autocommit=None,
+            )
+        row = len(self.acknowledged) + len(self.failed)
+        await self._connection.cursor().execute(
+            f"INSERT INTO rows_written VALUES ('{self._number}-{row}')"
+        )
+
+
+def _gap(writer: Writer, killed: float) -> float:
+    """Returns the longest time without a write around the kill."""
+    times = writer.acknowledged
+    before = max(time for time in times if time <= killed)
+    after = min(time for time in times if time > killed)
+    return after - before
+
+
+async def _measure() -> dict[str, object]:
+    stand = await cluster.start(_PROXIES)
+    await stand.wait_until_ready(_SETTLE)
+    writers = [Writer(stand, number) for number in range(_PROXIES)]
+    loop = asyncio.get_running_loop()
+    connection = await asyncmy.connect(
+        host="127.0.0.1",
+        port=stand.daemons[0].port,
+        user=cluster.USER,
+        password=cluster.PASSWORD,
+        database="alerts_1",
+        autocommit=None,
+    )
+    await connection.cursor().execute("CREATE TABLE rows_written (id TEXT)")
+    stand.platform.down = True
+    until = loop.time() + _SECONDS.value
+    tasks = [asyncio.create_task(w.run(until)) for w in writers]
+    await asyncio.sleep(_SECONDS.value / 2)
+    killed = loop.time()
+    await stand.primary.stop()
+    await asyncio.gather(*tasks)
+    gap = max(_gap(writer, killed) for writer in writers)
+    failed = [time for writer in writers for time in writer.failed]
+    around = [t for t in failed if killed - gap <= t <= killed + gap]
+    figures = {
+        "seconds": _SECONDS.value,
+        "acknowledged": sum(len(w.acknowledged) for w in writers),
+        "failed_around_the_kill": len(around),
+        "failed_otherwise": len(failed) - len(around),
+        "failover_gap_s": round(gap, 3),
+        "gap_target_s": _GAP_TARGET_SECONDS,
+    }
+    await stand.stop()
+    return figures
+
+
+def main(argv: list[str]) -> None:
+    """Measures and prints one JSON object."""
+    del argv
+    with logbook.NullHandler().applicationbound():
+        print(json.dumps(asyncio.run(_measure()), indent=2))
+
+
+if __name__ == "__main__":
+    app.run(main)
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import datetime
 import random
 
 import expression
@@ -12,6 +13,7 @@
 from hickorygate.callers import environment as environments
 from hickorygate.callers import frontend
 from hickorygate.callers import server as servers
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
@@ -30,6 +32,8 @@
 
 VERSION = "0.1.0"
 
+_RETIRE_POLL = datetime.timedelta(milliseconds=100)
+
 
 class Daemon:
     """A proxy: callers in front, databases behind, proxies beside it."""
@@ -61,6 +65,10 @@
         self._recorder = recorders.Recorder(self._time_line)
         self._server = self._build_server()
         self._crashed = False
+        self._background = background.Background()
+        self._began = clock.now()
+        self._planned: asyncio.Task[None] | None = None
+        self._proxies = 0
         self._admin = admin.Admin(self, settings.admin)
         self._drain: asyncio.Task[None] | None = None
         self._drained = asyncio.Event()
@@ -171,7 +179,7 @@
         """Begins a graceful shutdown; `drained` tells when it is done."""
         if self._drain is None:
             self._time_line.record(events.ProcessDraining())
-            self._drain = asyncio.create_task(self._finish_work())
+            self._drain = self._background.start(self._finish_work())
 
     async def drained(self) -> None:
         """Waits until someone asked for a shutdown and all work is done."""
@@ -179,9 +187,7 @@
 
     async def close(self) -> None:
         """Stops all parts."""
-        if self._drain is not None:
-            self._drain.cancel()
-            await asyncio.gather(self._drain, return_exceptions=True)
+        await self._background.close()
         await self._keeper.close()
         await self._admin.close()
         await self._server.close()
@@ -192,17 +198,52 @@
     async def apply(self, sheet: sheets.Sheet) -> None:
         """Builds the links that a sheet asks for."""
         old, self._groups = self._groups, {}
+        if sheet.proxies != self._proxies:
+            old, replaced = {}, tuple(old.values())
+        else:
+            replaced = ()
+        self._proxies = sheet.proxies
         for service in sheet.services:
             for group in service.groups:
                 self._groups[group.name] = self._kept(old, group, sheet)
-        for group_link in old.values():
-            await group_link.close()
+        for group_link in (*replaced, *old.values()):
+            self._background.start(self._retire(group_link))
+        self._plan_stop(sheet)
 
     def leave(self, names: frozenset[str]) -> None:
         """Sets the instances that get no new work."""
         for group in self._groups.values():
             group.leave(names)
 
+    async def _retire(self, group: links.GroupLink) -> None:
+        """Ends a link that a sheet replaced, once its work is done."""
+        ends = self._clock.now() + self._settings.callers.drain_timeout
+        try:
+            while group.busy and self._clock.now() < ends:
+                await self._clock.sleep(_RETIRE_POLL)
+        finally:
+            await group.close()
+
+    def _plan_stop(self, sheet: sheets.Sheet) -> None:
+        """Schedules the stop of this proxy that the sheet announces.
+
+        A time before this process began was meant for one before it.
+        """
+        if self._planned is not None:
+            self._planned.cancel()
+        times = [
+            stop.at
+            for stop in sheet.planned_stops
+            if stop.instance == self._settings.name and stop.at > self._began
+        ]
+        if times:
+            self._planned = self._background.start(self._drain_at(min(times)))
+
+    async def _drain_at(self, at: datetime.datetime) -> None:
+        now = self._clock.now()
+        await self._clock.sleep(max(at - now, datetime.timedelta()))
+        self.drain()
+
     async def _finish_work(self) -> None:
         """Lets the balancer notice, then ends without cutting a request."""
         callers = self._settings.callers
--- /dev/null
+++ b/hickorygate/tests/test_daemon.py
@@ -0,0 +1,94 @@
+"""A proxy process through changes of the sheet."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import unittest
+
+import asyncmy
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import document as documents
+from hickorygate.testing import cluster
+
+_GUARD = datetime.timedelta(seconds=20)
+_SOON = datetime.timedelta(milliseconds=300)
+_LAG = datetime.timedelta(milliseconds=400)
+
+
+class DaemonTest(unittest.IsolatedAsyncioTestCase):
+    """One proxy before a group of three."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand = await cluster.start(proxies=1)
+        self.addAsyncCleanup(self.stand.stop)
+        await self.stand.wait_until_ready(_GUARD)
+        (self.daemon,) = self.stand.daemons
+        self.text = cluster.sheet_text(self.stand.group)
+
+    async def connect(self) -> asyncmy.Connection:
+        connection = await asyncmy.connect(
+            host="127.0.0.1",
+            port=self.daemon.port,
+            user=cluster.USER,
+            password=cluster.PASSWORD,
+            database="alerts_1",
+            autocommit=None,
+        )
+        self.addAsyncCleanup(connection.ensure_closed)
+        return connection
+
+    async def load(self, text: str) -> None:
+        """Puts a newer sheet in force."""
+        sheet = self.daemon.sheet
+        assert sheet is not None
+        kind = documents.DocumentKind.SHEET
+        version = sheet.version + 1
+        candidate = documents.Candidate(version, text, "test")
+        await self.daemon.keeper.take_document(kind, candidate)
+        self.assertEqual(self.daemon.sheet.version, version)
+
+    async def test_changed_group_cuts_no_write_in_progress(self) -> None:
+        cursor = (await self.connect()).cursor()
+        await cursor.execute("CREATE TABLE reports (id INT)")
+        before = self.daemon.group("alert-db-1")
+        for database in self.stand.group.databases:
+            database.lag = _LAG
+        insert = "INSERT INTO reports VALUES (1)"
+        write = asyncio.create_task(cursor.execute(insert))
+        while not before.busy:
+            await asyncio.sleep(0)
+        await self.load(self.text.replace("connections: 20", "connections: 19"))
+        self.assertIsNot(self.daemon.group("alert-db-1"), before)
+        await asyncio.wait_for(write, _GUARD.total_seconds())
+        self.assertEqual(cursor.rowcount, 1)
+
+    async def test_unchanged_group_keeps_its_connections(self) -> None:
+        before = self.daemon.group("alert-db-1")
+        await self.load(self.text + "# the same\n")
+        self.assertIs(self.daemon.group("alert-db-1"), before)
+
+    async def test_other_number_of_proxies_changes_the_shares(self) -> None:
+        before = self.daemon.group("alert-db-1")
+        await self.load(self.text.replace("proxies: 5", "proxies: 4"))
+        self.assertIsNot(self.daemon.group("alert-db-1"), before)
+
+    async def load_planned_stop(self, after: datetime.timedelta) -> None:
+        """Announces a stop of this proxy, so long after now."""
+        at = clocks.SystemClock().now() + after
+        name = self.daemon.settings.name
+        stop = f"  - {{instance: {name}, at: {at.isoformat()}}}\n"
+        entries = f"entry_instances: [{name}]\n"
+        await self.load(self.text + entries + "planned_stops:\n" + stop)
+
+    async def test_planned_stop_is_a_graceful_shutdown(self) -> None:
+        await self.load_planned_stop(_SOON)
+        self.assertFalse(self.daemon.draining)
+        await asyncio.wait_for(self.daemon.drained(), _GUARD.total_seconds())
+        self.assertTrue(self.daemon.draining)
+
+    async def test_stop_planned_for_a_predecessor_is_not_ours(self) -> None:
+        await self.load_planned_stop(datetime.timedelta(minutes=-1))
+        await asyncio.sleep(_SOON.total_seconds())
+        self.assertFalse(self.daemon.draining)
--- a/hickorygate/upstreams/confirmer.py
+++ b/hickorygate/upstreams/confirmer.py
@@ -86,6 +86,11 @@
         """The database that the writes ran on."""
         return self._primary
 
+    @property
+    def waiting(self) -> int:
+        """Writes that wait for a majority."""
+        return len(self._waiting)
+
     def __repr__(self) -> str:
         return f"Confirmer({self._primary!r}, {self._confirmation!r})"
 
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -140,6 +140,14 @@
         """Returns the link to one database."""
         return self._links[name]
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request or a confirmation is under way."""
+        confirming = self._confirmer is not None and self._confirmer.waiting
+        return bool(confirming) or any(
+            link.pool.busy for link in self._links.values()
+        )
+
     def start(self) -> None:
         """Starts the probes and the watch over the primary."""
         self._prober.start(self)
