Answer LAST_INSERT_ID in one place; one empty answer

Cause: routing and executor answered LAST_INSERT_ID although local.py already had, and four modules built the same empty answer. Change: the former is gone; all use answers.NOTHING. Conclusion: one answer in one place.

--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -31,8 +31,6 @@
 GroupResult = expression.Result[links.GroupLink, errors.Failure]
 
 _BEGIN = "BEGIN"
-_LONGLONG = 8
-_BINARY = 63
 
 
 class Executor:
@@ -68,9 +66,6 @@
             work.trace.group = self._transaction.group.view.group.name
         result = await _run(route, self, work)
         self._measure(route, work, result)
-        match result:
-            case expression.Result(tag="ok", ok=answers.Done() as done):
-                self._remember_insert(done)
         return result
 
     async def close(self) -> None:
@@ -231,10 +226,6 @@
             self._session.pinned = True
         return taken
 
-    def _remember_insert(self, done: answers.Done) -> None:
-        if done.last_insert_id:
-            self._session.last_insert_id = done.last_insert_id
-
     def _writer(self, group: links.GroupLink) -> writing.Writer:
         return writing.Writer(self._env, group, self._session)
 
@@ -286,13 +277,6 @@
     return await executor.commit_first(work)
 
 
-@_run.register
-async def _(
-    route: routing.LastInsertId, executor: Executor, work: works.Work
-) -> handlers.AnswerResult:
-    return executor.last_insert_id()
-
-
 @_run.register
 async def _(
     route: routing.Refuse, executor: Executor, work: works.Work
--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -30,7 +30,6 @@
 
 _VAR_STRING = 253
 _UTF8MB4 = 45
-_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
 _LOCAL_RANK = sheets.Rank(
     name="local", order=0, target=datetime.timedelta(seconds=2), floor=0.0
 )
@@ -168,7 +167,7 @@
             if switched.is_error():
                 return switched
         self._session.hints = dataclasses.replace(changed.ok, token=None)
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     def known(self, statement: statements.Statement) -> answers.Table | None:
         """Returns the answer to what the proxy itself knows."""
@@ -274,4 +273,4 @@
                 sql = f"SET autocommit = {int(enabled)}"
                 switch = statements.SetAutocommit(sql, enabled)
                 return await self.run(switch, hints, arrived)
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
--- a/hickorygate/callers/routing.py
+++ b/hickorygate/callers/routing.py
@@ -4,7 +4,6 @@
 
 import dataclasses
 import functools
-import re
 
 from hickorygate.callers import session as sessions
 from hickorygate.core import statement as statements
@@ -15,7 +14,6 @@
     "EndTransaction",
     "InTransaction",
     "KeepLocally",
-    "LastInsertId",
     "OpenImplicitly",
     "OpenTransaction",
     "Refuse",
@@ -29,13 +27,6 @@
 ]
 
 
-_LAST_INSERT_ID = re.compile(
-    r"SELECT\s+(?:LAST_INSERT_ID\(\)|@@(?:SESSION\.)?(?:IDENTITY"
-    r"|LAST_INSERT_ID))\s*$",
-    re.I,
-)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
     """Base of all routes."""
@@ -66,11 +57,6 @@
     """An open transaction is kept, then the statement runs alone."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LastInsertId(Route):
-    """Answered from what the proxy remembers of the last write."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Refuse(Route):
     """Not run: its meaning depends on a connection the session lost."""
@@ -151,8 +137,6 @@
 ) -> Route:
     if session.in_transaction or session.pinned:
         return _with_transaction(session, ToPinned())
-    if _LAST_INSERT_ID.match(statement.sql):
-        return LastInsertId()
     return Refuse()
 
 
--- a/hickorygate/callers/session.py
+++ b/hickorygate/callers/session.py
@@ -24,7 +24,6 @@
       autocommit: whether each statement is its own transaction.
       in_transaction: whether a transaction is open.
       pinned: whether it keeps a connection for what it left there.
-      last_insert_id: of its newest write that made one.
       floors: the newest position that it must see in each group.
       settled: groups whose floor is known, by a token or an observation.
       variables: set again on each connection that the session is lent.
@@ -38,7 +37,6 @@
     autocommit: bool = True
     in_transaction: bool = False
     pinned: bool = False
-    last_insert_id: int = 0
     floors: dict[types.GroupName, positions.Position] = dataclasses.field(
         default_factory=dict
     )
--- a/hickorygate/testing/handler.py
+++ b/hickorygate/testing/handler.py
@@ -36,7 +36,6 @@
 _LOCK_WAIT = errors.UpstreamError(1205, "HY000", "Lock wait timeout exceeded")
 _REFUSED_TERM = 3_100
 _PROCEDURE = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*$", re.I | re.S)
-_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
 
 
 def _status_table(status: positions.DatabaseStatus) -> answers.Table:
@@ -118,7 +117,7 @@
 
     async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
         """Accepts any schema; all share one set of tables."""
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     async def reset(self) -> None:
         """Rolls back and gives the session's locks back."""
@@ -161,13 +160,13 @@
                 return await self._commit()
             case statements.Rollback():
                 self._roll_back()
-                return expression.Ok(_NOTHING)
+                return expression.Ok(answers.NOTHING)
             case statements.SetAutocommit(enabled=enabled):
                 self.autocommit = enabled
-                return expression.Ok(_NOTHING)
+                return expression.Ok(answers.NOTHING)
             case statements.SetVariable() | statements.Use():
                 self._idle.read(statement.sql)
-                return expression.Ok(_NOTHING)
+                return expression.Ok(answers.NOTHING)
         return await self._execute(statement)
 
     async def _begin(self) -> handlers.AnswerResult:
@@ -175,7 +174,7 @@
             await self._commit()
         if not await self._enter():
             return expression.Error(_LOCK_WAIT)
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     async def _enter(self) -> bool:
         try:
@@ -196,7 +195,7 @@
 
     async def _commit(self) -> handlers.AnswerResult:
         if not self.in_transaction:
-            return expression.Ok(_NOTHING)
+            return expression.Ok(answers.NOTHING)
         if self._pending and not self._database.log.writable:
             self._roll_back()
             return expression.Error(_READ_ONLY)
@@ -206,7 +205,7 @@
             self._database.log.append(sqls)
         self._leave()
         await self._database.notify()
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     async def _execute(
         self, statement: statements.Statement
--- a/hickorygate/tests/test_server.py
+++ b/hickorygate/tests/test_server.py
@@ -19,7 +19,6 @@
 from hickorygate.upstreams import answer as answers
 
 _GUARD = datetime.timedelta(seconds=10)
-_NOTHING = answers.Done(warnings=0, affected_rows=0, last_insert_id=0)
 _COLUMN = answers.Column("a", 253, 45)
 _ROW = "x" * 1_000
 _ROWS = 40_000
@@ -64,10 +63,10 @@
                 return expression.Ok(table)
             case "fault":
                 raise ZeroDivisionError
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     async def use(self, schema: types.SchemaName) -> handlers.AnswerResult:
-        return expression.Ok(_NOTHING)
+        return expression.Ok(answers.NOTHING)
 
     async def reset(self) -> None:
         self.in_transaction = False
