Test the commands that change a session; race the loads for real

Cause: reset, change of user and selection of a schema were built without a test; the race in make processes let one load follow the other. Change: six tests through a proxy; both loads say that they replace version 1.

--- /dev/null
+++ b/hickorygate/tests/test_session_commands.py
@@ -0,0 +1,105 @@
+"""Commands of the protocol that change a session, through a proxy."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+import asyncmy
+from asyncmy import auth
+
+from hickorygate.testing import cluster
+
+_GUARD = datetime.timedelta(seconds=20)
+_CHANGE_USER = 0x11
+_RESET_CONNECTION = 0x1F
+_UTF8MB4 = 45
+_NATIVE_PASSWORD = b"mysql_native_password\0"
+_ACCESS_DENIED = 1045
+_UNKNOWN_SCHEMA = 1049
+
+
+class SessionCommandsTest(unittest.IsolatedAsyncioTestCase):
+    """One caller's connection."""
+
+    async def asyncSetUp(self) -> None:
+        self.stand = await cluster.start(proxies=1)
+        self.addAsyncCleanup(self.stand.stop)
+        await self.stand.wait_until_ready(_GUARD)
+        self.connection = await asyncmy.connect(
+            host="127.0.0.1",
+            port=self.stand.daemons[0].port,
+            user=cluster.USER,
+            password=cluster.PASSWORD,
+            autocommit=None,
+        )
+        self.addAsyncCleanup(self.connection.ensure_closed)
+        self.cursor = self.connection.cursor()
+
+    async def command(self, number: int, body: bytes = b"") -> None:
+        """Sends a command that is answered with OK."""
+        await self.connection._execute_command(number, body)
+        await self.connection._read_ok_packet()
+
+    async def change_user(self, password: bytes) -> None:
+        """Logs in again with the nonce of the greeting."""
+        scramble = auth.scramble_native_password(password, self.connection.salt)
+        body = cluster.USER.encode() + b"\0"
+        body += bytes((len(scramble),)) + scramble + b"alerts_1\0"
+        body += _UTF8MB4.to_bytes(2, "little") + _NATIVE_PASSWORD
+        await self.command(_CHANGE_USER, body)
+
+    async def one(self, sql: str) -> object:
+        await self.cursor.execute(sql)
+        ((cell,),) = await self.cursor.fetchall()
+        return cell
+
+    async def test_schema_is_selected_by_command(self) -> None:
+        await self.connection.select_db("alerts_1")
+        self.assertEqual(await self.one("SELECT DATABASE()"), "alerts_1")
+        with self.assertRaises(asyncmy.errors.MySQLError) as caught:
+            await self.connection.select_db("nowhere")
+        self.assertEqual(caught.exception.args[0], _UNKNOWN_SCHEMA)
+        self.assertEqual(await self.one("SELECT DATABASE()"), "alerts_1")
+
+    async def test_ping_is_answered(self) -> None:
+        await self.connection.ping(reconnect=False)
+
+    async def test_reset_rolls_back_and_forgets(self) -> None:
+        await self.connection.select_db("alerts_1")
+        await self.cursor.execute("CREATE TABLE reports (id INT)")
+        await self.connection.begin()
+        await self.cursor.execute("INSERT INTO reports VALUES (1)")
+        await self.command(_RESET_CONNECTION)
+        self.assertEqual(await self.one("SELECT DATABASE()"), "alerts_1")
+        self.assertEqual(await self.one("SELECT COUNT(*) FROM reports"), 0)
+
+    async def test_user_is_changed(self) -> None:
+        await self.change_user(cluster.PASSWORD.encode())
+        self.assertEqual(await self.one("SELECT DATABASE()"), "alerts_1")
+
+    async def test_refused_change_of_user_ends_the_connection(self) -> None:
+        with self.assertRaises(asyncmy.errors.MySQLError) as caught:
+            await self.change_user(b"wrong")
+        self.assertEqual(caught.exception.args[0], _ACCESS_DENIED)
+        with self.assertRaises(asyncmy.errors.MySQLError):
+            await self.one("SELECT DATABASE()")
+
+    async def test_hang_up_rolls_a_transaction_back(self) -> None:
+        await self.connection.select_db("alerts_1")
+        await self.cursor.execute("CREATE TABLE reports (id INT)")
+        await self.connection.begin()
+        await self.cursor.execute("INSERT INTO reports VALUES (1)")
+        self.connection.close()
+        other = await asyncmy.connect(
+            host="127.0.0.1",
+            port=self.stand.daemons[0].port,
+            user=cluster.USER,
+            password=cluster.PASSWORD,
+            database="alerts_1",
+            autocommit=None,
+        )
+        self.addAsyncCleanup(other.ensure_closed)
+        cursor = other.cursor()
+        await cursor.execute("SELECT COUNT(*) FROM reports")
+        self.assertEqual(await cursor.fetchall(), ((0,),))
--- a/tools/processes.sh
+++ b/tools/processes.sh
@@ -27,7 +27,7 @@
 }
 
 load() {
-  "$bin/hickorygate" sheet load "$1" --platform http://127.0.0.1:13300
+  "$bin/hickorygate" sheet load "$@" --platform http://127.0.0.1:13300
 }
 
 start "$bin/hickorygate" standin --sheet "$sheet" --platform-port 13300
@@ -64,8 +64,8 @@
 for name in first second; do
   { cat "$sheet"; echo "# $name"; } > "$folder/$name.yaml"
 done
-load "$folder/first.yaml" & first=$!
-load "$folder/second.yaml" & second=$!
+load "$folder/first.yaml" --replaces 1 & first=$!
+load "$folder/second.yaml" --replaces 1 & second=$!
 wait "$first" || echo "first: exit code $?"
 wait "$second" || echo "second: exit code $?"
 wait "$caller"
