Test a query attribute from the packet to the handler

Cause: only its parsing had a test. Change: the raw client sends query attributes where asked; one test. Conclusion: hints by query attribute arrive.

--- a/hickorygate/testing/raw_client.py
+++ b/hickorygate/testing/raw_client.py
@@ -11,12 +11,12 @@
 _CAPABILITIES = 0x0000_8201
 """Protocol 4.1, long passwords, secure connection."""
 
-_LOGIN_HEAD = (
-    _CAPABILITIES.to_bytes(4, "little")
-    + (1 << 24).to_bytes(4, "little")
-    + b"\x2d"
-    + bytes(23)
-)
+_QUERY_ATTRIBUTES = 0x0800_0000
+_LOGIN_TAIL = (1 << 24).to_bytes(4, "little") + b"\x2d" + bytes(23)
+_ONE_ATTRIBUTE = b"\x01\x01\x00\x01"
+"""One parameter in one set, none of them NULL, with types."""
+
+_VAR_STRING_TYPE = b"\xfd\x00"
 _BUFFER_BYTES = 65_536
 _ERROR = 0xFF
 
@@ -48,6 +48,14 @@
         """Sends a statement and doesn't wait for its answer."""
         self.send(b"\x03" + sql.encode())
 
+    def query_with(self, sql: str, name: str, value: str) -> None:
+        """Sends a statement with one query attribute.
+
+        Only for a client that logged in with attributes.
+        """
+        attribute = _VAR_STRING_TYPE + _counted(name) + _counted(value)
+        self.send(b"\x03" + _ONE_ATTRIBUTE + attribute + sql.encode())
+
     async def read(self) -> bytes:
         """Returns one packet; an empty one if the connection ended."""
         try:
@@ -82,15 +90,30 @@
             return
 
 
+def _counted(text: str) -> bytes:
+    """Encodes a short string behind its length."""
+    return bytes((len(text),)) + text.encode()
+
+
 async def connect(port: int) -> RawClient:
     """Connects and doesn't log in."""
     return RawClient(*await asyncio.open_connection("127.0.0.1", port))
 
 
-async def log_in(port: int, user: types.CallerName) -> RawClient:
-    """Connects and logs in a user that has no password."""
+async def log_in(
+    port: int, user: types.CallerName, attributes: bool = False
+) -> RawClient:
+    """Connects and logs in a user that has no password.
+
+    Args:
+      port: of the server on this machine.
+      user: who logs in.
+      attributes: whether each statement comes with query attributes.
+    """
     client = await connect(port)
     await client.read()
-    client.send(_LOGIN_HEAD + user.encode() + b"\x00\x00", sequence=1)
+    capabilities = _CAPABILITIES | (_QUERY_ATTRIBUTES if attributes else 0)
+    head = capabilities.to_bytes(4, "little") + _LOGIN_TAIL
+    client.send(head + user.encode() + b"\x00\x00", sequence=1)
     await client.read()
     return client
--- a/hickorygate/tests/test_server.py
+++ b/hickorygate/tests/test_server.py
@@ -36,6 +36,7 @@
         test.handlers.append(self)
         self.closed = asyncio.Event()
         self.produced = 0
+        self.attributes: Mapping[str, str] = {}
 
     async def connect(
         self, connection_id: int
@@ -50,6 +51,7 @@
     async def query(
         self, sql: str, attributes: Mapping[str, str]
     ) -> handlers.AnswerResult:
+        self.attributes = attributes
         match sql:
             case "wait":
                 self._test.waiting.set()
@@ -103,6 +105,21 @@
         self.assertEqual((await client.read())[:1], b"\x00")
 
 
+class QueryAttributeTest(_ServerCase):
+    """Attributes that a client sends beside a statement."""
+
+    async def test_attribute_reaches_the_handler(self) -> None:
+        client = await raw_client.log_in(
+            self.server.port, "vet", attributes=True
+        )
+        self.addAsyncCleanup(client.close)
+        client.query_with("begin", "hickorygate_rank", "urgent")
+        self.assertEqual((await client.read())[:1], b"\x00")
+        (handler,) = self.handlers
+        self.assertEqual(handler.attributes, {"hickorygate_rank": "urgent"})
+        self.assertTrue(handler.in_transaction)
+
+
 class BadInputTest(_ServerCase):
     """What a caller may do wrong."""
 
