Show a real warning through the proxy

Cause: SHOW WARNINGS had only been tried on empty lists, since the stand-in warned of nothing. Change: the stand-in notes that a table exists already; a test through a proxy. Conclusion: warnings reach the caller with level, code and text.

--- a/hickorygate/testing/engine.py
+++ b/hickorygate/testing/engine.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import functools
+import re
 import sqlite3
 
 import expression
@@ -31,6 +32,11 @@
 _TABLE_EXISTS = (1050, "42S01")
 
 
+_CREATE_IF_MISSING = re.compile(
+    r"\s*CREATE\s+TABLE\s+IF\s+NOT\s+EXISTS\s+`?(\w+)", re.I
+)
+
+
 @functools.lru_cache(maxsize=_CACHED_TRANSLATIONS)
 def _translate(sql: str) -> str:
     try:
@@ -92,6 +98,14 @@
             )
         return expression.Ok(self._table(cursor, rows))
 
+    def notes_of(self, sql: str) -> tuple[answers.Note, ...]:
+        """Returns what MySQL would warn of if a statement ran now."""
+        match = _CREATE_IF_MISSING.match(sql)
+        if match is None or not self._has_table(match.group(1)):
+            return ()
+        text = f"Table '{match.group(1)}' already exists"
+        return (answers.Note("Note", _TABLE_EXISTS[0], text),)
+
     def begin(self) -> None:
         """Opens a transaction."""
         self._data.execute("BEGIN")
@@ -111,6 +125,13 @@
         self._data.close()
         self._data = sqlite3.connect(":memory:", isolation_level=None)
 
+    def _has_table(self, name: str) -> bool:
+        found = self._data.execute(
+            "SELECT 1 FROM sqlite_master WHERE type = 'table' AND name = ?",
+            (name,),
+        )
+        return found.fetchone() is not None
+
     def _execute(self, sql: str) -> sqlite3.Cursor:
         if "\\" in sql:
             return self._data.execute(_translate(sql))
--- a/hickorygate/testing/handler.py
+++ b/hickorygate/testing/handler.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Mapping
+import dataclasses
 import datetime
 import re
 from typing import TYPE_CHECKING
@@ -35,6 +36,10 @@
 )
 _LOCK_WAIT = errors.UpstreamError(1205, "HY000", "Lock wait timeout exceeded")
 _REFUSED_TERM = 3_100
+_NOTE_COLUMNS = tuple(
+    answers.Column(name, _VAR_STRING, _UTF8MB4)
+    for name in ("Level", "Code", "Message")
+)
 _PROCEDURE = re.compile(r"CALL\s+group_(\w+)\s*\((.*)\)\s*$", re.I | re.S)
 
 
@@ -64,6 +69,7 @@
     def __init__(self, database: databases.StandInDatabase) -> None:
         self._database = database
         self._pending: list[str] = []
+        self._notes: tuple[answers.Note, ...] = ()
         self._idle = loads.IdleLimit()
         self._connected = False
         self._user = ""
@@ -164,6 +170,8 @@
             case statements.SetAutocommit(enabled=enabled):
                 self.autocommit = enabled
                 return expression.Ok(answers.NOTHING)
+            case statements.ShowWarnings():
+                return self._show_warnings()
             case statements.SetVariable() | statements.Use():
                 self._idle.read(statement.sql)
                 return expression.Ok(answers.NOTHING)
@@ -231,10 +239,19 @@
     def _in_transaction(
         self, statement: statements.Statement, writes: bool
     ) -> handlers.AnswerResult:
-        result = self._database.engine.run(statement.sql)
+        engine = self._database.engine
+        self._notes = engine.notes_of(statement.sql)
+        result = engine.run(statement.sql)
         if writes and result.is_ok():
             self._pending.append(statement.sql)
-        return result
+        return result.map(self._with_warnings)
+
+    def _with_warnings(self, answer: answers.Answer) -> answers.Answer:
+        return dataclasses.replace(answer, warnings=len(self._notes))
+
+    def _show_warnings(self) -> handlers.AnswerResult:
+        rows = [(n.level, str(n.code), n.text) for n in self._notes]
+        return expression.Ok(answers.Table(0, _NOTE_COLUMNS, rows))
 
     async def _call(self, name: str, arguments: str) -> handlers.AnswerResult:
         parts = [part.strip().strip("'") for part in arguments.split(",")]
--- a/hickorygate/tests/test_session_commands.py
+++ b/hickorygate/tests/test_session_commands.py
@@ -16,6 +16,7 @@
 _UTF8MB4 = 45
 _NATIVE_PASSWORD = b"mysql_native_password\0"
 _ACCESS_DENIED = 1045
+_TABLE_EXISTS = 1050
 _UNKNOWN_SCHEMA = 1049
 
 
@@ -65,6 +66,18 @@
     async def test_ping_is_answered(self) -> None:
         await self.connection.ping(reconnect=False)
 
+    async def test_warnings_are_shown_after_a_statement(self) -> None:
+        await self.connection.select_db("alerts_1")
+        create = "CREATE TABLE IF NOT EXISTS reports (id INT)"
+        await self.cursor.execute(create)
+        await self.cursor.execute("SHOW WARNINGS")
+        self.assertEqual(await self.cursor.fetchall(), ())
+        await self.cursor.execute(create)
+        await self.cursor.execute("SHOW WARNINGS")
+        ((level, code, text),) = await self.cursor.fetchall()
+        self.assertEqual((level, int(code)), ("Note", _TABLE_EXISTS))
+        self.assertIn("reports", text)
+
     async def test_reset_rolls_back_and_forgets(self) -> None:
         await self.connection.select_db("alerts_1")
         await self.cursor.execute("CREATE TABLE reports (id INT)")
