Look for the new primary also where a transaction was refused

Cause: only writes outside transactions made the proxy look again after a read-only refusal. Change: the transaction tells the writer, which asks the group at once. Conclusion: the next transaction finds the new primary without waiting for a probe.

--- a/hickorygate/callers/transaction.py
+++ b/hickorygate/callers/transaction.py
@@ -129,7 +129,10 @@
 
     async def _execute(self, sql: str) -> handlers.AnswerResult:
         assert self._pin is not None, "the transaction has no connection"
-        return await self._pin.run(self._session, sql)
+        result = await self._pin.run(self._session, sql)
+        if result.is_error():
+            self._writer.note_refusal(self._pin.primary, result.error)
+        return result
 
     def _end(self) -> None:
         if self._pin is not None and not self._borrowed:
--- a/hickorygate/callers/writing.py
+++ b/hickorygate/callers/writing.py
@@ -94,11 +94,11 @@
         else:
             result = await self._run_keyed(link, work)
         if result.is_error():
-            self._note_refusal(primary.ok, result.error)
+            self.note_refusal(primary.ok, result.error)
             return result
         return await self.durable(primary.ok, result)
 
-    def _note_refusal(
+    def note_refusal(
         self, primary: positions.DatabaseStatus, failure: errors.Failure
     ) -> None:
         """A primary that refuses may have been replaced: looks at once."""
