Test a session that keeps its connection; connect in one place

Cause: pinning had no test from the caller's side; five places built the same connection. Change: a named lock is held over statements and freed by a reset; cluster.connect serves tests and benchmarks. Conclusion: pins hold and end.

--- a/benchmarks/replica_share.py
+++ b/benchmarks/replica_share.py
@@ -67,14 +67,7 @@
     async def connect(self) -> None:
         """Connects to any proxy."""
         daemon = self._rng.choice(self._stand.daemons)
-        self._connection = await asyncmy.connect(
-            host="127.0.0.1",
-            port=daemon.port,
-            user=cluster.USER,
-            password=cluster.PASSWORD,
-            database="alerts_1",
-            autocommit=None,
-        )
+        self._connection = await cluster.connect(daemon)
 
     async def _step(self) -> None:
         draw = self._rng.random()
--- a/benchmarks/store_outage.py
+++ b/benchmarks/store_outage.py
@@ -54,14 +54,7 @@
     async def _write(self) -> None:
         if self._connection is None:
             daemon = self._stand.daemons[self._number]
-            self._connection = await asyncmy.connect(
-                host="127.0.0.1",
-                port=daemon.port,
-                user=cluster.USER,
-                password=cluster.PASSWORD,
-                database="alerts_1",
-                autocommit=None,
-            )
+            self._connection = await cluster.connect(daemon)
         row = len(self.acknowledged) + len(self.failed)
         await self._connection.cursor().execute(
             f"INSERT INTO rows_written VALUES ('{self._number}-{row}')"
@@ -81,14 +74,7 @@
     await stand.wait_until_ready(_SETTLE)
     writers = [Writer(stand, number) for number in range(_PROXIES)]
     loop = asyncio.get_running_loop()
-    connection = await asyncmy.connect(
-        host="127.0.0.1",
-        port=stand.daemons[0].port,
-        user=cluster.USER,
-        password=cluster.PASSWORD,
-        database="alerts_1",
-        autocommit=None,
-    )
+    connection = await cluster.connect(stand.daemons[0])
     await connection.cursor().execute("CREATE TABLE rows_written (id TEXT)")
     stand.platform.down = True
     until = loop.time() + _SECONDS.value
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -7,6 +7,8 @@
 import datetime
 import random
 
+import asyncmy
+
 from hickorygate import daemon as daemons
 from hickorygate.core import clock as clocks
 from hickorygate.core import settings as settings_lib
@@ -15,10 +17,11 @@
 from hickorygate.testing import database as databases
 from hickorygate.testing import platform as platforms
 
-__all__ = ["PASSWORD", "USER", "Stand", "start"]
+__all__ = ["PASSWORD", "SCHEMA", "USER", "Stand", "connect", "start"]
 
 USER = "vindpoot"
 PASSWORD = "polder"
+SCHEMA = "alerts_1"
 
 _DRAIN_NOTICE_MS = 50
 _POLL = datetime.timedelta(milliseconds=10)
@@ -145,6 +148,18 @@
     assert stored.is_ok(), stored
 
 
+async def connect(daemon: daemons.Daemon) -> asyncmy.Connection:
+    """Connects a caller to one proxy, with the schema selected."""
+    return await asyncmy.connect(
+        host="127.0.0.1",
+        port=daemon.port,
+        user=USER,
+        password=PASSWORD,
+        database=SCHEMA,
+        autocommit=None,
+    )
+
+
 async def start(proxies: int, head: str = _SHEET) -> Stand:
     """Starts a platform with a sheet, a group of three, and proxies.
 
--- a/hickorygate/tests/test_daemon.py
+++ b/hickorygate/tests/test_daemon.py
@@ -28,14 +28,7 @@
         self.text = cluster.sheet_text(self.stand.group)
 
     async def connect(self) -> asyncmy.Connection:
-        connection = await asyncmy.connect(
-            host="127.0.0.1",
-            port=self.daemon.port,
-            user=cluster.USER,
-            password=cluster.PASSWORD,
-            database="alerts_1",
-            autocommit=None,
-        )
+        connection = await cluster.connect(self.daemon)
         self.addAsyncCleanup(connection.ensure_closed)
         return connection
 
--- a/hickorygate/tests/test_session_commands.py
+++ b/hickorygate/tests/test_session_commands.py
@@ -78,6 +78,23 @@
         self.assertEqual((level, int(code)), ("Note", _TABLE_EXISTS))
         self.assertIn("reports", text)
 
+    async def test_named_lock_keeps_its_connection_until_the_reset(
+        self,
+    ) -> None:
+        take = "SELECT GET_LOCK('refunds', 0)"
+        await self.connection.select_db("alerts_1")
+        self.assertEqual(int(await self.one(take)), 1)
+        other = await cluster.connect(self.stand.daemons[0])
+        self.addAsyncCleanup(other.ensure_closed)
+        cursor = other.cursor()
+        await cursor.execute(take)
+        self.assertEqual(int((await cursor.fetchall())[0][0]), 0)
+        held = "SELECT IS_FREE_LOCK('refunds')"
+        self.assertEqual(int(await self.one(held)), 0)
+        await self.command(_RESET_CONNECTION)
+        await cursor.execute(take)
+        self.assertEqual(int((await cursor.fetchall())[0][0]), 1)
+
     async def test_reset_rolls_back_and_forgets(self) -> None:
         await self.connection.select_db("alerts_1")
         await self.cursor.execute("CREATE TABLE reports (id INT)")
@@ -104,14 +121,7 @@
         await self.connection.begin()
         await self.cursor.execute("INSERT INTO reports VALUES (1)")
         self.connection.close()
-        other = await asyncmy.connect(
-            host="127.0.0.1",
-            port=self.stand.daemons[0].port,
-            user=cluster.USER,
-            password=cluster.PASSWORD,
-            database="alerts_1",
-            autocommit=None,
-        )
+        other = await cluster.connect(self.stand.daemons[0])
         self.addAsyncCleanup(other.ensure_closed)
         cursor = other.cursor()
         await cursor.execute("SELECT COUNT(*) FROM reports")
