Use one keeper of background tasks; drop what nothing calls

Cause: a read of the whole change: the group's link kept its own set of late status reads beside core/background.py, the keepalive's task could still end in silence, and PoolExhausted, Stream.over_tls and one constant had no user left. Change: both use Background; the unused pieces and the row of PoolExhausted are gone.

--- a/hickorygate/callers/encoding.py
+++ b/hickorygate/callers/encoding.py
@@ -24,7 +24,6 @@
 """Bytes of a column's fields of fixed length."""
 
 _UNSIGNED_FLAG = 32
-_BINARY_CHARSET = 63
 _UTF8MB4 = 45
 _CELL_LENGTH = 1_024
 _INTEGER_BYTES = {1: 1, 2: 2, 3: 4, 8: 8, 9: 4, 13: 2}
--- a/hickorygate/callers/replies.py
+++ b/hickorygate/callers/replies.py
@@ -165,7 +165,6 @@
 
 @code_of.register(errors.DeadlinePassed)
 @code_of.register(errors.Overloaded)
-@code_of.register(errors.PoolExhausted)
 @code_of.register(pool_errors.ConnectionLimit)
 @code_of.register(pool_errors.DatabaseLeft)
 @code_of.register(pool_errors.TransactionIdle)
--- a/hickorygate/callers/stream.py
+++ b/hickorygate/callers/stream.py
@@ -59,11 +59,6 @@
             len(self._buffer) + self._writer.transport.get_write_buffer_size()
         )
 
-    @property
-    def over_tls(self) -> bool:
-        """Whether it is encrypted."""
-        return self._writer.get_extra_info("ssl_object") is not None
-
     def __repr__(self) -> str:
         return f"Stream(limit={self._limit}, queued={self.queued})"
 
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -34,7 +34,6 @@
     "NotReady",
     "Outcome",
     "Overloaded",
-    "PoolExhausted",
     "Problem",
     "ReplicationUnconfirmed",
     "SheetConflict",
@@ -316,20 +315,6 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PoolExhausted(Failure):
-    """No connection or slot of the database came free in time."""
-
-    database: types.DatabaseName
-
-    @property
-    def message(self) -> str:
-        """Text for a person."""
-        return (
-            f"no connection to {self.database!r} came free in time; retry later"
-        )
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectFailed(Failure):
     """A connection to a database could not be opened."""
--- a/hickorygate/upstreams/keepalive.py
+++ b/hickorygate/upstreams/keepalive.py
@@ -13,6 +13,7 @@
 import datetime
 from typing import Protocol
 
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import pool_errors
 from hickorygate.core import settings as settings_lib
@@ -62,7 +63,15 @@
 class Keepalive:
     """The periodic task of one pool; it runs while connections are open."""
 
-    __slots__ = ("_clock", "_keeper", "_settings", "_sights", "_task", "_wake")
+    __slots__ = (
+        "_background",
+        "_clock",
+        "_keeper",
+        "_settings",
+        "_sights",
+        "_task",
+        "_wake",
+    )
 
     def __init__(
         self,
@@ -74,6 +83,7 @@
         self._keeper = keeper
         self._settings = settings
         self._sights: dict[connections.Connection, _Sight] = {}
+        self._background = background.Background()
         self._task: asyncio.Task[None] | None = None
         self._wake = asyncio.Event()
 
@@ -83,7 +93,7 @@
     def start(self) -> None:
         """Starts the task, if it doesn't run."""
         if self._task is None or self._task.done():
-            self._task = asyncio.create_task(self._run())
+            self._task = self._background.start(self._run())
 
     def stop(self) -> None:
         """Stops the task."""
--- a/hickorygate/upstreams/link.py
+++ b/hickorygate/upstreams/link.py
@@ -8,6 +8,7 @@
 
 import expression
 
+from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
@@ -79,6 +80,7 @@
     """All links of a group, and the view that probes keep up to date."""
 
     __slots__ = (
+        "_background",
         "_clock",
         "_confirmer",
         "_links",
@@ -86,7 +88,6 @@
         "_runner",
         "_rounds",
         "_settings",
-        "_stragglers",
         "_view",
     )
 
@@ -126,7 +127,7 @@
         )
         self._confirmer: confirmers.Confirmer | None = None
         self._rounds = rounds.Rounds(self._refresh_all)
-        self._stragglers: set[asyncio.Task[control.StatusResult]] = set()
+        self._background = background.Background()
 
     @property
     def view(self) -> groups.GroupView:
@@ -157,6 +158,7 @@
         """Stops the probes and closes the links."""
         await self._runner.close()
         await self._rounds.close()
+        await self._background.close()
         await self._prober.close()
         if self._confirmer is not None:
             await self._confirmer.close()
@@ -257,15 +259,13 @@
         """Asks all databases, until a majority has confirmed the primary."""
         begun = self._clock.now()
         waiting = {
-            asyncio.create_task(self._prober.refresh(name))
+            self._background.start(self._prober.refresh(name))
             for name in self._links
         }
         while waiting and self._view.confirmed_position(begun) is None:
             _, waiting = await asyncio.wait(
                 waiting, return_when=asyncio.FIRST_COMPLETED
             )
-        self._stragglers = {t for t in self._stragglers if not t.done()}
-        self._stragglers |= waiting
 
     def _confirmer_of(
         self, name: types.DatabaseName, term: types.Term
