--- a/hickorygate/__init__.py
+++ b/hickorygate/__init__.py
@@ -1,14 +1,13 @@
-"""hickorygate: a MySQL proxy with session consistency."""
+"""hickorygate: a database proxy with session consistency.
+
+The public names are loaded when they are first used, so that a process that
+speaks one protocol doesn't load the libraries of the other.
+"""
 
 from __future__ import annotations
 
-from hickorygate.core.clock import Clock
-from hickorygate.core.clock import SystemClock
-from hickorygate.core.position import Position
-from hickorygate.core.settings import Settings
-from hickorygate.core.sheet import Sheet
-from hickorygate.daemon import VERSION
-from hickorygate.daemon import Daemon
+import importlib
+from typing import Any
 
 __all__ = [
     "VERSION",
@@ -19,3 +18,27 @@
     "Sheet",
     "SystemClock",
 ]
+
+_HOMES = {
+    "VERSION": "hickorygate.daemon",
+    "Clock": "hickorygate.core.clock",
+    "Daemon": "hickorygate.daemon",
+    "Position": "hickorygate.core.position",
+    "Settings": "hickorygate.core.settings",
+    "Sheet": "hickorygate.core.sheet",
+    "SystemClock": "hickorygate.core.clock",
+}
+
+
+def __getattr__(name: str) -> Any:
+    """Loads a public name from the module that defines it (PEP 562)."""
+    if name not in _HOMES:
+        known = ", ".join(__all__)
+        raise AttributeError(
+            f"module {__name__!r} has no {name!r}; it has {known}"
+        )
+    return getattr(importlib.import_module(_HOMES[name]), name)
+
+
+def __dir__() -> list[str]:
+    return sorted({*globals(), *__all__})
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -24,8 +24,8 @@
 from hickorygate.core import types
 from hickorygate.operators import admin
 from hickorygate.operators import recorder as recorders
-from hickorygate.platform import keeper as keepers
 from hickorygate.proxies import mesh as meshes
+from hickorygate.store import keeper as keepers
 from hickorygate.upstreams import link as links
 
 __all__ = ["Daemon", "VERSION"]
--- a/hickorygate/operators/sheet.py
+++ b/hickorygate/operators/sheet.py
@@ -22,8 +22,8 @@
 from hickorygate.operators import command as commands
 from hickorygate.operators import failures
 from hickorygate.operators import fleet
-from hickorygate.platform import client as platform_client
-from hickorygate.platform import objects
+from hickorygate.store import client as platform_client
+from hickorygate.store import objects
 
 __all__ = ["FAMILY", "Check", "Load", "Show", "Status"]
 
--- a/hickorygate/proxies/mesh.py
+++ b/hickorygate/proxies/mesh.py
@@ -20,7 +20,6 @@
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import types
-from hickorygate.platform import watch
 from hickorygate.proxies import codec
 from hickorygate.proxies import documents as documents_lib
 from hickorygate.proxies import effects
@@ -29,6 +28,7 @@
 from hickorygate.proxies import messages
 from hickorygate.proxies import reports
 from hickorygate.proxies import sockets as sockets_lib
+from hickorygate.store import watch
 
 __all__ = ["DocumentHolder", "Mesh"]
 
--- a/hickorygate/platform/client.py
+++ b/hickorygate/store/client.py
@@ -13,10 +13,10 @@
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import types
-from hickorygate.platform import backoff
-from hickorygate.platform import failures
-from hickorygate.platform import objects
-from hickorygate.platform import transport
+from hickorygate.store import backoff
+from hickorygate.store import failures
+from hickorygate.store import objects
+from hickorygate.store import transport
 
 __all__ = ["Client", "VALUE_LIMIT"]
 
--- a/hickorygate/platform/directory.py
+++ b/hickorygate/store/directory.py
@@ -16,8 +16,8 @@
 from hickorygate.core import document as documents
 from hickorygate.core import errors
 from hickorygate.core import sheet as sheets
-from hickorygate.platform import configuration as configurations
-from hickorygate.platform import objects
+from hickorygate.store import configuration as configurations
+from hickorygate.store import objects
 
 __all__ = ["Directory", "Hold", "Leaving"]
 
--- a/hickorygate/platform/keeper.py
+++ b/hickorygate/store/keeper.py
@@ -16,11 +16,11 @@
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
-from hickorygate.platform import client as clients
-from hickorygate.platform import configuration as configurations
-from hickorygate.platform import directory as directories
-from hickorygate.platform import watch
-from hickorygate.platform import watcher as watchers
+from hickorygate.store import client as clients
+from hickorygate.store import configuration as configurations
+from hickorygate.store import directory as directories
+from hickorygate.store import watch
+from hickorygate.store import watcher as watchers
 
 __all__ = ["Fleet", "Keeper", "Parts"]
 
--- a/hickorygate/platform/transport.py
+++ b/hickorygate/store/transport.py
@@ -14,8 +14,8 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
-from hickorygate.platform import budget
-from hickorygate.platform import failures
+from hickorygate.store import budget
+from hickorygate.store import failures
 
 __all__ = ["Answer", "AnswerResult", "Call", "Caller", "Transport"]
 
--- a/hickorygate/platform/watch.py
+++ b/hickorygate/store/watch.py
@@ -16,9 +16,9 @@
 from hickorygate.core import document as documents
 from hickorygate.core import errors
 from hickorygate.core import types
-from hickorygate.platform import backoff
-from hickorygate.platform import configuration as configurations
-from hickorygate.platform import failures
+from hickorygate.store import backoff
+from hickorygate.store import configuration as configurations
+from hickorygate.store import failures
 
 __all__ = [
     "Answered",
--- a/hickorygate/platform/watcher.py
+++ b/hickorygate/store/watcher.py
@@ -14,10 +14,10 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import document as documents
 from hickorygate.core import errors
-from hickorygate.platform import client as clients
-from hickorygate.platform import configuration as configurations
-from hickorygate.platform import objects
-from hickorygate.platform import watch
+from hickorygate.store import client as clients
+from hickorygate.store import configuration as configurations
+from hickorygate.store import objects
+from hickorygate.store import watch
 
 __all__ = ["Fetch", "SOURCE", "Holder", "Watcher", "instances", "sheet"]
 
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -12,8 +12,8 @@
 from hickorygate import daemon as daemons
 from hickorygate.core import clock as clocks
 from hickorygate.core import settings as settings_lib
-from hickorygate.platform import client as platform_client
-from hickorygate.platform import objects
+from hickorygate.store import client as platform_client
+from hickorygate.store import objects
 from hickorygate.testing import database as databases
 from hickorygate.testing import platform as platforms
 
--- a/hickorygate/testing/control.py
+++ b/hickorygate/testing/control.py
@@ -8,9 +8,9 @@
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheet_lib
-from hickorygate.platform import keeper as keepers
 from hickorygate.proxies import mesh as meshes
 from hickorygate.proxies import messages
+from hickorygate.store import keeper as keepers
 
 __all__ = ["ControlPlane"]
 
--- a/hickorygate/tests/test_client.py
+++ b/hickorygate/tests/test_client.py
@@ -9,9 +9,9 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
-from hickorygate.platform import client as clients
-from hickorygate.platform import failures
-from hickorygate.platform import objects
+from hickorygate.store import client as clients
+from hickorygate.store import failures
+from hickorygate.store import objects
 from hickorygate.testing import platform as platforms
 
 _NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
--- a/hickorygate/tests/test_configuration.py
+++ b/hickorygate/tests/test_configuration.py
@@ -8,10 +8,10 @@
 
 from hickorygate.core import document as documents
 from hickorygate.core import errors
-from hickorygate.platform import budget
-from hickorygate.platform import configuration as configurations
-from hickorygate.platform import failures
-from hickorygate.platform import watch
+from hickorygate.store import budget
+from hickorygate.store import configuration as configurations
+from hickorygate.store import failures
+from hickorygate.store import watch
 from hickorygate.testing import sheets
 
 _NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
--- a/hickorygate/tests/test_directory.py
+++ b/hickorygate/tests/test_directory.py
@@ -9,8 +9,8 @@
 from hickorygate.core import document as documents
 from hickorygate.core import rendezvous
 from hickorygate.core import sheet as sheet_lib
-from hickorygate.platform import configuration as configurations
-from hickorygate.platform import directory as directories
+from hickorygate.store import configuration as configurations
+from hickorygate.store import directory as directories
 
 _NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _SECOND = datetime.timedelta(seconds=1)
--- a/hickorygate/tests/test_mesh.py
+++ b/hickorygate/tests/test_mesh.py
@@ -15,9 +15,9 @@
 from hickorygate.core import document as documents
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
-from hickorygate.platform import client as clients
-from hickorygate.platform import objects
 from hickorygate.proxies import messages
+from hickorygate.store import client as clients
+from hickorygate.store import objects
 from hickorygate.testing import control
 from hickorygate.testing import platform as platforms
 from hickorygate.testing import sheets
--- a/properties/fleet.py
+++ b/properties/fleet.py
@@ -14,14 +14,14 @@
 from hickorygate.core import document as documents
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
-from hickorygate.platform import configuration as configurations
-from hickorygate.platform import watch
 from hickorygate.proxies import codec
 from hickorygate.proxies import documents as spreading
 from hickorygate.proxies import effects
 from hickorygate.proxies import member as members
 from hickorygate.proxies import membership as memberships
 from hickorygate.proxies import messages
+from hickorygate.store import configuration as configurations
+from hickorygate.store import watch
 
 PERIOD = datetime.timedelta(milliseconds=250)
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
--- a/properties/test_config.py
+++ b/properties/test_config.py
@@ -14,9 +14,9 @@
 
 from hickorygate.core import errors
 from hickorygate.core import settings as settings_lib
-from hickorygate.platform import client as clients
-from hickorygate.platform import objects
-from hickorygate.platform import transport
+from hickorygate.store import client as clients
+from hickorygate.store import objects
+from hickorygate.store import transport
 from hickorygate.testing import sheets
 from properties import fleet as fleets
 from properties import test_membership
