--- /dev/null
+++ b/hickorygate/callers/asking.py
@@ -0,0 +1,151 @@
+"""Sends one statement to one database, within its ranks and limits."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+
+import expression
+
+from hickorygate.callers import dialog_state as states
+from hickorygate.callers import surroundings
+from hickorygate.core import catalog as catalogs
+from hickorygate.core import errors
+from hickorygate.core import operation as operations
+from hickorygate.core import position as positions
+from hickorygate.core import request as request_lib
+from hickorygate.upstreams import lender as lenders
+from hickorygate.upstreams import request as requests
+from hickorygate.upstreams import supervisor as supervisors
+
+__all__ = ["Statement", "ask", "borrow", "statement", "terms"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Statement:
+    """What is sent to a database for an operation.
+
+    Attributes:
+      text: the statement; a prepared one under the proxy's name of it.
+      shape: what must be prepared before; None if nothing.
+      writes: whether it changes data.
+    """
+
+    text: str
+    shape: operations.Shape | None
+    writes: bool
+
+
+def statement(
+    operation: operations.Operation, state: states.SessionState
+) -> Statement:
+    """Returns what to send for an operation that a database must run."""
+    match operation:
+        case operations.Execute(name, arguments):
+            shape = state.shapes[name]
+            text = f"EXECUTE {lenders.shape_name(shape)} {arguments}"
+            return Statement(text, shape, shape.writes)
+        case operations.Read(text) | operations.Commit(text):
+            return Statement(text, None, False)
+        case operations.Write(text):
+            return Statement(text, None, True)
+    raise TypeError(f"{operation!r} runs in no database")
+
+
+def terms(call: states.Call, route: catalogs.Route) -> request_lib.Request:
+    """Returns the terms of service under which a call waits."""
+    return request_lib.Request(route.rank, call.arrived, call.deadline)
+
+
+async def borrow(
+    env: surroundings.Surroundings,
+    lender: lenders.Lender,
+    terms_: request_lib.Request,
+    state: states.SessionState,
+    shape: operations.Shape | None,
+) -> lenders.LoanResult:
+    """Borrows a connection whose session equals the caller's."""
+    borrowed = await lender.borrow(terms_, state.values)
+    if borrowed.is_error():
+        return borrowed
+    loan = borrowed.ok
+    failure = await match(env, loan, terms_, state, shape)
+    if failure is None:
+        return borrowed
+    loan.end(broken=True)
+    return expression.Error(failure)
+
+
+async def match(
+    env: surroundings.Surroundings,
+    loan: lenders.Loan,
+    terms_: request_lib.Request,
+    state: states.SessionState,
+    shape: operations.Shape | None,
+) -> errors.Failure | None:
+    """Makes a connection's session equal to the caller's.
+
+    Returns:
+      The failure, which says that the statement wasn't sent; the connection
+      must then be closed.
+    """
+    name = loan.lender.member.id
+    left = terms_.time_left(env.clock.now()).total_seconds()
+    try:
+        async with asyncio.timeout(left):
+            failure = await loan.match(state.values, shape)
+    except TimeoutError:
+        return errors.ConnectFailed(name, "no answer while preparing")
+    except asyncio.CancelledError:
+        loan.end(broken=True)
+        raise
+    if failure is None:
+        return None
+    return errors.ConnectFailed(name, failure.message)
+
+
+async def ask(
+    env: surroundings.Surroundings,
+    group: supervisors.Supervisor,
+    loan: lenders.Loan,
+    request: requests.Run,
+    terms_: request_lib.Request,
+) -> requests.ReplyResult:
+    """Runs a statement on a borrowed connection when its turn comes.
+
+    A connection on which the answer is missing is closed; the caller of this
+    function gives the loan back.
+    """
+    permits = loan.lender.permits
+    entered = await permits.enter(terms_)
+    if entered.is_error():
+        return expression.Error(entered.error)
+    began = env.clock.now()
+    ran = False
+    try:
+        left = terms_.time_left(began).total_seconds()
+        async with asyncio.timeout(left):
+            result = await loan.run(request)
+        ran = result.is_ok()
+    except TimeoutError:
+        loan.connection.close()
+        name = loan.lender.member.id
+        result = expression.Error(errors.AnswerLost(name, "timed out"))
+    except asyncio.CancelledError:
+        loan.connection.close()
+        raise
+    finally:
+        took = env.clock.now() - began
+        permits.leave(entered.ok, took if ran else None)
+    if result.is_ok():
+        group.note(loan.lender.member.id, result.ok.position)
+    return result
+
+
+def floor_of(
+    fresh: positions.Position | None, own: positions.Position | None
+) -> positions.Position | None:
+    """Returns the higher of two floors."""
+    if fresh is None or own is None:
+        return fresh or own
+    return max(fresh, own)
--- a/hickorygate/callers/frontend.py
+++ b/hickorygate/callers/frontend.py
@@ -18,6 +18,7 @@
 from hickorygate.callers import session as sessions
 from hickorygate.core import assignment as assignments
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
@@ -30,7 +31,7 @@
 
 _VAR_STRING = 253
 _UTF8MB4 = 45
-_LOCAL_RANK = sheets.Rank(
+_LOCAL_RANK = ranks.Rank(
     name="local", order=0, target=datetime.timedelta(seconds=2), floor=0.0
 )
 """The rank of statements that reach no database."""
--- a/hickorygate/callers/hints.py
+++ b/hickorygate/callers/hints.py
@@ -19,6 +19,7 @@
 import pydantic
 
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import sheet as sheets
 from hickorygate.core import token as tokens
@@ -279,7 +280,7 @@
 
 def _rank(
     hints: Hints, service: sheets.Service, user: types.CallerName
-) -> expression.Result[sheets.Rank, errors.BadHint]:
+) -> expression.Result[ranks.Rank, errors.BadHint]:
     if hints.rank is not None:
         rank = service.rank(hints.rank)
         if rank is not None:
--- /dev/null
+++ b/hickorygate/callers/single.py
@@ -0,0 +1,355 @@
+"""Statements outside transactions: reads anywhere, writes at the primary."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+import functools
+from typing import TYPE_CHECKING
+
+import expression
+
+from hickorygate.callers import asking
+from hickorygate.callers import dialog_state as states
+from hickorygate.callers import placing
+from hickorygate.core import catalog as catalogs
+from hickorygate.core import decisions
+from hickorygate.core import errors
+from hickorygate.core import operation as operations
+from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
+from hickorygate.core import retry
+from hickorygate.upstreams import evidence as evidences
+from hickorygate.upstreams import lender as lenders
+from hickorygate.upstreams import member as members
+from hickorygate.upstreams import request as requests
+from hickorygate.upstreams import supervisor as supervisors
+
+if TYPE_CHECKING:
+    from hickorygate.callers import dialog as dialogs
+
+__all__ = [
+    "Place",
+    "PlaceResult",
+    "at_primary",
+    "find_place",
+    "no_primary",
+    "run",
+]
+
+_IDLE = replies.SessionState.IDLE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Place:
+    """Where a statement runs.
+
+    Attributes:
+      lender: the database's connections.
+      floor: the position that the database must hold; None for any.
+      leader: the primary that it must still be; None for any database.
+    """
+
+    lender: lenders.Lender
+    floor: positions.Position | None
+    leader: evidences.Leader | None
+
+
+PlaceResult = expression.Result[Place, errors.Failure]
+
+
+class _Asker:
+    """Runs one statement, again where that is allowed."""
+
+    def __init__(
+        self,
+        dialog: dialogs.Dialog,
+        group: supervisors.Supervisor,
+        route: catalogs.Route,
+        call: states.Call,
+        sent: asking.Statement,
+    ) -> None:
+        self._dialog = dialog
+        self._env = dialog.env
+        self._group = group
+        self._route = route
+        self._call = call
+        self._statement = sent
+        self._terms = asking.terms(call, route)
+        self._excluded: set[members.MemberId] = set()
+
+    async def read(self) -> replies.Reply:
+        """Runs a read; asks elsewhere where a database fails."""
+        return await self._repeat(True)
+
+    async def write(self) -> replies.Reply:
+        """Runs a write at the primary, once."""
+        return await self._repeat(False)
+
+    async def _repeat(self, reads: bool) -> replies.Reply:
+        self._env.retries.deposit()
+        number = 1
+        while True:
+            reply = await self._try(reads)
+            if reply.result.is_ok():
+                return reply
+            failure = reply.result.error
+            now = self._dialog.now()
+            left = self._terms.time_left(now)
+            made = retry.Attempt(number, reads, left)
+            verdict = retry.decide(
+                failure, made, self._env.retries, self._env.rng
+            )
+            if not isinstance(verdict, retry.Delay):
+                return self._final(reply, reads)
+            self._env.journal.record(
+                decisions.RequestRetried(
+                    self._call.id,
+                    self._call.served_by,
+                    failure.message,
+                    number,
+                )
+            )
+            if not self._other_place():
+                await self._env.clock.sleep(verdict.duration)
+            number += 1
+
+    def _other_place(self) -> bool:
+        """Excludes the database that failed; tells if another is left."""
+        self._excluded.add(self._call.served_by)
+        left = self._group.lenders.keys() - self._excluded
+        if not left:
+            self._excluded.clear()
+        reads_anywhere = not isinstance(
+            self._route.consistency, catalogs.Newest
+        )
+        return bool(left) and reads_anywhere and not self._statement.writes
+
+    def _final(self, reply: replies.Reply, reads: bool) -> replies.Reply:
+        """Says what a failure of this proxy's own means to the caller."""
+        failure = reply.result.error
+        late = not self._terms.time_left(self._dialog.now())
+        lost = failure.outcome is errors.Outcome.UNKNOWN
+        if reads and late and lost:
+            return self._dialog.refuse(
+                replies.Reason.TIMED_OUT, failure.message
+            )
+        return reply
+
+    async def _try(self, reads: bool) -> replies.Reply:
+        placed = await self._find(reads)
+        if placed.is_error():
+            return self._dialog.reply(expression.Error(placed.error))
+        place = placed.ok
+        self._call.served_by = place.lender.member.id
+        self._call.tries += 1
+        borrowed = await asking.borrow(
+            self._env,
+            place.lender,
+            self._terms,
+            self._dialog.state,
+            self._statement.shape,
+        )
+        if borrowed.is_error():
+            self._group.suspect()
+            return self._dialog.reply(expression.Error(borrowed.error))
+        return await self._run_at(place, borrowed.ok, reads)
+
+    async def _run_at(
+        self, place: Place, loan: lenders.Loan, reads: bool
+    ) -> replies.Reply:
+        request = requests.Run(self._call.id, self._statement.text, place.floor)
+        if not reads:
+            self._group.stall.sent(self._dialog.now())
+        confirming = self._confirm(place) if reads else None
+        try:
+            result = await asking.ask(
+                self._env, self._group, loan, request, self._terms
+            )
+            clean = result.is_ok() and result.ok.state is _IDLE
+        except BaseException:
+            if confirming is not None:
+                confirming.cancel()
+            loan.end(broken=True)
+            raise
+        _forget_names(result, loan)
+        loan.end(broken=not clean and _was_sent(result))
+        if not reads:
+            self._note_write(place, result)
+        reply = self._as_reply(result)
+        if confirming is None:
+            return reply
+        return await self._confirmed(place, reply, confirming)
+
+    def _as_reply(self, result: requests.ReplyResult) -> replies.Reply:
+        if result.is_error():
+            self._group.suspect()
+            return self._dialog.reply(expression.Error(result.error))
+        reply = result.ok
+        if reply.result.is_error():
+            self._group.suspect()
+        return dataclasses.replace(reply, state=_IDLE)
+
+    def _note_write(self, place: Place, result: requests.ReplyResult) -> None:
+        if result.is_error():
+            return
+        self._group.stall.answered()
+        if result.ok.result.is_ok():
+            self._dialog.state.raise_floor(
+                self._route.service, result.ok.position
+            )
+
+    def _confirm(
+        self, place: Place
+    ) -> asyncio.Task[evidences.Leader | None] | None:
+        """Begins to check that the database is still the primary."""
+        if place.leader is None:
+            return None
+        return asyncio.create_task(
+            self._group.confirm(self._call.arrived, self._terms.deadline)
+        )
+
+    async def _confirmed(
+        self,
+        place: Place,
+        reply: replies.Reply,
+        confirming: asyncio.Task[evidences.Leader | None],
+    ) -> replies.Reply:
+        """Delivers a read only if its database was the primary."""
+        if reply.result.is_error():
+            confirming.cancel()
+            return reply
+        leader = await confirming
+        if leader == place.leader:
+            return reply
+        newest = leader.member if leader is not None else ""
+        self._env.journal.record(
+            decisions.ReadConfirmed(self._call.id, self._call.served_by, newest)
+        )
+        # The read ran, and its rows may be old; they are not delivered.
+        failure = errors.AnswerLost(
+            self._call.served_by, "it may no longer be the primary"
+        )
+        return self._dialog.reply(expression.Error(failure))
+
+    async def _find(self, reads: bool) -> PlaceResult:
+        if not reads:
+            return await at_primary(self._group, self._terms.deadline, None)
+        return await find_place(
+            self._dialog, self._group, self._route, self._call, self._excluded
+        )
+
+
+def _was_sent(result: requests.ReplyResult) -> bool:
+    """Whether the connection may be in the middle of something."""
+    return result.is_ok() or result.error.outcome is errors.Outcome.UNKNOWN
+
+
+def _forget_names(result: requests.ReplyResult, loan: lenders.Loan) -> None:
+    """Prepares names again where the database doesn't know them."""
+    if result.is_error() or result.ok.result.is_ok():
+        return
+    match result.ok.result.error:
+        case replies.Rejection(reason=replies.Reason.UNKNOWN_STATEMENT):
+            loan.forget_names()
+
+
+def no_primary(group: supervisors.Supervisor) -> PlaceResult:
+    """Returns the failure that nobody leads the group."""
+    return expression.Error(errors.NoPrimary(group.service))
+
+
+async def at_primary(
+    group: supervisors.Supervisor,
+    deadline: datetime.datetime,
+    floor: positions.Position | None,
+) -> PlaceResult:
+    """Finds the primary, waiting for one until the deadline."""
+    leader = await group.wait_for_leader(deadline)
+    if leader is None or leader.member not in group.lenders:
+        return no_primary(group)
+    return expression.Ok(Place(group.lenders[leader.member], floor, leader))
+
+
+async def find_place(
+    dialog: dialogs.Dialog,
+    group: supervisors.Supervisor,
+    route: catalogs.Route,
+    call: states.Call,
+    excluded: set[members.MemberId],
+) -> PlaceResult:
+    """Finds a database for a read."""
+    if isinstance(route.consistency, catalogs.Newest):
+        return await at_primary(group, call.deadline, None)
+    floor = group.evidence.floor(route.consistency, call.arrived)
+    if floor is None:
+        oldest = call.arrived - route.consistency.staleness
+        floor = await group.wait_for_floor(oldest, call.deadline)
+    if floor is None:
+        return no_primary(group)
+    call.floor = floor
+    own = placing.own_floor(
+        route.consistency, dialog.state.floors, route.service
+    )
+    needed = asking.floor_of(floor.position, own)
+    while True:
+        chosen = _choose(dialog, group, needed, excluded)
+        if chosen is not None:
+            lender = group.lenders[chosen.member.id]
+            return expression.Ok(Place(lender, needed, None))
+        if not await group.next_round(call.deadline):
+            return no_primary(group)
+
+
+def _choose(
+    dialog: dialogs.Dialog,
+    group: supervisors.Supervisor,
+    floor: positions.Position | None,
+    excluded: set[members.MemberId],
+) -> placing.Candidate | None:
+    leader = group.leader
+    now = dialog.now()
+    usable = [
+        placing.Candidate(
+            member=lender.member,
+            position=group.evidence.position(name),
+            leads=leader is not None and leader.member == name,
+            load=lender.load,
+            near=lender.member.zone == dialog.env.zone,
+        )
+        for name, lender in group.lenders.items()
+        if not group.prober.vital(name).lost(now)
+    ]
+    staying = [c for c in usable if c.leads or not c.member.leaving]
+    fresh = [c for c in staying if c.member.id not in excluded]
+    return placing.choose(fresh or staying, floor, dialog.env.rng)
+
+
+@functools.singledispatch
+async def run(
+    operation: operations.Operation,
+    dialog: dialogs.Dialog,
+    route: catalogs.Route,
+    call: states.Call,
+) -> replies.Reply:
+    """Runs an operation outside a transaction."""
+    return dialog.refuse(replies.Reason.MALFORMED, "not a statement")
+
+
+@run.register(operations.Read)
+@run.register(operations.Write)
+@run.register(operations.Execute)
+async def _(
+    operation: operations.Operation,
+    dialog: dialogs.Dialog,
+    route: catalogs.Route,
+    call: states.Call,
+) -> replies.Reply:
+    group = dialog.env.fleet.group(route.service)
+    if group is None:
+        failure = errors.NoPrimary(route.service)
+        return dialog.reply(expression.Error(failure))
+    sent = asking.statement(operation, dialog.state)
+    asker = _Asker(dialog, group, route, call, sent)
+    return await (asker.write() if sent.writes else asker.read())
--- a/hickorygate/core/admission.py
+++ b/hickorygate/core/admission.py
@@ -26,8 +26,8 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
-from hickorygate.core import sheet as sheets
 from hickorygate.core import types
 
 __all__ = [
@@ -146,7 +146,7 @@
         "waiters",
     )
 
-    def __init__(self, rank: sheets.Rank, service: float) -> None:
+    def __init__(self, rank: ranks.Rank, service: float) -> None:
         self.rank = rank
         self.running = 0
         self.service = service
@@ -356,7 +356,7 @@
         excess = ended - waiter.admitted - waiter.planned
         lane.learn(excess.total_seconds(), self._settings.misses)
 
-    def _lane(self, rank: sheets.Rank) -> _Lane:
+    def _lane(self, rank: ranks.Rank) -> _Lane:
         lane = self._lanes.get(rank.name)
         if lane is None:
             service = self._settings.service.total_seconds()
--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 import dataclasses
 import datetime
+from typing import Protocol
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import position as positions
@@ -30,6 +31,7 @@
     "FailoverEnded",
     "FailoverStarted",
     "InstancesLeaving",
+    "Journal",
     "PeerJoined",
     "PeerLost",
     "PrimaryChanged",
@@ -253,6 +255,13 @@
     event: Event
 
 
+class Journal(Protocol):
+    """Who takes events in."""
+
+    def record(self, event: Event) -> None:
+        """Takes in an event; cheap enough for each request."""
+
+
 class TimeLine:
     """Keeps the newest events of this process."""
 
--- a/hickorygate/core/measurement.py
+++ b/hickorygate/core/measurement.py
@@ -11,7 +11,7 @@
 from typing import Protocol
 
 from hickorygate.core import errors
-from hickorygate.core import sheet as sheets
+from hickorygate.core import rank as ranks
 from hickorygate.core import types
 
 __all__ = [
@@ -59,7 +59,7 @@
       failure: why it failed; None if it was served.
     """
 
-    rank: sheets.Rank
+    rank: ranks.Rank
     work: Work
     served_by: ServedBy
     group: types.GroupName | None
@@ -89,7 +89,7 @@
 class Retried(Measurement):
     """A statement is tried again after a failure."""
 
-    rank: sheets.Rank
+    rank: ranks.Rank
     failure: errors.Failure
 
 
--- a/hickorygate/core/request.py
+++ b/hickorygate/core/request.py
@@ -5,7 +5,7 @@
 import dataclasses
 import datetime
 
-from hickorygate.core import sheet as sheets
+from hickorygate.core import rank as ranks
 
 __all__ = ["Request"]
 
@@ -22,7 +22,7 @@
       idempotency_key: repeats of a write with the same key run once.
     """
 
-    rank: sheets.Rank
+    rank: ranks.Rank
     arrived: datetime.datetime
     deadline: datetime.datetime
     staleness: datetime.timedelta | None = None
--- a/hickorygate/core/retry.py
+++ b/hickorygate/core/retry.py
@@ -18,6 +18,7 @@
 import random
 
 from hickorygate.core import errors
+from hickorygate.core import reply as replies
 
 __all__ = ["Attempt", "Budget", "Delay", "GiveUp", "Verdict", "decide"]
 
@@ -141,3 +142,23 @@
 @_worth_retrying.register
 def _(failure: errors.UpstreamError) -> bool:
     return failure.refused or failure.interrupted
+
+
+@_worth_retrying.register
+def _(failure: replies.Rejection) -> bool:
+    return failure.reason in _PASSING
+
+
+_PASSING = frozenset(
+    {
+        replies.Reason.BUSY,
+        replies.Reason.LAGGING,
+        replies.Reason.READ_ONLY,
+        replies.Reason.WRONG_DATABASE,
+        replies.Reason.CONNECTION_LIMIT,
+        replies.Reason.UNKNOWN_STATEMENT,
+        replies.Reason.FAILED,
+        replies.Reason.TIMED_OUT,
+    }
+)
+"""Refusals after which another try, or another database, may do."""
--- a/hickorygate/core/sheet.py
+++ b/hickorygate/core/sheet.py
@@ -9,6 +9,7 @@
 
 from hickorygate.core import border
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import sheet_model
 from hickorygate.core import sheet_rules
 from hickorygate.core import types
@@ -17,7 +18,6 @@
     "Database",
     "Group",
     "PlannedStop",
-    "Rank",
     "ReadClass",
     "Service",
     "Sheet",
@@ -26,23 +26,6 @@
 ]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Rank:
-    """A rank of work.
-
-    Attributes:
-      name: its name in the sheet.
-      order: 0 is the most urgent.
-      target: the time within which its requests should be answered.
-      floor: the share of capacity that it keeps under overload, 0 to 1.
-    """
-
-    name: types.RankName
-    order: int
-    target: datetime.timedelta
-    floor: float
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReadClass:
     """A kind of read and the age of data it accepts."""
@@ -104,12 +87,12 @@
     """A service: ranks (most urgent first), reads, users and groups."""
 
     name: types.ServiceName
-    ranks: tuple[Rank, ...]
+    ranks: tuple[ranks.Rank, ...]
     reads: tuple[ReadClass, ...]
     users: tuple[User, ...]
     groups: tuple[Group, ...]
 
-    def rank(self, name: types.RankName) -> Rank | None:
+    def rank(self, name: types.RankName) -> ranks.Rank | None:
         """Returns the rank of that name, if the service has it."""
         return next((r for r in self.ranks if r.name == name), None)
 
@@ -186,7 +169,7 @@
     return Service(
         name=model.name,
         ranks=tuple(
-            Rank(r.name, order, _milliseconds(r.target_ms), r.floor)
+            ranks.Rank(r.name, order, _milliseconds(r.target_ms), r.floor)
             for order, r in enumerate(model.ranks)
         ),
         reads=tuple(
--- a/hickorygate/operators/bench.py
+++ b/hickorygate/operators/bench.py
@@ -12,7 +12,7 @@
 import orjson
 
 from hickorygate.core import admission
-from hickorygate.core import sheet as sheets
+from hickorygate.core import rank as ranks
 from hickorygate.operators import command as commands
 from hickorygate.testing import flood
 
@@ -31,9 +31,9 @@
     return datetime.timedelta(milliseconds=count)
 
 
-_URGENT = sheets.Rank("urgent", 0, _milliseconds(250), 0.5)
-_NORMAL = sheets.Rank("normal", 1, _milliseconds(1_000), 0.2)
-_HISTORY = sheets.Rank("history", 2, _milliseconds(10_000), 0.05)
+_URGENT = ranks.Rank("urgent", 0, _milliseconds(250), 0.5)
+_NORMAL = ranks.Rank("normal", 1, _milliseconds(1_000), 0.2)
+_HISTORY = ranks.Rank("history", 2, _milliseconds(10_000), 0.05)
 
 
 def _mix(
--- a/hickorygate/operators/demo.py
+++ b/hickorygate/operators/demo.py
@@ -15,7 +15,7 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
-from hickorygate.core import sheet as sheets
+from hickorygate.core import rank as ranks
 from hickorygate.operators import command as commands
 from hickorygate.operators import event_codec
 from hickorygate.operators import failures
@@ -209,7 +209,7 @@
 
 
 def _service(
-    ranks: Sequence[sheets.Rank], recorder: recorders.Recorder
+    ranks: Sequence[ranks.Rank], recorder: recorders.Recorder
 ) -> Iterator[str]:
     yield "rank        target       calls  in target  refused  unknown"
     for rank in ranks:
--- /dev/null
+++ b/hickorygate/operators/proxy_metrics.py
@@ -0,0 +1,170 @@
+"""Counters and latency histograms of a proxy on the users' platform."""
+
+from __future__ import annotations
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterator
+import datetime
+
+import aioprometheus
+from aioprometheus import histogram
+
+from hickorygate.core import decisions
+from hickorygate.core import events
+from hickorygate.upstreams import fleet as fleets
+
+__all__ = ["Tally", "render"]
+
+_BUCKETS = (0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
+"""Upper bounds, in seconds."""
+
+_SECOND = datetime.timedelta(seconds=1)
+_Sample = tuple[dict[str, str], float | histogram.Histogram]
+
+
+class Tally:
+    """Adds up what requests came to."""
+
+    def __init__(self) -> None:
+        self._outcomes: collections.Counter[tuple[str, str]] = (
+            collections.Counter()
+        )
+        self._latency: dict[str, histogram.Histogram] = {}
+        self._served: collections.Counter[str] = collections.Counter()
+        self._events: collections.Counter[str] = collections.Counter()
+
+    @property
+    def outcomes(self) -> collections.Counter[tuple[str, str]]:
+        """Requests by kind and outcome."""
+        return self._outcomes
+
+    @property
+    def latency(self) -> dict[str, histogram.Histogram]:
+        """Seconds to the answer by kind."""
+        return self._latency
+
+    @property
+    def served(self) -> collections.Counter[str]:
+        """Requests by the database that was asked last."""
+        return self._served
+
+    @property
+    def events(self) -> collections.Counter[str]:
+        """Events by kind."""
+        return self._events
+
+    def __repr__(self) -> str:
+        return f"Tally(requests={self._outcomes.total()})"
+
+    def record(self, event: events.Event) -> None:
+        """Takes in an event."""
+        self._events[type(event).__name__] += 1
+        if not isinstance(event, decisions.RequestEnded):
+            return
+        self._outcomes[event.kind, event.outcome] += 1
+        self._served[event.served_by] += 1
+        if event.kind not in self._latency:
+            self._latency[event.kind] = histogram.Histogram(*_BUCKETS)
+        self._latency[event.kind].observe(event.took / _SECOND)
+
+
+def render(
+    tally: Tally, fleet: fleets.Fleet, callers: int, store_calls: int
+) -> bytes:
+    """Returns all metrics as text."""
+    registry = aioprometheus.Registry()
+
+    def show(
+        kind: Callable[..., aioprometheus.Collector],
+        name: str,
+        text: str,
+        samples: Iterator[_Sample],
+    ) -> None:
+        collector = kind(f"hickorygate_{name}", text, registry=registry)
+        for labels, value in samples:
+            collector.set_value(labels, value)
+
+    show(
+        aioprometheus.Counter,
+        "requests_total",
+        "Requests by kind and outcome.",
+        (
+            ({"kind": kind, "outcome": outcome}, float(count))
+            for (kind, outcome), count in tally.outcomes.items()
+        ),
+    )
+    show(
+        aioprometheus.Histogram,
+        "request_seconds",
+        "Time from a request's arrival to its answer.",
+        (({"kind": kind}, value) for kind, value in tally.latency.items()),
+    )
+    show(
+        aioprometheus.Counter,
+        "served_total",
+        "Requests by the database that was asked last.",
+        (
+            ({"database": name}, float(count))
+            for name, count in tally.served.items()
+        ),
+    )
+    show(
+        aioprometheus.Counter,
+        "events_total",
+        "Events by kind.",
+        (({"kind": k}, float(count)) for k, count in tally.events.items()),
+    )
+    show(
+        aioprometheus.Gauge,
+        "connections",
+        "Open connections by database.",
+        _connections(fleet),
+    )
+    show(
+        aioprometheus.Gauge,
+        "database_load",
+        "Requests of this proxy that run or wait, by database.",
+        _loads(fleet),
+    )
+    show(
+        aioprometheus.Gauge,
+        "group_primary",
+        "1 if a service's primary is known.",
+        (
+            ({"service": name}, float(group.leader is not None))
+            for name, group in fleet.groups.items()
+        ),
+    )
+    show(
+        aioprometheus.Gauge,
+        "configuration_version",
+        "Version in force; 0 if none.",
+        iter([({}, float(fleet.version))]),
+    )
+    show(
+        aioprometheus.Gauge,
+        "callers",
+        "Connected callers.",
+        iter([({}, float(callers))]),
+    )
+    show(
+        aioprometheus.Counter,
+        "store_calls_total",
+        "Calls to the platform.",
+        iter([({}, float(store_calls))]),
+    )
+    content, _ = aioprometheus.render(registry, ())
+    return content
+
+
+def _connections(fleet: fleets.Fleet) -> Iterator[_Sample]:
+    for group in fleet.groups.values():
+        for name, lender in group.lenders.items():
+            yield {"database": name}, float(lender.open)
+
+
+def _loads(fleet: fleets.Fleet) -> Iterator[_Sample]:
+    for group in fleet.groups.values():
+        for name, lender in group.lenders.items():
+            yield {"database": name}, float(lender.load)
--- /dev/null
+++ b/hickorygate/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter to the users' platform; it decides nothing."""
--- /dev/null
+++ b/hickorygate/platform/database.py
@@ -0,0 +1,173 @@
+"""A connection to a database that speaks the line protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import dataclasses
+import datetime
+import socket
+
+import expression
+
+from hickorygate.core import errors
+from hickorygate.core import reply as replies
+from hickorygate.platform import lines
+from hickorygate.upstreams import member as members
+from hickorygate.upstreams import request as requests
+
+__all__ = ["DatabaseConnection", "DatabaseConnector"]
+
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+_UNACKNOWLEDGED_LIMIT = datetime.timedelta(seconds=3)
+"""After which the kernel gives a connection up; a database drops a caller
+that it can't reach after the same time."""
+
+_SELF = "hickorygate"
+_TELL_STATUS = (
+    requests.ReadStatus,
+    requests.Pause,
+    requests.Resume,
+    requests.Demote,
+)
+"""Requests whose answer tells the database's place in its group."""
+
+
+def limit_silence(sock: socket.socket) -> None:
+    """Makes the kernel end a connection whose other end is gone."""
+    milliseconds = int(_UNACKNOWLEDGED_LIMIT.total_seconds() * 1_000)
+    tcp = socket.IPPROTO_TCP
+    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
+    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, milliseconds)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, 2)
+    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(tcp, socket.TCP_KEEPCNT, 3)
+
+
+class DatabaseConnection(asyncio.Protocol):
+    """One connection; replies come in the order of the requests."""
+
+    def __init__(self, member: members.Member) -> None:
+        self._member = member
+        self._buffer = lines.LineBuffer()
+        self._parser = lines.ReplyParser()
+        self._waiting: collections.deque[
+            tuple[asyncio.Future[requests.ReplyResult], bool]
+        ] = collections.deque()
+        self._transport: asyncio.Transport | None = None
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether it can't be used any more."""
+        return self._closed
+
+    def __repr__(self) -> str:
+        return f"DatabaseConnection({self._member.id!r}, {self._closed=})"
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop."""
+        assert isinstance(transport, asyncio.Transport), "TCP has streams"
+        self._transport = transport
+        limit_silence(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by the loop."""
+        self._end(f"closed: {exc}" if exc else "closed by the database")
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the loop."""
+        try:
+            for line in self._buffer.feed(data):
+                reply = self._parser.take(line)
+                if reply is not None:
+                    self._settle(reply)
+        except ValueError as error:
+            self._end(f"broken answer: {error}")
+        if self._buffer.oversized:
+            self._end("an answer is longer than a message")
+
+    async def greet(self) -> requests.ReplyResult:
+        """Opens the session; the database checks its name and identity."""
+        line = f"CONNECT {self._member.service} {_SELF} {self._member.id}\r\n"
+        return (await self._send([line.encode()], [False]))[0]
+
+    async def ask(self, *batch: requests.Request) -> list[requests.ReplyResult]:
+        """Sends requests together and returns their replies."""
+        encoded = [lines.encode_request(request) for request in batch]
+        return await self._send(
+            encoded, [isinstance(request, _TELL_STATUS) for request in batch]
+        )
+
+    def close(self) -> None:
+        """Closes it at once; what is outstanding fails as lost."""
+        self._end("closed here")
+
+    async def _send(
+        self, encoded: list[bytes], statuses: list[bool]
+    ) -> list[requests.ReplyResult]:
+        if self._closed or self._transport is None:
+            failure = errors.ConnectFailed(self._member.id, "closed before")
+            return [expression.Error(failure) for _ in encoded]
+        loop = asyncio.get_running_loop()
+        futures = [loop.create_future() for _ in encoded]
+        self._waiting.extend(zip(futures, statuses, strict=True))
+        self._transport.write(b"".join(encoded))
+        return [await future for future in futures]
+
+    def _settle(self, reply: replies.Reply) -> None:
+        if not self._waiting:
+            raise ValueError("an answer to nothing")
+        future, has_status = self._waiting.popleft()
+        if has_status:
+            status = lines.parse_status(reply)
+            reply = dataclasses.replace(reply, group=status)
+        if not future.done():
+            future.set_result(expression.Ok(reply))
+
+    def _end(self, reason: str) -> None:
+        """Fails what is outstanding; its outcome can't be known."""
+        if self._closed:
+            return
+        self._closed = True
+        if self._transport is not None:
+            self._transport.abort()
+        failure = errors.AnswerLost(self._member.id, reason)
+        while self._waiting:
+            future, _ = self._waiting.popleft()
+            if not future.done():
+                future.set_result(expression.Error(failure))
+
+
+class DatabaseConnector:
+    """Opens connections."""
+
+    async def open(
+        self, member: members.Member
+    ) -> expression.Result[requests.Connection, errors.Failure]:
+        """Connects to a database and checks that it is the one meant."""
+        loop = asyncio.get_running_loop()
+        connection = DatabaseConnection(member)
+        try:
+            async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
+                await loop.create_connection(
+                    lambda: connection, member.host, member.port
+                )
+                greeted = await connection.greet()
+        except (OSError, TimeoutError) as error:
+            connection.close()
+            reason = str(error) or type(error).__name__
+            return expression.Error(errors.ConnectFailed(member.id, reason))
+        except asyncio.CancelledError:
+            connection.close()
+            raise
+        failure = greeted.error if greeted.is_error() else _refusal(greeted.ok)
+        if failure is not None:
+            connection.close()
+            return expression.Error(failure)
+        return expression.Ok(connection)
+
+
+def _refusal(reply: replies.Reply) -> errors.Failure | None:
+    return reply.result.error if reply.result.is_error() else None
--- /dev/null
+++ b/hickorygate/platform/entries.py
@@ -0,0 +1,165 @@
+"""Decodes the platform's objects into the types used inside."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping
+import datetime
+from typing import Annotated
+from typing import Literal
+
+import expression
+import pydantic
+
+from hickorygate.core import catalog as catalogs
+from hickorygate.core import errors
+from hickorygate.core import rank as ranks
+from hickorygate.store import failures
+from hickorygate.upstreams import member as members
+
+__all__ = [
+    "CONFIGURATION",
+    "CONFIGURATION_NAME",
+    "SERVERS",
+    "decode_catalog",
+    "decode_member",
+]
+
+SERVERS = "servers"
+"""Kind of the objects by which databases announce themselves."""
+
+CONFIGURATION = "config"
+"""Kind of the object that holds the configuration."""
+
+CONFIGURATION_NAME = "main"
+"""Name of that object."""
+
+_RANK_FLOOR = 0.05
+"""Share of a database that each rank keeps under overload."""
+
+_Count = Annotated[int, pydantic.Field(strict=True, ge=0)]
+_Name = Annotated[str, pydantic.Field(strict=True, min_length=1)]
+_Milliseconds = Annotated[float, pydantic.Field(gt=0)]
+
+
+class _Entry(pydantic.BaseModel):
+    """What a database says of itself."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    service: _Name
+    address: _Name
+    zone: _Name
+    slots: Annotated[int, pydantic.Field(strict=True, gt=0)]
+    state: Literal["ready", "draining"]
+    db_role: Literal["primary", "replica"]
+    cold_left_ms: Annotated[float, pydantic.Field(ge=0)] = 0
+    born: _Count = 0
+
+
+def decode_member(name: str, value: object) -> members.Member | None:
+    """Returns the database that an entry names; None if it names none."""
+    try:
+        entry = _Entry.model_validate(value)
+    except pydantic.ValidationError:
+        return None
+    host, _, port = entry.address.rpartition(":")
+    if not (host and port.isdecimal() and 0 < int(port) < 65_536):
+        return None
+    return members.Member(
+        id=name,
+        born=entry.born,
+        service=entry.service,
+        host=host,
+        port=int(port),
+        zone=entry.zone,
+        slots=entry.slots,
+        leaving=entry.state == "draining",
+        leads=entry.db_role == "primary",
+        warming=entry.cold_left_ms > 0,
+    )
+
+
+class _Route(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    host: _Name  # The database name that callers connect to.
+    type: Literal["primary", "bounded_staleness", "read_your_writes"]
+    timeout_ms: _Milliseconds
+    latency_goal_ms: _Milliseconds
+    priority: _Count
+    service: _Name
+    max_staleness_ms: Annotated[float, pydantic.Field(ge=0)] = 0
+
+    def route(self) -> catalogs.Route:
+        rank = ranks.Rank(
+            name=str(self.priority),
+            order=self.priority,
+            target=datetime.timedelta(milliseconds=self.latency_goal_ms),
+            floor=_RANK_FLOOR,
+        )
+        return catalogs.Route(
+            database=self.host,
+            service=self.service,
+            consistency=self._consistency(),
+            rank=rank,
+            timeout=datetime.timedelta(milliseconds=self.timeout_ms),
+        )
+
+    def _consistency(self) -> catalogs.Consistency:
+        staleness = datetime.timedelta(milliseconds=self.max_staleness_ms)
+        if self.type == "primary" or not staleness:
+            return catalogs.Newest()
+        if self.type == "bounded_staleness":
+            return catalogs.Bounded(staleness)
+        return catalogs.OwnWrites(staleness)
+
+
+class _Service(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    name: _Name
+    max_conns: Annotated[int, pydantic.Field(gt=0)]
+    sync_replicas: _Count = 0
+
+
+class _Limits(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    tx_idle_ms: _Milliseconds = 3_000
+
+
+class _Configuration(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    version: _Count
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits = _Limits()
+
+    def catalog(self) -> catalogs.Catalog:
+        idle = datetime.timedelta(milliseconds=self.limits.tx_idle_ms)
+        return catalogs.Catalog(
+            version=self.version,
+            routes={route.host: route.route() for route in self.routes},
+            services={s.name: _terms(s) for s in self.services},
+            transaction_idle=idle,
+        )
+
+
+def _terms(service: _Service) -> catalogs.ServiceTerms:
+    return catalogs.ServiceTerms(
+        service.name, service.max_conns, service.sync_replicas
+    )
+
+
+def decode_catalog(
+    value: Mapping[str, object] | object,
+) -> expression.Result[catalogs.Catalog, errors.Failure]:
+    """Decodes the configuration; one that can't be read is a failure."""
+    try:
+        return expression.Ok(_Configuration.model_validate(value).catalog())
+    except pydantic.ValidationError as error:
+        detail = error.errors(include_url=False)[0]
+        where = ".".join(str(part) for part in detail["loc"])
+        reason = f"{where}: {detail['msg']}"
+        return expression.Error(failures.ObjectMalformed(CONFIGURATION, reason))
--- /dev/null
+++ b/hickorygate/platform/front.py
@@ -0,0 +1,245 @@
+"""Serves callers that speak the line protocol."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Callable
+import functools
+
+import expression
+
+from hickorygate.callers import dialog as dialogs
+from hickorygate.callers import surroundings
+from hickorygate.core import reply as replies
+from hickorygate.platform import database
+from hickorygate.platform import lines
+from hickorygate.platform import settings as settings_lib
+
+__all__ = ["CallerConnection", "Front"]
+
+_PENDING_LIMIT = 32
+"""Messages of one caller that wait; beyond it nothing more is read."""
+
+_BACKLOG = 512
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller; messages are answered in their order."""
+
+    def __init__(
+        self,
+        env: surroundings.Surroundings,
+        on_end: Callable[[CallerConnection], None],
+    ) -> None:
+        self._env = env
+        self._on_end = on_end
+        self._buffer = lines.LineBuffer()
+        self._pending: collections.deque[lines.Message] = collections.deque()
+        self._work: asyncio.Task[None] | None = None
+        self._transport: asyncio.Transport | None = None
+        self._dialog: dialogs.Dialog | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._closing = False
+        self._closes_when_quiet = False
+
+    @property
+    def dialog(self) -> dialogs.Dialog | None:
+        """The session; None before it was opened."""
+        return self._dialog
+
+    @property
+    def quiet(self) -> bool:
+        """Whether no request is outstanding and no transaction open."""
+        busy = self._pending or self.working
+        return not busy and (self._dialog is None or self._dialog.idle)
+
+    @property
+    def env(self) -> surroundings.Surroundings:
+        """What sessions work with."""
+        return self._env
+
+    @property
+    def working(self) -> bool:
+        """Whether a request is being answered."""
+        return self._work is not None and not self._work.done()
+
+    def __repr__(self) -> str:
+        return f"CallerConnection({self._dialog!r})"
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop."""
+        assert isinstance(transport, asyncio.Transport), "TCP has streams"
+        self._transport = transport
+        database.limit_silence(transport.get_extra_info("socket"))
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by the loop."""
+        self._closing = True
+        self._writable.set()
+        if self.working:
+            assert self._work is not None, "it works"
+            self._work.cancel()
+        if self._dialog is not None:
+            self._dialog.close()
+        self._on_end(self)
+
+    def pause_writing(self) -> None:
+        """Called by the loop: the caller doesn't read."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """Called by the loop."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the loop."""
+        if self._closing:
+            return
+        for line in self._buffer.feed(data):
+            self._pending.append(lines.parse_caller(line))
+        if self._buffer.oversized:
+            self.end(replies.Reason.OVERSIZED, "a message may have 1 MiB")
+            return
+        if len(self._pending) > _PENDING_LIMIT and self._transport is not None:
+            self._transport.pause_reading()
+        if self._pending and not self.working:
+            self._work = self._env.background.start(self._answer_all())
+
+    def close_when_quiet(self) -> None:
+        """Closes after the next answer that leaves nothing open."""
+        self._closes_when_quiet = True
+
+    def open_session(self, name: str) -> None:
+        """Opens a session with a database name that is served."""
+        if self._env.fleet.route(name) is None:
+            self.end(replies.Reason.UNKNOWN_DATABASE, name)
+            return
+        self._dialog = dialogs.Dialog(name, self._env)
+        self._write(b"READY I -\r\n")
+
+    def end(self, reason: replies.Reason, detail: str) -> None:
+        """Tells why the session can't go on, and closes."""
+        self._write(lines.error_line(replies.Rejection(reason, detail)))
+        self.close()
+
+    def close(self) -> None:
+        """Closes once all that was written is sent."""
+        self._closing = True
+        self._pending.clear()
+        if self._transport is not None:
+            self._transport.close()
+
+    async def answer(self, query: lines.Query) -> None:
+        """Answers a statement."""
+        if self._dialog is None:
+            self.end(replies.Reason.MALFORMED, "connect first")
+            return
+        reply = await self._dialog.perform(query.id, query.operation)
+        self._write(lines.reply_lines(reply))
+
+    def reject_unreadable(self) -> None:
+        """Answers a line that is no message; the session goes on."""
+        failure = replies.Rejection(replies.Reason.MALFORMED, "not a message")
+        if self._dialog is None:
+            self.end(failure.reason, failure.detail)
+            return
+        reply = self._dialog.reply(expression.Error(failure))
+        self._write(lines.reply_lines(reply))
+
+    async def _answer_all(self) -> None:
+        while self._pending and not self._closing:
+            await _take(self._pending.popleft(), self)
+            await self._writable.wait()
+            if len(self._pending) <= _PENDING_LIMIT:
+                self._resume_reading()
+            if self._closes_when_quiet and self._may_close():
+                self.close()
+
+    def _may_close(self) -> bool:
+        """Whether the session has been used and nothing of it is open."""
+        return self._dialog is not None and (
+            self._dialog.idle and not self._pending
+        )
+
+    def _resume_reading(self) -> None:
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.resume_reading()
+
+    def _write(self, data: bytes) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(data)
+
+
+@functools.singledispatch
+async def _take(message: lines.Message, caller: CallerConnection) -> None:
+    """Answers one message."""
+    raise TypeError(f"no answer to {message!r}; register one")
+
+
+@_take.register
+async def _(message: lines.Connect, caller: CallerConnection) -> None:
+    if caller.dialog is None:
+        caller.open_session(message.database)
+    else:
+        caller.reject_unreadable()
+
+
+@_take.register
+async def _(message: lines.Query, caller: CallerConnection) -> None:
+    await caller.answer(message)
+
+
+@_take.register
+async def _(message: lines.Terminate, caller: CallerConnection) -> None:
+    caller.close()
+
+
+@_take.register
+async def _(message: lines.Unreadable, caller: CallerConnection) -> None:
+    caller.reject_unreadable()
+
+
+class Front:
+    """Listens for callers and keeps their connections."""
+
+    def __init__(self, env: surroundings.Surroundings) -> None:
+        self._env = env
+        self._callers: set[CallerConnection] = set()
+        self._server: asyncio.Server | None = None
+
+    @property
+    def callers(self) -> frozenset[CallerConnection]:
+        """The open connections."""
+        return frozenset(self._callers)
+
+    def __repr__(self) -> str:
+        return f"Front(callers={len(self._callers)})"
+
+    async def start(self, address: settings_lib.Address) -> None:
+        """Begins to listen.
+
+        Raises:
+          OSError: the address can't be listened on.
+        """
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, address.host, address.port, backlog=_BACKLOG
+        )
+
+    def close_when_quiet(self) -> None:
+        """Makes all sessions end after their next answer."""
+        for caller in self._callers:
+            caller.close_when_quiet()
+
+    def stop_listening(self) -> None:
+        """Takes no more callers."""
+        if self._server is not None:
+            self._server.close()
+
+    def _accept(self) -> CallerConnection:
+        caller = CallerConnection(self._env, self._callers.discard)
+        self._callers.add(caller)
+        return caller
--- /dev/null
+++ b/hickorygate/platform/lines.py
@@ -0,0 +1,376 @@
+"""The line protocol of callers and databases: bytes in, typed messages out.
+
+A message is one line: a word, fields separated by blanks, CR LF. The last
+field extends to the end of the line.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import functools
+import re
+
+import expression
+
+from hickorygate.core import errors
+from hickorygate.core import operation as operations
+from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
+from hickorygate.upstreams import request as requests
+
+__all__ = [
+    "MESSAGE_LIMIT",
+    "Connect",
+    "LineBuffer",
+    "Message",
+    "Query",
+    "ReplyParser",
+    "Terminate",
+    "Unreadable",
+    "encode_request",
+    "error_line",
+    "parse_caller",
+    "parse_status",
+    "reply_lines",
+]
+
+MESSAGE_LIMIT = 1_048_576
+"""Bytes of the longest message, from the protocol's page."""
+
+_ENCODING = "utf-8"
+_UNDECODABLE = "surrogateescape"
+"""Bytes that are no text are passed on as they came."""
+
+_OWN_ID = "-"
+_NO_POSITION = "-"
+_NO_SIGNATURE = b"-"
+_STATUS_FIELDS = 7
+_END = b"\r\n"
+
+_REASONS = {
+    "BUSY": replies.Reason.BUSY,
+    "LAGGING": replies.Reason.LAGGING,
+    "READONLY": replies.Reason.READ_ONLY,
+    "MISROUTED": replies.Reason.WRONG_DATABASE,
+    "CONNLIMIT": replies.Reason.CONNECTION_LIMIT,
+    "FAILED": replies.Reason.FAILED,
+    "UNKNSTMT": replies.Reason.UNKNOWN_STATEMENT,
+    "TIMEOUT": replies.Reason.TIMED_OUT,
+    "AUTHFAIL": replies.Reason.ACCESS_DENIED,
+    "UNKNDB": replies.Reason.UNKNOWN_DATABASE,
+    "OVERSIZE": replies.Reason.OVERSIZED,
+    "MALFORMED": replies.Reason.MALFORMED,
+    "ABORTED": replies.Reason.ABORTED,
+    "INDOUBT": replies.Reason.IN_DOUBT,
+}
+_CODES = {reason: code for code, reason in _REASONS.items()}
+_STATES = {
+    "I": replies.SessionState.IDLE,
+    "T": replies.SessionState.IN_TRANSACTION,
+    "E": replies.SessionState.FAILED,
+}
+_STATE_WORDS = {state: word for word, state in _STATES.items()}
+_KINDS = {"READ": False, "WRITE": True}
+_POSITION = re.compile(r"(\d+)\.(\d+)\Z", re.ASCII)
+_LINE_BREAKS = re.compile(r"[\r\n]+")
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Message:
+    """Base of what a caller sends."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Connect(Message):
+    """Opens a session with a database name."""
+
+    database: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Query(Message):
+    """A statement under the caller's id of it."""
+
+    id: str
+    operation: operations.Operation
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Terminate(Message):
+    """Ends the session."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Unreadable(Message):
+    """A line that is no message."""
+
+
+class LineBuffer:
+    """Cuts a stream of bytes into lines."""
+
+    __slots__ = ("_buffer", "_scanned")
+
+    def __init__(self) -> None:
+        self._buffer = bytearray()
+        self._scanned = 0
+
+    @property
+    def oversized(self) -> bool:
+        """Whether an unfinished line is longer than a message may be."""
+        return len(self._buffer) > MESSAGE_LIMIT
+
+    def __repr__(self) -> str:
+        return f"LineBuffer({len(self._buffer)} bytes)"
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Adds bytes and returns the lines that they complete."""
+        self._buffer += data
+        end = self._buffer.rfind(b"\n", self._scanned)
+        self._scanned = len(self._buffer)
+        if end < 0:
+            return []
+        whole = bytes(self._buffer[:end])
+        del self._buffer[: end + 1]
+        self._scanned = len(self._buffer)
+        return [line.removesuffix(b"\r") for line in whole.split(b"\n")]
+
+
+def parse_caller(line: bytes) -> Message:
+    """Decodes a caller's line; an over-long one counts as unreadable."""
+    if len(line) > MESSAGE_LIMIT:
+        return Unreadable()
+    text = line.decode(_ENCODING, _UNDECODABLE)
+    word, _, rest = text.partition(" ")
+    match word:
+        case "QUERY":
+            name, _, body = rest.partition(" ")
+            if name and body:
+                return Query(name, _operation(body))
+        case "CONNECT":
+            fields = rest.split(" ")
+            if fields[0]:
+                return Connect(fields[0])
+        case "TERMINATE":
+            return Terminate()
+    return Unreadable()
+
+
+def _operation(text: str) -> operations.Operation:
+    """Decodes a statement's text."""
+    word, _, rest = text.partition(" ")
+    match word, rest.split(" "):
+        case "READ", [item] if item:
+            return operations.Read(text)
+        case "WRITE", [item, _, *_] if item:
+            return operations.Write(text)
+        case "EXECUTE", [name, _, *_] if name:
+            return operations.Execute(name, rest[len(name) + 1 :])
+        case "BEGIN", [""] | ["READ"]:
+            return operations.Begin(read_only=bool(rest))
+        case "COMMIT", [""]:
+            return operations.Commit(text)
+        case "ROLLBACK", [""]:
+            return operations.Rollback()
+        case "SET", [name, _, *_] if name:
+            return operations.SetValue(name, rest[len(name) + 1 :])
+        case "PREPARE", [name, kind, _, *_] if name and kind in _KINDS:
+            body = rest.split(" ", 2)[2]
+            shape = operations.Shape(_KINDS[kind], body)
+            return operations.Prepare(name, shape)
+        case "DEALLOC", [name] if name:
+            return operations.Deallocate(name)
+    return operations.Unknown(text)
+
+
+def _position_text(position: positions.Position | None) -> str:
+    if position is None:
+        return _NO_POSITION
+    return f"{position.term}.{position.offset}"
+
+
+def _parse_position(text: str) -> positions.Position | None:
+    found = _POSITION.match(text)
+    if found is None:
+        return None
+    return positions.Position(int(found[1]), int(found[2]))
+
+
+def reply_lines(reply: replies.Reply) -> bytes:
+    """Encodes a whole answer to a caller."""
+    parts = []
+    match reply.result:
+        case expression.Result(tag="ok", ok=answer):
+            parts += [b"ROW " + row + _END for row in answer.rows]
+            parts.append(
+                b"COMPLETE " + (answer.signature or _NO_SIGNATURE) + _END
+            )
+        case expression.Result(tag="error", error=failure):
+            parts.append(error_line(failure))
+    state = _STATE_WORDS[reply.state]
+    ready = f"READY {state} {_position_text(reply.position)}\r\n"
+    return b"".join([*parts, ready.encode()])
+
+
+def error_line(failure: errors.Failure) -> bytes:
+    """Encodes a failure; one that isn't a refusal is an unknown outcome."""
+    rejection = _as_rejection(failure)
+    detail = _LINE_BREAKS.sub(" ", rejection.detail) or "-"
+    line = f"ERROR {_CODES[rejection.reason]} {detail}"
+    return line.encode(_ENCODING, _UNDECODABLE) + _END
+
+
+@functools.singledispatch
+def _as_rejection(failure: errors.Failure) -> replies.Rejection:
+    reasons = {
+        errors.Outcome.NOT_RUN: replies.Reason.BUSY,
+        errors.Outcome.RAN: replies.Reason.FAILED,
+        errors.Outcome.UNKNOWN: replies.Reason.IN_DOUBT,
+    }
+    return replies.Rejection(reasons[failure.outcome], failure.message)
+
+
+@_as_rejection.register
+def _(failure: replies.Rejection) -> replies.Rejection:
+    return failure
+
+
+def encode_request(request: requests.Request) -> bytes:
+    """Encodes a request to a database."""
+    name, text = _request_text(request)
+    return f"QUERY {name} {text}\r\n".encode(_ENCODING, _UNDECODABLE)
+
+
+def _after(floor: positions.Position | None) -> str:
+    return "" if floor is None else f"WAITPOS {_position_text(floor)} "
+
+
+@functools.singledispatch
+def _request_text(request: requests.Request) -> tuple[str, str]:
+    """Returns the id and the text of a request."""
+    raise TypeError(f"no encoding of {request!r}; register one")
+
+
+@_request_text.register
+def _(request: requests.Run) -> tuple[str, str]:
+    return request.id, _after(request.floor) + request.text
+
+
+@_request_text.register
+def _(request: requests.Begin) -> tuple[str, str]:
+    word = "BEGIN READ" if request.read_only else "BEGIN"
+    return _OWN_ID, _after(request.floor) + word
+
+
+@_request_text.register
+def _(request: requests.Rollback) -> tuple[str, str]:
+    return _OWN_ID, "ROLLBACK"
+
+
+@_request_text.register
+def _(request: requests.Reset) -> tuple[str, str]:
+    return _OWN_ID, "RESET"
+
+
+@_request_text.register
+def _(request: requests.SetValue) -> tuple[str, str]:
+    return _OWN_ID, f"SET {request.name} {request.value}"
+
+
+@_request_text.register
+def _(request: requests.Prepare) -> tuple[str, str]:
+    kind = "WRITE" if request.shape.writes else "READ"
+    return _OWN_ID, f"PREPARE {request.name} {kind} {request.shape.body}"
+
+
+@_request_text.register
+def _(request: requests.ReadStatus) -> tuple[str, str]:
+    return _OWN_ID, "STATUS"
+
+
+@_request_text.register
+def _(request: requests.Pause) -> tuple[str, str]:
+    return _OWN_ID, f"PAUSE {request.term}"
+
+
+@_request_text.register
+def _(request: requests.Resume) -> tuple[str, str]:
+    return _OWN_ID, "RESUME"
+
+
+@_request_text.register
+def _(request: requests.Demote) -> tuple[str, str]:
+    return _OWN_ID, f"DEMOTE {request.term}"
+
+
+class ReplyParser:
+    """Gathers a database's lines into whole replies."""
+
+    __slots__ = ("_result", "_rows", "_size")
+
+    def __init__(self) -> None:
+        self._rows: list[bytes] = []
+        self._size = 0
+        self._result: replies.Result | None = None
+
+    def __repr__(self) -> str:
+        return f"ReplyParser(rows={len(self._rows)})"
+
+    def take(self, line: bytes) -> replies.Reply | None:
+        """Takes in a line; returns the reply that it completes.
+
+        Raises:
+          ValueError: the line doesn't belong to the protocol.
+        """
+        word, _, rest = line.partition(b" ")
+        match word:
+            case b"ROW":
+                self._size += len(rest)
+                if self._size > MESSAGE_LIMIT:
+                    raise ValueError("an answer is longer than a message")
+                self._rows.append(rest)
+            case b"COMPLETE":
+                signature = b"" if rest == _NO_SIGNATURE else rest
+                answer = replies.Answer(tuple(self._rows), signature)
+                self._result = expression.Ok(answer)
+            case b"ERROR":
+                self._result = expression.Error(_rejection(rest))
+            case b"READY":
+                return self._ready(rest)
+            case _:
+                raise ValueError(f"unknown word {word[:20]!r}")
+        return None
+
+    def _ready(self, rest: bytes) -> replies.Reply:
+        state, _, position = rest.decode("ascii", "replace").partition(" ")
+        if state not in _STATES:
+            raise ValueError(f"unknown state {state[:20]!r}")
+        if self._result is None:
+            self._result = expression.Ok(replies.Answer(tuple(self._rows)))
+        reply = replies.Reply(
+            self._result, _STATES[state], _parse_position(position)
+        )
+        self._rows, self._result, self._size = [], None, 0
+        return reply
+
+
+def _rejection(rest: bytes) -> replies.Rejection:
+    code, _, detail = rest.decode(_ENCODING, _UNDECODABLE).partition(" ")
+    # A code that isn't known proves nothing about the request.
+    reason = _REASONS.get(code, replies.Reason.FAILED)
+    return replies.Rejection(reason, detail)
+
+
+def parse_status(reply: replies.Reply) -> replies.GroupStatus | None:
+    """Decodes the row that tells a database's place in its group."""
+    if reply.result.is_error() or not reply.result.ok.rows:
+        return None
+    fields = reply.result.ok.rows[0].decode("ascii", "replace").split(" ")
+    if len(fields) < _STATUS_FIELDS:
+        return None
+    role, term, received, held = fields[:4]
+    position = _parse_position(received)
+    if position is None or not (term.isdecimal() and held.isdecimal()):
+        return None
+    return replies.GroupStatus(
+        role == "primary", int(term), position, int(held)
+    )
--- /dev/null
+++ b/hickorygate/platform/probe.py
@@ -0,0 +1,67 @@
+"""Answers the platform's question for readiness, and shows metrics."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from hickorygate.platform import settings as settings_lib
+
+__all__ = ["Probe"]
+
+_READINESS = "/-/readiness"
+_METRICS = "/metrics"
+_READY = 200
+_NOT_READY = 503
+
+
+class Probe:
+    """Serves readiness and metrics over HTTP."""
+
+    def __init__(
+        self, ready: Callable[[], bool], metrics: Callable[[], bytes]
+    ) -> None:
+        self._ready = ready
+        self._metrics = metrics
+        self._runners: list[web.AppRunner] = []
+
+    def __repr__(self) -> str:
+        return f"Probe(sites={len(self._runners)})"
+
+    async def start(
+        self,
+        readiness: settings_lib.Address,
+        metrics: settings_lib.Address | None,
+    ) -> None:
+        """Begins to listen.
+
+        Raises:
+          OSError: an address can't be listened on.
+        """
+        await self._serve(readiness, _READINESS, self._answer_readiness)
+        if metrics is not None:
+            await self._serve(metrics, _METRICS, self._answer_metrics)
+
+    async def close(self) -> None:
+        """Stops to listen."""
+        for runner in self._runners:
+            await runner.cleanup()
+
+    async def _serve(
+        self, address: settings_lib.Address, path: str, handler: object
+    ) -> None:
+        app = web.Application()
+        app.router.add_get(path, handler)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        self._runners.append(runner)
+        await web.TCPSite(runner, address.host, address.port).start()
+
+    async def _answer_readiness(self, request: web.Request) -> web.Response:
+        return web.Response(status=_READY if self._ready() else _NOT_READY)
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=self._metrics(), content_type="text/plain", charset="utf-8"
+        )
--- /dev/null
+++ b/hickorygate/platform/process.py
@@ -0,0 +1,268 @@
+"""Builds one proxy process on the users' platform and runs it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import datetime
+import pathlib
+import random
+import uuid
+
+import expression
+
+from hickorygate.callers import shutdown as shutdowns
+from hickorygate.callers import surroundings
+from hickorygate.core import background
+from hickorygate.core import clock as clocks
+from hickorygate.core import decisions
+from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.core import retry
+from hickorygate.operators import event_log
+from hickorygate.operators import proxy_metrics
+from hickorygate.platform import database
+from hickorygate.platform import entries
+from hickorygate.platform import front as fronts
+from hickorygate.platform import probe as probes
+from hickorygate.platform import settings as settings_lib
+from hickorygate.platform import store as stores
+from hickorygate.store import feed as feeds
+from hickorygate.upstreams import duty as duties
+from hickorygate.upstreams import fleet as fleets
+from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promoter as promoters
+
+__all__ = ["Process"]
+
+_VERSION = "0.2.0"
+_TICK = datetime.timedelta(milliseconds=100)
+_COMPLETE_LIMIT = datetime.timedelta(seconds=3)
+"""After which a process with a configuration serves what it can."""
+
+
+class _Databases:
+    """Takes the entries of service discovery in."""
+
+    def __init__(self, fleet: fleets.Fleet, journal: events.Journal) -> None:
+        self._fleet = fleet
+        self._journal = journal
+
+    def replace(self, objects: Sequence[feeds.StoredObject]) -> None:
+        """Takes in the whole list."""
+        found = [self._decode(stored) for stored in objects]
+        self._fleet.replace_members([m for m in found if m is not None])
+
+    def change(self, change: feeds.Change) -> None:
+        """Takes in one entry; one that names no database removes it."""
+        member = None if change.gone else self._decode(change.stored)
+        if member is None:
+            self._fleet.remove_member(change.stored.name)
+        else:
+            self._fleet.put_member(member)
+
+    def lost(self, failure: errors.Failure) -> None:
+        """Takes in that the store is out of reach."""
+        self._fleet.lose_store()
+        self._journal.record(
+            decisions.StoreLost(entries.SERVERS, failure.message)
+        )
+
+    def regained(self) -> None:
+        """Takes in that the store answers again."""
+        self._fleet.regain_store()
+        self._journal.record(decisions.StoreRegained(entries.SERVERS))
+
+    def _decode(self, stored: feeds.StoredObject) -> members.Member | None:
+        member = entries.decode_member(stored.name, stored.value)
+        if member is None:
+            self._journal.record(decisions.EntryIgnored(stored.name))
+        return member
+
+
+class _Configuration:
+    """Takes the configuration in."""
+
+    def __init__(self, fleet: fleets.Fleet, journal: events.Journal) -> None:
+        self._fleet = fleet
+        self._journal = journal
+
+    def replace(self, objects: Sequence[feeds.StoredObject]) -> None:
+        """Takes in all objects of the kind."""
+        for stored in objects:
+            self._apply(stored)
+
+    def change(self, change: feeds.Change) -> None:
+        """Takes in a change; a removal leaves the former in force."""
+        if not change.gone:
+            self._apply(change.stored)
+
+    def lost(self, failure: errors.Failure) -> None:
+        """Takes in that the store is out of reach."""
+        self._journal.record(
+            decisions.StoreLost(entries.CONFIGURATION, failure.message)
+        )
+
+    def regained(self) -> None:
+        """Takes in that the store answers again."""
+        self._journal.record(decisions.StoreRegained(entries.CONFIGURATION))
+
+    def _apply(self, stored: feeds.StoredObject) -> None:
+        if stored.name != entries.CONFIGURATION_NAME:
+            return
+        match entries.decode_catalog(stored.value):
+            case expression.Result(tag="ok", ok=catalog):
+                self._fleet.apply(catalog)
+            case expression.Result(tag="error", error=failure):
+                self._journal.record(decisions.CatalogRejected(failure.message))
+
+
+class Process:
+    """One proxy: callers in front, databases behind, the store beside."""
+
+    def __init__(
+        self,
+        settings: settings_lib.PlatformSettings,
+        path: pathlib.Path,
+        metrics_port: int | None,
+        clock: clocks.Clock,
+        handler: event_log.StdoutHandler,
+    ) -> None:
+        self._settings = settings
+        self._path = path
+        self._metrics_port = metrics_port
+        self._clock = clock
+        self._tally = proxy_metrics.Tally()
+        self._journal = event_log.EventLog(
+            settings.name, clock, handler, self._tally
+        )
+        self._store = stores.PlatformStore(settings)
+        duty = duties.Duty(settings.name, uuid.uuid4().hex)
+        office = promoters.Office(duty, self._store, clock, self._journal)
+        self._fleet = fleets.Fleet(
+            database.DatabaseConnector(), office, clock, self._journal
+        )
+        self._background = background.Background()
+        self._env = surroundings.Surroundings(
+            fleet=self._fleet,
+            clock=clock,
+            zone=settings.zone,
+            rng=random.Random(),
+            journal=self._journal,
+            retries=retry.Budget(share=1.0, limit=100.0),
+            background=self._background,
+        )
+        self._front = fronts.Front(self._env)
+        self._probe = probes.Probe(self.ready, self._render_metrics)
+        self._began = clock.now()
+        self._shutdown: shutdowns.Shutdown | None = None
+        self._finished = asyncio.Event()
+
+    def __repr__(self) -> str:
+        return f"Process({self._settings.name!r})"
+
+    def ready(self) -> bool:
+        """Whether the platform should send callers."""
+        if self._shutdown is not None or not self._fleet.version:
+            return False
+        waited = self._clock.now() - self._began
+        return self._fleet.complete or waited >= _COMPLETE_LIMIT
+
+    async def run(self) -> expression.Result[None, errors.Failure]:
+        """Serves until a shutdown is over."""
+        metrics = None
+        if self._metrics_port is not None:
+            host = self._settings.callers.host
+            metrics = settings_lib.Address(host, self._metrics_port)
+        try:
+            await self._probe.start(self._settings.readiness, metrics)
+            await self._front.start(self._settings.callers)
+        except OSError as error:
+            return expression.Error(errors.ListenFailed("front", str(error)))
+        self._follow()
+        self._journal.record(events.ProcessStarted(_VERSION))
+        await self._finished.wait()
+        return expression.Ok(None)
+
+    async def close(self) -> None:
+        """Stops all parts."""
+        await self._background.close()
+        await self._fleet.close()
+        await self._probe.close()
+        await self._store.close()
+
+    def stop(self) -> None:
+        """Begins a graceful shutdown."""
+        if self._shutdown is not None:
+            return
+        grace = datetime.timedelta(seconds=self._settings.grace_seconds)
+        self._shutdown = shutdowns.Shutdown(self._clock.now(), grace)
+        self._journal.record(events.ProcessDraining())
+        self._background.start(self._drain(self._shutdown))
+
+    def reload(self) -> None:
+        """Reads the settings file again; addresses in use stay."""
+        match settings_lib.load(self._path):
+            case expression.Result(tag="ok", ok=settings):
+                self._settings = settings
+                self._store.use(settings)
+                self._journal.record(decisions.SettingsReloaded(""))
+            case expression.Result(tag="error", error=failure):
+                self._journal.record(
+                    decisions.SettingsReloaded(failure.message)
+                )
+
+    def _follow(self) -> None:
+        sinks = (
+            (entries.CONFIGURATION, _Configuration(self._fleet, self._journal)),
+            (entries.SERVERS, _Databases(self._fleet, self._journal)),
+        )
+        for kind, sink in sinks:
+            feed = feeds.Feed(
+                kind, self._store, sink, self._clock, self._env.rng
+            )
+            self._background.start(feed.run())
+        self._fleet.start()
+        self._background.start(self._expire_transactions())
+
+    async def _expire_transactions(self) -> None:
+        while True:
+            await self._clock.sleep(5 * _TICK)
+            now = self._clock.now()
+            for caller in self._front.callers:
+                if caller.dialog is not None and not caller.working:
+                    caller.dialog.expire(now)
+
+    async def _drain(self, shutdown: shutdowns.Shutdown) -> None:
+        """Closes sessions by the shutdown's schedule."""
+        closed = 0
+        while True:
+            ending = shutdown.at(self._clock.now())
+            quiet = [c for c in self._front.callers if c.quiet]
+            if ending.close_share > 0:
+                self._front.close_when_quiet()
+            due = int(ending.close_share * (closed + len(quiet))) - closed
+            for caller in quiet[: max(due, 0)]:
+                caller.close()
+                closed += 1
+            if ending.drop_transactions:
+                self._drop_transactions()
+            drained = ending.close_share >= 1 and not self._front.callers
+            if ending.exit or drained:
+                self._front.stop_listening()
+                self._finished.set()
+                return
+            await self._clock.sleep(_TICK / 2)
+
+    def _drop_transactions(self) -> None:
+        for caller in self._front.callers:
+            if caller.dialog is not None and not caller.working:
+                caller.dialog.drop_transaction()
+
+    def _render_metrics(self) -> bytes:
+        return proxy_metrics.render(
+            self._tally,
+            self._fleet,
+            len(self._front.callers),
+            self._store.calls,
+        )
--- /dev/null
+++ b/hickorygate/platform/settings.py
@@ -0,0 +1,137 @@
+"""The platform's settings file: lines of the form `a.b=value`."""
+
+from __future__ import annotations
+
+import dataclasses
+import pathlib
+from typing import Annotated
+
+import expression
+import pydantic
+
+from hickorygate.core import errors
+from hickorygate.core import types
+
+__all__ = ["Address", "PlatformSettings", "load", "parse"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Address:
+    """A host and a TCP port."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+def _parse_address(text: object) -> Address:
+    host, colon, port = str(text).rpartition(":")
+    if not (host and colon and port.isdecimal() and 0 < int(port) < 65_536):
+        raise ValueError(f"{text!r} is no HOST:PORT; write one, as 10.0.0.1:80")
+    return Address(host, int(port))
+
+
+_AddressField = Annotated[Address, pydantic.BeforeValidator(_parse_address)]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """What a process is told about itself and its surroundings.
+
+    Attributes:
+      name: of the instance.
+      zone: its availability zone.
+      callers: where callers connect to.
+      readiness: where the platform asks whether to send callers.
+      store: the object store.
+      duties: where promotions are ordered.
+      grace_seconds: from SIGTERM to SIGKILL.
+      descriptors: the most open files and sockets.
+    """
+
+    name: types.ProxyName
+    zone: types.ZoneName
+    callers: Address
+    readiness: Address
+    store: Address
+    duties: Address
+    grace_seconds: float
+    descriptors: int
+
+
+class _File(pydantic.BaseModel):
+    """The keys that are used; others are ignored."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", populate_by_name=True)
+
+    node_name: str = pydantic.Field(min_length=1)
+    zone: str = pydantic.Field(min_length=1)
+    front: _AddressField = pydantic.Field(alias="listen.front")
+    ready: _AddressField = pydantic.Field(alias="listen.ready")
+    store: _AddressField = pydantic.Field(alias="platform.address")
+    cloud: _AddressField = pydantic.Field(alias="cloud_api.address")
+    grace_s: float = pydantic.Field(5.0, alias="bounds.grace_s", gt=0)
+    max_fds: int = pydantic.Field(1_024, alias="limits.max_fds", gt=0)
+
+    def settings(self) -> PlatformSettings:
+        """Returns the file as the data class used inside."""
+        return PlatformSettings(
+            name=self.node_name,
+            zone=self.zone,
+            callers=self.front,
+            readiness=self.ready,
+            store=self.store,
+            duties=self.cloud,
+            grace_seconds=self.grace_s,
+            descriptors=self.max_fds,
+        )
+
+
+SettingsResult = expression.Result[PlatformSettings, errors.Failure]
+
+
+def load(path: pathlib.Path) -> SettingsResult:
+    """Reads a settings file."""
+    try:
+        text = path.read_text(encoding="utf-8")
+    except (OSError, UnicodeError) as error:
+        problem = errors.Problem(None, "file", str(error))
+        return expression.Error(errors.FileInvalid(str(path), (problem,)))
+    return parse(text, str(path))
+
+
+def parse(text: str, path: str) -> SettingsResult:
+    """Decodes the text of a settings file.
+
+    Returns:
+      The settings, or `FileInvalid` with the line, the value and the way out
+      of each problem.
+    """
+    values: dict[str, str] = {}
+    numbers: dict[str, int] = {}
+    for number, line in enumerate(text.splitlines(), start=1):
+        key, equals, value = line.partition("=")
+        if equals:
+            values[key.strip()] = value.strip()
+            numbers[key.strip()] = number
+    try:
+        return expression.Ok(_File.model_validate(values).settings())
+    except pydantic.ValidationError as error:
+        problems = tuple(
+            _problem(str(detail["loc"][0]), detail, numbers, values)
+            for detail in error.errors(include_url=False)
+        )
+        return expression.Error(errors.FileInvalid(path, problems))
+
+
+def _problem(
+    key: str,
+    detail: object,
+    numbers: dict[str, int],
+    values: dict[str, str],
+) -> errors.Problem:
+    found = f"{values[key]!r}: " if key in values else ""
+    message = detail["msg"]  # type: ignore[index]
+    return errors.Problem(numbers.get(key), key, found + str(message))
--- a/hickorygate/testing/flood.py
+++ b/hickorygate/testing/flood.py
@@ -19,6 +19,7 @@
 from hickorygate.core import admission
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
@@ -59,7 +60,7 @@
       load: offered service time, as a part of the database's capacity.
     """
 
-    rank: sheets.Rank
+    rank: ranks.Rank
     time: datetime.timedelta
     load: float
 
--- a/hickorygate/testing/mixed_load.py
+++ b/hickorygate/testing/mixed_load.py
@@ -22,7 +22,7 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import measurement as measurements
-from hickorygate.core import sheet as sheets
+from hickorygate.core import rank as ranks
 from hickorygate.core import types
 from hickorygate.testing import ledger as ledgers
 
@@ -53,7 +53,7 @@
     user: types.CallerName
     password: str
     schema: types.SchemaName
-    ranks: tuple[sheets.Rank, sheets.Rank, sheets.Rank]
+    ranks: tuple[ranks.Rank, ranks.Rank, ranks.Rank]
     callers: int
     group: types.GroupName
 
@@ -91,7 +91,7 @@
 
     __slots__ = ("_connection", "_load", "_proxy", "rank")
 
-    def __init__(self, load: MixedLoad, rank: sheets.Rank, proxy: int) -> None:
+    def __init__(self, load: MixedLoad, rank: ranks.Rank, proxy: int) -> None:
         self._load = load
         self._proxy = proxy
         self._connection: asyncmy.Connection | None = None
@@ -236,7 +236,7 @@
         """Lets each caller finish what it does."""
         self._stopping = True
 
-    async def _write(self, rank: sheets.Rank, table: str, number: int) -> None:
+    async def _write(self, rank: ranks.Rank, table: str, number: int) -> None:
         """Writes, reads what it wrote, and moves now and then."""
         caller = _Caller(self, rank, number)
         serial = 0
@@ -278,7 +278,7 @@
         if not isinstance(answer, CallFailed) and not answer:
             self.stale.append(key)
 
-    async def _look_up(self, rank: sheets.Rank, number: int) -> None:
+    async def _look_up(self, rank: ranks.Rank, number: int) -> None:
         """Pulls histories that may be somewhat old."""
         caller = _Caller(self, rank, number)
         sql = "/*hickorygate_staleness='lookup'*/ SELECT COUNT(*) FROM reports"
--- a/hickorygate/tests/test_admission.py
+++ b/hickorygate/tests/test_admission.py
@@ -7,8 +7,8 @@
 
 from hickorygate.core import admission
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
-from hickorygate.core import sheet as sheets
 
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
@@ -17,14 +17,14 @@
     return datetime.timedelta(milliseconds=count)
 
 
-_URGENT = sheets.Rank("urgent", 0, _milliseconds(250), 0.5)
-_NORMAL = sheets.Rank("normal", 1, _milliseconds(1_000), 0.2)
+_URGENT = ranks.Rank("urgent", 0, _milliseconds(250), 0.5)
+_NORMAL = ranks.Rank("normal", 1, _milliseconds(1_000), 0.2)
 _FLOORS = admission.Floors()
-_HISTORY = sheets.Rank("history", 2, _milliseconds(10_000), 0.1)
+_HISTORY = ranks.Rank("history", 2, _milliseconds(10_000), 0.1)
 
 
 def _request(
-    rank: sheets.Rank,
+    rank: ranks.Rank,
     arrived: datetime.datetime = _START,
     allowed: datetime.timedelta | None = None,
 ) -> requests.Request:
@@ -41,7 +41,7 @@
 
     def taken(
         self, waiting: admission.RankQueue, count: int
-    ) -> list[sheets.Rank]:
+    ) -> list[ranks.Rank]:
         ranks = []
         for _ in range(count):
             waiter = waiting.take(_START)
--- a/hickorygate/tests/test_flood.py
+++ b/hickorygate/tests/test_flood.py
@@ -6,11 +6,11 @@
 import unittest
 
 from hickorygate.core import admission
-from hickorygate.core import sheet as sheets
+from hickorygate.core import rank as ranks
 from hickorygate.operators import main
 from hickorygate.testing import flood
 
-_RANK = sheets.Rank("urgent", 0, datetime.timedelta(milliseconds=250), 0.5)
+_RANK = ranks.Rank("urgent", 0, datetime.timedelta(milliseconds=250), 0.5)
 _STREAM = flood.Stream(_RANK, datetime.timedelta(milliseconds=20), 4.0)
 _SETUP = flood.Setup(duration=datetime.timedelta(seconds=1))
 
--- a/hickorygate/tests/test_freshness.py
+++ b/hickorygate/tests/test_freshness.py
@@ -8,13 +8,14 @@
 from hickorygate.callers import freshness
 from hickorygate.callers import session as sessions
 from hickorygate.core import position as positions
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import sheet as sheets
 from hickorygate.upstreams import group as groups
 
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _SECOND = datetime.timedelta(seconds=1)
-_RANK = sheets.Rank("urgent", 0, _SECOND, 0.5)
+_RANK = ranks.Rank("urgent", 0, _SECOND, 0.5)
 _GROUP = sheets.Group(
     name="g",
     schemas=("s",),
--- a/hickorygate/tests/test_hints.py
+++ b/hickorygate/tests/test_hints.py
@@ -7,6 +7,7 @@
 
 from hickorygate.callers import hints
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import sheet as sheets
 
 _NOW = datetime.datetime(2026, 3, 1, 6, 0, tzinfo=datetime.UTC)
@@ -14,8 +15,8 @@
 _SERVICE = sheets.Service(
     name="alert-db",
     ranks=(
-        sheets.Rank("urgent", 0, _SECOND, 0.5),
-        sheets.Rank("history", 1, 10 * _SECOND, 0.1),
+        ranks.Rank("urgent", 0, _SECOND, 0.5),
+        ranks.Rank("history", 1, 10 * _SECOND, 0.1),
     ),
     reads=(sheets.ReadClass("lookup", 2 * _SECOND),),
     users=(sheets.User("vindpoot", "urgent", "lookup"),),
--- a/hickorygate/tests/test_idempotency.py
+++ b/hickorygate/tests/test_idempotency.py
@@ -13,6 +13,7 @@
 from hickorygate.callers import work as works
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
@@ -23,7 +24,7 @@
 
 _TIMEOUT = datetime.timedelta(seconds=10)
 _REFUND = "INSERT INTO refunds (cup) VALUES (7)"
-_RANK = sheets.Rank("urgent", 0, _TIMEOUT, 0.5)
+_RANK = ranks.Rank("urgent", 0, _TIMEOUT, 0.5)
 
 
 def work(sql: str, key: str | None) -> works.Work:
--- a/hickorygate/tests/test_lease.py
+++ b/hickorygate/tests/test_lease.py
@@ -11,12 +11,13 @@
 from hickorygate.callers import lease
 from hickorygate.callers import session as sessions
 from hickorygate.core import errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import sheet as sheets
 from hickorygate.testing import clock as clocks
 
 _DATABASE = sheets.Database("a", "127.0.0.1", 3306, "zone", 20, 3)
-_RANK = sheets.Rank("urgent", 0, datetime.timedelta(seconds=1), 0.5)
+_RANK = ranks.Rank("urgent", 0, datetime.timedelta(seconds=1), 0.5)
 
 
 class FailingConnection:
--- a/hickorygate/tests/test_pool.py
+++ b/hickorygate/tests/test_pool.py
@@ -10,6 +10,7 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import pool_errors
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
@@ -20,7 +21,7 @@
 from hickorygate.upstreams import slots
 
 _SECOND = datetime.timedelta(seconds=1)
-_RANK = sheets.Rank("normal", 1, 30 * _SECOND, 0.2)
+_RANK = ranks.Rank("normal", 1, 30 * _SECOND, 0.2)
 _SLOTS = 3
 _SHARE = slots.Share(limit=10, proxies=5)
 
--- a/hickorygate/tests/test_recorder.py
+++ b/hickorygate/tests/test_recorder.py
@@ -8,12 +8,12 @@
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import measurement as measurements
-from hickorygate.core import sheet as sheets
+from hickorygate.core import rank as ranks
 from hickorygate.operators import gap as gaps
 from hickorygate.operators import recorder as recorders
 
 _START = datetime.datetime(2026, 3, 1, tzinfo=datetime.UTC)
-_RANK = sheets.Rank(
+_RANK = ranks.Rank(
     name="report", order=0, target=datetime.timedelta(seconds=0.25), floor=0.5
 )
 _NO_PRIMARY = errors.NoPrimary("alert-db-1")
--- /dev/null
+++ b/hickorygate/upstreams/fleet.py
@@ -0,0 +1,158 @@
+"""The configuration in force and the groups that it names."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import datetime
+
+from hickorygate.core import background
+from hickorygate.core import catalog as catalogs
+from hickorygate.core import clock as clocks
+from hickorygate.core import decisions
+from hickorygate.core import events
+from hickorygate.core import types
+from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promoter as promoters
+from hickorygate.upstreams import request as requests
+from hickorygate.upstreams import supervisor as supervisors
+
+__all__ = ["Fleet"]
+
+_TICK = datetime.timedelta(milliseconds=100)
+_DEFAULT_IDLE = datetime.timedelta(seconds=3)
+
+
+class Fleet:
+    """All groups; follows the configuration and the list of databases.
+
+    A configuration replaces only an older one, so none comes back.
+    """
+
+    def __init__(
+        self,
+        connector: requests.Connector,
+        office: promoters.Office,
+        clock: clocks.Clock,
+        journal: events.Journal,
+    ) -> None:
+        self._connector = connector
+        self._office = office
+        self._clock = clock
+        self._journal = journal
+        self._catalog: catalogs.Catalog | None = None
+        self._listing = members.Listing()
+        self._listed = False
+        self._store_lost = False
+        self._groups: dict[types.ServiceName, supervisors.Supervisor] = {}
+        self._background = background.Background()
+
+    @property
+    def version(self) -> int:
+        """Version of the configuration in force; 0 if there is none."""
+        return self._catalog.version if self._catalog else 0
+
+    @property
+    def transaction_idle(self) -> datetime.timedelta:
+        """After which an idle transaction may be ended."""
+        if self._catalog is None:
+            return _DEFAULT_IDLE
+        return self._catalog.transaction_idle
+
+    @property
+    def groups(self) -> dict[types.ServiceName, supervisors.Supervisor]:
+        """The groups by service."""
+        return self._groups
+
+    @property
+    def complete(self) -> bool:
+        """Whether configuration, list and each group's state are known."""
+        if self._catalog is None or not self._listed:
+            return False
+        return all(group.rounds for group in self._groups.values())
+
+    def __repr__(self) -> str:
+        return f"Fleet(version={self.version}, groups={len(self._groups)})"
+
+    def start(self) -> None:
+        """Begins to drop entries that are missing for too long."""
+        self._background.start(self._expire())
+
+    async def close(self) -> None:
+        """Ends all groups."""
+        await self._background.close()
+        for group in self._groups.values():
+            await group.close()
+
+    def route(self, database: types.SchemaName) -> catalogs.Route | None:
+        """Returns how a database name is served; None if it isn't."""
+        if self._catalog is None:
+            return None
+        return self._catalog.routes.get(database)
+
+    def group(
+        self, service: types.ServiceName
+    ) -> supervisors.Supervisor | None:
+        """Returns the databases of a service; None if it has none."""
+        return self._groups.get(service)
+
+    def apply(self, catalog: catalogs.Catalog) -> None:
+        """Puts a configuration in force, unless a newer one is."""
+        if catalog.version <= self.version:
+            return
+        self._catalog = catalog
+        for name, terms in catalog.services.items():
+            self._take_service(name, terms)
+        for name in self._groups.keys() - catalog.services.keys():
+            self._background.start(self._groups.pop(name).close())
+        self._journal.record(
+            decisions.CatalogApplied(catalog.version, len(catalog.routes))
+        )
+
+    def replace_members(self, listed: Sequence[members.Member]) -> None:
+        """Takes in the whole list of databases."""
+        self._listing.replace(listed, self._clock.now())
+        self._listed = True
+        self._spread()
+
+    def put_member(self, member: members.Member) -> None:
+        """Takes in a new or changed database."""
+        self._listing.put(member)
+        self._spread()
+
+    def remove_member(self, name: members.MemberId) -> None:
+        """Takes in that a database's entry is gone."""
+        self._listing.remove(name, self._clock.now())
+        self._spread()
+
+    def lose_store(self) -> None:
+        """Takes in that the list can't be followed at the moment."""
+        self._store_lost = True
+        self._listing.unaware()
+
+    def regain_store(self) -> None:
+        """Takes in that the list is followed again."""
+        self._store_lost = False
+
+    def _take_service(
+        self, name: types.ServiceName, terms: catalogs.ServiceTerms
+    ) -> None:
+        group = self._groups.get(name)
+        if group is not None:
+            group.set_terms(terms)
+            return
+        group = supervisors.Supervisor(
+            terms, self._connector, self._office, self._clock, self._journal
+        )
+        self._groups[name] = group
+        group.set_members(self._listing.of(name))
+        group.start()
+
+    def _spread(self) -> None:
+        for name, group in self._groups.items():
+            group.set_members(self._listing.of(name))
+
+    async def _expire(self) -> None:
+        while True:
+            await self._clock.sleep(_TICK)
+            if not self._store_lost and self._listing.expire(self._clock.now()):
+                self._spread()
--- /dev/null
+++ b/hickorygate/upstreams/member.py
@@ -0,0 +1,119 @@
+"""A database as service discovery describes it, and the list of them.
+
+Decisions without I/O: which entries of the list name a database to use. The
+list may lose entries while the platform's store is away, although the
+databases live; an entry that is missing is kept for `LAPSE` before its
+database counts as gone.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+import dataclasses
+import datetime
+
+from hickorygate.core import types
+
+__all__ = ["LAPSE", "Listing", "Member", "MemberId"]
+
+MemberId = str
+"""Identity of one database process; it ends with the process's data."""
+
+LAPSE = datetime.timedelta(seconds=2.5)
+"""How long a missing entry still counts. Entries that lapsed with the store
+are back within two seconds of its return; the rest is for the way here."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """A database.
+
+    Attributes:
+      id: its identity.
+      born: start of the process, Unix milliseconds; a new start under the
+        same id has none of the former data.
+      service: the service that it belongs to.
+      host: address.
+      port: TCP port.
+      zone: availability zone.
+      slots: requests that it runs at once.
+      leaving: whether it has announced its shutdown.
+      leads: whether it called itself primary.
+      warming: whether it is still slow after its start.
+    """
+
+    id: MemberId
+    born: int
+    service: types.ServiceName
+    host: str
+    port: int
+    zone: types.ZoneName
+    slots: int
+    leaving: bool
+    leads: bool
+    warming: bool = False
+
+
+class Listing:
+    """The databases in use, with entries that are missing for a short time."""
+
+    __slots__ = ("_members", "_missing")
+
+    def __init__(self) -> None:
+        self._members: dict[MemberId, Member] = {}
+        self._missing: dict[MemberId, datetime.datetime] = {}
+
+    @property
+    def members(self) -> tuple[Member, ...]:
+        """All databases that count."""
+        return tuple(self._members.values())
+
+    def __repr__(self) -> str:
+        return f"Listing({len(self._members)}, missing={len(self._missing)})"
+
+    def of(self, service: types.ServiceName) -> tuple[Member, ...]:
+        """Returns the databases of one service."""
+        return tuple(m for m in self.members if m.service == service)
+
+    def replace(
+        self, members: Iterable[Member], now: datetime.datetime
+    ) -> None:
+        """Takes in the whole list."""
+        listed = {member.id: member for member in members}
+        for name in self._members.keys() - listed.keys():
+            self._missing.setdefault(name, now)
+        for member in listed.values():
+            self.put(member)
+
+    def put(self, member: Member) -> None:
+        """Takes in a new or changed entry."""
+        self._members[member.id] = member
+        self._missing.pop(member.id, None)
+
+    def remove(self, name: MemberId, now: datetime.datetime) -> None:
+        """Takes in that an entry is gone.
+
+        A database that had announced its shutdown is gone with its entry.
+        """
+        member = self._members.get(name)
+        if member is None:
+            return
+        if member.leaving:
+            self._drop(name)
+        else:
+            self._missing.setdefault(name, now)
+
+    def expire(self, now: datetime.datetime) -> tuple[MemberId, ...]:
+        """Drops what has been missing for too long; returns their names."""
+        gone = [n for n, since in self._missing.items() if now - since >= LAPSE]
+        for name in gone:
+            self._drop(name)
+        return tuple(gone)
+
+    def unaware(self) -> None:
+        """Restarts the time of what is missing: the store was out of reach."""
+        self._missing.clear()
+
+    def _drop(self, name: MemberId) -> None:
+        self._members.pop(name, None)
+        self._missing.pop(name, None)
--- /dev/null
+++ b/hickorygate/upstreams/permits.py
@@ -0,0 +1,115 @@
+"""Admission to one database: ranks wait here, not in the database's queue."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+
+import expression
+
+from hickorygate.core import admission
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import request as requests
+
+__all__ = ["PermitResult", "Permits"]
+
+PermitResult = expression.Result[admission.Waiter, errors.Failure]
+
+
+class Permits:
+    """Lets as many requests run at once as the database has slots."""
+
+    __slots__ = ("_clock", "_limit", "_queue", "_waiting")
+
+    def __init__(self, slots: int, clock: clocks.Clock) -> None:
+        self._clock = clock
+        self._limit = slots
+        self._queue = admission.RankQueue(
+            admission.QueueSettings(slots=slots, capacity=float(slots))
+        )
+        self._waiting: dict[
+            int, tuple[asyncio.Future[PermitResult], asyncio.TimerHandle]
+        ] = {}
+
+    @property
+    def load(self) -> int:
+        """Requests that run or wait."""
+        return self._queue.size + self._queue.running
+
+    def __repr__(self) -> str:
+        return f"Permits({self._queue!r}, limit={self._limit})"
+
+    async def enter(self, request: requests.Request) -> PermitResult:
+        """Waits for a turn; `leave` must follow a success."""
+        now = self._clock.now()
+        free = self._queue.running < self._limit
+        offered = self._queue.offer(request, now, free)
+        if offered.is_error():
+            return offered
+        waiter = offered.ok
+        loop = asyncio.get_running_loop()
+        future: asyncio.Future[PermitResult] = loop.create_future()
+        left = request.time_left(now).total_seconds()
+        timer = loop.call_later(left, self._expire, waiter)
+        self._waiting[waiter.number] = (future, timer)
+        self._pump()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._abandon(waiter, future)
+            raise
+
+    def leave(
+        self, waiter: admission.Waiter, service: datetime.timedelta | None
+    ) -> None:
+        """Gives a turn back; `service` is None if nothing ran."""
+        self._queue.finish(waiter, service, self._clock.now())
+        self._pump()
+
+    def close(self, failure: errors.Failure) -> None:
+        """Refuses all that wait."""
+        for waiter in self._queue.clear():
+            self._settle(waiter, expression.Error(failure))
+
+    def _abandon(
+        self,
+        waiter: admission.Waiter,
+        future: asyncio.Future[PermitResult],
+    ) -> None:
+        """Takes back the turn of a request that was given up."""
+        granted = waiter.number not in self._waiting
+        if granted:
+            self.leave(waiter, None)
+            return
+        _, timer = self._waiting.pop(waiter.number)
+        timer.cancel()
+        self._queue.withdraw(waiter, self._clock.now())
+
+    def _pump(self) -> None:
+        now = self._clock.now()
+        for waiter in self._queue.late(now):
+            self._refuse(waiter, now)
+        while self._queue.running < self._limit:
+            waiter = self._queue.take(now)
+            if waiter is None:
+                return
+            self._settle(waiter, expression.Ok(waiter))
+
+    def _expire(self, waiter: admission.Waiter) -> None:
+        now = self._clock.now()
+        if self._queue.withdraw(waiter, now):
+            self._refuse(waiter, now)
+
+    def _refuse(self, waiter: admission.Waiter, now: datetime.datetime) -> None:
+        waited = now - waiter.request.arrived
+        failure = errors.DeadlinePassed(waiter.request.rank.name, waited)
+        self._settle(waiter, expression.Error(failure))
+
+    def _settle(self, waiter: admission.Waiter, result: PermitResult) -> None:
+        future, timer = self._waiting.pop(waiter.number)
+        timer.cancel()
+        if not future.done():
+            future.set_result(result)
+        elif result.is_ok():
+            self._queue.finish(waiter, None, self._clock.now())
--- /dev/null
+++ b/hickorygate/upstreams/supervisor.py
@@ -0,0 +1,291 @@
+"""Looks after the group of one service: rounds, floors, the primary.
+
+The decisions are in `evidence`, `vital`, `stall`, `takeover` and `duty`; this
+module runs them on the loop and tells those who wait.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+
+from hickorygate.core import background
+from hickorygate.core import catalog as catalogs
+from hickorygate.core import clock as clocks
+from hickorygate.core import decisions
+from hickorygate.core import events
+from hickorygate.core import position as positions
+from hickorygate.core import types
+from hickorygate.upstreams import evidence as evidences
+from hickorygate.upstreams import lender as lenders
+from hickorygate.upstreams import member as members
+from hickorygate.upstreams import prober as probers
+from hickorygate.upstreams import promoter as promoters
+from hickorygate.upstreams import request as requests
+from hickorygate.upstreams import stall as stalls
+
+__all__ = ["Supervisor"]
+
+_CALM = datetime.timedelta(milliseconds=400)
+"""Between rounds; a floor must be younger than the tolerated staleness."""
+
+_HURRIED = datetime.timedelta(milliseconds=40)
+"""Between rounds while no primary is known."""
+
+_STATUS_EVERY = datetime.timedelta(seconds=5)
+"""How often the logs' ends are asked for in calm times."""
+
+_RETIRE_LIMIT = datetime.timedelta(seconds=20)
+
+
+class Supervisor:
+    """The databases of one service, as this proxy sees them."""
+
+    def __init__(
+        self,
+        terms: catalogs.ServiceTerms,
+        connector: requests.Connector,
+        office: promoters.Office,
+        clock: clocks.Clock,
+        journal: events.Journal,
+    ) -> None:
+        self._terms = terms
+        self._connector = connector
+        self._clock = clock
+        self._journal = journal
+        self._evidence = evidences.Evidence(terms.synchronous_replicas)
+        self._lenders: dict[members.MemberId, lenders.Lender] = {}
+        self._prober = probers.Prober(self._evidence, self._lenders, clock)
+        self._stall = stalls.Stall()
+        self._promoter = promoters.Promoter(self, office, clock, journal)
+        self._background = background.Background()
+        self._wanted = asyncio.Event()
+        self._ended = asyncio.Event()
+        self._rounds = 0
+        self._last: tuple[evidences.Finding, datetime.datetime] | None = None
+        self._status_due = clock.now()
+        self._lost: evidences.Leader | None = None
+
+    @property
+    def service(self) -> types.ServiceName:
+        """Whose databases these are."""
+        return self._terms.name
+
+    @property
+    def evidence(self) -> evidences.Evidence:
+        """What is known of the group."""
+        return self._evidence
+
+    @property
+    def prober(self) -> probers.Prober:
+        """Who asks the databases."""
+        return self._prober
+
+    @property
+    def stall(self) -> stalls.Stall:
+        """Commits that wait for the primary."""
+        return self._stall
+
+    @property
+    def leader(self) -> evidences.Leader | None:
+        """The primary; None while it is lost."""
+        return self._evidence.leader
+
+    @property
+    def lost(self) -> evidences.Leader | None:
+        """The primary that was lost last, until another one leads."""
+        return self._lost
+
+    @property
+    def takes_over(self) -> bool:
+        """Whether this proxy is replacing the primary."""
+        return self._promoter.active
+
+    @property
+    def rounds(self) -> int:
+        """Rounds that ended."""
+        return self._rounds
+
+    @property
+    def lenders(self) -> dict[members.MemberId, lenders.Lender]:
+        """The databases' connections, by database."""
+        return self._lenders
+
+    def __repr__(self) -> str:
+        return f"Supervisor({self.service!r}, {self._evidence!r})"
+
+    def start(self) -> None:
+        """Begins to ask."""
+        self._background.start(self._run())
+
+    async def close(self) -> None:
+        """Ends all, and the connections with it."""
+        await self._background.close()
+        await self._promoter.close()
+        await self._prober.close()
+        for lender in self._lenders.values():
+            lender.retire("this proxy stops")
+
+    def set_terms(self, terms: catalogs.ServiceTerms) -> None:
+        """Takes in changed terms."""
+        self._terms = terms
+        self._evidence.set_terms(terms.synchronous_replicas)
+
+    def set_members(self, listed: tuple[members.Member, ...]) -> None:
+        """Takes in the databases that count now."""
+        new = {member.id: member for member in listed}
+        for name, lender in list(self._lenders.items()):
+            kept = new.get(name)
+            if kept is None or kept.born != lender.member.born:
+                del self._lenders[name]
+                lender.retire("it left")
+                self._prober.forget(name)
+                self._tell(decisions.MemberUnlisted(self.service, name))
+        for name, member in new.items():
+            self._take_member(name, member)
+        self._evidence.set_members(listed)
+        self._wanted.set()
+
+    def note(
+        self, name: members.MemberId, position: positions.Position | None
+    ) -> None:
+        """Takes in the position that came with a database's answer."""
+        self._evidence.note(name, position)
+
+    def suspect(self) -> None:
+        """Asks for a round at once: an answer was not as expected."""
+        self._wanted.set()
+
+    async def confirm(
+        self, after: datetime.datetime, deadline: datetime.datetime
+    ) -> evidences.Leader | None:
+        """Returns who led at some time after `after`; None if unknown.
+
+        What is served by that primary, and was asked for after `after`, saw
+        all commits that were acknowledged before.
+        """
+        while True:
+            if self._last is not None:
+                finding, sent = self._last
+                if sent >= after and finding.confirmed:
+                    return finding.leader
+            if not await self.next_round(deadline):
+                return None
+
+    async def wait_for_floor(
+        self, oldest: datetime.datetime, deadline: datetime.datetime
+    ) -> evidences.Floor | None:
+        """Returns a floor that covers all commits before a time."""
+        while True:
+            floor = self._evidence.floor_since(oldest)
+            if floor is not None:
+                return floor
+            if not await self.next_round(deadline):
+                return None
+
+    async def wait_for_leader(
+        self, deadline: datetime.datetime
+    ) -> evidences.Leader | None:
+        """Returns the primary, waiting for one until the deadline."""
+        while self.leader is None:
+            if not await self.next_round(deadline):
+                return None
+        return self.leader
+
+    def found(
+        self, finding: evidences.Finding, sent: datetime.datetime
+    ) -> None:
+        """Takes in what a round proved."""
+        self._rounds += 1
+        self._last = (finding, sent)
+
+    def lose(self, reason: str) -> None:
+        """Takes in that the primary is out of reach."""
+        leader = self.leader
+        if leader is None:
+            return
+        self._lost = leader
+        self._evidence.lose_leader()
+        lender = self._lenders.get(leader.member)
+        if lender is not None:
+            lender.drop(reason)
+        self._tell(decisions.LeaderLost(self.service, leader.member, reason))
+
+    def _take_member(
+        self, name: members.MemberId, member: members.Member
+    ) -> None:
+        limit = self._terms.connections
+        lender = self._lenders.get(name)
+        if lender is None:
+            self._lenders[name] = lenders.Lender(
+                member, limit, self._connector, self._clock
+            )
+            self._tell(decisions.MemberListed(self.service, name))
+            return
+        if member.leaving and not lender.member.leaving:
+            self._tell(decisions.MemberLeaving(self.service, name))
+        lender.update(member, limit)
+
+    async def _run(self) -> None:
+        while True:
+            self._wanted.clear()
+            await self._round()
+            pause = _CALM if self.leader is not None else _HURRIED
+            try:
+                async with asyncio.timeout(pause.total_seconds()):
+                    await self._wanted.wait()
+            except TimeoutError:
+                continue
+
+    async def _round(self) -> None:
+        sent = self._clock.now()
+        with_status = sent >= self._status_due or self.leader is None
+        if with_status:
+            self._status_due = sent + _STATUS_EVERY
+        before = self.leader
+        finding = await self._prober.round(with_status)
+        self.found(finding, sent)
+        self._note_leader(before)
+        self._check_leader()
+        self._promoter.consider()
+        ended, self._ended = self._ended, asyncio.Event()
+        ended.set()
+
+    def _note_leader(self, before: evidences.Leader | None) -> None:
+        leader = self.leader
+        if leader is None or leader == before:
+            return
+        self._stall = stalls.Stall()
+        self._lost = None
+        position = self._evidence.position(leader.member)
+        self._tell(
+            decisions.LeaderChanged(
+                self.service, leader.member, leader.term, position
+            )
+        )
+
+    def _check_leader(self) -> None:
+        """Gives up a primary that doesn't answer any more."""
+        leader = self.leader
+        if leader is None:
+            return
+        if leader.member not in self._lenders:
+            self.lose("it is no longer listed")
+        elif self._prober.vital(leader.member).lost(self._clock.now()):
+            self.lose("it doesn't answer")
+
+    async def next_round(self, deadline: datetime.datetime) -> bool:
+        """Asks for a round and waits for the end of the one under way."""
+        left = (deadline - self._clock.now()).total_seconds()
+        if left <= 0:
+            return False
+        self._wanted.set()
+        try:
+            async with asyncio.timeout(left):
+                await self._ended.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def _tell(self, event: events.Event) -> None:
+        self._journal.record(event)
--- a/properties/test_admission.py
+++ b/properties/test_admission.py
@@ -11,8 +11,8 @@
 from hypothesis import strategies
 
 from hickorygate.core import admission
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
-from hickorygate.core import sheet as sheets
 import properties
 
 assert properties.__doc__, "loads the profile"
@@ -28,11 +28,9 @@
 """Misses from which a margin is learned."""
 
 
-def _rank(
-    name: str, order: int, milliseconds: int, floor: float
-) -> sheets.Rank:
+def _rank(name: str, order: int, milliseconds: int, floor: float) -> ranks.Rank:
     target = datetime.timedelta(milliseconds=milliseconds)
-    return sheets.Rank(name, order, target, floor)
+    return ranks.Rank(name, order, target, floor)
 
 
 _RANKS = (
--- a/properties/test_at_most_once.py
+++ b/properties/test_at_most_once.py
@@ -28,6 +28,7 @@
 from hickorygate.callers import writing
 from hickorygate.core import errors
 from hickorygate.core import position as positions
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import retry
 from hickorygate.core import sheet as sheets
@@ -35,7 +36,7 @@
 from hickorygate.testing import clock as clocks
 from hickorygate.testing import engine as engines
 
-_RANK = sheets.Rank("urgent", 0, datetime.timedelta(seconds=2), 0.5)
+_RANK = ranks.Rank("urgent", 0, datetime.timedelta(seconds=2), 0.5)
 _DATABASE = sheets.Database("a", "127.0.0.1", 3306, "zone", 20, 3)
 _GROUP = sheets.Group("g", ("s",), (_DATABASE,))
 _REFUND = "INSERT INTO refunds (cup) VALUES (7)"
--- a/properties/test_sessions.py
+++ b/properties/test_sessions.py
@@ -20,6 +20,7 @@
 from hickorygate.callers import freshness
 from hickorygate.callers import session as sessions
 from hickorygate.core import position as positions
+from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import sheet as sheets
 from hickorygate.testing import replication
@@ -30,7 +31,7 @@
 _SESSIONS = range(3)
 _TICK = datetime.timedelta(milliseconds=1)
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-_RANK = sheets.Rank("urgent", 0, datetime.timedelta(seconds=1), 0.5)
+_RANK = ranks.Rank("urgent", 0, datetime.timedelta(seconds=1), 0.5)
 _GROUP = sheets.Group(
     name="g",
     schemas=("s",),
