--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -7,6 +7,7 @@
 import dataclasses
 import datetime
 import socket
+from typing import cast
 
 import expression
 
@@ -68,8 +69,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the loop."""
-        assert isinstance(transport, asyncio.Transport), "TCP has streams"
-        self._transport = transport
+        self._transport = cast(asyncio.Transport, transport)
         limit_silence(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
--- a/hickorygate/platform/front.py
+++ b/hickorygate/platform/front.py
@@ -6,6 +6,7 @@
 import collections
 from collections.abc import Callable
 import functools
+from typing import cast
 
 import expression
 
@@ -70,8 +71,7 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the loop."""
-        assert isinstance(transport, asyncio.Transport), "TCP has streams"
-        self._transport = transport
+        self._transport = cast(asyncio.Transport, transport)
         database.limit_silence(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -106,6 +106,7 @@
             self._transport.pause_reading()
         if self._pending and not self.working:
             self._work = self._env.background.start(self._answer_all())
+            self._work.add_done_callback(self._note_end)
 
     def close_when_quiet(self) -> None:
         """Closes after the next answer that leaves nothing open."""
@@ -148,6 +149,11 @@
         reply = self._dialog.reply(expression.Error(failure))
         self._write(lines.reply_lines(reply))
 
+    def _note_end(self, work: asyncio.Task[None]) -> None:
+        """Closes after a fault of this program; nothing can be promised."""
+        if not work.cancelled() and work.exception() is not None:
+            self.close()
+
     async def _answer_all(self) -> None:
         while self._pending and not self._closing:
             await _take(self._pending.popleft(), self)
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -40,7 +40,7 @@
 def shape_name(shape: operations.Shape) -> str:
     """Returns the name under which a shape is prepared on connections."""
     text = f"{shape.writes} {shape.body}"
-    return "h" + xxhash.xxh3_64_hexdigest(text)
+    return "h" + xxhash.xxh3_64_hexdigest(text.encode(errors="surrogateescape"))
 
 
 class Loan:
