Pause before a database is asked again; ask for the logs' ends less often

Rounds without a known primary also asked for statuses every 40 ms. After each refusal the retry's pause now holds, and statuses are asked for every 250 ms at the most.

--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -111,21 +111,10 @@
                     number,
                 )
             )
-            if not self._other_place():
-                await self._env.clock.sleep(verdict.duration)
+            self._excluded.add(self._call.served_by)
+            await self._env.clock.sleep(verdict.duration)
             number += 1
 
-    def _other_place(self) -> bool:
-        """Excludes the database that failed; tells if another is left."""
-        self._excluded.add(self._call.served_by)
-        left = self._group.lenders.keys() - self._excluded
-        if not left:
-            self._excluded.clear()
-        reads_anywhere = not isinstance(
-            self._route.consistency, catalogs.Newest
-        )
-        return bool(left) and reads_anywhere and not self._statement.writes
-
     def _final(self, reply: replies.Reply, reads: bool) -> replies.Reply:
         """Says what a failure of this proxy's own means to the caller."""
         failure = reply.result.error
--- a/hickorygate/platform/front.py
+++ b/hickorygate/platform/front.py
@@ -221,6 +221,12 @@
         """The open connections."""
         return frozenset(self._callers)
 
+    @property
+    def port(self) -> int:
+        """The TCP port that callers connect to; after `start`."""
+        assert self._server is not None, "not started; call start()"
+        return self._server.sockets[0].getsockname()[1]
+
     def __repr__(self) -> str:
         return f"Front(callers={len(self._callers)})"
 
--- /dev/null
+++ b/hickorygate/testing/line_group.py
@@ -0,0 +1,235 @@
+"""A stand-in group that speaks the users' line protocol over TCP.
+
+It keeps the rules of the protocol's page: synchronous replicas, pauses,
+promotion that takes effect later, positions. It remembers what it has
+acknowledged, for `assert_*` functions to check.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+import hashlib
+
+from hickorygate.core import background
+from hickorygate.core import position as positions
+from hickorygate.testing import line_log
+from hickorygate.testing import line_session
+from hickorygate.upstreams import member as members
+
+__all__ = ["Faults", "LineDatabase", "LineGroup"]
+
+
+@dataclasses.dataclass(slots=True)
+class Faults:
+    """What is wrong with one database.
+
+    Attributes:
+      silent: it takes requests and doesn't answer.
+      deaf: it receives nothing from its primary.
+      lose_answers: it closes instead of answering, so many times.
+      refuse: the code of a refusal that it gives to the next statements.
+      refusals: how many statements it refuses so.
+    """
+
+    silent: bool = False
+    deaf: bool = False
+    lose_answers: int = 0
+    refuse: str = ""
+    refusals: int = 0
+
+
+class LineDatabase:
+    """One database that listens."""
+
+    def __init__(
+        self, name: str, group: LineGroup, role: line_log.Role
+    ) -> None:
+        self.log = line_log.LineLog(name, role)
+        self.faults = Faults()
+        self.group = group
+        self.ran: list[tuple[str, str]] = []
+        self.leaving = False
+        self._sessions: set[line_session.LineSession] = set()
+        self._server: asyncio.Server | None = None
+        self._port = 0
+
+    @property
+    def name(self) -> str:
+        """Its identity."""
+        return self.log.name
+
+    @property
+    def running(self) -> bool:
+        """Whether it listens."""
+        return self._server is not None
+
+    def __repr__(self) -> str:
+        return f"LineDatabase({self.log!r})"
+
+    def member(self) -> members.Member:
+        """Returns its entry in the list of databases."""
+        return members.Member(
+            id=self.name,
+            born=1,
+            service=self.group.service,
+            host="127.0.0.1",
+            port=self._port,
+            zone="a",
+            slots=2,
+            leaving=self.leaving,
+            leads=self.log.leads,
+        )
+
+    async def start(self) -> None:
+        """Begins to listen, on the former port if it had one."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            self._accept, "127.0.0.1", self._port
+        )
+        self._port = self._server.sockets[0].getsockname()[1]
+
+    def crash(self) -> None:
+        """Ends at once; the log stays for the next start."""
+        if self._server is not None:
+            self._server.close()
+            self._server = None
+        for session in tuple(self._sessions):
+            session.abort()
+
+    def signature(self, request: str) -> str:
+        """Returns the proof that this database ran a request."""
+        text = f"{self.name} {request}".encode()
+        return hashlib.blake2b(text, digest_size=8).hexdigest()
+
+    def _accept(self) -> line_session.LineSession:
+        session = line_session.LineSession(self, self._sessions.discard)
+        self._sessions.add(session)
+        return session
+
+
+class LineGroup:
+    """Three databases and the platform's way to promote one.
+
+    Attributes:
+      service: the name of the service.
+      databases: by name.
+      acknowledged: commits that were acknowledged, in that order.
+      promotions: the databases that were promoted.
+      synchronous: replicas that must hold a commit; all are off if 0.
+    """
+
+    def __init__(
+        self,
+        service: str = "ledger",
+        names: str = "abc",
+        lag: datetime.timedelta = datetime.timedelta(milliseconds=5),
+        promotion_delay: datetime.timedelta = datetime.timedelta(
+            milliseconds=50
+        ),
+    ) -> None:
+        self.service = service
+        self.lag = lag
+        self.promotion_delay = promotion_delay
+        self.synchronous = 1
+        self.acknowledged: list[line_log.Commit] = []
+        self.promotions: list[str] = []
+        self.lost: list[line_log.Commit] = []
+        self._background = background.Background()
+        roles = [line_log.Role.PRIMARY] + [line_log.Role.REPLICA] * 9
+        self.databases = {
+            name: LineDatabase(name, self, role)
+            for name, role in zip(names, roles, strict=False)
+        }
+
+    def __repr__(self) -> str:
+        return f"LineGroup({list(self.databases.values())})"
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        for database in self.databases.values():
+            await database.start()
+        self._background.start(self._replicate())
+
+    async def close(self) -> None:
+        """Ends all databases."""
+        await self._background.close()
+        for database in self.databases.values():
+            database.crash()
+
+    def members(self) -> tuple[members.Member, ...]:
+        """Returns the entries of all databases."""
+        return tuple(d.member() for d in self.databases.values())
+
+    async def commit(
+        self,
+        database: LineDatabase,
+        request: str,
+        writes: tuple[tuple[str, str], ...],
+    ) -> positions.Position | None:
+        """Commits at a primary; waits for synchronous replicas.
+
+        Returns:
+          The position, or None if the primary lost its lead meanwhile.
+        """
+        log = database.log
+        commit = log.append(request, writes)
+        while database.running and log.leads:
+            if self._holders(log, commit) >= self.synchronous:
+                self.acknowledged.append(commit)
+                return commit.position
+            await asyncio.sleep(0.001)
+        return None
+
+    def promote(self, name: str) -> bool:
+        """Takes the platform's order; it takes effect later."""
+        database = self.databases.get(name)
+        if database is None or not database.running:
+            return False
+        if not database.log.leads:
+            self._background.start(self._promote_later(database))
+        return True
+
+    def _holders(
+        self, leader: line_log.LineLog, commit: line_log.Commit
+    ) -> int:
+        return sum(
+            commit in database.log.commits
+            for database in self.databases.values()
+            if database.running and database.log is not leader
+        )
+
+    async def _promote_later(self, database: LineDatabase) -> None:
+        await asyncio.sleep(self.promotion_delay.total_seconds())
+        self.promotions.append(database.name)
+        held = set(database.log.commits)
+        self.lost += [c for c in self.acknowledged if c not in held]
+        database.log.promote(self._newest_term() + 1)
+
+    def _newest_term(self) -> int:
+        return max(d.log.term for d in self.databases.values())
+
+    async def _replicate(self) -> None:
+        while True:
+            for database in self.databases.values():
+                self._receive(database)
+            await asyncio.sleep(0.001)
+
+    def _receive(self, database: LineDatabase) -> None:
+        if not database.running or database.faults.deaf:
+            return
+        leaders = [
+            d.log
+            for d in self.databases.values()
+            if d.running and d.log.leads and d is not database
+        ]
+        newest = max(leaders, key=lambda log: log.term, default=None)
+        if newest is None:
+            return
+        if database.log.leads and database.log.term >= newest.term:
+            return
+        if database.log.received != newest.received or database.log.paused_for:
+            database.log.receive(newest)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.lag.total_seconds(), database.log.apply)
--- /dev/null
+++ b/hickorygate/testing/line_session.py
@@ -0,0 +1,249 @@
+"""One connection to a stand-in database that speaks the line protocol."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import re
+from typing import TYPE_CHECKING
+from typing import cast
+
+from hickorygate.core import position as positions
+
+if TYPE_CHECKING:
+    from hickorygate.testing import line_group
+
+__all__ = ["LineSession"]
+
+_FLOOR = re.compile(r"WAITPOS (\d+)\.(\d+) (.*)\Z")
+_WORK_SECONDS = 0.001
+
+
+class LineSession(asyncio.Protocol):
+    """Takes requests one by one and answers each."""
+
+    def __init__(
+        self,
+        database: line_group.LineDatabase,
+        on_end: Callable[[LineSession], None],
+    ) -> None:
+        self._database = database
+        self._on_end = on_end
+        self._transport: asyncio.Transport | None = None
+        self._queue: asyncio.Queue[str] = asyncio.Queue()
+        self._rest = b""
+        self._task: asyncio.Task[None] | None = None
+        self._state = "I"
+        self._read_only = False
+        self._writes: list[tuple[str, str]] = []
+        self.values: dict[str, str] = {}
+        self.names: dict[str, tuple[str, str]] = {}
+
+    def __repr__(self) -> str:
+        return f"LineSession({self._database.name!r}, {self._state})"
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Called by the loop."""
+        self._transport = cast(asyncio.Transport, transport)
+        self._task = asyncio.get_running_loop().create_task(self._serve())
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Called by the loop."""
+        if self._task is not None:
+            self._task.cancel()
+        self._on_end(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Called by the loop."""
+        *whole, self._rest = (self._rest + data).split(b"\r\n")
+        for line in whole:
+            self._queue.put_nowait(line.decode())
+
+    def abort(self) -> None:
+        """Breaks the connection."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    async def _serve(self) -> None:
+        while True:
+            line = await self._queue.get()
+            while self._database.faults.silent:
+                await asyncio.sleep(0.001)
+            word, _, rest = line.partition(" ")
+            if word == "CONNECT":
+                self._connect(rest)
+            elif word == "QUERY":
+                request, _, text = rest.partition(" ")
+                await self._query(request, text)
+
+    def _connect(self, rest: str) -> None:
+        service, _, identity = rest.split(" ")
+        right = service == self._database.group.service
+        if right and identity == self._database.name:
+            self._ready()
+            return
+        self._send(f"ERROR MISROUTED {self._database.name}")
+        if self._transport is not None:
+            self._transport.close()
+
+    async def _query(self, request: str, text: str) -> None:
+        found = _FLOOR.match(text)
+        if found is not None:
+            floor = positions.Position(int(found[1]), int(found[2]))
+            if not self._database.log.holds(floor):
+                self._refuse("LAGGING")
+                return
+            text = found[3]
+        if request != "-" and self._refuses_by_fault():
+            return
+        await self._run(request, text)
+
+    def _refuses_by_fault(self) -> bool:
+        faults = self._database.faults
+        if not faults.refusals:
+            return False
+        faults.refusals -= 1
+        self._refuse(faults.refuse)
+        return True
+
+    async def _run(self, request: str, text: str) -> None:
+        word, _, rest = text.partition(" ")
+        match word:
+            case "BEGIN":
+                self._begin(rest == "READ")
+            case "ROLLBACK":
+                self._end()
+                self._done()
+            case "COMMIT":
+                await self._commit(request)
+            case "READ" | "WRITE" | "EXECUTE":
+                await self._statement(request, text)
+            case "STATUS":
+                self._status()
+            case "PAUSE":
+                self._database.log.pause(int(rest))
+                self._status()
+            case "RESUME":
+                self._database.log.paused_for = 0
+                self._status()
+            case "DEMOTE":
+                self._database.log.demote(int(rest))
+                self._status()
+            case _:
+                self._set_up(word, rest)
+
+    def _set_up(self, word: str, rest: str) -> None:
+        name, _, body = rest.partition(" ")
+        match word:
+            case "SET":
+                self.values[name] = body
+            case "PREPARE":
+                kind, _, shape = body.partition(" ")
+                self.names[name] = (kind, shape)
+            case "RESET":
+                self.values.clear()
+                self.names.clear()
+            case _:
+                self._refuse("MALFORMED")
+                return
+        self._done()
+
+    def _begin(self, read_only: bool) -> None:
+        if not read_only and not self._database.log.leads:
+            self._refuse("READONLY")
+            return
+        self._state, self._read_only = "T", read_only
+        self._done()
+
+    def _end(self) -> None:
+        self._state, self._read_only, self._writes = "I", False, []
+
+    async def _statement(self, request: str, text: str) -> None:
+        words = text.split(" ")
+        writes = words[0] == "WRITE"
+        if words[0] == "EXECUTE":
+            if words[1] not in self.names:
+                self._refuse("UNKNSTMT")
+                return
+            writes = self.names[words[1]][0] == "WRITE"
+            del words[0]
+        plain = self._state == "T" and not self._read_only
+        if (writes or plain) and not self._database.log.leads:
+            self._refuse("READONLY")
+            return
+        await asyncio.sleep(_WORK_SECONDS)
+        self._database.ran.append((request, text))
+        if writes:
+            await self._write(request, (words[1], " ".join(words[2:])))
+        else:
+            self._send(f"ROW {self._value_of(words[1])}")
+            self._done(request)
+
+    async def _write(self, request: str, write: tuple[str, str]) -> None:
+        if self._state == "T":
+            self._writes.append(write)
+            self._done(request)
+            return
+        await self._keep(request, (write,))
+
+    async def _commit(self, request: str) -> None:
+        writes = tuple(self._writes)
+        if writes and not self._database.log.leads:
+            self._refuse("READONLY")
+            return
+        self._database.ran.append((request, "COMMIT"))
+        self._end()
+        if writes:
+            await self._keep(request, writes)
+        else:
+            self._done(request)
+
+    async def _keep(
+        self, request: str, writes: tuple[tuple[str, str], ...]
+    ) -> None:
+        group = self._database.group
+        position = await group.commit(self._database, request, writes)
+        if position is not None:
+            self._done(request)
+        else:
+            self.abort()
+
+    def _value_of(self, item: str) -> str:
+        log = self._database.log
+        for commit in reversed(log.commits[: log.applied]):
+            for name, data in commit.writes:
+                if name == item:
+                    return data
+        return "-"
+
+    def _status(self) -> None:
+        log = self._database.log
+        end = f"{log.received.term}.{log.received.offset}"
+        self._send(
+            f"ROW {log.role.value} {log.term} {end} {log.paused_for} 0 0 1"
+        )
+        self._done()
+
+    def _done(self, request: str = "-") -> None:
+        faults = self._database.faults
+        if request != "-" and faults.lose_answers:
+            faults.lose_answers -= 1
+            self.abort()
+            return
+        proof = "-" if request == "-" else self._database.signature(request)
+        self._send(f"COMPLETE {proof}")
+        self._ready()
+
+    def _refuse(self, code: str) -> None:
+        if self._state == "T":
+            self._state = "E"
+        self._send(f"ERROR {code} {self._database.name}")
+        self._ready()
+
+    def _ready(self) -> None:
+        position = self._database.log.visible
+        self._send(f"READY {self._state} {position.term}.{position.offset}")
+
+    def _send(self, line: str) -> None:
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.write(line.encode() + b"\r\n")
--- /dev/null
+++ b/hickorygate/tests/test_duty.py
@@ -0,0 +1,78 @@
+"""The lease of the duty, with two processes and one record."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from hickorygate.upstreams import duty as duties
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+def _at(seconds: float) -> datetime.datetime:
+    return _START + datetime.timedelta(seconds=seconds)
+
+
+class DutyTest(unittest.TestCase):
+    """Numbers rise, and nobody calls after its lease."""
+
+    def setUp(self) -> None:
+        self.one = duties.Duty("one", "x")
+        self.two = duties.Duty("two", "y")
+        self.stored: duties.Stored | None = None
+
+    def claim(self, duty: duties.Duty, at: float) -> duties.Action:
+        duty.see(self.stored, _at(at))
+        action = duty.decide(_at(at))
+        if isinstance(action, duties.Write):
+            self.store(duty, action, at)
+        return action
+
+    def store(self, duty: duties.Duty, write: duties.Write, at: float) -> None:
+        revision = self.stored.revision if self.stored else 0
+        self.stored = duties.Stored(write.record, revision + 1)
+        duty.win(self.stored, _at(at))
+
+    def test_the_first_one_creates_the_record(self) -> None:
+        action = self.claim(self.one, 0)
+        self.assertEqual(action.revision, None)
+        self.assertEqual(action.record.number, 1)
+        self.assertTrue(self.one.may_call(_at(1)))
+
+    def test_a_call_must_end_before_the_lease(self) -> None:
+        self.claim(self.one, 0)
+        self.assertTrue(self.one.may_call(_at(2.4)))
+        self.assertFalse(self.one.may_call(_at(2.6)))
+
+    def test_another_waits_longer_than_the_lease(self) -> None:
+        self.claim(self.one, 0)
+        self.assertIsInstance(self.claim(self.two, 0.1), duties.Wait)
+        self.assertIsInstance(self.claim(self.two, 4.5), duties.Wait)
+        action = self.claim(self.two, 4.7)
+        self.assertEqual(action.record.number, 2)
+        self.assertFalse(self.one.may_call(_at(4.7)))
+
+    def test_a_renewal_restarts_the_wait(self) -> None:
+        self.claim(self.one, 0)
+        self.claim(self.two, 0.1)
+        renewed = self.claim(self.one, 2)
+        self.assertEqual(renewed.record.number, 1)
+        self.assertIsInstance(self.claim(self.two, 4.7), duties.Wait)
+
+    def test_a_released_duty_passes_at_once_under_a_new_number(self) -> None:
+        self.claim(self.one, 0)
+        self.store(self.one, self.one.release(), 1)
+        self.assertFalse(self.one.may_call(_at(1)))
+        self.assertEqual(self.claim(self.two, 1.1).record.number, 2)
+
+    def test_a_new_process_of_the_holder_gets_a_new_number(self) -> None:
+        self.claim(self.one, 0)
+        again = duties.Duty("one", "z")
+        self.assertEqual(self.claim(again, 1).record.number, 2)
+
+    def test_an_answer_for_another_process_gives_no_lease(self) -> None:
+        self.claim(self.one, 0)
+        self.two.win(self.stored, _at(0))
+        self.assertFalse(self.two.may_call(_at(0)))
+        self.assertIsNone(self.two.release())
--- /dev/null
+++ b/hickorygate/tests/test_evidence.py
@@ -0,0 +1,153 @@
+"""What a round of answers proves of a group."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from hickorygate.core import catalog as catalogs
+from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
+from hickorygate.upstreams import evidence as evidences
+from hickorygate.upstreams import member as members
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_STALENESS = datetime.timedelta(milliseconds=1_500)
+
+
+def _at(seconds: float) -> datetime.datetime:
+    return _START + datetime.timedelta(seconds=seconds)
+
+
+def _position(term: int, offset: int) -> positions.Position:
+    return positions.Position(term, offset)
+
+
+def _member(name: str, born: int = 1) -> members.Member:
+    return members.Member(
+        name, born, "service", "10.0.0.1", 80, "a", 2, False, False
+    )
+
+
+def _sight(
+    leads: bool,
+    term: int,
+    offset: int,
+    received: int | None = None,
+    paused_for: int = 0,
+) -> evidences.Sight:
+    status = None
+    if received is not None:
+        status = replies.GroupStatus(
+            leads, term, _position(term, received), paused_for
+        )
+    return evidences.Sight(leads, _position(term, offset), status)
+
+
+class EvidenceTest(unittest.TestCase):
+    """Three databases, one synchronous replica."""
+
+    def setUp(self) -> None:
+        self.evidence = evidences.Evidence(1)
+        self.evidence.set_members(tuple(_member(n) for n in "abc"))
+
+    def judge(self, at: float, **sights: evidences.Sight) -> evidences.Finding:
+        seen = self.evidence.open_round(_at(at))
+        seen.sights.update(sights)
+        return self.evidence.judge(seen)
+
+    def test_all_answers_confirm_the_primary(self) -> None:
+        finding = self.judge(
+            0,
+            a=_sight(True, 1, 7),
+            b=_sight(False, 1, 5),
+            c=_sight(False, 1, 6),
+        )
+        self.assertTrue(finding.confirmed)
+        self.assertEqual(finding.leader, evidences.Leader("a", 1))
+        self.assertEqual(finding.floor.position, _position(1, 7))
+
+    def test_a_silent_database_could_lead(self) -> None:
+        finding = self.judge(0, a=_sight(True, 1, 7), b=_sight(False, 1, 5))
+        self.assertFalse(finding.confirmed)
+        self.assertIsNone(finding.floor)
+
+    def test_a_former_primary_is_seen_through_a_replica_of_the_new(
+        self,
+    ) -> None:
+        self.judge(
+            0,
+            a=_sight(True, 1, 7),
+            b=_sight(False, 1, 7),
+            c=_sight(False, 1, 7),
+        )
+        finding = self.judge(1, a=_sight(True, 1, 9), b=_sight(False, 2, 8))
+        self.assertFalse(finding.confirmed)
+        self.assertIsNone(self.evidence.leader)
+
+    def test_logs_of_all_but_one_cover_each_commit(self) -> None:
+        finding = self.judge(
+            0,
+            b=_sight(False, 1, 5, received=9),
+            c=_sight(False, 1, 6, received=8),
+        )
+        self.assertEqual(finding.floor.position, _position(1, 9))
+        self.assertFalse(finding.confirmed)
+
+    def test_logs_confirm_a_primary_beside_a_silent_database(self) -> None:
+        finding = self.judge(
+            0,
+            a=_sight(True, 1, 9, received=9),
+            b=_sight(False, 1, 5, received=8),
+        )
+        self.assertTrue(finding.confirmed)
+
+    def test_logs_of_a_newer_term_depose_a_primary(self) -> None:
+        finding = self.judge(
+            0,
+            a=_sight(True, 1, 9, received=9),
+            b=_sight(False, 2, 5, received=8),
+        )
+        self.assertFalse(finding.confirmed)
+
+    def test_a_database_that_left_counts_as_silent(self) -> None:
+        self.evidence.set_members((_member("a"), _member("b")))
+        finding = self.judge(0, b=_sight(False, 1, 5, received=9))
+        self.assertIsNone(finding.floor)
+
+    def test_a_departed_database_is_settled_by_what_others_hold(self) -> None:
+        self.evidence.set_members((_member("a"), _member("b")))
+        self.judge(0, a=_sight(True, 1, 9), b=_sight(False, 1, 5))
+        self.judge(1, a=_sight(True, 1, 12), b=_sight(False, 1, 8))
+        self.assertTrue(self.evidence.departed)
+        self.judge(2, a=_sight(True, 1, 12), b=_sight(False, 1, 9))
+        self.assertFalse(self.evidence.departed)
+
+    def test_a_database_born_again_has_lost_what_it_held(self) -> None:
+        self.evidence.set_members(
+            (_member("a"), _member("b", born=2), _member("c"))
+        )
+        self.assertEqual(self.evidence.departed, {"b@1"})
+
+    def test_a_floor_must_cover_the_tolerated_age(self) -> None:
+        for at in range(4):
+            self.judge(
+                at,
+                a=_sight(True, 1, at),
+                b=_sight(False, 1, 0),
+                c=_sight(False, 1, 0),
+            )
+        bounded = catalogs.Bounded(_STALENESS)
+        floor = self.evidence.floor(bounded, _at(3.2))
+        self.assertEqual(floor.position, _position(1, 2))
+        self.assertIsNone(self.evidence.floor(bounded, _at(4.6)))
+
+    def test_two_that_lead_are_told_apart_by_term(self) -> None:
+        finding = self.judge(
+            0,
+            a=_sight(True, 1, 99),
+            b=_sight(True, 2, 7),
+            c=_sight(False, 2, 7),
+        )
+        self.assertEqual(finding.leader, evidences.Leader("b", 2))
+        self.assertTrue(finding.confirmed)
--- /dev/null
+++ b/hickorygate/tests/test_line_path.py
@@ -0,0 +1,318 @@
+"""The whole path from a caller's line to a stand-in database and back."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from hickorygate.testing import line_group
+from hickorygate.testing import line_world as worlds
+
+
+def _code(received: list[str]) -> str:
+    """Returns the code of a refusal, or "ok"."""
+    for line in received:
+        if line.startswith("ERROR"):
+            return line.split(" ")[1]
+    return "ok"
+
+
+def _row(received: list[str]) -> str:
+    assert received[0].startswith("ROW "), received
+    return received[0][4:]
+
+
+def _state(received: list[str]) -> str:
+    return received[-1].split(" ")[1]
+
+
+class LinePathTest(unittest.IsolatedAsyncioTestCase):
+    """One proxy, three databases."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        self.world = await self.enterAsyncContext(worlds.LineWorld())
+        self.group = self.world.group
+
+    async def test_a_name_without_a_route_is_refused_and_closed(self) -> None:
+        port = self.world.proxies[0].front.port
+        streams = await asyncio.open_connection("127.0.0.1", port)
+        client = worlds.LineClient(*streams)
+        received = await client.send("CONNECT nobody someone")
+        self.assertEqual(_code(received), "UNKNDB")
+        self.assertEqual(await client.receive(), [])
+        client.close()
+
+    async def test_a_session_reads_its_own_write(self) -> None:
+        client = await self.world.connect(worlds.OWN)
+        for number in range(20):
+            self.assertEqual(
+                _code(await client.query(f"WRITE x v{number}")), "ok"
+            )
+            self.assertEqual(_row(await client.query("READ x")), f"v{number}")
+
+    async def test_answers_carry_the_signature_of_their_database(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        received = await client.send("QUERY aa11 READ x")
+        proof = self.group.databases["a"].signature("aa11")
+        self.assertIn(f"COMPLETE {proof}", received)
+
+    async def test_a_transaction_is_kept_or_dropped_whole(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        self.assertEqual(_state(await client.query("BEGIN")), "T")
+        await client.query("WRITE x 1")
+        await client.query("WRITE y 1")
+        self.assertEqual(_state(await client.query("COMMIT")), "I")
+        await client.query("BEGIN")
+        await client.query("WRITE x 2")
+        self.assertEqual(_state(await client.query("ROLLBACK")), "I")
+        self.assertEqual(_row(await client.query("READ x")), "1")
+        self.assertEqual(len(self.group.acknowledged), 1)
+
+    async def test_a_commit_of_nothing_is_the_databases_own(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        await client.query("BEGIN")
+        received = await client.query("COMMIT")
+        self.assertNotIn("COMPLETE -", received)
+        self.assertEqual(_code(received), "ok")
+
+    async def test_names_collide_between_sessions(self) -> None:
+        one = await self.world.connect(worlds.PRIMARY)
+        two = await self.world.connect(worlds.PRIMARY)
+        await one.query("PREPARE s WRITE q1")
+        await two.query("PREPARE s READ q1")
+        self.assertEqual(_code(await one.query("EXECUTE s x 5")), "ok")
+        self.assertEqual(_row(await two.query("EXECUTE s x")), "5")
+        await one.query("DEALLOC s")
+        received = await one.query("EXECUTE s x 6")
+        self.assertEqual(_code(received), "UNKNSTMT")
+
+    async def test_session_values_follow_the_session(self) -> None:
+        for name in ("one", "two"):
+            client = await self.world.connect(worlds.PRIMARY)
+            await client.query(f"SET v {name}")
+            await client.query("READ x")
+        plain = await self.world.connect(worlds.PRIMARY)
+        self.assertEqual(_code(await plain.query("READ x")), "ok")
+
+    async def test_a_hang_up_rolls_back(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        await client.query("BEGIN")
+        await client.query("WRITE x 1")
+        client.close()
+        other = await self.world.connect(worlds.PRIMARY)
+        for _ in range(20):
+            self.assertEqual(_row(await other.query("READ x")), "-")
+
+    async def test_bad_input_costs_one_statement(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        for line in ("HELLO", "QUERY", "QUERY 1 STATUS", "QUERY 2 PAUSE 9"):
+            received = await client.send(line)
+            self.assertEqual(_code(received), "MALFORMED")
+        self.assertEqual(_code(await client.query("READ x")), "ok")
+
+    async def test_a_failed_transaction_takes_only_its_end(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        await client.query("BEGIN")
+        self.assertEqual(_state(await client.query("NONSENSE")), "E")
+        self.assertEqual(_code(await client.query("READ x")), "MALFORMED")
+        self.assertEqual(_code(await client.query("SET a 1")), "MALFORMED")
+        received = await client.query("COMMIT")
+        self.assertEqual((_code(received), _state(received)), ("ABORTED", "I"))
+
+    async def test_pipelined_statements_are_answered_in_order(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        first = await client.send("QUERY 1 WRITE x 1\r\nQUERY 2 READ x")
+        second = await client.receive()
+        self.assertEqual((_code(first), _row(second)), ("ok", "1"))
+
+    async def test_a_lost_answer_of_a_write_is_in_doubt(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        await client.query("READ x")
+        self.group.databases["a"].faults.lose_answers = 1
+        received = await client.query("WRITE x 1")
+        self.assertEqual(_code(received), "INDOUBT")
+        ran = [text for _, text in self.group.databases["a"].ran]
+        self.assertEqual(ran.count("WRITE x 1"), 1)
+
+    async def test_a_lost_answer_of_a_read_is_asked_again(self) -> None:
+        client = await self.world.connect(worlds.BOUNDED)
+        for database in self.group.databases.values():
+            database.faults.lose_answers = 1
+        self.assertEqual(_code(await client.query("READ x")), "ok")
+
+    async def test_a_statement_lost_in_a_transaction_aborts_it(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        await client.query("BEGIN")
+        self.group.databases["a"].faults.lose_answers = 1
+        received = await client.query("WRITE x 1")
+        self.assertEqual((_code(received), _state(received)), ("ABORTED", "E"))
+        await client.query("ROLLBACK")
+        self.assertEqual(_row(await client.query("READ x")), "-")
+
+    async def test_busy_databases_are_asked_again(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        faults = self.group.databases["a"].faults
+        faults.refuse, faults.refusals = "BUSY", 2
+        self.assertEqual(_code(await client.query("WRITE x 1")), "ok")
+        self.assertEqual(len(self.group.acknowledged), 1)
+
+    async def test_a_database_that_stays_busy_is_not_hammered(self) -> None:
+        client = await self.world.connect(worlds.PRIMARY)
+        database = self.group.databases["a"]
+        database.faults.refuse, database.faults.refusals = "BUSY", 10_000
+        self.assertEqual(_code(await client.query("READ x")), "BUSY")
+        asked = 10_000 - database.faults.refusals
+        self.assertLess(asked, 25)
+
+    async def test_statements_name_no_item_twice(self) -> None:
+        client = await self.world.connect(worlds.OWN)
+        for number in range(5):
+            await client.query(f"WRITE x {number}")
+        ids = [r for d in self.group.databases.values() for r, _ in d.ran]
+        self.assertEqual(len(ids), len(set(ids)))
+
+
+class FailoverTest(unittest.IsolatedAsyncioTestCase):
+    """Two proxies; the primary goes in several ways."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        self.world = await self.enterAsyncContext(worlds.LineWorld(proxies=2))
+        self.group = self.world.group
+        self.clients = [
+            await self.world.connect(worlds.PRIMARY, proxy) for proxy in (0, 1)
+        ]
+        for number, client in enumerate(self.clients):
+            self.assertEqual(
+                _code(await client.query(f"WRITE k{number} 1")), "ok"
+            )
+
+    async def write_until_served(self) -> None:
+        for number, client in enumerate(self.clients):
+            for _ in range(40):
+                received = await client.query(f"WRITE k{number} 2")
+                if _code(received) == "ok":
+                    break
+            self.assertEqual(_code(received), "ok")
+            self.assertEqual(_row(await client.query(f"READ k{number}")), "2")
+
+    async def test_a_crashed_primary_is_replaced(self) -> None:
+        self.group.databases["a"].crash()
+        await self.write_until_served()
+        self.assertEqual(len(self.group.promotions), 1)
+        worlds.assert_no_commit_lost(self.group)
+
+    async def test_a_silent_primary_is_replaced(self) -> None:
+        self.group.databases["a"].faults.silent = True
+        await self.write_until_served()
+        self.assertEqual(len(self.group.promotions), 1)
+        worlds.assert_no_commit_lost(self.group)
+
+    async def test_a_deaf_replica_is_not_promoted(self) -> None:
+        self.group.databases["b"].faults.deaf = True
+        for number in range(5):
+            received = await self.clients[0].query(f"WRITE z {number}")
+            self.assertEqual(_code(received), "ok")
+        self.group.databases["a"].crash()
+        while not self.group.promotions:
+            await asyncio.sleep(0.01)
+        self.group.databases["b"].faults.deaf = False
+        await self.write_until_served()
+        self.assertEqual(self.group.promotions, ["c"])
+        worlds.assert_no_commit_lost(self.group)
+
+    async def test_a_primary_that_acknowledges_nothing_is_replaced(
+        self,
+    ) -> None:
+        for name in "bc":
+            self.group.databases[name].faults.deaf = True
+        writes = [
+            asyncio.create_task(client.query("WRITE z 1"))
+            for client in self.clients
+        ]
+        await asyncio.sleep(0.3)
+        writes.append(
+            asyncio.create_task(self.more_writes(self.clients.copy()))
+        )
+        while not self.group.promotions:
+            await asyncio.sleep(0.01)
+        for name in "bc":
+            self.group.databases[name].faults.deaf = False
+        await asyncio.gather(*writes)
+        worlds.assert_no_commit_lost(self.group)
+
+    async def more_writes(self, _: list[worlds.LineClient]) -> None:
+        for proxy in (0, 1):
+            client = await self.world.connect(worlds.PRIMARY, proxy)
+            await client.query("WRITE z 2")
+
+    async def test_a_leaving_primary_hands_over_without_a_gap(self) -> None:
+        self.group.databases["a"].leaving = True
+        for proxy in self.world.proxies:
+            proxy.take_list()
+        await self.write_until_served()
+        while not self.group.promotions:
+            await asyncio.sleep(0.01)
+        await self.write_until_served()
+        self.assertEqual(len(self.group.promotions), 1)
+        worlds.assert_no_commit_lost(self.group)
+
+    async def test_nobody_is_promoted_while_a_replica_is_unheard(
+        self,
+    ) -> None:
+        self.group.databases["c"].crash()
+        await asyncio.sleep(0.4)
+        self.group.databases["a"].crash()
+        await asyncio.sleep(1.2)
+        self.assertEqual(self.group.promotions, [])
+        await self.group.databases["c"].start()
+        await self.write_until_served()
+        worlds.assert_no_commit_lost(self.group)
+
+    async def test_numbers_of_promotions_rise_with_their_holders(self) -> None:
+        self.group.databases["a"].crash()
+        await self.write_until_served()
+        await self.group.databases["a"].start()
+        await asyncio.sleep(0.3)
+        self.group.databases[self.group.promotions[0]].crash()
+        await self.write_until_served()
+        orders = self.world.store.orders
+        numbers = [number for _, number in orders]
+        self.assertEqual(numbers, sorted(numbers))
+        self.assertEqual(len({h for h, _ in orders}), len(set(numbers)))
+        worlds.assert_no_commit_lost(self.group)
+
+
+class StaleReadTest(unittest.IsolatedAsyncioTestCase):
+    """Reads while a former primary still believes to lead."""
+
+    async def test_a_former_primary_serves_no_read(self) -> None:
+        async with worlds.LineWorld() as world:
+            client = await world.connect(worlds.PRIMARY)
+            await client.query("WRITE x old")
+            self._depose(world.group)
+            position = world.group.databases["b"].log.append(
+                "other", (("x", "new"),)
+            )
+            world.group.acknowledged.append(position)
+            self.assertEqual(_row(await client.query("READ x")), "new")
+
+    async def test_bounded_reads_go_on_without_a_primary(self) -> None:
+        async with worlds.LineWorld() as world:
+            writer = await world.connect(worlds.PRIMARY)
+            await writer.query("WRITE x 1")
+            await asyncio.sleep(0.5)
+            world.store.down = True
+            world.group.databases["a"].crash()
+            reader = await world.connect(worlds.BOUNDED)
+            for _ in range(40):
+                self.assertEqual(_row(await reader.query("READ x")), "1")
+                await asyncio.sleep(0.05)
+
+    def _depose(self, group: line_group.LineGroup) -> None:
+        """Lets another database lead, unknown to the first one."""
+        group.databases["a"].faults.deaf = True
+        group.databases["b"].log.promote(2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/hickorygate/tests/test_lines.py
@@ -0,0 +1,151 @@
+"""The line protocol, byte by byte."""
+
+from __future__ import annotations
+
+import unittest
+
+import expression
+
+from hickorygate.core import errors
+from hickorygate.core import operation as operations
+from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
+from hickorygate.platform import lines
+from hickorygate.upstreams import request as requests
+
+_IDLE = replies.SessionState.IDLE
+
+
+def _query(text: str) -> operations.Operation:
+    message = lines.parse_caller(f"QUERY 1f {text}".encode())
+    assert isinstance(message, lines.Query), message
+    return message.operation
+
+
+class CallerTest(unittest.TestCase):
+    """What callers send."""
+
+    def test_statements_keep_their_text(self) -> None:
+        self.assertEqual(_query("READ 1a4"), operations.Read("READ 1a4"))
+        self.assertEqual(
+            _query("WRITE 1a4 some data"),
+            operations.Write("WRITE 1a4 some data"),
+        )
+        self.assertEqual(
+            _query("EXECUTE s1 1a4 some data"),
+            operations.Execute("s1", "1a4 some data"),
+        )
+        self.assertEqual(_query("COMMIT"), operations.Commit("COMMIT"))
+
+    def test_session_statements(self) -> None:
+        shape = operations.Shape(True, "q2c")
+        self.assertEqual(
+            _query("PREPARE s1 WRITE q2c"), operations.Prepare("s1", shape)
+        )
+        self.assertEqual(_query("SET v a b"), operations.SetValue("v", "a b"))
+        self.assertEqual(_query("DEALLOC s1"), operations.Deallocate("s1"))
+        self.assertEqual(_query("BEGIN READ"), operations.Begin(True))
+        self.assertEqual(_query("BEGIN"), operations.Begin(False))
+        self.assertEqual(_query("ROLLBACK"), operations.Rollback())
+
+    def test_what_is_no_statement(self) -> None:
+        for text in (
+            "READ",
+            "READ a b",
+            "WRITE a",
+            "BEGIN WRITE",
+            "COMMIT now",
+            "PREPARE s DROP q",
+            "WAITPOS 1.2 READ a",
+            "STATUS",
+            "PAUSE 9",
+        ):
+            with self.subTest(text):
+                self.assertEqual(_query(text), operations.Unknown(text))
+
+    def test_what_is_no_message(self) -> None:
+        for line in (b"", b"QUERY", b"QUERY 1", b"HELLO x", b"CONNECT"):
+            with self.subTest(line):
+                self.assertEqual(lines.parse_caller(line), lines.Unreadable())
+
+    def test_other_bytes_pass_unchanged(self) -> None:
+        message = lines.parse_caller(b"QUERY 1 WRITE a \xff\xfe")
+        run = requests.Run(message.id, message.operation.text)
+        self.assertEqual(
+            lines.encode_request(run), b"QUERY 1 WRITE a \xff\xfe\r\n"
+        )
+
+
+class BufferTest(unittest.TestCase):
+    """Lines however they are cut."""
+
+    def test_lines_are_joined_and_split(self) -> None:
+        buffer = lines.LineBuffer()
+        self.assertEqual(buffer.feed(b"ab"), [])
+        self.assertEqual(buffer.feed(b"c\r\nd\r\ne"), [b"abc", b"d"])
+        self.assertEqual(buffer.feed(b"\r\n"), [b"e"])
+
+    def test_an_endless_line_is_noticed(self) -> None:
+        buffer = lines.LineBuffer()
+        buffer.feed(b"x" * lines.MESSAGE_LIMIT)
+        self.assertFalse(buffer.oversized)
+        buffer.feed(b"x")
+        self.assertTrue(buffer.oversized)
+
+
+class ReplyTest(unittest.TestCase):
+    """What databases answer, and what callers get of it."""
+
+    def parse(self, *received: bytes) -> replies.Reply | None:
+        parser = lines.ReplyParser()
+        reply = None
+        for line in received:
+            reply = parser.take(line)
+        return reply
+
+    def test_rows_and_signature(self) -> None:
+        reply = self.parse(b"ROW a b", b"ROW c", b"COMPLETE x", b"READY I 3.9")
+        self.assertEqual(reply.result.ok, replies.Answer((b"a b", b"c"), b"x"))
+        self.assertEqual(reply.position, positions.Position(3, 9))
+        self.assertEqual(
+            lines.reply_lines(reply),
+            b"ROW a b\r\nROW c\r\nCOMPLETE x\r\nREADY I 3.9\r\n",
+        )
+
+    def test_refusals_keep_their_class(self) -> None:
+        reply = self.parse(b"ERROR LAGGING i-7", b"READY E -")
+        self.assertEqual(reply.result.error.reason, replies.Reason.LAGGING)
+        self.assertEqual(reply.state, replies.SessionState.FAILED)
+        self.assertIsNone(reply.position)
+
+    def test_an_unknown_code_proves_nothing(self) -> None:
+        reply = self.parse(b"ERROR STRANGE", b"READY I -")
+        self.assertIsNot(reply.result.error.outcome, errors.Outcome.NOT_RUN)
+
+    def test_broken_answers_are_errors(self) -> None:
+        for line in (b"READY X -", b"HELLO", b"READY"):
+            with self.subTest(line), self.assertRaises(ValueError):
+                self.parse(line)
+
+    def test_status_rows(self) -> None:
+        reply = self.parse(
+            b"ROW replica 3 3.1209 4 12 2 17", b"COMPLETE -", b"READY I 3.1"
+        )
+        self.assertEqual(
+            lines.parse_status(reply),
+            replies.GroupStatus(False, 3, positions.Position(3, 1_209), 4),
+        )
+        cut = self.parse(b"ROW replica 3", b"COMPLETE -", b"READY I 3.1")
+        self.assertIsNone(lines.parse_status(cut))
+
+    def test_failures_become_promises_only_if_nothing_ran(self) -> None:
+        def code(failure: errors.Failure) -> bytes:
+            return lines.error_line(failure).split(b" ")[1]
+
+        self.assertEqual(code(errors.NoPrimary("g")), b"BUSY")
+        self.assertEqual(code(errors.AnswerLost("d", "x")), b"INDOUBT")
+
+    def test_details_stay_on_their_line(self) -> None:
+        rejection = replies.Rejection(replies.Reason.BUSY, "a\r\nREADY I -")
+        reply = replies.Reply(expression.Error(rejection), _IDLE)
+        self.assertEqual(lines.reply_lines(reply).count(b"\n"), 2)
--- /dev/null
+++ b/hickorygate/tests/test_platform_settings.py
@@ -0,0 +1,44 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import unittest
+
+from hickorygate.platform import settings as settings_lib
+
+_TEXT = """\
+node_name=front-a-1
+zone=a
+listen.front=10.1.0.8:8784
+listen.ready=10.1.0.8:8785
+platform.address=10.200.1.7:8783
+cloud_api.address=10.200.0.160:8783
+bounds.grace_s=6
+limits.max_fds=6300
+something.new=1,2
+"""
+
+
+class PlatformSettingsTest(unittest.TestCase):
+    """Lines of the form a.b=value."""
+
+    def test_known_keys_are_read_and_others_ignored(self) -> None:
+        settings = settings_lib.parse(_TEXT, "boot.conf").ok
+        self.assertEqual(settings.name, "front-a-1")
+        self.assertEqual(
+            settings.callers, settings_lib.Address("10.1.0.8", 8784)
+        )
+        self.assertEqual(settings.grace_seconds, 6)
+
+    def test_a_wrong_value_names_line_value_and_way_out(self) -> None:
+        text = _TEXT.replace("10.1.0.8:8784", "nowhere")
+        failure = settings_lib.parse(text, "boot.conf").error
+        (problem,) = failure.problems
+        self.assertEqual((problem.line, problem.where), (3, "listen.front"))
+        self.assertIn("'nowhere'", problem.reason)
+        self.assertIn("HOST:PORT", problem.reason)
+
+    def test_a_missing_key_is_named(self) -> None:
+        text = _TEXT.replace("zone=a\n", "")
+        failure = settings_lib.parse(text, "boot.conf").error
+        self.assertEqual(failure.problems[0].where, "zone")
--- /dev/null
+++ b/hickorygate/tests/test_takeover.py
@@ -0,0 +1,143 @@
+"""Replacing a primary, step by step, on a time of the test's own."""
+
+from __future__ import annotations
+
+import datetime
+import unittest
+
+from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
+from hickorygate.upstreams import takeover as takeovers
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+def _at(seconds: float) -> datetime.datetime:
+    return _START + datetime.timedelta(seconds=seconds)
+
+
+def _plan(
+    candidate: str | None = None,
+    pause: str = "bc",
+    absent: int = 1,
+    leaving: str = "",
+) -> takeovers.Plan:
+    return takeovers.Plan(
+        service="service",
+        term=2,
+        reason="test",
+        leader="a",
+        candidate=candidate,
+        pause=frozenset(pause),
+        unheard=1,
+        absent=absent,
+        leaving=frozenset(leaving),
+    )
+
+
+def _status(
+    received: int, term: int = 1, paused_for: int = 2
+) -> replies.GroupStatus:
+    position = positions.Position(term, received)
+    return replies.GroupStatus(False, term, position, paused_for)
+
+
+class TakeoverTest(unittest.TestCase):
+    """The most advanced of all that could hold a commit takes over."""
+
+    def begin(self, plan: takeovers.Plan) -> list[takeovers.Effect]:
+        self.takeover = takeovers.Takeover(plan, _at(0))
+        return self.takeover.advance(_at(0))
+
+    def feed(
+        self, event: takeovers.Event, at: float = 0.1
+    ) -> list[takeovers.Effect]:
+        done = takeovers.handle(event, self.takeover, _at(at))
+        return done + self.takeover.advance(_at(at))
+
+    def pause(self, name: str, received: int) -> list[takeovers.Effect]:
+        return self.feed(takeovers.ReplicaPaused(name, _status(received)))
+
+    def test_all_replicas_are_paused_first(self) -> None:
+        self.assertEqual(
+            self.begin(_plan()),
+            [takeovers.PauseReplica("b", 2), takeovers.PauseReplica("c", 2)],
+        )
+        self.assertEqual(self.pause("b", 5), [])
+
+    def test_the_most_advanced_is_promoted(self) -> None:
+        self.begin(_plan())
+        self.pause("b", 5)
+        self.assertEqual(self.pause("c", 6), [takeovers.OrderPromotion("c")])
+
+    def test_a_replica_that_is_unheard_may_be_the_only_holder(self) -> None:
+        self.begin(_plan())
+        self.pause("b", 5)
+        lost = self.feed(takeovers.ReplicaPaused("c", None))
+        self.assertEqual(lost, [])
+        again = self.takeover.advance(_at(0.5))
+        self.assertEqual(again, [takeovers.PauseReplica("c", 2)])
+
+    def test_one_that_stays_goes_before_one_that_leaves(self) -> None:
+        self.begin(_plan(leaving="c"))
+        self.pause("c", 5)
+        self.assertEqual(self.pause("b", 5), [takeovers.OrderPromotion("b")])
+
+    def test_one_that_leaves_is_promoted_if_it_alone_holds_all(self) -> None:
+        self.begin(_plan(leaving="c"))
+        self.pause("b", 5)
+        self.assertEqual(self.pause("c", 6), [takeovers.OrderPromotion("c")])
+
+    def test_a_pause_below_the_term_proves_nothing(self) -> None:
+        self.begin(_plan())
+        self.pause("b", 5)
+        weak = takeovers.ReplicaPaused("c", _status(9, paused_for=0))
+        self.assertEqual(self.feed(weak), [])
+
+    def test_a_newer_term_ends_it_and_the_pauses(self) -> None:
+        self.begin(_plan())
+        self.pause("b", 5)
+        newer = takeovers.ReplicaPaused("c", _status(9, term=2))
+        effects = takeovers.handle(newer, self.takeover, _at(0.1))
+        self.assertEqual(effects[0].resume, ("b",))
+        self.assertFalse(effects[0].led)
+
+    def test_a_candidate_must_have_caught_up_after_the_pauses(self) -> None:
+        self.begin(_plan(candidate="b", pause="c", absent=0))
+        compared = self.pause("c", 5)
+        self.assertEqual(compared, [takeovers.CompareCandidate("a", "b")])
+        behind = takeovers.CandidateSeen(
+            positions.Position(1, 9), positions.Position(1, 8)
+        )
+        self.assertEqual(self.feed(behind), [])
+        level = takeovers.CandidateSeen(
+            positions.Position(1, 9), positions.Position(1, 9)
+        )
+        self.assertEqual(self.feed(level, 0.4), [takeovers.OrderPromotion("b")])
+
+    def test_a_refused_order_is_repeated(self) -> None:
+        self.begin(_plan())
+        self.pause("b", 5)
+        self.pause("c", 6)
+        refused = takeovers.PromotionEnded(False)
+        self.assertEqual(self.feed(refused, 0.15), [])
+        self.assertEqual(
+            self.takeover.advance(_at(0.4)), [takeovers.OrderPromotion("c")]
+        )
+
+    def test_the_new_primary_ends_it_and_the_former_is_demoted(self) -> None:
+        self.begin(_plan())
+        found = takeovers.LeaderFound("c", 2)
+        effects = takeovers.handle(found, self.takeover, _at(1))
+        self.assertEqual(effects, [takeovers.Finish(True, (), "a", "c leads")])
+
+    def test_the_former_primary_coming_back_ends_nothing(self) -> None:
+        self.begin(_plan())
+        found = takeovers.LeaderFound("a", 1)
+        self.assertEqual(takeovers.handle(found, self.takeover, _at(1)), [])
+
+    def test_it_gives_up_in_the_end_and_resumes(self) -> None:
+        self.begin(_plan())
+        self.pause("b", 5)
+        effects = self.takeover.advance(_at(6))
+        self.assertEqual(effects[0].resume, ("b",))
--- a/hickorygate/upstreams/fleet.py
+++ b/hickorygate/upstreams/fleet.py
@@ -127,11 +127,11 @@
     def lose_store(self) -> None:
         """Takes in that the list can't be followed at the moment."""
         self._store_lost = True
-        self._listing.unaware()
 
     def regain_store(self) -> None:
         """Takes in that the list is followed again."""
         self._store_lost = False
+        self._listing.restart(self._clock.now())
 
     def _take_service(
         self, name: types.ServiceName, terms: catalogs.ServiceTerms
--- a/hickorygate/upstreams/member.py
+++ b/hickorygate/upstreams/member.py
@@ -110,9 +110,9 @@
             self._drop(name)
         return tuple(gone)
 
-    def unaware(self) -> None:
-        """Restarts the time of what is missing: the store was out of reach."""
-        self._missing.clear()
+    def restart(self, now: datetime.datetime) -> None:
+        """Gives what is missing its time anew: the store is back."""
+        self._missing = dict.fromkeys(self._missing, now)
 
     def _drop(self, name: MemberId) -> None:
         self._members.pop(name, None)
--- a/hickorygate/upstreams/prober.py
+++ b/hickorygate/upstreams/prober.py
@@ -74,11 +74,9 @@
         """Asks all databases once; those that are slow count as silent."""
         now = self._clock.now()
         seen = self._evidence.open_round(now)
-        doubt = any(self.vital(name).doubtful for name in seen.asked)
-        statuses = with_status or doubt or bool(self._evidence.departed)
-        await self._ask_all(seen, statuses)
-        if seen.silent and not statuses:
-            # The answers don't tell who leads; ask for the logs as well.
+        await self._ask_all(seen, with_status)
+        if seen.silent and not with_status and self._leads(seen):
+            # The answers alone don't confirm the primary; the logs may.
             seen = self._evidence.open_round(self._clock.now())
             await self._ask_all(seen, True)
         if self._clock.now() - now > 2 * _ROUND_LIMIT + _STOOD_STILL:
@@ -119,6 +117,10 @@
         self.vital(name).answer()
         return results
 
+    def _leads(self, seen: evidences.Round) -> bool:
+        """Whether any database that answered leads."""
+        return any(sight.leads for sight in seen.sights.values())
+
     def _note_unreached(self, name: members.MemberId) -> None:
         """Takes in that no connection was had; why decides what it proves."""
         lender = self._lenders.get(name)
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -35,7 +35,9 @@
 _STATUS_EVERY = datetime.timedelta(seconds=5)
 """How often the logs' ends are asked for in calm times."""
 
-_RETIRE_LIMIT = datetime.timedelta(seconds=20)
+_STATUS_WHILE_LOST = datetime.timedelta(milliseconds=250)
+"""The same while no primary is known; the ends of all logs are then the only
+source of floors."""
 
 
 class Supervisor:
@@ -206,6 +208,7 @@
             return
         self._lost = leader
         self._evidence.lose_leader()
+        self._status_due = self._clock.now()
         lender = self._lenders.get(leader.member)
         if lender is not None:
             lender.drop(reason)
@@ -239,9 +242,12 @@
 
     async def _round(self) -> None:
         sent = self._clock.now()
-        with_status = sent >= self._status_due or self.leader is None
+        with_status = sent >= self._status_due
         if with_status:
-            self._status_due = sent + _STATUS_EVERY
+            lost = self.leader is None
+            self._status_due = sent + (
+                _STATUS_WHILE_LOST if lost else _STATUS_EVERY
+            )
         before = self.leader
         finding = await self._prober.round(with_status)
         self.found(finding, sent)
