Take the term of a lead from the status; space rounds; share connections

Waiting requests asked for rounds without a pause (258 s of processor time). Each proxy opened up to the database's whole limit (1,945 refused connections). The stand-in now tells positions as the platform does.

--- a/hickorygate/platform/probe.py
+++ b/hickorygate/platform/probe.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import datetime
 
 from aiohttp import web
 
@@ -14,6 +15,8 @@
 _METRICS = "/metrics"
 _READY = 200
 _NOT_READY = 503
+_CLOSE_LIMIT = datetime.timedelta(milliseconds=50)
+"""The platform's questions may leave connections open; nothing is lost."""
 
 
 class Probe:
@@ -53,7 +56,11 @@
     ) -> None:
         app = web.Application()
         app.router.add_get(path, handler)
-        runner = web.AppRunner(app, access_log=None)
+        runner = web.AppRunner(
+            app,
+            access_log=None,
+            shutdown_timeout=_CLOSE_LIMIT.total_seconds(),
+        )
         await runner.setup()
         self._runners.append(runner)
         await web.TCPSite(runner, address.host, address.port).start()
--- a/hickorygate/testing/line_log.py
+++ b/hickorygate/testing/line_log.py
@@ -49,12 +49,17 @@
     @property
     def received(self) -> positions.Position:
         """The end of the log."""
-        return positions.Position(self.term, len(self.commits))
+        return self._position(len(self.commits))
 
     @property
     def visible(self) -> positions.Position:
         """What reads see."""
-        return positions.Position(self.term, self.applied)
+        return self._position(self.applied)
+
+    def _position(self, offset: int) -> positions.Position:
+        """A position carries the term of its entry, not that of the lead."""
+        term = self.commits[offset - 1].position.term if offset else self.term
+        return positions.Position(term, offset)
 
     @property
     def leads(self) -> bool:
@@ -63,9 +68,7 @@
 
     def holds(self, floor: positions.Position) -> bool:
         """Whether reads see all up to a position."""
-        if floor.term > self.term:
-            return False
-        return self.applied >= floor.offset
+        return self.visible >= floor
 
     def append(
         self, request: str, writes: tuple[tuple[str, str], ...]
--- a/hickorygate/upstreams/evidence.py
+++ b/hickorygate/upstreams/evidence.py
@@ -223,14 +223,33 @@
                 return floor
         return None
 
+    def disputed(self, seen: Round) -> bool:
+        """Tells whether terms must be asked for to know who leads.
+
+        A position tells the term of the log's last entry, which may be that
+        of a former primary.
+        """
+        leading = [n for n, sight in seen.sights.items() if sight.leads]
+        if not leading:
+            return False
+        known = self._leader.member if self._leader else None
+        return leading != [known]
+
     def _find_leader(self, seen: Round) -> Leader | None:
         leading = [
-            Leader(name, sight.position.term)
+            Leader(name, self._term_of(name, sight))
             for name, sight in seen.sights.items()
-            if sight.leads and sight.position is not None
+            if sight.leads
         ]
         return max(leading, key=lambda leader: leader.term, default=None)
 
+    def _term_of(self, name: members.MemberId, sight: Sight) -> types.Term:
+        if sight.status is not None:
+            return sight.status.term
+        if self._leader is not None and self._leader.member == name:
+            return self._leader.term
+        return sight.position.term if sight.position else 0
+
     def _by_leader(self, seen: Round, leader: Leader | None) -> Floor | None:
         """Uses that every other database answered that it doesn't lead."""
         if leader is None or seen.silent or seen.asked != self._members.keys():
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -24,6 +24,7 @@
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import permits as permit_lib
 from hickorygate.upstreams import request as requests
+from hickorygate.upstreams import share as shares
 
 __all__ = ["Lender", "Loan", "LoanResult", "shape_name"]
 
@@ -143,12 +144,12 @@
     def __init__(
         self,
         member: members.Member,
-        limit: int,
+        most: int,
         connector: requests.Connector,
         clock: clocks.Clock,
     ) -> None:
         self._member = member
-        self._limit = limit
+        self._share = shares.Share(member.slots, most)
         self._connector = connector
         self._clock = clock
         self._idle: list[Loan] = []
@@ -202,10 +203,10 @@
     def __repr__(self) -> str:
         return f"Lender({self._member.id!r}, open={self.open})"
 
-    def update(self, member: members.Member, limit: int) -> None:
+    def update(self, member: members.Member, most: int) -> None:
         """Takes in a changed entry or limit."""
         self._member = member
-        self._limit = limit
+        self._share.set_most(most)
 
     async def borrow(
         self,
@@ -274,7 +275,7 @@
             return False
         if self._crowded_until is not None and now < self._crowded_until:
             return False
-        return self.open < self._limit + int(spare)
+        return self.open < self._share.limit(now) + int(spare)
 
     async def _open(self) -> LoanResult:
         self._opening += 1
@@ -300,6 +301,7 @@
         match failure:
             case replies.Rejection(reason=replies.Reason.CONNECTION_LIMIT):
                 self._crowded_until = now + _LIMIT_PAUSE
+                self._share.refuse(self.open, now)
             case _:
                 self._refused_until = now + _REOPEN_PAUSE
         if not self.open:
--- a/hickorygate/upstreams/prober.py
+++ b/hickorygate/upstreams/prober.py
@@ -75,8 +75,9 @@
         now = self._clock.now()
         seen = self._evidence.open_round(now)
         await self._ask_all(seen, with_status)
-        if seen.silent and not with_status and self._leads(seen):
-            # The answers alone don't confirm the primary; the logs may.
+        unclear = seen.silent and self._leads(seen)
+        if not with_status and (unclear or self._evidence.disputed(seen)):
+            # The answers alone don't confirm a primary; the logs may.
             seen = self._evidence.open_round(self._clock.now())
             await self._ask_all(seen, True)
         if self._clock.now() - now > 2 * _ROUND_LIMIT + _STOOD_STILL:
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -155,8 +155,9 @@
         self._evidence.note(name, position)
 
     def suspect(self) -> None:
-        """Asks for a round at once: an answer was not as expected."""
-        self._wanted.set()
+        """Asks for a round soon: an answer was not as expected."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(_HURRIED.total_seconds(), self._wanted.set)
 
     async def confirm(
         self, after: datetime.datetime, deadline: datetime.datetime
@@ -166,12 +167,15 @@
         What is served by that primary, and was asked for after `after`, saw
         all commits that were acknowledged before.
         """
+        hurry = True
         while True:
             if self._last is not None:
                 finding, sent = self._last
                 if sent >= after and finding.confirmed:
                     return finding.leader
-            if not await self.next_round(deadline):
+                # A round that proved nothing isn't repeated at once.
+                hurry = sent < after
+            if not await self.next_round(deadline, hurry):
                 return None
 
     async def wait_for_floor(
@@ -280,12 +284,22 @@
         elif self._prober.vital(leader.member).lost(self._clock.now()):
             self.lose("it doesn't answer")
 
-    async def next_round(self, deadline: datetime.datetime) -> bool:
-        """Asks for a round and waits for the end of the one under way."""
+    async def next_round(
+        self, deadline: datetime.datetime, hurry: bool = False
+    ) -> bool:
+        """Asks for a round, at once or soon; waits for one to end.
+
+        Returns:
+          Whether one ended before the deadline.
+        """
         left = (deadline - self._clock.now()).total_seconds()
         if left <= 0:
             return False
-        self._wanted.set()
+        if hurry:
+            self._wanted.set()
+        else:
+            loop = asyncio.get_running_loop()
+            loop.call_later(_HURRIED.total_seconds(), self._wanted.set)
         try:
             async with asyncio.timeout(left):
                 await self._ended.wait()
