--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import dataclasses
-import datetime
 import functools
 from typing import TYPE_CHECKING
 
@@ -19,6 +18,7 @@
 from hickorygate.core import operation as operations
 from hickorygate.core import position as positions
 from hickorygate.core import reply as replies
+from hickorygate.core import request as request_lib
 from hickorygate.core import retry
 from hickorygate.upstreams import evidence as evidences
 from hickorygate.upstreams import lender as lenders
@@ -78,6 +78,7 @@
         self._statement = sent
         self._terms = asking.terms(call, route)
         self._excluded: set[members.MemberId] = set()
+        self._placed = False
 
     async def read(self) -> replies.Reply:
         """Runs a read; asks elsewhere where a database fails."""
@@ -101,7 +102,7 @@
             verdict = retry.decide(
                 failure, made, self._env.retries, self._env.rng
             )
-            if not isinstance(verdict, retry.Delay):
+            if not (self._placed and isinstance(verdict, retry.Delay)):
                 return self._final(reply, reads)
             self._env.journal.record(
                 decisions.RequestRetried(
@@ -128,6 +129,7 @@
 
     async def _try(self, reads: bool) -> replies.Reply:
         placed = await self._find(reads)
+        self._placed = placed.is_ok()
         if placed.is_error():
             return self._dialog.reply(expression.Error(placed.error))
         place = placed.ok
@@ -224,7 +226,7 @@
 
     async def _find(self, reads: bool) -> PlaceResult:
         if not reads:
-            return await at_primary(self._group, self._terms.deadline, None)
+            return await at_primary(self._group, self._terms, None)
         return await find_place(
             self._dialog, self._group, self._route, self._call, self._excluded
         )
@@ -245,17 +247,17 @@
 
 
 def no_primary(group: supervisors.Supervisor) -> PlaceResult:
-    """Returns the failure that nobody leads the group."""
-    return expression.Error(errors.NoPrimary(group.service))
+    """Returns the refusal that nobody leads the group."""
+    return expression.Error(group.no_leader())
 
 
 async def at_primary(
     group: supervisors.Supervisor,
-    deadline: datetime.datetime,
+    terms: request_lib.Request,
     floor: positions.Position | None,
 ) -> PlaceResult:
-    """Finds the primary, waiting for one until the deadline."""
-    leader = await group.wait_for_leader(deadline)
+    """Finds the primary, waiting for one if that can be worth it."""
+    leader = await group.wait_for_leader(terms)
     if leader is None or leader.member not in group.lenders:
         return no_primary(group)
     return expression.Ok(Place(group.lenders[leader.member], floor, leader))
@@ -270,7 +272,7 @@
 ) -> PlaceResult:
     """Finds a database for a read."""
     if isinstance(route.consistency, catalogs.Newest):
-        return await at_primary(group, call.deadline, None)
+        return await at_primary(group, asking.terms(call, route), None)
     floor = group.evidence.floor(route.consistency, call.arrived)
     if floor is None:
         oldest = call.arrived - route.consistency.staleness
--- a/hickorygate/callers/transacting.py
+++ b/hickorygate/callers/transacting.py
@@ -137,7 +137,10 @@
         excluded: set[members.MemberId] = set()
         number = 1
         while True:
-            failure = await self._begin_once(shape, excluded)
+            placed = await self._place(excluded)
+            if placed.is_error():
+                return placed.error
+            failure = await self._begin_at(placed.ok, shape)
             if failure is None:
                 return None
             self._group.suspect()
@@ -152,13 +155,9 @@
             await self._env.clock.sleep(verdict.duration)
             number += 1
 
-    async def _begin_once(
-        self, shape: operations.Shape | None, excluded: set[members.MemberId]
+    async def _begin_at(
+        self, place: single.Place, shape: operations.Shape | None
     ) -> errors.Failure | None:
-        placed = await self._place(excluded)
-        if placed.is_error():
-            return placed.error
-        place = placed.ok
         self._call.served_by = place.lender.member.id
         self._call.tries += 1
         borrowed = await asking.borrow(
@@ -202,7 +201,7 @@
         self._call.floor = floor
         return await single.at_primary(
             self._group,
-            self._terms.deadline,
+            self._terms,
             floor.position if floor else None,
         )
 
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -13,12 +13,16 @@
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import clock as clocks
 from hickorygate.core import decisions
+from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
+from hickorygate.core import request as request_lib
 from hickorygate.core import types
 from hickorygate.upstreams import evidence as evidences
 from hickorygate.upstreams import lender as lenders
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import patience as patiences
 from hickorygate.upstreams import prober as probers
 from hickorygate.upstreams import promoter as promoters
 from hickorygate.upstreams import request as requests
@@ -59,6 +63,7 @@
         self._lenders: dict[members.MemberId, lenders.Lender] = {}
         self._prober = probers.Prober(self._evidence, self._lenders, clock)
         self._stall = stalls.Stall()
+        self._patience = patiences.Patience()
         self._promoter = promoters.Promoter(self, office, clock, journal)
         self._background = background.Background()
         self._wanted = asyncio.Event()
@@ -190,14 +195,24 @@
                 return None
 
     async def wait_for_leader(
-        self, deadline: datetime.datetime
+        self, request: request_lib.Request
     ) -> evidences.Leader | None:
-        """Returns the primary, waiting for one until the deadline."""
+        """Returns the primary, waiting for one if that can be worth it."""
         while self.leader is None:
-            if not await self.next_round(deadline):
+            until = self._patience.until(request, self._clock.now())
+            if not await self.next_round(until):
                 return None
         return self.leader
 
+    def no_leader(self) -> errors.Failure:
+        """Returns the refusal of what only the primary can run."""
+        wait = self._patience.retry_after(self._clock.now())
+        milliseconds = int(wait.total_seconds() * 1_000)
+        return replies.Rejection(
+            replies.Reason.BUSY,
+            f"no primary at the moment; retry after {milliseconds} ms",
+        )
+
     def found(
         self, finding: evidences.Finding, sent: datetime.datetime
     ) -> None:
@@ -211,6 +226,7 @@
         if leader is None:
             return
         self._lost = leader
+        self._patience.lose(self._clock.now())
         self._evidence.lose_leader()
         self._status_due = self._clock.now()
         lender = self._lenders.get(leader.member)
@@ -267,6 +283,7 @@
             return
         self._stall = stalls.Stall()
         self._lost = None
+        self._patience.find(self._clock.now())
         position = self._evidence.position(leader.member)
         self._tell(
             decisions.LeaderChanged(
