--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -28,6 +28,7 @@
 from hickorygate.platform import settings as settings_lib
 from hickorygate.platform import store as stores
 from hickorygate.store import feed as feeds
+from hickorygate.store import roll as rolls
 from hickorygate.upstreams import duty as duties
 from hickorygate.upstreams import fleet as fleets
 from hickorygate.upstreams import member as members
@@ -153,6 +154,13 @@
             background=self._background,
         )
         self._front = fronts.Front(self._env)
+        self._roll = rolls.Roll(
+            settings.name,
+            self._store,
+            clock,
+            self._env.rng,
+            self._fleet.set_proxies,
+        )
         self._probe = probes.Probe(self.ready, self._render_metrics)
         self._began = clock.now()
         self._shutdown: shutdowns.Shutdown | None = None
@@ -223,6 +231,7 @@
             )
             self._background.start(feed.run())
         self._fleet.start()
+        self._background.start(self._roll.run())
         self._background.start(self._expire_transactions())
 
     async def _expire_transactions(self) -> None:
@@ -235,6 +244,7 @@
 
     async def _drain(self, shutdown: shutdowns.Shutdown) -> None:
         """Closes sessions by the shutdown's schedule."""
+        self._background.start(self._roll.leave())
         closed = 0
         while True:
             ending = shutdown.at(self._clock.now())
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -24,6 +24,7 @@
 _CALL_TIMEOUT = datetime.timedelta(seconds=1)
 _DUTY_KIND = "hickorygate-duties"
 _DUTY_NAME = "promotion"
+_PROXY_KIND = "hickorygate-proxies"
 _OK = 200
 _CREATED = 201
 _NOT_FOUND = 404
@@ -184,6 +185,35 @@
             return expression.Error(answered.error)
         return _decode(_Object, answered.ok).bind(_stored_duty)
 
+    async def announce(
+        self, name: types.ProxyName, beat: int, exists: bool
+    ) -> expression.Result[None, errors.Failure]:
+        """Creates or renews this proxy's object; `beat` must change."""
+        path = f"/-/objects/{_PROXY_KIND}" + (f"/{name}" if exists else "")
+        answered = await self._call(
+            "PUT" if exists else "POST",
+            f"http://{self._settings.store}{path}",
+            {"meta": {"name": name}, "spec": {"beat": beat}},
+        )
+        return answered.map(lambda _: None)
+
+    async def withdraw(
+        self, name: types.ProxyName
+    ) -> expression.Result[None, errors.Failure]:
+        """Removes a proxy's object."""
+        url = f"http://{self._settings.store}/-/objects/{_PROXY_KIND}/{name}"
+        answered = await self._call("DELETE", url, None)
+        return answered.map(lambda _: None)
+
+    async def proxies(
+        self,
+    ) -> expression.Result[dict[types.ProxyName, int], errors.Failure]:
+        """Returns the revisions of all proxies' objects."""
+        listed = await self.list(_PROXY_KIND)
+        return listed.map(
+            lambda snapshot: {o.name: o.revision for o in snapshot.objects}
+        )
+
     async def promote(
         self,
         service: types.ServiceName,
--- a/hickorygate/upstreams/fleet.py
+++ b/hickorygate/upstreams/fleet.py
@@ -14,6 +14,7 @@
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import promoter as promoters
 from hickorygate.upstreams import request as requests
+from hickorygate.upstreams import share as shares
 from hickorygate.upstreams import supervisor as supervisors
 
 __all__ = ["Fleet"]
@@ -42,6 +43,7 @@
         self._catalog: catalogs.Catalog | None = None
         self._listing = members.Listing()
         self._listed = False
+        self._proxies = shares.ASSUMED_PROXIES
         self._store_lost = False
         self._groups: dict[types.ServiceName, supervisors.Supervisor] = {}
         self._background = background.Background()
@@ -124,6 +126,12 @@
         self._listing.remove(name, self._clock.now())
         self._spread()
 
+    def set_proxies(self, count: int) -> None:
+        """Takes in how many proxies share the databases."""
+        self._proxies = count
+        for group in self._groups.values():
+            group.set_proxies(count)
+
     def lose_store(self) -> None:
         """Takes in that the list can't be followed at the moment."""
         self._store_lost = True
@@ -144,6 +152,7 @@
             terms, self._connector, self._office, self._clock, self._journal
         )
         self._groups[name] = group
+        group.set_proxies(self._proxies)
         group.set_members(self._listing.of(name))
         group.start()
 
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -47,13 +47,14 @@
 class Loan:
     """A connection while one borrower has it."""
 
-    __slots__ = ("_connection", "_lender", "_names", "_values")
+    __slots__ = ("_connection", "_lender", "_names", "_returned", "_values")
 
     def __init__(self, lender: Lender, connection: requests.Connection) -> None:
         self._lender = lender
         self._connection = connection
         self._values: dict[str, str] = {}
         self._names: set[str] = set()
+        self._returned: datetime.datetime | None = None
 
     @property
     def connection(self) -> requests.Connection:
@@ -70,6 +71,16 @@
         """The session values that are set on it."""
         return self._values
 
+    @property
+    def returned(self) -> datetime.datetime:
+        """When it was last given back; only for one that was."""
+        assert self._returned is not None, "never given back"
+        return self._returned
+
+    def rest(self, now: datetime.datetime) -> None:
+        """Takes in that it is idle from now on."""
+        self._returned = now
+
     def __repr__(self) -> str:
         return f"Loan({self._connection!r})"
 
@@ -203,10 +214,21 @@
     def __repr__(self) -> str:
         return f"Lender({self._member.id!r}, open={self.open})"
 
-    def update(self, member: members.Member, most: int) -> None:
-        """Takes in a changed entry or limit."""
+    def update(self, member: members.Member, most: int, proxies: int) -> None:
+        """Takes in a changed entry, limit or number of proxies."""
         self._member = member
-        self._share.set_most(most)
+        self._share.set_most(most, proxies)
+
+    def trim(self) -> None:
+        """Closes idle connections beyond this proxy's part of them."""
+        now = self._clock.now()
+        self._drop_closed()
+        while self._idle and self.open > self._share.part:
+            loan = self._idle[0]
+            if now - loan.returned < shares.IDLE_LIMIT:
+                return
+            self._idle.pop(0)
+            loan.connection.close()
 
     async def borrow(
         self,
@@ -301,7 +323,7 @@
         match failure:
             case replies.Rejection(reason=replies.Reason.CONNECTION_LIMIT):
                 self._crowded_until = now + _LIMIT_PAUSE
-                self._share.refuse(self.open, now)
+                self._share.refuse(now)
             case _:
                 self._refused_until = now + _REOPEN_PAUSE
         if not self.open:
@@ -351,6 +373,7 @@
                 self._lent.add(loan)
                 waiting.future.set_result(expression.Ok(loan))
                 return
+        loan.rest(self._clock.now())
         self._idle.append(loan)
 
     def _pump(self) -> None:
--- a/hickorygate/upstreams/share.py
+++ b/hickorygate/upstreams/share.py
@@ -1,51 +1,61 @@
 """How many connections to a database this proxy may open: no I/O.
 
-Proxies share a database's connections and don't see each other. Each begins
-with few, takes fewer after a refusal and one more from time to time (additive
-increase, multiplicative decrease; Chiu and Jain, 1989).
+All proxies together must stay within the database's limit. Each takes an even
+part for certain, and more while nobody is refused; what it has beyond its
+part it closes when idle. After a refusal it goes back to its part, and grows
+one by one (additive increase; Chiu and Jain, 1989).
 """
 
 from __future__ import annotations
 
 import datetime
 
-__all__ = ["Share"]
+__all__ = ["ASSUMED_PROXIES", "IDLE_LIMIT", "Share"]
+
+IDLE_LIMIT = datetime.timedelta(seconds=2)
+"""After which an idle connection beyond the even part is closed."""
 
 _GROWTH = datetime.timedelta(seconds=2)
 """Without a refusal for so long, one more connection is allowed."""
 
-_FIRST_PART = 4
-"""The part of all connections that is taken at first: one of so many."""
+ASSUMED_PROXIES = 6
+"""Before the proxies were counted."""
 
 _BESIDE_SLOTS = 2
 """Connections beyond the slots, for transactions whose callers pause."""
 
-_DECREASE = 0.7
-
 
 class Share:
     """The limit of one proxy's connections to one database."""
 
-    __slots__ = ("_changed", "_limit", "_most")
+    __slots__ = ("_changed", "_extra", "_most", "_proxies", "_slots")
 
     def __init__(self, slots: int, most: int) -> None:
-        """Begins with a cautious share.
+        """Begins with a cautious part.
 
         Args:
           slots: requests that the database runs at once.
           most: connections that it takes from all proxies together.
         """
-        first = min(slots + _BESIDE_SLOTS, most // _FIRST_PART)
-        self._limit = float(max(first, 1))
+        self._slots = slots
         self._most = most
+        self._proxies = ASSUMED_PROXIES
+        self._extra = 0
         self._changed: datetime.datetime | None = None
 
+    @property
+    def part(self) -> int:
+        """The even part, or what the database's slots can use of it."""
+        even = max(self._most // self._proxies, 1)
+        return min(even, self._slots + _BESIDE_SLOTS)
+
     def __repr__(self) -> str:
-        return f"Share({self._limit:.1f} of {self._most})"
+        return f"Share({self.part}+{self._extra} of {self._most})"
 
-    def set_most(self, most: int) -> None:
-        """Takes in a changed limit of the database."""
+    def set_most(self, most: int, proxies: int) -> None:
+        """Takes in the database's limit and the number of proxies."""
         self._most = most
+        self._proxies = proxies
 
     def limit(self, now: datetime.datetime) -> int:
         """Returns how many connections may be open."""
@@ -54,10 +64,10 @@
         steps = (now - self._changed) // _GROWTH
         if steps > 0:
             self._changed += steps * _GROWTH
-            self._limit = min(self._limit + steps, float(self._most))
-        return max(int(self._limit), 1)
+            self._extra = min(self._extra + steps, self._most)
+        return min(self.part + self._extra, self._most)
 
-    def refuse(self, open_: int, now: datetime.datetime) -> None:
-        """Takes in that the database refused one beyond `open_`."""
+    def refuse(self, now: datetime.datetime) -> None:
+        """Takes in that the database refused a connection."""
         self._changed = now
-        self._limit = max(min(self._limit, open_) * _DECREASE, 1.0)
+        self._extra = 0
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -26,6 +26,7 @@
 from hickorygate.upstreams import prober as probers
 from hickorygate.upstreams import promoter as promoters
 from hickorygate.upstreams import request as requests
+from hickorygate.upstreams import share as shares
 from hickorygate.upstreams import stall as stalls
 
 __all__ = ["Supervisor"]
@@ -69,6 +70,7 @@
         self._wanted = asyncio.Event()
         self._ended = asyncio.Event()
         self._rounds = 0
+        self._proxies = shares.ASSUMED_PROXIES
         self._last: tuple[evidences.Finding, datetime.datetime] | None = None
         self._status_due = clock.now()
         self._lost: evidences.Leader | None = None
@@ -138,6 +140,12 @@
         self._terms = terms
         self._evidence.set_terms(terms.synchronous_replicas)
 
+    def set_proxies(self, count: int) -> None:
+        """Takes in how many proxies share the databases."""
+        self._proxies = count
+        for lender in self._lenders.values():
+            lender.update(lender.member, self._terms.connections, count)
+
     def set_members(self, listed: tuple[members.Member, ...]) -> None:
         """Takes in the databases that count now."""
         new = {member.id: member for member in listed}
@@ -240,14 +248,12 @@
         limit = self._terms.connections
         lender = self._lenders.get(name)
         if lender is None:
-            self._lenders[name] = lenders.Lender(
-                member, limit, self._connector, self._clock
-            )
+            lender = lenders.Lender(member, limit, self._connector, self._clock)
+            self._lenders[name] = lender
             self._tell(decisions.MemberListed(self.service, name))
-            return
         if member.leaving and not lender.member.leaving:
             self._tell(decisions.MemberLeaving(self.service, name))
-        lender.update(member, limit)
+        lender.update(member, limit, self._proxies)
 
     async def _run(self) -> None:
         while True:
@@ -274,6 +280,8 @@
         self._note_leader(before)
         self._check_leader()
         self._promoter.consider()
+        for lender in self._lenders.values():
+            lender.trim()
         ended, self._ended = self._ended, asyncio.Event()
         ended.set()
 
