--- /dev/null
+++ b/hickorygate/testing/object_store.py
@@ -0,0 +1,221 @@
+"""A stand-in for the users' platform: object store and promotion call.
+
+It speaks the platform's real format: objects by kind and name, lists in
+pages, watches, conditional writes, and faults at will.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+from collections.abc import Awaitable
+from collections.abc import Callable
+import enum
+from typing import Any
+
+from aiohttp import web
+
+__all__ = ["ObjectStore", "StoreFault"]
+
+_PAGE = 3
+"""Objects in one page; few, so that tests meet pages."""
+
+_Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class StoreFault(enum.Enum):
+    """What goes wrong with one call."""
+
+    BUSY = "503, nothing done"
+    TOO_MANY = "429, nothing done"
+    LOST = "done, the connection cut"
+    SILENT = "no answer"
+    MALFORMED = "a body that can't be read"
+
+
+class ObjectStore:
+    """The store of one test.
+
+    Attributes:
+      calls: methods and paths, in order.
+      promotions: bodies and headers of the promotions that were ordered.
+      promotion_status: answered to a promotion.
+    """
+
+    def __init__(self) -> None:
+        self.calls: list[str] = []
+        self.promotions: list[dict[str, str]] = []
+        self.promotion_status = 200
+        self._objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self._history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self._revision = 1
+        self._oldest = 1
+        self._faults: collections.deque[StoreFault] = collections.deque()
+        self._changed = asyncio.Event()
+        self._runner: web.AppRunner | None = None
+
+    def __repr__(self) -> str:
+        return f"ObjectStore(revision={self._revision})"
+
+    @property
+    def port(self) -> int:
+        """The TCP port, after `start`."""
+        assert self._runner is not None, "not started; call start()"
+        return self._runner.addresses[0][1]
+
+    async def start(self) -> None:
+        """Begins to listen."""
+        app = web.Application(middlewares=[self._apply_fault])
+        app.router.add_get("/-/objects/{kind}", self._list)
+        app.router.add_post("/-/objects/{kind}", self._create)
+        app.router.add_get("/-/objects/{kind}/{name}", self._read)
+        app.router.add_put("/-/objects/{kind}/{name}", self._replace)
+        app.router.add_delete("/-/objects/{kind}/{name}", self._delete)
+        app.router.add_post("/promotion", self._promote)
+        self._runner = web.AppRunner(app, shutdown_timeout=0.05)
+        await self._runner.setup()
+        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+
+    async def close(self) -> None:
+        """Stops."""
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    def fail(self, *faults: StoreFault) -> None:
+        """Makes the next calls fail, one each."""
+        self._faults.extend(faults)
+
+    def put(self, kind: str, name: str, spec: object) -> None:
+        """Stores an object as its owner would."""
+        self._store(kind, name, spec)
+
+    def remove(self, kind: str, name: str) -> None:
+        """Removes an object as its owner would."""
+        gone = self._objects[kind].pop(name)
+        self._note(kind, gone, True)
+
+    def forget_history(self) -> None:
+        """Discards all that watches could ask for."""
+        self._history.clear()
+        self._oldest = self._revision
+        self._wake()
+
+    @web.middleware
+    async def _apply_fault(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        self.calls.append(f"{request.method} {request.path}")
+        fault = self._faults.popleft() if self._faults else None
+        match fault:
+            case StoreFault.BUSY:
+                return web.Response(status=503)
+            case StoreFault.TOO_MANY:
+                return web.Response(status=429)
+            case StoreFault.SILENT:
+                await asyncio.sleep(60)
+            case StoreFault.MALFORMED:
+                return web.Response(text="{", content_type="application/json")
+        response = await handler(request)
+        if fault is StoreFault.LOST and request.transport is not None:
+            request.transport.abort()
+        return response
+
+    def _store(self, kind: str, name: str, spec: object) -> dict[str, Any]:
+        self._revision += 1
+        meta = {"name": name, "revision": self._revision}
+        stored = {"meta": meta, "spec": spec, "status": None}
+        self._objects.setdefault(kind, {})[name] = stored
+        self._note(kind, stored, False)
+        return stored
+
+    def _note(self, kind: str, stored: dict[str, Any], gone: bool) -> None:
+        if gone:
+            self._revision += 1
+        self._history.append((self._revision, kind, stored, gone))
+        self._wake()
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
+
+    async def _list(self, request: web.Request) -> web.Response:
+        if "watch" in request.query:
+            return await self._watch(request)
+        objects = self._objects.get(request.match_info["kind"], {})
+        after = request.query.get("after", "")
+        names = sorted(name for name in objects if name > after)
+        page = [objects[name] for name in names[:_PAGE]]
+        return web.json_response(
+            {
+                "items": page,
+                "has_more": len(names) > _PAGE,
+                "current_rev": self._revision,
+            }
+        )
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        kind = request.match_info["kind"]
+        since = int(request.query["watch"])
+        seconds = int(request.query.get("wait_ms", "0")) / 1_000
+        ends = asyncio.get_running_loop().time() + seconds
+        while True:
+            if since < self._oldest:
+                return web.Response(status=410)
+            events = [
+                {"object": stored, "deleted": gone}
+                for revision, of, stored, gone in self._history
+                if revision > since and of == kind
+            ]
+            left = ends - asyncio.get_running_loop().time()
+            if events or left <= 0:
+                return web.json_response(
+                    {"events": events, "current_rev": self._revision}
+                )
+            try:
+                async with asyncio.timeout(left):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _read(self, request: web.Request) -> web.Response:
+        found = self._find(request)
+        if found is None:
+            return web.Response(status=404)
+        return web.json_response(found)
+
+    async def _create(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        kind, name = request.match_info["kind"], body["meta"]["name"]
+        existing = self._objects.get(kind, {}).get(name)
+        if existing is not None:
+            return web.json_response(existing, status=409)
+        return web.json_response(self._store(kind, name, body["spec"]))
+
+    async def _replace(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        found = self._find(request)
+        if found is None:
+            return web.Response(status=404)
+        revision = body["meta"].get("revision")
+        if revision not in (None, found["meta"]["revision"]):
+            return web.json_response(found, status=409)
+        name = request.match_info["name"]
+        stored = self._store(request.match_info["kind"], name, body["spec"])
+        return web.json_response(stored)
+
+    async def _delete(self, request: web.Request) -> web.Response:
+        if self._find(request) is None:
+            return web.Response(status=404)
+        self.remove(request.match_info["kind"], request.match_info["name"])
+        return web.json_response({})
+
+    async def _promote(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        body["holder"] = request.headers["X-Duty-Holder"]
+        body["number"] = request.headers["X-Fencing-Token"]
+        self.promotions.append(body)
+        return web.json_response({}, status=self.promotion_status)
+
+    def _find(self, request: web.Request) -> dict[str, Any] | None:
+        kind = self._objects.get(request.match_info["kind"], {})
+        return kind.get(request.match_info["name"])
--- /dev/null
+++ b/hickorygate/tests/test_platform_store.py
@@ -0,0 +1,227 @@
+"""The platform's store, spoken to in its own format."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import datetime
+import random
+import unittest
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.platform import settings as settings_lib
+from hickorygate.platform import store as stores
+from hickorygate.store import feed as feeds
+from hickorygate.store import roll as rolls
+from hickorygate.testing import object_store
+from hickorygate.upstreams import duty as duties
+
+_FAULT = object_store.StoreFault
+_WAIT = datetime.timedelta(milliseconds=50)
+
+
+class _Sink:
+    """Keeps what a feed tells."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, object] = {}
+        self.snapshots = 0
+        self.notes: list[str] = []
+
+    def replace(self, objects: Sequence[feeds.StoredObject]) -> None:
+        self.snapshots += 1
+        self.values = {o.name: o.value for o in objects}
+
+    def change(self, change: feeds.Change) -> None:
+        if change.gone:
+            self.values.pop(change.stored.name, None)
+        else:
+            self.values[change.stored.name] = change.stored.value
+
+    def lost(self, failure: errors.Failure) -> None:
+        self.notes.append("lost")
+
+    def regained(self) -> None:
+        self.notes.append("regained")
+
+
+class _StoreTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        self.server = object_store.ObjectStore()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+        address = settings_lib.Address("127.0.0.1", self.server.port)
+        self.store = stores.PlatformStore(
+            settings_lib.PlatformSettings(
+                "proxy-1", "a", address, address, address, address, 6, 1_000
+            )
+        )
+        self.addAsyncCleanup(self.store.close)
+
+
+class CallsTest(_StoreTestCase):
+    """Single calls."""
+
+    async def test_a_list_is_read_to_its_end(self) -> None:
+        for number in range(8):
+            self.server.put("servers", f"i-{number}", {"n": number})
+        snapshot = (await self.store.list("servers")).ok
+        self.assertEqual(len(snapshot.objects), 8)
+
+    async def test_a_watch_tells_changes_and_lost_history(self) -> None:
+        snapshot = (await self.store.list("servers")).ok
+        self.server.put("servers", "i-1", {})
+        news = (await self.store.watch("servers", snapshot.revision, _WAIT)).ok
+        self.assertEqual(news.changes[0].stored.name, "i-1")
+        self.server.forget_history()
+        self.server.put("servers", "i-2", {})
+        failed = await self.store.watch("servers", snapshot.revision, _WAIT)
+        self.assertIsInstance(failed.error, feeds.HistoryLost)
+
+    async def test_refusals_prove_that_nothing_was_done(self) -> None:
+        record = duties.Record("proxy-1", "x", 1, False)
+        for fault in (_FAULT.BUSY, _FAULT.TOO_MANY):
+            with self.subTest(fault):
+                self.server.fail(fault)
+                failed = await self.store.write_duty(record, None)
+                self.assertIs(failed.error.outcome, errors.Outcome.NOT_RUN)
+
+    async def test_a_lost_answer_proves_nothing(self) -> None:
+        record = duties.Record("proxy-1", "x", 1, False)
+        self.server.fail(_FAULT.LOST)
+        failed = await self.store.write_duty(record, None)
+        self.assertIs(failed.error.outcome, errors.Outcome.UNKNOWN)
+        self.assertEqual((await self.store.read_duty()).ok.record, record)
+
+    async def test_silence_ends_with_the_time_out(self) -> None:
+        self.server.fail(_FAULT.SILENT)
+        failed = await self.store.read_duty()
+        self.assertIs(failed.error.outcome, errors.Outcome.UNKNOWN)
+
+    async def test_a_malformed_body_is_a_failure(self) -> None:
+        self.server.fail(_FAULT.MALFORMED)
+        self.assertTrue((await self.store.list("servers")).is_error())
+
+    async def test_the_duty_is_written_on_condition(self) -> None:
+        mine = duties.Record("proxy-1", "x", 1, False)
+        self.assertIsNone((await self.store.read_duty()).ok)
+        first = (await self.store.write_duty(mine, None)).ok
+        again = await self.store.write_duty(mine, None)
+        self.assertEqual(again.error, duties.Overtaken())
+        second = (await self.store.write_duty(mine, first.revision)).ok
+        self.assertGreater(second.revision, first.revision)
+        late = await self.store.write_duty(mine, first.revision)
+        self.assertEqual(late.error, duties.Overtaken())
+
+    async def test_a_promotion_carries_holder_and_number(self) -> None:
+        record = duties.Record("proxy-1", "x", 7, False)
+        self.assertTrue(
+            (await self.store.promote("ledger", "i-1", record)).is_ok()
+        )
+        self.assertEqual(
+            self.server.promotions,
+            [
+                {
+                    "service": "ledger",
+                    "id": "i-1",
+                    "holder": "proxy-1",
+                    "number": "7",
+                }
+            ],
+        )
+        self.server.promotion_status = 409
+        refused = await self.store.promote("ledger", "i-1", record)
+        self.assertTrue(refused.is_error())
+
+
+class FeedTest(_StoreTestCase):
+    """Following a kind through faults."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        await super().asyncSetUp()
+        self.sink = _Sink()
+        self.server.put("servers", "i-1", 1)
+        feed = feeds.Feed(
+            "servers",
+            self.store,
+            self.sink,
+            clocks.SystemClock(),
+            random.Random(1),
+        )
+        task = asyncio.create_task(feed.run())
+        self.addCleanup(task.cancel)
+        await self.until({"i-1": 1})
+
+    async def until(self, values: dict[str, object]) -> None:
+        async with asyncio.timeout(6):
+            while self.sink.values != values:
+                await asyncio.sleep(0.005)
+
+    async def test_changes_arrive(self) -> None:
+        self.server.put("servers", "i-2", 2)
+        await self.until({"i-1": 1, "i-2": 2})
+        self.server.remove("servers", "i-1")
+        await self.until({"i-2": 2})
+
+    async def test_lost_history_is_listed_anew(self) -> None:
+        self.server.fail(_FAULT.BUSY, _FAULT.BUSY)
+        self.server.put("other", "x", 0)
+        self.server.remove("servers", "i-1")
+        self.server.forget_history()
+        self.server.put("servers", "i-3", 3)
+        await self.until({"i-3": 3})
+        self.assertEqual(self.sink.snapshots, 2)
+
+    async def test_an_outage_is_told_once_and_its_end(self) -> None:
+        self.server.fail(*[_FAULT.BUSY] * 3)
+        self.server.put("servers", "i-2", 2)
+        self.server.put("servers", "i-3", 3)
+        await self.until({"i-1": 1, "i-2": 2, "i-3": 3})
+        self.server.put("servers", "i-4", 4)
+        await self.until({"i-1": 1, "i-2": 2, "i-3": 3, "i-4": 4})
+        self.assertEqual(self.sink.notes, ["lost", "regained"])
+
+
+class RollTest(_StoreTestCase):
+    """Proxies count each other."""
+
+    async def test_two_proxies_see_two(self) -> None:
+        counts: dict[str, int] = {}
+        for name in ("proxy-1", "proxy-2"):
+            roll = rolls.Roll(
+                name,
+                self.store,
+                clocks.SystemClock(),
+                random.Random(name),
+                lambda count, name=name: counts.update({name: count}),
+            )
+            task = asyncio.create_task(roll.run())
+            self.addCleanup(task.cancel)
+        async with asyncio.timeout(3):
+            while len(counts) < 2:
+                await asyncio.sleep(0.01)
+        self.assertEqual(counts, {"proxy-1": 2, "proxy-2": 2})
+
+    async def test_a_new_process_takes_over_its_object(self) -> None:
+        await self.store.announce("proxy-1", 1, False)
+        seen: list[int] = []
+        roll = rolls.Roll(
+            "proxy-1",
+            self.store,
+            clocks.SystemClock(),
+            random.Random(1),
+            seen.append,
+        )
+        task = asyncio.create_task(roll.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(3):
+            while not seen:
+                await asyncio.sleep(0.01)
+        self.assertEqual(seen, [1])
+        await roll.leave()
+        self.assertEqual((await self.store.proxies()).ok, {})
+
+
+if __name__ == "__main__":
+    unittest.main()
