Lend a transaction no last connection; let many proxies send few requests each

Where dozens of proxies share few connections, a proxy whose only connection is held by a caller that pauses could ask nobody who leads. The last one now serves statements and questions. A refused opening waits for an open connection.

--- a/hickorygate/callers/asking.py
+++ b/hickorygate/callers/asking.py
@@ -63,9 +63,10 @@
     terms_: request_lib.Request,
     state: states.SessionState,
     shape: operations.Shape | None,
+    use: lenders.Use = lenders.Use.SHORT,
 ) -> lenders.LoanResult:
     """Borrows a connection whose session equals the caller's."""
-    borrowed = await lender.borrow(terms_, state.values)
+    borrowed = await lender.borrow(terms_, state.values, use)
     if borrowed.is_error():
         return borrowed
     loan = borrowed.ok
--- a/hickorygate/callers/transacting.py
+++ b/hickorygate/callers/transacting.py
@@ -161,7 +161,12 @@
         self._call.served_by = place.lender.member.id
         self._call.tries += 1
         borrowed = await asking.borrow(
-            self._env, place.lender, self._terms, self._dialog.state, shape
+            self._env,
+            place.lender,
+            self._terms,
+            self._dialog.state,
+            shape,
+            lenders.Use.LONG,
         )
         if borrowed.is_error():
             return borrowed.error
--- /dev/null
+++ b/hickorygate/tests/test_lender.py
@@ -0,0 +1,136 @@
+"""Connections of one database, lent to statements and transactions."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import unittest
+
+import expression
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import rank as ranks
+from hickorygate.core import reply as replies
+from hickorygate.core import request as request_lib
+from hickorygate.upstreams import lender as lenders
+from hickorygate.upstreams import member as members
+from hickorygate.upstreams import request as requests
+
+_MEMBER = members.Member("a", 1, "s", "10.0.0.1", 1, "z", 2, False, True)
+
+
+class _Connection:
+    """Answers everything with success."""
+
+    def __init__(self) -> None:
+        self.closed = False
+        self.sent: list[requests.Request] = []
+
+    async def ask(self, *batch: requests.Request) -> list[requests.ReplyResult]:
+        self.sent += batch
+        done = replies.Reply(
+            expression.Ok(replies.Answer()), replies.SessionState.IDLE
+        )
+        return [expression.Ok(done) for _ in batch]
+
+    def close(self) -> None:
+        self.closed = True
+
+
+class _Connector:
+    """Opens up to a limit."""
+
+    def __init__(self, most: int) -> None:
+        self.most = most
+        self.opened: list[_Connection] = []
+
+    async def open(
+        self, member: members.Member
+    ) -> expression.Result[requests.Connection, errors.Failure]:
+        await asyncio.sleep(0)
+        if sum(not c.closed for c in self.opened) >= self.most:
+            reason = replies.Reason.CONNECTION_LIMIT
+            return expression.Error(replies.Rejection(reason))
+        self.opened.append(_Connection())
+        return expression.Ok(self.opened[-1])
+
+
+class LenderTest(unittest.IsolatedAsyncioTestCase):
+    """What a scarce database's connections are used for."""
+
+    def build(self, most: int, allowed: int = 20) -> lenders.Lender:
+        self.connector = _Connector(most)
+        clock = clocks.SystemClock()
+        return lenders.Lender(_MEMBER, allowed, self.connector, clock)
+
+    def terms(self, order: int = 0, seconds: float = 0.2) -> object:
+        now = clocks.SystemClock().now()
+        rank = ranks.Rank(
+            str(order), order, datetime.timedelta(seconds=1), 0.05
+        )
+        ends = now + datetime.timedelta(seconds=seconds)
+        return request_lib.Request(rank, now, ends)
+
+    async def test_an_idle_connection_is_used_again(self) -> None:
+        lender = self.build(5)
+        for _ in range(3):
+            (await lender.borrow(self.terms(), {})).ok.end()
+        self.assertEqual(len(self.connector.opened), 1)
+
+    async def test_a_matching_session_goes_first(self) -> None:
+        lender = self.build(5)
+        loans = [(await lender.borrow(self.terms(), {})).ok for _ in range(2)]
+        await loans[0].match({"v": "1"}, None)
+        for loan in loans:
+            loan.end()
+        again = (await lender.borrow(self.terms(), {"v": "1"})).ok
+        self.assertIs(again, loans[0])
+        self.assertIsNone(await again.match({"v": "1"}, None))
+        self.assertEqual(len(again.connection.sent), 1)
+
+    async def test_values_that_were_not_set_again_are_cleared(self) -> None:
+        lender = self.build(5)
+        loan = (await lender.borrow(self.terms(), {})).ok
+        await loan.match({"v": "1", "w": "2"}, None)
+        await loan.match({"w": "2"}, None)
+        self.assertEqual(
+            loan.connection.sent[-2:],
+            [requests.Reset(), requests.SetValue("w", "2")],
+        )
+
+    async def test_a_transaction_leaves_one_connection(self) -> None:
+        lender = self.build(1)
+        (await lender.borrow(self.terms(), {})).ok.end()
+        refused = await lender.borrow(self.terms(), {}, lenders.Use.LONG)
+        self.assertTrue(refused.is_error())
+        self.assertTrue((await lender.borrow(self.terms(), {})).is_ok())
+
+    async def test_a_transaction_gets_the_only_one_there_can_be(self) -> None:
+        lender = self.build(1, allowed=1)
+        taken = await lender.borrow(self.terms(), {}, lenders.Use.LONG)
+        self.assertTrue(taken.is_ok())
+
+    async def test_the_most_urgent_who_waits_is_first(self) -> None:
+        lender = self.build(1)
+        held = (await lender.borrow(self.terms(), {})).ok
+        order: list[int] = []
+
+        async def wait(rank: int) -> None:
+            loan = (await lender.borrow(self.terms(rank, 2), {})).ok
+            order.append(rank)
+            loan.end()
+
+        waiting = [asyncio.create_task(wait(rank)) for rank in (2, 0, 1)]
+        await asyncio.sleep(0.02)
+        held.end()
+        await asyncio.gather(*waiting)
+        self.assertEqual(order, [0, 1, 2])
+
+    async def test_who_waits_is_told_when_its_time_is_over(self) -> None:
+        lender = self.build(1)
+        held = (await lender.borrow(self.terms(), {})).ok
+        late = await lender.borrow(self.terms(seconds=0.05), {})
+        self.assertIsInstance(late.error, errors.DeadlinePassed)
+        held.end()
+        self.assertTrue((await lender.borrow(self.terms(), {})).is_ok())
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -10,6 +10,7 @@
 from collections.abc import Mapping
 import dataclasses
 import datetime
+import enum
 import heapq
 
 import expression
@@ -26,7 +27,7 @@
 from hickorygate.upstreams import request as requests
 from hickorygate.upstreams import share as shares
 
-__all__ = ["Lender", "Loan", "LoanResult", "shape_name"]
+__all__ = ["Lender", "Loan", "LoanResult", "Use", "shape_name"]
 
 _NAMES_LIMIT = 256
 """Prepared names on one connection; beyond it they are cleared."""
@@ -34,8 +35,12 @@
 _REOPEN_PAUSE = datetime.timedelta(milliseconds=100)
 """Between attempts to connect to a database that couldn't be reached."""
 
-_LIMIT_PAUSE = datetime.timedelta(seconds=1)
-"""After the database refused one connection too many."""
+
+class Use(enum.Enum):
+    """What a connection is borrowed for."""
+
+    SHORT = "one statement"
+    LONG = "a transaction, whose caller may pause"
 
 
 def shape_name(shape: operations.Shape) -> str:
@@ -146,6 +151,7 @@
     rank: int
     deadline: datetime.datetime
     number: int
+    use: Use = dataclasses.field(compare=False)
     future: asyncio.Future[LoanResult] = dataclasses.field(compare=False)
 
 
@@ -165,12 +171,12 @@
         self._clock = clock
         self._idle: list[Loan] = []
         self._lent: set[Loan] = set()
+        self._long: set[Loan] = set()
         self._opening = 0
         self._opened = 0
         self._waiting: list[_Waiting] = []
         self._numbers = 0
         self._refused_until: datetime.datetime | None = None
-        self._crowded_until: datetime.datetime | None = None
         self._last_failure: errors.Failure | None = None
         self._closed = False
         self._background = background.Background()
@@ -220,6 +226,7 @@
         """Takes in a changed entry, limit or number of proxies."""
         self._member = member
         self._share.set_most(most, proxies)
+        self._permits.set_limit(shares.permits(member.slots, proxies))
 
     def trim(self) -> None:
         """Closes idle connections beyond this proxy's part of them."""
@@ -236,29 +243,32 @@
         self,
         request: request_lib.Request,
         values: Mapping[str, str],
-        spare: bool = False,
+        use: Use = Use.SHORT,
     ) -> LoanResult:
         """Lends a connection; waits for one until the deadline.
 
         Args:
           request: who borrows, and until when.
           values: of the borrower's session.
-          spare: whether it may go beyond the limit by one, for control.
+          use: what for.
         """
         if self._closed:
             return expression.Error(self._unreachable("it left"))
         self._drop_closed()
-        if self._idle:
-            return expression.Ok(self._take_idle(values))
-        if self._may_open(spare):
-            return await self._open()
+        if self._idle and self._may_take(use):
+            return expression.Ok(self._take_idle(values, use))
+        if self._may_open():
+            opened = await self._open(use)
+            if opened.is_ok() or not self._crowded(opened.error):
+                return opened
         if not self.open:
             return expression.Error(self._unreachable_again())
-        return await self._wait(request)
+        return await self._wait(request, use)
 
     def take_back(self, loan: Loan) -> None:
         """Takes a loan in; hands it on to who waits."""
         self._lent.discard(loan)
+        self._long.discard(loan)
         if self._closed:
             loan.connection.close()
             return
@@ -283,25 +293,46 @@
         self._idle.clear()
         self._fail_waiting(self._unreachable(reason))
 
-    def _take_idle(self, values: Mapping[str, str]) -> Loan:
+    def _crowded(self, failure: errors.Failure) -> bool:
+        """Whether only a connection that is open already can serve."""
+        match failure:
+            case replies.Rejection(reason=replies.Reason.CONNECTION_LIMIT):
+                return bool(self.open)
+        return False
+
+    def _may_take(self, use: Use) -> bool:
+        """Whether a connection may be lent for a use.
+
+        The last one that isn't held for long serves single statements and
+        questions to the database; without it this proxy would not know who
+        leads.
+        """
+        if use is Use.SHORT or self._share.only_one:
+            return True
+        return len(self._idle) + len(self._lent) - len(self._long) > 1
+
+    def _take_idle(self, values: Mapping[str, str], use: Use) -> Loan:
         for index in range(len(self._idle) - 1, -1, -1):
             if self._idle[index].values == values:
                 loan = self._idle.pop(index)
                 break
         else:
             loan = self._idle.pop()
-        self._lent.add(loan)
+        self._lend(loan, use)
         return loan
 
-    def _may_open(self, spare: bool) -> bool:
+    def _lend(self, loan: Loan, use: Use) -> None:
+        self._lent.add(loan)
+        if use is Use.LONG:
+            self._long.add(loan)
+
+    def _may_open(self) -> bool:
         now = self._clock.now()
         if self._refused_until is not None and now < self._refused_until:
             return False
-        if self._crowded_until is not None and now < self._crowded_until:
-            return False
-        return self.open < self._share.limit(now) + int(spare)
+        return self.open < self._share.limit(now)
 
-    async def _open(self) -> LoanResult:
+    async def _open(self, use: Use) -> LoanResult:
         self._opening += 1
         try:
             opened = await self._connector.open(self._member)
@@ -316,7 +347,7 @@
         if self._closed:
             opened.ok.close()
             return expression.Error(self._unreachable("it left"))
-        self._lent.add(loan)
+        self._lend(loan, use)
         return expression.Ok(loan)
 
     def _note_refusal(self, failure: errors.Failure) -> None:
@@ -324,19 +355,19 @@
         now = self._clock.now()
         match failure:
             case replies.Rejection(reason=replies.Reason.CONNECTION_LIMIT):
-                self._crowded_until = now + _LIMIT_PAUSE
-                self._share.refuse(now)
+                self._share.refuse(self.open, now)
+                self._refused_until = now + _REOPEN_PAUSE
             case _:
                 self._refused_until = now + _REOPEN_PAUSE
         if not self.open:
             self._fail_waiting(failure)
 
-    async def _wait(self, request: request_lib.Request) -> LoanResult:
+    async def _wait(self, request: request_lib.Request, use: Use) -> LoanResult:
         loop = asyncio.get_running_loop()
         future: asyncio.Future[LoanResult] = loop.create_future()
         self._numbers += 1
         waiting = _Waiting(
-            request.rank.order, request.deadline, self._numbers, future
+            request.rank.order, request.deadline, self._numbers, use, future
         )
         heapq.heappush(self._waiting, waiting)
         left = request.time_left(self._clock.now()).total_seconds()
@@ -369,22 +400,25 @@
             heapq.heapify(self._waiting)
 
     def _hand_on(self, loan: Loan) -> None:
-        while self._waiting:
-            waiting = heapq.heappop(self._waiting)
-            if not waiting.future.done():
-                self._lent.add(loan)
+        """Gives a connection to the first who may have it."""
+        self._idle.append(loan)
+        loan.rest(self._clock.now())
+        for waiting in sorted(self._waiting):
+            if not waiting.future.done() and self._may_take(waiting.use):
+                self._idle.pop()
+                self._forget(waiting)
+                self._lend(loan, waiting.use)
                 waiting.future.set_result(expression.Ok(loan))
                 return
-        loan.rest(self._clock.now())
-        self._idle.append(loan)
+        self._pump()
 
     def _pump(self) -> None:
-        """Wakes one who waits, so that it may open a connection."""
-        if self._waiting and self._may_open(False):
+        """Opens a connection for who waits, if one may be opened."""
+        if self._waiting and self._may_open():
             self._background.start(self._open_for_waiting())
 
     async def _open_for_waiting(self) -> None:
-        opened = await self._open()
+        opened = await self._open(Use.SHORT)
         if opened.is_ok():
             self._lent.discard(opened.ok)
             self._hand_on(opened.ok)
--- a/hickorygate/upstreams/permits.py
+++ b/hickorygate/upstreams/permits.py
@@ -40,6 +40,10 @@
     def __repr__(self) -> str:
         return f"Permits({self._queue!r}, limit={self._limit})"
 
+    def set_limit(self, limit: int) -> None:
+        """Takes in how many may run at once."""
+        self._limit = limit
+
     async def enter(self, request: requests.Request) -> PermitResult:
         """Waits for a turn; `leave` must follow a success."""
         now = self._clock.now()
--- a/hickorygate/upstreams/prober.py
+++ b/hickorygate/upstreams/prober.py
@@ -98,7 +98,7 @@
             return None
         now = self._clock.now()
         request = request_lib.Request(CONTROL_RANK, now, now + _PROBE_LIMIT)
-        borrowed = await lender.borrow(request, {}, spare=True)
+        borrowed = await lender.borrow(request, {})
         if borrowed.is_error():
             self._note_unreached(name, borrowed.error)
             return None
--- a/hickorygate/upstreams/share.py
+++ b/hickorygate/upstreams/share.py
@@ -1,22 +1,27 @@
-"""How many connections to a database this proxy may open: no I/O.
+"""How many connections and slots of a database a proxy may use: no I/O.
 
-All proxies together must stay within the database's limit. Each takes an even
-part for certain, and more while nobody is refused; what it has beyond its
-part it closes when idle. After a refusal it goes back to its part, and grows
-one by one (additive increase; Chiu and Jain, 1989).
+All proxies together must stay within the database's limit of connections.
+Each takes an even part for certain, and more while nobody is refused; what it
+has beyond its part it closes when idle. After a refusal it opens no more for a
+while, longer after each refusal in a row.
 """
 
 from __future__ import annotations
 
 import datetime
+import math
 
-__all__ = ["ASSUMED_PROXIES", "IDLE_LIMIT", "Share"]
+__all__ = ["ASSUMED_PROXIES", "IDLE_LIMIT", "Share", "permits"]
 
 IDLE_LIMIT = datetime.timedelta(seconds=2)
 """After which an idle connection beyond the even part is closed."""
 
-_GROWTH = datetime.timedelta(seconds=2)
-"""Without a refusal for so long, one more connection is allowed."""
+_FIRST_PAUSE = datetime.timedelta(milliseconds=250)
+_LONGEST_PAUSE = datetime.timedelta(seconds=4)
+"""How long a proxy stays with its part after a refusal."""
+
+_FORGOTTEN = datetime.timedelta(seconds=8)
+"""Without a refusal for so long, the next pause is the first again."""
 
 ASSUMED_PROXIES = 6
 """Before the proxies were counted."""
@@ -24,14 +29,23 @@
 _BESIDE_SLOTS = 2
 """Connections beyond the slots, for transactions whose callers pause."""
 
+_IN_FLIGHT = 4
+"""Requests that all proxies together may have at a database for each of its
+slots; the rest waits at the proxies, by rank."""
+
+
+def permits(slots: int, proxies: int) -> int:
+    """Returns how many requests one proxy may have at a database."""
+    return max(1, min(slots, math.ceil(_IN_FLIGHT * slots / proxies)))
+
 
 class Share:
     """The limit of one proxy's connections to one database."""
 
-    __slots__ = ("_changed", "_extra", "_most", "_proxies", "_slots")
+    __slots__ = ("_held", "_most", "_pause", "_proxies", "_refused", "_slots")
 
     def __init__(self, slots: int, most: int) -> None:
-        """Begins with a cautious part.
+        """Begins with an assumed number of proxies.
 
         Args:
           slots: requests that the database runs at once.
@@ -40,8 +54,9 @@
         self._slots = slots
         self._most = most
         self._proxies = ASSUMED_PROXIES
-        self._extra = 0
-        self._changed: datetime.datetime | None = None
+        self._held = 0
+        self._pause = _FIRST_PAUSE
+        self._refused: datetime.datetime | None = None
 
     @property
     def part(self) -> int:
@@ -49,8 +64,13 @@
         even = max(self._most // self._proxies, 1)
         return min(even, self._slots + _BESIDE_SLOTS)
 
+    @property
+    def only_one(self) -> bool:
+        """Whether the database has too few for two a proxy."""
+        return self._most <= self._proxies
+
     def __repr__(self) -> str:
-        return f"Share({self.part}+{self._extra} of {self._most})"
+        return f"Share({self.part} of {self._most})"
 
     def set_most(self, most: int, proxies: int) -> None:
         """Takes in the database's limit and the number of proxies."""
@@ -59,15 +79,16 @@
 
     def limit(self, now: datetime.datetime) -> int:
         """Returns how many connections may be open."""
-        if self._changed is None:
-            self._changed = now
-        steps = (now - self._changed) // _GROWTH
-        if steps > 0:
-            self._changed += steps * _GROWTH
-            self._extra = min(self._extra + steps, self._most)
-        return min(self.part + self._extra, self._most)
-
-    def refuse(self, now: datetime.datetime) -> None:
-        """Takes in that the database refused a connection."""
-        self._changed = now
-        self._extra = 0
+        if self._refused is not None and now - self._refused < self._pause:
+            return min(self.part, max(self._held, 1))
+        return max(self.part, min(self._slots + _BESIDE_SLOTS, self._most))
+
+    def refuse(self, held: int, now: datetime.datetime) -> None:
+        """Takes in that the database refused one beyond those held."""
+        self._held = held
+        since = self._refused
+        if since is None or now - since > _FORGOTTEN:
+            self._pause = _FIRST_PAUSE
+        else:
+            self._pause = min(2 * self._pause, _LONGEST_PAUSE)
+        self._refused = now
