--- a/hickorygate/operators/main.py
+++ b/hickorygate/operators/main.py
@@ -16,6 +16,7 @@
 from hickorygate.operators import demo
 from hickorygate.operators import failures
 from hickorygate.operators import inspect
+from hickorygate.operators import platform
 from hickorygate.operators import serve
 from hickorygate.operators import sheet
 from hickorygate.operators import standin
@@ -29,6 +30,7 @@
     family.name: family
     for family in (
         serve.FAMILY,
+        platform.FAMILY,
         sheet.FAMILY,
         inspect.STATUS,
         inspect.DRAIN,
--- /dev/null
+++ b/hickorygate/operators/platform.py
@@ -0,0 +1,57 @@
+"""`hickorygate platform`: runs one proxy on the users' platform."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import dataclasses
+
+from absl import flags
+import expression
+
+from hickorygate.operators import command as commands
+from hickorygate.platform import running
+
+__all__ = ["FAMILY", "ServePlatform"]
+
+_NAME = "platform"
+
+_FLAGS = commands.new_flags()
+_METRICS_PORT = flags.DEFINE_integer(
+    "metrics-port",
+    None,
+    "TCP port of the metrics; none without it.",
+    lower_bound=1,
+    upper_bound=65_535,
+    flag_values=_FLAGS,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServePlatform(commands.Command):
+    """Runs a proxy that the platform's settings file describes."""
+
+    metrics_port: int | None
+
+
+def _parse(words: Sequence[str]) -> commands.ParseResult:
+    if words:
+        return commands.usage(_NAME, f"takes no {words[0]!r}")
+    return expression.Ok(ServePlatform(_METRICS_PORT.value))
+
+
+FAMILY = commands.Family(
+    _NAME,
+    (
+        commands.Usage(
+            "platform [--metrics-port N]",
+            "run one proxy on the users' platform",
+        ),
+    ),
+    _FLAGS,
+    _parse,
+)
+
+
+@commands.execute.register
+async def _(command: ServePlatform) -> commands.Result:
+    return await running.serve(command.metrics_port)
--- a/hickorygate/platform/front.py
+++ b/hickorygate/platform/front.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import datetime
 import functools
 from typing import cast
 
@@ -24,6 +25,9 @@
 
 _BACKLOG = 512
 
+_CONNECT_LIMIT = datetime.timedelta(seconds=5)
+"""How long a connection may stay without opening a session."""
+
 
 class CallerConnection(asyncio.Protocol):
     """One caller; messages are answered in their order."""
@@ -44,6 +48,7 @@
         self._writable.set()
         self._closing = False
         self._closes_when_quiet = False
+        self._began = env.clock.now()
 
     @property
     def dialog(self) -> dialogs.Dialog | None:
@@ -69,6 +74,14 @@
     def __repr__(self) -> str:
         return f"CallerConnection({self._dialog!r})"
 
+    def expire(self, now: datetime.datetime) -> None:
+        """Ends what the caller has left undone for too long."""
+        if self._dialog is None:
+            if now - self._began >= _CONNECT_LIMIT:
+                self.close()
+        elif not self.working:
+            self._dialog.expire(now)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the loop."""
         self._transport = cast(asyncio.Transport, transport)
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -239,8 +239,7 @@
             await self._clock.sleep(5 * _TICK)
             now = self._clock.now()
             for caller in self._front.callers:
-                if caller.dialog is not None and not caller.working:
-                    caller.dialog.expire(now)
+                caller.expire(now)
 
     async def _drain(self, shutdown: shutdowns.Shutdown) -> None:
         """Closes sessions by the shutdown's schedule."""
--- a/tools/test_style.py
+++ b/tools/test_style.py
@@ -4,6 +4,7 @@
 
 import ast
 import pathlib
+import re
 import unittest
 
 _ROOT = pathlib.Path(__file__).parent.parent
@@ -17,6 +18,12 @@
 _FORBIDDEN_CALLS = frozenset(
     {"run_in_executor", "to_thread", "create_subprocess_exec"}
 )
+_PLATFORM_NAMES = re.compile(
+    r"WAITPOS|CONNLIMIT|MISROUTED|UNKNSTMT|max_staleness_ms|latency_goal_ms"
+    r"|X-Fencing-Token|X-Duty-Holder|/-/objects|db_role|cold_left_ms|has_more"
+)
+"""Some names that only the platform uses."""
+
 _LONGEST_MODULE = 600
 """Lines; a module beyond this has more than one job."""
 
@@ -74,6 +81,16 @@
                     with self.subTest(path.name):
                         self.assertTrue(core or not inner, node.module)
 
+    def test_the_platforms_names_stay_in_its_folder(self) -> None:
+        product = _ROOT / "hickorygate"
+        allowed = (product / "platform", product / "tests", product / "testing")
+        for path in sorted(product.rglob("*.py")):
+            if any(path.is_relative_to(folder) for folder in allowed):
+                continue
+            found = _PLATFORM_NAMES.findall(path.read_text())
+            with self.subTest(path.name):
+                self.assertEqual(found, [])
+
     def test_modules_stay_small(self) -> None:
         for path in _modules():
             lines = len(path.read_text().splitlines())
