--- a/hickorygate/callers/asking.py
+++ b/hickorygate/callers/asking.py
@@ -18,7 +18,16 @@
 from hickorygate.upstreams import request as requests
 from hickorygate.upstreams import supervisor as supervisors
 
-__all__ = ["Statement", "ask", "borrow", "statement", "terms"]
+__all__ = [
+    "Statement",
+    "ask",
+    "borrow",
+    "floor_of",
+    "match",
+    "note_commit",
+    "statement",
+    "terms",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -131,7 +140,7 @@
     except TimeoutError:
         loan.connection.close()
         name = loan.lender.member.id
-        result = expression.Error(errors.AnswerLost(name, "timed out"))
+        result = expression.Error(errors.AnswerOverdue(name, "timed out"))
     except asyncio.CancelledError:
         loan.connection.close()
         raise
@@ -143,6 +152,19 @@
     return result
 
 
+def note_commit(
+    group: supervisors.Supervisor, result: requests.ReplyResult
+) -> None:
+    """Takes in what became of a commit that was sent to the primary."""
+    match result:
+        case expression.Result(tag="ok"):
+            group.stall.answered()
+        case expression.Result(tag="error", error=errors.AnswerOverdue()):
+            return
+        case _:
+            group.stall.broken()
+
+
 def floor_of(
     fresh: positions.Position | None, own: positions.Position | None
 ) -> positions.Position | None:
--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -183,10 +183,8 @@
         return dataclasses.replace(reply, state=_IDLE)
 
     def _note_write(self, place: Place, result: requests.ReplyResult) -> None:
-        if result.is_error():
-            return
-        self._group.stall.answered()
-        if result.ok.result.is_ok():
+        asking.note_commit(self._group, result)
+        if result.is_ok() and result.ok.result.is_ok():
             self._dialog.state.raise_floor(
                 self._route.service, result.ok.position
             )
--- a/hickorygate/callers/transacting.py
+++ b/hickorygate/callers/transacting.py
@@ -102,9 +102,10 @@
         loan = self._open.loan
         assert loan is not None, "prepared above"
         self._dialog.state.transaction = None
+        if self._open.wrote:
+            asking.note_commit(self._group, result)
         if result.is_error():
             return self._lost_commit(result, loan)
-        self._group.stall.answered()
         reply = result.ok
         loan.end(broken=reply.state is not _IDLE)
         if reply.result.is_ok() and self._open.wrote:
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -16,6 +16,7 @@
 __all__ = [
     "AccessDenied",
     "AnswerLost",
+    "AnswerOverdue",
     "BadHint",
     "BadPeerMessage",
     "BadToken",
@@ -349,6 +350,11 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerOverdue(AnswerLost):
+    """A statement's answer didn't come in time; the database is silent."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicationUnconfirmed(Failure):
     """A write ran, but no majority confirmed it in time."""
--- a/hickorygate/tests/test_listing.py
+++ b/hickorygate/tests/test_listing.py
@@ -86,8 +86,15 @@
     def test_commits_without_an_answer(self) -> None:
         stall = stalls.Stall()
         stall.sent(_at(0))
-        stall.sent(_at(1))
-        self.assertFalse(stall.stalled(_at(1.4)))
-        self.assertTrue(stall.stalled(_at(1.5)))
+        stall.sent(_at(0.5))
+        self.assertFalse(stall.stalled(_at(0.7)))
+        self.assertTrue(stall.stalled(_at(0.8)))
         stall.answered()
         self.assertFalse(stall.stalled(_at(9)))
+
+    def test_broken_connections_are_no_silence(self) -> None:
+        stall = stalls.Stall()
+        for at in (0, 0.3, 0.6):
+            stall.sent(_at(at))
+            stall.broken()
+        self.assertFalse(stall.stalled(_at(2)))
--- a/hickorygate/upstreams/stall.py
+++ b/hickorygate/upstreams/stall.py
@@ -10,7 +10,7 @@
 
 __all__ = ["STALL_LIMIT", "Stall"]
 
-STALL_LIMIT = datetime.timedelta(milliseconds=1_500)
+STALL_LIMIT = datetime.timedelta(milliseconds=800)
 """Commits unacknowledged for so long; slow databases answer sooner."""
 
 _LEAST_UNANSWERED = 2
@@ -39,6 +39,12 @@
         self._since = None
         self._unanswered = 0
 
+    def broken(self) -> None:
+        """Takes in that a commit's connection broke: no proof of silence."""
+        self._unanswered = max(self._unanswered - 1, 0)
+        if not self._unanswered:
+            self._since = None
+
     def stalled(self, now: datetime.datetime) -> bool:
         """Tells whether the primary no longer acknowledges."""
         since = self._since
