--- a/hickorygate/callers/dialog.py
+++ b/hickorygate/callers/dialog.py
@@ -112,6 +112,7 @@
         open_ = self._state.transaction
         if open_ is not None and not open_.failed:
             transacting.give_up(self._env, open_)
+            open_.untold = True
 
     def close(self) -> None:
         """Rolls back what is open."""
--- a/hickorygate/callers/dialog_state.py
+++ b/hickorygate/callers/dialog_state.py
@@ -49,6 +49,7 @@
         was given up.
       leader: the primary that it runs on; None on a replica.
       failed: whether only its end may follow.
+      untold: whether it was given up and the caller doesn't know yet.
       wrote: whether a write ran in it.
       confirmed: whether its database is known to have been the primary.
     """
@@ -60,6 +61,7 @@
     loan: lenders.Loan | None = None
     leader: evidences.Leader | None = None
     failed: bool = False
+    untold: bool = False
     wrote: bool = False
     confirmed: bool = False
 
--- a/hickorygate/callers/transacting.py
+++ b/hickorygate/callers/transacting.py
@@ -374,6 +374,11 @@
     open_: states.Transaction,
 ) -> replies.Reply:
     """Answers in a transaction that failed: only its end is taken."""
+    if open_.untold:
+        open_.untold = False
+        return dialog.refuse(
+            replies.Reason.ABORTED, "the transaction was idle for too long"
+        )
     return dialog.refuse(
         replies.Reason.MALFORMED, "the transaction failed; roll it back"
     )
--- a/hickorygate/tests/test_line_path.py
+++ b/hickorygate/tests/test_line_path.py
@@ -119,6 +119,22 @@
         received = await client.query("COMMIT")
         self.assertEqual((_code(received), _state(received)), ("ABORTED", "I"))
 
+    async def test_a_transaction_dropped_in_silence_is_told_first(
+        self,
+    ) -> None:
+        # From incident inc-fa63 of Vindpoot's: three callers got MALFORMED
+        # after a shutdown had given up their transactions.
+        client = await self.world.connect(worlds.PRIMARY)
+        await client.query("BEGIN")
+        await client.query("WRITE x 1")
+        (caller,) = self.world.proxies[0].front.callers
+        caller.dialog.drop_transaction()
+        received = await client.query("WRITE x 2")
+        self.assertEqual((_code(received), _state(received)), ("ABORTED", "E"))
+        self.assertEqual(_code(await client.query("READ x")), "MALFORMED")
+        await client.query("ROLLBACK")
+        self.assertEqual(_row(await client.query("READ x")), "-")
+
     async def test_pipelined_statements_are_answered_in_order(self) -> None:
         client = await self.world.connect(worlds.PRIMARY)
         first = await client.send("QUERY 1 WRITE x 1\r\nQUERY 2 READ x")
