--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -152,7 +152,7 @@
     ) -> replies.Reply:
         request = requests.Run(self._call.id, self._statement.text, place.floor)
         if not reads:
-            self._group.stall.sent(self._dialog.now())
+            self._group.commit_sent()
         confirming = self._confirm(place) if reads else None
         try:
             result = await asking.ask(
--- a/hickorygate/callers/transacting.py
+++ b/hickorygate/callers/transacting.py
@@ -97,7 +97,7 @@
         if failure is not None:
             return self._end_here(failure)
         if self._open.wrote:
-            self._group.stall.sent(self._dialog.now())
+            self._group.commit_sent()
         result = await self._ask(sent.text)
         loan = self._open.loan
         assert loan is not None, "prepared above"
--- a/hickorygate/tests/test_evidence.py
+++ b/hickorygate/tests/test_evidence.py
@@ -129,6 +129,18 @@
         )
         self.assertEqual(self.evidence.departed, {"b@1"})
 
+    def test_commits_that_no_replica_holds_raise_no_floor(self) -> None:
+        # From incident inc-9817 of Keepcup's: a primary without replicas ran
+        # ahead, and reads waited for commits that were never acknowledged.
+        finding = self.judge(
+            0,
+            a=_sight(True, 1, 20, received=20),
+            b=_sight(False, 1, 5, received=9),
+            c=_sight(False, 1, 6, received=8),
+        )
+        self.assertTrue(finding.confirmed)
+        self.assertEqual(finding.floor.position, _position(1, 9))
+
     def test_a_floor_must_cover_the_tolerated_age(self) -> None:
         for at in range(4):
             self.judge(
--- a/hickorygate/upstreams/evidence.py
+++ b/hickorygate/upstreams/evidence.py
@@ -195,7 +195,11 @@
             if sight.status is not None:
                 self._term = max(self._term, sight.status.term)
         leader = self._find_leader(seen)
-        floor = self._by_leader(seen, leader) or self._by_logs(seen)
+        floor = (
+            self._by_replicas(seen, leader)
+            or self._by_leader(seen, leader)
+            or self._by_logs(seen)
+        )
         if floor is not None:
             self._keep(floor)
         if self._leader is not None and self._leader.term < self._term:
@@ -260,6 +264,21 @@
             return None
         return Floor(seen.sent, own)
 
+    def _by_replicas(self, seen: Round, leader: Leader | None) -> Floor | None:
+        """Uses that a replica holds each commit that was acknowledged.
+
+        The primary may be ahead of all of them with commits that it can't
+        acknowledge; no read has to wait for those.
+        """
+        proved = self._by_leader(seen, leader)
+        if proved is None or leader is None or not self._synchronous:
+            return None
+        replicas = [s for n, s in seen.sights.items() if n != leader.member]
+        ends = [s.status.received for s in replicas if s.status]
+        if self._departed or not ends or len(ends) < len(replicas):
+            return None
+        return Floor(seen.sent, min(max(ends), proved.position))
+
     def _by_logs(self, seen: Round) -> Floor | None:
         """Uses that one of those that answered holds each commit."""
         silent = len(seen.silent) + len(self._departed)
--- a/hickorygate/upstreams/stall.py
+++ b/hickorygate/upstreams/stall.py
@@ -13,6 +13,9 @@
 STALL_LIMIT = datetime.timedelta(milliseconds=800)
 """Commits unacknowledged for so long; slow databases answer sooner."""
 
+_DOUBT_LIMIT = datetime.timedelta(milliseconds=200)
+"""After which the replicas are asked for the ends of their logs."""
+
 _LEAST_UNANSWERED = 2
 
 
@@ -45,6 +48,10 @@
         if not self._unanswered:
             self._since = None
 
+    def doubtful(self, now: datetime.datetime) -> bool:
+        """Tells whether a commit has waited for unusually long."""
+        return self._since is not None and now - self._since >= _DOUBT_LIMIT
+
     def stalled(self, now: datetime.datetime) -> bool:
         """Tells whether the primary no longer acknowledges."""
         since = self._since
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -40,9 +40,9 @@
 _STATUS_EVERY = datetime.timedelta(seconds=5)
 """How often the logs' ends are asked for in calm times."""
 
-_STATUS_WHILE_LOST = datetime.timedelta(milliseconds=250)
-"""The same while no primary is known; the ends of all logs are then the only
-source of floors."""
+_STATUS_IN_TROUBLE = datetime.timedelta(milliseconds=250)
+"""The same while no primary is known or commits wait; the ends of the logs
+are then the only source of floors."""
 
 
 class Supervisor:
@@ -257,6 +257,13 @@
             self._tell(decisions.MemberLeaving(self.service, name))
         lender.update(member, limit, self._proxies)
 
+    def commit_sent(self) -> None:
+        """Takes in that a commit was sent to the primary."""
+        now = self._clock.now()
+        self._stall.sent(now)
+        if self._stall.doubtful(now):
+            self._status_due = min(self._status_due, now + _STATUS_IN_TROUBLE)
+
     async def _run(self) -> None:
         while True:
             self._wanted.clear()
@@ -279,9 +286,9 @@
         sent = self._clock.now()
         with_status = sent >= self._status_due
         if with_status:
-            lost = self.leader is None
+            trouble = self.leader is None or self._stall.doubtful(sent)
             self._status_due = sent + (
-                _STATUS_WHILE_LOST if lost else _STATUS_EVERY
+                _STATUS_IN_TROUBLE if trouble else _STATUS_EVERY
             )
         before = self.leader
         finding = await self._prober.round(with_status)
