Avoid databases that fail a share of their reads

Databases may fail or mute requests while they answer questions about themselves; the share that failed lately now adds to a database's cost.

--- a/hickorygate/callers/asking.py
+++ b/hickorygate/callers/asking.py
@@ -147,11 +147,22 @@
     finally:
         took = env.clock.now() - began
         permits.leave(entered.ok, took if ran else None)
+    loan.lender.grade.note(_failed(result), env.clock.now())
     if result.is_ok():
         group.note(loan.lender.member.id, result.ok.position)
     return result
 
 
+def _failed(result: requests.ReplyResult) -> bool:
+    """Whether the database failed; refusing what it can't run is no failure."""
+    if result.is_error():
+        return True
+    match result.ok.result:
+        case expression.Result(tag="error", error=failure):
+            return failure.outcome is not errors.Outcome.NOT_RUN
+    return False
+
+
 def note_commit(
     group: supervisors.Supervisor, result: requests.ReplyResult
 ) -> None:
--- a/hickorygate/callers/placing.py
+++ b/hickorygate/callers/placing.py
@@ -18,6 +18,10 @@
 """Added to the primary's load per slot: writes can run nowhere else."""
 
 _WARMING_COST = 1.0
+_FAILING_COST = 5.0
+"""For a database that fails every request; one in five counts like the
+primary's cost."""
+
 _FAR_COST = 0.05
 """Added for another availability zone; load matters more."""
 
@@ -32,6 +36,7 @@
       leads: whether it is the primary.
       load: this proxy's requests that run or wait there.
       near: whether it is in this proxy's availability zone.
+      failing: the share of requests that failed there lately, 0 to 1.
     """
 
     member: members.Member
@@ -39,6 +44,7 @@
     leads: bool
     load: int
     near: bool
+    failing: float = 0.0
 
     def holds(self, floor: positions.Position | None) -> bool:
         """Whether it is known to have reached a position."""
@@ -61,6 +67,7 @@
     cost = candidate.load / candidate.member.slots
     cost += _PRIMARY_COST * candidate.leads
     cost += _WARMING_COST * candidate.member.warming
+    cost += _FAILING_COST * candidate.failing
     return cost + _FAR_COST * (not candidate.near)
 
 
--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -306,6 +306,7 @@
             leads=leader is not None and leader.member == name,
             load=lender.load,
             near=lender.member.zone == dialog.env.zone,
+            failing=lender.grade.share(now),
         )
         for name, lender in group.lenders.items()
         if not group.prober.vital(name).lost(now)
--- /dev/null
+++ b/hickorygate/tests/test_placing.py
@@ -0,0 +1,80 @@
+"""Which database serves a read."""
+
+from __future__ import annotations
+
+import datetime
+import random
+import unittest
+
+from hickorygate.callers import placing
+from hickorygate.core import catalog as catalogs
+from hickorygate.core import position as positions
+from hickorygate.upstreams import grade as grades
+from hickorygate.upstreams import member as members
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_FLOOR = positions.Position(1, 5)
+
+
+def _candidate(
+    name: str,
+    offset: int = 9,
+    leads: bool = False,
+    load: int = 0,
+    near: bool = True,
+    failing: float = 0.0,
+) -> placing.Candidate:
+    member = members.Member(name, 1, "s", "h", 1, "a", 2, False, leads)
+    position = positions.Position(1, offset)
+    return placing.Candidate(member, position, leads, load, near, failing)
+
+
+class PlacingTest(unittest.TestCase):
+    """Load decides among those that hold the floor."""
+
+    def choose(self, *candidates: placing.Candidate) -> str | None:
+        chosen = placing.choose(candidates, _FLOOR, random.Random(1))
+        return chosen.member.id if chosen else None
+
+    def test_a_replica_goes_before_the_primary(self) -> None:
+        primary = _candidate("a", leads=True)
+        self.assertEqual(self.choose(primary, _candidate("b", load=1)), "b")
+        self.assertEqual(self.choose(primary, _candidate("b", load=3)), "a")
+
+    def test_one_that_lags_serves_nothing(self) -> None:
+        self.assertIsNone(self.choose(_candidate("b", offset=4)))
+        primary = _candidate("a", leads=True, load=9)
+        self.assertEqual(self.choose(primary, _candidate("b", 4)), "a")
+
+    def test_the_near_one_goes_first_among_equals(self) -> None:
+        far = _candidate("b", near=False)
+        self.assertEqual(self.choose(far, _candidate("c")), "c")
+
+    def test_one_that_fails_a_fifth_is_avoided(self) -> None:
+        failing = _candidate("b", failing=0.2)
+        self.assertEqual(self.choose(failing, _candidate("c", load=1)), "c")
+
+    def test_only_own_writes_have_a_floor_of_the_session(self) -> None:
+        floors = {"s": _FLOOR}
+        second = datetime.timedelta(seconds=1)
+        own = placing.own_floor(catalogs.OwnWrites(second), floors, "s")
+        self.assertEqual(own, _FLOOR)
+        bounded = placing.own_floor(catalogs.Bounded(second), floors, "s")
+        self.assertIsNone(bounded)
+
+
+class GradeTest(unittest.TestCase):
+    """Failures are noticed, and forgotten."""
+
+    def test_failures_fade(self) -> None:
+        grade = grades.Grade()
+        for _ in range(6):
+            grade.note(True, _START)
+        self.assertGreater(grade.share(_START), 0.5)
+        later = _START + datetime.timedelta(seconds=12)
+        self.assertLess(grade.share(later), 0.05)
+
+    def test_one_failure_proves_little(self) -> None:
+        grade = grades.Grade()
+        grade.note(True, _START)
+        self.assertLess(grade.share(_START), 0.3)
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -22,6 +22,7 @@
 from hickorygate.core import operation as operations
 from hickorygate.core import reply as replies
 from hickorygate.core import request as request_lib
+from hickorygate.upstreams import grade as grades
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import permits as permit_lib
 from hickorygate.upstreams import request as requests
@@ -180,6 +181,7 @@
         self._last_failure: errors.Failure | None = None
         self._closed = False
         self._background = background.Background()
+        self._grade = grades.Grade()
         self._permits = permit_lib.Permits(member.slots, clock)
 
     @property
@@ -192,6 +194,11 @@
         """Admission to the database."""
         return self._permits
 
+    @property
+    def grade(self) -> grades.Grade:
+        """How often the database has failed lately."""
+        return self._grade
+
     @property
     def open(self) -> int:
         """Connections that are open or being opened."""
