Wait for a configuration before a name is called unknown; hold fewer connections

A caller now waits up to 1.8 s for the first configuration; a proxy opens at most 2 beyond its part, and closes those after 0.4 s where connections are scarce. The first test failed before.

--- a/hickorygate/callers/surroundings.py
+++ b/hickorygate/callers/surroundings.py
@@ -29,6 +29,9 @@
     def transaction_idle(self) -> datetime.timedelta:
         """After which an idle transaction may be ended."""
 
+    async def configured(self, limit: datetime.timedelta) -> bool:
+        """Waits for the first configuration; tells whether there is one."""
+
     def route(self, database: types.SchemaName) -> catalogs.Route | None:
         """Returns how a database name is served; None if it isn't."""
 
--- a/hickorygate/platform/front.py
+++ b/hickorygate/platform/front.py
@@ -25,6 +25,10 @@
 
 _BACKLOG = 512
 
+_CONFIGURATION_LIMIT = datetime.timedelta(seconds=1.8)
+"""How long a caller waits for a process that has just started; it gives up
+after two seconds."""
+
 _CONNECT_LIMIT = datetime.timedelta(seconds=5)
 """How long a connection may stay without opening a session."""
 
@@ -125,8 +129,14 @@
         """Closes after the next answer that leaves nothing open."""
         self._closes_when_quiet = True
 
-    def open_session(self, name: str) -> None:
-        """Opens a session with a database name that is served."""
+    async def open_session(self, name: str) -> None:
+        """Opens a session with a database name that is served.
+
+        A process that knows no name yet can't tell that one is unknown.
+        """
+        if not await self._env.fleet.configured(_CONFIGURATION_LIMIT):
+            self.end(replies.Reason.BUSY, "no configuration yet; retry")
+            return
         if self._env.fleet.route(name) is None:
             self.end(replies.Reason.UNKNOWN_DATABASE, name)
             return
@@ -201,7 +211,7 @@
 @_take.register
 async def _(message: lines.Connect, caller: CallerConnection) -> None:
     if caller.dialog is None:
-        caller.open_session(message.database)
+        await caller.open_session(message.database)
     else:
         caller.reject_unreadable()
 
--- a/hickorygate/testing/line_world.py
+++ b/hickorygate/testing/line_world.py
@@ -28,6 +28,7 @@
     "LineClient",
     "LineWorld",
     "MemoryStore",
+    "Proxy",
     "assert_no_commit_lost",
     "make_catalog",
 ]
--- a/hickorygate/tests/test_line_path.py
+++ b/hickorygate/tests/test_line_path.py
@@ -5,6 +5,7 @@
 import asyncio
 import unittest
 
+from hickorygate.platform import settings as settings_lib
 from hickorygate.testing import line_group
 from hickorygate.testing import line_world as worlds
 
@@ -42,6 +43,25 @@
         self.assertEqual(await client.receive(), [])
         client.close()
 
+    async def test_nobody_is_turned_away_before_a_configuration_came(
+        self,
+    ) -> None:
+        # From Vindpoot's grown trouble-1: after a power loss 299 requests
+        # were refused as unknown, by proxies that knew no name yet.
+        proxy = worlds.Proxy("late", self.group, self.world.store)
+        await proxy.front.start(settings_lib.Address("127.0.0.1", 0))
+        self.addAsyncCleanup(proxy.close)
+        streams = await asyncio.open_connection("127.0.0.1", proxy.front.port)
+        client = worlds.LineClient(*streams)
+        connecting = asyncio.create_task(
+            client.send(f"CONNECT {worlds.PRIMARY} someone")
+        )
+        await asyncio.sleep(0.05)
+        self.assertFalse(connecting.done())
+        proxy.fleet.apply(worlds.make_catalog(1))
+        self.assertEqual(await connecting, ["READY I -"])
+        client.close()
+
     async def test_a_session_reads_its_own_write(self) -> None:
         client = await self.world.connect(worlds.OWN)
         for number in range(20):
--- a/hickorygate/upstreams/fleet.py
+++ b/hickorygate/upstreams/fleet.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Sequence
 import datetime
 
@@ -41,6 +42,7 @@
         self._clock = clock
         self._journal = journal
         self._catalog: catalogs.Catalog | None = None
+        self._configured = asyncio.Event()
         self._listing = members.Listing()
         self._listed = False
         self._proxies = shares.ASSUMED_PROXIES
@@ -85,6 +87,15 @@
         for group in self._groups.values():
             await group.close()
 
+    async def configured(self, limit: datetime.timedelta) -> bool:
+        """Waits for the first configuration; tells whether there is one."""
+        try:
+            async with asyncio.timeout(limit.total_seconds()):
+                await self._configured.wait()
+        except TimeoutError:
+            return False
+        return True
+
     def route(self, database: types.SchemaName) -> catalogs.Route | None:
         """Returns how a database name is served; None if it isn't."""
         if self._catalog is None:
@@ -102,6 +113,7 @@
         if catalog.version <= self.version:
             return
         self._catalog = catalog
+        self._configured.set()
         for name, terms in catalog.services.items():
             self._take_service(name, terms)
         for name in self._groups.keys() - catalog.services.keys():
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -241,7 +241,7 @@
         self._drop_closed()
         while self._idle and self.open > self._share.part:
             loan = self._idle[0]
-            if now - loan.returned < shares.IDLE_LIMIT:
+            if now - loan.returned < self._share.idle_limit:
                 return
             self._idle.pop(0)
             loan.connection.close()
--- a/hickorygate/upstreams/share.py
+++ b/hickorygate/upstreams/share.py
@@ -11,10 +11,15 @@
 import datetime
 import math
 
-__all__ = ["ASSUMED_PROXIES", "IDLE_LIMIT", "Share", "permits"]
+__all__ = ["ASSUMED_PROXIES", "Share", "permits"]
 
-IDLE_LIMIT = datetime.timedelta(seconds=2)
-"""After which an idle connection beyond the even part is closed."""
+_IDLE_LIMIT = datetime.timedelta(seconds=2)
+_SCARCE_IDLE_LIMIT = datetime.timedelta(milliseconds=400)
+"""After which an idle connection beyond the even part is closed; sooner where
+the part is less than the slots, since another proxy may have none."""
+
+_BEYOND_PART = 2
+"""Connections that are opened beyond the even part."""
 
 _FIRST_PAUSE = datetime.timedelta(milliseconds=250)
 _LONGEST_PAUSE = datetime.timedelta(seconds=4)
@@ -64,6 +69,12 @@
         even = max(self._most // self._proxies, 1)
         return min(even, self._slots + _BESIDE_SLOTS)
 
+    @property
+    def idle_limit(self) -> datetime.timedelta:
+        """After which an idle connection beyond the part is closed."""
+        scarce = self.part < self._slots
+        return _SCARCE_IDLE_LIMIT if scarce else _IDLE_LIMIT
+
     @property
     def only_one(self) -> bool:
         """Whether the database has too few for two a proxy."""
@@ -81,7 +92,8 @@
         """Returns how many connections may be open."""
         if self._refused is not None and now - self._refused < self._pause:
             return min(self.part, max(self._held, 1))
-        return max(self.part, min(self._slots + _BESIDE_SLOTS, self._most))
+        wanted = min(self._slots + _BESIDE_SLOTS, self.part + _BEYOND_PART)
+        return max(self.part, min(wanted, self._most))
 
     def refuse(self, held: int, now: datetime.datetime) -> None:
         """Takes in that the database refused one beyond those held."""
