Never take a pause back; property of floors and promotions in any order

If another proxy's promotion had taken effect meanwhile, or its own order did later, the former primary acknowledged commits through a resumed replica that the new one lacks. Pauses now end only when the new primary leads.

--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -28,7 +28,6 @@
 _TELL_STATUS = (
     requests.ReadStatus,
     requests.Pause,
-    requests.Resume,
     requests.Demote,
 )
 """Requests whose answer tells the database's place in its group."""
--- a/hickorygate/platform/lines.py
+++ b/hickorygate/platform/lines.py
@@ -292,11 +292,6 @@
     return _OWN_ID, f"PAUSE {request.term}"
 
 
-@_request_text.register
-def _(request: requests.Resume) -> tuple[str, str]:
-    return _OWN_ID, "RESUME"
-
-
 @_request_text.register
 def _(request: requests.Demote) -> tuple[str, str]:
     return _OWN_ID, f"DEMOTE {request.term}"
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -349,8 +349,6 @@
         )
         if not effect.led:
             self._watch.pause(self._clock.now())
-        for name in effect.resume:
-            self._calls.start(self._tell(name, requests.Resume()))
         if effect.demote is not None:
             demote = requests.Demote(plan.term)
             self._calls.start(self._tell(effect.demote, demote))
--- a/hickorygate/upstreams/request.py
+++ b/hickorygate/upstreams/request.py
@@ -26,7 +26,6 @@
     "ReplyResult",
     "Request",
     "Reset",
-    "Resume",
     "Rollback",
     "Run",
     "SetValue",
@@ -102,11 +101,6 @@
     term: types.Term
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Resume(Request):
-    """Ends a pause."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Demote(Request):
     """Makes a primary of a term below `term` a replica."""
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -10,6 +10,12 @@
 candidate are paused: every commit is then acknowledged through the candidate,
 which loses none of them, and the primary serves until the change takes
 effect.
+
+A pause is never taken back: a promotion that was ordered may still take
+effect, or another proxy's may have, and a replica that received from the
+former primary again would let it acknowledge what the new one lacks. The
+pause ends when the new primary leads; if none does, the next attempt goes on
+from it.
 """
 
 from __future__ import annotations
@@ -160,13 +166,11 @@
 
     Attributes:
       led: whether a database leads the new term.
-      resume: replicas whose pause must end, since nobody takes over.
       demote: the former primary, if it may still believe to lead.
       outcome: for people.
     """
 
     led: bool
-    resume: tuple[members.MemberId, ...]
     demote: members.MemberId | None
     outcome: str
 
@@ -272,7 +276,7 @@
             return []
         former = self._plan.leader
         demote = former if former != event.member else None
-        return [Finish(True, (), demote, f"{event.member} leads")]
+        return [Finish(True, demote, f"{event.member} leads")]
 
     def _may_choose(self) -> bool:
         missing = len(self._plan.pause - self._statuses.keys())
@@ -332,8 +336,7 @@
         return True
 
     def _give_up(self, outcome: str) -> Finish:
-        paused = tuple(sorted(self._statuses))
-        return Finish(False, paused, None, f"given up: {outcome}")
+        return Finish(False, None, f"given up: {outcome}")
 
 
 @functools.singledispatch
--- /dev/null
+++ b/properties/platform_world.py
@@ -0,0 +1,235 @@
+"""A group of the users' platform in random steps: no network, no time.
+
+Databases commit, replicate, apply, answer late or never; one promoter at a
+time replaces the primary while the former one may go on. What was
+acknowledged, and when, is remembered.
+"""
+
+from __future__ import annotations
+
+import dataclasses
+import datetime
+import random
+
+from hickorygate.core import reply as replies
+from hickorygate.testing import line_log
+from hickorygate.upstreams import evidence as evidences
+from hickorygate.upstreams import member as members
+from hickorygate.upstreams import reasons
+from hickorygate.upstreams import takeover as takeovers
+
+__all__ = ["PlatformWorld"]
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_STEP = datetime.timedelta(milliseconds=7)
+
+
+def _member(name: str) -> members.Member:
+    return members.Member(name, 1, "s", "h", 1, "a", 2, False, False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Acknowledged:
+    """A commit that its caller was told of."""
+
+    commit: line_log.Commit
+    at: datetime.datetime
+
+
+class PlatformWorld:
+    """Three or more databases and the decisions of one proxy.
+
+    Attributes:
+      acknowledged: all commits that callers were told of.
+      promoted: how often a database was promoted.
+      floors: how many floors were proved.
+    """
+
+    def __init__(self, names: str, rng: random.Random) -> None:
+        self.random = rng
+        self.now = _START
+        self.acknowledged: list[Acknowledged] = []
+        self.promoted = 0
+        self.floors = 0
+        roles = [line_log.Role.PRIMARY] + [line_log.Role.REPLICA] * len(names)
+        self.logs = {
+            name: line_log.LineLog(name, role)
+            for name, role in zip(names, roles, strict=False)
+        }
+        self.evidence = evidences.Evidence(1)
+        self.evidence.set_members(tuple(_member(n) for n in names))
+        self.rounds: list[evidences.Round] = []
+        self.takeover: takeovers.Takeover | None = None
+        self.calls: list[takeovers.Effect] = []
+        self.orders: list[str] = []
+
+    def step(self) -> None:
+        """Does one random thing."""
+        self.now += _STEP
+        act = self.random.choice(
+            (
+                self.commit,
+                self.replicate,
+                self.replicate,
+                self.apply,
+                self.ask,
+                self.answer,
+                self.answer,
+                self.answer,
+                self.judge,
+                self.begin_takeover,
+                self.call,
+                self.call,
+                self.take_effect,
+                self.abandon,
+            )
+        )
+        act()
+
+    def commit(self) -> None:
+        """Commits at any database that believes to lead."""
+        leaders = [log for log in self.logs.values() if log.leads]
+        if leaders:
+            self.random.choice(leaders).append("w", (("x", "1"),))
+
+    def replicate(self) -> None:
+        """Lets one replica receive; what it then holds is acknowledged."""
+        leader, replica = self.random.sample(list(self.logs.values()), 2)
+        if not leader.leads:
+            return
+        if replica.leads and replica.term >= leader.term:
+            return
+        replica.receive(leader)
+        if replica.term != leader.term or replica.paused_for:
+            return
+        known = {a.commit for a in self.acknowledged}
+        self.acknowledged += [
+            Acknowledged(commit, self.now)
+            for commit in leader.commits
+            if commit not in known and commit.position.term == leader.term
+        ]
+
+    def apply(self) -> None:
+        """Lets reads at one database see what it received."""
+        self.random.choice(list(self.logs.values())).apply()
+
+    def ask(self) -> None:
+        """Begins a round."""
+        self.rounds = [*self.rounds[-3:], self.evidence.open_round(self.now)]
+
+    def answer(self) -> None:
+        """Lets one database answer one round, with or without its status."""
+        if not self.rounds:
+            return
+        seen = self.random.choice(self.rounds)
+        name = self.random.choice(sorted(self.logs))
+        if name not in seen.sights:
+            seen.sights[name] = self._sight(name, self.random.random() < 0.7)
+
+    def judge(self) -> None:
+        """Checks what a round proves against what was acknowledged."""
+        if not self.rounds:
+            return
+        index = self.random.randrange(len(self.rounds))
+        seen = self.rounds.pop(index)
+        finding = self.evidence.judge(seen)
+        due = [a.commit for a in self.acknowledged if a.at < seen.sent]
+        if finding.floor is not None:
+            self.floors += 1
+            above = [c for c in due if c.position > finding.floor.position]
+            assert not above, f"{finding} misses {above}"
+        if finding.confirmed and finding.leader is not None:
+            held = set(self.logs[finding.leader.member].commits)
+            missing = [c for c in due if c not in held]
+            assert not missing, f"{finding} confirmed without {missing}"
+
+    def begin_takeover(self) -> None:
+        """Begins to replace the primary, lost or not."""
+        if self.takeover is not None or self.random.random() < 0.7:
+            return
+        leader = self.evidence.leader
+        situation = reasons.Situation(
+            leader=leader,
+            lost=leader,
+            members=self.evidence.members,
+            departed=self.evidence.departed,
+            positions={n: log.visible for n, log in self.logs.items()},
+            unreachable=frozenset(),
+            stalled=False,
+            term=max(log.term for log in self.logs.values()),
+            synchronous_replicas=1,
+        )
+        planned = leader is not None and self.random.random() < 0.4
+        reason = reasons.Leaving() if planned else reasons.Lost()
+        plan = reasons.plan("s", reason, situation)
+        if plan is not None:
+            self.takeover = takeovers.Takeover(plan, self.now)
+            self.calls, self.orders = [], []
+
+    def call(self) -> None:
+        """Carries a takeover on: a call is made, answered or lost."""
+        takeover = self.takeover
+        if takeover is None:
+            return
+        self._take(takeover.advance(self.now))
+        if not self.calls:
+            return
+        call = self.calls.pop(self.random.randrange(len(self.calls)))
+        event = self._perform(call)
+        if event is not None and self.takeover is takeover:
+            self._take(takeovers.handle(event, takeover, self.now))
+
+    def take_effect(self) -> None:
+        """Lets a promotion that was ordered take effect."""
+        if not self.orders:
+            return
+        name = self.orders.pop(0)
+        self.orders.clear()
+        newest = max(log.term for log in self.logs.values())
+        self.logs[name].promote(newest + 1)
+        self.promoted += 1
+        held = set(self.logs[name].commits)
+        lost = [a.commit for a in self.acknowledged if a.commit not in held]
+        assert not lost, f"{name} was promoted without {lost}"
+        self.takeover = None
+
+    def abandon(self) -> None:
+        """Ends a promoter that has ordered nothing yet."""
+        if self.takeover is None or self.orders or self.random.random() < 0.9:
+            return
+        self.takeover = None
+
+    def _sight(self, name: str, with_status: bool) -> evidences.Sight:
+        log = self.logs[name]
+        status = None
+        if with_status:
+            status = replies.GroupStatus(
+                log.leads, log.term, log.received, log.paused_for
+            )
+        return evidences.Sight(log.leads, log.visible, status)
+
+    def _take(self, effects: list[takeovers.Effect]) -> None:
+        for effect in effects:
+            if isinstance(effect, takeovers.Finish):
+                self.takeover = None
+                return
+            self.calls.append(effect)
+
+    def _perform(self, call: takeovers.Effect) -> takeovers.Event | None:
+        match call:
+            case takeovers.PauseReplica(name, term):
+                log = self.logs[name]
+                log.pause(term)
+                lost = self.random.random() < 0.2
+                status = replies.GroupStatus(
+                    log.leads, log.term, log.received, log.paused_for
+                )
+                return takeovers.ReplicaPaused(name, None if lost else status)
+            case takeovers.CompareCandidate(leader, candidate):
+                return takeovers.CandidateSeen(
+                    self.logs[leader].received, self.logs[candidate].received
+                )
+            case takeovers.OrderPromotion(name):
+                self.orders.append(name)
+                return takeovers.PromotionEnded(True)
+        return None
--- /dev/null
+++ b/properties/test_platform_group.py
@@ -0,0 +1,40 @@
+"""No floor misses a commit and no promotion loses one, in any order."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from properties import platform_world
+
+_STEPS = 600
+
+
+def _play(seed: int, names: str) -> platform_world.PlatformWorld:
+    world = platform_world.PlatformWorld(names, random.Random(seed))
+    for _ in range(_STEPS):
+        world.step()
+    return world
+
+
+class PlatformGroupTest(unittest.TestCase):
+    """Checked after each step by the world itself."""
+
+    @hypothesis.settings(max_examples=150)
+    @hypothesis.given(strategies.integers(0, 2**32))
+    def test_three_databases(self, seed: int) -> None:
+        _play(seed, "abc")
+
+    @hypothesis.settings(max_examples=50)
+    @hypothesis.given(strategies.integers(0, 2**32))
+    def test_four_databases(self, seed: int) -> None:
+        _play(seed, "abcd")
+
+    def test_the_world_reaches_what_it_checks(self) -> None:
+        worlds = [_play(seed, "abc") for seed in range(20)]
+        self.assertGreater(sum(w.promoted for w in worlds), 20)
+        self.assertGreater(sum(w.floors for w in worlds), 100)
+        self.assertGreater(sum(len(w.acknowledged) for w in worlds), 100)
