--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -214,7 +214,7 @@
             return reply
         newest = leader.member if leader is not None else ""
         self._env.journal.record(
-            decisions.ReadConfirmed(self._call.id, self._call.served_by, newest)
+            decisions.ReadDiscarded(self._call.id, self._call.served_by, newest)
         )
         # The read ran, and its rows may be old; they are not delivered.
         failure = errors.AnswerLost(
--- a/hickorygate/core/decisions.py
+++ b/hickorygate/core/decisions.py
@@ -24,7 +24,7 @@
     "MemberListed",
     "MemberUnlisted",
     "PromotionOrdered",
-    "ReadConfirmed",
+    "ReadDiscarded",
     "RequestEnded",
     "RequestRetried",
     "SettingsReloaded",
@@ -77,7 +77,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ReadConfirmed(events.Event):
+class ReadDiscarded(events.Event):
     """An answer was thrown away: its database was no longer the primary."""
 
     request: str
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -121,6 +121,12 @@
         "Open connections by database.",
         _connections(fleet),
     )
+    show(
+        aioprometheus.Counter,
+        "connections_opened_total",
+        "Connections that were opened, by database.",
+        _opened(fleet),
+    )
     show(
         aioprometheus.Gauge,
         "database_load",
@@ -164,6 +170,12 @@
             yield {"database": name}, float(lender.open)
 
 
+def _opened(fleet: fleets.Fleet) -> Iterator[_Sample]:
+    for group in fleet.groups.values():
+        for name, lender in group.lenders.items():
+            yield {"database": name}, float(lender.opened)
+
+
 def _loads(fleet: fleets.Fleet) -> Iterator[_Sample]:
     for group in fleet.groups.values():
         for name, lender in group.lenders.items():
--- /dev/null
+++ b/hickorygate/tests/test_event_log.py
@@ -0,0 +1,110 @@
+"""Events as lines, within their bounds, and as metrics."""
+
+from __future__ import annotations
+
+import datetime
+import os
+import unittest
+
+import logbook
+import orjson
+
+from hickorygate.core import decisions
+from hickorygate.core import events
+from hickorygate.operators import event_log
+from hickorygate.operators import proxy_metrics
+
+_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+
+class _Clock:
+    """A time that stands still unless it is moved."""
+
+    def __init__(self) -> None:
+        self.time = _START
+
+    def now(self) -> datetime.datetime:
+        return self.time
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        self.time += duration
+
+
+class _Lines(logbook.Handler):
+    """Keeps lines."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.lines: list[dict[str, object]] = []
+
+    def emit(self, record: logbook.LogRecord) -> None:
+        self.lines.append(orjson.loads(record.message))
+
+
+def _ended(outcome: str) -> decisions.RequestEnded:
+    return decisions.RequestEnded(
+        request="1f",
+        database="db",
+        kind="Read",
+        served_by="i-1",
+        outcome=outcome,
+        detail="",
+        version=3,
+        floor=None,
+        floor_age=None,
+        tries=1,
+        took=datetime.timedelta(milliseconds=12),
+    )
+
+
+class EventLogTest(unittest.TestCase):
+    """What is written and what is counted."""
+
+    def setUp(self) -> None:
+        self.clock = _Clock()
+        self.handler = _Lines()
+        self.tally = proxy_metrics.Tally()
+        self.log = event_log.EventLog(
+            "proxy-1", self.clock, self.handler, self.tally
+        )
+
+    def test_a_line_names_time_process_and_fields(self) -> None:
+        self.log.record(_ended("busy"))
+        (line,) = self.handler.lines
+        self.assertEqual(line["process"], "proxy-1")
+        self.assertEqual(line["event"], "RequestEnded")
+        self.assertEqual(line["took"], "12.0 ms")
+
+    def test_what_is_left_out_is_counted_with_the_next_line(self) -> None:
+        for _ in range(1_000):
+            self.log.record(_ended("ok"))
+        written = len(self.handler.lines)
+        self.assertLess(written, 20)
+        self.clock.time += datetime.timedelta(seconds=1)
+        self.log.record(_ended("ok"))
+        self.assertEqual(
+            self.handler.lines[-1]["dropped_before"], 1_000 - written
+        )
+
+    def test_served_requests_leave_room_for_the_others(self) -> None:
+        for _ in range(1_000):
+            self.log.record(_ended("ok"))
+        self.log.record(_ended("unknown"))
+        self.log.record(events.ProcessDraining())
+        kinds = [line["event"] for line in self.handler.lines[-2:]]
+        self.assertEqual(kinds, ["RequestEnded", "ProcessDraining"])
+
+    def test_metrics_count_what_is_not_written(self) -> None:
+        for _ in range(1_000):
+            self.log.record(_ended("ok"))
+        self.assertEqual(self.tally.outcomes["Read", "ok"], 1_000)
+
+    def test_a_reader_that_does_not_read_blocks_nothing(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        handler = event_log.StdoutHandler(writer)
+        record = logbook.LogRecord("c", logbook.INFO, "x" * 4_000)
+        for _ in range(100):
+            handler.emit(record)
+        self.assertGreater(handler.lost, 0)
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -211,16 +211,6 @@
         """Connections that were opened since the start."""
         return self._opened
 
-    @property
-    def busy(self) -> bool:
-        """Whether any connection is lent."""
-        return bool(self._lent)
-
-    @property
-    def closed(self) -> bool:
-        """Whether it lends no more."""
-        return self._closed
-
     @property
     def load(self) -> int:
         """Work that runs or waits for the database."""
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -105,11 +105,6 @@
         """The primary that was lost last, until another one leads."""
         return self._lost
 
-    @property
-    def takes_over(self) -> bool:
-        """Whether this proxy is replacing the primary."""
-        return self._promoter.active
-
     @property
     def rounds(self) -> int:
         """Rounds that ended."""
