--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -30,11 +30,13 @@
     from hickorygate.callers import dialog as dialogs
 
 __all__ = [
+    "FloorResult",
     "Place",
     "PlaceResult",
     "at_primary",
     "find_place",
-    "no_primary",
+    "fresh_floor",
+    "must_be_confirmed",
     "run",
 ]
 
@@ -57,6 +59,7 @@
 
 
 PlaceResult = expression.Result[Place, errors.Failure]
+FloorResult = expression.Result[evidences.Floor | None, errors.Failure]
 
 
 class _Asker:
@@ -244,11 +247,6 @@
             loan.forget_names()
 
 
-def no_primary(group: supervisors.Supervisor) -> PlaceResult:
-    """Returns the refusal that nobody leads the group."""
-    return expression.Error(group.no_leader())
-
-
 async def at_primary(
     group: supervisors.Supervisor,
     terms: request_lib.Request,
@@ -257,10 +255,57 @@
     """Finds the primary, waiting for one if that can be worth it."""
     leader = await group.wait_for_leader(terms)
     if leader is None or leader.member not in group.lenders:
-        return no_primary(group)
+        return expression.Error(group.no_leader())
     return expression.Ok(Place(group.lenders[leader.member], floor, leader))
 
 
+@functools.singledispatch
+def must_be_confirmed(consistency: catalogs.Consistency) -> bool:
+    """Tells whether a read counts only if its database was the primary."""
+    return False
+
+
+@must_be_confirmed.register
+def _(consistency: catalogs.Newest) -> bool:
+    return True
+
+
+@functools.singledispatch
+async def fresh_floor(
+    consistency: catalogs.Consistency,
+    group: supervisors.Supervisor,
+    call: states.Call,
+) -> FloorResult:
+    """Returns what the reads of a call must see; None where that is all."""
+    raise TypeError(f"no floor for {consistency!r}; register one")
+
+
+@fresh_floor.register(catalogs.Newest)
+async def _(
+    consistency: catalogs.Newest,
+    group: supervisors.Supervisor,
+    call: states.Call,
+) -> FloorResult:
+    return expression.Ok(None)
+
+
+@fresh_floor.register(catalogs.Bounded)
+@fresh_floor.register(catalogs.OwnWrites)
+async def _(
+    consistency: catalogs.Bounded | catalogs.OwnWrites,
+    group: supervisors.Supervisor,
+    call: states.Call,
+) -> FloorResult:
+    floor = group.evidence.floor(consistency, call.arrived)
+    if floor is None:
+        oldest = call.arrived - consistency.staleness
+        floor = await group.wait_for_floor(oldest, call.deadline)
+    if floor is None:
+        return expression.Error(group.no_leader())
+    call.floor = floor
+    return expression.Ok(floor)
+
+
 async def find_place(
     dialog: dialogs.Dialog,
     group: supervisors.Supervisor,
@@ -269,26 +314,22 @@
     excluded: set[members.MemberId],
 ) -> PlaceResult:
     """Finds a database for a read."""
-    if isinstance(route.consistency, catalogs.Newest):
+    fresh = await fresh_floor(route.consistency, group, call)
+    if fresh.is_error():
+        return expression.Error(fresh.error)
+    if fresh.ok is None:
         return await at_primary(group, asking.terms(call, route), None)
-    floor = group.evidence.floor(route.consistency, call.arrived)
-    if floor is None:
-        oldest = call.arrived - route.consistency.staleness
-        floor = await group.wait_for_floor(oldest, call.deadline)
-    if floor is None:
-        return no_primary(group)
-    call.floor = floor
     own = placing.own_floor(
         route.consistency, dialog.state.floors, route.service
     )
-    needed = asking.floor_of(floor.position, own)
+    needed = asking.floor_of(fresh.ok.position, own)
     while True:
         chosen = _choose(dialog, group, needed, excluded)
         if chosen is not None:
             lender = group.lenders[chosen.member.id]
             return expression.Ok(Place(lender, needed, None))
         if not await group.next_round(call.deadline):
-            return no_primary(group)
+            return expression.Error(group.no_leader())
 
 
 def _choose(
--- a/hickorygate/callers/transacting.py
+++ b/hickorygate/callers/transacting.py
@@ -14,7 +14,6 @@
 from hickorygate.callers import dialog_state as states
 from hickorygate.callers import single
 from hickorygate.callers import surroundings
-from hickorygate.core import catalog as catalogs
 from hickorygate.core import errors
 from hickorygate.core import operation as operations
 from hickorygate.core import reply as replies
@@ -195,21 +194,13 @@
 
     async def _primary_place(self) -> single.PlaceResult:
         """Finds the primary; it must hold what the reads must see."""
-        consistency = self._open.route.consistency
-        floor = self._group.evidence.floor(consistency, self._call.arrived)
-        if floor is None and not isinstance(consistency, catalogs.Newest):
-            oldest = self._call.arrived - consistency.staleness
-            floor = await self._group.wait_for_floor(
-                oldest, self._terms.deadline
-            )
-            if floor is None:
-                return single.no_primary(self._group)
-        self._call.floor = floor
-        return await single.at_primary(
-            self._group,
-            self._terms,
-            floor.position if floor else None,
+        fresh = await single.fresh_floor(
+            self._open.route.consistency, self._group, self._call
         )
+        if fresh.is_error():
+            return expression.Error(fresh.error)
+        position = fresh.ok.position if fresh.ok else None
+        return await single.at_primary(self._group, self._terms, position)
 
     async def _open_at(
         self, loan: lenders.Loan, place: single.Place
@@ -260,8 +251,8 @@
 
     async def _is_confirmed(self) -> bool:
         """Whether the reads see all that they must."""
-        newest = isinstance(self._open.route.consistency, catalogs.Newest)
-        if self._open.confirmed or not newest:
+        consistency = self._open.route.consistency
+        if self._open.confirmed or not single.must_be_confirmed(consistency):
             return True
         leader = await self._group.confirm(
             self._open.opened, self._terms.deadline
