Close a connection on which a question left a transaction open

Cause (read in the code): a database that fails the rollback after the question who leads would have left its transaction on a connection that the next statement gets. The test failed before.

--- a/hickorygate/tests/test_lender.py
+++ b/hickorygate/tests/test_lender.py
@@ -13,8 +13,10 @@
 from hickorygate.core import rank as ranks
 from hickorygate.core import reply as replies
 from hickorygate.core import request as request_lib
+from hickorygate.upstreams import evidence as evidences
 from hickorygate.upstreams import lender as lenders
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import prober as probers
 from hickorygate.upstreams import request as requests
 
 _MEMBER = members.Member("a", 1, "s", "10.0.0.1", 1, "z", 2, False, True)
@@ -25,13 +27,12 @@
 
     def __init__(self) -> None:
         self.closed = False
+        self.state = replies.SessionState.IDLE
         self.sent: list[requests.Request] = []
 
     async def ask(self, *batch: requests.Request) -> list[requests.ReplyResult]:
         self.sent += batch
-        done = replies.Reply(
-            expression.Ok(replies.Answer()), replies.SessionState.IDLE
-        )
+        done = replies.Reply(expression.Ok(replies.Answer()), self.state)
         return [expression.Ok(done) for _ in batch]
 
     def close(self) -> None:
@@ -134,3 +135,14 @@
         self.assertIsInstance(late.error, errors.DeadlinePassed)
         held.end()
         self.assertTrue((await lender.borrow(self.terms(), {})).is_ok())
+
+    async def test_a_question_leaves_no_transaction_behind(self) -> None:
+        # A database may fail the rollback after the question who leads.
+        lender = self.build(5)
+        (await lender.borrow(self.terms(), {})).ok.end()
+        (connection,) = self.connector.opened
+        connection.state = replies.SessionState.IN_TRANSACTION
+        evidence = evidences.Evidence(1)
+        prober = probers.Prober(evidence, {"a": lender}, clocks.SystemClock())
+        await prober.ask("a", requests.Begin(), requests.Rollback())
+        self.assertTrue(connection.closed)
--- a/hickorygate/upstreams/prober.py
+++ b/hickorygate/upstreams/prober.py
@@ -107,7 +107,7 @@
         try:
             async with asyncio.timeout(_PROBE_LIMIT.total_seconds()):
                 results = await loan.connection.ask(*batch)
-            whole = all(result.is_ok() for result in results)
+            whole = _is_clean(results)
         except TimeoutError:
             return None
         finally:
@@ -180,3 +180,10 @@
     def _forgive(self) -> None:
         for vital in self._vitals.values():
             vital.forgive()
+
+
+def _is_clean(results: list[requests.ReplyResult]) -> bool:
+    """Whether all was answered and no transaction is left open."""
+    if not all(result.is_ok() for result in results):
+        return False
+    return results[-1].ok.state is replies.SessionState.IDLE
