Decide a retry in one place; encode prepared statements in the adapter

Read in the diff: the decision to try again stood four times (attempts, single, twice in transacting), why a request failed was read in three places, the text of an execution was composed outside the adapter, and the lender kept a heap that it sorted for each use. One function each now; the kind of a statement is dispatched. Behaviour is unchanged.

--- a/hickorygate/callers/asking.py
+++ b/hickorygate/callers/asking.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import functools
 
 import expression
 
@@ -22,7 +23,6 @@
     "Statement",
     "ask",
     "borrow",
-    "floor_of",
     "match",
     "note_commit",
     "statement",
@@ -32,35 +32,55 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Statement:
-    """What is sent to a database for an operation.
+    """What a database must run for an operation.
 
     Attributes:
-      text: the statement; a prepared one under the proxy's name of it.
+      body: the statement's text, or the arguments of a prepared one.
       shape: what must be prepared before; None if nothing.
       writes: whether it changes data.
     """
 
-    text: str
-    shape: operations.Shape | None
-    writes: bool
+    body: str
+    shape: operations.Shape | None = None
+    writes: bool = False
 
+    def request(
+        self, name: str, floor: positions.Position | None = None
+    ) -> requests.Request:
+        """Returns what to send under the caller's id of it."""
+        if self.shape is None:
+            return requests.Run(name, self.body, floor)
+        prepared = lenders.shape_name(self.shape)
+        return requests.Execute(name, prepared, self.body, floor)
 
+
+@functools.singledispatch
 def statement(
     operation: operations.Operation, state: states.SessionState
 ) -> Statement:
-    """Returns what to send for an operation that a database must run."""
-    match operation:
-        case operations.Execute(name, arguments):
-            shape = state.shapes[name]
-            text = f"EXECUTE {lenders.shape_name(shape)} {arguments}"
-            return Statement(text, shape, shape.writes)
-        case operations.Read(text) | operations.Commit(text):
-            return Statement(text, None, False)
-        case operations.Write(text):
-            return Statement(text, None, True)
+    """Returns what a database must run for an operation."""
     raise TypeError(f"{operation!r} runs in no database")
 
 
+@statement.register(operations.Read)
+@statement.register(operations.Commit)
+def _(
+    operation: operations.Read | operations.Commit, state: states.SessionState
+) -> Statement:
+    return Statement(operation.text)
+
+
+@statement.register
+def _(operation: operations.Write, state: states.SessionState) -> Statement:
+    return Statement(operation.text, writes=True)
+
+
+@statement.register
+def _(operation: operations.Execute, state: states.SessionState) -> Statement:
+    shape = state.shapes[operation.name]
+    return Statement(operation.arguments, shape, shape.writes)
+
+
 def terms(call: states.Call, route: catalogs.Route) -> request_lib.Request:
     """Returns the terms of service under which a call waits."""
     return request_lib.Request(route.rank, call.arrived, call.deadline)
@@ -118,7 +138,7 @@
     env: surroundings.Surroundings,
     group: supervisors.Supervisor,
     loan: lenders.Loan,
-    request: requests.Run,
+    request: requests.Request,
     terms_: request_lib.Request,
 ) -> requests.ReplyResult:
     """Runs a statement on a borrowed connection when its turn comes.
@@ -157,10 +177,8 @@
     """Whether the database failed; refusing what it can't run is no failure."""
     if result.is_error():
         return True
-    match result.ok.result:
-        case expression.Result(tag="error", error=failure):
-            return failure.outcome is not errors.Outcome.NOT_RUN
-    return False
+    failure = requests.failure_of(result)
+    return failure is not None and failure.outcome is not errors.Outcome.NOT_RUN
 
 
 def note_commit(
@@ -174,12 +192,3 @@
             return
         case _:
             group.stall.broken()
-
-
-def floor_of(
-    fresh: positions.Position | None, own: positions.Position | None
-) -> positions.Position | None:
-    """Returns the higher of two floors."""
-    if fresh is None or own is None:
-        return fresh or own
-    return max(fresh, own)
--- a/hickorygate/callers/attempts.py
+++ b/hickorygate/callers/attempts.py
@@ -9,10 +9,10 @@
 
 from hickorygate.callers import environment as environments
 from hickorygate.callers import handler as handlers
+from hickorygate.callers import retrying
 from hickorygate.callers import work as works
 from hickorygate.core import errors
 from hickorygate.core import measurement as measurements
-from hickorygate.core import retry
 
 __all__ = ["run"]
 
@@ -47,16 +47,13 @@
         failure = result.error
         if unsettled is None and failure.outcome is errors.Outcome.UNKNOWN:
             unsettled = failure
-        made = retry.Attempt(
-            number=number,
-            repeatable=repeatable,
-            time_left=work.request.time_left(env.clock.now()),
+        delay = retrying.next_delay(
+            env, work.request, failure, number, repeatable
         )
-        verdict = retry.decide(failure, made, env.retries, env.rng)
-        if not isinstance(verdict, retry.Delay):
+        if delay is None:
             return _final(failure, unsettled)
         env.recorder.record(measurements.Retried(work.request.rank, failure))
-        await env.clock.sleep(verdict.duration)
+        await env.clock.sleep(delay)
         number += 1
 
 
--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -12,6 +12,7 @@
 from hickorygate.callers import asking
 from hickorygate.callers import dialog_state as states
 from hickorygate.callers import placing
+from hickorygate.callers import retrying
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import decisions
 from hickorygate.core import errors
@@ -19,7 +20,6 @@
 from hickorygate.core import position as positions
 from hickorygate.core import reply as replies
 from hickorygate.core import request as request_lib
-from hickorygate.core import retry
 from hickorygate.upstreams import evidence as evidences
 from hickorygate.upstreams import lender as lenders
 from hickorygate.upstreams import member as members
@@ -99,13 +99,10 @@
             if reply.result.is_ok():
                 return reply
             failure = reply.result.error
-            now = self._dialog.now()
-            left = self._terms.time_left(now)
-            made = retry.Attempt(number, reads, left)
-            verdict = retry.decide(
-                failure, made, self._env.retries, self._env.rng
+            delay = retrying.next_delay(
+                self._env, self._terms, failure, number, reads
             )
-            if not (self._placed and isinstance(verdict, retry.Delay)):
+            if delay is None or not self._placed:
                 return self._final(reply, reads)
             self._env.journal.record(
                 decisions.RequestRetried(
@@ -116,7 +113,7 @@
                 )
             )
             self._excluded.add(self._call.served_by)
-            await self._env.clock.sleep(verdict.duration)
+            await self._env.clock.sleep(delay)
             number += 1
 
     def _final(self, reply: replies.Reply, reads: bool) -> replies.Reply:
@@ -153,7 +150,7 @@
     async def _run_at(
         self, place: Place, loan: lenders.Loan, reads: bool
     ) -> replies.Reply:
-        request = requests.Run(self._call.id, self._statement.text, place.floor)
+        request = self._statement.request(self._call.id, place.floor)
         if not reads:
             self._group.commit_sent()
         confirming = self._confirm(place) if reads else None
@@ -170,7 +167,7 @@
         _forget_names(result, loan)
         loan.end(broken=not clean and _was_sent(result))
         if not reads:
-            self._note_write(place, result)
+            self._note_write(result)
         reply = self._as_reply(result)
         if confirming is None:
             return reply
@@ -185,9 +182,9 @@
             self._group.suspect()
         return dataclasses.replace(reply, state=_IDLE)
 
-    def _note_write(self, place: Place, result: requests.ReplyResult) -> None:
+    def _note_write(self, result: requests.ReplyResult) -> None:
         asking.note_commit(self._group, result)
-        if result.is_ok() and result.ok.result.is_ok():
+        if requests.failure_of(result) is None:
             self._dialog.state.raise_floor(
                 self._route.service, result.ok.position
             )
@@ -240,9 +237,7 @@
 
 def _forget_names(result: requests.ReplyResult, loan: lenders.Loan) -> None:
     """Prepares names again where the database doesn't know them."""
-    if result.is_error() or result.ok.result.is_ok():
-        return
-    match result.ok.result.error:
+    match requests.failure_of(result):
         case replies.Rejection(reason=replies.Reason.UNKNOWN_STATEMENT):
             loan.forget_names()
 
@@ -322,7 +317,8 @@
     own = placing.own_floor(
         route.consistency, dialog.state.floors, route.service
     )
-    needed = asking.floor_of(fresh.ok.position, own)
+    floor = fresh.ok.position
+    needed = floor if own is None else max(floor, own)
     while True:
         chosen = _choose(dialog, group, needed, excluded)
         if chosen is not None:
--- a/hickorygate/callers/transacting.py
+++ b/hickorygate/callers/transacting.py
@@ -12,13 +12,13 @@
 
 from hickorygate.callers import asking
 from hickorygate.callers import dialog_state as states
+from hickorygate.callers import retrying
 from hickorygate.callers import single
 from hickorygate.callers import surroundings
 from hickorygate.core import errors
 from hickorygate.core import operation as operations
 from hickorygate.core import reply as replies
 from hickorygate.core import request as request_lib
-from hickorygate.core import retry
 from hickorygate.upstreams import lender as lenders
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import request as requests
@@ -42,18 +42,17 @@
         env.background.start(_roll_back(loan))
 
 
-async def _roll_back(loan: lenders.Loan) -> bool:
-    """Rolls back and returns the connection; tells whether that worked."""
+async def _roll_back(loan: lenders.Loan) -> None:
+    """Rolls back and gives the connection back; closes it if that fails."""
     clean = False
     try:
         async with asyncio.timeout(_ROLLBACK_LIMIT.total_seconds()):
             result = await loan.run(requests.Rollback())
         clean = result.is_ok() and result.ok.state is _IDLE
     except TimeoutError:
-        clean = False
+        return
     finally:
         loan.end(broken=not clean)
-    return clean
 
 
 class _Step:
@@ -78,7 +77,7 @@
         failure = await self._prepare(sent.shape)
         if failure is not None:
             return self._abort(failure)
-        result = await self._ask(sent.text)
+        result = await self._ask(sent)
         if result.is_error():
             return self._abort(result.error)
         reply = result.ok
@@ -97,7 +96,7 @@
             return self._end_here(failure)
         if self._open.wrote:
             self._group.commit_sent()
-        result = await self._ask(sent.text)
+        result = await self._ask(sent)
         loan = self._open.loan
         assert loan is not None, "prepared above"
         self._dialog.state.transaction = None
@@ -144,15 +143,13 @@
             if failure is None:
                 return None
             self._group.suspect()
-            left = self._terms.time_left(self._dialog.now())
-            made = retry.Attempt(number, True, left)
-            verdict = retry.decide(
-                failure, made, self._env.retries, self._env.rng
+            delay = retrying.next_delay(
+                self._env, self._terms, failure, number, True
             )
-            if not isinstance(verdict, retry.Delay):
+            if delay is None:
                 return failure
             excluded.add(self._call.served_by)
-            await self._env.clock.sleep(verdict.duration)
+            await self._env.clock.sleep(delay)
             number += 1
 
     async def _begin_at(
@@ -225,12 +222,12 @@
             return errors.AnswerLost(name, "no transaction was opened")
         return None
 
-    async def _ask(self, text: str) -> requests.ReplyResult:
+    async def _ask(self, sent: asking.Statement) -> requests.ReplyResult:
         """Runs a statement; again while the database is only too busy."""
         loan = self._open.loan
         assert loan is not None, "begun before"
         self._call.served_by = loan.lender.member.id
-        request = requests.Run(self._call.id, text)
+        request = sent.request(self._call.id)
         number = 1
         while True:
             result = await asking.ask(
@@ -238,15 +235,12 @@
             )
             if not _only_busy(result):
                 return result
-            left = self._terms.time_left(self._dialog.now())
-            made = retry.Attempt(number, True, left)
-            failure = result.ok.result.error
-            verdict = retry.decide(
-                failure, made, self._env.retries, self._env.rng
+            delay = retrying.next_delay(
+                self._env, self._terms, result.ok.result.error, number, True
             )
-            if not isinstance(verdict, retry.Delay):
+            if delay is None:
                 return result
-            await self._env.clock.sleep(verdict.duration)
+            await self._env.clock.sleep(delay)
             number += 1
 
     async def _is_confirmed(self) -> bool:
--- a/hickorygate/core/retry.py
+++ b/hickorygate/core/retry.py
@@ -26,6 +26,20 @@
 _LONGEST_DELAY = datetime.timedelta(milliseconds=320)
 _LEAST_JITTER = 0.5
 
+_PASSING = frozenset(
+    {
+        replies.Reason.BUSY,
+        replies.Reason.LAGGING,
+        replies.Reason.READ_ONLY,
+        replies.Reason.WRONG_DATABASE,
+        replies.Reason.CONNECTION_LIMIT,
+        replies.Reason.UNKNOWN_STATEMENT,
+        replies.Reason.FAILED,
+        replies.Reason.TIMED_OUT,
+    }
+)
+"""Refusals after which another try, or another database, may do."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Attempt:
@@ -147,18 +161,3 @@
 @_worth_retrying.register
 def _(failure: replies.Rejection) -> bool:
     return failure.reason in _PASSING
-
-
-_PASSING = frozenset(
-    {
-        replies.Reason.BUSY,
-        replies.Reason.LAGGING,
-        replies.Reason.READ_ONLY,
-        replies.Reason.WRONG_DATABASE,
-        replies.Reason.CONNECTION_LIMIT,
-        replies.Reason.UNKNOWN_STATEMENT,
-        replies.Reason.FAILED,
-        replies.Reason.TIMED_OUT,
-    }
-)
-"""Refusals after which another try, or another database, may do."""
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -161,12 +161,8 @@
         except asyncio.CancelledError:
             connection.close()
             raise
-        failure = greeted.error if greeted.is_error() else _refusal(greeted.ok)
+        failure = requests.failure_of(greeted)
         if failure is not None:
             connection.close()
             return expression.Error(failure)
         return expression.Ok(connection)
-
-
-def _refusal(reply: replies.Reply) -> errors.Failure | None:
-    return reply.result.error if reply.result.is_error() else None
--- a/hickorygate/platform/lines.py
+++ b/hickorygate/platform/lines.py
@@ -255,6 +255,12 @@
     return request.id, _after(request.floor) + request.text
 
 
+@_request_text.register
+def _(request: requests.Execute) -> tuple[str, str]:
+    text = f"EXECUTE {request.name} {request.arguments}"
+    return request.id, _after(request.floor) + text
+
+
 @_request_text.register
 def _(request: requests.Begin) -> tuple[str, str]:
     word = "BEGIN READ" if request.read_only else "BEGIN"
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -7,11 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import bisect
 from collections.abc import Mapping
 import dataclasses
 import datetime
 import enum
-import heapq
 
 import expression
 import xxhash
@@ -123,7 +123,7 @@
         if not batch:
             return None
         for result in await self._connection.ask(*batch):
-            failure = _failure(result)
+            failure = requests.failure_of(result)
             if failure is not None:
                 return failure
         self._values, self._names = dict(values), set(names)
@@ -136,14 +136,6 @@
         self._lender.take_back(self)
 
 
-def _failure(result: requests.ReplyResult) -> errors.Failure | None:
-    """Returns why a request of our own wasn't run; None if it was."""
-    if result.is_error():
-        return result.error
-    answer = result.ok.result
-    return answer.error if answer.is_error() else None
-
-
 LoanResult = expression.Result[Loan, errors.Failure]
 
 
@@ -256,7 +248,8 @@
             return expression.Ok(self._take_idle(values, use))
         if self._may_open():
             opened = await self._open(use)
-            if opened.is_ok() or not self._crowded(opened.error):
+            limited = opened.is_error() and _is_limit(opened.error)
+            if not (limited and self.open):
                 return opened
         if not self.open:
             return expression.Error(self._unreachable_again())
@@ -290,13 +283,6 @@
         self._idle.clear()
         self._fail_waiting(self._unreachable(reason))
 
-    def _crowded(self, failure: errors.Failure) -> bool:
-        """Whether only a connection that is open already can serve."""
-        match failure:
-            case replies.Rejection(reason=replies.Reason.CONNECTION_LIMIT):
-                return bool(self.open)
-        return False
-
     def _may_take(self, use: Use) -> bool:
         """Whether a connection may be lent for a use.
 
@@ -350,12 +336,9 @@
     def _note_refusal(self, failure: errors.Failure) -> None:
         self._last_failure = failure
         now = self._clock.now()
-        match failure:
-            case replies.Rejection(reason=replies.Reason.CONNECTION_LIMIT):
-                self._share.refuse(self.open, now)
-                self._refused_until = now + _REOPEN_PAUSE
-            case _:
-                self._refused_until = now + _REOPEN_PAUSE
+        self._refused_until = now + _REOPEN_PAUSE
+        if _is_limit(failure):
+            self._share.refuse(self.open, now)
         if not self.open:
             self._fail_waiting(failure)
 
@@ -366,7 +349,7 @@
         waiting = _Waiting(
             request.rank.order, request.deadline, self._numbers, use, future
         )
-        heapq.heappush(self._waiting, waiting)
+        bisect.insort(self._waiting, waiting)
         left = request.time_left(self._clock.now()).total_seconds()
         timer = loop.call_later(left, self._expire, waiting, request)
         try:
@@ -394,13 +377,12 @@
         """Removes one who waits no more."""
         if waiting in self._waiting:
             self._waiting.remove(waiting)
-            heapq.heapify(self._waiting)
 
     def _hand_on(self, loan: Loan) -> None:
         """Gives a connection to the first who may have it."""
         self._idle.append(loan)
         loan.rest(self._clock.now())
-        for waiting in sorted(self._waiting):
+        for waiting in self._waiting:
             if not waiting.future.done() and self._may_take(waiting.use):
                 self._idle.pop()
                 self._forget(waiting)
@@ -434,3 +416,11 @@
 
     def _unreachable_again(self) -> errors.Failure:
         return self._last_failure or self._unreachable("tried a moment ago")
+
+
+def _is_limit(failure: errors.Failure) -> bool:
+    """Whether the database has no connection left for this proxy."""
+    match failure:
+        case replies.Rejection(reason=replies.Reason.CONNECTION_LIMIT):
+            return True
+    return False
--- a/hickorygate/upstreams/request.py
+++ b/hickorygate/upstreams/request.py
@@ -20,6 +20,7 @@
     "Connection",
     "Connector",
     "Demote",
+    "Execute",
     "Pause",
     "Prepare",
     "ReadStatus",
@@ -29,12 +30,21 @@
     "Rollback",
     "Run",
     "SetValue",
+    "failure_of",
 ]
 
 ReplyResult: TypeAlias = expression.Result[replies.Reply, errors.Failure]
 """A database's reply, or the failure to get one."""
 
 
+def failure_of(result: ReplyResult) -> errors.Failure | None:
+    """Returns why a request wasn't run, or wasn't answered; None if it was."""
+    if result.is_error():
+        return result.error
+    answer = result.ok.result
+    return answer.error if answer.is_error() else None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Request:
     """Base of the requests."""
@@ -55,6 +65,23 @@
     floor: positions.Position | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Execute(Request):
+    """A caller's prepared statement.
+
+    Attributes:
+      id: the caller's id of it.
+      name: under which it was prepared on the connection.
+      arguments: unchanged.
+      floor: as for `Run`.
+    """
+
+    id: str
+    name: str
+    arguments: str
+    floor: positions.Position | None = None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Begin(Request):
     """Opens a transaction; a replica refuses one that may write."""
