Join what stood twice on the platform's side; use the tests' clock

Read in the diff: addresses were parsed twice, the sinks of the store told its loss twice, a lost history was told apart in two places, own-writes repeated all of bounded, socket options stood in the database's module, the wait for a floor asked for it by another rule than the first look (without the margin; now both keep it), a setting was read that nothing uses, and tests wrote a clock that stands in testing/clock.py. Assertions are unchanged.

--- a/hickorygate/callers/asking.py
+++ b/hickorygate/callers/asking.py
@@ -56,7 +56,7 @@
 
 @functools.singledispatch
 def statement(
-    operation: operations.Operation, state: states.SessionState
+    operation: operations.Operation, state: states.DialogState
 ) -> Statement:
     """Returns what a database must run for an operation."""
     raise TypeError(f"{operation!r} runs in no database")
@@ -65,18 +65,18 @@
 @statement.register(operations.Read)
 @statement.register(operations.Commit)
 def _(
-    operation: operations.Read | operations.Commit, state: states.SessionState
+    operation: operations.Read | operations.Commit, state: states.DialogState
 ) -> Statement:
     return Statement(operation.text)
 
 
 @statement.register
-def _(operation: operations.Write, state: states.SessionState) -> Statement:
+def _(operation: operations.Write, state: states.DialogState) -> Statement:
     return Statement(operation.text, writes=True)
 
 
 @statement.register
-def _(operation: operations.Execute, state: states.SessionState) -> Statement:
+def _(operation: operations.Execute, state: states.DialogState) -> Statement:
     shape = state.shapes[operation.name]
     return Statement(operation.arguments, shape, shape.writes)
 
@@ -90,7 +90,7 @@
     env: surroundings.Surroundings,
     lender: lenders.Lender,
     terms_: request_lib.Request,
-    state: states.SessionState,
+    state: states.DialogState,
     shape: operations.Shape | None,
     use: lenders.Use = lenders.Use.SHORT,
 ) -> lenders.LoanResult:
@@ -110,7 +110,7 @@
     env: surroundings.Surroundings,
     loan: lenders.Loan,
     terms_: request_lib.Request,
-    state: states.SessionState,
+    state: states.DialogState,
     shape: operations.Shape | None,
 ) -> errors.Failure | None:
     """Makes a connection's session equal to the caller's.
--- a/hickorygate/callers/dialog.py
+++ b/hickorygate/callers/dialog.py
@@ -39,10 +39,10 @@
         self, database: types.SchemaName, env: surroundings.Surroundings
     ) -> None:
         self._env = env
-        self._state = states.SessionState(database)
+        self._state = states.DialogState(database)
 
     @property
-    def state(self) -> states.SessionState:
+    def state(self) -> states.DialogState:
         """What is remembered of the session."""
         return self._state
 
--- a/hickorygate/callers/dialog_state.py
+++ b/hickorygate/callers/dialog_state.py
@@ -12,7 +12,7 @@
 from hickorygate.upstreams import evidence as evidences
 from hickorygate.upstreams import lender as lenders
 
-__all__ = ["Call", "SessionState", "Transaction"]
+__all__ = ["Call", "DialogState", "Transaction"]
 
 
 @dataclasses.dataclass(slots=True)
@@ -67,8 +67,8 @@
 
 
 @dataclasses.dataclass(slots=True)
-class SessionState:
-    """A session.
+class DialogState:
+    """What is remembered of one session.
 
     Attributes:
       database: the name that the caller connected to.
--- a/hickorygate/callers/single.py
+++ b/hickorygate/callers/single.py
@@ -285,16 +285,12 @@
 
 
 @fresh_floor.register(catalogs.Bounded)
-@fresh_floor.register(catalogs.OwnWrites)
 async def _(
-    consistency: catalogs.Bounded | catalogs.OwnWrites,
+    consistency: catalogs.Bounded,
     group: supervisors.Supervisor,
     call: states.Call,
 ) -> FloorResult:
-    floor = group.evidence.floor(consistency, call.arrived)
-    if floor is None:
-        oldest = call.arrived - consistency.staleness
-        floor = await group.wait_for_floor(oldest, call.deadline)
+    floor = await group.wait_for_floor(consistency, call.arrived, call.deadline)
     if floor is None:
         return expression.Error(group.no_leader())
     call.floor = floor
--- a/hickorygate/core/catalog.py
+++ b/hickorygate/core/catalog.py
@@ -38,11 +38,9 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class OwnWrites(Consistency):
+class OwnWrites(Bounded):
     """As `Bounded`, and every commit of the session itself."""
 
-    staleness: datetime.timedelta
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Route:
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -6,7 +6,6 @@
 import collections
 import dataclasses
 import datetime
-import socket
 from typing import cast
 
 import expression
@@ -14,15 +13,13 @@
 from hickorygate.core import errors
 from hickorygate.core import reply as replies
 from hickorygate.platform import lines
+from hickorygate.platform import sockets
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import request as requests
 
 __all__ = ["DatabaseConnection", "DatabaseConnector"]
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
-_UNACKNOWLEDGED_LIMIT = datetime.timedelta(seconds=3)
-"""After which the kernel gives a connection up; a database drops a caller
-that it can't reach after the same time."""
 
 _SELF = "hickorygate"
 _TELL_STATUS = (
@@ -33,18 +30,6 @@
 """Requests whose answer tells the database's place in its group."""
 
 
-def limit_silence(sock: socket.socket) -> None:
-    """Makes the kernel end a connection whose other end is gone."""
-    milliseconds = int(_UNACKNOWLEDGED_LIMIT.total_seconds() * 1_000)
-    tcp = socket.IPPROTO_TCP
-    sock.setsockopt(tcp, socket.TCP_NODELAY, 1)
-    sock.setsockopt(tcp, socket.TCP_USER_TIMEOUT, milliseconds)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPIDLE, 2)
-    sock.setsockopt(tcp, socket.TCP_KEEPINTVL, 1)
-    sock.setsockopt(tcp, socket.TCP_KEEPCNT, 3)
-
-
 class DatabaseConnection(asyncio.Protocol):
     """One connection; replies come in the order of the requests."""
 
@@ -69,7 +54,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the loop."""
         self._transport = cast(asyncio.Transport, transport)
-        limit_silence(transport.get_extra_info("socket"))
+        sockets.limit_silence(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the loop."""
--- a/hickorygate/platform/entries.py
+++ b/hickorygate/platform/entries.py
@@ -13,6 +13,7 @@
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import errors
 from hickorygate.core import rank as ranks
+from hickorygate.platform import settings as settings_lib
 from hickorygate.store import failures
 from hickorygate.upstreams import member as members
 
@@ -47,7 +48,7 @@
     model_config = pydantic.ConfigDict(extra="ignore", strict=True)
 
     service: _Name
-    address: _Name
+    address: settings_lib.AddressField
     zone: _Name
     slots: Annotated[int, pydantic.Field(strict=True, gt=0)]
     state: Literal["ready", "draining"]
@@ -62,15 +63,12 @@
         entry = _Entry.model_validate(value)
     except pydantic.ValidationError:
         return None
-    host, _, port = entry.address.rpartition(":")
-    if not (host and port.isdecimal() and 0 < int(port) < 65_536):
-        return None
     return members.Member(
         id=name,
         born=entry.born,
         service=entry.service,
-        host=host,
-        port=int(port),
+        host=entry.address.host,
+        port=entry.address.port,
         zone=entry.zone,
         slots=entry.slots,
         leaving=entry.state == "draining",
--- a/hickorygate/platform/front.py
+++ b/hickorygate/platform/front.py
@@ -14,9 +14,9 @@
 from hickorygate.callers import dialog as dialogs
 from hickorygate.callers import surroundings
 from hickorygate.core import reply as replies
-from hickorygate.platform import database
 from hickorygate.platform import lines
 from hickorygate.platform import settings as settings_lib
+from hickorygate.platform import sockets
 
 __all__ = ["CallerConnection", "Front"]
 
@@ -89,7 +89,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Called by the loop."""
         self._transport = cast(asyncio.Transport, transport)
-        database.limit_silence(transport.get_extra_info("socket"))
+        sockets.limit_silence(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Called by the loop."""
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -42,13 +42,29 @@
 """After which a process with a configuration serves what it can."""
 
 
-class _Databases:
-    """Takes the entries of service discovery in."""
+class _Sink:
+    """Tells when the store is lost and regained; takes in what it holds."""
+
+    _kind: str
 
     def __init__(self, fleet: fleets.Fleet, journal: events.Journal) -> None:
         self._fleet = fleet
         self._journal = journal
 
+    def lost(self, failure: errors.Failure) -> None:
+        """Takes in that the store is out of reach."""
+        self._journal.record(decisions.StoreLost(self._kind, failure.message))
+
+    def regained(self) -> None:
+        """Takes in that the store answers again."""
+        self._journal.record(decisions.StoreRegained(self._kind))
+
+
+class _Databases(_Sink):
+    """Takes the entries of service discovery in."""
+
+    _kind = entries.SERVERS
+
     def replace(self, objects: Sequence[feeds.StoredObject]) -> None:
         """Takes in the whole list."""
         found = [self._decode(stored) for stored in objects]
@@ -65,14 +81,12 @@
     def lost(self, failure: errors.Failure) -> None:
         """Takes in that the store is out of reach."""
         self._fleet.lose_store()
-        self._journal.record(
-            decisions.StoreLost(entries.SERVERS, failure.message)
-        )
+        super().lost(failure)
 
     def regained(self) -> None:
         """Takes in that the store answers again."""
         self._fleet.regain_store()
-        self._journal.record(decisions.StoreRegained(entries.SERVERS))
+        super().regained()
 
     def _decode(self, stored: feeds.StoredObject) -> members.Member | None:
         member = entries.decode_member(stored.name, stored.value)
@@ -81,12 +95,10 @@
         return member
 
 
-class _Configuration:
+class _Configuration(_Sink):
     """Takes the configuration in."""
 
-    def __init__(self, fleet: fleets.Fleet, journal: events.Journal) -> None:
-        self._fleet = fleet
-        self._journal = journal
+    _kind = entries.CONFIGURATION
 
     def replace(self, objects: Sequence[feeds.StoredObject]) -> None:
         """Takes in all objects of the kind."""
@@ -98,16 +110,6 @@
         if not change.gone:
             self._apply(change.stored)
 
-    def lost(self, failure: errors.Failure) -> None:
-        """Takes in that the store is out of reach."""
-        self._journal.record(
-            decisions.StoreLost(entries.CONFIGURATION, failure.message)
-        )
-
-    def regained(self) -> None:
-        """Takes in that the store answers again."""
-        self._journal.record(decisions.StoreRegained(entries.CONFIGURATION))
-
     def _apply(self, stored: feeds.StoredObject) -> None:
         if stored.name != entries.CONFIGURATION_NAME:
             return
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -12,7 +12,14 @@
 from hickorygate.core import errors
 from hickorygate.core import types
 
-__all__ = ["Address", "PlatformSettings", "load", "parse"]
+__all__ = [
+    "Address",
+    "AddressField",
+    "PlatformSettings",
+    "load",
+    "parse",
+    "parse_address",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -26,14 +33,19 @@
         return f"{self.host}:{self.port}"
 
 
-def _parse_address(text: object) -> Address:
+def parse_address(text: object) -> Address:
+    """Decodes `HOST:PORT`.
+
+    Raises:
+      ValueError: the text is something else.
+    """
     host, colon, port = str(text).rpartition(":")
     if not (host and colon and port.isdecimal() and 0 < int(port) < 65_536):
         raise ValueError(f"{text!r} is no HOST:PORT; write one, as 10.0.0.1:80")
     return Address(host, int(port))
 
 
-_AddressField = Annotated[Address, pydantic.BeforeValidator(_parse_address)]
+AddressField = Annotated[Address, pydantic.BeforeValidator(parse_address)]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,7 +60,6 @@
       store: the object store.
       duties: where promotions are ordered.
       grace_seconds: from SIGTERM to SIGKILL.
-      descriptors: the most open files and sockets.
     """
 
     name: types.ProxyName
@@ -58,7 +69,6 @@
     store: Address
     duties: Address
     grace_seconds: float
-    descriptors: int
 
 
 class _File(pydantic.BaseModel):
@@ -68,12 +78,11 @@
 
     node_name: str = pydantic.Field(min_length=1)
     zone: str = pydantic.Field(min_length=1)
-    front: _AddressField = pydantic.Field(alias="listen.front")
-    ready: _AddressField = pydantic.Field(alias="listen.ready")
-    store: _AddressField = pydantic.Field(alias="platform.address")
-    cloud: _AddressField = pydantic.Field(alias="cloud_api.address")
+    front: AddressField = pydantic.Field(alias="listen.front")
+    ready: AddressField = pydantic.Field(alias="listen.ready")
+    store: AddressField = pydantic.Field(alias="platform.address")
+    cloud: AddressField = pydantic.Field(alias="cloud_api.address")
     grace_s: float = pydantic.Field(5.0, alias="bounds.grace_s", gt=0)
-    max_fds: int = pydantic.Field(1_024, alias="limits.max_fds", gt=0)
 
     def settings(self) -> PlatformSettings:
         """Returns the file as the data class used inside."""
@@ -85,7 +94,6 @@
             store=self.store,
             duties=self.cloud,
             grace_seconds=self.grace_s,
-            descriptors=self.max_fds,
         )
 
 
--- a/hickorygate/store/feed.py
+++ b/hickorygate/store/feed.py
@@ -157,9 +157,7 @@
             if failure is None:
                 self._note_answer()
                 continue
-            _take_failure(failure, self)
-            if not isinstance(failure, HistoryLost):
-                await self._clock.sleep(self._backoff.fail())
+            await self._clock.sleep(_take_failure(failure, self))
 
     async def _step(self) -> errors.Failure | None:
         """Makes one call; returns its failure."""
@@ -188,18 +186,21 @@
         """Makes the next call list all objects."""
         self._revision = None
 
-    def note_failure(self, failure: errors.Failure) -> None:
-        """Tells the sink of a lost store once."""
+    def note_failure(self, failure: errors.Failure) -> datetime.timedelta:
+        """Tells the sink of a lost store once; returns how long to wait."""
         if self._connected:
             self._connected = False
             self._sink.lost(failure)
+        return self._backoff.fail()
 
 
 @functools.singledispatch
-def _take_failure(failure: errors.Failure, feed: Feed) -> None:
-    feed.note_failure(failure)
+def _take_failure(failure: errors.Failure, feed: Feed) -> datetime.timedelta:
+    """Takes a failure in; returns how long to wait before the next call."""
+    return feed.note_failure(failure)
 
 
 @_take_failure.register
-def _(failure: HistoryLost, feed: Feed) -> None:
+def _(failure: HistoryLost, feed: Feed) -> datetime.timedelta:
     feed.forget_revision()
+    return datetime.timedelta()
--- a/hickorygate/testing/clock.py
+++ b/hickorygate/testing/clock.py
@@ -5,11 +5,16 @@
 import asyncio
 import datetime
 
-__all__ = ["FakeClock"]
+__all__ = ["FakeClock", "at"]
 
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
 
+def at(seconds: float) -> datetime.datetime:
+    """Returns a time so long after a test's beginning."""
+    return _START + datetime.timedelta(seconds=seconds)
+
+
 class FakeClock:
     """Time in a test; sleeping takes none."""
 
--- a/hickorygate/tests/test_duty.py
+++ b/hickorygate/tests/test_duty.py
@@ -2,17 +2,11 @@
 
 from __future__ import annotations
 
-import datetime
 import unittest
 
+from hickorygate.testing import clock
 from hickorygate.upstreams import duty as duties
 
-_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-
-
-def _at(seconds: float) -> datetime.datetime:
-    return _START + datetime.timedelta(seconds=seconds)
-
 
 class DutyTest(unittest.TestCase):
     """Numbers rise, and nobody calls after its lease."""
@@ -23,8 +17,8 @@
         self.stored: duties.Stored | None = None
 
     def claim(self, duty: duties.Duty, at: float) -> duties.Action:
-        duty.see(self.stored, _at(at))
-        action = duty.decide(_at(at))
+        duty.see(self.stored, clock.at(at))
+        action = duty.decide(clock.at(at))
         if isinstance(action, duties.Write):
             self.store(duty, action, at)
         return action
@@ -32,18 +26,18 @@
     def store(self, duty: duties.Duty, write: duties.Write, at: float) -> None:
         revision = self.stored.revision if self.stored else 0
         self.stored = duties.Stored(write.record, revision + 1)
-        duty.win(self.stored, _at(at))
+        duty.win(self.stored, clock.at(at))
 
     def test_the_first_one_creates_the_record(self) -> None:
         action = self.claim(self.one, 0)
         self.assertEqual(action.revision, None)
         self.assertEqual(action.record.number, 1)
-        self.assertTrue(self.one.may_call(_at(1)))
+        self.assertTrue(self.one.may_call(clock.at(1)))
 
     def test_a_call_must_end_before_the_lease(self) -> None:
         self.claim(self.one, 0)
-        self.assertTrue(self.one.may_call(_at(2.4)))
-        self.assertFalse(self.one.may_call(_at(2.6)))
+        self.assertTrue(self.one.may_call(clock.at(2.4)))
+        self.assertFalse(self.one.may_call(clock.at(2.6)))
 
     def test_another_waits_longer_than_the_lease(self) -> None:
         self.claim(self.one, 0)
@@ -51,7 +45,7 @@
         self.assertIsInstance(self.claim(self.two, 4.5), duties.Wait)
         action = self.claim(self.two, 4.7)
         self.assertEqual(action.record.number, 2)
-        self.assertFalse(self.one.may_call(_at(4.7)))
+        self.assertFalse(self.one.may_call(clock.at(4.7)))
 
     def test_a_renewal_restarts_the_wait(self) -> None:
         self.claim(self.one, 0)
@@ -63,7 +57,7 @@
     def test_a_released_duty_passes_at_once_under_a_new_number(self) -> None:
         self.claim(self.one, 0)
         self.store(self.one, self.one.release(), 1)
-        self.assertFalse(self.one.may_call(_at(1)))
+        self.assertFalse(self.one.may_call(clock.at(1)))
         self.assertEqual(self.claim(self.two, 1.1).record.number, 2)
 
     def test_a_new_process_of_the_holder_gets_a_new_number(self) -> None:
@@ -73,6 +67,6 @@
 
     def test_an_answer_for_another_process_gives_no_lease(self) -> None:
         self.claim(self.one, 0)
-        self.two.win(self.stored, _at(0))
-        self.assertFalse(self.two.may_call(_at(0)))
+        self.two.win(self.stored, clock.at(0))
+        self.assertFalse(self.two.may_call(clock.at(0)))
         self.assertIsNone(self.two.release())
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -13,21 +13,7 @@
 from hickorygate.core import events
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
-
-_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-
-
-class _Clock:
-    """A time that stands still unless it is moved."""
-
-    def __init__(self) -> None:
-        self.time = _START
-
-    def now(self) -> datetime.datetime:
-        return self.time
-
-    async def sleep(self, duration: datetime.timedelta) -> None:
-        self.time += duration
+from hickorygate.testing import clock as fake_clock
 
 
 class _Lines(logbook.Handler):
@@ -61,7 +47,7 @@
     """What is written and what is counted."""
 
     def setUp(self) -> None:
-        self.clock = _Clock()
+        self.clock = fake_clock.FakeClock()
         self.handler = _Lines()
         self.tally = proxy_metrics.Tally()
         self.log = event_log.EventLog(
@@ -80,7 +66,7 @@
             self.log.record(_ended("ok"))
         written = len(self.handler.lines)
         self.assertLess(written, 20)
-        self.clock.time += datetime.timedelta(seconds=1)
+        self.clock.advance(datetime.timedelta(seconds=1))
         self.log.record(_ended("ok"))
         self.assertEqual(
             self.handler.lines[-1]["dropped_before"], 1_000 - written
--- a/hickorygate/tests/test_evidence.py
+++ b/hickorygate/tests/test_evidence.py
@@ -8,17 +8,13 @@
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import position as positions
 from hickorygate.core import reply as replies
+from hickorygate.testing import clock
 from hickorygate.upstreams import evidence as evidences
 from hickorygate.upstreams import member as members
 
-_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _STALENESS = datetime.timedelta(milliseconds=1_500)
 
 
-def _at(seconds: float) -> datetime.datetime:
-    return _START + datetime.timedelta(seconds=seconds)
-
-
 def _position(term: int, offset: int) -> positions.Position:
     return positions.Position(term, offset)
 
@@ -52,7 +48,7 @@
         self.evidence.set_members(tuple(_member(n) for n in "abc"))
 
     def judge(self, at: float, **sights: evidences.Sight) -> evidences.Finding:
-        seen = self.evidence.open_round(_at(at))
+        seen = self.evidence.open_round(clock.at(at))
         seen.sights.update(sights)
         return self.evidence.judge(seen)
 
@@ -150,9 +146,9 @@
                 c=_sight(False, 1, 0),
             )
         bounded = catalogs.Bounded(_STALENESS)
-        floor = self.evidence.floor(bounded, _at(3.2))
+        floor = self.evidence.floor(bounded, clock.at(3.2))
         self.assertEqual(floor.position, _position(1, 2))
-        self.assertIsNone(self.evidence.floor(bounded, _at(4.6)))
+        self.assertIsNone(self.evidence.floor(bounded, clock.at(4.6)))
 
     def test_two_that_lead_are_told_apart_by_term(self) -> None:
         finding = self.judge(
--- a/hickorygate/tests/test_patience.py
+++ b/hickorygate/tests/test_patience.py
@@ -7,20 +7,16 @@
 
 from hickorygate.core import rank as ranks
 from hickorygate.core import request as request_lib
+from hickorygate.testing import clock
 from hickorygate.upstreams import census as censuses
 from hickorygate.upstreams import patience as patiences
 from hickorygate.upstreams import share as shares
 
-_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _RANK = ranks.Rank("0", 0, datetime.timedelta(milliseconds=200), 0.05)
 
 
-def _at(seconds: float) -> datetime.datetime:
-    return _START + datetime.timedelta(seconds=seconds)
-
-
 def _request(at: float) -> request_lib.Request:
-    return request_lib.Request(_RANK, _at(at), _at(at + 1))
+    return request_lib.Request(_RANK, clock.at(at), clock.at(at + 1))
 
 
 class PatienceTest(unittest.TestCase):
@@ -28,45 +24,45 @@
 
     def setUp(self) -> None:
         self.patience = patiences.Patience()
-        self.patience.lose(_at(0))
+        self.patience.lose(clock.at(0))
 
     def test_what_cannot_be_served_in_time_is_refused_soon(self) -> None:
-        until = self.patience.until(_request(0.1), _at(0.1))
-        self.assertEqual(until, _at(0.14))
+        until = self.patience.until(_request(0.1), clock.at(0.1))
+        self.assertEqual(until, clock.at(0.14))
 
     def test_what_can_be_served_in_time_waits(self) -> None:
-        until = self.patience.until(_request(1.5), _at(1.5))
-        self.assertEqual(until, _at(2.25))
+        until = self.patience.until(_request(1.5), clock.at(1.5))
+        self.assertEqual(until, clock.at(2.25))
 
     def test_what_is_overdue_is_not_waited_for(self) -> None:
-        until = self.patience.until(_request(5), _at(5))
-        self.assertEqual(until, _at(5.04))
+        until = self.patience.until(_request(5), clock.at(5))
+        self.assertEqual(until, clock.at(5.04))
 
     def test_the_time_is_learned(self) -> None:
         for at in (1, 11, 21, 31):
-            self.patience.find(_at(at))
-            self.patience.lose(_at(at + 9))
-        until = self.patience.until(_request(40.5), _at(40.5))
-        self.assertGreater(until, _at(41))
-        self.assertLess(until, _at(41.5))
+            self.patience.find(clock.at(at))
+            self.patience.lose(clock.at(at + 9))
+        until = self.patience.until(_request(40.5), clock.at(40.5))
+        self.assertGreater(until, clock.at(41))
+        self.assertLess(until, clock.at(41.5))
 
 
 class ShareTest(unittest.TestCase):
     """Connections that proxies share without seeing each other."""
 
     def test_it_may_use_what_the_slots_can(self) -> None:
-        self.assertEqual(shares.Share(3, 22).limit(_at(0)), 5)
-        self.assertEqual(shares.Share(3, 2).limit(_at(0)), 2)
+        self.assertEqual(shares.Share(3, 22).limit(clock.at(0)), 5)
+        self.assertEqual(shares.Share(3, 2).limit(clock.at(0)), 2)
 
     def test_after_a_refusal_none_is_opened_for_a_while(self) -> None:
         share = shares.Share(4, 47)
         share.set_most(47, 25)
-        self.assertEqual(share.limit(_at(0)), 3)
-        share.refuse(1, _at(1))
-        self.assertEqual(share.limit(_at(1.2)), 1)
-        self.assertEqual(share.limit(_at(1.3)), 3)
-        share.refuse(1, _at(1.3))
-        self.assertEqual(share.limit(_at(1.7)), 1)
+        self.assertEqual(share.limit(clock.at(0)), 3)
+        share.refuse(1, clock.at(1))
+        self.assertEqual(share.limit(clock.at(1.2)), 1)
+        self.assertEqual(share.limit(clock.at(1.3)), 3)
+        share.refuse(1, clock.at(1.3))
+        self.assertEqual(share.limit(clock.at(1.7)), 1)
 
     def test_many_proxies_send_few_requests_each(self) -> None:
         self.assertEqual(shares.permits(2, 4), 2)
@@ -87,12 +83,12 @@
     def test_one_that_renews_no_more_is_gone(self) -> None:
         census = censuses.Census()
         for at in range(0, 48, 8):
-            census.take({"a": at, "b": 1}, _at(at))
-        self.assertEqual(census.gone(_at(41)), ("b",))
-        self.assertEqual(census.count(_at(41)), 1)
+            census.take({"a": at, "b": 1}, clock.at(at))
+        self.assertEqual(census.gone(clock.at(41)), ("b",))
+        self.assertEqual(census.count(clock.at(41)), 1)
 
     def test_one_that_left_is_forgotten(self) -> None:
         census = censuses.Census()
-        census.take({"a": 1, "b": 1}, _at(0))
-        census.take({"a": 2}, _at(8))
-        self.assertEqual(census.count(_at(8)), 1)
+        census.take({"a": 1, "b": 1}, clock.at(0))
+        census.take({"a": 2}, clock.at(8))
+        self.assertEqual(census.count(clock.at(8)), 1)
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -54,7 +54,7 @@
         address = settings_lib.Address("127.0.0.1", self.server.port)
         self.store = stores.PlatformStore(
             settings_lib.PlatformSettings(
-                "proxy-1", "a", address, address, address, address, 6, 1_000
+                "proxy-1", "a", address, address, address, address, 6
             )
         )
         self.addAsyncCleanup(self.store.close)
--- a/hickorygate/tests/test_takeover.py
+++ b/hickorygate/tests/test_takeover.py
@@ -2,19 +2,13 @@
 
 from __future__ import annotations
 
-import datetime
 import unittest
 
 from hickorygate.core import position as positions
 from hickorygate.core import reply as replies
+from hickorygate.testing import clock
 from hickorygate.upstreams import takeover as takeovers
 
-_START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
-
-
-def _at(seconds: float) -> datetime.datetime:
-    return _START + datetime.timedelta(seconds=seconds)
-
 
 def _plan(
     candidate: str | None = None,
@@ -46,14 +40,14 @@
     """The most advanced of all that could hold a commit takes over."""
 
     def begin(self, plan: takeovers.Plan) -> list[takeovers.Effect]:
-        self.takeover = takeovers.Takeover(plan, _at(0))
-        return self.takeover.advance(_at(0))
+        self.takeover = takeovers.Takeover(plan, clock.at(0))
+        return self.takeover.advance(clock.at(0))
 
     def feed(
         self, event: takeovers.Event, at: float = 0.1
     ) -> list[takeovers.Effect]:
-        done = takeovers.handle(event, self.takeover, _at(at))
-        return done + self.takeover.advance(_at(at))
+        done = takeovers.handle(event, self.takeover, clock.at(at))
+        return done + self.takeover.advance(clock.at(at))
 
     def pause(self, name: str, received: int) -> list[takeovers.Effect]:
         return self.feed(takeovers.ReplicaPaused(name, _status(received)))
@@ -75,7 +69,7 @@
         self.pause("b", 5)
         lost = self.feed(takeovers.ReplicaPaused("c", None))
         self.assertEqual(lost, [])
-        again = self.takeover.advance(_at(0.5))
+        again = self.takeover.advance(clock.at(0.5))
         self.assertEqual(again, [takeovers.PauseReplica("c", 2)])
 
     def test_one_that_stays_goes_before_one_that_leaves(self) -> None:
@@ -98,7 +92,7 @@
         self.begin(_plan())
         self.pause("b", 5)
         newer = takeovers.ReplicaPaused("c", _status(9, term=2))
-        effects = takeovers.handle(newer, self.takeover, _at(0.1))
+        effects = takeovers.handle(newer, self.takeover, clock.at(0.1))
         self.assertFalse(effects[0].led)
 
     def test_a_candidate_must_have_caught_up_after_the_pauses(self) -> None:
@@ -121,22 +115,25 @@
         refused = takeovers.PromotionEnded(False)
         self.assertEqual(self.feed(refused, 0.15), [])
         self.assertEqual(
-            self.takeover.advance(_at(0.4)), [takeovers.OrderPromotion("c")]
+            self.takeover.advance(clock.at(0.4)),
+            [takeovers.OrderPromotion("c")],
         )
 
     def test_the_new_primary_ends_it_and_the_former_is_demoted(self) -> None:
         self.begin(_plan())
         found = takeovers.LeaderFound("c", 2)
-        effects = takeovers.handle(found, self.takeover, _at(1))
+        effects = takeovers.handle(found, self.takeover, clock.at(1))
         self.assertEqual(effects, [takeovers.Finish(True, "a", "c leads")])
 
     def test_the_former_primary_coming_back_ends_nothing(self) -> None:
         self.begin(_plan())
         found = takeovers.LeaderFound("a", 1)
-        self.assertEqual(takeovers.handle(found, self.takeover, _at(1)), [])
+        self.assertEqual(
+            takeovers.handle(found, self.takeover, clock.at(1)), []
+        )
 
     def test_it_gives_up_in_the_end(self) -> None:
         self.begin(_plan())
         self.pause("b", 5)
-        effects = self.takeover.advance(_at(6))
+        effects = self.takeover.advance(clock.at(6))
         self.assertFalse(effects[0].led)
--- a/hickorygate/upstreams/evidence.py
+++ b/hickorygate/upstreams/evidence.py
@@ -327,17 +327,5 @@
 def _(
     consistency: catalogs.Bounded, evidence: Evidence, now: datetime.datetime
 ) -> Floor | None:
-    return _within(consistency.staleness, evidence, now)
-
-
-@_floor.register
-def _(
-    consistency: catalogs.OwnWrites, evidence: Evidence, now: datetime.datetime
-) -> Floor | None:
-    return _within(consistency.staleness, evidence, now)
-
-
-def _within(
-    staleness: datetime.timedelta, evidence: Evidence, now: datetime.datetime
-) -> Floor | None:
-    return evidence.floor_since(now - staleness + _STALENESS_MARGIN)
+    oldest = now - consistency.staleness + _STALENESS_MARGIN
+    return evidence.floor_since(oldest)
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -152,7 +152,9 @@
                 del self._lenders[name]
                 lender.retire("it left")
                 self._prober.forget(name)
-                self._tell(decisions.MemberUnlisted(self.service, name))
+                self._journal.record(
+                    decisions.MemberUnlisted(self.service, name)
+                )
         for name, member in new.items():
             self._take_member(name, member)
         self._evidence.set_members(listed)
@@ -189,11 +191,14 @@
                 return None
 
     async def wait_for_floor(
-        self, oldest: datetime.datetime, deadline: datetime.datetime
+        self,
+        consistency: catalogs.Consistency,
+        arrived: datetime.datetime,
+        deadline: datetime.datetime,
     ) -> evidences.Floor | None:
-        """Returns a floor that covers all commits before a time."""
+        """Returns what a read must see, waiting for it until the deadline."""
         while True:
-            floor = self._evidence.floor_since(oldest)
+            floor = self._evidence.floor(consistency, arrived)
             if floor is not None:
                 return floor
             if not await self.next_round(deadline):
@@ -237,7 +242,9 @@
         lender = self._lenders.get(leader.member)
         if lender is not None:
             lender.drop(reason)
-        self._tell(decisions.LeaderLost(self.service, leader.member, reason))
+        self._journal.record(
+            decisions.LeaderLost(self.service, leader.member, reason)
+        )
 
     def _take_member(
         self, name: members.MemberId, member: members.Member
@@ -247,9 +254,9 @@
         if lender is None:
             lender = lenders.Lender(member, limit, self._connector, self._clock)
             self._lenders[name] = lender
-            self._tell(decisions.MemberListed(self.service, name))
+            self._journal.record(decisions.MemberListed(self.service, name))
         if member.leaving and not lender.member.leaving:
-            self._tell(decisions.MemberLeaving(self.service, name))
+            self._journal.record(decisions.MemberLeaving(self.service, name))
         lender.update(member, limit, self._proxies)
 
     def commit_sent(self) -> None:
@@ -304,7 +311,7 @@
         self._lost = None
         self._patience.find(self._clock.now())
         position = self._evidence.position(leader.member)
-        self._tell(
+        self._journal.record(
             decisions.LeaderChanged(
                 self.service, leader.member, leader.term, position
             )
@@ -340,6 +347,3 @@
         except TimeoutError:
             return False
         return True
-
-    def _tell(self, event: events.Event) -> None:
-        self._journal.record(event)
