--- a/hickorygate/operators/bench.py
+++ b/hickorygate/operators/bench.py
@@ -12,6 +12,7 @@
 import orjson
 
 from hickorygate.core import admission
+from hickorygate.core import clock as clocks
 from hickorygate.core import rank as ranks
 from hickorygate.operators import command as commands
 from hickorygate.testing import flood
@@ -168,10 +169,11 @@
 
 @commands.execute.register
 async def _(command: Bench) -> commands.Result:
+    clock = clocks.SystemClock()
     reports = []
     for scenario in command.scenarios:
         for policy in command.policies:
-            report = await flood.run(policy, scenario, command.setup)
+            report = await flood.run(policy, scenario, command.setup, clock)
             print(_text(report), flush=True)
             reports.append(dataclasses.asdict(report))
     if command.json is not None:
--- a/hickorygate/testing/flood.py
+++ b/hickorygate/testing/flood.py
@@ -368,10 +368,12 @@
 
 
 async def run(
-    policy: admission.Policy, scenario: Scenario, setup: Setup
+    policy: admission.Policy,
+    scenario: Scenario,
+    setup: Setup,
+    clock: clocks.Clock,
 ) -> Report:
     """Starts a database and pools, floods them, and returns the figures."""
-    clock = clocks.SystemClock()
     group = databases.Group(clock)
     (database,) = await group.start(("one",))
     database.load.settings = loads.LoadSettings(
--- a/hickorygate/tests/test_flood.py
+++ b/hickorygate/tests/test_flood.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime
 import unittest
 
@@ -9,32 +10,38 @@
 from hickorygate.core import rank as ranks
 from hickorygate.operators import main
 from hickorygate.testing import flood
+from hickorygate.testing import virtual_time
 
 _RANK = ranks.Rank("urgent", 0, datetime.timedelta(milliseconds=250), 0.5)
 _STREAM = flood.Stream(_RANK, datetime.timedelta(milliseconds=20), 4.0)
 _SETUP = flood.Setup(duration=datetime.timedelta(seconds=1))
 
 
-class FloodTest(unittest.IsolatedAsyncioTestCase):
+async def _run(policy: admission.Policy) -> flood.Report:
+    scenario = flood.Scenario("test", (_STREAM,))
+    clock = virtual_time.LoopClock(asyncio.get_running_loop())
+    return await flood.run(policy, scenario, _SETUP, clock)
+
+
+class FloodTest(unittest.TestCase):
     """Every request is counted once, and the limits are seen."""
 
-    async def flooded(self, policy: admission.Policy) -> flood.Report:
-        scenario = flood.Scenario("test", (_STREAM,))
-        report = await flood.run(policy, scenario, _SETUP)
+    def flooded(self, policy: admission.Policy) -> flood.Report:
+        report = virtual_time.run(_run(policy))
         (rank,) = report.ranks
         counted = rank.answered + rank.refused + rank.unsettled
         self.assertEqual(counted, rank.offered)
         self.assertGreater(rank.answered, 0)
         return report
 
-    async def test_floors_refuse_what_the_slots_cannot_run(self) -> None:
-        report = await self.flooded(admission.Floors())
+    def test_floors_refuse_what_the_slots_cannot_run(self) -> None:
+        report = self.flooded(admission.Floors())
         self.assertEqual(report.most_running, _SETUP.slots)
         self.assertLessEqual(report.most_connections, 10)
         self.assertGreater(report.ranks[0].refused, 0)
 
-    async def test_plain_pool_crowds_the_database(self) -> None:
-        report = await self.flooded(flood.Plain())
+    def test_plain_pool_crowds_the_database(self) -> None:
+        report = self.flooded(flood.Plain())
         self.assertGreater(report.most_running, _SETUP.slots)
 
     def test_unknown_policy_is_a_mistake_of_usage(self) -> None:
