--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 import dataclasses
 import datetime
 import hashlib
@@ -18,7 +19,13 @@
 from hickorygate.testing import line_session
 from hickorygate.upstreams import member as members
 
-__all__ = ["Faults", "LineDatabase", "LineGroup"]
+__all__ = ["Faults", "LineDatabase", "LineGroup", "signature"]
+
+
+def signature(database: str, request: str) -> str:
+    """Returns the proof that a database of this name ran a request."""
+    text = f"{database} {request}".encode()
+    return hashlib.blake2b(text, digest_size=8).hexdigest()
 
 
 @dataclasses.dataclass(slots=True)
@@ -41,7 +48,17 @@
 
 
 class LineDatabase:
-    """One database that listens."""
+    """One database that listens.
+
+    Attributes:
+      log: its log, role and term.
+      faults: what is wrong with it.
+      ran: callers' requests that it ran: ids and texts.
+      leaving: whether it is about to stop.
+      last_ran: the loop's time of the newest of them; None before any.
+      deposed: the loop's time since which it leads beside a newer primary
+        that it can reach; None if it doesn't.
+    """
 
     def __init__(
         self, name: str, group: LineGroup, role: line_log.Role
@@ -51,6 +68,8 @@
         self.group = group
         self.ran: list[tuple[str, str]] = []
         self.leaving = False
+        self.last_ran: float | None = None
+        self.deposed: float | None = None
         self._sessions: set[line_session.LineSession] = set()
         self._server: asyncio.Server | None = None
         self._port = 0
@@ -60,6 +79,11 @@
         """Its identity."""
         return self.log.name
 
+    @property
+    def port(self) -> int:
+        """Its TCP port, once it was started."""
+        return self._port
+
     @property
     def running(self) -> bool:
         """Whether it listens."""
@@ -98,10 +122,21 @@
         for session in tuple(self._sessions):
             session.abort()
 
+    def note_run(self, request: str, text: str) -> None:
+        """Takes in that it ran a caller's request."""
+        self.ran.append((request, text))
+        self.last_ran = asyncio.get_running_loop().time()
+
+    def take_place(self, former: LineDatabase) -> None:
+        """Becomes the one that follows another at its address."""
+        self._port = former.port
+        self.log.commits = list(former.log.commits)
+        self.log.term = former.log.term
+        self.log.apply()
+
     def signature(self, request: str) -> str:
         """Returns the proof that this database ran a request."""
-        text = f"{self.name} {request}".encode()
-        return hashlib.blake2b(text, digest_size=8).hexdigest()
+        return signature(self.name, request)
 
     def _accept(self) -> line_session.LineSession:
         session = line_session.LineSession(self, self._sessions.discard)
@@ -118,18 +153,21 @@
       acknowledged: commits that were acknowledged, in that order.
       promotions: the databases that were promoted.
       synchronous: replicas that must hold a commit; all are off if 0.
+      notice: how long a primary goes on beside a newer one that it can reach.
     """
 
     def __init__(
         self,
         service: str = "ledger",
-        names: str = "abc",
+        names: Sequence[str] = "abc",
         lag: datetime.timedelta = datetime.timedelta(milliseconds=5),
         promotion_delay: datetime.timedelta = datetime.timedelta(
             milliseconds=50
         ),
+        notice: datetime.timedelta = datetime.timedelta(),
     ) -> None:
         self.service = service
+        self.notice = notice
         self.lag = lag
         self.promotion_delay = promotion_delay
         self.synchronous = 1
@@ -182,6 +220,15 @@
             await asyncio.sleep(0.001)
         return None
 
+    async def replace(self, name: str, successor: str) -> None:
+        """Ends a database; another one takes over its address and log."""
+        former = self.databases.pop(name)
+        former.crash()
+        database = LineDatabase(successor, self, line_log.Role.REPLICA)
+        database.take_place(former)
+        self.databases[successor] = database
+        await database.start()
+
     def promote(self, name: str) -> bool:
         """Takes the platform's order; it takes effect later."""
         database = self.databases.get(name)
@@ -195,7 +242,7 @@
         self, leader: line_log.LineLog, commit: line_log.Commit
     ) -> int:
         return sum(
-            commit in database.log.commits
+            database.log.contains(commit)
             for database in self.databases.values()
             if database.running and database.log is not leader
         )
@@ -212,12 +259,13 @@
 
     async def _replicate(self) -> None:
         while True:
-            for database in self.databases.values():
+            for database in tuple(self.databases.values()):
                 self._receive(database)
             await asyncio.sleep(0.001)
 
     def _receive(self, database: LineDatabase) -> None:
         if not database.running or database.faults.deaf:
+            database.deposed = None
             return
         leaders = [
             d.log
@@ -229,7 +277,17 @@
             return
         if database.log.leads and database.log.term >= newest.term:
             return
+        if database.log.leads and not self._has_noticed(database):
+            return
+        database.deposed = None
         if database.log.received != newest.received or database.log.paused_for:
             database.log.receive(newest)
             loop = asyncio.get_running_loop()
             loop.call_later(self.lag.total_seconds(), database.log.apply)
+
+    def _has_noticed(self, database: LineDatabase) -> bool:
+        """Whether a former primary has seen the newer one for long enough."""
+        now = asyncio.get_running_loop().time()
+        if database.deposed is None:
+            database.deposed = now
+        return now - database.deposed >= self.notice.total_seconds()
--- a/hickorygate/testing/line_log.py
+++ b/hickorygate/testing/line_log.py
@@ -70,6 +70,11 @@
         """Whether reads see all up to a position."""
         return self.visible >= floor
 
+    def contains(self, commit: Commit) -> bool:
+        """Whether a commit was received."""
+        index = commit.position.offset - 1
+        return index < len(self.commits) and self.commits[index] == commit
+
     def append(
         self, request: str, writes: tuple[tuple[str, str], ...]
     ) -> Commit:
--- a/hickorygate/testing/line_session.py
+++ b/hickorygate/testing/line_session.py
@@ -172,7 +172,7 @@
             self._refuse("READONLY")
             return
         await asyncio.sleep(_WORK_SECONDS)
-        self._database.ran.append((request, text))
+        self._database.note_run(request, text)
         if writes:
             await self._write(request, (words[1], " ".join(words[2:])))
         else:
@@ -191,7 +191,7 @@
         if writes and not self._database.log.leads:
             self._refuse("READONLY")
             return
-        self._database.ran.append((request, "COMMIT"))
+        self._database.note_run(request, "COMMIT")
         self._end()
         if writes:
             await self._keep(request, writes)
--- a/hickorygate/testing/object_store.py
+++ b/hickorygate/testing/object_store.py
@@ -17,6 +17,8 @@
 
 __all__ = ["ObjectStore", "StoreFault"]
 
+_CONFLICT = 409
+
 _PAGE = 3
 """Objects in one page; few, so that tests meet pages."""
 
@@ -33,19 +35,35 @@
     MALFORMED = "a body that can't be read"
 
 
+def _take_all(service: str, member: str) -> bool:
+    """Takes every promotion."""
+    return True
+
+
+def _show_all(port: int, kind: str, stored: dict[str, Any]) -> Any:
+    """Shows the content as it is stored."""
+    return stored["spec"]
+
+
 class ObjectStore:
     """The store of one test.
 
     Attributes:
       calls: methods and paths, in order.
       promotions: bodies and headers of the promotions that were ordered.
-      promotion_status: answered to a promotion.
+      promotion_status: answered to a promotion that is taken.
+      promote: carries a promotion out; tells whether it was taken.
+      shown: what callers of one port see as an object's content.
+      standing: what goes wrong with every call; None if nothing does.
     """
 
     def __init__(self) -> None:
         self.calls: list[str] = []
         self.promotions: list[dict[str, str]] = []
         self.promotion_status = 200
+        self.promote: Callable[[str, str], bool] = _take_all
+        self.shown: Callable[[int, str, dict[str, Any]], Any] = _show_all
+        self.standing: StoreFault | None = None
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._revision = 1
@@ -72,9 +90,17 @@
         app.router.add_put("/-/objects/{kind}/{name}", self._replace)
         app.router.add_delete("/-/objects/{kind}/{name}", self._delete)
         app.router.add_post("/promotion", self._promote)
-        self._runner = web.AppRunner(app, shutdown_timeout=0.05)
+        self._runner = web.AppRunner(
+            app, shutdown_timeout=0.05, access_log=None
+        )
         await self._runner.setup()
+        await self.listen()
+
+    async def listen(self) -> int:
+        """Listens on one more port; returns it."""
+        assert self._runner is not None, "not started; call start()"
         await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        return self._runner.addresses[-1][1]
 
     async def close(self) -> None:
         """Stops."""
@@ -105,7 +131,7 @@
         self, request: web.Request, handler: _Handler
     ) -> web.StreamResponse:
         self.calls.append(f"{request.method} {request.path}")
-        fault = self._faults.popleft() if self._faults else None
+        fault = self._faults.popleft() if self._faults else self.standing
         match fault:
             case StoreFault.BUSY:
                 return web.Response(status=503)
@@ -144,7 +170,7 @@
         objects = self._objects.get(request.match_info["kind"], {})
         after = request.query.get("after", "")
         names = sorted(name for name in objects if name > after)
-        page = [objects[name] for name in names[:_PAGE]]
+        page = [self._show(request, objects[name]) for name in names[:_PAGE]]
         return web.json_response(
             {
                 "items": page,
@@ -162,7 +188,7 @@
             if since < self._oldest:
                 return web.Response(status=410)
             events = [
-                {"object": stored, "deleted": gone}
+                {"object": self._show(request, stored), "deleted": gone}
                 for revision, of, stored, gone in self._history
                 if revision > since and of == kind
             ]
@@ -181,7 +207,7 @@
         found = self._find(request)
         if found is None:
             return web.Response(status=404)
-        return web.json_response(found)
+        return web.json_response(self._show(request, found))
 
     async def _create(self, request: web.Request) -> web.Response:
         body = await request.json()
@@ -214,8 +240,20 @@
         body["holder"] = request.headers["X-Duty-Holder"]
         body["number"] = request.headers["X-Fencing-Token"]
         self.promotions.append(body)
+        if not self.promote(body["service"], body["id"]):
+            return web.json_response({}, status=_CONFLICT)
         return web.json_response({}, status=self.promotion_status)
 
+    def _show(
+        self, request: web.Request, stored: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Returns an object as the caller is to see it."""
+        if request.transport is None:
+            return stored  # Nobody waits for the answer any more.
+        port = request.transport.get_extra_info("sockname")[1]
+        kind = request.match_info["kind"]
+        return {**stored, "spec": self.shown(port, kind, stored)}
+
     def _find(self, request: web.Request) -> dict[str, Any] | None:
         kind = self._objects.get(request.match_info["kind"], {})
         return kind.get(request.match_info["name"])
--- a/hickorygate/testing/relay.py
+++ b/hickorygate/testing/relay.py
@@ -1,37 +1,86 @@
-"""A relay between two ends of TCP that can lose track of connections."""
+"""A relay between two ends of TCP that harms what passes, on demand."""
 
 from __future__ import annotations
 
 import asyncio
+import collections
 import datetime
+import enum
+import socket
+import struct
 
-__all__ = ["Relay"]
+from hickorygate.core import background
+
+__all__ = ["Relay", "Way"]
 
 _CHUNK_BYTES = 65_536
+_BACKLOG = 256
+
+
+_LINGER_NONE = struct.pack("ii", 1, 0)
+"""Makes a close discard what is unsent and reset the connection."""
+
+
+class Way(enum.Flag):
+    """The directions of a connection."""
+
+    THERE = enum.auto()
+    BACK = enum.auto()
+    BOTH = THERE | BACK
+
+
+class _Stream:
+    """What passes in one direction of a connection, in its order.
+
+    Attributes:
+      way: the direction.
+      writer: to the receiver.
+      delayed: what waits for its time; no bytes stand for the end.
+      held: what waits for the cut to heal.
+    """
+
+    __slots__ = ("delayed", "held", "way", "writer")
+
+    def __init__(self, way: Way, writer: asyncio.StreamWriter) -> None:
+        self.way = way
+        self.writer = writer
+        self.delayed: collections.deque[bytes] = collections.deque()
+        self.held: collections.deque[bytes] = collections.deque()
+
+    def __repr__(self) -> str:
+        return f"_Stream({self.way}, held={len(self.held)})"
 
 
 class _Link:
     """One relayed connection."""
 
-    __slots__ = ("silent", "writers")
+    __slots__ = ("silent", "streams")
 
-    def __init__(self, *writers: asyncio.StreamWriter) -> None:
+    def __init__(self, *streams: _Stream) -> None:
         self.silent = False
-        self.writers = writers
+        self.streams = streams
 
     def __repr__(self) -> str:
-        return f"_Link(silent={self.silent})"
+        return f"_Link({self.streams}, silent={self.silent})"
 
     def close(self) -> None:
         """Closes both ends."""
-        for writer in self.writers:
-            writer.close()
+        for stream in self.streams:
+            stream.writer.close()
+
+    def abort(self) -> None:
+        """Resets both ends."""
+        for stream in self.streams:
+            _reset(stream.writer)
 
 
 class Relay:
-    """Listens and passes bytes on to one address."""
+    """Listens and passes bytes on to one address.
 
-    __slots__ = ("_delay", "_host", "_links", "_port", "_server", "_tasks")
+    Attributes:
+      delay: how much later bytes arrive.
+      refusing: whether new connections are reset.
+    """
 
     def __init__(
         self,
@@ -39,11 +88,13 @@
         port: int,
         delay: datetime.timedelta = datetime.timedelta(),
     ) -> None:
+        self.delay = delay
+        self.refusing = False
         self._host = host
         self._port = port
-        self._delay = delay
+        self._cut = Way(0)
         self._links: set[_Link] = set()
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._background = background.Background()
         self._server: asyncio.Server | None = None
 
     @property
@@ -57,7 +108,9 @@
 
     async def start(self) -> None:
         """Begins to listen."""
-        self._server = await asyncio.start_server(self._accept, self._host, 0)
+        self._server = await asyncio.start_server(
+            self._accept, self._host, 0, backlog=_BACKLOG
+        )
 
     async def stop(self) -> None:
         """Ends all connections, silent ones too."""
@@ -65,24 +118,38 @@
             self._server.close()
         for link in self._links:
             link.close()
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._background.close()
 
     def silence(self) -> None:
         """Loses track of the connections that are open; new ones work."""
         for link in self._links:
             link.silent = True
 
+    def reset(self) -> None:
+        """Resets the connections that are open."""
+        for link in tuple(self._links):
+            link.abort()
+            self._links.discard(link)
+
+    def cut(self, ways: Way) -> None:
+        """Holds back what passes in these directions, until `heal`."""
+        self._cut |= ways
+
+    def heal(self) -> None:
+        """Passes on what was held back, and all that follows."""
+        self._cut = Way(0)
+        for link in tuple(self._links):
+            for stream in link.streams:
+                while stream.held:
+                    self._deliver(link, stream, stream.held.popleft())
+
     def _accept(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._spawn(self._serve(reader, writer))
-
-    def _spawn(self, work: object) -> None:
-        task = asyncio.ensure_future(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        if self.refusing:
+            _reset(writer)
+            return
+        self._background.start(self._serve(reader, writer))
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
@@ -90,37 +157,51 @@
         try:
             far = await asyncio.open_connection(self._host, self._port)
         except OSError:
-            writer.close()
+            _reset(writer)
             return
-        link = _Link(writer, far[1])
+        there = _Stream(Way.THERE, far[1])
+        back = _Stream(Way.BACK, writer)
+        link = _Link(there, back)
         self._links.add(link)
-        self._spawn(self._pump(link, reader, far[1]))
-        self._spawn(self._pump(link, far[0], writer))
+        self._background.start(self._pump(link, reader, there))
+        self._background.start(self._pump(link, far[0], back))
 
     async def _pump(
-        self,
-        link: _Link,
-        reader: asyncio.StreamReader,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        loop = asyncio.get_running_loop()
-        try:
-            while data := await reader.read(_CHUNK_BYTES):
-                loop.call_later(
-                    self._delay.total_seconds(), self._pass, link, writer, data
-                )
-        except OSError:
-            pass
-        if not link.silent:
-            loop.call_later(self._delay.total_seconds(), self._end, link)
-
-    def _pass(
-        self, link: _Link, writer: asyncio.StreamWriter, data: bytes
+        self, link: _Link, reader: asyncio.StreamReader, stream: _Stream
     ) -> None:
-        if not link.silent and not writer.is_closing():
-            writer.write(data)
-
-    def _end(self, link: _Link) -> None:
-        if not link.silent:
+        data = b"-"
+        while data:
+            try:
+                data = await reader.read(_CHUNK_BYTES)
+            except OSError:
+                data = b""  # A reset by one end also ends the other.
+            stream.delayed.append(data)
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                self.delay.total_seconds(), self._pass_next, link, stream
+            )
+
+    def _pass_next(self, link: _Link, stream: _Stream) -> None:
+        """Passes the next bytes on, unless they are held back."""
+        data = stream.delayed.popleft()
+        if stream.way & self._cut:
+            stream.held.append(data)
+        else:
+            self._deliver(link, stream, data)
+
+    def _deliver(self, link: _Link, stream: _Stream, data: bytes) -> None:
+        if link.silent:
+            return
+        if not data:
             link.close()
             self._links.discard(link)
+        elif not stream.writer.is_closing():
+            stream.writer.write(data)
+
+
+def _reset(writer: asyncio.StreamWriter) -> None:
+    """Resets a connection."""
+    sock = writer.get_extra_info("socket")
+    if sock is not None and sock.fileno() >= 0:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NONE)
+    writer.transport.abort()
--- /dev/null
+++ b/hickorygate/tests/test_relay.py
@@ -0,0 +1,104 @@
+"""The relay: what it harms, and what it must not."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import unittest
+
+from hickorygate.testing import relay as relays
+
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_SHORT = 0.1
+"""Seconds in which bytes that pass would have come."""
+
+
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """Between a client and a server that echoes."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        self.server = await asyncio.start_server(self.echo, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        port = self.server.sockets[0].getsockname()[1]
+        self.relay = relays.Relay("127.0.0.1", port)
+        await self.relay.start()
+        self.addAsyncCleanup(self.relay.stop)
+
+    async def echo(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while data := await reader.read(100):
+                writer.write(data)
+        except ConnectionError:
+            return
+        writer.close()
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        streams = await asyncio.open_connection("127.0.0.1", self.relay.port)
+        self.addCleanup(streams[1].close)
+        return streams
+
+    async def arrives(self, reader: asyncio.StreamReader) -> bytes | None:
+        try:
+            async with asyncio.timeout(_SHORT):
+                return await reader.read(100)
+        except TimeoutError:
+            return None
+
+    async def test_a_cut_holds_bytes_back_until_it_heals(self) -> None:
+        for way in (relays.Way.THERE, relays.Way.BACK, relays.Way.BOTH):
+            with self.subTest(way=way):
+                reader, writer = await self.connect()
+                self.relay.cut(way)
+                writer.write(b"a")
+                self.assertIsNone(await self.arrives(reader))
+                self.relay.heal()
+                self.assertEqual(await self.arrives(reader), b"a")
+
+    async def test_a_shorter_delay_changes_no_order(self) -> None:
+        reader, writer = await self.connect()
+        self.relay.delay = 50 * _MILLISECOND
+        writer.write(b"a")
+        await asyncio.sleep(0.02)
+        self.relay.delay = datetime.timedelta()
+        writer.write(b"b")
+        self.assertEqual(await reader.readexactly(2), b"ab")
+
+    async def test_a_silenced_connection_never_answers_and_new_ones_do(
+        self,
+    ) -> None:
+        reader, writer = await self.connect()
+        writer.write(b"a")
+        self.assertEqual(await self.arrives(reader), b"a")
+        self.relay.silence()
+        writer.write(b"b")
+        self.assertIsNone(await self.arrives(reader))
+        reader, writer = await self.connect()
+        writer.write(b"c")
+        self.assertEqual(await self.arrives(reader), b"c")
+
+    async def test_a_reset_ends_open_connections_only(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(b"a")
+        await self.arrives(reader)
+        self.relay.reset()
+        with self.assertRaises(ConnectionResetError):
+            await reader.read(100)
+        reader, writer = await self.connect()
+        writer.write(b"b")
+        self.assertEqual(await self.arrives(reader), b"b")
+
+    async def test_new_connections_are_reset_while_it_refuses(self) -> None:
+        self.relay.refusing = True
+        with self.assertRaises(ConnectionError):
+            reader, writer = await self.connect()
+            writer.write(b"a")
+            if not await reader.read(100):
+                raise ConnectionResetError
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/soak/caller.py
@@ -0,0 +1,293 @@
+"""Callers that read, write and check what they are told."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import random
+
+from hickorygate.testing import line_group
+from soak import proxy as proxies
+from soak import register as registers
+from soak import session as sessions
+from soak import site as sites
+
+__all__ = ["Caller", "Visitor"]
+
+_SESSION_LENGTH = 12
+"""Operations in a session, on average."""
+
+_PAUSE_SECONDS = 0.03
+_IDLE_SECONDS = 0.4
+_RETRY_SECONDS = 0.1
+_ITEMS = 3
+"""Items that a caller writes in each service at a time."""
+
+
+class _Ended(Exception):
+    """A failure after which the session is of no use."""
+
+
+class Caller:
+    """One caller after another on sessions of its own.
+
+    Attributes:
+      outcomes: how often each outcome came.
+    """
+
+    def __init__(
+        self,
+        number: int,
+        site: sites.Site,
+        register: registers.Register,
+        rng: random.Random,
+    ) -> None:
+        self.outcomes: collections.Counter[str] = collections.Counter()
+        self._number = number
+        self._site = site
+        self._register = register
+        self._rng = rng
+        self._service = number % len(site.groups)
+        self._items = [self._new_item() for _ in range(_ITEMS)]
+        self._versions: collections.Counter[str] = collections.Counter()
+        self._own: dict[str, int] = {}
+
+    def __repr__(self) -> str:
+        return f"Caller({self._number})"
+
+    async def run(self) -> None:
+        """Opens sessions until it is cancelled."""
+        while True:
+            kind = self._rng.choice(sites.KINDS)
+            proxy = self._rng.choice(self._site.proxies)
+            try:
+                await self._use(proxy, kind)
+            except sessions.SessionEnded:
+                self.outcomes["connection ended"] += 1
+            except _Ended:
+                self.outcomes["session given up"] += 1
+            await asyncio.sleep(_RETRY_SECONDS * self._rng.random())
+
+    async def serve_once(self, proxy: proxies.Proxy, kind: str) -> bool:
+        """Writes and reads back through one proxy; tells whether it could."""
+        try:
+            session, opened = await self._open(proxy, kind)
+        except sessions.SessionEnded:
+            return False
+        try:
+            if not opened.done:
+                return False
+            item = self._rng.choice(self._items)
+            written = await self._write(session, item)
+            return written and await self._read(session, kind, item)
+        except (sessions.SessionEnded, _Ended):
+            return False
+        finally:
+            session.close()
+
+    async def _open(
+        self, proxy: proxies.Proxy, kind: str
+    ) -> tuple[sessions.Session, sessions.Answer]:
+        """Opens a session; it has no commits of its own yet."""
+        self._own = {}
+        return await sessions.Session.open(
+            proxy.host, proxy.callers.port, f"{kind}-{self._service}"
+        )
+
+    async def _use(self, proxy: proxies.Proxy, kind: str) -> None:
+        session, opened = await self._open(proxy, kind)
+        try:
+            self.outcomes[opened.code or "opened"] += 1
+            while opened.done:
+                await self._operate(session, kind)
+                if self._rng.random() < 1 / _SESSION_LENGTH:
+                    return
+                await self._pause()
+        finally:
+            session.close()
+
+    async def _operate(self, session: sessions.Session, kind: str) -> None:
+        match self._rng.randrange(6):
+            case 0:
+                await self._write(session, self._rng.choice(self._items))
+            case 1:
+                await self._transact(session)
+            case 2:
+                await self._prepared(session, kind)
+            case _:
+                await self._read(session, kind, self._any_item())
+
+    async def _read(
+        self, session: sessions.Session, kind: str, item: str
+    ) -> bool:
+        sent = self._now()
+        answer = await session.query(f"READ {item}")
+        self._take(answer)
+        self._check_read(answer, kind, item, sent)
+        return answer.done
+
+    async def _prepared(self, session: sessions.Session, kind: str) -> None:
+        """Uses a name that other callers use for other statements."""
+        item = self._any_item()
+        self._take(await session.query(f"PREPARE s1 READ shape{self._number}"))
+        sent = self._now()
+        answer = await session.query(f"EXECUTE s1 {item}")
+        self._take(answer)
+        self._check_read(answer, kind, item, sent)
+
+    async def _write(self, session: sessions.Session, item: str) -> bool:
+        write = self._new_write(item)
+        text = f"WRITE {item} {write.versions[item]}"
+        answer = await self._ask_to_keep(session, write, text)
+        return answer.done
+
+    async def _transact(self, session: sessions.Session) -> None:
+        """Writes items in one transaction, or leaves it in the middle."""
+        self._take(await session.query("BEGIN"))
+        write = self._new_write(*self._rng.sample(self._items, 2))
+        for item, version in write.versions.items():
+            answer = await session.query(f"WRITE {item} {version}")
+            self._take(answer)
+            if not answer.done:
+                await session.query("ROLLBACK")
+                return
+            await self._pause()
+        if self._rng.random() < 0.1:
+            raise _Ended
+        if self._rng.random() < 0.2:
+            self._take(await session.query("ROLLBACK"))
+            return
+        await self._ask_to_keep(session, write, "COMMIT")
+
+    async def _ask_to_keep(
+        self,
+        session: sessions.Session,
+        write: registers.WriteSent,
+        text: str,
+    ) -> sessions.Answer:
+        """Sends what commits a write; takes in what its caller is told."""
+        self._register.send(write)
+        try:
+            answer = await session.query(text, write.request)
+        except sessions.SessionEnded:
+            self._abandon(write)
+            raise
+        self._take(answer)
+        if answer.done:
+            self._register.acknowledge(write, self._now())
+            self._own.update(write.versions)
+        else:
+            self._register.refuse(write, answer.code)
+            self._abandon(write)
+        return answer
+
+    def _check_read(
+        self, answer: sessions.Answer, kind: str, item: str, sent: float
+    ) -> None:
+        if not answer.done:
+            return
+        (row,) = answer.rows
+        self._register.read(
+            registers.ReadSeen(
+                request=answer.request,
+                item=item,
+                version=0 if row == "-" else int(row),
+                sent=sent,
+                staleness=(
+                    0.0 if kind == "primary" else sites.STALENESS_SECONDS
+                ),
+                own=self._own.get(item, 0) if kind != "bounded" else 0,
+            )
+        )
+
+    def _take(self, answer: sessions.Answer) -> None:
+        """Takes in any answer; a success has its database's signature."""
+        self.outcomes[answer.code or "done"] += 1
+        signers = self._site.signers[self._service]
+        proofs = {line_group.signature(s, answer.request) for s in signers}
+        if answer.done and answer.proof not in {"-", *proofs}:
+            self._register.break_(
+                registers.Promise.OWN,
+                f"{answer.request} was answered with {answer.proof}",
+            )
+
+    def _new_write(self, *items: str) -> registers.WriteSent:
+        for item in items:
+            self._versions[item] += 1
+        versions = {item: self._versions[item] for item in items}
+        return registers.WriteSent(sessions.Session.next_request(), versions)
+
+    def _abandon(self, write: registers.WriteSent) -> None:
+        """Writes these items no more: the write may still take effect."""
+        self._items = [
+            self._new_item() if item in write.versions else item
+            for item in self._items
+        ]
+
+    def _new_item(self) -> str:
+        name = f"{self._number}.{sessions.Session.next_request()}"
+        self._site.items[self._service].append(name)
+        return name
+
+    def _any_item(self) -> str:
+        """Returns an item of any caller, one of the last in use mostly."""
+        items = self._site.items[self._service]
+        return self._rng.choice(items[-4 * self._site.size.callers :])
+
+    def _now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def _pause(self) -> None:
+        idle = self._rng.random() < 0.1
+        longest = _IDLE_SECONDS if idle else _PAUSE_SECONDS
+        await asyncio.sleep(longest * self._rng.random())
+
+
+class Visitor:
+    """Asks proxies for names that newer configurations added."""
+
+    def __init__(
+        self,
+        site: sites.Site,
+        register: registers.Register,
+        rng: random.Random,
+    ) -> None:
+        self._site = site
+        self._register = register
+        self._rng = rng
+        self._accepted: set[tuple[str, int, str]] = set()
+
+    def __repr__(self) -> str:
+        return f"Visitor(accepted={len(self._accepted)})"
+
+    async def run(self) -> None:
+        """Visits until it is cancelled."""
+        while True:
+            await asyncio.sleep(_RETRY_SECONDS * self._rng.random())
+            if self._site.extras:
+                name = self._rng.choice(self._site.extras)
+                await self.visit(
+                    self._rng.randrange(self._site.size.proxies), name
+                )
+
+    async def visit(self, proxy: int, name: str) -> bool:
+        """Opens a session with a name; tells whether it was accepted."""
+        process = self._site.proxies[proxy]
+        incarnation = process.incarnation
+        try:
+            session, opened = await sessions.Session.open(
+                process.host, process.callers.port, name
+            )
+        except sessions.SessionEnded:
+            return False
+        session.close()
+        key = (process.name, incarnation, name)
+        if incarnation != process.incarnation:
+            return opened.done
+        if opened.done:
+            self._accepted.add(key)
+        elif opened.code == "UNKNDB" and key in self._accepted:
+            self._register.break_(
+                registers.Promise.FORWARD, f"{process.name} forgot {name}"
+            )
+        return opened.done
--- /dev/null
+++ b/soak/inject.py
@@ -0,0 +1,285 @@
+"""Begins and ends the faults of a plan at a site."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import functools
+import random
+import signal
+
+from hickorygate.testing import line_group
+from hickorygate.testing import relay as relays
+from soak import plan
+from soak import proxy as proxies
+from soak import register as registers
+from soak import site as sites
+
+__all__ = ["Injector"]
+
+_DELAY = datetime.timedelta(milliseconds=80)
+_DRAIN_SECONDS = 5.0
+"""How long a leaving database goes on."""
+
+_NOTICE_SECONDS = 3.0
+"""After which a leaving database gets no work from a proxy that can know."""
+
+_BLINDING = (
+    plan.HarmLinks,
+    plan.StoreFails,
+    plan.ForgetHistory,
+    plan.PauseProxy,
+    plan.KillProxies,
+)
+"""Faults that may keep the news of a leaving database from a proxy."""
+
+
+class Injector:
+    """Runs a plan; several faults may be in force at once.
+
+    Attributes:
+      site: what is harmed.
+      register: takes broken promises in.
+      rng: chooses databases.
+    """
+
+    def __init__(
+        self,
+        site: sites.Site,
+        register: registers.Register,
+        faults: tuple[plan.Fault, ...],
+        rng: random.Random,
+    ) -> None:
+        self.site = site
+        self.register = register
+        self.rng = rng
+        self._faults = faults
+
+    def __repr__(self) -> str:
+        return f"Injector(faults={len(self._faults)})"
+
+    async def run(self) -> None:
+        """Injects all faults; returns when the last is over."""
+        await asyncio.gather(*(self._run(fault) for fault in self._faults))
+        for proxy in self.site.proxies:
+            await proxy.start()
+
+    def blind(
+        self, first: datetime.timedelta, last: datetime.timedelta
+    ) -> bool:
+        """Whether a fault may have kept news from a proxy in this time."""
+        return any(
+            isinstance(fault, _BLINDING)
+            and fault.at <= last
+            and fault.ends + _SETTLING >= first
+            for fault in self._faults
+        )
+
+    async def _run(self, fault: plan.Fault) -> None:
+        await asyncio.sleep(fault.at.total_seconds())
+        await _inject(fault, self)
+
+
+_SETTLING = datetime.timedelta(seconds=4)
+"""How long a fault's effects may outlast it."""
+
+
+@functools.singledispatch
+async def _inject(fault: plan.Fault, injector: Injector) -> None:
+    """Begins a fault, waits, and ends it."""
+    raise TypeError(f"no way to inject {fault!r}; register one")
+
+
+@_inject.register
+async def _(fault: plan.KillProxies, injector: Injector) -> None:
+    victims = [injector.site.proxies[number] for number in fault.proxies]
+    for proxy in victims:
+        proxy.send(signal.SIGKILL)
+    await asyncio.sleep(fault.lasts.total_seconds())
+    for proxy in victims:
+        await _start_again(proxy)
+
+
+@_inject.register
+async def _(fault: plan.StopProxy, injector: Injector) -> None:
+    proxy = injector.site.proxies[fault.proxy]
+    incarnation, was_running = proxy.incarnation, proxy.running
+    proxy.send(signal.SIGTERM)
+    ended = await proxy.ended(proxies.GRACE_SECONDS)
+    same = proxy.incarnation == incarnation
+    if not ended and same and was_running and not _paused(injector, fault):
+        injector.register.break_(
+            registers.Promise.GRACEFUL,
+            f"{proxy.name} ran on {proxies.GRACE_SECONDS} s after SIGTERM",
+        )
+    if not ended and same:
+        proxy.send(signal.SIGKILL)
+        await proxy.ended(proxies.GRACE_SECONDS)
+    await _start_again(proxy)
+
+
+@_inject.register
+async def _(fault: plan.PauseProxy, injector: Injector) -> None:
+    proxy = injector.site.proxies[fault.proxy]
+    proxy.send(signal.SIGSTOP)
+    await asyncio.sleep(fault.lasts.total_seconds())
+    proxy.send(signal.SIGCONT)
+
+
+@_inject.register
+async def _(fault: plan.ReloadProxy, injector: Injector) -> None:
+    injector.site.proxies[fault.proxy].send(signal.SIGHUP)
+
+
+@_inject.register
+async def _(fault: plan.HarmLinks, injector: Injector) -> None:
+    links = injector.site.proxies[fault.proxy].links(fault.peer)
+    count = max(1, round(len(links) * fault.share))
+    harmed = injector.rng.sample(links, count)
+    for relay in harmed:
+        _harm(relay, fault.harm)
+    await asyncio.sleep(fault.lasts.total_seconds())
+    for relay in harmed:
+        relay.heal()
+        relay.delay = datetime.timedelta()
+        relay.refusing = False
+
+
+@_inject.register
+async def _(fault: plan.StoreFails, injector: Injector) -> None:
+    injector.site.store.standing = fault.kind
+    await asyncio.sleep(fault.lasts.total_seconds())
+    injector.site.store.standing = None
+
+
+@_inject.register
+async def _(fault: plan.ForgetHistory, injector: Injector) -> None:
+    injector.site.store.forget_history()
+
+
+@_inject.register
+async def _(fault: plan.CrashDatabase, injector: Injector) -> None:
+    database = _database(injector, fault.service, fault.primary)
+    database.crash()
+    await asyncio.sleep(fault.lasts.total_seconds())
+    if database in injector.site.groups[fault.service].databases.values():
+        await database.start()
+
+
+@_inject.register
+async def _(fault: plan.MuteDatabase, injector: Injector) -> None:
+    database = _database(injector, fault.service, fault.primary)
+    database.faults.silent = True
+    await asyncio.sleep(fault.lasts.total_seconds())
+    database.faults.silent = False
+
+
+@_inject.register
+async def _(fault: plan.DeafenReplicas, injector: Injector) -> None:
+    replicas = _replicas(injector.site.groups[fault.service])[: fault.count]
+    for database in replicas:
+        database.faults.deaf = True
+    await asyncio.sleep(fault.lasts.total_seconds())
+    for database in replicas:
+        database.faults.deaf = False
+
+
+@_inject.register
+async def _(fault: plan.LoseAnswers, injector: Injector) -> None:
+    database = _database(injector, fault.service, True)
+    database.faults.lose_answers += fault.count
+
+
+@_inject.register
+async def _(fault: plan.RefuseStatements, injector: Injector) -> None:
+    faults = _database(injector, fault.service, True).faults
+    faults.refuse = injector.rng.choice(("BUSY", "FAILED"))
+    faults.refusals += fault.count
+
+
+@_inject.register
+async def _(fault: plan.ReleaseDatabase, injector: Injector) -> None:
+    group = injector.site.groups[fault.service]
+    database = _database(injector, fault.service, fault.primary)
+    if database.leaving:
+        return
+    database.leaving = True
+    began = asyncio.get_running_loop().time()
+    await asyncio.sleep(_DRAIN_SECONDS)
+    if database not in group.databases.values():
+        return
+    late = (database.last_ran or began) - began - _NOTICE_SECONDS
+    ends = fault.at + datetime.timedelta(seconds=_DRAIN_SECONDS)
+    if (
+        late > 0
+        and not injector.blind(fault.at, ends)
+        and _led(group, database)
+    ):
+        injector.register.break_(
+            registers.Promise.LEAVING,
+            f"{database.name} ran a statement {late:.1f} s too late",
+        )
+    successor = injector.site.successor()
+    injector.site.signers[fault.service].add(successor)
+    await group.replace(database.name, successor)
+
+
+@_inject.register
+async def _(fault: plan.ChangeConfiguration, injector: Injector) -> None:
+    injector.site.change_configuration()
+
+
+async def _start_again(proxy: proxies.Proxy) -> None:
+    """Starts a process whose former one may still be ending."""
+    if await proxy.ended(0.01):
+        await proxy.start()
+
+
+def _paused(injector: Injector, fault: plan.StopProxy) -> bool:
+    """Whether the process was frozen while it should have ended."""
+    return injector.blind(fault.at, fault.at + 2 * _SETTLING)
+
+
+def _harm(relay: relays.Relay, harm: plan.Harm) -> None:
+    match harm:
+        case plan.Harm.DELAY:
+            relay.delay = _DELAY
+        case plan.Harm.CUT_THERE:
+            relay.cut(relays.Way.THERE)
+        case plan.Harm.CUT_BACK:
+            relay.cut(relays.Way.BACK)
+        case plan.Harm.CUT:
+            relay.cut(relays.Way.BOTH)
+        case plan.Harm.RESET:
+            relay.reset()
+        case plan.Harm.SILENCE:
+            relay.silence()
+        case plan.Harm.REFUSE:
+            relay.refusing = True
+
+
+def _primary(group: line_group.LineGroup) -> line_group.LineDatabase:
+    leaders = [d for d in group.databases.values() if d.log.leads]
+    return max(leaders, key=lambda d: d.log.term)
+
+
+def _replicas(group: line_group.LineGroup) -> list[line_group.LineDatabase]:
+    primary = _primary(group)
+    return [d for d in group.databases.values() if d is not primary]
+
+
+def _database(
+    injector: Injector, service: int, primary: bool
+) -> line_group.LineDatabase:
+    group = injector.site.groups[service]
+    if primary:
+        return _primary(group)
+    return injector.rng.choice(_replicas(group))
+
+
+def _led(
+    group: line_group.LineGroup, database: line_group.LineDatabase
+) -> bool:
+    """Whether another database could take a leaving one's work."""
+    others = [d for d in group.databases.values() if d is not database]
+    return any(d.log.leads and d.running and not d.leaving for d in others)
