--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -27,10 +27,10 @@
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import settings as settings_lib
-from hickorygate.store import client as clients
+from hickorygate.platform import connect as platforms
 from hickorygate.store import objects
 from hickorygate.testing import control
-from hickorygate.testing import platform as platforms
+from hickorygate.testing import object_store
 from hickorygate.testing import sheets
 
 _FLEETS = flags.DEFINE_list("fleets", ["5", "20", "50", "100"], "Proxies.")
@@ -80,7 +80,7 @@
     """The fleet, the store, and what was measured."""
 
     def __init__(self) -> None:
-        self.platform = platforms.StandInPlatform()
+        self.platform = object_store.ObjectStore()
         self.planes: list[control.ControlPlane] = []
         self.version = 0
         self.listed = 0
@@ -212,13 +212,13 @@
         """Stops all parts."""
         for plane in self.planes:
             await plane.close()
-        await self.platform.stop()
+        await self.platform.close()
 
     async def load(self, text: str) -> None:
         """Stores a sheet."""
         clock = clocks.SystemClock()
         settings = settings_lib.PlatformSettings(url=self.platform.url)
-        client = clients.Client(settings, clock, random.Random(0))
+        client = platforms.connect(settings, clock, random.Random(0))
         sheet = objects.SheetObject(
             text=text, loaded_by="bench", loaded_at=clock.now()
         )
@@ -240,7 +240,7 @@
             time.process_time(),
             sum(c[f"packets_{d}"] for c in counts for d in directions),
             sum(c[f"bytes_{d}"] for c in counts for d in directions),
-            self.platform.calls,
+            len(self.platform.calls),
         )
 
 
--- a/benchmarks/failover.py
+++ b/benchmarks/failover.py
@@ -36,7 +36,7 @@
 from hickorygate.testing import cluster
 from hickorygate.testing import database as databases
 from hickorygate.testing import ledger as ledgers
-from hickorygate.testing import platform as platforms
+from hickorygate.testing import object_store
 
 _KILLS = flags.DEFINE_integer("kills", 15, "Faults of each kind.")
 _STALLED = flags.DEFINE_integer(
@@ -222,7 +222,7 @@
 async def _start(detection_ms: int | None = None) -> cluster.Stand:
     """Starts a group of three and proxies with a user name each."""
     clock = clocks.SystemClock()
-    platform = platforms.StandInPlatform()
+    platform = object_store.ObjectStore()
     await platform.start()
     group = databases.Group(clock)
     await group.start(_NAMES, _USERS)
--- a/benchmarks/store_outage.py
+++ b/benchmarks/store_outage.py
@@ -19,6 +19,7 @@
 import logbook
 
 from hickorygate.testing import cluster
+from hickorygate.testing import object_store
 
 _SECONDS = flags.DEFINE_integer("seconds", 600, "How long the store is down.")
 
@@ -76,7 +77,7 @@
     loop = asyncio.get_running_loop()
     connection = await cluster.connect(stand.daemons[0])
     await connection.cursor().execute("CREATE TABLE rows_written (id TEXT)")
-    stand.platform.down = True
+    stand.platform.standing = object_store.StoreFault.BUSY
     until = loop.time() + _SECONDS.value
     tasks = [asyncio.create_task(w.run(until)) for w in writers]
     await asyncio.sleep(_SECONDS.value / 2)
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -24,6 +24,7 @@
 from hickorygate.core import types
 from hickorygate.operators import admin
 from hickorygate.operators import recorder as recorders
+from hickorygate.platform import connect as platforms
 from hickorygate.proxies import mesh as meshes
 from hickorygate.store import keeper as keepers
 from hickorygate.upstreams import link as links
@@ -47,7 +48,7 @@
         self._time_line = events.TimeLine(settings.name, self._stamps)
         self._generator = random.Random()
         self._keeper = keepers.Keeper(
-            settings.platform,
+            platforms.connect(settings.platform, clock, self._generator),
             self,
             clock,
             self._time_line,
--- a/hickorygate/operators/sheet.py
+++ b/hickorygate/operators/sheet.py
@@ -22,6 +22,7 @@
 from hickorygate.operators import command as commands
 from hickorygate.operators import failures
 from hickorygate.operators import fleet
+from hickorygate.platform import connect as platforms
 from hickorygate.store import client as platform_client
 from hickorygate.store import objects
 
@@ -178,9 +179,7 @@
 
 
 def _client(settings: settings_lib.PlatformSettings) -> platform_client.Client:
-    return platform_client.Client(
-        settings, clocks.SystemClock(), random.Random()
-    )
+    return platforms.connect(settings, clocks.SystemClock(), random.Random())
 
 
 async def _store(
--- /dev/null
+++ b/hickorygate/platform/connect.py
@@ -0,0 +1,31 @@
+"""Connects the product's client to the platform's store."""
+
+from __future__ import annotations
+
+import random
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import settings as settings_lib
+from hickorygate.platform import objects
+from hickorygate.store import api as apis
+from hickorygate.store import client as clients
+
+__all__ = ["connect"]
+
+
+def connect(
+    settings: settings_lib.PlatformSettings,
+    clock: clocks.Clock,
+    generator: random.Random,
+) -> clients.Client:
+    """Returns a client that makes no call yet.
+
+    Args:
+      settings: address, time-out and rates.
+      clock: for the rates and for pauses between attempts.
+      generator: source of jitter.
+    """
+    api = objects.ObjectApi(settings.url.rstrip("/"), settings.timeout)
+    return clients.Client(
+        apis.BudgetedApi(api, settings, clock), clock, generator
+    )
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -116,6 +116,11 @@
             return
         self._closed = True
         if self._transport is not None:
+            if self._waiting:
+                # What was given up must not arrive later.
+                sockets.discard_on_close(
+                    self._transport.get_extra_info("socket")
+                )
             self._transport.abort()
         failure = errors.AnswerLost(self._member.id, reason)
         while self._waiting:
--- a/hickorygate/platform/entries.py
+++ b/hickorygate/platform/entries.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+from collections.abc import Sequence
 import datetime
 from typing import Annotated
 from typing import Literal
@@ -15,6 +16,8 @@
 from hickorygate.core import rank as ranks
 from hickorygate.platform import settings as settings_lib
 from hickorygate.store import failures
+from hickorygate.store import feed as feeds
+from hickorygate.store import objects
 from hickorygate.upstreams import member as members
 
 __all__ = [
@@ -22,6 +25,7 @@
     "CONFIGURATION_NAME",
     "SERVERS",
     "decode_catalog",
+    "decode_instances",
     "decode_member",
 ]
 
@@ -34,6 +38,8 @@
 CONFIGURATION_NAME = "main"
 """Name of that object."""
 
+_LIVE = objects.InstanceState.LIVE
+
 _RANK_FLOOR = 0.05
 """Share of a database that each rank keeps under overload."""
 
@@ -77,6 +83,38 @@
     )
 
 
+class _Listed(pydantic.BaseModel):
+    """The part of an entry that says whether an instance is leaving."""
+
+    model_config = pydantic.ConfigDict(extra="ignore", strict=True)
+
+    address: _Name
+    zone: _Name
+    state: Literal["ready", "draining"]
+
+
+def decode_instances(
+    entries: Sequence[feeds.StoredObject],
+) -> objects.InstanceList:
+    """Returns the instances that entries name; others name none."""
+    found = [_decode_instance(entry) for entry in entries]
+    return objects.InstanceList(
+        instances=tuple(instance for instance in found if instance is not None)
+    )
+
+
+def _decode_instance(entry: feeds.StoredObject) -> objects.Instance | None:
+    try:
+        listed = _Listed.model_validate(entry.value)
+    except pydantic.ValidationError:
+        return None
+    leaving = listed.state == "draining"
+    state = objects.InstanceState.LEAVING if leaving else _LIVE
+    return objects.Instance(
+        name=entry.name, address=listed.address, zone=listed.zone, state=state
+    )
+
+
 class _Route(pydantic.BaseModel):
     model_config = pydantic.ConfigDict(extra="ignore")
 
--- /dev/null
+++ b/hickorygate/platform/objects.py
@@ -0,0 +1,400 @@
+"""The platform's object store over HTTP: the one client of its calls."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import dataclasses
+import datetime
+import enum
+from typing import Any
+
+import aiohttp
+import expression
+import orjson
+import pydantic
+
+from hickorygate.core import errors
+from hickorygate.platform import entries
+from hickorygate.platform import sockets
+from hickorygate.store import failures
+from hickorygate.store import feed as feeds
+from hickorygate.store import objects
+
+__all__ = ["CALL_TIMEOUT", "Answer", "AnswerResult", "ObjectApi"]
+
+CALL_TIMEOUT = datetime.timedelta(seconds=1)
+"""After which a call counts as unanswered; a watch may wait besides."""
+
+_KEEPALIVE_SECONDS = 15
+"""How long an idle connection is kept; it may have gone silent meanwhile."""
+
+_SERVER_ERRORS = 500
+
+
+class _Status(enum.IntEnum):
+    """Answers that the store documents.
+
+    Attributes:
+      BUSY: the one server error that says that nothing was done.
+    """
+
+    OK = 200
+    CREATED = 201
+    NOT_FOUND = 404
+    CONFLICT = 409
+    GONE = 410
+    BUSY = 503
+
+
+class _Meta(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    name: str
+    revision: int
+
+
+class _Object(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    meta: _Meta
+    spec: Any = None
+
+    def stored(self) -> feeds.StoredObject:
+        return feeds.StoredObject(self.meta.name, self.meta.revision, self.spec)
+
+
+class _Page(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    items: list[_Object]
+    has_more: bool = False
+    current_rev: int
+
+
+class _Event(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    object: _Object
+    deleted: bool = False
+
+
+class _Events(pydantic.BaseModel):
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    events: list[_Event]
+    current_rev: int
+
+
+def _always() -> bool:
+    return True
+
+
+class _Withheld(Exception):
+    """A body that may not be sent any more."""
+
+
+class _Body:
+    """The body of one request.
+
+    Attributes:
+      withheld: whether it was not sent for want of permission.
+    """
+
+    __slots__ = ("_data", "_may_send", "withheld")
+
+    def __init__(self, body: object, may_send: Callable[[], bool]) -> None:
+        self._data = orjson.dumps(body)
+        self._may_send = may_send
+        self.withheld = False
+
+    @property
+    def size(self) -> int:
+        """Bytes."""
+        return len(self._data)
+
+    def __repr__(self) -> str:
+        return f"_Body(size={self.size})"
+
+    async def once(self) -> AsyncIterator[bytes]:
+        """Yields the body in a form that can't be sent a second time.
+
+        aiohttp repeats a PUT by itself after a broken connection if its body
+        can be sent again; the repeat would meet the effect of the first and
+        report it as a conflict.
+        """
+        if not self._may_send():
+            self.withheld = True
+            raise _Withheld
+        yield self._data
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """What came back from a call.
+
+    Attributes:
+      status: of HTTP.
+      body: bytes.
+    """
+
+    status: int
+    body: bytes
+
+    def content(self) -> expression.Result[bytes, errors.Failure]:
+        """Returns the body of a success; a typed failure of anything else."""
+        if self.status in (_Status.OK, _Status.CREATED):
+            return expression.Ok(self.body)
+        sent = self.status >= _SERVER_ERRORS and self.status != _Status.BUSY
+        reason = f"status {self.status}"
+        return expression.Error(errors.StoreUnavailable(reason, sent))
+
+
+AnswerResult = expression.Result[Answer, errors.Failure]
+
+
+class ObjectApi:
+    """Makes calls; each has a time-out, and none is repeated."""
+
+    __slots__ = ("_calls", "_http", "_timeout", "_url")
+
+    def __init__(
+        self, url: str, timeout: datetime.timedelta = CALL_TIMEOUT
+    ) -> None:
+        """Makes no call yet.
+
+        Args:
+          url: base address of the store.
+          timeout: after which a call counts as unanswered.
+        """
+        self._url = url
+        self._timeout = timeout
+        self._http: aiohttp.ClientSession | None = None
+        self._calls = 0
+
+    @property
+    def calls(self) -> int:
+        """Calls that were made."""
+        return self._calls
+
+    def __repr__(self) -> str:
+        return f"ObjectApi({self._url!r}, calls={self._calls})"
+
+    def use(self, url: str) -> None:
+        """Takes in a changed base address."""
+        self._url = url
+
+    async def close(self) -> None:
+        """Closes idle connections."""
+        if self._http is not None:
+            await self._http.close()
+
+    async def list(
+        self, kind: str
+    ) -> expression.Result[feeds.Snapshot, errors.Failure]:
+        """Returns all objects of a kind, page by page."""
+        found: list[feeds.StoredObject] = []
+        revision: int | None = None
+        query: dict[str, str] = {}
+        while True:
+            answered = await self._get(f"/-/objects/{kind}", query)
+            page = answered.bind(Answer.content).bind(_decode_page)
+            if page.is_error():
+                return expression.Error(page.error)
+            found += [item.stored() for item in page.ok.items]
+            # What changes while pages are read comes again with the watch.
+            revision = page.ok.current_rev if revision is None else revision
+            if not (page.ok.has_more and page.ok.items):
+                return expression.Ok(feeds.Snapshot(found, revision))
+            query = {"after": page.ok.items[-1].meta.name}
+
+    async def watch(
+        self, kind: str, revision: int, wait: datetime.timedelta
+    ) -> expression.Result[feeds.News, errors.Failure]:
+        """Returns changes after a revision, waiting for one."""
+        milliseconds = int(wait.total_seconds() * 1_000)
+        query = {"watch": str(revision), "wait_ms": str(milliseconds)}
+        answered = await self._get(f"/-/objects/{kind}", query, wait)
+        if answered.is_ok() and answered.ok.status == _Status.GONE:
+            return expression.Error(feeds.HistoryLost(revision))
+        decoded = answered.bind(Answer.content).bind(_decode_events)
+        if decoded.is_error():
+            return expression.Error(decoded.error)
+        changes = [
+            feeds.Change(event.object.stored(), event.deleted)
+            for event in decoded.ok.events
+        ]
+        return expression.Ok(feeds.News(changes, decoded.ok.current_rev))
+
+    async def read(
+        self, key: objects.Key
+    ) -> expression.Result[feeds.StoredObject | None, errors.Failure]:
+        """Returns an object; None if there is none."""
+        answered = await self._get(_path(key), {})
+        if answered.is_ok() and answered.ok.status == _Status.NOT_FOUND:
+            return expression.Ok(None)
+        return answered.bind(Answer.content).bind(_decode_object)
+
+    async def store(
+        self, key: objects.Key, value: object, expected: int | None
+    ) -> expression.Result[feeds.StoredObject, errors.Failure]:
+        """Creates or replaces an object.
+
+        Args:
+          key: which one.
+          value: its new content.
+          expected: the revision that it replaces; 0 creates it, None replaces
+            any.
+
+        Returns:
+          The object as stored, or `ObjectConflict` with the revision there.
+        """
+        meta: dict[str, object] = {"name": key.name}
+        if expected:
+            meta["revision"] = expected
+        creates = expected == 0
+        answered = await self.call(
+            "POST" if creates else "PUT",
+            f"{self._url}/-/objects/{key.kind}" if creates else self._of(key),
+            {"meta": meta, "spec": value},
+        )
+        if answered.is_error():
+            return expression.Error(answered.error)
+        match answered.ok.status:
+            case _Status.CONFLICT:
+                found = _decode_object(answered.ok.body)
+                return found.bind(lambda other: _conflict(key, expected, other))
+            case _Status.NOT_FOUND:
+                return _conflict(key, expected, None)
+        return answered.ok.content().bind(_decode_object)
+
+    async def delete(
+        self, key: objects.Key
+    ) -> expression.Result[None, errors.Failure]:
+        """Removes an object."""
+        answered = await self.call("DELETE", self._of(key), None)
+        return answered.bind(Answer.content).map(lambda _: None)
+
+    async def list_instances(
+        self,
+    ) -> expression.Result[objects.ListedInstances, errors.Failure]:
+        """Returns the live and leaving instances of databases."""
+        listed = await self.list(entries.SERVERS)
+        return listed.map(
+            lambda snapshot: objects.ListedInstances(
+                entries.decode_instances(snapshot.objects), snapshot.revision
+            )
+        )
+
+    async def watch_instances(
+        self, revision: int, wait: datetime.timedelta
+    ) -> expression.Result[feeds.News, errors.Failure]:
+        """Returns changes of the list of instances, waiting for one."""
+        return await self.watch(entries.SERVERS, revision, wait)
+
+    async def call(
+        self,
+        method: str,
+        url: str,
+        body: object | None,
+        headers: dict[str, str] | None = None,
+        query: dict[str, str] | None = None,
+        wait: datetime.timedelta = datetime.timedelta(),
+        may_send: Callable[[], bool] = _always,
+    ) -> AnswerResult:
+        """Makes one call; a time-out aborts its connection.
+
+        Args:
+          method: of HTTP.
+          url: whole address.
+          body: sent as JSON; None for no body.
+          headers: besides those of the body.
+          query: of the address.
+          wait: how long the other end may hold the answer back.
+          may_send: asked once connected, right before the body is sent.
+        """
+        self._calls += 1
+        limit = (self._timeout + wait).total_seconds()
+        fields = dict(headers or {})
+        sending = None if body is None else _Body(body, may_send)
+        if sending is not None:
+            fields["Content-Type"] = "application/json"
+            fields["Content-Length"] = str(sending.size)
+        try:
+            async with (
+                asyncio.timeout(limit),
+                self._session().request(
+                    method,
+                    url,
+                    params=query,
+                    data=None if sending is None else sending.once(),
+                    headers=fields,
+                ) as response,
+            ):
+                body = await response.read()
+                return expression.Ok(Answer(response.status, body))
+        except aiohttp.ClientConnectorError as error:
+            return expression.Error(errors.StoreUnavailable(str(error), False))
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            reason = str(error) or type(error).__name__
+            sent = sending is None or not sending.withheld
+            return expression.Error(errors.StoreUnavailable(reason, sent))
+
+    async def _get(
+        self,
+        path: str,
+        query: dict[str, str],
+        wait: datetime.timedelta = datetime.timedelta(),
+    ) -> AnswerResult:
+        return await self.call("GET", self._url + path, None, {}, query, wait)
+
+    def _of(self, key: objects.Key) -> str:
+        return self._url + _path(key)
+
+    def _session(self) -> aiohttp.ClientSession:
+        if self._http is None:
+            connector = aiohttp.TCPConnector(
+                limit=0,
+                keepalive_timeout=_KEEPALIVE_SECONDS,
+                socket_factory=sockets.open_discarding,
+            )
+            self._http = aiohttp.ClientSession(connector=connector)
+        return self._http
+
+
+def _path(key: objects.Key) -> str:
+    return f"/-/objects/{key.kind}/{key.name}"
+
+
+def _decode(
+    model: type[pydantic.BaseModel], body: bytes
+) -> expression.Result[Any, errors.Failure]:
+    try:
+        return expression.Ok(model.model_validate(orjson.loads(body)))
+    except (ValueError, pydantic.ValidationError) as error:
+        reason = f"malformed body: {str(error).splitlines()[0]}"
+        return expression.Error(errors.StoreUnavailable(reason, True))
+
+
+def _decode_page(body: bytes) -> expression.Result[_Page, errors.Failure]:
+    return _decode(_Page, body)
+
+
+def _decode_events(body: bytes) -> expression.Result[_Events, errors.Failure]:
+    return _decode(_Events, body)
+
+
+def _decode_object(
+    body: bytes,
+) -> expression.Result[feeds.StoredObject, errors.Failure]:
+    return _decode(_Object, body).map(lambda found: found.stored())
+
+
+def _conflict(
+    key: objects.Key, expected: int | None, other: feeds.StoredObject | None
+) -> expression.Result[Any, errors.Failure]:
+    found = other.revision if other else 0
+    return expression.Error(
+        failures.ObjectConflict(key.text, expected or 0, found)
+    )
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -38,10 +38,22 @@
 
 _VERSION = "0.2.0"
 _TICK = datetime.timedelta(milliseconds=100)
+_SETTINGS_CHECK = datetime.timedelta(seconds=1)
+"""Between two looks at the settings file."""
+
 _COMPLETE_LIMIT = datetime.timedelta(seconds=3)
 """After which a process with a configuration serves what it can."""
 
 
+def _stamp(path: pathlib.Path) -> tuple[int, int] | None:
+    """Returns what changes with a file; None while there is none."""
+    try:
+        found = path.stat()
+    except OSError:
+        return None
+    return (found.st_mtime_ns, found.st_size)
+
+
 class _Sink:
     """Tells when the store is lost and regained; takes in what it holds."""
 
@@ -235,6 +247,17 @@
         self._fleet.start()
         self._background.start(self._roll.run())
         self._background.start(self._expire_transactions())
+        self._background.start(self._follow_settings())
+
+    async def _follow_settings(self) -> None:
+        """Reads the settings again when the file changes without a signal."""
+        known = _stamp(self._path)
+        while True:
+            await self._clock.sleep(_SETTINGS_CHECK)
+            found = _stamp(self._path)
+            if found != known:
+                known = found
+                self.reload()
 
     async def _expire_transactions(self) -> None:
         while True:
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -1,77 +1,28 @@
-"""The platform's object store and its promotion call, over HTTP."""
+"""What a proxy keeps in the platform's store, and the promotion call."""
 
 from __future__ import annotations
 
-import asyncio
+from collections.abc import Callable
 import datetime
 from typing import Annotated
-from typing import Any
 
-import aiohttp
 import expression
-import orjson
 import pydantic
 
 from hickorygate.core import errors
 from hickorygate.core import types
+from hickorygate.platform import objects as apis
 from hickorygate.platform import settings as settings_lib
+from hickorygate.store import failures
 from hickorygate.store import feed as feeds
+from hickorygate.store import objects
 from hickorygate.upstreams import duty as duties
 from hickorygate.upstreams import member as members
 
 __all__ = ["PlatformStore"]
 
-_CALL_TIMEOUT = datetime.timedelta(seconds=1)
-_DUTY_KIND = "hickorygate-duties"
-_DUTY_NAME = "promotion"
+_DUTY = objects.Key("hickorygate-duties", "promotion")
 _PROXY_KIND = "hickorygate-proxies"
-_OK = 200
-_CREATED = 201
-_NOT_FOUND = 404
-_CONFLICT = 409
-_GONE = 410
-_SERVER_ERRORS = 500
-_BUSY = 503
-"""The one server error that says that nothing was done."""
-
-
-class _Meta(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore")
-
-    name: str
-    revision: int
-
-
-class _Object(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore")
-
-    meta: _Meta
-    spec: Any = None
-
-    def stored(self) -> feeds.StoredObject:
-        return feeds.StoredObject(self.meta.name, self.meta.revision, self.spec)
-
-
-class _Page(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore")
-
-    items: list[_Object]
-    has_more: bool = False
-    current_rev: int
-
-
-class _Event(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore")
-
-    object: _Object
-    deleted: bool = False
-
-
-class _Events(pydantic.BaseModel):
-    model_config = pydantic.ConfigDict(extra="ignore")
-
-    events: list[_Event]
-    current_rev: int
 
 
 class _Duty(pydantic.BaseModel):
@@ -83,20 +34,20 @@
     incarnation: str
     number: Annotated[int, pydantic.Field(ge=0)]
     released: bool
+    renewals: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 class PlatformStore:
-    """Makes calls; each has a time-out, and none is repeated."""
+    """Duty, roll and promotions in the platform's names and formats."""
 
     def __init__(self, settings: settings_lib.PlatformSettings) -> None:
         self._settings = settings
-        self._http: aiohttp.ClientSession | None = None
-        self._calls = 0
+        self._api = apis.ObjectApi(f"http://{settings.store}")
 
     @property
     def calls(self) -> int:
         """Calls that were made."""
-        return self._calls
+        return self._api.calls
 
     def __repr__(self) -> str:
         return f"PlatformStore({self._settings.store})"
@@ -104,112 +55,70 @@
     def use(self, settings: settings_lib.PlatformSettings) -> None:
         """Takes in changed settings."""
         self._settings = settings
+        self._api.use(f"http://{settings.store}")
 
     async def close(self) -> None:
         """Closes what is open."""
-        if self._http is not None:
-            await self._http.close()
+        await self._api.close()
 
     async def list(
         self, kind: str
     ) -> expression.Result[feeds.Snapshot, errors.Failure]:
-        """Returns all objects of a kind, page by page."""
-        objects: list[feeds.StoredObject] = []
-        revision: int | None = None
-        query: dict[str, str] = {}
-        while True:
-            answered = await self._get(f"/-/objects/{kind}", query)
-            page = answered.bind(lambda body: _decode(_Page, body))
-            if page.is_error():
-                return expression.Error(page.error)
-            objects += [item.stored() for item in page.ok.items]
-            # What changes while pages are read comes again with the watch.
-            revision = page.ok.current_rev if revision is None else revision
-            if not (page.ok.has_more and page.ok.items):
-                return expression.Ok(feeds.Snapshot(objects, revision))
-            query = {"after": page.ok.items[-1].meta.name}
+        """Returns all objects of a kind."""
+        return await self._api.list(kind)
 
     async def watch(
         self, kind: str, revision: int, wait: datetime.timedelta
     ) -> expression.Result[feeds.News, errors.Failure]:
         """Returns changes after a revision, waiting for one."""
-        milliseconds = int(wait.total_seconds() * 1_000)
-        query = {"watch": str(revision), "wait_ms": str(milliseconds)}
-        answered = await self._get(f"/-/objects/{kind}", query, wait)
-        decoded = answered.bind(lambda body: _decode(_Events, body))
-        if decoded.is_error():
-            if decoded.error == _status_failure(_GONE):
-                return expression.Error(feeds.HistoryLost(revision))
-            return expression.Error(decoded.error)
-        changes = [
-            feeds.Change(event.object.stored(), event.deleted)
-            for event in decoded.ok.events
-        ]
-        return expression.Ok(feeds.News(changes, decoded.ok.current_rev))
+        return await self._api.watch(kind, revision, wait)
 
     async def read_duty(
         self,
     ) -> expression.Result[duties.Stored | None, errors.Failure]:
         """Returns who holds the duty of promotion; None if nobody ever did."""
-        path = f"/-/objects/{_DUTY_KIND}/{_DUTY_NAME}"
-        answered = await self._get(path, {})
-        if answered.is_error():
-            if answered.error == _status_failure(_NOT_FOUND):
-                return expression.Ok(None)
-            return expression.Error(answered.error)
-        return _decode(_Object, answered.ok).bind(_stored_duty)
+        found = await self._api.read(_DUTY)
+        return found.map(lambda f: None if f is None else _decode_duty(f))
 
     async def write_duty(
         self, record: duties.Record, revision: int | None
     ) -> expression.Result[duties.Stored, errors.Failure]:
         """Stores a record on condition of a revision; None creates it."""
-        meta: dict[str, object] = {"name": _DUTY_NAME}
-        path = f"/-/objects/{_DUTY_KIND}"
-        if revision is not None:
-            meta["revision"] = revision
-            path += f"/{_DUTY_NAME}"
-        spec = _Duty(
+        duty = _Duty(
             holder=record.holder,
             incarnation=record.incarnation,
             number=record.number,
             released=record.released,
+            renewals=record.renewals,
         )
-        answered = await self._call(
-            "POST" if revision is None else "PUT",
-            f"http://{self._settings.store}{path}",
-            {"meta": meta, "spec": spec.model_dump()},
-        )
-        if answered.is_error():
-            if answered.error == _status_failure(_CONFLICT):
+        written = await self._api.store(_DUTY, duty.model_dump(), revision or 0)
+        match written:
+            case expression.Result(
+                tag="error", error=failures.ObjectConflict()
+            ):
                 return expression.Error(duties.Overtaken())
-            return expression.Error(answered.error)
-        return _decode(_Object, answered.ok).bind(_stored_duty)
+        return written.map(_decode_duty)
 
     async def announce(
         self, name: types.ProxyName, beat: int, exists: bool
     ) -> expression.Result[None, errors.Failure]:
         """Creates or renews this proxy's object; `beat` must change."""
-        path = f"/-/objects/{_PROXY_KIND}" + (f"/{name}" if exists else "")
-        answered = await self._call(
-            "PUT" if exists else "POST",
-            f"http://{self._settings.store}{path}",
-            {"meta": {"name": name}, "spec": {"beat": beat}},
-        )
-        return answered.map(lambda _: None)
+        key = objects.Key(_PROXY_KIND, name)
+        expected = None if exists else 0
+        written = await self._api.store(key, {"beat": beat}, expected)
+        return written.map(lambda _: None)
 
     async def withdraw(
         self, name: types.ProxyName
     ) -> expression.Result[None, errors.Failure]:
         """Removes a proxy's object."""
-        url = f"http://{self._settings.store}/-/objects/{_PROXY_KIND}/{name}"
-        answered = await self._call("DELETE", url, None)
-        return answered.map(lambda _: None)
+        return await self._api.delete(objects.Key(_PROXY_KIND, name))
 
     async def proxies(
         self,
     ) -> expression.Result[dict[types.ProxyName, int], errors.Failure]:
         """Returns the revisions of all proxies' objects."""
-        listed = await self.list(_PROXY_KIND)
+        listed = await self._api.list(_PROXY_KIND)
         return listed.map(
             lambda snapshot: {o.name: o.revision for o in snapshot.objects}
         )
@@ -219,96 +128,35 @@
         service: types.ServiceName,
         member: members.MemberId,
         record: duties.Record,
+        may_send: Callable[[], bool],
     ) -> expression.Result[None, errors.Failure]:
         """Orders that a database takes over, under the duty's number."""
         headers = {
             "X-Duty-Holder": record.holder,
             "X-Fencing-Token": str(record.number),
         }
-        answered = await self._call(
+        answered = await self._api.call(
             "POST",
             f"http://{self._settings.duties}/promotion",
             {"service": service, "id": member},
             headers,
+            may_send=may_send,
         )
-        return answered.map(lambda _: None)
-
-    async def _get(
-        self,
-        path: str,
-        query: dict[str, str],
-        wait: datetime.timedelta = datetime.timedelta(),
-    ) -> expression.Result[bytes, errors.Failure]:
-        url = f"http://{self._settings.store}{path}"
-        return await self._call("GET", url, None, {}, query, wait)
-
-    async def _call(
-        self,
-        method: str,
-        url: str,
-        body: object | None,
-        headers: dict[str, str] | None = None,
-        query: dict[str, str] | None = None,
-        wait: datetime.timedelta = datetime.timedelta(),
-    ) -> expression.Result[bytes, errors.Failure]:
-        """Makes one call; a time-out aborts its connection."""
-        self._calls += 1
-        limit = (_CALL_TIMEOUT + wait).total_seconds()
-        fields = dict(headers or {})
-        data = None
-        if body is not None:
-            data = orjson.dumps(body)
-            fields["Content-Type"] = "application/json"
-        try:
-            async with (
-                asyncio.timeout(limit),
-                self._session().request(
-                    method, url, params=query, data=data, headers=fields
-                ) as response,
-            ):
-                content = await response.read()
-                if response.status in (_OK, _CREATED):
-                    return expression.Ok(content)
-                return expression.Error(_status_failure(response.status))
-        except aiohttp.ClientConnectorError as error:
-            return expression.Error(errors.StoreUnavailable(str(error), False))
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
-            reason = str(error) or type(error).__name__
-            return expression.Error(errors.StoreUnavailable(reason, True))
-
-    def _session(self) -> aiohttp.ClientSession:
-        if self._http is None:
-            # A connection that is used again may have gone silent meanwhile.
-            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15)
-            self._http = aiohttp.ClientSession(connector=connector)
-        return self._http
-
-
-def _status_failure(status: int) -> errors.StoreUnavailable:
-    sent = status >= _SERVER_ERRORS and status != _BUSY
-    return errors.StoreUnavailable(f"status {status}", sent)
-
-
-def _decode(
-    model: type[pydantic.BaseModel], body: bytes
-) -> expression.Result[Any, errors.Failure]:
-    try:
-        return expression.Ok(model.model_validate(orjson.loads(body)))
-    except (ValueError, pydantic.ValidationError) as error:
-        reason = f"malformed body: {str(error).splitlines()[0]}"
-        return expression.Error(errors.StoreUnavailable(reason, True))
+        return answered.bind(apis.Answer.content).map(lambda _: None)
 
 
-def _stored_duty(
-    found: _Object,
-) -> expression.Result[duties.Stored, errors.Failure]:
+def _decode_duty(found: feeds.StoredObject) -> duties.Stored:
     try:
-        duty = _Duty.model_validate(found.spec)
+        duty = _Duty.model_validate(found.value)
     except pydantic.ValidationError:
         # Whoever wrote this holds nothing that we understand; its revision
         # still guards the next change.
         duty = _Duty(holder="", incarnation="", number=0, released=False)
     record = duties.Record(
-        duty.holder, duty.incarnation, duty.number, duty.released
+        duty.holder,
+        duty.incarnation,
+        duty.number,
+        duty.released,
+        duty.renewals,
     )
-    return expression.Ok(duties.Stored(record, found.meta.revision))
+    return duties.Stored(record, found.revision)
--- /dev/null
+++ b/hickorygate/store/api.py
@@ -0,0 +1,134 @@
+"""What the product asks of an object store, whatever its format."""
+
+from __future__ import annotations
+
+import datetime
+from typing import Protocol
+
+import expression
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import settings as settings_lib
+from hickorygate.store import budget
+from hickorygate.store import failures
+from hickorygate.store import feed as feeds
+from hickorygate.store import objects
+
+__all__ = ["Api", "BudgetedApi"]
+
+
+class Api(Protocol):
+    """An object store; an adapter makes the calls."""
+
+    async def close(self) -> None:
+        """Closes what is open."""
+
+    async def list(
+        self, kind: str
+    ) -> expression.Result[feeds.Snapshot, errors.Failure]:
+        """Returns all objects of a kind."""
+
+    async def watch(
+        self, kind: str, revision: int, wait: datetime.timedelta
+    ) -> expression.Result[feeds.News, errors.Failure]:
+        """Returns changes of a kind after a revision, waiting for one."""
+
+    async def read(
+        self, key: objects.Key
+    ) -> expression.Result[feeds.StoredObject | None, errors.Failure]:
+        """Returns an object; None if there is none."""
+
+    async def store(
+        self, key: objects.Key, value: object, expected: int | None
+    ) -> expression.Result[feeds.StoredObject, errors.Failure]:
+        """Stores a value if the revision there is the expected one."""
+
+    async def list_instances(
+        self,
+    ) -> expression.Result[objects.ListedInstances, errors.Failure]:
+        """Returns the live and leaving instances."""
+
+    async def watch_instances(
+        self, revision: int, wait: datetime.timedelta
+    ) -> expression.Result[feeds.News, errors.Failure]:
+        """Returns changes of the instances, waiting for one."""
+
+
+class BudgetedApi:
+    """Refuses calls beyond the settings' rates before they are made."""
+
+    __slots__ = ("_api", "_clock", "_reads", "_writes")
+
+    def __init__(
+        self,
+        api: Api,
+        settings: settings_lib.PlatformSettings,
+        clock: clocks.Clock,
+    ) -> None:
+        self._api = api
+        self._clock = clock
+        self._reads = budget.CallBudget(
+            settings.reads_per_second, settings.call_burst
+        )
+        self._writes = budget.CallBudget(
+            settings.writes_per_second, settings.call_burst
+        )
+
+    def __repr__(self) -> str:
+        return f"BudgetedApi({self._api!r})"
+
+    async def close(self) -> None:
+        """Closes what is open."""
+        await self._api.close()
+
+    async def list(
+        self, kind: str
+    ) -> expression.Result[feeds.Snapshot, errors.Failure]:
+        """Returns all objects of a kind."""
+        spent = self._spend(self._reads)
+        return spent or await self._api.list(kind)
+
+    async def watch(
+        self, kind: str, revision: int, wait: datetime.timedelta
+    ) -> expression.Result[feeds.News, errors.Failure]:
+        """Returns changes of a kind after a revision, waiting for one."""
+        spent = self._spend(self._reads)
+        return spent or await self._api.watch(kind, revision, wait)
+
+    async def read(
+        self, key: objects.Key
+    ) -> expression.Result[feeds.StoredObject | None, errors.Failure]:
+        """Returns an object; None if there is none."""
+        spent = self._spend(self._reads)
+        return spent or await self._api.read(key)
+
+    async def store(
+        self, key: objects.Key, value: object, expected: int | None
+    ) -> expression.Result[feeds.StoredObject, errors.Failure]:
+        """Stores a value if the revision there is the expected one."""
+        spent = self._spend(self._writes)
+        return spent or await self._api.store(key, value, expected)
+
+    async def list_instances(
+        self,
+    ) -> expression.Result[objects.ListedInstances, errors.Failure]:
+        """Returns the live and leaving instances."""
+        spent = self._spend(self._reads)
+        return spent or await self._api.list_instances()
+
+    async def watch_instances(
+        self, revision: int, wait: datetime.timedelta
+    ) -> expression.Result[feeds.News, errors.Failure]:
+        """Returns changes of the instances, waiting for one."""
+        spent = self._spend(self._reads)
+        return spent or await self._api.watch_instances(revision, wait)
+
+    def _spend(
+        self, bucket: budget.CallBudget
+    ) -> expression.Result[object, errors.Failure] | None:
+        """Takes one call; returns its refusal if none is left."""
+        wait = bucket.take(self._clock.now())
+        if not wait:
+            return None
+        return expression.Error(failures.StoreBudgetSpent(wait))
--- a/hickorygate/store/client.py
+++ b/hickorygate/store/client.py
@@ -1,7 +1,8 @@
-"""A client for the platform's object API and its list of instances."""
+"""Reads, changes and follows the sheet and the list of instances."""
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import datetime
 import random
 from typing import TypeVar
@@ -11,19 +12,18 @@
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
-from hickorygate.core import settings as settings_lib
 from hickorygate.core import types
+from hickorygate.store import api as apis
 from hickorygate.store import backoff
 from hickorygate.store import failures
+from hickorygate.store import feed as feeds
 from hickorygate.store import objects
-from hickorygate.store import transport
 
 __all__ = ["Client", "VALUE_LIMIT"]
 
 VALUE_LIMIT = 1_048_576
 """Bytes of the longest value that the store takes."""
 
-_INSTANCES_PATH = "/v1/instances"
 _FIRST_WAIT = datetime.timedelta(milliseconds=100)
 _LONGEST_WAIT = datetime.timedelta(seconds=1)
 _TRIES = 3
@@ -42,45 +42,41 @@
 class Client:
     """Reads, conditionally changes and watches objects."""
 
-    __slots__ = ("_backoff", "_clock", "_settings", "_transport")
+    __slots__ = ("_api", "_backoff", "_clock", "_instances")
 
     def __init__(
         self,
-        settings: settings_lib.PlatformSettings,
+        api: apis.Api,
         clock: clocks.Clock,
         generator: random.Random,
-        caller: transport.Caller | None = None,
     ) -> None:
         """Makes no call yet.
 
         Args:
-          settings: of the platform.
-          clock: for time-outs and the budget.
+          api: makes the calls.
+          clock: for pauses between attempts.
           generator: source of jitter.
-          caller: makes the calls; over HTTP if None.
         """
-        self._settings = settings
+        self._api = api
         self._clock = clock
         self._backoff = backoff.Backoff(_FIRST_WAIT, _LONGEST_WAIT, generator)
-        self._transport = caller or transport.Transport(settings, clock)
+        self._instances: objects.InstanceList | None = None
 
     def __repr__(self) -> str:
-        return f"Client({self._settings.url!r})"
+        return f"Client({self._api!r})"
 
     async def close(self) -> None:
         """Closes idle connections."""
-        await self._transport.close()
+        await self._api.close()
 
     async def read(
         self, key: objects.Key, model: type[ValueT]
     ) -> expression.Result[objects.Stored[ValueT] | None, errors.Failure]:
         """Returns an object; None if the store has none of that key."""
-        answered = await self._transport.make(transport.Call(key.path))
-        if answered.is_error():
-            return answered
-        if not answered.ok.found:
-            return expression.Ok(None)
-        return _stored(key.path, model, answered.ok)
+        found = await self._api.read(key)
+        if found.is_error() or found.ok is None:
+            return found
+        return _stored(key, model, found.ok)
 
     async def store(
         self,
@@ -94,23 +90,23 @@
         is settled by reading back, and sent again under the same condition
         if it had no effect.
         """
-        body = value.model_dump_json().encode()
-        if len(body) > VALUE_LIMIT:
+        size = len(value.model_dump_json().encode())
+        if size > VALUE_LIMIT:
             return expression.Error(
-                failures.ValueTooLarge(key.path, len(body), VALUE_LIMIT)
+                failures.ValueTooLarge(key.text, size, VALUE_LIMIT)
             )
-        call = transport.Call(key.path, body=body, expected=expected)
         lost: VersionResult | None = None
         for _ in range(_TRIES):
-            result = await self._put(call)
-            if result.is_ok() or (lost is None and not _unsettled(result)):
+            result = await self._put(key, value, expected)
+            if result.is_ok() or (lost is None and _is_final(result)):
                 return result
-            lost = lost or result
-            settled = await self._settle(key, value, expected, lost)
-            if not _unsettled(settled):
-                return settled
+            if lost is not None or _unsettled(result):
+                lost = lost or result
+                settled = await self._settle(key, value, expected, lost)
+                if not _unsettled(settled):
+                    return settled
             await self._clock.sleep(self._backoff.fail())
-        return lost
+        return lost or result
 
     async def sheet(
         self,
@@ -118,35 +114,25 @@
         """Returns the stored sheet; None if none was ever stored."""
         return await self.read(objects.SHEET_KEY, objects.SheetObject)
 
-    async def newer(
-        self,
-        path: str,
-        model: type[ValueT],
-        after: int,
-        wait: datetime.timedelta = datetime.timedelta(),
-    ) -> expression.Result[
-        objects.Stored[ValueT] | objects.Unchanged, errors.Failure
-    ]:
-        """Returns an object newer than a version, waiting for one if asked."""
-        query = {"after": str(after)}
-        if wait:
-            query["wait"] = str(wait.total_seconds())
-        call = transport.Call(path, query, wait=wait)
-        answered = await self._transport.make(call)
-        if answered.is_error():
-            return answered
-        if not answered.ok.found:
-            return expression.Ok(objects.Unchanged(answered.ok.version))
-        return _stored(path, model, answered.ok)
-
     async def newer_sheet(
         self,
         after: types.SheetVersion,
         wait: datetime.timedelta = datetime.timedelta(),
     ) -> SheetResult:
         """Returns a sheet newer than a version, waiting for one if asked."""
-        path = objects.SHEET_KEY.path
-        return await self.newer(path, objects.SheetObject, after, wait)
+        key = objects.SHEET_KEY
+        listed = await self._api.list(key.kind)
+        if listed.is_error():
+            return expression.Error(listed.error)
+        found = _named(key, listed.ok.objects)
+        if wait and (found is None or found.revision <= after):
+            news = await self._api.watch(key.kind, listed.ok.revision, wait)
+            if news.is_error():
+                return _unless_lost(news.error, found)
+            found = _named(key, _kept(news.ok)) or found
+        if found is None or found.revision <= after:
+            return _unchanged(found)
+        return _stored(key, objects.SheetObject, found)
 
     async def newer_instances(
         self,
@@ -154,8 +140,16 @@
         wait: datetime.timedelta = datetime.timedelta(),
     ) -> InstancesResult:
         """Returns a list of instances newer than a version, as for a sheet."""
-        model = objects.InstanceList
-        return await self.newer(_INSTANCES_PATH, model, after, wait)
+        listed = await self._api.list_instances()
+        if listed.is_error():
+            return expression.Error(listed.error)
+        if wait and listed.ok.listed == self._instances:
+            watched = await self._api.watch_instances(listed.ok.revision, wait)
+            if watched.is_ok() and watched.ok.changes:
+                listed = await self._api.list_instances()
+            if listed.is_error():
+                return expression.Error(listed.error)
+        return expression.Ok(self._note_instances(listed.ok, after))
 
     async def store_sheet(
         self, sheet: objects.SheetObject, expected: types.SheetVersion
@@ -185,21 +179,27 @@
             return expression.Ok(stored.ok.version)
         return expression.Error(errors.SheetConflict(expected, found))
 
-    async def _put(self, call: transport.Call) -> VersionResult:
-        answered = await self._transport.make(call)
-        if answered.is_error():
-            return answered
-        answer = answered.ok
-        if answer.conflicts:
-            return expression.Error(
-                failures.ObjectConflict(
-                    call.path, call.expected, answer.version
-                )
-            )
-        if answer.version <= call.expected:
-            reason = f"a change answered with version {answer.version}"
+    def _note_instances(
+        self, listed: objects.ListedInstances, after: int
+    ) -> objects.Stored[objects.InstanceList] | objects.Unchanged:
+        """Tells whether a list brings anything new."""
+        if listed.listed == self._instances or listed.revision <= after:
+            return objects.Unchanged(after)
+        self._instances = listed.listed
+        return objects.Stored(listed.revision, listed.listed)
+
+    async def _put(
+        self,
+        key: objects.Key,
+        value: pydantic.BaseModel,
+        expected: types.SheetVersion,
+    ) -> VersionResult:
+        content = value.model_dump(mode="json")
+        stored = await self._api.store(key, content, expected)
+        if stored.is_ok() and stored.ok.revision < expected:
+            reason = f"a change answered with version {stored.ok.revision}"
             return expression.Error(errors.StoreUnavailable(reason, True))
-        return expression.Ok(answer.version)
+        return stored.map(lambda found: found.revision)
 
     async def _settle(
         self,
@@ -217,7 +217,7 @@
             return expression.Ok(version)
         if version > expected:
             return expression.Error(
-                failures.ObjectOvertaken(key.path, expected, version)
+                failures.ObjectOvertaken(key.text, expected, version)
             )
         return lost
 
@@ -231,19 +231,48 @@
     return False
 
 
+def _is_final(result: VersionResult) -> bool:
+    """Whether another attempt would end the same way."""
+    match result:
+        case expression.Result(tag="error", error=errors.StoreUnavailable()):
+            return False
+    return True
+
+
+def _named(
+    key: objects.Key, found: Iterable[feeds.StoredObject]
+) -> feeds.StoredObject | None:
+    """Returns the last object of a key."""
+    matching = [stored for stored in found if stored.name == key.name]
+    return matching[-1] if matching else None
+
+
+def _kept(news: feeds.News) -> list[feeds.StoredObject]:
+    return [change.stored for change in news.changes if not change.gone]
+
+
+def _unchanged(
+    found: feeds.StoredObject | None,
+) -> expression.Result[objects.Unchanged, errors.Failure]:
+    return expression.Ok(objects.Unchanged(found.revision if found else 0))
+
+
+def _unless_lost(
+    failure: errors.Failure, found: feeds.StoredObject | None
+) -> expression.Result[objects.Unchanged, errors.Failure]:
+    """Lists again at the next call if the history of changes is gone."""
+    match failure:
+        case feeds.HistoryLost():
+            return _unchanged(found)
+    return expression.Error(failure)
+
+
 def _stored(
-    path: str, model: type[ValueT], answer: transport.Answer
+    key: objects.Key, model: type[ValueT], found: feeds.StoredObject
 ) -> expression.Result[objects.Stored[ValueT], errors.Failure]:
     try:
-        return expression.Ok(
-            objects.Stored[model].model_validate_json(answer.body)
-        )
+        value = model.model_validate(found.value)
     except pydantic.ValidationError as error:
-        return _malformed(path, error)
-
-
-def _malformed(
-    path: str, error: pydantic.ValidationError
-) -> expression.Result[object, errors.Failure]:
-    reason = error.errors(include_url=False)[0]["msg"]
-    return expression.Error(failures.ObjectMalformed(path, reason))
+        reason = error.errors(include_url=False)[0]["msg"]
+        return expression.Error(failures.ObjectMalformed(key.text, reason))
+    return expression.Ok(objects.Stored(found.revision, value))
--- a/hickorygate/store/keeper.py
+++ b/hickorygate/store/keeper.py
@@ -13,7 +13,6 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import document as documents
 from hickorygate.core import events
-from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheets
 from hickorygate.core import types
 from hickorygate.store import client as clients
@@ -62,7 +61,7 @@
 
     def __init__(
         self,
-        settings: settings_lib.PlatformSettings,
+        client: clients.Client,
         parts: Parts,
         clock: clocks.Clock,
         time_line: events.TimeLine,
@@ -72,7 +71,7 @@
         self._clock = clock
         self._time_line = time_line
         self._generator = generator
-        self._client = clients.Client(settings, clock, generator)
+        self._client = client
         self._configuration = configurations.Configuration()
         self._directory = directories.Directory()
         self._fleet: Fleet | None = None
--- a/hickorygate/store/objects.py
+++ b/hickorygate/store/objects.py
@@ -1,4 +1,4 @@
-"""What the platform's object API sends, validated."""
+"""The product's objects in the platform's store, validated."""
 
 from __future__ import annotations
 
@@ -18,6 +18,7 @@
     "InstanceList",
     "InstanceState",
     "Key",
+    "ListedInstances",
     "SHEET_KEY",
     "SheetObject",
     "Stored",
@@ -46,9 +47,9 @@
     name: str
 
     @property
-    def path(self) -> str:
-        """Path below the API's base address."""
-        return f"/v1/objects/{self.kind}/{self.name}"
+    def text(self) -> str:
+        """How messages name it."""
+        return f"{self.kind}/{self.name}"
 
 
 SHEET_KEY = Key("sheets", "current")
@@ -62,8 +63,9 @@
     loaded_at: datetime.datetime
 
 
-class Stored(_Model, Generic[ValueT]):
-    """The envelope around every object."""
+@dataclasses.dataclass(frozen=True, slots=True)
+class Stored(Generic[ValueT]):
+    """An object and the store's revision at its last change."""
 
     version: types.SheetVersion
     value: ValueT
@@ -99,3 +101,11 @@
     """All instances."""
 
     instances: tuple[Instance, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedInstances:
+    """All instances, and the store's revision when they were listed."""
+
+    listed: InstanceList
+    revision: int
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -12,10 +12,10 @@
 from hickorygate import daemon as daemons
 from hickorygate.core import clock as clocks
 from hickorygate.core import settings as settings_lib
-from hickorygate.store import client as platform_client
+from hickorygate.platform import connect as platforms
 from hickorygate.store import objects
 from hickorygate.testing import database as databases
-from hickorygate.testing import platform as platforms
+from hickorygate.testing import object_store
 
 __all__ = ["PASSWORD", "SCHEMA", "USER", "Stand", "connect", "start"]
 
@@ -58,7 +58,7 @@
       daemons: the proxies.
     """
 
-    platform: platforms.StandInPlatform
+    platform: object_store.ObjectStore
     group: databases.Group
     daemons: list[daemons.Daemon]
 
@@ -88,7 +88,7 @@
         for daemon in self.daemons:
             await daemon.close()
         await self.group.stop()
-        await self.platform.stop()
+        await self.platform.close()
 
     def _ready(self, daemon: daemons.Daemon) -> bool:
         if daemon.sheet is None:
@@ -132,14 +132,11 @@
 
 
 async def load_sheet(
-    platform: platforms.StandInPlatform, text: str, clock: clocks.Clock
+    platform: object_store.ObjectStore, text: str, clock: clocks.Clock
 ) -> None:
     """Stores a sheet through the object API."""
-    client = platform_client.Client(
-        settings_lib.PlatformSettings(url=platform.url),
-        clock,
-        random.Random(0),
-    )
+    settings = settings_lib.PlatformSettings(url=platform.url)
+    client = platforms.connect(settings, clock, random.Random(0))
     sheet = objects.SheetObject(
         text=text, loaded_by="testing", loaded_at=clock.now()
     )
@@ -168,7 +165,7 @@
       head: the sheet's YAML before the list of databases.
     """
     clock = clocks.SystemClock()
-    platform = platforms.StandInPlatform()
+    platform = object_store.ObjectStore()
     await platform.start()
     group = databases.Group(clock)
     await group.start(_NAMES)
--- a/hickorygate/testing/control.py
+++ b/hickorygate/testing/control.py
@@ -8,6 +8,7 @@
 from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
 from hickorygate.core import sheet as sheet_lib
+from hickorygate.platform import connect as platforms
 from hickorygate.proxies import mesh as meshes
 from hickorygate.proxies import messages
 from hickorygate.store import keeper as keepers
@@ -44,8 +45,9 @@
             peers=peers,
         )
         self.time_line = events.TimeLine(name, stamps)
+        client = platforms.connect(settings.platform, clock, generator)
         self.keeper = keepers.Keeper(
-            settings.platform, self, clock, self.time_line, generator
+            client, self, clock, self.time_line, generator
         )
         self.mesh = meshes.Mesh(
             settings, self.keeper, clock, stamps, self.time_line, generator
--- a/hickorygate/testing/line_world.py
+++ b/hickorygate/testing/line_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import random
 
@@ -98,9 +99,15 @@
         return expression.Ok(self._stored)
 
     async def promote(
-        self, service: str, member: str, record: duties.Record
+        self,
+        service: str,
+        member: str,
+        record: duties.Record,
+        may_send: Callable[[], bool],
     ) -> expression.Result[None, errors.Failure]:
         """Promotes at the stand-in group."""
+        if not may_send():
+            return expression.Error(errors.StoreUnavailable("late", False))
         self.orders.append((record.holder, record.number))
         if self._group.promote(member):
             return expression.Ok(None)
--- a/hickorygate/testing/object_store.py
+++ b/hickorygate/testing/object_store.py
@@ -10,6 +10,8 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Mapping
+from collections.abc import Sequence
 import enum
 from typing import Any
 
@@ -18,9 +20,11 @@
 __all__ = ["ObjectStore", "StoreFault"]
 
 _CONFLICT = 409
+_SERVERS = "servers"
+_SILENCE_SECONDS = 60
 
-_PAGE = 3
-"""Objects in one page; few, so that tests meet pages."""
+_PAGE = 500
+"""Objects in one page."""
 
 _Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -29,12 +33,30 @@
     """What goes wrong with one call."""
 
     BUSY = "503, nothing done"
+    BROKEN = "500, but done"
+    CUT = "nothing done, the connection cut"
     TOO_MANY = "429, nothing done"
     LOST = "done, the connection cut"
     SILENT = "no answer"
     MALFORMED = "a body that can't be read"
 
 
+def _cut(request: web.Request) -> None:
+    """Breaks the connection of a request."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def _entry(instance: Mapping[str, str]) -> dict[str, str]:
+    """Returns an instance as its database would announce itself."""
+    state = "draining" if instance["state"] == "leaving" else "ready"
+    return {
+        "address": instance["address"],
+        "zone": instance["zone"],
+        "state": state,
+    }
+
+
 def _take_all(service: str, member: str) -> bool:
     """Takes every promotion."""
     return True
@@ -50,6 +72,7 @@
 
     Attributes:
       calls: methods and paths, in order.
+      page: objects in one page of a list.
       promotions: bodies and headers of the promotions that were ordered.
       promotion_status: answered to a promotion that is taken.
       promote: carries a promotion out; tells whether it was taken.
@@ -59,6 +82,7 @@
 
     def __init__(self) -> None:
         self.calls: list[str] = []
+        self.page = _PAGE
         self.promotions: list[dict[str, str]] = []
         self.promotion_status = 200
         self.promote: Callable[[str, str], bool] = _take_all
@@ -81,8 +105,13 @@
         assert self._runner is not None, "not started; call start()"
         return self._runner.addresses[0][1]
 
-    async def start(self) -> None:
-        """Begins to listen."""
+    @property
+    def url(self) -> str:
+        """Base address, after `start`."""
+        return f"http://127.0.0.1:{self.port}"
+
+    async def start(self, port: int = 0) -> None:
+        """Begins to listen; on a free port if it is 0."""
         app = web.Application(middlewares=[self._apply_fault])
         app.router.add_get("/-/objects/{kind}", self._list)
         app.router.add_post("/-/objects/{kind}", self._create)
@@ -94,12 +123,12 @@
             app, shutdown_timeout=0.05, access_log=None
         )
         await self._runner.setup()
-        await self.listen()
+        await self.listen(port)
 
-    async def listen(self) -> int:
+    async def listen(self, port: int = 0) -> int:
         """Listens on one more port; returns it."""
         assert self._runner is not None, "not started; call start()"
-        await web.TCPSite(self._runner, "127.0.0.1", 0).start()
+        await web.TCPSite(self._runner, "127.0.0.1", port).start()
         return self._runner.addresses[-1][1]
 
     async def close(self) -> None:
@@ -115,6 +144,22 @@
         """Stores an object as its owner would."""
         self._store(kind, name, spec)
 
+    def set_instances(self, instances: Sequence[Mapping[str, str]]) -> int:
+        """Replaces the databases' entries by others.
+
+        Args:
+          instances: name, address, zone and state (live or leaving) of each.
+
+        Returns:
+          The store's revision.
+        """
+        wanted = {i["name"]: _entry(i) for i in instances}
+        for name in self._objects.get(_SERVERS, {}).keys() - wanted.keys():
+            self.remove(_SERVERS, name)
+        for name, entry in wanted.items():
+            self._store(_SERVERS, name, entry)
+        return self._revision
+
     def remove(self, kind: str, name: str) -> None:
         """Removes an object as its owner would."""
         gone = self._objects[kind].pop(name)
@@ -138,15 +183,22 @@
             case StoreFault.TOO_MANY:
                 return web.Response(status=429)
             case StoreFault.SILENT:
-                await asyncio.sleep(60)
+                await asyncio.sleep(_SILENCE_SECONDS)
+            case StoreFault.CUT:
+                _cut(request)
             case StoreFault.MALFORMED:
                 return web.Response(text="{", content_type="application/json")
         response = await handler(request)
-        if fault is StoreFault.LOST and request.transport is not None:
-            request.transport.abort()
+        if fault is StoreFault.LOST:
+            _cut(request)
+        if fault is StoreFault.BROKEN:
+            return web.Response(status=500)
         return response
 
     def _store(self, kind: str, name: str, spec: object) -> dict[str, Any]:
+        known = self._objects.get(kind, {}).get(name)
+        if known is not None and known["spec"] == spec:
+            return known  # What changes nothing makes no revision.
         self._revision += 1
         meta = {"name": name, "revision": self._revision}
         stored = {"meta": meta, "spec": spec, "status": None}
@@ -170,11 +222,13 @@
         objects = self._objects.get(request.match_info["kind"], {})
         after = request.query.get("after", "")
         names = sorted(name for name in objects if name > after)
-        page = [self._show(request, objects[name]) for name in names[:_PAGE]]
+        page = [
+            self._show(request, objects[name]) for name in names[: self.page]
+        ]
         return web.json_response(
             {
                 "items": page,
-                "has_more": len(names) > _PAGE,
+                "has_more": len(names) > self.page,
                 "current_rev": self._revision,
             }
         )
--- a/hickorygate/testing/relay.py
+++ b/hickorygate/testing/relay.py
@@ -37,15 +37,17 @@
       writer: to the receiver.
       delayed: what waits for its time; no bytes stand for the end.
       held: what waits for the cut to heal.
+      reset: whether its sender has reset it; what is under way is lost.
     """
 
-    __slots__ = ("delayed", "held", "way", "writer")
+    __slots__ = ("delayed", "held", "reset", "way", "writer")
 
     def __init__(self, way: Way, writer: asyncio.StreamWriter) -> None:
         self.way = way
         self.writer = writer
         self.delayed: collections.deque[bytes] = collections.deque()
         self.held: collections.deque[bytes] = collections.deque()
+        self.reset = False
 
     def __repr__(self) -> str:
         return f"_Stream({self.way}, held={len(self.held)})"
@@ -174,6 +176,7 @@
             try:
                 data = await reader.read(_CHUNK_BYTES)
             except OSError:
+                stream.reset = True
                 data = b""  # A reset by one end also ends the other.
             stream.delayed.append(data)
             loop = asyncio.get_running_loop()
@@ -195,7 +198,7 @@
         if not data:
             link.close()
             self._links.discard(link)
-        elif not stream.writer.is_closing():
+        elif not (stream.reset or stream.writer.is_closing()):
             stream.writer.write(data)
 
 
--- a/hickorygate/testing/stand_ins.py
+++ b/hickorygate/testing/stand_ins.py
@@ -6,7 +6,7 @@
 from hickorygate.core import sheet as sheets
 from hickorygate.testing import database as databases
 from hickorygate.testing import load as loads
-from hickorygate.testing import platform as platforms
+from hickorygate.testing import object_store
 
 __all__ = ["StandIns"]
 
@@ -18,7 +18,7 @@
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
-        self._platform = platforms.StandInPlatform()
+        self._platform = object_store.ObjectStore()
         self._groups: list[databases.Group] = []
 
     @property
@@ -48,7 +48,7 @@
         """Stops everything."""
         for group in self._groups:
             await group.stop()
-        await self._platform.stop()
+        await self._platform.close()
 
     async def _start_group(self, group: sheets.Group) -> None:
         stand_in = databases.Group(self._clock)
--- a/hickorygate/tests/test_platform_process.py
+++ b/hickorygate/tests/test_platform_process.py
@@ -202,6 +202,20 @@
         self.process.reload()
         self.assertEqual((await self.get("ready", "/-/readiness"))[0], 200)
 
+    async def test_settings_that_change_without_a_signal_are_read(self) -> None:
+        self.store.put("config", "main", _configuration(3, "db"))
+        await self.until_ready()
+        elsewhere = object_store.ObjectStore()
+        await elsewhere.start()
+        self.addAsyncCleanup(elsewhere.close)
+        text = self.settings_text(grace=2)
+        former = f"platform.address=127.0.0.1:{self.store.port}"
+        newer = f"platform.address=127.0.0.1:{elsewhere.port}"
+        self.path.write_text(text.replace(former, newer))
+        async with asyncio.timeout(_LIMIT):
+            while not elsewhere.calls:
+                await asyncio.sleep(0.05)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/hickorygate/upstreams/duty.py
+++ b/hickorygate/upstreams/duty.py
@@ -47,12 +47,15 @@
       incarnation: of its process; a new process holds nothing.
       number: rises with each change of holder.
       released: whether the holder has given it back.
+      renewals: by this holder; the store makes a revision only of what
+        changes, and a renewal must be one.
     """
 
     holder: types.ProxyName
     incarnation: str
     number: int
     released: bool
+    renewals: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,7 +130,8 @@
             return Write(self._mine(1), None)
         record = self._seen.record
         if record.incarnation == self._incarnation:
-            return Write(self._mine(record.number), self._seen.revision)
+            renewed = self._mine(record.number, record.renewals + 1)
+            return Write(renewed, self._seen.revision)
         own_past = record.holder == self._name
         if record.released or own_past or self._lapsed(now):
             return Write(self._mine(record.number + 1), self._seen.revision)
@@ -159,8 +163,8 @@
         given = dataclasses.replace(record, released=True)
         return Write(given, self._seen.revision)
 
-    def _mine(self, number: int) -> Record:
-        return Record(self._name, self._incarnation, number, False)
+    def _mine(self, number: int, renewals: int = 0) -> Record:
+        return Record(self._name, self._incarnation, number, False, renewals)
 
     def _lapsed(self, now: datetime.datetime) -> bool:
         since = self._seen_at
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -53,8 +53,9 @@
         service: types.ServiceName,
         member: members.MemberId,
         record: duties.Record,
+        may_send: Callable[[], bool],
     ) -> expression.Result[None, errors.Failure]:
-        """Orders a promotion."""
+        """Orders a promotion; `may_send` is asked right before it is sent."""
 
 
 class Office:
@@ -72,6 +73,7 @@
         self._clock = clock
         self._journal = journal
         self._users = 0
+        self._unanswered = False
         self._lock = asyncio.Lock()
 
     @property
@@ -101,9 +103,13 @@
         return held
 
     async def leave(self) -> None:
-        """Gives the duty back once nobody here uses it."""
+        """Gives the duty back once nobody here uses it.
+
+        After an order whose answer was lost it lapses instead: the order may
+        still take effect, and no newer number may come before it.
+        """
         self._users -= 1
-        if self._users:
+        if self._users or self._unanswered:
             return
         async with self._lock:
             write = None if self._users else self._duty.release()
@@ -122,10 +128,14 @@
     ) -> bool:
         """Orders a promotion under the duty's number."""
         record = self._duty.record
-        # The lease is checked last: nothing may come between it and the call.
         if record is None or not self.held:
             return False
-        ordered = await self._store.promote(service, member, record)
+        # The lease is looked at again once connected: this process may have
+        # stood still meanwhile.
+        ordered = await self._store.promote(
+            service, member, record, lambda: self.held
+        )
+        self._unanswered = self._unanswered or _is_unanswered(ordered)
         return ordered.is_ok()
 
     async def _claim(self, wanted: Callable[[], bool]) -> bool:
@@ -133,6 +143,7 @@
         while wanted() and self._clock.now() < ends:
             wait = await self._try_once()
             if wait is None:
+                self._unanswered = False
                 self._journal.record(decisions.DutyWon(self.number))
                 return True
             await self._clock.sleep(wait)
@@ -161,6 +172,15 @@
         self._journal.record(decisions.DutyLost(written.error.message))
 
 
+def _is_unanswered(
+    ordered: expression.Result[None, errors.Failure],
+) -> bool:
+    """Whether an order may take effect although no answer came."""
+    return (
+        ordered.is_error() and ordered.error.outcome is errors.Outcome.UNKNOWN
+    )
+
+
 class Promoter:
     """Replaces the primary of one group when it must."""
 
