--- /dev/null
+++ b/soak/test_soak.py
@@ -0,0 +1,144 @@
+"""The soak: its plan, its checks, and a short run of it."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import pathlib
+import tempfile
+import unittest
+
+from hickorygate.core import position as positions
+from hickorygate.testing import line_log
+from soak import plan
+from soak import register as registers
+from soak import run as runs
+
+_SEEDS = pathlib.Path(__file__).parent / "seeds.txt"
+_SMALL = plan.Size(proxies=3, services=1, callers=8, seconds=4.0)
+
+
+def _commit(number: int, request: str, **versions: int) -> line_log.Commit:
+    writes = tuple((item, str(version)) for item, version in versions.items())
+    return line_log.Commit(positions.Position(1, number), request, writes)
+
+
+def _seen(version: int, **changed: float | int) -> registers.ReadSeen:
+    values = {"sent": 10.0, "staleness": 0.0, "own": 0, **changed}
+    return registers.ReadSeen("r", "x", version, **values)
+
+
+class PlanTest(unittest.TestCase):
+    """A seed decides all faults."""
+
+    def test_a_seed_gives_the_same_faults(self) -> None:
+        size = plan.Size()
+        self.assertEqual(plan.make(7, size), plan.make(7, size))
+        self.assertNotEqual(plan.make(7, size), plan.make(8, size))
+
+    def test_faults_overlap_and_every_kind_comes(self) -> None:
+        drawn = [plan.make(seed, plan.Size()) for seed in range(60)]
+        kinds = {type(f).__name__ for faults in drawn for f in faults}
+        known = {kind.__name__ for kind in plan.Fault.__subclasses__()}
+        self.assertEqual(kinds, known)
+        overlapping = [
+            faults
+            for faults in drawn
+            if any(
+                a.ends > b.at for a, b in zip(faults, faults[1:], strict=False)
+            )
+        ]
+        self.assertGreater(len(overlapping), 50)
+
+
+class RegisterTest(unittest.TestCase):
+    """Each broken promise is seen, and a kept one is not."""
+
+    def setUp(self) -> None:
+        self.register = registers.Register()
+
+    def write(self, request: str, **versions: int) -> registers.WriteSent:
+        write = registers.WriteSent(request, versions)
+        self.register.send(write)
+        return write
+
+    def assert_broken(self, *promises: registers.Promise) -> None:
+        broken = [v.promise for v in self.register.violations]
+        self.assertEqual(broken, list(promises))
+
+    def test_a_read_must_see_what_was_acknowledged_before(self) -> None:
+        self.register.acknowledge(self.write("a", x=1), 5.0)
+        self.register.read(_seen(1))
+        self.register.read(_seen(0, sent=4.0))
+        self.register.read(_seen(0, sent=6.0, staleness=2.0))
+        self.assert_broken()
+        self.register.read(_seen(0))
+        self.register.read(_seen(0, sent=6.0, staleness=0.5))
+        self.assert_broken(*2 * [registers.Promise.FRESH])
+
+    def test_a_session_must_see_its_own_commits(self) -> None:
+        self.register.read(_seen(2, staleness=9.0, own=2))
+        self.assert_broken()
+        self.register.read(_seen(1, staleness=9.0, own=2))
+        self.assert_broken(registers.Promise.FRESH)
+
+    def test_acknowledged_commits_are_kept(self) -> None:
+        self.register.acknowledge(self.write("a", x=1), 5.0)
+        self.register.audit_kept(["a"])
+        self.assert_broken()
+        self.register.audit_kept([])
+        self.assert_broken(registers.Promise.KEPT)
+
+    def test_what_was_refused_did_not_run(self) -> None:
+        self.register.refuse(self.write("a", x=1), "BUSY")
+        self.register.refuse(self.write("b", x=2), "INDOUBT")
+        self.register.audit_kept(["b"])
+        self.assert_broken()
+        self.register.audit_kept(["a"])
+        self.assert_broken(registers.Promise.REFUSED)
+
+    def test_a_write_takes_effect_once(self) -> None:
+        self.write("a", x=1)
+        commits = [_commit(1, "a", x=1), _commit(2, "a", x=1)]
+        self.register.audit(commits)
+        self.assert_broken(*2 * [registers.Promise.ONCE])
+
+    def test_a_transaction_takes_effect_whole(self) -> None:
+        self.write("a", x=1, y=1)
+        self.register.audit([_commit(1, "a", x=1, y=1)])
+        self.assert_broken()
+        self.register.audit([_commit(1, "a", x=1)])
+        self.assert_broken(registers.Promise.WHOLE)
+
+    def test_numbers_of_promoters_never_go_back(self) -> None:
+        self.register.audit_orders([("p", 1), ("p", 1), ("q", 2)])
+        self.assert_broken()
+        self.register.audit_orders([("p", 2), ("q", 1)])
+        self.assert_broken(registers.Promise.ONE)
+
+    def test_a_number_has_one_holder(self) -> None:
+        self.register.audit_orders([("p", 1), ("q", 1)])
+        self.assert_broken(registers.Promise.ONE)
+
+
+class RunTest(unittest.TestCase):
+    """Real processes under the faults of a seed."""
+
+    def test_a_short_run_keeps_all_promises(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(runs.run(3, _SMALL, pathlib.Path(folder)))
+        self.assertEqual(report.violations, ())
+        self.assertGreater(report.acknowledged, 0)
+        self.assertGreater(sum(report.faults.values()), 0)
+
+    def test_each_seed_that_failed_is_listed_with_its_cause(self) -> None:
+        for line in _SEEDS.read_text().splitlines():
+            seed, _, cause = line.partition(": ")
+            self.assertTrue(seed.isdecimal() and cause, line)
+            faults = plan.make(int(seed), plan.Size())
+            longest = max(fault.ends for fault in faults)
+            self.assertGreater(longest, datetime.timedelta())
+
+
+if __name__ == "__main__":
+    unittest.main()
