--- a/hickorygate/callers/surroundings.py
+++ b/hickorygate/callers/surroundings.py
@@ -38,7 +38,7 @@
     def group(
         self, service: types.ServiceName
     ) -> supervisors.Supervisor | None:
-        """Returns the databases of a service; None if it has none."""
+        """Returns the databases of a service; None if there is no such one."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/operators/bench.py
+++ b/hickorygate/operators/bench.py
@@ -1,4 +1,8 @@
-"""`hickorygate bench`: floods a stand-in database, policy beside policy."""
+"""`hickorygate bench`: loads stand-ins, in either front end's protocol.
+
+In MySQL's, policy beside policy in front of one database; in the line protocol,
+whole proxies before a group, with faults at set times.
+"""
 
 from __future__ import annotations
 
@@ -15,9 +19,11 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import rank as ranks
 from hickorygate.operators import command as commands
+from hickorygate.operators import line_report
 from hickorygate.testing import flood
+from hickorygate.testing import line_bench
 
-__all__ = ["Bench", "FAMILY"]
+__all__ = ["Bench", "FAMILY", "LineBench"]
 
 _NAME = "bench"
 _POLICIES = {
@@ -96,6 +102,33 @@
 _JSON = flags.DEFINE_string(
     "json", None, "File for the reports as JSON.", flag_values=_FLAGS
 )
+_PROTOCOL = flags.DEFINE_enum(
+    "protocol",
+    "mysql",
+    ["mysql", "line"],
+    "Front end to load; `line` is that of the users' platform.",
+    flag_values=_FLAGS,
+)
+_LOAD = flags.DEFINE_list(
+    "load",
+    ["0.1", "0.3", "0.1"],
+    "Line protocol: load of the urgent, normal and history rank, as parts of "
+    "the group's capacity.",
+    flag_values=_FLAGS,
+)
+_FAULT = flags.DEFINE_list(
+    "fault",
+    [],
+    "Line protocol: what happens to the primary, as KIND@SECONDS+SECONDS; "
+    f"kinds: {', '.join(line_bench.FAULTS)}.",
+    flag_values=_FLAGS,
+)
+_HTML = flags.DEFINE_string(
+    "html",
+    None,
+    "Line protocol: file for the report with its charts.",
+    flag_values=_FLAGS,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -108,9 +141,56 @@
     json: pathlib.Path | None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LineBench(commands.Command):
+    """Loads whole proxies in the line protocol."""
+
+    setup: line_bench.Setup
+    html: pathlib.Path | None
+
+
+def _parse_fault(text: str) -> line_bench.Fault:
+    """Decodes `KIND@SECONDS+SECONDS`.
+
+    Raises:
+      ValueError: the text is something else.
+    """
+    kind, _, times = text.partition("@")
+    first, plus, lasts = times.partition("+")
+    if kind not in line_bench.FAULTS or not plus:
+        known = ", ".join(line_bench.FAULTS)
+        raise ValueError(
+            f"fault {text!r}; write KIND@SECONDS+SECONDS, kinds: {known}"
+        )
+    return line_bench.FAULTS[kind](
+        datetime.timedelta(seconds=float(first)),
+        datetime.timedelta(seconds=float(lasts)),
+    )
+
+
+def _parse_line() -> commands.ParseResult:
+    try:
+        faults = tuple(_parse_fault(text) for text in _FAULT.value)
+        urgent, normal, history = (float(load) for load in _LOAD.value)
+    except ValueError as error:
+        return commands.usage(_NAME, str(error))
+    setup = line_bench.Setup(
+        proxies=_PROXIES.value,
+        slots=_SLOTS.value,
+        loads=(urgent, normal, history),
+        duration=datetime.timedelta(seconds=_SECONDS.value),
+        faults=faults,
+        seed=_SEED.value,
+    )
+    page = pathlib.Path(_HTML.value) if _HTML.value else None
+    return expression.Ok(LineBench(setup, page))
+
+
 def _parse(words: Sequence[str]) -> commands.ParseResult:
     if words:
         return commands.usage(_NAME, f"takes no {words[0]!r}")
+    if _PROTOCOL.value == "line":
+        return _parse_line()
     for name in _POLICY.value:
         if name not in _POLICIES:
             known = ", ".join(_POLICIES)
@@ -143,6 +223,10 @@
             "bench [--policy P,..] [--scenario S,..] [--seconds N] [--seed N]",
             "flood a stand-in database and compare policies",
         ),
+        commands.Usage(
+            "bench --protocol line [--fault KIND@S+S,..] [--html FILE]",
+            "load proxies before a group whose primary fails",
+        ),
     ),
     _FLAGS,
     _parse,
@@ -180,3 +264,12 @@
         text = orjson.dumps(reports, option=orjson.OPT_INDENT_2)
         command.json.write_bytes(text + b"\n")
     return expression.Ok(None)
+
+
+@commands.execute.register
+async def _(command: LineBench) -> commands.Result:
+    report = await line_bench.run(command.setup, clocks.SystemClock())
+    print(line_report.text(report))
+    if command.html is not None:
+        command.html.write_text(line_report.page(report), encoding="utf-8")
+    return expression.Ok(None)
--- /dev/null
+++ b/hickorygate/operators/chart.py
@@ -0,0 +1,145 @@
+"""Line charts as SVG."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+import dataclasses
+from xml.etree import ElementTree
+
+__all__ = ["Mark", "Series", "draw"]
+
+_WIDTH, _HEIGHT = 720, 220
+_LEFT, _RIGHT, _TOP, _BOTTOM = 56, 120, 24, 32
+_COLOURS = ("#b3261e", "#1f5fa8", "#3a7d34", "#7a5c00", "#555555")
+_TICKS = 4
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Series:
+    """A named line; its points by rising x."""
+
+    name: str
+    points: Sequence[tuple[float, float]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Mark:
+    """Something that lasted from one x to another."""
+
+    name: str
+    first: float
+    last: float
+
+
+class _Scale:
+    """Places values on the picture."""
+
+    def __init__(self, series: Sequence[Series], marks: Sequence[Mark]) -> None:
+        points = [point for one in series for point in one.points]
+        ends = [x for x, _ in points] + [mark.last for mark in marks]
+        self.right = max(ends, default=1.0) or 1.0
+        self.top = max((y for _, y in points), default=1.0) or 1.0
+
+    def x(self, value: float) -> float:
+        """Returns the pixels from the left."""
+        return _LEFT + value / self.right * (_WIDTH - _LEFT - _RIGHT)
+
+    def y(self, value: float) -> float:
+        """Returns the pixels from the top."""
+        return _HEIGHT - _BOTTOM - value / self.top * (_HEIGHT - _TOP - _BOTTOM)
+
+
+def draw(
+    title: str, series: Sequence[Series], marks: Sequence[Mark] = ()
+) -> str:
+    """Returns a chart as an SVG element.
+
+    Args:
+      title: says what is on both axes.
+      series: the lines.
+      marks: spans of the x axis to shade.
+    """
+    root = ElementTree.Element(
+        "svg",
+        {
+            "xmlns": "http://www.w3.org/2000/svg",
+            "viewBox": f"0 0 {_WIDTH} {_HEIGHT}",
+            "width": str(_WIDTH),
+            "font-family": "sans-serif",
+            "font-size": "11",
+        },
+    )
+    scale = _Scale(series, marks)
+    _text(root, _LEFT, _TOP - 10, title)
+    for mark in marks:
+        _shade(root, scale, mark)
+    for number in range(_TICKS + 1):
+        _tick(root, scale, number / _TICKS)
+    for number, one in enumerate(series):
+        _line(root, scale, one, number)
+    return ElementTree.tostring(root, encoding="unicode")
+
+
+def _shade(root: ElementTree.Element, scale: _Scale, mark: Mark) -> None:
+    first, last = scale.x(mark.first), scale.x(mark.last)
+    ElementTree.SubElement(
+        root,
+        "rect",
+        {
+            "x": f"{first:.1f}",
+            "y": str(_TOP),
+            "width": f"{max(last - first, 1):.1f}",
+            "height": str(_HEIGHT - _TOP - _BOTTOM),
+            "fill": "#eeeeee",
+        },
+    )
+    _text(root, first + 2, _TOP + 11, mark.name)
+
+
+def _tick(root: ElementTree.Element, scale: _Scale, part: float) -> None:
+    x, y = scale.right * part, scale.top * part
+    _text(root, scale.x(x), _HEIGHT - _BOTTOM + 16, f"{x:.3g}")
+    _text(root, 4, scale.y(y) + 4, f"{y:.3g}")
+    ElementTree.SubElement(
+        root,
+        "line",
+        {
+            "x1": str(_LEFT),
+            "x2": str(_WIDTH - _RIGHT),
+            "y1": f"{scale.y(y):.1f}",
+            "y2": f"{scale.y(y):.1f}",
+            "stroke": "#cccccc",
+        },
+    )
+
+
+def _line(
+    root: ElementTree.Element, scale: _Scale, series: Series, number: int
+) -> None:
+    colour = _COLOURS[number % len(_COLOURS)]
+    points = " ".join(
+        f"{scale.x(x):.1f},{scale.y(y):.1f}" for x, y in series.points
+    )
+    ElementTree.SubElement(
+        root,
+        "polyline",
+        {
+            "points": points,
+            "fill": "none",
+            "stroke": colour,
+            "stroke-width": "1.5",
+        },
+    )
+    label = _text(root, _WIDTH - _RIGHT + 8, _TOP + 16 * (number + 1), "")
+    label.text = series.name
+    label.set("fill", colour)
+
+
+def _text(
+    root: ElementTree.Element, x: float, y: float, text: str
+) -> ElementTree.Element:
+    found = ElementTree.SubElement(
+        root, "text", {"x": f"{x:.1f}", "y": f"{y:.1f}"}
+    )
+    found.text = text
+    return found
--- a/hickorygate/store/feed.py
+++ b/hickorygate/store/feed.py
@@ -33,6 +33,9 @@
 """How long the store holds a watch; a connection that has gone silent is
 noticed within it."""
 
+_PACE = datetime.timedelta(milliseconds=200)
+"""After changes, before the next call: many in a row are fetched together."""
+
 _FIRST_PAUSE = datetime.timedelta(milliseconds=100)
 _LONGEST_PAUSE = datetime.timedelta(milliseconds=800)
 
@@ -153,28 +156,32 @@
     async def run(self) -> None:
         """Follows the store until it is cancelled."""
         while True:
-            failure = await self._step()
-            if failure is None:
-                self._note_answer()
-                continue
-            await self._clock.sleep(_take_failure(failure, self))
-
-    async def _step(self) -> errors.Failure | None:
-        """Makes one call; returns its failure."""
+            match await self._step():
+                case expression.Result(tag="ok", ok=pause):
+                    self._note_answer()
+                    await self._clock.sleep(pause)
+                case expression.Result(tag="error", error=failure):
+                    await self._clock.sleep(_take_failure(failure, self))
+
+    async def _step(
+        self,
+    ) -> expression.Result[datetime.timedelta, errors.Failure]:
+        """Makes one call; returns how long to wait before the next."""
         if self._revision is None:
             listed = await self._source.list(self._kind)
             if listed.is_error():
-                return listed.error
+                return expression.Error(listed.error)
             self._revision = listed.ok.revision
             self._sink.replace(listed.ok.objects)
-            return None
+            return expression.Ok(datetime.timedelta())
         news = await self._source.watch(self._kind, self._revision, _WAIT)
         if news.is_error():
-            return news.error
+            return expression.Error(news.error)
         self._revision = max(self._revision, news.ok.revision)
         for change in news.ok.changes:
             self._sink.change(change)
-        return None
+        pause = _PACE if news.ok.changes else datetime.timedelta()
+        return expression.Ok(pause)
 
     def _note_answer(self) -> None:
         self._backoff.succeed()
--- a/hickorygate/store/roll.py
+++ b/hickorygate/store/roll.py
@@ -72,7 +72,8 @@
             await self._clock.sleep(_FIRST)
             await self._count()
             factor = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
-            await self._clock.sleep(censuses.BEAT * factor)
+            beat = censuses.beat(self._census.count(self._clock.now()))
+            await self._clock.sleep(beat * factor)
 
     async def leave(self) -> None:
         """Removes this proxy's object."""
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -19,7 +19,10 @@
 from hickorygate.testing import line_session
 from hickorygate.upstreams import member as members
 
-__all__ = ["Faults", "LineDatabase", "LineGroup", "signature"]
+__all__ = ["Faults", "LineDatabase", "LineGroup", "Work", "signature"]
+
+_LISTED_SLOTS = 2
+"""Slots that an entry names at the most, also where nothing is limited."""
 
 
 def signature(database: str, request: str) -> str:
@@ -47,11 +50,27 @@
     refusals: int = 0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What a database can do.
+
+    Attributes:
+      slots: statements that run at once.
+      time: that each takes.
+      queue: statements that may wait; more are refused as not run.
+    """
+
+    slots: int = 64
+    time: datetime.timedelta = datetime.timedelta(milliseconds=1)
+    queue: int = 64
+
+
 class LineDatabase:
     """One database that listens.
 
     Attributes:
       log: its log, role and term.
+      most_running: the most statements that ran at once.
       faults: what is wrong with it.
       ran: callers' requests that it ran: ids and texts.
       leaving: whether it is about to stop.
@@ -70,6 +89,10 @@
         self.leaving = False
         self.last_ran: float | None = None
         self.deposed: float | None = None
+        self.most_running = 0
+        self._running = 0
+        self._queued = 0
+        self._slots = asyncio.Semaphore(group.work.slots)
         self._sessions: set[line_session.LineSession] = set()
         self._server: asyncio.Server | None = None
         self._port = 0
@@ -101,7 +124,7 @@
             host="127.0.0.1",
             port=self._port,
             zone="a",
-            slots=2,
+            slots=min(self.group.work.slots, _LISTED_SLOTS),
             leaving=self.leaving,
             leads=self.log.leads,
         )
@@ -122,6 +145,22 @@
         for session in tuple(self._sessions):
             session.abort()
 
+    async def work(self) -> bool:
+        """Takes a slot for a statement; False if too many wait for one."""
+        if self._queued >= self.group.work.queue:
+            return False
+        self._queued += 1
+        await self._slots.acquire()
+        self._queued -= 1
+        self._running += 1
+        self.most_running = max(self.most_running, self._running)
+        try:
+            await asyncio.sleep(self.group.work.time.total_seconds())
+        finally:
+            self._running -= 1
+            self._slots.release()
+        return True
+
     def note_run(self, request: str, text: str) -> None:
         """Takes in that it ran a caller's request."""
         self.ran.append((request, text))
@@ -154,6 +193,7 @@
       promotions: the databases that were promoted.
       synchronous: replicas that must hold a commit; all are off if 0.
       notice: how long a primary goes on beside a newer one that it can reach.
+      work: what each database can do.
     """
 
     def __init__(
@@ -165,9 +205,11 @@
             milliseconds=50
         ),
         notice: datetime.timedelta = datetime.timedelta(),
+        work: Work = Work(),
     ) -> None:
         self.service = service
         self.notice = notice
+        self.work = work
         self.lag = lag
         self.promotion_delay = promotion_delay
         self.synchronous = 1
--- a/hickorygate/testing/line_session.py
+++ b/hickorygate/testing/line_session.py
@@ -16,7 +16,6 @@
 __all__ = ["LineSession"]
 
 _FLOOR = re.compile(r"WAITPOS (\d+)\.(\d+) (.*)\Z")
-_WORK_SECONDS = 0.001
 
 
 class LineSession(asyncio.Protocol):
@@ -171,7 +170,9 @@
         if (writes or plain) and not self._database.log.leads:
             self._refuse("READONLY")
             return
-        await asyncio.sleep(_WORK_SECONDS)
+        if not await self._database.work():
+            self._refuse("BUSY")
+            return
         self._database.note_run(request, text)
         if writes:
             await self._write(request, (words[1], " ".join(words[2:])))
--- a/hickorygate/testing/line_world.py
+++ b/hickorygate/testing/line_world.py
@@ -144,10 +144,14 @@
     def __repr__(self) -> str:
         return f"Proxy({self.fleet!r})"
 
-    async def start(self) -> None:
-        """Serves, once the group's primary is known."""
+    async def start(self, catalog: catalogs.Catalog | None = None) -> None:
+        """Serves, once the group's primary is known.
+
+        Args:
+          catalog: the configuration; by default one of `make_catalog`.
+        """
         self.fleet.replace_members(self._group.members())
-        self.fleet.apply(make_catalog(1, self._group.service))
+        self.fleet.apply(catalog or make_catalog(1, self._group.service))
         self.fleet.start()
         await self.front.start(settings_lib.Address("127.0.0.1", 0))
         group = self.fleet.group(self._group.service)
--- a/hickorygate/testing/virtual_time.py
+++ b/hickorygate/testing/virtual_time.py
@@ -17,7 +17,7 @@
 
 _EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
-_DELIVERY_SECONDS = 0.000_5
+_DELIVERY_SECONDS = 0.000_2
 """Real time that bytes between two sockets of one process may take; only
 after it does time move on."""
 
--- /dev/null
+++ b/hickorygate/tests/test_fleet.py
@@ -0,0 +1,150 @@
+"""Which groups a proxy looks after, and what a change of the list costs.
+
+The load answered: many more groups than a proxy's callers use, and entries
+that change all the time.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import unittest
+
+import expression
+
+from hickorygate.core import catalog as catalogs
+from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.testing import clock as clocks
+from hickorygate.testing import line_group
+from hickorygate.testing import line_world as worlds
+from hickorygate.upstreams import duty as duties
+from hickorygate.upstreams import fleet as fleets
+from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promoter as promoters
+from hickorygate.upstreams import request as requests
+
+_MANY = 200
+_UNUSED = datetime.timedelta(seconds=30)
+
+
+class _Connector:
+    """Reaches nothing; remembers whom it was asked for."""
+
+    def __init__(self) -> None:
+        self.asked: set[str] = set()
+
+    async def open(
+        self, member: members.Member
+    ) -> expression.Result[requests.Connection, errors.Failure]:
+        self.asked.add(member.service)
+        return expression.Error(errors.ConnectFailed(member.id, "nobody"))
+
+
+class _Clock(clocks.FakeClock):
+    """Doesn't move while others sleep."""
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        await asyncio.sleep(0.001)
+
+
+def _service(number: int) -> str:
+    return f"service-{number}"
+
+
+def _member(number: int, **changed: object) -> members.Member:
+    values = {
+        "id": f"db-{number}",
+        "born": 1,
+        "service": _service(number),
+        "host": "127.0.0.1",
+        "port": 1,
+        "zone": "a",
+        "slots": 2,
+        "leaving": False,
+        "leads": True,
+        **changed,
+    }
+    return members.Member(**values)  # type: ignore[arg-type]
+
+
+def _catalog(version: int, count: int) -> catalogs.Catalog:
+    terms = {
+        _service(n): catalogs.ServiceTerms(_service(n), 20, 1)
+        for n in range(count)
+    }
+    idle = datetime.timedelta(seconds=3)
+    return catalogs.Catalog(version, {}, terms, idle)
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    """Without any network."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        self.clock = _Clock()
+        self.connector = _Connector()
+        journal = events.TimeLine("p", events.StampClock(self.clock))
+        store = worlds.MemoryStore(line_group.LineGroup())
+        duty = duties.Duty("p", "p")
+        office = promoters.Office(duty, store, self.clock, journal)
+        self.fleet = fleets.Fleet(self.connector, office, self.clock, journal)
+        self.addAsyncCleanup(self.fleet.close)
+        self.fleet.start()
+
+    async def settle(self) -> None:
+        await asyncio.sleep(0.05)
+
+    async def test_few_groups_are_all_looked_after(self) -> None:
+        self.fleet.apply(_catalog(1, 4))
+        self.clock.advance(_UNUSED)
+        await self.settle()
+        self.assertEqual(len(self.fleet.groups), 4)
+
+    async def test_of_many_groups_only_those_in_use_are_asked(self) -> None:
+        self.fleet.replace_members([_member(n) for n in range(_MANY)])
+        self.fleet.apply(_catalog(1, _MANY))
+        self.assertEqual(dict(self.fleet.groups), {})
+        self.assertIsNotNone(self.fleet.group(_service(7)))
+        await self.settle()
+        self.assertEqual(self.connector.asked, {_service(7)})
+        self.assertTrue(self.fleet.complete)
+
+    async def test_a_group_without_use_is_dropped_and_comes_back(self) -> None:
+        self.fleet.replace_members([_member(n) for n in range(_MANY)])
+        self.fleet.apply(_catalog(1, _MANY))
+        self.fleet.group(_service(7))
+        self.clock.advance(_UNUSED)
+        self.fleet.group(_service(8))
+        await self.settle()
+        self.assertEqual(set(self.fleet.groups), {_service(8)})
+        again = self.fleet.group(_service(7))
+        self.assertEqual(set(again.lenders), {"db-7"})
+
+    async def test_a_group_that_a_configuration_drops_is_unknown(self) -> None:
+        self.fleet.apply(_catalog(1, _MANY))
+        self.fleet.group(_service(199))
+        self.fleet.apply(_catalog(2, 100))
+        self.assertIsNone(self.fleet.group(_service(199)))
+        self.assertEqual(dict(self.fleet.groups), {})
+
+    async def test_a_change_reaches_its_own_group_only(self) -> None:
+        self.fleet.replace_members([_member(n) for n in range(4)])
+        self.fleet.apply(_catalog(1, 4))
+        told: list[str] = []
+        for name, group in self.fleet.groups.items():
+            group.set_members = lambda listed, of=name: told.append(of)
+        self.fleet.put_member(_member(2))
+        self.assertEqual(told, [])
+        self.fleet.put_member(_member(2, leaving=True))
+        self.assertEqual(told, [_service(2)])
+        self.fleet.put_member(_member(2, service=_service(3)))
+        self.assertEqual(sorted(told[1:]), [_service(2), _service(3)])
+        self.fleet.remove_member("db-2")
+        await self.settle()
+        self.clock.advance(2 * members.LAPSE)
+        await self.settle()
+        self.assertEqual(told[3:], [_service(3)])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/hickorygate/tests/test_listing.py
+++ b/hickorygate/tests/test_listing.py
@@ -28,15 +28,15 @@
 
     def test_a_lapsed_entry_counts_until_the_store_had_time(self) -> None:
         self.listing.replace([_member("a")], clock.at(1))
-        self.assertEqual(self.listing.expire(clock.at(3.4)), ())
+        self.assertFalse(self.listing.expire(clock.at(3.4)))
         self.assertEqual(self.names(), ["a", "b"])
-        self.assertEqual(self.listing.expire(clock.at(3.6)), ("b",))
+        self.assertTrue(self.listing.expire(clock.at(3.6)))
         self.assertEqual(self.names(), ["a"])
 
     def test_one_that_is_back_counts(self) -> None:
         self.listing.remove("b", clock.at(1))
         self.listing.put(_member("b"))
-        self.assertEqual(self.listing.expire(clock.at(9)), ())
+        self.assertFalse(self.listing.expire(clock.at(9)))
 
     def test_one_that_had_announced_its_end_is_gone(self) -> None:
         self.listing.put(_member("b", leaving=True))
@@ -46,8 +46,9 @@
     def test_time_without_the_store_does_not_count(self) -> None:
         self.listing.remove("b", clock.at(1))
         self.listing.restart(clock.at(8))
-        self.assertEqual(self.listing.expire(clock.at(9)), ())
-        self.assertEqual(self.listing.expire(clock.at(10.5)), ("b",))
+        self.assertFalse(self.listing.expire(clock.at(9)))
+        self.assertTrue(self.listing.expire(clock.at(10.5)))
+        self.assertEqual(self.names(), ["a"])
 
 
 class VitalTest(unittest.TestCase):
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -204,6 +204,15 @@
         self.server.remove("servers", "i-1")
         await self.until({"i-2": 2})
 
+    async def test_changes_in_quick_succession_come_together(self) -> None:
+        # Entries of hundreds of databases that change all the time.
+        before = len(self.server.calls)
+        for number in range(100):
+            self.server.put("servers", "i-2", number)
+            await asyncio.sleep(0.005)
+        await self.until({"i-1": 1, "i-2": 99})
+        self.assertLess(len(self.server.calls) - before, 10)
+
     async def test_lost_history_is_listed_anew(self) -> None:
         self.server.fail(_FAULT.BUSY, _FAULT.BUSY)
         self.server.put("other", "x", 0)
--- a/hickorygate/upstreams/census.py
+++ b/hickorygate/upstreams/census.py
@@ -12,16 +12,22 @@
 
 from hickorygate.core import types
 
-__all__ = ["BEAT", "Census"]
+__all__ = ["Census", "beat"]
 
-BEAT = datetime.timedelta(seconds=8)
-"""Between renewals; two calls each, within the store's budget for 750
-proxies."""
+_BEAT = datetime.timedelta(seconds=8)
+_PROXIES_A_BEAT = 100
+"""With more proxies the list of all is longer, and is asked for more seldom,
+so that its bytes a second stay the same."""
 
 _GONE = 2.5
 """Renewals that may be missed."""
 
 
+def beat(proxies: int) -> datetime.timedelta:
+    """Returns the time between renewals; two calls each."""
+    return _BEAT * max(1.0, proxies / _PROXIES_A_BEAT)
+
+
 class Census:
     """The proxies that renew their objects."""
 
@@ -46,7 +52,7 @@
 
     def gone(self, now: datetime.datetime) -> tuple[types.ProxyName, ...]:
         """Returns proxies that no longer renew."""
-        limit = _GONE * BEAT
+        limit = _GONE * beat(len(self._seen))
         return tuple(
             sorted(n for n, (_, at) in self._seen.items() if now - at > limit)
         )
--- a/hickorygate/upstreams/fleet.py
+++ b/hickorygate/upstreams/fleet.py
@@ -23,9 +23,16 @@
 _TICK = datetime.timedelta(milliseconds=100)
 _DEFAULT_IDLE = datetime.timedelta(seconds=3)
 
+_KEPT_GROUPS = 12
+"""With no more groups than these, all are looked after; with more, only those
+that callers use: each database is asked 2.5 times a second."""
+
+_UNUSED_LIMIT = datetime.timedelta(seconds=20)
+"""After which a group that no caller used is looked after no more."""
+
 
 class Fleet:
-    """All groups; follows the configuration and the list of databases.
+    """The groups in use; follows the configuration and the databases' list.
 
     A configuration replaces only an older one, so none comes back.
     """
@@ -48,6 +55,7 @@
         self._proxies = shares.ASSUMED_PROXIES
         self._store_lost = False
         self._groups: dict[types.ServiceName, supervisors.Supervisor] = {}
+        self._used: dict[types.ServiceName, datetime.datetime] = {}
         self._background = background.Background()
 
     @property
@@ -64,7 +72,7 @@
 
     @property
     def groups(self) -> dict[types.ServiceName, supervisors.Supervisor]:
-        """The groups by service."""
+        """The groups that are looked after, by service."""
         return self._groups
 
     @property
@@ -105,8 +113,15 @@
     def group(
         self, service: types.ServiceName
     ) -> supervisors.Supervisor | None:
-        """Returns the databases of a service; None if it has none."""
-        return self._groups.get(service)
+        """Returns the databases of a service; None if there is no such one.
+
+        From now on they are looked after, if they weren't.
+        """
+        terms = self._catalog.services.get(service) if self._catalog else None
+        if terms is None:
+            return None
+        self._used[service] = self._clock.now()
+        return self._groups.get(service) or self._open(terms)
 
     def apply(self, catalog: catalogs.Catalog) -> None:
         """Puts a configuration in force, unless a newer one is."""
@@ -115,28 +130,29 @@
         self._catalog = catalog
         self._configured.set()
         for name, terms in catalog.services.items():
-            self._take_service(name, terms)
+            if name in self._groups:
+                self._groups[name].set_terms(terms)
+            elif len(catalog.services) <= _KEPT_GROUPS:
+                self._open(terms)
         for name in self._groups.keys() - catalog.services.keys():
-            self._background.start(self._groups.pop(name).close())
+            self._close(name)
         self._journal.record(
             decisions.CatalogApplied(catalog.version, len(catalog.routes))
         )
 
     def replace_members(self, listed: Sequence[members.Member]) -> None:
         """Takes in the whole list of databases."""
-        self._listing.replace(listed, self._clock.now())
+        changed = self._listing.replace(listed, self._clock.now())
         self._listed = True
-        self._spread()
+        self._spread(changed)
 
     def put_member(self, member: members.Member) -> None:
         """Takes in a new or changed database."""
-        self._listing.put(member)
-        self._spread()
+        self._spread(self._listing.put(member))
 
     def remove_member(self, name: members.MemberId) -> None:
         """Takes in that a database's entry is gone."""
-        self._listing.remove(name, self._clock.now())
-        self._spread()
+        self._spread(self._listing.remove(name, self._clock.now()))
 
     def set_proxies(self, count: int) -> None:
         """Takes in how many proxies share the databases."""
@@ -153,27 +169,39 @@
         self._store_lost = False
         self._listing.restart(self._clock.now())
 
-    def _take_service(
-        self, name: types.ServiceName, terms: catalogs.ServiceTerms
-    ) -> None:
-        group = self._groups.get(name)
-        if group is not None:
-            group.set_terms(terms)
-            return
+    def _open(self, terms: catalogs.ServiceTerms) -> supervisors.Supervisor:
+        """Begins to look after a group."""
         group = supervisors.Supervisor(
             terms, self._connector, self._office, self._clock, self._journal
         )
-        self._groups[name] = group
+        self._groups[terms.name] = group
         group.set_proxies(self._proxies)
-        group.set_members(self._listing.of(name))
+        group.set_members(self._listing.of(terms.name))
         group.start()
+        return group
 
-    def _spread(self) -> None:
-        for name, group in self._groups.items():
-            group.set_members(self._listing.of(name))
+    def _close(self, name: types.ServiceName) -> None:
+        self._used.pop(name, None)
+        self._background.start(self._groups.pop(name).close())
+
+    def _spread(self, services: frozenset[types.ServiceName]) -> None:
+        """Tells the groups of these services their databases."""
+        for name in services & self._groups.keys():
+            self._groups[name].set_members(self._listing.of(name))
 
     async def _expire(self) -> None:
         while True:
             await self._clock.sleep(_TICK)
-            if not self._store_lost and self._listing.expire(self._clock.now()):
-                self._spread()
+            now = self._clock.now()
+            if not self._store_lost:
+                self._spread(self._listing.expire(now))
+            self._close_unused(now)
+
+    def _close_unused(self, now: datetime.datetime) -> None:
+        """Looks no more after groups that no caller used lately."""
+        if self._catalog is None or len(self._catalog.services) <= _KEPT_GROUPS:
+            return
+        for name, group in tuple(self._groups.items()):
+            since = self._used.setdefault(name, now)
+            if now - since >= _UNUSED_LIMIT and not group.busy:
+                self._close(name)
--- a/hickorygate/upstreams/lender.py
+++ b/hickorygate/upstreams/lender.py
@@ -198,6 +198,11 @@
         living = sum(not loan.connection.closed for loan in held)
         return living + self._opening
 
+    @property
+    def lent(self) -> int:
+        """Connections that borrowers have."""
+        return len(self._lent)
+
     @property
     def opened(self) -> int:
         """Connections that were opened since the start."""
--- a/hickorygate/upstreams/member.py
+++ b/hickorygate/upstreams/member.py
@@ -57,11 +57,12 @@
 class Listing:
     """The databases in use, with entries that are missing for a short time."""
 
-    __slots__ = ("_members", "_missing")
+    __slots__ = ("_members", "_missing", "_services")
 
     def __init__(self) -> None:
         self._members: dict[MemberId, Member] = {}
         self._missing: dict[MemberId, datetime.datetime] = {}
+        self._services: dict[types.ServiceName, dict[MemberId, Member]] = {}
 
     @property
     def members(self) -> tuple[Member, ...]:
@@ -73,47 +74,60 @@
 
     def of(self, service: types.ServiceName) -> tuple[Member, ...]:
         """Returns the databases of one service."""
-        return tuple(m for m in self.members if m.service == service)
+        return tuple(self._services.get(service, {}).values())
 
     def replace(
         self, members: Iterable[Member], now: datetime.datetime
-    ) -> None:
-        """Takes in the whole list."""
+    ) -> frozenset[types.ServiceName]:
+        """Takes in the whole list; returns the services that changed."""
         listed = {member.id: member for member in members}
         for name in self._members.keys() - listed.keys():
             self._missing.setdefault(name, now)
-        for member in listed.values():
-            self.put(member)
+        changed = [self.put(member) for member in listed.values()]
+        return frozenset().union(*changed)
 
-    def put(self, member: Member) -> None:
-        """Takes in a new or changed entry."""
-        self._members[member.id] = member
+    def put(self, member: Member) -> frozenset[types.ServiceName]:
+        """Takes in a new or changed entry; returns the services it changes."""
         self._missing.pop(member.id, None)
-
-    def remove(self, name: MemberId, now: datetime.datetime) -> None:
-        """Takes in that an entry is gone.
+        former = self._members.get(member.id)
+        if former == member:
+            return frozenset()
+        self._members[member.id] = member
+        changed = {member.service}
+        if former is not None and former.service != member.service:
+            del self._services[former.service][member.id]
+            changed.add(former.service)
+        self._services.setdefault(member.service, {})[member.id] = member
+        return frozenset(changed)
+
+    def remove(
+        self, name: MemberId, now: datetime.datetime
+    ) -> frozenset[types.ServiceName]:
+        """Takes in that an entry is gone; returns the services it changes.
 
         A database that had announced its shutdown is gone with its entry.
         """
         member = self._members.get(name)
         if member is None:
-            return
+            return frozenset()
         if member.leaving:
-            self._drop(name)
-        else:
-            self._missing.setdefault(name, now)
+            return self._drop(name)
+        self._missing.setdefault(name, now)
+        return frozenset()
 
-    def expire(self, now: datetime.datetime) -> tuple[MemberId, ...]:
-        """Drops what has been missing for too long; returns their names."""
+    def expire(self, now: datetime.datetime) -> frozenset[types.ServiceName]:
+        """Drops what is missing for too long; returns the services changed."""
         gone = [n for n, since in self._missing.items() if now - since >= LAPSE]
-        for name in gone:
-            self._drop(name)
-        return tuple(gone)
+        return frozenset().union(*(self._drop(name) for name in gone))
 
     def restart(self, now: datetime.datetime) -> None:
         """Gives what is missing its time anew: the store is back."""
         self._missing = dict.fromkeys(self._missing, now)
 
-    def _drop(self, name: MemberId) -> None:
-        self._members.pop(name, None)
+    def _drop(self, name: MemberId) -> frozenset[types.ServiceName]:
         self._missing.pop(name, None)
+        member = self._members.pop(name, None)
+        if member is None:
+            return frozenset()
+        del self._services[member.service][name]
+        return frozenset({member.service})
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -105,6 +105,12 @@
         """The primary that was lost last, until another one leads."""
         return self._lost
 
+    @property
+    def busy(self) -> bool:
+        """Whether a caller has a connection or the primary is replaced."""
+        lent = any(lender.lent for lender in self._lenders.values())
+        return lent or self._promoter.active
+
     @property
     def rounds(self) -> int:
         """Rounds that ended."""
