--- a/hickorygate/core/admission.py
+++ b/hickorygate/core/admission.py
@@ -28,6 +28,7 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.core import lane as lanes
 from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 from hickorygate.core import types
@@ -39,40 +40,14 @@
     "QueueSettings",
     "RankQueue",
     "StrictPriority",
-    "Waiter",
 ]
 
-_MEMORY_SECONDS = 1.0
-"""Time constant with which a measured speed is forgotten."""
-
-_PRIOR_SECONDS = 0.1
-"""Weight of the assumed speed against the measured one."""
-
-_SERVICE_WEIGHT = 0.1
-"""Weight of the newest service time in the moving average."""
-
 _LEAST_SHARE = 0.01
 """Share assumed for a lane without a floor behind a more urgent one."""
 
-_PRIOR_REQUESTS = 1
-"""Requests added to those seen, so that a few don't prove a low demand."""
-
-_DEVIATIONS = 3
-"""Standard deviations that a demand may be above what was seen; the count of
-independent arrivals deviates by its square root."""
-
 _PASSED_OVER = datetime.timedelta(milliseconds=500)
 """Waiting work of which nothing ran for so long is pressing."""
 
-_MARGIN_STEP = 0.05
-"""Step of the margin, as a part of the rank's target."""
-
-_MARGIN_RANGE = (0.2, 0.75)
-"""Least and greatest margin, as parts of the rank's target."""
-
-_FIRST_MARGIN = 0.4
-"""Margin before anything was learned, as a part of the rank's target."""
-
 _LEAST_RETRY = datetime.timedelta(milliseconds=10)
 
 
@@ -118,105 +93,6 @@
     misses: float = 0.002
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Waiter:
-    """An admitted request.
-
-    Attributes:
-      number: unique in its queue.
-      request: what asked to run.
-      admitted: when it began to wait.
-      planned: how long it was planned to take from then on.
-    """
-
-    number: int
-    request: requests.Request
-    admitted: datetime.datetime
-    planned: datetime.timedelta
-
-    @property
-    def order(self) -> tuple[datetime.datetime, int]:
-        """Sorts by deadline, then arrival."""
-        return (self.request.deadline, self.number)
-
-
-class _Lane:
-    """The waiting requests of one rank; times in seconds."""
-
-    __slots__ = (
-        "asked",
-        "credit",
-        "drained",
-        "finished",
-        "margin",
-        "rank",
-        "running",
-        "seen",
-        "service",
-        "waited",
-        "waiters",
-    )
-
-    def __init__(self, rank: ranks.Rank, service: float) -> None:
-        self.rank = rank
-        self.running = 0
-        self.service = service
-        self.waiters: list[Waiter] = []
-        self.credit = 0.0
-        self.margin = _FIRST_MARGIN * rank.target.total_seconds()
-        self.asked = 0.0
-        self.drained = 0.0
-        self.finished = 0
-        self.seen = 0.0
-        self.waited = 0.0
-
-    @property
-    def owed(self) -> bool:
-        """Whether it has earned the price of its next request."""
-        return bool(self.waiters) and self.credit >= self.service
-
-    def __repr__(self) -> str:
-        return f"_Lane({self.rank.name!r}, waiting={len(self.waiters)})"
-
-    def advance(self, elapsed: float) -> None:
-        """Lets time pass."""
-        kept = math.exp(-elapsed / _MEMORY_SECONDS)
-        self.asked *= kept
-        self.drained *= kept
-        self.waited *= kept
-        self.seen = self.seen * kept + elapsed
-        if self.waiters:
-            self.waited += elapsed
-
-    def speed(self, prior: float, limit: float) -> float:
-        """Returns service seconds granted a second while it waits."""
-        drained = self.drained + _PRIOR_SECONDS * prior
-        return min(drained / (self.waited + _PRIOR_SECONDS), limit)
-
-    @property
-    def demand(self) -> float:
-        """Service seconds asked for a second, at most."""
-        count = self.asked / self.service
-        most = count + _PRIOR_REQUESTS + _DEVIATIONS * math.sqrt(count)
-        return most * self.service / (self.seen + self.service)
-
-    def serve(self, seconds: float) -> None:
-        """Takes in a service time; the first ones count for more."""
-        self.finished += 1
-        weight = max(_SERVICE_WEIGHT, 1 / self.finished)
-        self.service += weight * (seconds - self.service)
-
-    def learn(self, excess: float, misses: float) -> None:
-        """Moves the margin after a request took longer than planned by this."""
-        target = self.rank.target.total_seconds()
-        if excess > self.margin:
-            self.margin += _MARGIN_STEP * target * (1 - misses)
-        else:
-            self.margin -= _MARGIN_STEP * target * misses
-        least, most = (part * target for part in _MARGIN_RANGE)
-        self.margin = min(max(self.margin, least), most)
-
-
 class RankQueue:
     """Requests that wait for one database."""
 
@@ -224,7 +100,7 @@
 
     def __init__(self, settings: QueueSettings) -> None:
         self._settings = settings
-        self._lanes: dict[types.RankName, _Lane] = {}
+        self._lanes: dict[types.RankName, lanes.Lane] = {}
         self._numbers = 0
         self._now: datetime.datetime | None = None
         self._taken: datetime.datetime | None = None
@@ -263,7 +139,7 @@
 
     def offer(
         self, request: requests.Request, now: datetime.datetime, free: bool
-    ) -> expression.Result[Waiter, errors.Failure]:
+    ) -> expression.Result[lanes.Waiter, errors.Failure]:
         """Admits a request or refuses it at once.
 
         Args:
@@ -282,7 +158,7 @@
             return expression.Error(failure)
         lane.asked += lane.service
         planned = self._plan(lane, request)
-        waiter = Waiter(self._numbers, request, now, planned)
+        waiter = lanes.Waiter(self._numbers, request, now, planned)
         late = datetime.timedelta()
         if not (free and self.size == 0):
             late = _lateness(self._settings.policy, self, lane, waiter)
@@ -296,7 +172,7 @@
         bisect.insort(lane.waiters, waiter, key=lambda w: w.order)
         return expression.Ok(waiter)
 
-    def take(self, now: datetime.datetime) -> Waiter | None:
+    def take(self, now: datetime.datetime) -> lanes.Waiter | None:
         """Removes and returns who runs next; `finish` must follow."""
         self._advance(now)
         lane = _next_lane(self._settings.policy, self)
@@ -312,7 +188,7 @@
 
     def finish(
         self,
-        waiter: Waiter,
+        waiter: lanes.Waiter,
         service: datetime.timedelta | None,
         now: datetime.datetime,
     ) -> None:
@@ -331,7 +207,7 @@
         lane.serve(service.total_seconds())
         self._learn(lane, waiter, now)
 
-    def withdraw(self, waiter: Waiter, now: datetime.datetime) -> bool:
+    def withdraw(self, waiter: lanes.Waiter, now: datetime.datetime) -> bool:
         """Removes one that still waits; tells whether it did."""
         lane = self._lane(waiter.request.rank)
         if waiter not in lane.waiters:
@@ -341,9 +217,9 @@
             self._learn(lane, waiter, now)
         return True
 
-    def late(self, now: datetime.datetime) -> tuple[Waiter, ...]:
+    def late(self, now: datetime.datetime) -> tuple[lanes.Waiter, ...]:
         """Removes and returns those that can't be answered in time."""
-        removed: list[Waiter] = []
+        removed: list[lanes.Waiter] = []
         for lane in self._lanes.values():
             while lane.waiters and self._is_late(lane, now):
                 waiter = lane.waiters.pop(0)
@@ -351,15 +227,15 @@
                 removed.append(waiter)
         return tuple(removed)
 
-    def clear(self) -> tuple[Waiter, ...]:
+    def clear(self) -> tuple[lanes.Waiter, ...]:
         """Removes and returns all that wait."""
-        removed: list[Waiter] = []
+        removed: list[lanes.Waiter] = []
         for lane in self._lanes.values():
             removed.extend(lane.waiters)
             lane.waiters.clear()
         return tuple(removed)
 
-    def _is_late(self, lane: _Lane, now: datetime.datetime) -> bool:
+    def _is_late(self, lane: lanes.Lane, now: datetime.datetime) -> bool:
         """Tells whether the first of a lane is too late to start.
 
         One whose deadline never left time for the service that was measured
@@ -374,16 +250,16 @@
         return now + service > deadline
 
     def _learn(
-        self, lane: _Lane, waiter: Waiter, ended: datetime.datetime
+        self, lane: lanes.Lane, waiter: lanes.Waiter, ended: datetime.datetime
     ) -> None:
         excess = ended - waiter.admitted - waiter.planned
         lane.learn(excess.total_seconds(), self._settings.misses)
 
-    def _lane(self, rank: ranks.Rank) -> _Lane:
+    def _lane(self, rank: ranks.Rank) -> lanes.Lane:
         lane = self._lanes.get(rank.name)
         if lane is None:
             service = self._settings.service.total_seconds()
-            lane = self._lanes[rank.name] = _Lane(rank, service)
+            lane = self._lanes[rank.name] = lanes.Lane(rank, service)
             by_order = sorted(
                 self._lanes.items(), key=lambda item: item[1].rank.order
             )
@@ -402,7 +278,7 @@
         for lane in self._lanes.values():
             lane.advance(elapsed)
 
-    def _charge(self, taken: _Lane) -> None:
+    def _charge(self, taken: lanes.Lane) -> None:
         """Moves credit for one request of a lane."""
         price = taken.service
         for lane in self._lanes.values():
@@ -412,7 +288,7 @@
                 lane.credit = 0.0
         taken.credit = max(0.0, taken.credit - price)
 
-    def _prior(self, lane: _Lane) -> float:
+    def _prior(self, lane: lanes.Lane) -> float:
         """Returns the speed to assume for a lane that hasn't waited."""
         waiting = [
             other
@@ -426,7 +302,7 @@
         return self._settings.capacity * max(share, _LEAST_SHARE)
 
     def _plan(
-        self, lane: _Lane, request: requests.Request
+        self, lane: lanes.Lane, request: requests.Request
     ) -> datetime.timedelta:
         """Returns how long a newcomer should take, its wait included."""
         order = (request.deadline, self._numbers)
@@ -434,7 +310,7 @@
         seconds = self._first(lane) + self._drain(lane, place)
         return datetime.timedelta(seconds=seconds)
 
-    def _first(self, lane: _Lane) -> float:
+    def _first(self, lane: lanes.Lane) -> float:
         """Returns the seconds that the first of a lane takes."""
         blocking = max(
             (other.service for other in self._lanes.values() if other.running),
@@ -442,7 +318,7 @@
         )
         return blocking + lane.service
 
-    def _drain(self, lane: _Lane, ahead: int) -> float:
+    def _drain(self, lane: lanes.Lane, ahead: int) -> float:
         """Returns the seconds that so many ahead in a lane take."""
         speed = lane.speed(self._prior(lane), self._settings.slots)
         work = ahead * lane.service
@@ -452,14 +328,16 @@
         sure = min(speed, self._sure(lane))
         return lane.waited + (work - trusted) / sure
 
-    def _sure(self, lane: _Lane) -> float:
+    def _sure(self, lane: lanes.Lane) -> float:
         """Returns the speed that a lane keeps whatever waits besides."""
         others = self._lanes.values()
         urgent = sum(o.demand for o in others if o.rank.order < lane.rank.order)
         kept = self._settings.capacity * max(lane.rank.floor, _LEAST_SHARE)
         return max(kept, self._settings.capacity - urgent)
 
-    def _lateness(self, lane: _Lane, waiter: Waiter) -> datetime.timedelta:
+    def _lateness(
+        self, lane: lanes.Lane, waiter: lanes.Waiter
+    ) -> datetime.timedelta:
         """Returns how far past its deadline a newcomer is planned to be.
 
         A newcomer in front of others must not make them late either.
@@ -477,24 +355,24 @@
 
 
 @functools.singledispatch
-def _next_lane(policy: Policy, queue: RankQueue) -> _Lane | None:
+def _next_lane(policy: Policy, queue: RankQueue) -> lanes.Lane | None:
     """Returns the lane whose first request runs next."""
     raise TypeError(f"no order for {policy!r}; register one")
 
 
 @_next_lane.register
-def _(policy: Fifo, queue: RankQueue) -> _Lane | None:
+def _(policy: Fifo, queue: RankQueue) -> lanes.Lane | None:
     lanes = [lane for lane in queue._lanes.values() if lane.waiters]
     return min(lanes, key=lambda lane: lane.waiters[0].number, default=None)
 
 
 @_next_lane.register
-def _(policy: StrictPriority, queue: RankQueue) -> _Lane | None:
+def _(policy: StrictPriority, queue: RankQueue) -> lanes.Lane | None:
     return next((la for la in queue._lanes.values() if la.waiters), None)
 
 
 @_next_lane.register
-def _(policy: Floors, queue: RankQueue) -> _Lane | None:
+def _(policy: Floors, queue: RankQueue) -> lanes.Lane | None:
     owed = next((lane for lane in queue._lanes.values() if lane.owed), None)
     if owed is not None:
         return owed
@@ -503,7 +381,7 @@
 
 @functools.singledispatch
 def _lateness(
-    policy: Policy, queue: RankQueue, lane: _Lane, waiter: Waiter
+    policy: Policy, queue: RankQueue, lane: lanes.Lane, waiter: lanes.Waiter
 ) -> datetime.timedelta:
     """Returns how late a newcomer is planned to be; zero admits it."""
     return queue._lateness(lane, waiter)
@@ -511,6 +389,6 @@
 
 @_lateness.register
 def _(
-    policy: Fifo, queue: RankQueue, lane: _Lane, waiter: Waiter
+    policy: Fifo, queue: RankQueue, lane: lanes.Lane, waiter: lanes.Waiter
 ) -> datetime.timedelta:
     return datetime.timedelta()
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -32,7 +32,7 @@
 from hickorygate.upstreams import duty as duties
 from hickorygate.upstreams import fleet as fleets
 from hickorygate.upstreams import member as members
-from hickorygate.upstreams import promoter as promoters
+from hickorygate.upstreams import office as offices
 
 __all__ = ["Process"]
 
@@ -153,7 +153,7 @@
         )
         self._store = stores.PlatformStore(settings)
         duty = duties.Duty(settings.name, uuid.uuid4().hex)
-        office = promoters.Office(duty, self._store, clock, self._journal)
+        office = offices.Office(duty, self._store, clock, self._journal)
         self._fleet = fleets.Fleet(
             database.DatabaseConnector(), office, clock, self._journal
         )
--- a/hickorygate/testing/line_world.py
+++ b/hickorygate/testing/line_world.py
@@ -23,7 +23,7 @@
 from hickorygate.testing import line_group
 from hickorygate.upstreams import duty as duties
 from hickorygate.upstreams import fleet as fleets
-from hickorygate.upstreams import promoter as promoters
+from hickorygate.upstreams import office as offices
 
 __all__ = [
     "LineClient",
@@ -123,7 +123,7 @@
         clock = clocks.SystemClock()
         self.journal = events.TimeLine(name, events.StampClock(clock))
         duty = duties.Duty(name, name)
-        office = promoters.Office(duty, store, clock, self.journal)
+        office = offices.Office(duty, store, clock, self.journal)
         self.fleet = fleets.Fleet(
             database.DatabaseConnector(), office, clock, self.journal
         )
--- a/hickorygate/tests/test_fleet.py
+++ b/hickorygate/tests/test_fleet.py
@@ -21,7 +21,7 @@
 from hickorygate.upstreams import duty as duties
 from hickorygate.upstreams import fleet as fleets
 from hickorygate.upstreams import member as members
-from hickorygate.upstreams import promoter as promoters
+from hickorygate.upstreams import office as offices
 from hickorygate.upstreams import request as requests
 
 _MANY = 200
@@ -86,7 +86,7 @@
         journal = events.TimeLine("p", events.StampClock(self.clock))
         store = worlds.MemoryStore(line_group.LineGroup())
         duty = duties.Duty("p", "p")
-        office = promoters.Office(duty, store, self.clock, journal)
+        office = offices.Office(duty, store, self.clock, journal)
         self.fleet = fleets.Fleet(self.connector, office, self.clock, journal)
         self.addAsyncCleanup(self.fleet.close)
         self.fleet.start()
--- a/hickorygate/tests/test_office.py
+++ b/hickorygate/tests/test_office.py
@@ -12,7 +12,7 @@
 from hickorygate.testing import line_group
 from hickorygate.testing import line_world as worlds
 from hickorygate.upstreams import duty as duties
-from hickorygate.upstreams import promoter as promoters
+from hickorygate.upstreams import office as offices
 
 
 class _Store(worlds.MemoryStore):
@@ -37,18 +37,18 @@
         self.store = _Store(line_group.LineGroup())
         self.one, self.two = (self.office(name) for name in ("one", "two"))
 
-    def office(self, name: str) -> promoters.Office:
+    def office(self, name: str) -> offices.Office:
         journal = events.TimeLine(name, events.StampClock(self.clock))
         duty = duties.Duty(name, name)
-        return promoters.Office(duty, self.store, self.clock, journal)
+        return offices.Office(duty, self.store, self.clock, journal)
 
-    async def order(self, office: promoters.Office) -> bool:
+    async def order(self, office: offices.Office) -> bool:
         self.assertTrue(await office.enter(lambda: True))
         accepted = await office.promote("ledger", "b")
         await office.leave()
         return accepted
 
-    async def waited(self, office: promoters.Office) -> float:
+    async def waited(self, office: offices.Office) -> float:
         """Returns the seconds until an office gets the duty."""
         began = self.clock.now()
         self.assertTrue(await office.enter(lambda: True))
--- a/hickorygate/upstreams/fleet.py
+++ b/hickorygate/upstreams/fleet.py
@@ -13,7 +13,7 @@
 from hickorygate.core import events
 from hickorygate.core import types
 from hickorygate.upstreams import member as members
-from hickorygate.upstreams import promoter as promoters
+from hickorygate.upstreams import office as offices
 from hickorygate.upstreams import request as requests
 from hickorygate.upstreams import share as shares
 from hickorygate.upstreams import supervisor as supervisors
@@ -40,7 +40,7 @@
     def __init__(
         self,
         connector: requests.Connector,
-        office: promoters.Office,
+        office: offices.Office,
         clock: clocks.Clock,
         journal: events.Journal,
     ) -> None:
--- a/hickorygate/upstreams/permits.py
+++ b/hickorygate/upstreams/permits.py
@@ -10,11 +10,12 @@
 from hickorygate.core import admission
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import lane as lanes
 from hickorygate.core import request as requests
 
 __all__ = ["PermitResult", "Permits"]
 
-PermitResult = expression.Result[admission.Waiter, errors.Failure]
+PermitResult = expression.Result[lanes.Waiter, errors.Failure]
 
 
 class Permits:
@@ -65,7 +66,7 @@
             raise
 
     def leave(
-        self, waiter: admission.Waiter, service: datetime.timedelta | None
+        self, waiter: lanes.Waiter, service: datetime.timedelta | None
     ) -> None:
         """Gives a turn back; `service` is None if nothing ran."""
         self._queue.finish(waiter, service, self._clock.now())
@@ -78,7 +79,7 @@
 
     def _abandon(
         self,
-        waiter: admission.Waiter,
+        waiter: lanes.Waiter,
         future: asyncio.Future[PermitResult],
     ) -> None:
         """Takes back the turn of a request that was given up."""
@@ -100,17 +101,17 @@
                 return
             self._settle(waiter, expression.Ok(waiter))
 
-    def _expire(self, waiter: admission.Waiter) -> None:
+    def _expire(self, waiter: lanes.Waiter) -> None:
         now = self._clock.now()
         if self._queue.withdraw(waiter, now):
             self._refuse(waiter, now)
 
-    def _refuse(self, waiter: admission.Waiter, now: datetime.datetime) -> None:
+    def _refuse(self, waiter: lanes.Waiter, now: datetime.datetime) -> None:
         waited = now - waiter.request.arrived
         failure = errors.DeadlinePassed(waiter.request.rank.name, waited)
         self._settle(waiter, expression.Error(failure))
 
-    def _settle(self, waiter: admission.Waiter, result: PermitResult) -> None:
+    def _settle(self, waiter: lanes.Waiter, result: PermitResult) -> None:
         future, timer = self._waiting.pop(waiter.number)
         timer.cancel()
         if not future.done():
--- a/hickorygate/upstreams/pool.py
+++ b/hickorygate/upstreams/pool.py
@@ -21,6 +21,7 @@
 from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import lane as lanes
 from hickorygate.core import pool_errors
 from hickorygate.core import request as requests
 from hickorygate.core import settings as settings_lib
@@ -51,7 +52,7 @@
     """A connection that runs a request."""
 
     channel: int
-    waiter: admission.Waiter
+    waiter: lanes.Waiter
     started: datetime.datetime
 
 
@@ -100,7 +101,7 @@
         self._keeper = slots_lib.SlotKeeper(
             database.slots, share, slots_lib.SlotSettings(), random.Random()
         )
-        self._answers: dict[admission.Waiter, asyncio.Future[LeaseResult]] = {}
+        self._answers: dict[lanes.Waiter, asyncio.Future[LeaseResult]] = {}
         self._connections: dict[int, connections.Connection] = {}
         self._leases: dict[connections.Connection, _Lease] = {}
         self._events: collections.deque[events.Event] = collections.deque()
@@ -258,7 +259,7 @@
             raise
 
     async def _answered(
-        self, waiter: admission.Waiter, answer: asyncio.Future[LeaseResult]
+        self, waiter: lanes.Waiter, answer: asyncio.Future[LeaseResult]
     ) -> LeaseResult:
         left = waiter.request.time_left(self._clock.now())
         await asyncio.wait((answer,), timeout=left.total_seconds())
@@ -268,7 +269,7 @@
         return expression.Error(self._passed(waiter))
 
     def _abandon(
-        self, waiter: admission.Waiter, answer: asyncio.Future[LeaseResult]
+        self, waiter: lanes.Waiter, answer: asyncio.Future[LeaseResult]
     ) -> None:
         """Undoes a request that no one waits for any more."""
         self._answers.pop(waiter, None)
@@ -278,17 +279,17 @@
         else:
             self._note_demand()
 
-    def _passed(self, waiter: admission.Waiter) -> errors.DeadlinePassed:
+    def _passed(self, waiter: lanes.Waiter) -> errors.DeadlinePassed:
         waited = self._clock.now() - waiter.request.arrived
         return errors.DeadlinePassed(waiter.request.rank.name, waited)
 
     def _refuse(
-        self, waiters: tuple[admission.Waiter, ...], failure: errors.Failure
+        self, waiters: tuple[lanes.Waiter, ...], failure: errors.Failure
     ) -> None:
         for waiter in waiters:
             self._answer(waiter, expression.Error(failure))
 
-    def _answer(self, waiter: admission.Waiter, result: LeaseResult) -> None:
+    def _answer(self, waiter: lanes.Waiter, result: LeaseResult) -> None:
         answer = self._answers.pop(waiter, None)
         if answer is not None:
             answer.set_result(result)
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -22,6 +22,7 @@
 from hickorygate.upstreams import evidence as evidences
 from hickorygate.upstreams import lender as lenders
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import office as offices
 from hickorygate.upstreams import patience as patiences
 from hickorygate.upstreams import prober as probers
 from hickorygate.upstreams import promoter as promoters
@@ -52,7 +53,7 @@
         self,
         terms: catalogs.ServiceTerms,
         connector: requests.Connector,
-        office: promoters.Office,
+        office: offices.Office,
         clock: clocks.Clock,
         journal: events.Journal,
     ) -> None:
--- a/properties/test_admission.py
+++ b/properties/test_admission.py
@@ -11,6 +11,7 @@
 from hypothesis import strategies
 
 from hickorygate.core import admission
+from hickorygate.core import lane as lanes
 from hickorygate.core import rank as ranks
 from hickorygate.core import request as requests
 import properties
@@ -58,7 +59,7 @@
     queue = admission.RankQueue(settings)
     choice = random.Random(seed)
     outcomes = tuple(_Outcome() for _ in _RANKS)
-    running: list[tuple[int, admission.Waiter]] = []
+    running: list[tuple[int, lanes.Waiter]] = []
     for step in range(_STEPS):
         now = _START + step * _STEP
         for ended, waiter in [r for r in running if r[0] == step]:
