--- a/hickorygate/operators/bench.py
+++ b/hickorygate/operators/bench.py
@@ -10,6 +10,7 @@
 import dataclasses
 import datetime
 import pathlib
+import re
 
 from absl import flags
 import expression
@@ -63,6 +64,10 @@
     )
 }
 
+_FAULT_FORM = re.compile(
+    r"(?P<kind>[a-z]+)@(?P<at>[0-9.]+)\+(?P<lasts>[0-9.]+)"
+)
+
 _FLAGS = commands.new_flags()
 _POLICY = flags.DEFINE_list(
     "policy",
@@ -155,29 +160,44 @@
     Raises:
       ValueError: the text is something else.
     """
-    kind, _, times = text.partition("@")
-    first, plus, lasts = times.partition("+")
-    if kind not in line_bench.FAULTS or not plus:
+    found = _FAULT_FORM.fullmatch(text)
+    if found is None or found["kind"] not in line_bench.FAULTS:
         known = ", ".join(line_bench.FAULTS)
         raise ValueError(
             f"fault {text!r}; write KIND@SECONDS+SECONDS, kinds: {known}"
         )
-    return line_bench.FAULTS[kind](
-        datetime.timedelta(seconds=float(first)),
-        datetime.timedelta(seconds=float(lasts)),
+    return line_bench.FAULTS[found["kind"]](
+        datetime.timedelta(seconds=float(found["at"])),
+        datetime.timedelta(seconds=float(found["lasts"])),
     )
 
 
+def _parse_loads(texts: Sequence[str]) -> tuple[float, float, float]:
+    """Decodes the load of each rank.
+
+    Raises:
+      ValueError: they are not three numbers.
+    """
+    given = ",".join(texts)
+    try:
+        urgent, normal, history = (float(text) for text in texts)
+    except ValueError:
+        raise ValueError(
+            f"load {given!r}; write three numbers, as 0.1,0.3,0.1"
+        ) from None
+    return urgent, normal, history
+
+
 def _parse_line() -> commands.ParseResult:
     try:
         faults = tuple(_parse_fault(text) for text in _FAULT.value)
-        urgent, normal, history = (float(load) for load in _LOAD.value)
+        loads = _parse_loads(_LOAD.value)
     except ValueError as error:
         return commands.usage(_NAME, str(error))
     setup = line_bench.Setup(
         proxies=_PROXIES.value,
         slots=_SLOTS.value,
-        loads=(urgent, normal, history),
+        loads=loads,
         duration=datetime.timedelta(seconds=_SECONDS.value),
         faults=faults,
         seed=_SEED.value,
--- a/hickorygate/testing/line_bench.py
+++ b/hickorygate/testing/line_bench.py
@@ -117,7 +117,7 @@
 
     proxies: int = 4
     slots: int = 2
-    time: datetime.timedelta = _milliseconds(10)
+    time: datetime.timedelta = _milliseconds(20)
     loads: tuple[float, float, float] = (0.1, 0.3, 0.1)
     duration: datetime.timedelta = datetime.timedelta(seconds=15)
     faults: tuple[Fault, ...] = ()
--- /dev/null
+++ b/hickorygate/tests/test_line_bench.py
@@ -0,0 +1,131 @@
+"""The load in the line protocol, its faults and its report."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import unittest
+from xml.etree import ElementTree
+
+from hickorygate.core import rank as ranks
+from hickorygate.operators import bench
+from hickorygate.operators import chart as charts
+from hickorygate.operators import line_report
+from hickorygate.operators import main
+from hickorygate.testing import line_bench
+from hickorygate.testing import virtual_time
+
+_SECOND = datetime.timedelta(seconds=1)
+
+
+async def _run(setup: line_bench.Setup) -> line_bench.Report:
+    clock = virtual_time.LoopClock(asyncio.get_running_loop())
+    return await line_bench.run(setup, clock)
+
+
+class LineBenchTest(unittest.TestCase):
+    """In virtual time: the machine's load changes nothing."""
+
+    def test_a_crash_is_survived_and_its_gap_measured(self) -> None:
+        setup = line_bench.Setup(
+            proxies=2,
+            loads=(0.1, 0.1, 0.1),
+            duration=3 * _SECOND,
+            faults=(line_bench.Crash(1 * _SECOND, 1 * _SECOND),),
+        )
+        report = virtual_time.run(_run(setup))
+        self.assertEqual(report.lost, 0)
+        self.assertEqual(report.promotions, 1)
+        # The promotion itself takes 0.4 s; a change of primary may take 11.
+        self.assertGreater(report.gap, 0.4)
+        self.assertLess(report.gap, 11)
+        for rank in report.ranks:
+            self.assertGreater(len(rank.outcomes), 0)
+            self.assertGreater(rank.served, 0.5, rank.rank.name)
+
+
+class ReportTest(unittest.TestCase):
+    """Figures of made-up outcomes."""
+
+    def setUp(self) -> None:
+        rank = ranks.Rank("urgent", 0, 0.1 * _SECOND, 0.05)
+        outcomes = (
+            line_bench.Outcome(0.0, 0.05, "", True),
+            line_bench.Outcome(0.5, 0.2, "", False),
+            line_bench.Outcome(1.0, 0.05, "BUSY", True),
+            line_bench.Outcome(3.0, 0.05, "", True),
+        )
+        self.setting = line_bench.Setup(
+            faults=(line_bench.Mute(1 * _SECOND, 1 * _SECOND),)
+        )
+        self.report = line_bench.Report(
+            self.setting, (line_bench.RankReport(rank, outcomes),), 1, 0
+        )
+
+    def test_shares_and_gap(self) -> None:
+        (rank,) = self.report.ranks
+        self.assertEqual(rank.in_time, 0.5)
+        self.assertEqual(rank.served, 0.75)
+        self.assertAlmostEqual(self.report.gap, 3.0)
+
+    def test_the_text_counts_failures_by_code(self) -> None:
+        text = line_report.text(self.report)
+        self.assertIn("BUSY: 1", text)
+        self.assertIn("3.00 s", text)
+
+    def test_the_page_has_a_chart_of_each_and_marks_the_fault(self) -> None:
+        page = line_report.page(self.report)
+        self.assertEqual(page.count("<svg"), 2)
+        self.assertIn("Mute", page)
+
+
+class ChartTest(unittest.TestCase):
+    """Charts are well-formed, also of nothing."""
+
+    def test_points_are_placed_inside_the_picture(self) -> None:
+        series = charts.Series("a & b", [(0, 0), (10, 5)])
+        drawn = charts.draw("t", [series], [charts.Mark("m", 2, 30)])
+        root = ElementTree.fromstring(drawn)
+        (line,) = root.iter("{http://www.w3.org/2000/svg}polyline")
+        width, height = (float(v) for v in root.get("viewBox").split()[2:])
+        for point in line.get("points").split():
+            x, y = (float(value) for value in point.split(","))
+            self.assertTrue(0 <= x <= width and 0 <= y <= height)
+
+    def test_nothing_to_draw(self) -> None:
+        ElementTree.fromstring(charts.draw("t", []))
+
+
+class CommandLineTest(unittest.TestCase):
+    """What the command takes."""
+
+    def test_faults_and_loads_are_decoded(self) -> None:
+        words = "bench --protocol line --fault crash@1+2,leave@4+0.5"
+        parsed = main.parse([*words.split(), "--load", "0.1,0.2,0"])
+        command = parsed.ok
+        self.assertIsInstance(command, bench.LineBench)
+        self.assertEqual(command.setup.loads, (0.1, 0.2, 0.0))
+        self.assertEqual(
+            command.setup.faults,
+            (
+                line_bench.Crash(1 * _SECOND, 2 * _SECOND),
+                line_bench.Leave(4 * _SECOND, 0.5 * _SECOND),
+            ),
+        )
+
+    def test_what_can_not_be_decoded_names_the_value(self) -> None:
+        for flag, value in (
+            ("--fault", "flood@1+1"),
+            ("--fault", "crash@1"),
+            ("--fault", "crash@soon+1"),
+            ("--load", "1,2"),
+            ("--load", "a,b,c"),
+        ):
+            with self.subTest(value=value):
+                words = ["bench", "--protocol", "line", flag, value]
+                parsed = main.parse(words)
+                self.assertIn(value.split(",")[0], parsed.error.message)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/hickorygate/tests/test_virtual_time.py
@@ -0,0 +1,56 @@
+"""The loop whose time passes only while nothing else happens."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+import time
+import unittest
+
+from hickorygate.testing import virtual_time
+
+
+async def _sleep_an_hour() -> datetime.timedelta:
+    clock = virtual_time.LoopClock(asyncio.get_running_loop())
+    began = clock.now()
+    await clock.sleep(datetime.timedelta(hours=1))
+    return clock.now() - began
+
+
+async def _echo_beside_a_timer() -> tuple[bytes, float]:
+    async def answer(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        writer.write(await reader.read(10))
+        writer.close()
+
+    server = await asyncio.start_server(answer, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    timer = asyncio.create_task(asyncio.sleep(3_600))
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    writer.write(b"hello")
+    received = await reader.read(10)
+    passed = asyncio.get_running_loop().time()
+    timer.cancel()
+    writer.close()
+    server.close()
+    return received, passed
+
+
+class VirtualTimeTest(unittest.TestCase):
+    """Sockets are real, waiting isn't."""
+
+    def test_sleeping_takes_no_real_time(self) -> None:
+        began = time.monotonic()
+        slept = virtual_time.run(_sleep_an_hour())
+        self.assertEqual(slept, datetime.timedelta(hours=1))
+        self.assertLess(time.monotonic() - began, 10)
+
+    def test_time_stands_still_while_bytes_are_under_way(self) -> None:
+        received, passed = virtual_time.run(_echo_beside_a_timer())
+        self.assertEqual(received, b"hello")
+        self.assertLess(passed, 3_600)
+
+
+if __name__ == "__main__":
+    unittest.main()
