--- a/hickorygate/callers/dialog.py
+++ b/hickorygate/callers/dialog.py
@@ -40,10 +40,6 @@
     ) -> None:
         self._env = env
         self._state = states.DialogState(database)
-        route = self.route()
-        if route is not None:
-            # Its databases should be known by the first statement.
-            env.fleet.group(route.service)
 
     @property
     def state(self) -> states.DialogState:
--- a/hickorygate/tests/test_fleet.py
+++ b/hickorygate/tests/test_fleet.py
@@ -120,6 +120,22 @@
         again = self.fleet.group(_service(7))
         self.assertEqual(set(again.lenders), {"db-7"})
 
+    async def test_a_group_without_use_is_asked_seldom(self) -> None:
+        self.fleet.replace_members([_member(n) for n in range(_MANY)])
+        self.fleet.apply(_catalog(1, _MANY))
+        group = self.fleet.group(_service(7))
+        await asyncio.sleep(0.3)
+        in_use = group.rounds
+        self.assertGreater(in_use, 2)
+        self.clock.advance(datetime.timedelta(seconds=2))
+        await asyncio.sleep(0.3)
+        before = group.rounds
+        await asyncio.sleep(0.3)
+        self.assertLessEqual(group.rounds - before, 1)
+        self.fleet.group(_service(7))
+        await asyncio.sleep(0.3)
+        self.assertGreater(group.rounds - before, 2)
+
     async def test_a_group_that_a_configuration_drops_is_unknown(self) -> None:
         self.fleet.apply(_catalog(1, _MANY))
         self.fleet.group(_service(199))
--- a/hickorygate/upstreams/fleet.py
+++ b/hickorygate/upstreams/fleet.py
@@ -121,7 +121,9 @@
         if terms is None:
             return None
         self._used[service] = self._clock.now()
-        return self._groups.get(service) or self._open(terms)
+        group = self._groups.get(service) or self._open(terms)
+        group.use()
+        return group
 
     def apply(self, catalog: catalogs.Catalog) -> None:
         """Puts a configuration in force, unless a newer one is."""
@@ -132,7 +134,8 @@
         for name, terms in catalog.services.items():
             if name in self._groups:
                 self._groups[name].set_terms(terms)
-            elif len(catalog.services) <= _KEPT_GROUPS:
+                self._groups[name].set_sparing(self._sparing)
+            elif not self._sparing:
                 self._open(terms)
         for name in self._groups.keys() - catalog.services.keys():
             self._close(name)
@@ -169,12 +172,19 @@
         self._store_lost = False
         self._listing.restart(self._clock.now())
 
+    @property
+    def _sparing(self) -> bool:
+        """Whether there are too many groups to look after them all."""
+        catalog = self._catalog
+        return catalog is not None and len(catalog.services) > _KEPT_GROUPS
+
     def _open(self, terms: catalogs.ServiceTerms) -> supervisors.Supervisor:
         """Begins to look after a group."""
         group = supervisors.Supervisor(
             terms, self._connector, self._office, self._clock, self._journal
         )
         self._groups[terms.name] = group
+        group.set_sparing(self._sparing)
         group.set_proxies(self._proxies)
         group.set_members(self._listing.of(terms.name))
         group.start()
@@ -199,7 +209,7 @@
 
     def _close_unused(self, now: datetime.datetime) -> None:
         """Looks no more after groups that no caller used lately."""
-        if self._catalog is None or len(self._catalog.services) <= _KEPT_GROUPS:
+        if not self._sparing:
             return
         for name, group in tuple(self._groups.items()):
             since = self._used.setdefault(name, now)
--- a/hickorygate/upstreams/supervisor.py
+++ b/hickorygate/upstreams/supervisor.py
@@ -38,6 +38,12 @@
 _HURRIED = datetime.timedelta(milliseconds=40)
 """Between rounds while no primary is known."""
 
+_SPARING = datetime.timedelta(seconds=5)
+"""Between rounds of a group without use, where there are many groups."""
+
+_IN_USE = datetime.timedelta(seconds=1)
+"""How long after its last use a group counts as in use."""
+
 _STATUS_EVERY = datetime.timedelta(seconds=5)
 """How often the logs' ends are asked for in calm times."""
 
@@ -75,6 +81,8 @@
         self._last: tuple[evidences.Finding, datetime.datetime] | None = None
         self._status_due = clock.now()
         self._lost: evidences.Leader | None = None
+        self._sparing = False
+        self._used = clock.now()
 
     @property
     def service(self) -> types.ServiceName:
@@ -142,6 +150,17 @@
         self._terms = terms
         self._evidence.set_terms(terms.synchronous_replicas)
 
+    def set_sparing(self, sparing: bool) -> None:
+        """Takes in whether rounds without use should be few."""
+        self._sparing = sparing
+
+    def use(self) -> None:
+        """Takes in that a caller's statement needs the group."""
+        now = self._clock.now()
+        if self._sparing and now - self._used >= _IN_USE:
+            self._wanted.set()
+        self._used = now
+
     def set_proxies(self, count: int) -> None:
         """Takes in how many proxies share the databases."""
         self._proxies = count
@@ -277,13 +296,20 @@
         while True:
             self._wanted.clear()
             await self._round()
-            pause = _CALM if self._calm() else _HURRIED
+            pause = self._pause()
             try:
                 async with asyncio.timeout(pause.total_seconds()):
                     await self._wanted.wait()
             except TimeoutError:
                 continue
 
+    def _pause(self) -> datetime.timedelta:
+        """Returns how long to wait for the next round, if none is wanted."""
+        unused = self._clock.now() - self._used >= _IN_USE
+        if self._sparing and unused and not self._promoter.active:
+            return _SPARING
+        return _CALM if self._calm() else _HURRIED
+
     def _calm(self) -> bool:
         """Whether the primary is known and answers."""
         if self.leader is None:
