--- a/hickorygate/testing/line_bench.py
+++ b/hickorygate/testing/line_bench.py
@@ -336,12 +336,6 @@
             await proxy.close()
         await self.world.group.close()
 
-    def primary(self) -> line_group.LineDatabase:
-        """Returns the newest primary."""
-        databases = self.world.group.databases.values()
-        leaders = [d for d in databases if d.log.leads]
-        return max(leaders, key=lambda d: d.log.term)
-
     def take_list(self) -> None:
         """Tells the proxies what the databases' entries say now."""
         for proxy in self.world.proxies:
@@ -359,7 +353,7 @@
 
 @_inject.register
 async def _(fault: Crash, bench: _Bench) -> None:
-    database = bench.primary()
+    database = bench.world.group.primary
     database.crash()
     await asyncio.sleep(fault.lasts.total_seconds())
     await database.start()
@@ -367,7 +361,7 @@
 
 @_inject.register
 async def _(fault: Mute, bench: _Bench) -> None:
-    database = bench.primary()
+    database = bench.world.group.primary
     database.faults.silent = True
     await asyncio.sleep(fault.lasts.total_seconds())
     database.faults.silent = False
@@ -375,10 +369,7 @@
 
 @_inject.register
 async def _(fault: Cut, bench: _Bench) -> None:
-    primary = bench.primary()
-    replicas = [
-        d for d in bench.world.group.databases.values() if d is not primary
-    ]
+    replicas = bench.world.group.replicas
     for database in replicas:
         database.faults.deaf = True
     await asyncio.sleep(fault.lasts.total_seconds())
@@ -388,7 +379,7 @@
 
 @_inject.register
 async def _(fault: Leave, bench: _Bench) -> None:
-    database = bench.primary()
+    database = bench.world.group.primary
     database.leaving = True
     bench.take_list()
     await asyncio.sleep(fault.lasts.total_seconds())
@@ -401,7 +392,7 @@
     bench = _Bench(setup, clock)
     try:
         await bench.play()
-        newest = set(bench.primary().log.commits)
+        newest = set(bench.world.group.primary.log.commits)
         group = bench.world.group
         lost = sum(commit not in newest for commit in group.acknowledged)
     finally:
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -226,6 +226,18 @@
     def __repr__(self) -> str:
         return f"LineGroup({list(self.databases.values())})"
 
+    @property
+    def primary(self) -> LineDatabase:
+        """The newest primary."""
+        leaders = [d for d in self.databases.values() if d.log.leads]
+        return max(leaders, key=lambda d: d.log.term)
+
+    @property
+    def replicas(self) -> list[LineDatabase]:
+        """All databases but the newest primary."""
+        primary = self.primary
+        return [d for d in self.databases.values() if d is not primary]
+
     async def start(self) -> None:
         """Begins to listen."""
         for database in self.databases.values():
--- a/hickorygate/testing/line_world.py
+++ b/hickorygate/testing/line_world.py
@@ -251,8 +251,7 @@
 def assert_no_commit_lost(group: line_group.LineGroup) -> None:
     """Raises if a promotion or the newest primary lacks what was acked."""
     assert not group.lost, f"promoted without {group.lost}"
-    leaders = [d.log for d in group.databases.values() if d.log.leads]
-    newest = max(leaders, key=lambda log: log.term)
+    newest = group.primary.log
     missing = set(group.acknowledged) - set(newest.commits)
     assert not missing, f"{newest!r} lacks {missing}"
     requests = [commit.request for commit in newest.commits]
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -176,7 +176,7 @@
 
 @_inject.register
 async def _(fault: plan.DeafenReplicas, injector: Injector) -> None:
-    replicas = _replicas(injector.site.groups[fault.service])[: fault.count]
+    replicas = injector.site.groups[fault.service].replicas[: fault.count]
     for database in replicas:
         database.faults.deaf = True
     await asyncio.sleep(fault.lasts.total_seconds())
@@ -258,23 +258,13 @@
             relay.refusing = True
 
 
-def _primary(group: line_group.LineGroup) -> line_group.LineDatabase:
-    leaders = [d for d in group.databases.values() if d.log.leads]
-    return max(leaders, key=lambda d: d.log.term)
-
-
-def _replicas(group: line_group.LineGroup) -> list[line_group.LineDatabase]:
-    primary = _primary(group)
-    return [d for d in group.databases.values() if d is not primary]
-
-
 def _database(
     injector: Injector, service: int, primary: bool
 ) -> line_group.LineDatabase:
     group = injector.site.groups[service]
     if primary:
-        return _primary(group)
-    return injector.rng.choice(_replicas(group))
+        return group.primary
+    return injector.rng.choice(group.replicas)
 
 
 def _led(
--- a/soak/run.py
+++ b/soak/run.py
@@ -9,7 +9,6 @@
 import random
 
 from hickorygate.core import background
-from hickorygate.testing import line_group
 from soak import caller as callers
 from soak import inject
 from soak import plan
@@ -132,7 +131,7 @@
     def _audit(self) -> None:
         kept: list[str] = []
         for group in self.site.groups:
-            commits = _newest(group).log.commits
+            commits = group.primary.log.commits
             self.register.audit(commits)
             kept += [commit.request for commit in commits]
             for commit in group.lost:
@@ -146,11 +145,6 @@
         )
 
 
-def _newest(group: line_group.LineGroup) -> line_group.LineDatabase:
-    leaders = [d for d in group.databases.values() if d.log.leads]
-    return max(leaders, key=lambda d: d.log.term)
-
-
 async def run(seed: int, size: plan.Size, folder: pathlib.Path) -> Report:
     """Plays one seed.
 
