--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -50,6 +50,7 @@
         self.callers = relays.Relay(self.host, _FRONT)
         self.store = relays.Relay("127.0.0.1", 0)
         self._process: asyncio.subprocess.Process | None = None
+        self._starting = asyncio.Lock()
 
     @property
     def running(self) -> bool:
@@ -88,24 +89,11 @@
         self._path("conf").write_text("".join(lines))
 
     async def start(self) -> None:
-        """Starts a process, unless one lives."""
-        if self.running:
-            return
-        self.incarnation += 1
-        environment = {
-            **os.environ,
-            "HICKORYGATE_CONFIG": str(self._path("conf")),
-        }
-        with self._path("log").open("ab") as log:
-            self._process = await asyncio.create_subprocess_exec(
-                sys.executable,
-                "-m",
-                "hickorygate.platform",
-                cwd=_ROOT,
-                env=environment,
-                stdout=log,
-                stderr=log,
-            )
+        """Starts a process, unless one lives or is being started."""
+        async with self._starting:
+            if not self.running:
+                self._process = await self._launch()
+                self.incarnation += 1
 
     def send(self, number: signal.Signals) -> None:
         """Signals the process, if it lives."""
@@ -126,12 +114,29 @@
 
     async def close(self) -> None:
         """Ends the process and the relays."""
-        self.send(signal.SIGKILL)
+        async with self._starting:
+            self.send(signal.SIGKILL)
         if self._process is not None:
             await self._process.wait()
         for relay in (self.store, self.callers, *self.databases.values()):
             await relay.stop()
 
+    async def _launch(self) -> asyncio.subprocess.Process:
+        environment = {
+            **os.environ,
+            "HICKORYGATE_CONFIG": str(self._path("conf")),
+        }
+        with self._path("log").open("ab") as log:
+            return await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "hickorygate.platform",
+                cwd=_ROOT,
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
     def links(self, peer: plan.Peer) -> list[relays.Relay]:
         """Returns its connections to one kind of peer."""
         match peer:
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -11,6 +11,7 @@
 from hickorygate.core import position as positions
 from hickorygate.testing import line_log
 from soak import plan
+from soak import proxy as proxies
 from soak import register as registers
 from soak import run as runs
 
@@ -121,6 +122,30 @@
         self.assert_broken(registers.Promise.ONE)
 
 
+class ProxyTest(unittest.IsolatedAsyncioTestCase):
+    """No process is ever without an owner."""
+
+    async def test_two_starts_at_once_make_one_process(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            proxy = proxies.Proxy(0, pathlib.Path(folder))
+            launched: list[object] = []
+
+            async def launch() -> object:
+                await asyncio.sleep(0)
+                launched.append(_Living())
+                return launched[-1]
+
+            proxy._launch = launch
+            await asyncio.gather(proxy.start(), proxy.start())
+        self.assertEqual(len(launched), 1)
+
+
+class _Living:
+    """A process that lives."""
+
+    returncode = None
+
+
 class RunTest(unittest.TestCase):
     """Real processes under the faults of a seed."""
 
--- a/tools/processes.sh
+++ b/tools/processes.sh
@@ -61,11 +61,13 @@
 kill -CONT "$standin"
 sleep 2
 echo "two operators load different sheets at once"
+version=$("$bin/hickorygate" sheet show --platform http://127.0.0.1:13300 |
+  sed -n 's/^# version \([0-9]*\),.*/\1/p')
 for name in first second; do
   { cat "$sheet"; echo "# $name"; } > "$folder/$name.yaml"
 done
-load "$folder/first.yaml" --replaces 1 & first=$!
-load "$folder/second.yaml" --replaces 1 & second=$!
+load "$folder/first.yaml" --replaces "$version" & first=$!
+load "$folder/second.yaml" --replaces "$version" & second=$!
 wait "$first" || echo "first: exit code $?"
 wait "$second" || echo "second: exit code $?"
 wait "$caller"
