--- a/hickorygate/operators/chart.py
+++ b/hickorygate/operators/chart.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Sequence
 import dataclasses
-from xml.etree import ElementTree
+import xml.etree.ElementTree as ElementTree
 
 __all__ = ["Mark", "Series", "draw"]
 
--- a/hickorygate/tests/test_line_bench.py
+++ b/hickorygate/tests/test_line_bench.py
@@ -5,7 +5,7 @@
 import asyncio
 import datetime
 import unittest
-from xml.etree import ElementTree
+import xml.etree.ElementTree as ElementTree
 
 from hickorygate.core import rank as ranks
 from hickorygate.operators import bench
