--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -228,9 +228,12 @@
 
     @property
     def primary(self) -> LineDatabase:
-        """The newest primary."""
-        leaders = [d for d in self.databases.values() if d.log.leads]
-        return max(leaders, key=lambda d: d.log.term)
+        """The newest primary; without one, who has received the most."""
+        databases = self.databases.values()
+        leaders = [d for d in databases if d.log.leads]
+        if leaders:
+            return max(leaders, key=lambda d: d.log.term)
+        return max(databases, key=lambda d: d.log.received)
 
     @property
     def replicas(self) -> list[LineDatabase]:
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -9,6 +9,7 @@
 import unittest
 
 from hickorygate.core import position as positions
+from hickorygate.testing import line_group
 from hickorygate.testing import line_log
 from soak import plan
 from soak import proxy as proxies
@@ -52,6 +53,20 @@
         self.assertGreater(len(overlapping), 50)
 
 
+class GroupTest(unittest.IsolatedAsyncioTestCase):
+    """Faults find a database also while none leads."""
+
+    async def test_without_a_primary_the_most_advanced_stands_for_it(
+        self,
+    ) -> None:
+        group = line_group.LineGroup()
+        for database in group.databases.values():
+            database.log.role = line_log.Role.REPLICA
+        group.databases["c"].log.append("r", (("x", "1"),))
+        self.assertEqual(group.primary.name, "c")
+        self.assertEqual({d.name for d in group.replicas}, {"a", "b"})
+
+
 class RegisterTest(unittest.TestCase):
     """Each broken promise is seen, and a kept one is not."""
 
