--- a/soak/inject.py
+++ b/soak/inject.py
@@ -184,6 +184,22 @@
         database.faults.deaf = False
 
 
+@_inject.register
+async def _(fault: plan.IsolatePrimary, injector: Injector) -> None:
+    group = injector.site.groups[fault.service]
+    port, replicas = group.primary.port, group.replicas
+    cut = [injector.site.proxies[n].databases[port] for n in fault.proxies]
+    for relay in cut:
+        relay.cut(relays.Way.BOTH)
+    for database in replicas:
+        database.faults.deaf = True
+    await asyncio.sleep(fault.lasts.total_seconds())
+    for database in replicas:
+        database.faults.deaf = False
+    for relay in cut:
+        relay.heal()
+
+
 @_inject.register
 async def _(fault: plan.LoseAnswers, injector: Injector) -> None:
     database = _database(injector, fault.service, True)
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -18,6 +18,7 @@
     "ForgetHistory",
     "Harm",
     "HarmLinks",
+    "IsolatePrimary",
     "KillProxies",
     "LoseAnswers",
     "MuteDatabase",
@@ -186,6 +187,18 @@
     count: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class IsolatePrimary(Fault):
+    """A primary reaches no replica, and some proxies don't reach it.
+
+    The other proxies still do, so they may take it for the primary when it
+    was replaced.
+    """
+
+    service: int
+    proxies: tuple[int, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoseAnswers(Fault):
     """A primary runs statements and breaks the connection."""
@@ -252,6 +265,11 @@
     return rng.randrange(size.proxies)
 
 
+def _some_proxies(rng: random.Random, size: Size) -> tuple[int, ...]:
+    count = rng.randint(1, size.proxies)
+    return tuple(sorted(rng.sample(range(size.proxies), count)))
+
+
 def _service(rng: random.Random, size: Size) -> int:
     return rng.randrange(size.services)
 
@@ -262,11 +280,7 @@
 
 _MAKERS: tuple[_Maker, ...] = (
     lambda r, s, at, lasts: KillProxies(at, lasts, (_proxy(r, s),)),
-    lambda r, s, at, lasts: KillProxies(
-        at,
-        lasts,
-        tuple(sorted(r.sample(range(s.proxies), r.randint(1, s.proxies)))),
-    ),
+    lambda r, s, at, lasts: KillProxies(at, lasts, _some_proxies(r, s)),
     lambda r, s, at, lasts: StopProxy(at, lasts, _proxy(r, s)),
     lambda r, s, at, lasts: PauseProxy(at, lasts, _proxy(r, s)),
     lambda r, s, at, lasts: ReloadProxy(at, lasts, _proxy(r, s)),
@@ -293,6 +307,9 @@
     lambda r, s, at, lasts: DeafenReplicas(
         at, lasts, _service(r, s), r.randint(1, 2)
     ),
+    lambda r, s, at, lasts: IsolatePrimary(
+        at, lasts, _service(r, s), _some_proxies(r, s)
+    ),
     lambda r, s, at, lasts: LoseAnswers(
         at, lasts, _service(r, s), r.randint(1, 20)
     ),
