--- a/hickorygate/core/background.py
+++ b/hickorygate/core/background.py
@@ -8,6 +8,9 @@
 
 __all__ = ["FAILED", "Background"]
 
+_CANCEL_AGAIN_SECONDS = 2.0
+"""Longer than cleaning up takes."""
+
 FAILED = "a background task failed"
 """Message of the context that the loop's exception handler gets."""
 
@@ -40,11 +43,17 @@
         return task
 
     async def close(self) -> None:
-        """Cancels the tasks and waits for their end."""
-        tasks = tuple(self._tasks)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        """Cancels the tasks and waits for their end.
+
+        A task can lose a cancellation that comes together with a result
+        (`asyncio.wait_for` before Python 3.12); it is cancelled again.
+        """
+        while self._tasks:
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.wait(self._tasks, timeout=_CANCEL_AGAIN_SECONDS)
+            # Lets the tasks that have ended be forgotten.
+            await asyncio.sleep(0)
 
     def _ended(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
--- a/hickorygate/tests/test_background.py
+++ b/hickorygate/tests/test_background.py
@@ -28,6 +28,33 @@
         self.assertTrue(all(task.cancelled() for task in tasks))
         self.assertEqual(self.reported, [])
 
+    async def test_close_ends_a_task_that_lost_its_cancellation(self) -> None:
+        lost: list[bool] = []
+
+        async def lose_one() -> None:
+            while True:
+                try:
+                    await asyncio.Event().wait()
+                except asyncio.CancelledError:
+                    if lost:
+                        raise
+                    lost.append(True)
+
+        task = self.background.start(lose_one())
+        await asyncio.sleep(0)
+        async with asyncio.timeout(10):
+            await self.background.close()
+        self.assertTrue(task.cancelled())
+
+    async def test_close_forgets_a_task_that_has_just_ended(self) -> None:
+        async def end() -> None:
+            return
+
+        self.background.start(end())
+        async with asyncio.timeout(10):
+            await self.background.close()
+        self.assertFalse(self.background.running)
+
     async def test_failure_is_reported(self) -> None:
         async def fail() -> None:
             raise LookupError("gone")
