--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -130,7 +130,9 @@
         )
 
     async def start(self) -> None:
-        """Begins to listen, on the former port if it had one."""
+        """Begins to listen, unless it does; on the former port if any."""
+        if self.running:
+            return
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._accept, "127.0.0.1", self._port
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -66,6 +66,18 @@
         self.assertEqual(group.primary.name, "c")
         self.assertEqual({d.name for d in group.replicas}, {"a", "b"})
 
+    async def test_a_database_that_two_faults_start_listens_once(
+        self,
+    ) -> None:
+        group = line_group.LineGroup()
+        self.addAsyncCleanup(group.close)
+        await group.start()
+        database = group.databases["a"]
+        database.crash()
+        await database.start()
+        await database.start()
+        self.assertTrue(database.running)
+
 
 class RegisterTest(unittest.TestCase):
     """Each broken promise is seen, and a kept one is not."""
