--- a/hickorygate/platform/entries.py
+++ b/hickorygate/platform/entries.py
@@ -38,8 +38,6 @@
 CONFIGURATION_NAME = "main"
 """Name of that object."""
 
-_LIVE = objects.InstanceState.LIVE
-
 _RANK_FLOOR = 0.05
 """Share of a database that each rank keeps under overload."""
 
@@ -108,10 +106,13 @@
         listed = _Listed.model_validate(entry.value)
     except pydantic.ValidationError:
         return None
+    states = objects.InstanceState
     leaving = listed.state == "draining"
-    state = objects.InstanceState.LEAVING if leaving else _LIVE
     return objects.Instance(
-        name=entry.name, address=listed.address, zone=listed.zone, state=state
+        name=entry.name,
+        address=listed.address,
+        zone=listed.zone,
+        state=states.LEAVING if leaving else states.LIVE,
     )
 
 
--- a/hickorygate/platform/objects.py
+++ b/hickorygate/platform/objects.py
@@ -332,8 +332,8 @@
                     headers=fields,
                 ) as response,
             ):
-                body = await response.read()
-                return expression.Ok(Answer(response.status, body))
+                content = await response.read()
+                return expression.Ok(Answer(response.status, content))
         except aiohttp.ClientConnectorError as error:
             return expression.Error(errors.StoreUnavailable(str(error), False))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -70,7 +70,6 @@
 
     Attributes:
       log: its log, role and term.
-      most_running: the most statements that ran at once.
       faults: what is wrong with it.
       ran: callers' requests that it ran: ids and texts.
       leaving: whether it is about to stop.
@@ -89,8 +88,6 @@
         self.leaving = False
         self.last_ran: float | None = None
         self.deposed: float | None = None
-        self.most_running = 0
-        self._running = 0
         self._queued = 0
         self._slots = asyncio.Semaphore(group.work.slots)
         self._sessions: set[line_session.LineSession] = set()
@@ -154,12 +151,9 @@
         self._queued += 1
         await self._slots.acquire()
         self._queued -= 1
-        self._running += 1
-        self.most_running = max(self.most_running, self._running)
         try:
             await asyncio.sleep(self.group.work.time.total_seconds())
         finally:
-            self._running -= 1
             self._slots.release()
         return True
 
