Let a stopped process end whatever a caller's task does

Cause: Server.close() cancelled each caller's task once and then waited for it without a limit. A task that loses its cancellation (a result that arrives at the same moment inside a library) waited on, the loop idle, and a second SIGTERM only waits at the same place. The same loss had been mended for background tasks; this place was left.

Change: tasks of callers are cancelled until they end, by the function that background tasks use; serve names the tasks that still run 5 s after the callers are gone, and ends. The test of a leaving primary, and its module, run on virtual time, so that no load delays a probe.

--- a/hickorygate/callers/server.py
+++ b/hickorygate/callers/server.py
@@ -16,6 +16,7 @@
 from hickorygate.callers import handler
 from hickorygate.callers import login
 from hickorygate.callers import stream as streams
+from hickorygate.core import background
 from hickorygate.core import errors
 from hickorygate.core import types
 
@@ -120,10 +121,7 @@
     async def close(self) -> None:
         """Stops listening and closes all connections."""
         self._stop_listening()
-        tasks = list(self._protocols)
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await background.cancel_until_done(self._protocols)
 
     def accept(
         self, protocol: _CallerProtocol, stream: streams.PacketStream
--- a/hickorygate/core/background.py
+++ b/hickorygate/core/background.py
@@ -4,9 +4,10 @@
 
 import asyncio
 from collections.abc import Coroutine
+from collections.abc import Iterable
 from typing import Any
 
-__all__ = ["FAILED", "BackgroundTasks"]
+__all__ = ["FAILED", "BackgroundTasks", "cancel_until_done"]
 
 _CANCEL_RETRY_SECONDS = 2.0
 """Time after which tasks that still run are cancelled again; longer than their
@@ -16,6 +17,19 @@
 """Message in the context that is passed to the loop's exception handler."""
 
 
+async def cancel_until_done(tasks: Iterable[asyncio.Task[Any]]) -> None:
+    """Cancels tasks and waits for their end.
+
+    A task can lose a cancellation that arrives together with a result
+    (`asyncio.wait_for` before Python 3.12); such a task is cancelled again.
+    """
+    running = set(tasks)
+    while running:
+        for task in running:
+            task.cancel()
+        _, running = await asyncio.wait(running, timeout=_CANCEL_RETRY_SECONDS)
+
+
 class BackgroundTasks:
     """The background tasks of one owner.
 
@@ -45,16 +59,9 @@
         return task
 
     async def close(self) -> None:
-        """Cancels the tasks and waits for their end.
-
-        A task can lose a cancellation that arrives together with a result
-        (`asyncio.wait_for` before Python 3.12); such a task is cancelled
-        again.
-        """
+        """Cancels the tasks and waits for their end."""
         while self._tasks:
-            for task in self._tasks:
-                task.cancel()
-            await asyncio.wait(self._tasks, timeout=_CANCEL_RETRY_SECONDS)
+            await cancel_until_done(self._tasks)
             # Runs the callbacks that remove ended tasks from the set.
             await asyncio.sleep(0)
 
--- a/hickorygate/operators/serve.py
+++ b/hickorygate/operators/serve.py
@@ -5,8 +5,10 @@
 import asyncio
 from collections.abc import Sequence
 import dataclasses
+import datetime
 import pathlib
 from typing import Any
+from typing import Protocol
 
 from absl import flags
 import expression
@@ -21,9 +23,12 @@
 from hickorygate.operators import log
 from hickorygate.operators import signals
 
-__all__ = ["FAMILY", "Serve"]
+__all__ = ["FAMILY", "Closable", "Serve", "close"]
 
 _NAME = "serve"
+_CLOSE_TIMEOUT = datetime.timedelta(seconds=5)
+"""Time for all components to close once the callers are gone."""
+
 _log = logbook.Logger(__name__)
 
 _FLAGS = commands.new_flags()
@@ -76,10 +81,38 @@
     if ended.is_ok():
         _log_addresses(daemon)
         ended = await _wait_until_drained(daemon)
-    await daemon.close()
+    await close(daemon)
     return ended
 
 
+class Closable(Protocol):
+    """A component that can be closed."""
+
+    async def close(self) -> None:
+        """Stops the component."""
+
+
+async def close(
+    daemon: Closable, timeout: datetime.timedelta = _CLOSE_TIMEOUT
+) -> None:
+    """Closes a daemon; a component that doesn't end is logged and left behind.
+
+    A process that is told to stop must end, whatever one of its tasks waits
+    for.
+
+    Args:
+      daemon: daemon to close.
+      timeout: time after which the process ends anyway.
+    """
+    try:
+        async with asyncio.timeout(timeout.total_seconds()):
+            await daemon.close()
+    except TimeoutError:
+        current = asyncio.current_task()
+        for task in asyncio.all_tasks() - {current}:
+            _log.error("still running after {}: {!r}", timeout, task)
+
+
 def _install_exception_handler(daemon: daemons.Daemon) -> None:
     """Makes the liveness check fail after a background task has failed.
 
--- a/hickorygate/testing/cluster.py
+++ b/hickorygate/testing/cluster.py
@@ -160,17 +160,20 @@
     )
 
 
-async def start(proxies: int, head: str = _SHEET) -> StandInCluster:
+async def start(
+    proxies: int, head: str = _SHEET, clock: clocks.Clock | None = None
+) -> StandInCluster:
     """Starts a platform with a sheet, a group of three, and proxies.
 
     Args:
       proxies: number of proxies.
       head: YAML text of the sheet before the list of databases.
+      clock: clock of the proxies and the databases; None for the system's.
 
     Returns:
       The cluster, which may not be ready yet.
     """
-    clock = clocks.SystemClock()
+    clock = clock or clocks.SystemClock()
     platform = object_store.ObjectStore()
     await platform.start()
     group = databases.StandInGroup(clock)
--- a/hickorygate/testing/virtual_time.py
+++ b/hickorygate/testing/virtual_time.py
@@ -13,8 +13,9 @@
 import selectors
 from typing import Any
 from typing import TypeVar
+import unittest
 
-__all__ = ["LoopClock", "VirtualLoop", "run"]
+__all__ = ["LoopClock", "VirtualLoop", "VirtualTimeTestCase", "run"]
 
 _EPOCH = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 
@@ -83,3 +84,22 @@
     """Runs a coroutine to completion on a new `VirtualLoop`."""
     with asyncio.Runner(loop_factory=VirtualLoop) as runner:
         return runner.run(coroutine)
+
+
+class _VirtualLoopPolicy(asyncio.DefaultEventLoopPolicy):
+    """Creates a `VirtualLoop` wherever a new event loop is requested."""
+
+    def new_event_loop(self) -> asyncio.AbstractEventLoop:
+        return VirtualLoop()
+
+
+class VirtualTimeTestCase(unittest.IsolatedAsyncioTestCase):
+    """A test case whose asynchronous tests run on virtual time."""
+
+    @classmethod
+    def setUpClass(cls) -> None:
+        """Selects the virtual loop for the tests of the class."""
+        super().setUpClass()
+        former = asyncio.get_event_loop_policy()
+        cls.addClassCleanup(asyncio.set_event_loop_policy, former)
+        asyncio.set_event_loop_policy(_VirtualLoopPolicy())
--- a/hickorygate/tests/test_runner.py
+++ b/hickorygate/tests/test_runner.py
@@ -1,10 +1,12 @@
-"""Tests failures of a primary while a caller writes, over real sockets."""
+"""Tests failures of a primary while a caller writes, over real sockets.
+
+Time is virtual, so that the load of the machine delays no probe.
+"""
 
 from __future__ import annotations
 
 import asyncio
 import datetime
-import unittest
 
 import asyncmy
 
@@ -13,6 +15,7 @@
 from hickorygate.testing import cluster
 from hickorygate.testing import database as databases
 from hickorygate.testing import ledger
+from hickorygate.testing import virtual_time
 
 _GUARD_SECONDS = 30
 _WRITES = 25
@@ -73,14 +76,15 @@
         return True
 
 
-class RunnerTest(unittest.IsolatedAsyncioTestCase):
+class RunnerTest(virtual_time.VirtualTimeTestCase):
     """Writes resume after each kind of failure of a primary.
 
     No acknowledged write may be lost or stored twice.
     """
 
     async def asyncSetUp(self) -> None:
-        self.cluster = await cluster.start(proxies=2)
+        clock = virtual_time.LoopClock(asyncio.get_running_loop())
+        self.cluster = await cluster.start(proxies=2, clock=clock)
         self.addAsyncCleanup(self.cluster.stop)
         guard = datetime.timedelta(seconds=_GUARD_SECONDS)
         await self.cluster.wait_until_ready(guard)
--- a/hickorygate/tests/test_server.py
+++ b/hickorygate/tests/test_server.py
@@ -26,6 +26,14 @@
 """Upper bound of what the kernel buffers between two local sockets."""
 
 
+async def _lose_one_cancellation() -> None:
+    """Waits for ever; discards the first cancellation, as libraries can."""
+    try:
+        await asyncio.Event().wait()
+    except asyncio.CancelledError:
+        await asyncio.Event().wait()
+
+
 class _Handler:
     """A handler whose answer depends on the text of the statement."""
 
@@ -56,6 +64,9 @@
             case "wait":
                 self._test.waiting.set()
                 await self._test.proceed.wait()
+            case "lose cancellation":
+                self._test.waiting.set()
+                await _lose_one_cancellation()
             case "begin":
                 self.in_transaction = True
             case "commit":
@@ -261,3 +272,13 @@
         await self.drain(datetime.timedelta(milliseconds=20))
         self.assertEqual(await client.read(), b"")
         self.assertTrue(self.handlers[0].closed.is_set())
+
+    async def test_drain_ends_although_a_statement_loses_its_cancellation(
+        self,
+    ) -> None:
+        client = await self.log_in()
+        client.query("lose cancellation")
+        await self.waiting.wait()
+        async with asyncio.timeout(_TIMEOUT.total_seconds()):
+            await self.drain(datetime.timedelta(milliseconds=20))
+        self.assertEqual(self.server.connections, 0)
