Mend five faults of the MySQL front end

Causes and changes, each with a test that failed first: - DDL inside a transaction called a method that didn't exist (error 1105); it commits the transaction, then runs (test_path). - USE of a quoted name with a comment mark was cut at the mark; comments are now removed outside quoted names only (test_statement). - An idempotency key among the connection attributes applied to every write, so equal later writes counted as repeats and didn't run; it applies to the first one (test_session_handler). - An integer too wide for its column raised OverflowError, or was sent with the wrong sign (128 in a signed byte); both are a ValueError now (test_result_encoding). - Any unexpected error of a login went out as 'no login in time' (test_server).

--- a/hickorygate/callers/connection.py
+++ b/hickorygate/callers/connection.py
@@ -329,15 +329,9 @@
     def error(self, **kwargs: Any) -> bytes:
         """Builds an error packet with the code and SQLSTATE of the failure.
 
-        mysql_mimic also calls this method when the login raises. An exception
-        that carries no failure is taken for a login timeout.
+        mysql_mimic also calls this method when the login raises.
         """
-        error = kwargs.get("msg")
-        if isinstance(error, errors.FailureError):
-            failure = error.failure
-        else:
-            failure = protocol_errors.MalformedPacket("no login in time")
-        reply = error_replies.error_reply(failure)
+        reply = error_replies.error_reply(_failure_of(kwargs.get("msg")))
         return b"".join(
             (
                 b"\xff",
@@ -515,6 +509,22 @@
     return plugin.password_matches(user, proof, nonce.rstrip(b"\x00"))
 
 
+@functools.singledispatch
+def _failure_of(error: object) -> errors.Failure:
+    """Returns the failure that an exception of a login stands for."""
+    return protocol_errors.InternalError(type(error).__name__)
+
+
+@_failure_of.register
+def _(error: errors.FailureError) -> errors.Failure:
+    return error.failure
+
+
+@_failure_of.register
+def _(error: TimeoutError) -> errors.Failure:
+    return protocol_errors.MalformedPacket("no login in time")
+
+
 def _decode_sql(data: bytes) -> str:
     try:
         return data.decode()
--- a/hickorygate/callers/executor.py
+++ b/hickorygate/callers/executor.py
@@ -200,6 +200,20 @@
             return expression.Ok(answer.EMPTY_ANSWER)
         return await transaction.commit()
 
+    async def commit_first(
+        self, work: statement_execution.StatementExecution
+    ) -> handler.AnswerResult:
+        """Commits the open transaction, then executes a write on its own.
+
+        The write isn't executed if the commit fails.
+        """
+        committed = await self.commit()
+        if committed.is_error():
+            return committed
+        if self._pinned is not None:
+            return await self.run_pinned(work)
+        return await self.write(work)
+
     async def roll_back(self) -> handler.AnswerResult:
         """Rolls back the open transaction, if there is one."""
         transaction = self._clear_transaction()
--- a/hickorygate/callers/result_encoding.py
+++ b/hickorygate/callers/result_encoding.py
@@ -140,7 +140,10 @@
 
 def _encode_integer(width: int, signed: bool, cell: types.Cell) -> bytes:
     number = int(cell or 0)
-    return number.to_bytes(width, "little", signed=signed and number < 0)
+    try:
+        return number.to_bytes(width, "little", signed=signed)
+    except OverflowError as error:
+        raise ValueError(f"{number} needs more than {width} bytes") from error
 
 
 def _encode_float(float_format: str, cell: types.Cell) -> bytes:
--- a/hickorygate/callers/session_handler.py
+++ b/hickorygate/callers/session_handler.py
@@ -246,8 +246,20 @@
     def _start_session(
         self, user: types.CallerName, attributes: hints_lib.Hints
     ) -> None:
+        """Starts a session with the hints of its connection attributes.
+
+        An idempotency key among them applies to the first write only, since
+        all later writes would count as repeats of it.
+        """
         self._session = sessions.Session(
-            user, self._env.clock.now(), attribute_hints=attributes
+            user,
+            self._env.clock.now(),
+            attribute_hints=dataclasses.replace(
+                attributes, idempotency_key=None
+            ),
+        )
+        self._session.hints = hints_lib.Hints(
+            idempotency_key=attributes.idempotency_key
         )
         self._executor = executor.Executor(self._session, self._env)
 
--- a/hickorygate/core/sql_patterns.py
+++ b/hickorygate/core/sql_patterns.py
@@ -10,7 +10,7 @@
 
 import re
 
-__all__ = ["QUOTED_OR_COMMENT", "COMMENT", "PLACE", "SEPARATOR"]
+__all__ = ["QUOTED_OR_COMMENT", "PLACE", "SEPARATOR"]
 
 _QUOTED = r"""
     '(?:[^'\\]++|\\(?:.|\Z)|'')*+(?:'|\Z)        # a string
@@ -27,10 +27,6 @@
 """A string, a quoted name or a comment. Words inside these don't affect the
 class of a statement."""
 
-COMMENT = re.compile(_COMMENT, re.S | re.X)
-"""A comment. The pattern also matches inside quoted text, so it is only for
-text without quoted comment marks."""
-
 SEPARATOR = re.compile(f"(?:{_QUOTED}|{_COMMENT})|(?P<end>;)", re.S | re.X)
 """Matches what `QUOTED_OR_COMMENT` matches, or a semicolon between statements
 as group `end`."""
--- a/hickorygate/core/statement.py
+++ b/hickorygate/core/statement.py
@@ -71,7 +71,9 @@
     r"SET (?:SESSION |LOCAL |@@(?:SESSION\.|LOCAL\.)?)?"
     r"AUTOCOMMIT ?:?= ?(1|0|ON|OFF|TRUE|FALSE)$"
 )
-_USE = re.compile(r"\s*USE\s+`?([^`\s;]+)`?\s*$", re.I)
+_USE = re.compile(
+    r"\s*USE\s+(?:`(?P<quoted>(?:[^`]|``)+)`|(?P<plain>[^`\s;]+))\s*", re.I
+)
 _TRUE_WORDS = frozenset({"1", "ON", "TRUE"})
 
 
@@ -251,6 +253,13 @@
     return _QUOTED_CALL.search(masked) is not None
 
 
+def _remove_comments(sql: str) -> str:
+    """Replaces each comment by a space; quoted text stays as it is."""
+    return sql_patterns.QUOTED_OR_COMMENT.sub(
+        lambda match: match[0] if match[0][0] in "'\"`" else " ", sql
+    )
+
+
 def _mask(match: re.Match[str]) -> str:
     return "`" if match.group()[0] in '`"' else " "
 
@@ -313,10 +322,12 @@
 
 
 def _classify_use(sql: str, outline: str) -> ClassifyResult:
-    match = _USE.match(sql_patterns.COMMENT.sub(" ", sql))
-    if match:
-        return expression.Ok(UseSchema(sql, match.group(1)))
-    return _refused("USE without one schema's name")
+    match = _USE.fullmatch(_remove_comments(sql))
+    if match is None:
+        return _refused("USE without one schema's name")
+    quoted = match["quoted"]
+    schema = match["plain"] if quoted is None else quoted.replace("``", "`")
+    return expression.Ok(UseSchema(sql, schema))
 
 
 _CLASSIFIERS = {
--- a/hickorygate/testing/raw_client.py
+++ b/hickorygate/testing/raw_client.py
@@ -6,7 +6,7 @@
 
 from hickorygate.core import types
 
-__all__ = ["RawClient", "connect", "log_in"]
+__all__ = ["RawClient", "connect", "log_in", "login_packet"]
 
 _CAPABILITIES = 0x0000_8201
 """Capability flags: protocol 4.1, long password, secure connection."""
@@ -97,6 +97,18 @@
     return bytes((len(text),)) + text.encode()
 
 
+def login_packet(user: types.CallerName, attributes: bool = False) -> bytes:
+    """Returns the login of a user that has no password.
+
+    Args:
+      user: name of the user.
+      attributes: whether each statement carries query attributes.
+    """
+    capabilities = _CAPABILITIES | (_QUERY_ATTRIBUTES if attributes else 0)
+    head = capabilities.to_bytes(4, "little") + _LOGIN_TAIL
+    return head + user.encode() + b"\x00\x00"
+
+
 async def connect(port: int) -> RawClient:
     """Connects without logging in."""
     return RawClient(*await asyncio.open_connection("127.0.0.1", port))
@@ -114,8 +126,6 @@
     """
     client = await connect(port)
     await client.read()
-    capabilities = _CAPABILITIES | (_QUERY_ATTRIBUTES if attributes else 0)
-    head = capabilities.to_bytes(4, "little") + _LOGIN_TAIL
-    client.send(head + user.encode() + b"\x00\x00", sequence=1)
+    client.send(login_packet(user, attributes), sequence=1)
     await client.read()
     return client
--- a/hickorygate/tests/test_path.py
+++ b/hickorygate/tests/test_path.py
@@ -58,6 +58,20 @@
         await cursor.execute("SELECT id FROM sightings")
         self.assertEqual(await cursor.fetchall(), ((2,),))
 
+    async def test_table_definition_commits_the_open_transaction(self) -> None:
+        await self.stand_in_cluster.wait_until_ready(_TIMEOUT)
+        connection = await self.connect(0)
+        cursor = connection.cursor()
+        await cursor.execute("CREATE TABLE sightings (id INT)")
+        await connection.begin()
+        await cursor.execute("INSERT INTO sightings VALUES (1)")
+        await cursor.execute("CREATE TABLE reports (id INT)")
+        await connection.rollback()
+        await cursor.execute("SELECT id FROM sightings")
+        self.assertEqual(await cursor.fetchall(), ((1,),))
+        await cursor.execute("SELECT id FROM reports")
+        self.assertEqual(await cursor.fetchall(), ())
+
     async def test_wrong_password_is_refused(self) -> None:
         with self.assertRaises(asyncmy.errors.OperationalError) as caught:
             await asyncmy.connect(
--- a/hickorygate/tests/test_result_encoding.py
+++ b/hickorygate/tests/test_result_encoding.py
@@ -53,6 +53,18 @@
             with self.subTest(code=code, cell=cell):
                 self.assertEqual(self.cell(code, cell, flags), data)
 
+    def test_integer_too_wide_for_its_column_is_a_value_error(self) -> None:
+        for code, flags, cell in (
+            (1, 0, "128"),
+            (1, 0, "-129"),
+            (1, _UNSIGNED, "256"),
+            (8, 0, "9223372036854775808"),
+            (13, _UNSIGNED, "-1"),
+        ):
+            with self.subTest(code=code, cell=cell):
+                with self.assertRaises(ValueError):
+                    self.cell(code, cell, flags)
+
     def test_nulls_are_set_in_the_bitmap(self) -> None:
         columns = tuple(answer.Column("a", 6, 63) for _ in range(7))
         encoders = result_encoding.binary_encoders(columns)
--- a/hickorygate/tests/test_server.py
+++ b/hickorygate/tests/test_server.py
@@ -54,6 +54,8 @@
     async def login(
         self, user: types.CallerName, attributes: Mapping[str, str]
     ) -> expression.Result[None, errors.Failure]:
+        if self._test.login_fault is not None:
+            raise self._test.login_fault
         return expression.Ok(None)
 
     async def query(
@@ -100,6 +102,7 @@
 
     async def asyncSetUp(self) -> None:
         self.handlers: list[_Handler] = []
+        self.login_fault: Exception | None = None
         self.waiting = asyncio.Event()
         self.proceed = asyncio.Event()
         self.server = server.Server(
@@ -164,6 +167,24 @@
                     await client.read_to_end()
                 await client.close()
 
+    async def test_unexpected_error_in_a_login_is_not_called_a_timeout(
+        self,
+    ) -> None:
+        for fault, text in (
+            (ZeroDivisionError(), b"ZeroDivisionError"),
+            (TimeoutError(), b"no login in time"),
+        ):
+            with self.subTest(fault):
+                self.login_fault = fault
+                client = await raw_client.connect(self.server.port)
+                self.addAsyncCleanup(client.close)
+                await client.read()
+                client.send(raw_client.login_packet("vet"), sequence=1)
+                async with asyncio.timeout(_TIMEOUT.total_seconds()):
+                    self.assertIn(text, await client.read())
+        self.login_fault = None
+        await self.assert_answers_ping(await self.log_in())
+
     async def test_refused_command_keeps_the_connection(self) -> None:
         client = await self.log_in()
         for payload, code in (
--- a/hickorygate/tests/test_statement.py
+++ b/hickorygate/tests/test_statement.py
@@ -19,6 +19,10 @@
     "ROLLBACK TO a": statement.Write("ROLLBACK TO a"),
     "SAVEPOINT a": statement.Write("SAVEPOINT a"),
     "USE `alerts_1`": statement.UseSchema("USE `alerts_1`", "alerts_1"),
+    "USE `a#b`": statement.UseSchema("USE `a#b`", "a#b"),
+    "USE /* c */ `a``b` # d": statement.UseSchema(
+        "USE /* c */ `a``b` # d", "a`b"
+    ),
     "SET @@autocommit = 0": statement.SetAutocommit(
         "SET @@autocommit = 0", False
     ),
