Let proxies take turns before they ask for the promotion lease; call the store less

Cause: every proxy that noticed the loss of a primary asked the store for the lease at once and then every 200 ms.

Change: a proxy waits for its turn, 100 ms for each proxy before it beyond the first three, in one order for all groups; it gives up if the primary was replaced meanwhile. Retries after failed reads of the record double to 600 ms. Proxies are counted from a list that may be outdated, and renew every second count. The databases' watch is held for 8 s; batches of changes grow while changes keep coming. Connections to the store are closed by the kernel if the peer is gone, so that a longer watch doesn't wait longer for that.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -198,12 +198,19 @@
             await self._http.close()
 
     async def list(
-        self, kind: str
+        self, kind: str, may_be_outdated: bool = False
     ) -> expression.Result[list_watch.Snapshot, errors.Failure]:
-        """Returns all objects of a kind, page by page."""
+        """Returns all objects of a kind, page by page.
+
+        Args:
+          kind: kind of the objects.
+          may_be_outdated: whether changes of the last seconds may be missing.
+            Such a call doesn't count toward the store's rate.
+        """
         found: list[list_watch.StoredObject] = []
         revision: int | None = None
-        query: dict[str, str] = {}
+        every_page = {"serializable": "1"} if may_be_outdated else {}
+        query = dict(every_page)
         while True:
             answered = await self._get(f"/-/objects/{kind}", query)
             page = answered.bind(HttpResponse.success_body).bind(_decode_page)
@@ -214,7 +221,7 @@
             revision = page.ok.current_rev if revision is None else revision
             if not (page.ok.has_more and page.ok.items):
                 return expression.Ok(list_watch.Snapshot(found, revision))
-            query = {"after": page.ok.items[-1].meta.name}
+            query = every_page | {"after": page.ok.items[-1].meta.name}
 
     async def watch(
         self, kind: str, revision: int, wait: datetime.timedelta
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -41,6 +41,16 @@
 _SETTINGS_INTERVAL = datetime.timedelta(seconds=1)
 """Time between two checks whether the settings file has changed."""
 
+_CONFIGURATION_WATCH = list_watch.WatchSettings(
+    object_decoding.CONFIGURATION, datetime.timedelta(seconds=4)
+)
+_DATABASES_WATCH = list_watch.WatchSettings(
+    object_decoding.SERVERS, datetime.timedelta(seconds=8)
+)
+"""Watches of the store. The configuration must be in force within seconds; a
+database announces its shutdown longer before, and a lost one is noticed by
+probes."""
+
 _READY_TIMEOUT = datetime.timedelta(seconds=3)
 """Time after which a process with a configuration reports ready, even if the
 state of some groups is unknown."""
@@ -253,17 +263,17 @@
     def _start_tasks(self) -> None:
         sinks = (
             (
-                object_decoding.CONFIGURATION,
+                _CONFIGURATION_WATCH,
                 _ConfigurationSink(self._registry, self._journal),
             ),
             (
-                object_decoding.SERVERS,
+                _DATABASES_WATCH,
                 _DatabaseSink(self._registry, self._journal),
             ),
         )
-        for kind, sink in sinks:
+        for settings, sink in sinks:
             feed = list_watch.ListWatch(
-                kind, self._store, sink, self._clock, self._env.rng
+                settings, self._store, sink, self._clock, self._env.rng
             )
             self._background.start(feed.run())
         self._registry.start()
--- a/hickorygate/platform/sockets.py
+++ b/hickorygate/platform/sockets.py
@@ -1,8 +1,8 @@
 """Sets the options of sockets.
 
-Connections of the line protocol detect an unreachable peer. Connections to
-the object store, and connections to databases with outstanding requests,
-discard unsent data when they close.
+All connections detect an unreachable peer. Connections to the object store,
+and connections to databases with outstanding requests, discard unsent data
+when they close.
 """
 
 from __future__ import annotations
@@ -54,10 +54,14 @@
 def open_reset_on_close(info: tuple[Any, ...]) -> socket.socket:
     """Creates a socket that discards unsent data when it closes.
 
+    The kernel closes it if the peer becomes unreachable, also while a call
+    waits for a response.
+
     Args:
       info: address in the form that `getaddrinfo` returns.
     """
     family, kind, protocol, _, _ = info
     sock = socket.socket(family, kind, protocol)
     reset_on_close(sock)
+    enable_dead_peer_detection(sock)
     return sock
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -137,10 +137,14 @@
         return await self._api.delete(objects.Key(_PROXY_KIND, name))
 
     async def proxies(
-        self,
+        self, may_be_outdated: bool
     ) -> expression.Result[dict[types.ProxyName, int], errors.Failure]:
-        """Returns the revision of each proxy's registration, by proxy name."""
-        listed = await self._api.list(_PROXY_KIND)
+        """Returns the revision of each proxy's registration, by proxy name.
+
+        Args:
+          may_be_outdated: whether changes of the last seconds may be missing.
+        """
+        listed = await self._api.list(_PROXY_KIND, may_be_outdated)
         return listed.map(
             lambda snapshot: {o.name: o.revision for o in snapshot.objects}
         )
--- a/hickorygate/store/list_watch.py
+++ b/hickorygate/store/list_watch.py
@@ -27,16 +27,16 @@
     "Snapshot",
     "Source",
     "StoredObject",
+    "WatchSettings",
 ]
 
-_WATCH_WAIT = datetime.timedelta(seconds=4)
-"""Time for which the store may hold a watch open. The limit bounds the time
-until a connection that was cut without notice is detected."""
-
-_BATCH_DELAY = datetime.timedelta(milliseconds=200)
+_MIN_BATCH_DELAY = datetime.timedelta(milliseconds=200)
 """Delay before the next call after changes, so that changes in quick succession
 are fetched together."""
 
+_MAX_BATCH_DELAY = datetime.timedelta(milliseconds=800)
+"""Longest such delay; it doubles while each call returns changes at once."""
+
 _FIRST_RETRY_DELAY = datetime.timedelta(milliseconds=100)
 _MAX_RETRY_DELAY = datetime.timedelta(milliseconds=800)
 
@@ -56,6 +56,20 @@
     value: object
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchSettings:
+    """What a `ListWatch` follows.
+
+    Attributes:
+      kind: kind of the objects.
+      wait: time for which the store may hold a watch open. It bounds the time
+        until a lost answer is noticed, and so the delay of a change.
+    """
+
+    kind: str
+    wait: datetime.timedelta
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Change:
     """One change of an object.
@@ -152,23 +166,24 @@
 
     __slots__ = (
         "_backoff",
+        "_batch_delay",
         "_clock",
         "_connected",
-        "_kind",
         "_revision",
+        "_settings",
         "_sink",
         "_source",
     )
 
     def __init__(
         self,
-        kind: str,
+        settings: WatchSettings,
         source: Source,
         sink: Sink,
         clock: clocks.Clock,
         generator: random.Random,
     ) -> None:
-        self._kind = kind
+        self._settings = settings
         self._source = source
         self._sink = sink
         self._clock = clock
@@ -177,9 +192,11 @@
         )
         self._revision: int | None = None
         self._connected = True
+        self._batch_delay = _MIN_BATCH_DELAY
 
     def __repr__(self) -> str:
-        return f"ListWatch({self._kind!r}, revision={self._revision})"
+        kind = self._settings.kind
+        return f"ListWatch({kind!r}, revision={self._revision})"
 
     async def run(self) -> None:
         """Follows the store until the task is cancelled."""
@@ -196,22 +213,36 @@
     ) -> expression.Result[datetime.timedelta, errors.Failure]:
         """Makes one call and returns the delay before the next one."""
         if self._revision is None:
-            listed = await self._source.list(self._kind)
+            listed = await self._source.list(self._settings.kind)
             if listed.is_error():
                 return expression.Error(listed.error)
             self._revision = listed.ok.revision
             self._sink.replace(listed.ok.objects)
             return expression.Ok(datetime.timedelta())
+        began = self._clock.now()
         batch = await self._source.watch(
-            self._kind, self._revision, _WATCH_WAIT
+            self._settings.kind, self._revision, self._settings.wait
         )
         if batch.is_error():
             return expression.Error(batch.error)
         self._revision = max(self._revision, batch.ok.revision)
         for change in batch.ok.changes:
             self._sink.change(change)
-        pause = _BATCH_DELAY if batch.ok.changes else datetime.timedelta()
-        return expression.Ok(pause)
+        if not batch.ok.changes:
+            return expression.Ok(datetime.timedelta())
+        return expression.Ok(self._next_batch_delay(began))
+
+    def _next_batch_delay(self, began: datetime.datetime) -> datetime.timedelta:
+        """Returns the delay after a watch that returned changes.
+
+        Args:
+          began: time at which the watch was sent.
+        """
+        if self._clock.now() - began < _MIN_BATCH_DELAY:
+            self._batch_delay = min(2 * self._batch_delay, _MAX_BATCH_DELAY)
+        else:
+            self._batch_delay = _MIN_BATCH_DELAY
+        return self._batch_delay
 
     def _record_success(self) -> None:
         self._backoff.reset()
--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -44,9 +44,14 @@
         """Removes a proxy's object."""
 
     async def proxies(
-        self,
+        self, may_be_outdated: bool
     ) -> expression.Result[dict[types.ProxyName, int], errors.Failure]:
-        """Returns the revision of each proxy's object, by name."""
+        """Returns the revision of each proxy's object, by name.
+
+        Args:
+          may_be_outdated: whether changes of the last seconds may be missing,
+            which makes the call cheap.
+        """
 
 
 class ProxyRegistration:
@@ -61,7 +66,7 @@
         store: ProxyRegistry,
         clock: clocks.Clock,
         rng: random.Random,
-        on_count: Callable[[int], None],
+        on_count: Callable[[frozenset[types.ProxyName]], None],
     ) -> None:
         """Creates the registration; `run` makes the first call.
 
@@ -70,7 +75,8 @@
           store: the store of the proxies' objects.
           clock: source of time and of delays.
           rng: source of jitter.
-          on_count: called with the number of live proxies after each count.
+          on_count: called with the names of the live proxies after each count,
+            including this one.
         """
         self._name = name
         self._store = store
@@ -88,20 +94,25 @@
 
     async def run(self) -> None:
         """Renews the object and counts until the task is cancelled."""
+        await self._renew()
+        await self._clock.sleep(_COUNT_DELAY)
+        await self._count(may_be_outdated=False)
         while True:
+            for _ in range(proxy_count.COUNTS_PER_RENEWAL):
+                await self._pause()
+                await self._count(may_be_outdated=True)
             await self._renew()
-            await self._clock.sleep(_COUNT_DELAY)
-            await self._count()
-            factor = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
-            beat = proxy_count.beat(
-                self._proxy_counter.count(self._clock.now())
-            )
-            await self._clock.sleep(beat * factor)
 
     async def deregister(self) -> None:
         """Removes this proxy's object."""
         await self._store.withdraw(self._name)
 
+    async def _pause(self) -> None:
+        """Waits until the next count is due."""
+        live = self._proxy_counter.live(self._clock.now())
+        factor = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
+        await self._clock.sleep(proxy_count.count_interval(len(live)) * factor)
+
     async def _renew(self) -> None:
         """Creates or renews the object; if one fails, tries the other."""
         self._beat += 1
@@ -114,12 +125,12 @@
         else:
             self._exists = True
 
-    async def _count(self) -> None:
-        listed = await self._store.proxies()
+    async def _count(self, may_be_outdated: bool) -> None:
+        listed = await self._store.proxies(may_be_outdated)
         if listed.is_error():
             return  # The previous count holds until the store answers.
         now = self._clock.now()
         self._proxy_counter.update(listed.ok, now)
-        self._on_count(self._proxy_counter.count(now))
+        self._on_count(self._proxy_counter.live(now) | {self._name})
         for name in self._proxy_counter.gone(now)[:1]:
             await self._store.withdraw(name)
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -121,6 +121,7 @@
     """A proxy that serves one stand-in group.
 
     Attributes:
+      name: name of the proxy.
       journal: timeline of the proxy's events.
       fleet: registry of the databases that the proxy knows.
       background: background tasks of the callers' sessions.
@@ -131,6 +132,7 @@
         self, name: str, group: line_group.LineGroup, store: MemoryStore
     ) -> None:
         clock = clocks.SystemClock()
+        self.name = name
         self.journal = events.Timeline(name, events.HybridLogicalClock(clock))
         lease_state = lease_record.LeaseState(name, name)
         lease = promotion_lease.PromotionLease(
--- a/hickorygate/testing/line_load.py
+++ b/hickorygate/testing/line_load.py
@@ -319,9 +319,10 @@
     async def run_load(self) -> None:
         """Runs the load and the faults; returns when no request is pending."""
         await self.cluster.group.start()
+        names = frozenset(proxy.name for proxy in self.cluster.proxies)
         for proxy in self.cluster.proxies:
             await proxy.start(_catalog())
-            proxy.fleet.set_proxies(self.setup.proxies)
+            proxy.fleet.set_proxies(names)
         await self._clock.sleep(_SETTLE_TIME)
         self._started = self._clock.now()
         for fault in self.setup.faults:
--- a/hickorygate/testing/virtual_time.py
+++ b/hickorygate/testing/virtual_time.py
@@ -42,7 +42,10 @@
     ) -> list[tuple[selectors.SelectorKey, int]]:
         if timeout is None:
             return super().select(None)
-        ready = super().select(min(timeout, _DELIVERY_SECONDS))
+        # The loop itself registers one descriptor, to be woken by signals.
+        has_sockets = len(self.get_map()) > 1
+        delivery = _DELIVERY_SECONDS if has_sockets else 0
+        ready = super().select(min(timeout, delivery))
         if not ready:
             self.elapsed += max(timeout, 0.0)
         return ready
--- a/hickorygate/tests/test_failover_estimate.py
+++ b/hickorygate/tests/test_failover_estimate.py
@@ -89,10 +89,10 @@
         for at in range(0, 48, 8):
             proxy_counter.update({"a": at, "b": 1}, clock.at(at))
         self.assertEqual(proxy_counter.gone(clock.at(41)), ("b",))
-        self.assertEqual(proxy_counter.count(clock.at(41)), 1)
+        self.assertEqual(proxy_counter.live(clock.at(41)), {"a"})
 
     def test_a_proxy_that_left_is_not_counted(self) -> None:
         proxy_counter = proxy_count.ProxyCounter()
         proxy_counter.update({"a": 1, "b": 1}, clock.at(0))
         proxy_counter.update({"a": 2}, clock.at(8))
-        self.assertEqual(proxy_counter.count(clock.at(8)), 1)
+        self.assertEqual(proxy_counter.live(clock.at(8)), {"a"})
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -22,6 +22,7 @@
 from hickorygate.upstreams import lease_record
 
 _FAULT = object_store.StoreFault
+_FEED_WAIT = datetime.timedelta(seconds=4)
 _WAIT = datetime.timedelta(milliseconds=50)
 
 
@@ -185,7 +186,7 @@
         self.sink = _Sink()
         self.server.put("servers", "i-1", 1)
         feed = list_watch.ListWatch(
-            "servers",
+            list_watch.WatchSettings("servers", _FEED_WAIT),
             self.store,
             self.sink,
             clock.SystemClock(),
@@ -241,25 +242,26 @@
     """Proxies count each other by their registrations."""
 
     async def test_two_proxies_see_two(self) -> None:
-        counts: dict[str, int] = {}
+        seen: dict[str, frozenset[str]] = {}
         for name in ("proxy-1", "proxy-2"):
             proxy_registration = registration.ProxyRegistration(
                 name,
                 self.store,
                 clock.SystemClock(),
                 random.Random(name),
-                lambda count, name=name: counts.update({name: count}),
+                lambda live, name=name: seen.update({name: live}),
             )
             task = asyncio.create_task(proxy_registration.run())
             self.addCleanup(task.cancel)
         async with asyncio.timeout(3):
-            while len(counts) < 2:
+            while len(seen) < 2:
                 await asyncio.sleep(0.01)
-        self.assertEqual(counts, {"proxy-1": 2, "proxy-2": 2})
+        both = {"proxy-1", "proxy-2"}
+        self.assertEqual(seen, {"proxy-1": both, "proxy-2": both})
 
     async def test_a_new_process_takes_over_its_object(self) -> None:
         await self.store.announce("proxy-1", 1, False)
-        seen: list[int] = []
+        seen: list[frozenset[str]] = []
         proxy_registration = registration.ProxyRegistration(
             "proxy-1",
             self.store,
@@ -272,9 +274,9 @@
         async with asyncio.timeout(3):
             while not seen:
                 await asyncio.sleep(0.01)
-        self.assertEqual(seen, [1])
+        self.assertEqual(seen, [{"proxy-1"}])
         await proxy_registration.deregister()
-        self.assertEqual((await self.store.proxies()).ok, {})
+        self.assertEqual((await self.store.proxies(False)).ok, {})
 
 
 if __name__ == "__main__":
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -179,11 +179,12 @@
         """Records that the entry of a database was removed."""
         self._update_groups(self._listing.remove(name, self._clock.now()))
 
-    def set_proxies(self, count: int) -> None:
-        """Sets the number of proxies that share the databases."""
-        self._proxies = count
+    def set_proxies(self, live: frozenset[types.ProxyName]) -> None:
+        """Sets the names of the proxies that share the databases."""
+        self._lease.set_proxies(live)
+        self._proxies = len(live)
         for group in self._groups.values():
-            group.set_proxies(count)
+            group.set_proxies(self._proxies)
 
     def suspend_expiry(self) -> None:
         """Suspends the expiry of entries, because the watch on them failed."""
--- a/hickorygate/upstreams/lease_record.py
+++ b/hickorygate/upstreams/lease_record.py
@@ -137,6 +137,11 @@
         self._unchanged_since: datetime.datetime | None = None
         self._held_until: datetime.datetime | None = None
 
+    @property
+    def name(self) -> types.ProxyName:
+        """The name of this process."""
+        return self._name
+
     @property
     def record(self) -> LeaseRecord | None:
         """The record as last read; None if there was none."""
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Iterable
 import datetime
 from typing import Protocol
 
@@ -16,6 +17,7 @@
 from hickorygate.core import types
 from hickorygate.upstreams import lease_record
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import takeover_order
 
 __all__ = ["LeaseStore", "PromotionLease"]
 
@@ -26,6 +28,15 @@
 _RETRY_DELAY = datetime.timedelta(milliseconds=150)
 """Delay before the next attempt after a failed call to the store."""
 
+_MAX_RETRY_DELAY = datetime.timedelta(milliseconds=600)
+"""Longest such delay; it doubles while reads of the record fail, since all
+proxies may wait for a store that is down."""
+
+
+_TURN_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+"""Interval at which a proxy that waits for its turn checks whether it still
+needs the lease."""
+
 
 class LeaseStore(Protocol):
     """The store of the lease record, which also accepts promotion orders."""
@@ -74,8 +85,10 @@
         self._store = store
         self._clock = clock
         self._journal = journal
+        self._order = takeover_order.TakeoverOrder(lease_state.name)
         self._use_count = 0
         self._order_unanswered = False
+        self._retry_delay = _RETRY_DELAY
         self._lock = asyncio.Lock()
 
     @property
@@ -92,8 +105,12 @@
     def __repr__(self) -> str:
         return f"PromotionLease({self._lease_state!r})"
 
+    def set_proxies(self, live: Iterable[types.ProxyName]) -> None:
+        """Sets the names of the proxies that may also acquire the lease."""
+        self._order.set_proxies(live)
+
     async def acquire(self, needed: Callable[[], bool]) -> bool:
-        """Acquires the lease.
+        """Acquires the lease once it is this proxy's turn.
 
         Args:
           needed: returns whether the caller still needs the lease; the
@@ -102,6 +119,7 @@
         Returns:
           Whether the lease is held; if so, `release` must be called later.
         """
+        await self._wait_for_turn(needed)
         async with self._lock:
             held = self.held or await self._acquire(needed)
         if held:
@@ -155,6 +173,15 @@
         )
         return ordered.is_ok()
 
+    async def _wait_for_turn(self, needed: Callable[[], bool]) -> None:
+        """Waits until other proxies had the time to acquire the lease."""
+        turn = self._clock.now() + self._order.delay
+        while needed() and not self.held:
+            left = turn - self._clock.now()
+            if left <= datetime.timedelta():
+                return
+            await self._clock.sleep(min(left, _TURN_CHECK_INTERVAL))
+
     async def _acquire(self, needed: Callable[[], bool]) -> bool:
         give_up_at = self._clock.now() + _ACQUIRE_TIMEOUT
         while needed() and self._clock.now() < give_up_at:
@@ -175,7 +202,10 @@
         read = await self._store.read_lease()
         if read.is_error():
             self._journal.record(platform_events.DutyLost(read.error.message))
-            return _RETRY_DELAY
+            delay = self._retry_delay
+            self._retry_delay = min(2 * delay, _MAX_RETRY_DELAY)
+            return delay
+        self._retry_delay = _RETRY_DELAY
         self._lease_state.record_read(read.ok, self._clock.now())
         match self._lease_state.decide(self._clock.now()):
             case lease_record.Wait(duration):
--- a/hickorygate/upstreams/proxy_count.py
+++ b/hickorygate/upstreams/proxy_count.py
@@ -12,23 +12,27 @@
 
 from hickorygate.core import types
 
-__all__ = ["ProxyCounter", "beat"]
+__all__ = ["COUNTS_PER_RENEWAL", "ProxyCounter", "count_interval"]
 
-_RENEWAL_INTERVAL = datetime.timedelta(seconds=8)
-"""Interval between the renewals of a proxy's object."""
+_COUNT_INTERVAL = datetime.timedelta(seconds=8)
+"""Interval between two counts of the proxies."""
+
+COUNTS_PER_RENEWAL = 2
+"""Number of counts between two renewals of a proxy's object. A count may use
+an outdated list, which is cheap; a renewal is a write."""
 
 _PROXIES_PER_INTERVAL = 100
 """Number of proxies above which the interval grows in proportion. The list is
 then longer, and a longer interval keeps its bytes per second constant."""
 
-_MISSED_RENEWALS = 2.5
-"""Number of renewal intervals without a renewal after which a proxy counts as
-gone."""
+_MISSED_COUNTS = 4
+"""Number of count intervals without a renewal after which a proxy counts as
+gone; more than the time between two renewals of a slow proxy."""
 
 
-def beat(proxies: int) -> datetime.timedelta:
-    """Returns the interval between renewals, each of which makes two calls."""
-    return _RENEWAL_INTERVAL * max(1.0, proxies / _PROXIES_PER_INTERVAL)
+def count_interval(proxies: int) -> datetime.timedelta:
+    """Returns the interval between two counts of the proxies."""
+    return _COUNT_INTERVAL * max(1.0, proxies / _PROXIES_PER_INTERVAL)
 
 
 class ProxyCounter:
@@ -55,11 +59,11 @@
 
     def gone(self, now: datetime.datetime) -> tuple[types.ProxyName, ...]:
         """Returns the proxies that no longer renew their objects."""
-        limit = _MISSED_RENEWALS * beat(len(self._seen))
+        limit = _MISSED_COUNTS * count_interval(len(self._seen))
         return tuple(
             sorted(n for n, (_, at) in self._seen.items() if now - at > limit)
         )
 
-    def count(self, now: datetime.datetime) -> int:
-        """Returns the number of live proxies; at least 1, for this one."""
-        return max(len(self._seen) - len(self.gone(now)), 1)
+    def live(self, now: datetime.datetime) -> frozenset[types.ProxyName]:
+        """Returns the proxies that renew their objects."""
+        return frozenset(self._seen).difference(self.gone(now))
