Count the former fleet before a restarted proxy opens connections

Cause: until the proxies are counted, a proxy assumes 6 of them. After a power loss of all, 78 proxies each opened up to 6 connections to each database, which accepts 117 in all.

Change: the first call of a proxy lists the objects that the former processes left; an empty list changes nothing. Test: a restarted fleet of 78 is counted before anything is written (failed first: it wrote first).

--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -94,6 +94,7 @@
 
     async def run(self) -> None:
         """Renews the object and counts until the task is cancelled."""
+        await self._count_former_fleet()
         await self._renew()
         await self._clock.sleep(_COUNT_DELAY)
         await self._count(may_be_outdated=False)
@@ -125,12 +126,26 @@
         else:
             self._exists = True
 
+    async def _count_former_fleet(self) -> None:
+        """Counts the proxies whose objects exist before this one registers.
+
+        Proxies that restart together thereby know the size of the fleet before
+        they open connections. An empty list says nothing, since all proxies
+        may be new.
+        """
+        listed = await self._store.proxies(may_be_outdated=True)
+        if listed.is_ok() and listed.ok:
+            self._apply_count(listed.ok)
+
     async def _count(self, may_be_outdated: bool) -> None:
         listed = await self._store.proxies(may_be_outdated)
         if listed.is_error():
             return  # The previous count holds until the store answers.
+        self._apply_count(listed.ok)
+        for name in self._proxy_counter.gone(self._clock.now())[:1]:
+            await self._store.withdraw(name)
+
+    def _apply_count(self, revisions: dict[types.ProxyName, int]) -> None:
         now = self._clock.now()
-        self._proxy_counter.update(listed.ok, now)
+        self._proxy_counter.update(revisions, now)
         self._on_count(self._proxy_counter.live(now) | {self._name})
-        for name in self._proxy_counter.gone(now)[:1]:
-            await self._store.withdraw(name)
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -259,6 +259,29 @@
         both = {"proxy-1", "proxy-2"}
         self.assertEqual(seen, {"proxy-1": both, "proxy-2": both})
 
+    async def test_a_restarted_fleet_is_counted_at_once(self) -> None:
+        # All proxies start together after a loss of power. A proxy that
+        # assumed a small fleet opened several times its share of connections.
+        for number in range(78):
+            await self.store.announce(f"proxy-{number}", 1, False)
+        seen: list[int] = []
+        proxy_registration = registration.ProxyRegistration(
+            "proxy-1",
+            self.store,
+            clock.SystemClock(),
+            random.Random(1),
+            lambda live: seen.append(len(live)),
+        )
+        self.server.calls.clear()
+        task = asyncio.create_task(proxy_registration.run())
+        self.addCleanup(task.cancel)
+        async with asyncio.timeout(3):
+            while not seen:
+                await asyncio.sleep(0.001)
+        self.assertEqual(seen, [78])
+        methods = {call.split(" ")[0] for call in self.server.calls}
+        self.assertEqual(methods, {"GET"})
+
     async def test_a_new_process_takes_over_its_object(self) -> None:
         await self.store.announce("proxy-1", 1, False)
         seen: list[frozenset[str]] = []
