Queue statements before they occupy a connection; don't press a full database

Change: a single statement gets its permit first, then a connection. A session that the database closes before it is open is a failed connection (not run), and while other connections are open it counts as the connection limit: the request waits for one of those, and no more are opened for a while.

Measured: test_a_full_database_that_resets_connections_is_not_pressed failed first; pool, path, load and group properties pass.

--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import dataclasses
+import datetime
 import functools
 from typing import TYPE_CHECKING
 
@@ -67,6 +68,22 @@
 FloorResult = expression.Result[group_state.Floor | None, errors.Failure]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Exchange:
+    """An exchange with a database about one statement.
+
+    Attributes:
+      reply: reply for the caller.
+      answered: whether the database answered.
+      confirming: checks that the database was still the primary; None if the
+        reply needs no such check.
+    """
+
+    reply: replies.Reply
+    answered: bool = False
+    confirming: asyncio.Task[group_state.Leader | None] | None = None
+
+
 class _StatementRunner:
     """Runs one statement and retries it where that is safe."""
 
@@ -148,6 +165,30 @@
         place = placed.ok
         self._call.served_by = place.pool.member.id
         self._call.tries += 1
+        permits = place.pool.permits
+        entered = await permits.acquire(self._terms)
+        if entered.is_error():
+            return self._session.reply(expression.Error(entered.error))
+        started = self._session.now()
+        service: datetime.timedelta | None = None
+        try:
+            exchange = await self._exchange(place, reads)
+            if exchange.answered:
+                service = self._session.now() - started
+        finally:
+            permits.release(entered.ok, service)
+        if exchange.confirming is None:
+            return exchange.reply
+        return await self._deliver_if_confirmed(
+            place, exchange.reply, exchange.confirming
+        )
+
+    async def _exchange(self, place: StatementTarget, reads: bool) -> _Exchange:
+        """Runs the statement, which has a permit, on a connection.
+
+        The connection is borrowed after the permit was granted, so that
+        statements in the queue occupy no connection.
+        """
         borrowed = await statement_io.borrow(
             self._env,
             place.pool,
@@ -157,7 +198,9 @@
         )
         if borrowed.is_error():
             self._group.schedule_round()
-            return self._session.reply(expression.Error(borrowed.error))
+            return _Exchange(
+                self._session.reply(expression.Error(borrowed.error))
+            )
         return await self._run_at(place, borrowed.ok, reads)
 
     async def _run_at(
@@ -165,13 +208,13 @@
         place: StatementTarget,
         pooled_connection: connection_pool.PooledConnection,
         reads: bool,
-    ) -> replies.Reply:
+    ) -> _Exchange:
         request = self._statement.request(self._call.id, place.floor)
         if not reads:
             self._group.commit_sent()
         confirming = self._start_confirmation(place) if reads else None
         try:
-            result = await statement_io.run_statement(
+            result = await statement_io.run_admitted(
                 self._env, self._group, pooled_connection, request, self._terms
             )
             is_idle = result.is_ok() and result.ok.state is _IDLE
@@ -186,10 +229,7 @@
         )
         if not reads:
             self._record_write(result)
-        reply = self._to_reply(result)
-        if confirming is None:
-            return reply
-        return await self._deliver_if_confirmed(place, reply, confirming)
+        return _Exchange(self._to_reply(result), result.is_ok(), confirming)
 
     def _to_reply(self, result: database_request.ReplyResult) -> replies.Reply:
         if result.is_error():
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import dataclasses
+import datetime
 import functools
 
 import expression
@@ -25,6 +26,7 @@
 
 __all__ = [
     "Statement",
+    "run_admitted",
     "run_statement",
     "borrow",
     "sync_session",
@@ -188,12 +190,34 @@
     if entered.is_error():
         return expression.Error(entered.error)
     started = env.clock.now()
-    ran = False
+    service: datetime.timedelta | None = None
     try:
-        time_left_s = terms_.time_left(started).total_seconds()
+        result = await run_admitted(
+            env, group, pooled_connection, request, terms_
+        )
+        if result.is_ok():
+            service = env.clock.now() - started
+    finally:
+        permits.release(entered.ok, service)
+    return result
+
+
+async def run_admitted(
+    env: session_context.SessionContext,
+    group: group_monitor.GroupMonitor,
+    pooled_connection: connection_pool.PooledConnection,
+    request: database_request.Request,
+    terms_: request_context.RequestContext,
+) -> database_request.ReplyResult:
+    """Runs a statement that has a permit on a borrowed connection.
+
+    If no answer arrives before the deadline, the connection is closed. The
+    caller of this function returns the connection to its pool.
+    """
+    try:
+        time_left_s = terms_.time_left(env.clock.now()).total_seconds()
         async with asyncio.timeout(time_left_s):
             result = await pooled_connection.run(request)
-        ran = result.is_ok()
     except TimeoutError:
         pooled_connection.connection.close()
         name = pooled_connection.pool.member.id
@@ -201,9 +225,6 @@
     except asyncio.CancelledError:
         pooled_connection.connection.close()
         raise
-    finally:
-        took = env.clock.now() - started
-        permits.release(entered.ok, took if ran else None)
     pooled_connection.pool.failure_rate.note(
         _is_database_failure(result), env.clock.now()
     )
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -162,6 +162,10 @@
         except asyncio.CancelledError:
             connection.close()
             raise
+        if greeted.is_error():
+            # No statement was sent, so the outcome of one isn't in doubt.
+            reason = f"session refused: {greeted.error.message}"
+            return expression.Error(errors.ConnectFailed(member.id, reason))
         failure = database_request.failure_of(greeted)
         if failure is not None:
             connection.close()
--- a/hickorygate/tests/test_connection_pool.py
+++ b/hickorygate/tests/test_connection_pool.py
@@ -46,6 +46,8 @@
 
     def __init__(self, most: int) -> None:
         self.most = most
+        self.resets = False
+        self.refused = 0
         self.opened: list[_Connection] = []
 
     async def open(
@@ -53,6 +55,10 @@
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         await asyncio.sleep(0)
         if sum(not c.closed for c in self.opened) >= self.most:
+            self.refused += 1
+            if self.resets:
+                failure = errors.ConnectFailed(member.id, "session refused")
+                return expression.Error(failure)
             reason = reply.RejectionReason.CONNECTION_LIMIT
             return expression.Error(reply.Rejection(reason))
         self.opened.append(_Connection())
@@ -146,6 +152,27 @@
         await asyncio.gather(*waiting)
         self.assertEqual(order, [0, 1, 2])
 
+    async def test_a_full_database_that_resets_connections_is_not_pressed(
+        self,
+    ) -> None:
+        # A database at its limit may close a new connection instead of
+        # answering CONNLIMIT. Each request opened another one and failed.
+        pool = self.build(most=1)
+        self.connector.resets = True
+        first = (await pool.borrow(self.make_request(), {})).ok
+        waiting = [
+            asyncio.create_task(pool.borrow(self.make_request(1), {}))
+            for _ in range(10)
+        ]
+        for _ in range(10):
+            await asyncio.sleep(0)
+        first.give_back()
+        for task in waiting:
+            borrowed = await task
+            self.assertTrue(borrowed.is_ok(), borrowed)
+            borrowed.ok.give_back()
+        self.assertLessEqual(self.connector.refused, 5)
+
     async def test_a_waiting_borrower_fails_at_its_deadline(self) -> None:
         pool = self.build(1)
         held = (await pool.borrow(self.make_request(), {})).ok
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -312,8 +312,7 @@
             return expression.Ok(self._hand_out_idle(values, use))
         if self._may_open():
             opened = await self._open(use)
-            limited = opened.is_error() and _is_connection_limit(opened.error)
-            if not (limited and self.open_count):
+            if opened.is_ok() or not self.open_count:
                 return opened
         if not self.open_count:
             return expression.Error(self._last_connect_failure())
@@ -412,7 +411,9 @@
         self._last_failure = failure
         now = self._clock.now()
         self._retry_after = now + _RECONNECT_DELAY
-        if _is_connection_limit(failure):
+        # A database at its limit may also reset new connections. One that
+        # serves the open connections is taken to be at its limit.
+        if self.open_count or _is_connection_limit(failure):
             self._share.record_refusal(self.open_count, now)
         if not self.open_count:
             self._fail_waiters(failure)
