Watch the databases' entries in a view that may be outdated

Change: that watch accepts an outdated view, which the platform prices at a tenth and doesn't count toward its rate. The list that it continues stays linearizable, so a restarted proxy never starts from an old view, and the configuration is never read from one. A view older than the list delays changes and loses none (test_an_outdated_view_delays_changes_and_loses_none).

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -33,6 +33,9 @@
 
 _SERVER_ERRORS = 500
 
+_OUTDATED_QUERY = {"serializable": "1"}
+"""Query parameter of a read that may miss the changes of the last seconds."""
+
 
 class _Status(enum.IntEnum):
     """HTTP statuses that the store documents.
@@ -209,7 +212,7 @@
         """
         found: list[list_watch.StoredObject] = []
         revision: int | None = None
-        every_page = {"serializable": "1"} if may_be_outdated else {}
+        every_page = _OUTDATED_QUERY if may_be_outdated else {}
         query = dict(every_page)
         while True:
             answered = await self._get(f"/-/objects/{kind}", query)
@@ -224,7 +227,11 @@
             query = every_page | {"after": page.ok.items[-1].meta.name}
 
     async def watch(
-        self, kind: str, revision: int, wait: datetime.timedelta
+        self,
+        kind: str,
+        revision: int,
+        wait: datetime.timedelta,
+        may_be_outdated: bool = False,
     ) -> expression.Result[list_watch.ChangeBatch, errors.Failure]:
         """Returns the changes after a revision.
 
@@ -232,6 +239,7 @@
           kind: kind of the objects.
           revision: revision after which changes are returned.
           wait: how long the store may wait for a change.
+          may_be_outdated: as for `list`.
 
         Returns:
           The changes, or `HistoryLost` if the store no longer keeps the
@@ -239,6 +247,7 @@
         """
         milliseconds = int(wait.total_seconds() * 1_000)
         query = {"watch": str(revision), "wait_ms": str(milliseconds)}
+        query |= _OUTDATED_QUERY if may_be_outdated else {}
         answered = await self._get(f"/-/objects/{kind}", query, wait)
         if answered.is_ok() and answered.ok.status == _Status.GONE:
             return expression.Error(list_watch.HistoryLost(revision))
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -45,11 +45,13 @@
     object_decoding.CONFIGURATION, datetime.timedelta(seconds=4)
 )
 _DATABASES_WATCH = list_watch.WatchSettings(
-    object_decoding.SERVERS, datetime.timedelta(seconds=8)
+    object_decoding.SERVERS,
+    datetime.timedelta(seconds=8),
+    may_be_outdated=True,
 )
-"""Watches of the store. The configuration must be in force within seconds; a
-database announces its shutdown longer before, and a lost one is noticed by
-probes."""
+"""Watches of the store. The configuration must be in force within seconds, so
+it is never read from an outdated view; a database announces its shutdown longer
+before, and a lost one is noticed by probes."""
 
 _READY_TIMEOUT = datetime.timedelta(seconds=3)
 """Time after which a process with a configuration reports ready, even if the
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-import datetime
 from typing import Annotated
 
 import expression
@@ -71,10 +70,12 @@
         return await self._api.list(kind)
 
     async def watch(
-        self, kind: str, revision: int, wait: datetime.timedelta
+        self, settings: list_watch.WatchSettings, revision: int
     ) -> expression.Result[list_watch.ChangeBatch, errors.Failure]:
         """Returns the changes after a revision, waiting for the first one."""
-        return await self._api.watch(kind, revision, wait)
+        return await self._api.watch(
+            settings.kind, revision, settings.wait, settings.may_be_outdated
+        )
 
     async def read_lease(
         self,
--- a/hickorygate/store/list_watch.py
+++ b/hickorygate/store/list_watch.py
@@ -64,10 +64,13 @@
       kind: kind of the objects.
       wait: time for which the store may hold a watch open. It bounds the time
         until a lost answer is noticed, and so the delay of a change.
+      may_be_outdated: whether changes may arrive some seconds late, which
+        makes the watches cheap. The list is never outdated.
     """
 
     kind: str
     wait: datetime.timedelta
+    may_be_outdated: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -134,14 +137,13 @@
         """Returns all objects of a kind, including all acknowledged changes."""
 
     async def watch(
-        self, kind: str, revision: int, wait: datetime.timedelta
+        self, settings: WatchSettings, revision: int
     ) -> expression.Result[ChangeBatch, errors.Failure]:
         """Returns the changes after a revision; waits for one if needed.
 
         Args:
-          kind: kind of the objects.
+          settings: kind of the objects, and how to watch them.
           revision: revision of the store after which changes are wanted.
-          wait: maximum time to wait for a change.
         """
 
 
@@ -220,9 +222,7 @@
             self._sink.replace(listed.ok.objects)
             return expression.Ok(datetime.timedelta())
         began = self._clock.now()
-        batch = await self._source.watch(
-            self._settings.kind, self._revision, self._settings.wait
-        )
+        batch = await self._source.watch(self._settings, self._revision)
         if batch.is_error():
             return expression.Error(batch.error)
         self._revision = max(self._revision, batch.ok.revision)
--- a/hickorygate/testing/object_store.py
+++ b/hickorygate/testing/object_store.py
@@ -81,6 +81,8 @@
         through one port.
       persistent_fault: fault that is injected into every call without a fault
         of its own; None for no fault.
+      outdated_revision: newest revision that reads see which accept outdated
+        data; None for the current one.
     """
 
     def __init__(self) -> None:
@@ -93,6 +95,7 @@
             _stored_spec
         )
         self.persistent_fault: StoreFault | None = None
+        self.outdated_revision: int | None = None
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._revision = 1
@@ -254,12 +257,16 @@
             events = [
                 {"object": self._render(request, stored), "deleted": deleted}
                 for revision, changed_kind, stored, deleted in self._history
-                if revision > since and changed_kind == kind
+                if since < revision <= self._visible_revision(request)
+                and changed_kind == kind
             ]
             remaining = deadline - asyncio.get_running_loop().time()
             if events or remaining <= 0:
                 return web.json_response(
-                    {"events": events, "current_rev": self._revision}
+                    {
+                        "events": events,
+                        "current_rev": self._visible_revision(request),
+                    }
                 )
             try:
                 async with asyncio.timeout(remaining):
@@ -267,6 +274,13 @@
             except TimeoutError:
                 continue
 
+    def _visible_revision(self, request: web.Request) -> int:
+        """Returns the newest revision that a read sees."""
+        outdated = "serializable" in request.query
+        if outdated and self.outdated_revision is not None:
+            return self.outdated_revision
+        return self._revision
+
     async def _read(self, request: web.Request) -> web.Response:
         found = self._find(request)
         if found is None:
--- a/hickorygate/tests/test_control_load.py
+++ b/hickorygate/tests/test_control_load.py
@@ -39,7 +39,7 @@
         return expression.Ok(list_watch.Snapshot([], 1))
 
     async def watch(
-        self, kind: str, revision: int, wait: datetime.timedelta
+        self, settings: list_watch.WatchSettings, revision: int
     ) -> expression.Result[list_watch.ChangeBatch, errors.Failure]:
         """Returns a change at once."""
         self.calls += 1
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -23,7 +23,9 @@
 
 _FAULT = object_store.StoreFault
 _FEED_WAIT = datetime.timedelta(seconds=4)
-_WAIT = datetime.timedelta(milliseconds=50)
+_WATCH = list_watch.WatchSettings(
+    "servers", datetime.timedelta(milliseconds=50)
+)
 
 
 class _Sink:
@@ -78,11 +80,11 @@
     async def test_a_watch_returns_changes_or_lost_history(self) -> None:
         snapshot = (await self.store.list("servers")).ok
         self.server.put("servers", "i-1", {})
-        batch = (await self.store.watch("servers", snapshot.revision, _WAIT)).ok
+        batch = (await self.store.watch(_WATCH, snapshot.revision)).ok
         self.assertEqual(batch.changes[0].stored.name, "i-1")
         self.server.forget_history()
         self.server.put("servers", "i-2", {})
-        failed = await self.store.watch("servers", snapshot.revision, _WAIT)
+        failed = await self.store.watch(_WATCH, snapshot.revision)
         self.assertIsInstance(failed.error, list_watch.HistoryLost)
 
     async def test_a_refused_call_has_not_run(self) -> None:
@@ -186,7 +188,7 @@
         self.sink = _Sink()
         self.server.put("servers", "i-1", 1)
         feed = list_watch.ListWatch(
-            list_watch.WatchSettings("servers", _FEED_WAIT),
+            list_watch.WatchSettings("servers", _FEED_WAIT, True),
             self.store,
             self.sink,
             clock.SystemClock(),
@@ -217,6 +219,17 @@
         await self.until({"i-1": 1, "i-2": 99})
         self.assertLess(len(self.server.calls) - before, 10)
 
+    async def test_an_outdated_view_delays_changes_and_loses_none(self) -> None:
+        # The view may be older than the list that the watch continues.
+        self.server.outdated_revision = 1
+        self.server.put("servers", "i-2", 2)
+        self.server.remove("servers", "i-1")
+        await asyncio.sleep(0.1)
+        self.assertEqual(self.sink.values, {"i-1": 1})
+        self.server.outdated_revision = None
+        self.server.put("servers", "i-3", 3)
+        await self.until({"i-2": 2, "i-3": 3})
+
     async def test_lost_history_leads_to_a_new_list(self) -> None:
         self.server.inject_faults(_FAULT.BUSY, _FAULT.BUSY)
         self.server.put("other", "x", 0)
