Mend five faults found by reading

Causes and changes, each with a test that failed first: - A file of over 1 MiB with fewer characters than bytes was cut without a word; it is refused with the limit in bytes (test_sheet). - After a log line that was written only in part, the next line continued it; it now starts on a line of its own (test_event_log). - The links between proxies kept the sheet version of each sender that was not accepted as a member, without a bound; only live members are remembered (test_mesh). - bench ignored flags of the other protocol; it refuses them (test_main). - The backoff of the store's client was never reset, so each later change began with the longest delay; each change has its own (test_client).

--- a/hickorygate/core/yaml_validation.py
+++ b/hickorygate/core/yaml_validation.py
@@ -243,18 +243,20 @@
 def read_file(
     path: pathlib.Path,
 ) -> expression.Result[str, errors.FileInvalid]:
-    """Reads a UTF-8 file, at most one byte more than `LENGTH_LIMIT`.
+    """Reads a UTF-8 file of at most `LENGTH_LIMIT` bytes.
 
     Args:
       path: the file.
 
     Returns:
-      The text, or the reason why the file can't be read. `read_yaml` rejects a
-      text that is longer than the limit.
+      The text, or the reason why the file can't be read.
     """
     try:
         with path.open("rb") as file:
-            return expression.Ok(file.read(LENGTH_LIMIT + 1).decode())
+            data = file.read(LENGTH_LIMIT + 1)
+        if len(data) <= LENGTH_LIMIT:
+            return expression.Ok(data.decode())
+        reason = f"longer than {LENGTH_LIMIT} bytes; split it"
     except OSError as error:
         reason = f"can't be read: {error.strerror}; check the path"
     except UnicodeDecodeError as error:
--- a/hickorygate/operators/bench.py
+++ b/hickorygate/operators/bench.py
@@ -148,6 +148,11 @@
     "Line protocol: HTML file to write the report with its charts to.",
     flag_values=_FLAGS,
 )
+_FLAGS_OF_OTHER_PROTOCOLS = {
+    "mysql": (_LOAD, _FAULT, _HTML),
+    "line": (_POLICY, _SCENARIO, _CONNECTIONS, _JSON),
+}
+"""Flags that a protocol's bench would ignore."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -215,6 +220,14 @@
     return urgent, normal, history
 
 
+def _find_unused_flag(protocol: str) -> str | None:
+    """Returns a flag that was given although the protocol doesn't use it."""
+    for flag in _FLAGS_OF_OTHER_PROTOCOLS[protocol]:
+        if flag.present:
+            return flag.name
+    return None
+
+
 def _parse_line_bench() -> commands.ParseResult:
     try:
         faults = tuple(_parse_fault(text) for text in _FAULT.value)
@@ -236,6 +249,12 @@
 def _parse(words: Sequence[str]) -> commands.ParseResult:
     if words:
         return commands.usage_error(_NAME, f"unexpected argument {words[0]!r}")
+    unused = _find_unused_flag(_PROTOCOL.value)
+    if unused is not None:
+        other = "mysql" if _PROTOCOL.value == "line" else "line"
+        return commands.usage_error(
+            _NAME, f"--{unused} needs --protocol {other}"
+        )
     if _PROTOCOL.value == "line":
         return _parse_line_bench()
     for name in _POLICY.value:
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -71,6 +71,7 @@
         super().__init__()
         self._descriptor = descriptor
         self._lost = 0
+        self._incomplete = False
         os.set_blocking(descriptor, False)
 
     @property
@@ -81,11 +82,15 @@
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes one line; logbook calls this method for each record."""
         data = record.message.encode() + b"\n"
+        if self._incomplete:
+            data = b"\n" + data
         try:
             written = os.write(self._descriptor, data)
         except (BlockingIOError, BrokenPipeError):
             written = 0
         self._lost += written < len(data)
+        if written:
+            self._incomplete = written < len(data)
 
 
 class EventLog:
--- a/hickorygate/proxies/membership.py
+++ b/hickorygate/proxies/membership.py
@@ -147,6 +147,11 @@
             self._cached_is_relay = self._compute_is_relay(live)
         return self._cached_is_relay
 
+    def is_live(self, name: types.ProxyName) -> bool:
+        """Returns whether another proxy is alive or suspect."""
+        member = self._member_table.get(name)
+        return member is not None and member.live
+
     def __repr__(self) -> str:
         return f"Membership({self._member_table!r})"
 
--- a/hickorygate/proxies/mesh.py
+++ b/hickorygate/proxies/mesh.py
@@ -350,9 +350,10 @@
         now = self._clock.now()
         self._stamps.observe(events.Timestamp(header.wall, header.count))
         self._update_store_reached(header, now)
-        self._sheet_versions[header.sender.name] = header.versions.sheet
         event = memberships.Received(packet)
         self._perform_all(self._membership.handle(event, now))
+        if self._membership.is_live(header.sender.name):
+            self._sheet_versions[header.sender.name] = header.versions.sheet
         self._perform_all(self._documents.request_newer(header, now))
         await _handle_message(packet.message, self, header.sender)
 
--- a/hickorygate/store/client.py
+++ b/hickorygate/store/client.py
@@ -43,7 +43,7 @@
 class Client:
     """Reads, watches and conditionally changes objects."""
 
-    __slots__ = ("_api", "_backoff", "_clock", "_last_list")
+    __slots__ = ("_api", "_clock", "_generator", "_last_list")
 
     def __init__(
         self,
@@ -60,9 +60,7 @@
         """
         self._api = api
         self._clock = clock
-        self._backoff = backoff.Backoff(
-            _FIRST_RETRY_DELAY, _MAX_RETRY_DELAY, generator
-        )
+        self._generator = generator
         self._last_list: objects.InstanceList | None = None
 
     def __repr__(self) -> str:
@@ -112,6 +110,9 @@
                 failures.ValueTooLarge(key.text, size, VALUE_LIMIT)
             )
         lost: VersionResult | None = None
+        delays = backoff.Backoff(
+            _FIRST_RETRY_DELAY, _MAX_RETRY_DELAY, self._generator
+        )
         for _ in range(_MAX_ATTEMPTS):
             result = await self._put(key, value, expected)
             if result.is_ok() or (lost is None and _is_final(result)):
@@ -121,7 +122,7 @@
                 settled = await self._read_back(key, value, expected, lost)
                 if not _is_in_doubt(settled):
                     return settled
-            await self._clock.sleep(self._backoff.record_failure())
+            await self._clock.sleep(delays.record_failure())
         return lost or result
 
     async def sheet(
--- a/hickorygate/tests/test_client.py
+++ b/hickorygate/tests/test_client.py
@@ -17,6 +17,7 @@
 from hickorygate.testing import object_store
 
 _NOW = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+_FIRST_DELAY = datetime.timedelta(milliseconds=100)
 _Fault = object_store.StoreFault
 
 
@@ -24,6 +25,18 @@
     return objects.SheetObject(text=text, loaded_by=operator, loaded_at=_NOW)
 
 
+class _RecordingClock(clock.SystemClock):
+    """Records the delays and doesn't wait."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.delays: list[datetime.timedelta] = []
+
+    async def sleep(self, duration: datetime.timedelta) -> None:
+        """Records a delay."""
+        self.delays.append(duration)
+
+
 class ClientTest(unittest.IsolatedAsyncioTestCase):
     """Failed calls give typed failures, and lost answers are resolved.
 
@@ -39,7 +52,11 @@
         self.client = self.make_client()
 
     def make_client(
-        self, url: str = "", timeout_ms: int = 2_000, reads: float = 100
+        self,
+        url: str = "",
+        timeout_ms: int = 2_000,
+        reads: float = 100,
+        time: clock.Clock | None = None,
     ) -> clients.Client:
         client = connect.build_client(
             settings.PlatformSettings(
@@ -47,7 +64,7 @@
                 timeout_ms=timeout_ms,
                 reads_per_second=reads,
             ),
-            clock.SystemClock(),
+            time or clock.SystemClock(),
             random.Random(1),
         )
         self.addAsyncCleanup(client.close)
@@ -97,6 +114,15 @@
         self.assertIsInstance(stored.error, errors.StoreUnavailable)
         self.assertIs(stored.error.outcome, errors.Outcome.NOT_RUN)
 
+    async def test_each_change_starts_with_the_shortest_delay(self) -> None:
+        time = _RecordingClock()
+        client = self.make_client(time=time)
+        self.platform.persistent_fault = object_store.StoreFault.BUSY
+        for _ in range(3):
+            await client.store_sheet(_sheet("a"), expected=0)
+        firsts = [delay for delay in time.delays if delay <= _FIRST_DELAY]
+        self.assertEqual(len(firsts), 3)
+
     async def test_loser_of_a_race_gets_a_conflict(self) -> None:
         won = await self.client.store_sheet(_sheet("a"), expected=0)
         lost = await self.client.store_sheet(_sheet("b", "bert"), expected=0)
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -94,3 +94,15 @@
         for _ in range(100):
             handler.emit(record)
         self.assertGreater(handler.lost, 0)
+
+    def test_a_line_after_an_incomplete_one_starts_on_its_own(self) -> None:
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        handler = event_log.NonBlockingHandler(writer)
+        long_record = logbook.LogRecord("c", logbook.INFO, "x" * 1_000_000)
+        handler.emit(long_record)
+        written = os.read(reader, 1_000_000)
+        self.assertEqual(set(written), {ord("x")})
+        handler.emit(logbook.LogRecord("c", logbook.INFO, "next"))
+        self.assertEqual(os.read(reader, 100), b"\nnext\n")
--- a/hickorygate/tests/test_mesh.py
+++ b/hickorygate/tests/test_mesh.py
@@ -16,6 +16,8 @@
 from hickorygate.core import events
 from hickorygate.core import settings
 from hickorygate.platform import connect
+from hickorygate.proxies import codec
+from hickorygate.proxies import member as members
 from hickorygate.proxies import messages
 from hickorygate.store import client as clients
 from hickorygate.store import objects
@@ -157,6 +159,27 @@
         await self.wait_for(lambda: plane.mesh.counts["packets_refused"] == 3)
         self.assertEqual(plane.mesh.membership.names, ("p1",))
 
+    async def test_rejected_senders_are_not_remembered(self) -> None:
+        plane = await self.start("p1")
+        context = zmq.Context()
+        socket = context.socket(zmq.PUSH)
+        self.addCleanup(context.destroy, linger=0)
+        socket.connect(f"tcp://{plane.mesh.address}")
+        now = clock.SystemClock().now()
+        dead = members.State.DEAD
+        for number in range(50):
+            sender = members.Member(
+                f"p-{number}", "nowhere:1", "nowhere:2", "a", 1, dead
+            )
+            header = messages.Header(
+                sender, now, 0, messages.Versions(sheet=7), 0, 0
+            )
+            socket.send(codec.pack(codec.Packet(header, messages.Announce())))
+        received = plane.mesh.counts
+        await self.wait_for(lambda: received["packets_received"] == 50)
+        self.assertEqual(plane.mesh.membership.names, ("p1",))
+        self.assertEqual(plane.mesh.sheet_version_of("p-0"), 0)
+
     async def test_unknown_key_is_refused(self) -> None:
         pairs = {name: zmq.curve_keypair() for name in ("p1", "p2", "p3")}
         public = {name: pair[0].decode() for name, pair in pairs.items()}
--- a/hickorygate/tests/test_sheet.py
+++ b/hickorygate/tests/test_sheet.py
@@ -7,6 +7,8 @@
 from __future__ import annotations
 
 import datetime
+import pathlib
+import tempfile
 import unittest
 
 from hickorygate.core import errors
@@ -111,6 +113,17 @@
         (problem,) = _problems(text)
         self.assertIn(str(yaml_validation.LENGTH_LIMIT), problem.reason)
 
+    def test_long_file_of_long_characters_is_not_cut(self) -> None:
+        # Fewer characters than the limit, but more bytes.
+        text = "#" + "ë" * (yaml_validation.LENGTH_LIMIT * 3 // 4)
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "morning.yaml"
+            path.write_text(text, encoding="utf-8")
+            read = yaml_validation.read_file(path)
+        self.assertTrue(read.is_error())
+        limit = str(yaml_validation.LENGTH_LIMIT)
+        self.assertIn(limit, read.error.problems[0].reason)
+
     def test_message_names_file_line_key_value_and_correction(self) -> None:
         text = _GOOD.replace("rank: sighting", "rank: urgent")
         self.assertEqual(
