--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -286,7 +286,8 @@
 
     async def _find_place(self, reads: bool) -> StatementTargetResult:
         if not reads:
-            return await find_primary_target(self._group, self._terms, None)
+            leader = await self._group.wait_for_writable(self._terms)
+            return _primary_target(self._group, leader, None)
         return await find_read_target(
             self._session, self._group, self._route, self._call, self._excluded
         )
@@ -331,6 +332,14 @@
         position will do.
     """
     leader = await group.wait_for_leader(terms)
+    return _primary_target(group, leader, floor)
+
+
+def _primary_target(
+    group: group_monitor.GroupMonitor,
+    leader: group_state.Leader | None,
+    floor: position.Position | None,
+) -> StatementTargetResult:
     if leader is None or leader.member not in group.pools:
         return expression.Error(group.no_leader_rejection())
     return expression.Ok(
@@ -354,9 +363,16 @@
     consistency: catalog.Consistency,
     group: group_monitor.GroupMonitor,
     call: caller_session_state.CallerRequest,
+    terms: request_context.RequestContext,
 ) -> FloorResult:
     """Returns the lowest log position that the reads of a request must see.
 
+    Args:
+      consistency: consistency of the route.
+      group: databases of the service.
+      call: request that the reads belong to; this function sets its `floor`.
+      terms: rank and deadline of the request.
+
     Returns:
       The floor, or None if the reads must see every acknowledged commit and
       therefore run at the primary.
@@ -369,6 +385,7 @@
     consistency: catalog.StrongConsistency,
     group: group_monitor.GroupMonitor,
     call: caller_session_state.CallerRequest,
+    terms: request_context.RequestContext,
 ) -> FloorResult:
     return expression.Ok(None)
 
@@ -378,8 +395,9 @@
     consistency: catalog.BoundedStaleness,
     group: group_monitor.GroupMonitor,
     call: caller_session_state.CallerRequest,
+    terms: request_context.RequestContext,
 ) -> FloorResult:
-    floor = await group.wait_for_floor(consistency, call.arrived, call.deadline)
+    floor = await group.wait_for_floor(consistency, terms)
     if floor is None:
         return expression.Error(group.no_leader_rejection())
     call.floor = floor
@@ -403,24 +421,24 @@
       excluded: databases where the request already failed; they are used
         only if no other database is usable.
     """
-    fresh = await freshness_floor(route.consistency, group, call)
+    terms = statement_io.request_terms(call, route)
+    fresh = await freshness_floor(route.consistency, group, call, terms)
     if fresh.is_error():
         return expression.Error(fresh.error)
     if fresh.ok is None:
-        return await find_primary_target(
-            group, statement_io.request_terms(call, route), None
-        )
+        return await find_primary_target(group, terms, None)
     own = read_placement.session_floor(
         route.consistency, session.state.floors, route.service
     )
     floor = fresh.ok.position
     needed = floor if own is None else max(floor, own)
+    began = session.now()
     while True:
         chosen = _choose(session, group, needed, excluded)
         if chosen is not None:
             pool = group.pools[chosen.member.id]
             return expression.Ok(StatementTarget(pool, needed, None))
-        if not await group.next_round(call.deadline):
+        if not await group.next_round(group.wait_deadline(terms, began)):
             return expression.Error(group.no_leader_rejection())
 
 
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -229,9 +229,7 @@
         _is_database_failure(result), env.clock.now()
     )
     if result.is_ok():
-        group.record_position(
-            pooled_connection.pool.member.id, result.ok.position
-        )
+        group.record_reply(pooled_connection.pool.member.id, result.ok.position)
     return result
 
 
--- a/hickorygate/callers/transaction_statements.py
+++ b/hickorygate/callers/transaction_statements.py
@@ -112,6 +112,8 @@
     async def commit(self, statement: statement_io.Statement) -> replies.Reply:
         """Commits; the reply is the one that the database sent."""
         failure = await self._prepare(None)
+        if failure is None and self._transaction.has_written:
+            failure = await self._wait_until_writable()
         if failure is not None:
             return self._reject_commit(failure)
         if self._transaction.has_written:
@@ -143,6 +145,18 @@
         await _roll_back(pooled_connection)
         return self._session.reply(expression.Ok(replies.Answer()))
 
+    async def _wait_until_writable(self) -> errors.Failure | None:
+        """Waits until the transaction's primary acknowledges commits.
+
+        Returns:
+          The failure if it doesn't in time, or another database leads; None
+          on success.
+        """
+        leader = await self._group.wait_for_writable(self._terms)
+        if leader is not None and leader == self._transaction.leader:
+            return None
+        return self._group.no_leader_rejection()
+
     async def _prepare(
         self, prepared: operations.PreparedStatement | None
     ) -> errors.Failure | None:
@@ -240,7 +254,10 @@
     async def _find_primary(self) -> single_statements.StatementTargetResult:
         """Finds the primary and the log position that its reads must see."""
         fresh = await single_statements.freshness_floor(
-            self._transaction.route.consistency, self._group, self._call
+            self._transaction.route.consistency,
+            self._group,
+            self._call,
+            self._terms,
         )
         if fresh.is_error():
             return expression.Error(fresh.error)
@@ -269,7 +286,7 @@
             raise
         if result.is_error():
             return result.error
-        self._group.record_position(name, result.ok.position)
+        self._group.record_reply(name, result.ok.position)
         if result.ok.result.is_error():
             return result.ok.result.error
         if result.ok.state is not _IN_TRANSACTION:
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -39,6 +39,7 @@
     "FileProblem",
     "ReplicationUnconfirmed",
     "SheetConflict",
+    "SessionRefused",
     "StatementTooLarge",
     "StoreUnavailable",
     "UnknownSchema",
@@ -355,6 +356,14 @@
         return f"can't connect to {self.database!r}: {self.reason}"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionRefused(ConnectFailed):
+    """A database accepted a connection and closed it before the session.
+
+    The database runs; most likely it has reached its connection limit.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerLost(Failure):
     """A statement was sent and no answer arrived."""
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -48,6 +48,11 @@
         """Whether the connection is closed."""
         return self._closed
 
+    @property
+    def waiting(self) -> bool:
+        """Whether a request is outstanding at the database."""
+        return bool(self._outstanding)
+
     def __repr__(self) -> str:
         return (
             f"DatabaseConnection({self._member.id!r}, closed={self._closed!r})"
@@ -165,7 +170,7 @@
         if greeted.is_error():
             # No statement was sent, so the outcome of one isn't in doubt.
             reason = f"session refused: {greeted.error.message}"
-            return expression.Error(errors.ConnectFailed(member.id, reason))
+            return expression.Error(errors.SessionRefused(member.id, reason))
         failure = database_request.failure_of(greeted)
         if failure is not None:
             connection.close()
--- /dev/null
+++ b/hickorygate/testing/model_group.py
@@ -0,0 +1,436 @@
+"""A model of one database group, without a network, for tests of load.
+
+A database accepts a limited number of connections, opens each of them within a
+fixed time, and runs as many statements at once as it has slots. All waits are
+timers, so a fleet of proxies runs on virtual time in a fraction of a second.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import datetime
+import functools
+
+import expression
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
+from hickorygate.core import types
+from hickorygate.upstreams import database_request
+from hickorygate.upstreams import member as members
+
+__all__ = ["ModelConnector", "ModelDatabase", "ModelGroup", "ModelSettings"]
+
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+
+_IDLE = replies.TransactionState.IDLE
+_IN_TRANSACTION = replies.TransactionState.IN_TRANSACTION
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelSettings:
+    """Sizes and times of the databases of a group.
+
+    Attributes:
+      connections: number of connections that one database accepts.
+      slots: number of statements that one database runs at once.
+      round_trip: time for a message and its answer, without the work.
+      opening: time that a new connection occupies a slot.
+      work: time that a statement occupies a slot.
+      promotion: time until an accepted promotion takes effect.
+    """
+
+    connections: int = 117
+    slots: int = 4
+    round_trip: datetime.timedelta = datetime.timedelta(milliseconds=2)
+    opening: datetime.timedelta = datetime.timedelta(milliseconds=12)
+    work: datetime.timedelta = datetime.timedelta(milliseconds=24)
+    promotion: datetime.timedelta = datetime.timedelta(milliseconds=300)
+
+
+class ModelGroup:
+    """One primary and two replicas that follow it at once.
+
+    Attributes:
+      settings: sizes and times.
+      databases: the databases by name.
+      promotions: names of the databases that were ordered to take over.
+    """
+
+    def __init__(self, settings: ModelSettings, clock: clocks.Clock) -> None:
+        self.settings = settings
+        self.databases = {
+            name: ModelDatabase(name, self, clock) for name in ("a", "b", "c")
+        }
+        self.promotions: list[str] = []
+        self._clock = clock
+        self._leader = "a"
+        self._end = positions.Position(1, 1)
+        self._replicated = self._end
+
+    @property
+    def leader(self) -> str:
+        """The name of the primary."""
+        return self._leader
+
+    @property
+    def end(self) -> positions.Position:
+        """The position of the primary's newest commit."""
+        return self._end
+
+    @property
+    def replicated(self) -> positions.Position:
+        """The position of the newest commit that the replicas hold."""
+        return self._replicated
+
+    def __repr__(self) -> str:
+        return f"ModelGroup(leader={self._leader!r}, end={self._end})"
+
+    def members(self) -> tuple[members.Member, ...]:
+        """Returns the entries of the databases in service discovery."""
+        slots = self.settings.slots
+        return tuple(
+            members.Member(
+                name, 1, "s", name, 1, name, slots, False, name == self._leader
+            )
+            for name in self.databases
+        )
+
+    def append(self) -> None:
+        """Appends a commit to the primary's log."""
+        self._end = positions.Position(self._end.term, self._end.offset + 1)
+
+    def replicate(self) -> None:
+        """Copies the primary's log to the replicas."""
+        self._replicated = self._end
+
+    def promote(self, name: str) -> bool:
+        """Accepts an order to promote a database."""
+        self.promotions.append(name)
+        delay = self.settings.promotion.total_seconds()
+        asyncio.get_running_loop().call_later(delay, self._take_over, name)
+        return True
+
+    def connector(self, proxy: types.ProxyName) -> ModelConnector:
+        """Returns the connector of one proxy."""
+        return ModelConnector(self, proxy)
+
+    def _take_over(self, name: str) -> None:
+        self._leader = name
+        end = self._replicated
+        self._end = positions.Position(end.term + 1, end.offset)
+        self._replicated = self._end
+
+
+class ModelConnector:
+    """Opens the connections of one proxy."""
+
+    def __init__(self, group: ModelGroup, proxy: types.ProxyName) -> None:
+        self._group = group
+        self._proxy = proxy
+
+    def __repr__(self) -> str:
+        return f"ModelConnector({self._proxy!r})"
+
+    async def open(
+        self, member: members.Member
+    ) -> expression.Result[database_request.Connection, errors.Failure]:
+        """Opens a connection to a database."""
+        return await self._group.databases[member.id].open(self._proxy)
+
+
+class ModelDatabase:
+    """One database of a group.
+
+    Attributes:
+      name: name of the database.
+      group: group of the database.
+      opened: number of connections that were opened.
+      refused: number of connections that were refused at the limit.
+      statements: number of statements that ran.
+      written: number of writes that ran, acknowledged or not.
+      status_requests: number of status requests that were answered.
+      most_open: greatest number of connections at the same time.
+    """
+
+    def __init__(
+        self, name: str, group: ModelGroup, clock: clocks.Clock
+    ) -> None:
+        self.name = name
+        self.group = group
+        self.opened = 0
+        self.refused = 0
+        self.statements = 0
+        self.written = 0
+        self.status_requests = 0
+        self.most_open = 0
+        self._clock = clock
+        self._open: set[_ModelConnection] = set()
+        self._slots = asyncio.Semaphore(group.settings.slots)
+        self._dead = 0
+        self._dead_until: datetime.datetime | None = None
+        self._cut_off: frozenset[types.ProxyName] = frozenset()
+        self._cut_ended = asyncio.Event()
+        self._replicating = asyncio.Event()
+        self._replicating.set()
+
+    @property
+    def position(self) -> positions.Position:
+        """The end of the database's log."""
+        return self.group.end if self.leads else self.group.replicated
+
+    @property
+    def open_count(self) -> int:
+        """Number of connections, including those of processes that are gone."""
+        return len(self._open) + self._dead_count()
+
+    @property
+    def leads(self) -> bool:
+        """Whether the database is the primary."""
+        return self.group.leader == self.name
+
+    def __repr__(self) -> str:
+        return f"ModelDatabase({self.name!r}, open={self.open_count})"
+
+    def keep_dead_connections(
+        self, count: int, until: datetime.datetime
+    ) -> None:
+        """Occupies connections for callers that lost power.
+
+        Args:
+          count: number of connections.
+          until: time at which the database drops them.
+        """
+        self._dead = count
+        self._dead_until = until
+
+    def cut_off(self, *proxies: types.ProxyName) -> None:
+        """Lets some proxies get no answer, until the next call of this."""
+        self._cut_off = frozenset(proxies)
+        ended, self._cut_ended = self._cut_ended, asyncio.Event()
+        ended.set()
+
+    def silence_one_connection_each(self) -> None:
+        """Lets nothing arrive any more on one connection of each proxy.
+
+        Proxies that have only one connection are spared.
+        """
+        by_proxy: dict[types.ProxyName, list[_ModelConnection]] = {}
+        for connection in self._open:
+            by_proxy.setdefault(connection.proxy, []).append(connection)
+        for connections in by_proxy.values():
+            if len(connections) > 1:
+                connections[0].silent = True
+
+    def set_replicating(self, replicating: bool) -> None:
+        """Sets whether commits reach the replicas.
+
+        Without that, no commit is acknowledged.
+        """
+        if replicating:
+            self._replicating.set()
+            self.group.replicate()
+        else:
+            self._replicating.clear()
+
+    async def open(
+        self, proxy: types.ProxyName
+    ) -> expression.Result[database_request.Connection, errors.Failure]:
+        """Opens a connection; closes it at once at the connection limit."""
+        await self._clock.sleep(self.group.settings.round_trip)
+        if proxy in self._cut_off:
+            await self._clock.sleep(_CONNECT_TIMEOUT)
+            return expression.Error(
+                errors.ConnectFailed(self.name, "TimeoutError")
+            )
+        if self.open_count >= self.group.settings.connections:
+            self.refused += 1
+            return expression.Error(
+                errors.SessionRefused(self.name, "closed by the database")
+            )
+        connection = _ModelConnection(self, proxy)
+        self._open.add(connection)
+        self.opened += 1
+        self.most_open = max(self.most_open, self.open_count)
+        async with self._slots:
+            await self._clock.sleep(self.group.settings.opening)
+        return expression.Ok(connection)
+
+    def forget(self, connection: _ModelConnection) -> None:
+        """Removes a closed connection."""
+        self._open.discard(connection)
+
+    async def answer(
+        self, connection: _ModelConnection, batch: tuple[object, ...]
+    ) -> list[database_request.ReplyResult]:
+        """Answers a batch of requests in order."""
+        await self._clock.sleep(self.group.settings.round_trip)
+        while connection.silent or connection.proxy in self._cut_off:
+            await self._cut_ended.wait()
+        found = []
+        for request in batch:
+            reply = await _answer(request, self, connection)
+            found.append(expression.Ok(reply))
+        return found
+
+    async def run(self) -> None:
+        """Runs one statement on a slot."""
+        async with self._slots:
+            await self._clock.sleep(self.group.settings.work)
+        self.statements += 1
+
+    async def commit(self) -> None:
+        """Commits, and returns once a replica holds the commit."""
+        self.written += 1
+        self.group.append()
+        await self._replicating.wait()
+        self.group.replicate()
+
+    def _dead_count(self) -> int:
+        until = self._dead_until
+        if until is None or self._clock.now() >= until:
+            return 0
+        return self._dead
+
+
+class _ModelConnection:
+    """A connection to a model database.
+
+    Attributes:
+      proxy: name of the proxy that opened it.
+      silent: whether nothing arrives any more, although the database works.
+      state: transaction state of the connection.
+    """
+
+    def __init__(self, database: ModelDatabase, proxy: types.ProxyName) -> None:
+        self.proxy = proxy
+        self.silent = False
+        self.state = _IDLE
+        self._database = database
+        self._closed = False
+        self._outstanding = 0
+
+    @property
+    def closed(self) -> bool:
+        """Whether the connection is closed."""
+        return self._closed
+
+    @property
+    def waiting(self) -> bool:
+        """Whether a request is outstanding."""
+        return self._outstanding > 0
+
+    def __repr__(self) -> str:
+        return f"_ModelConnection({self._database.name!r})"
+
+    async def ask(
+        self, *batch: database_request.Request
+    ) -> list[database_request.ReplyResult]:
+        """Sends requests and returns their replies."""
+        self._outstanding += 1
+        try:
+            return await self._database.answer(self, batch)
+        finally:
+            self._outstanding -= 1
+
+    def close(self) -> None:
+        """Closes the connection."""
+        self._closed = True
+        self._database.forget(self)
+
+
+def _done(
+    database: ModelDatabase, connection: _ModelConnection
+) -> replies.Reply:
+    answer = expression.Ok(replies.Answer(signature=b"signed"))
+    return replies.Reply(answer, connection.state, database.position)
+
+
+def _refused(
+    database: ModelDatabase, connection: _ModelConnection
+) -> replies.Reply:
+    rejection = replies.Rejection(
+        replies.RejectionReason.READ_ONLY, database.name
+    )
+    return replies.Reply(
+        expression.Error(rejection), connection.state, database.position
+    )
+
+
+@functools.singledispatch
+async def _answer(
+    request: object, database: ModelDatabase, connection: _ModelConnection
+) -> replies.Reply:
+    return _done(database, connection)
+
+
+@_answer.register
+async def _(
+    request: database_request.Begin,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    if not request.read_only and not database.leads:
+        return _refused(database, connection)
+    connection.state = _IN_TRANSACTION
+    return _done(database, connection)
+
+
+@_answer.register
+async def _(
+    request: database_request.Rollback,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    connection.state = _IDLE
+    return _done(database, connection)
+
+
+@_answer.register
+async def _(
+    request: database_request.RunStatement,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    await database.run()
+    if request.text.startswith("WRITE"):
+        if not database.leads:
+            return _refused(database, connection)
+        await database.commit()
+    if request.text == "COMMIT":
+        connection.state = _IDLE
+    return _done(database, connection)
+
+
+@_answer.register
+async def _(
+    request: database_request.ReadStatus,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    return _status(database, connection)
+
+
+@_answer.register
+async def _(
+    request: database_request.Pause,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    return _status(database, connection, request.term)
+
+
+def _status(
+    database: ModelDatabase,
+    connection: _ModelConnection,
+    paused_for: int = 0,
+) -> replies.Reply:
+    database.status_requests += 1
+    end = database.position
+    status = replies.ReplicationStatus(
+        database.leads, end.term, end, paused_for, database.open_count
+    )
+    return dataclasses.replace(_done(database, connection), group=status)
--- a/hickorygate/tests/test_connection_pool.py
+++ b/hickorygate/tests/test_connection_pool.py
@@ -27,6 +27,7 @@
 
     def __init__(self) -> None:
         self.closed = False
+        self.waiting = False
         self.state = reply.TransactionState.IDLE
         self.sent: list[database_request.Request] = []
 
@@ -57,7 +58,7 @@
         if sum(not c.closed for c in self.opened) >= self.most:
             self.refused += 1
             if self.resets:
-                failure = errors.ConnectFailed(member.id, "session refused")
+                failure = errors.SessionRefused(member.id, "closed")
                 return expression.Error(failure)
             reason = reply.RejectionReason.CONNECTION_LIMIT
             return expression.Error(reply.Rejection(reason))
--- a/hickorygate/tests/test_failover_estimate.py
+++ b/hickorygate/tests/test_failover_estimate.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import unittest
 
@@ -15,38 +16,85 @@
 _RANK = rank.Rank("0", 0, datetime.timedelta(milliseconds=200), 0.05)
 
 
+def _wait(
+    estimate: failover_estimate.FailoverEstimate, at: float
+) -> datetime.datetime:
+    """Returns until when a request that arrives at a time waits."""
+    now = clock.at(at)
+    return estimate.wait_deadline(_request(at), now, now)
+
+
 def _request(at: float) -> request_context.RequestContext:
     return request_context.RequestContext(_RANK, clock.at(at), clock.at(at + 1))
 
 
 class FailoverEstimateTest(unittest.TestCase):
-    """Tests waits with the initial failover estimate of two seconds."""
+    """Tests waits after failovers of two seconds."""
 
     def setUp(self) -> None:
-        self.estimate = failover_estimate.FailoverEstimate()
+        self.estimate = failover_estimate.FailoverEstimate(clock.at(-10))
+        self.estimate.record_recovery(clock.at(-9.9))
+        self.estimate.record_loss(clock.at(-9))
+        self.estimate.record_recovery(clock.at(-6))
         self.estimate.record_loss(clock.at(0))
 
     def test_a_request_that_cannot_be_served_waits_briefly(self) -> None:
-        until = self.estimate.wait_deadline(_request(0.1), clock.at(0.1))
+        until = _wait(self.estimate, 0.1)
         self.assertEqual(until, clock.at(0.14))
 
     def test_a_request_that_can_be_served_waits(self) -> None:
-        until = self.estimate.wait_deadline(_request(1.5), clock.at(1.5))
+        until = _wait(self.estimate, 1.5)
         self.assertEqual(until, clock.at(2.25))
 
     def test_an_overdue_primary_is_waited_for_briefly(self) -> None:
-        until = self.estimate.wait_deadline(_request(5), clock.at(5))
+        until = _wait(self.estimate, 5)
+        self.assertEqual(until, clock.at(5.04))
+
+    def test_an_overdue_primary_is_waited_for_by_those_who_can_wait(
+        self,
+    ) -> None:
+        # The same outage, and requests that may take one and three seconds.
+        now = clock.at(5)
+        patient = dataclasses.replace(_request(5), deadline=clock.at(8))
+        until = self.estimate.wait_deadline(patient, now, now)
+        self.assertEqual(until, patient.deadline)
+        self.assertEqual(_wait(self.estimate, 5), clock.at(5.04))
+
+    def test_a_brief_wait_ends_although_rounds_go_on(self) -> None:
+        began, now = clock.at(5), clock.at(5.03)
+        until = self.estimate.wait_deadline(_request(5), began, now)
         self.assertEqual(until, clock.at(5.04))
 
     def test_the_failover_duration_is_learned(self) -> None:
         for at in (1, 11, 21, 31):
             self.estimate.record_recovery(clock.at(at))
             self.estimate.record_loss(clock.at(at + 9))
-        until = self.estimate.wait_deadline(_request(40.5), clock.at(40.5))
+        until = _wait(self.estimate, 40.5)
         self.assertGreater(until, clock.at(41))
         self.assertLess(until, clock.at(41.5))
 
 
+class DiscoveryTest(unittest.TestCase):
+    """Tests waits of a proxy that has not known a primary yet."""
+
+    def setUp(self) -> None:
+        self.estimate = failover_estimate.FailoverEstimate(clock.at(0))
+
+    def test_the_first_requests_wait_for_the_discovery(self) -> None:
+        until = _wait(self.estimate, 0.1)
+        self.assertEqual(until, clock.at(0.55))
+
+    def test_later_requests_wait_briefly(self) -> None:
+        until = _wait(self.estimate, 1)
+        self.assertEqual(until, clock.at(1.04))
+
+    def test_the_discovery_does_not_count_as_a_failover(self) -> None:
+        self.estimate.record_recovery(clock.at(0.01))
+        self.estimate.record_loss(clock.at(1))
+        until = _wait(self.estimate, 1.5)
+        self.assertEqual(until, clock.at(2.25))
+
+
 class ConnectionShareTest(unittest.TestCase):
     """Tests how uncoordinated proxies share a database's connections."""
 
--- a/hickorygate/tests/test_takeover.py
+++ b/hickorygate/tests/test_takeover.py
@@ -40,8 +40,21 @@
     """Tests that the replica with the greatest log end is promoted."""
 
     def begin(self, plan: takeover.Plan) -> list[takeover.Effect]:
+        """Starts a takeover whose replicas answer the inspection."""
         self.takeover = takeover.Takeover(plan, clock.at(0))
-        return self.takeover.advance(clock.at(0))
+        effects = self.takeover.advance(clock.at(0))
+        if plan.candidate is None:
+            self.assertEqual(
+                effects,
+                [takeover.InspectReplica(n) for n in sorted(plan.pause)],
+            )
+            for name in sorted(plan.pause):
+                effects = self.inspect(name)
+        return effects
+
+    def inspect(self, name: str, at: float = 0.0) -> list[takeover.Effect]:
+        status = _status(5, paused_for=0)
+        return self.feed(takeover.ReplicaInspected(name, status), at)
 
     def feed(
         self, event: takeover.Event, at: float = 0.1
@@ -52,6 +65,26 @@
     def pause(self, name: str, received: int) -> list[takeover.Effect]:
         return self.feed(takeover.ReplicaPaused(name, _status(received)))
 
+    def test_no_replica_is_paused_unless_enough_answer(self) -> None:
+        # A paused replica no longer acknowledges the commits of a primary that
+        # may still work, so it is only paused if the takeover can succeed.
+        self.takeover = takeover.Takeover(_plan(), clock.at(0))
+        self.takeover.advance(clock.at(0))
+        self.assertEqual(self.inspect("b"), [])
+        lost = self.feed(takeover.ReplicaInspected("c", None), at=0.1)
+        self.assertEqual(lost, [])
+        again = self.takeover.advance(clock.at(0.5))
+        self.assertEqual(again, [takeover.InspectReplica("c")])
+        (end,) = self.takeover.advance(clock.at(1.5))
+        self.assertFalse(end.succeeded)
+
+    def test_a_newer_term_ends_the_inspection(self) -> None:
+        self.takeover = takeover.Takeover(_plan(), clock.at(0))
+        self.takeover.advance(clock.at(0))
+        newer = takeover.ReplicaInspected("b", _status(9, term=2))
+        effects = takeover.handle(newer, self.takeover, clock.at(0.1))
+        self.assertFalse(effects[0].succeeded)
+
     def test_all_replicas_are_paused_first(self) -> None:
         self.assertEqual(
             self.begin(_plan()),
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -44,6 +44,9 @@
 _RECONNECT_DELAY = datetime.timedelta(milliseconds=100)
 """Minimum delay before the next connection attempt after a failed one."""
 
+_MAX_RECONNECT_DELAY = datetime.timedelta(milliseconds=400)
+"""Longest such delay; it doubles while the database refuses sessions."""
+
 
 class BorrowPurpose(enum.Enum):
     """The purpose for which a connection is borrowed."""
@@ -208,6 +211,7 @@
         self._waiters: list[_Waiter] = []
         self._last_number = 0
         self._retry_after: datetime.datetime | None = None
+        self._reconnect_delay = _RECONNECT_DELAY
         self._last_failure: errors.Failure | None = None
         self._closed = False
         self._background = background.BackgroundTasks()
@@ -239,6 +243,28 @@
         )
         return live + self._opening
 
+    @property
+    def refused(self) -> bool:
+        """Whether the database refuses connections and none is open."""
+        return (
+            self._last_failure is not None
+            and _is_connection_limit(self._last_failure)
+            and not self.open_count
+        )
+
+    @property
+    def held_by_callers(self) -> bool:
+        """Whether no connection is free because callers rest between requests.
+
+        A request that waits for a connection then says nothing about the
+        database.
+        """
+        return (
+            not self._idle
+            and not self._may_open()
+            and any(not held.connection.waiting for held in self._borrowed)
+        )
+
     @property
     def borrowed_count(self) -> int:
         """The number of connections that are borrowed."""
@@ -274,6 +300,10 @@
             connection_share.permits_per_proxy(member.slots, proxies)
         )
 
+    def record_connections(self, count: int) -> None:
+        """Records how many connections of all proxies the database has."""
+        self._share.record_connections(count, self._clock.now())
+
     def trim(self) -> None:
         """Closes connections beyond this proxy's even share.
 
@@ -356,12 +386,15 @@
     def _may_borrow(self, use: BorrowPurpose) -> bool:
         """Returns whether a connection may be borrowed for a purpose.
 
-        One connection is kept from transactions. It is reserved for single
-        statements and status queries, without which this proxy could not
-        determine the primary.
+        One connection is kept from transactions, unless the database is known
+        to have room for another one. It is reserved for single statements and
+        status queries, without which this proxy could not determine the
+        primary.
         """
         if use is BorrowPurpose.SHORT or self._share.only_one:
             return True
+        if self._share.has_room(self._clock.now()) and self._may_open():
+            return True
         return len(self._idle) + len(self._borrowed) - len(self._long_term) > 1
 
     def _hand_out_idle(
@@ -400,6 +433,7 @@
             return expression.Error(opened.error)
         self._opened += 1
         self._retry_after = None
+        self._reconnect_delay = _RECONNECT_DELAY
         pooled_connection = PooledConnection(self, opened.ok)
         if self._closed:
             opened.ok.close()
@@ -410,10 +444,11 @@
     def _record_refusal(self, failure: errors.Failure) -> None:
         self._last_failure = failure
         now = self._clock.now()
-        self._retry_after = now + _RECONNECT_DELAY
-        # A database at its limit may also reset new connections. One that
-        # serves the open connections is taken to be at its limit.
-        if self.open_count or _is_connection_limit(failure):
+        self._retry_after = now + self._reconnect_delay
+        if _is_connection_limit(failure):
+            self._reconnect_delay = min(
+                2 * self._reconnect_delay, _MAX_RECONNECT_DELAY
+            )
             self._share.record_refusal(self.open_count, now)
         if not self.open_count:
             self._fail_waiters(failure)
@@ -504,8 +539,13 @@
 
 
 def _is_connection_limit(failure: errors.Failure) -> bool:
-    """Returns whether the database's connection limit was reached."""
+    """Returns whether the database's connection limit was reached.
+
+    A database at its limit says so, or closes the connection at once.
+    """
     match failure:
+        case errors.SessionRefused():
+            return True
         case reply.Rejection(reason=reply.RejectionReason.CONNECTION_LIMIT):
             return True
     return False
--- a/hickorygate/upstreams/database_request.py
+++ b/hickorygate/upstreams/database_request.py
@@ -156,6 +156,10 @@
     def closed(self) -> bool:
         """Whether the connection is closed and unusable."""
 
+    @property
+    def waiting(self) -> bool:
+        """Whether a request is outstanding at the database."""
+
     async def ask(self, *requests: Request) -> list[ReplyResult]:
         """Sends requests in one batch and returns their results in order."""
 
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -33,9 +33,14 @@
 
 __all__ = ["GroupMonitor"]
 
-_NORMAL_INTERVAL = datetime.timedelta(milliseconds=400)
-"""Normal interval between rounds. It must be short enough that the newest
-floor is within the allowed staleness of reads."""
+_EARLY_INTERVAL = datetime.timedelta(milliseconds=400)
+"""Normal interval between rounds of the proxies that are the first to replace a
+lost primary."""
+
+_NORMAL_INTERVAL = datetime.timedelta(milliseconds=700)
+"""Normal interval between rounds of the other proxies. Reads that tolerate
+1.5 s of staleness then have a floor that is old enough for replicas to have
+reached it."""
 
 _FAST_INTERVAL = datetime.timedelta(milliseconds=40)
 """Interval between rounds while no primary is known or it doesn't answer."""
@@ -50,8 +55,14 @@
 """Normal interval between rounds that request the log ends."""
 
 _FAST_STATUS_INTERVAL = datetime.timedelta(milliseconds=250)
-"""Interval between rounds that request the log ends while no primary is known
-or commits are unacknowledged; floors then come from the log ends only."""
+"""Interval between rounds that request the log ends while the primary isn't
+known or doesn't answer, or commits are unacknowledged. Floors then come from
+the log ends only, and their growth shows whether the primary works for
+others."""
+
+_GROWTH_WINDOW = datetime.timedelta(seconds=2)
+"""Time within which the replicas' logs must have grown for a primary that
+doesn't answer to count as working for others."""
 
 
 class GroupMonitor:
@@ -68,12 +79,15 @@
         self._terms = terms
         self._connector = connector
         self._clock = clock
+        self._lease = lease
         self._journal = journal
         self._state = group_state.GroupState(terms.synchronous_replicas)
         self._pools: dict[members.MemberId, connection_pool.ConnectionPool] = {}
         self._prober = group_prober.GroupProber(self._state, self._pools, clock)
         self._stall = stalls.StallDetector()
-        self._failover_estimate = failover_estimate.FailoverEstimate()
+        self._failover_estimate = failover_estimate.FailoverEstimate(
+            clock.now()
+        )
         self._promoter = promoter.Promoter(self, lease, clock, journal)
         self._background = background.BackgroundTasks()
         self._round_requested = asyncio.Event()
@@ -83,7 +97,7 @@
         self._last_finding: (
             tuple[group_state.RoundResult, datetime.datetime] | None
         ) = None
-        self._status_due = clock.now()
+        self._last_status: datetime.datetime | None = None
         self._lost: group_state.Leader | None = None
         self._reduced_probing = False
         self._last_used = clock.now()
@@ -118,6 +132,17 @@
         """The primary that was lost last; None once a primary leads again."""
         return self._lost
 
+    @property
+    def progressing(self) -> bool:
+        """Whether the lost primary still commits for others."""
+        if self._lost is None:
+            return False
+        health = self._prober.health(self._lost.member)
+        if health.failing_since is None:
+            return False
+        recent = self._clock.now() - _GROWTH_WINDOW
+        return self._state.growth.grew_since(max(health.failing_since, recent))
+
     @property
     def busy(self) -> bool:
         """Whether a connection is in use or a takeover is running."""
@@ -194,11 +219,19 @@
         self._state.set_members(listed)
         self._round_requested.set()
 
-    def record_position(
+    def record_reply(
         self, name: members.MemberId, position: positions.Position | None
     ) -> None:
-        """Records the log position from a response of a database."""
+        """Records the log position from a reply to a caller's statement.
+
+        The reply also shows that the database works.
+        """
         self._state.record_position(name, position)
+        self._prober.health(name).record_answer()
+
+    def request_round(self) -> None:
+        """Starts a round now, or after the one that is running."""
+        self._round_requested.set()
 
     def schedule_round(self) -> None:
         """Schedules a round soon, after an unexpected response."""
@@ -236,25 +269,27 @@
     async def wait_for_floor(
         self,
         consistency: catalog.Consistency,
-        arrived: datetime.datetime,
-        deadline: datetime.datetime,
+        request: request_context.RequestContext,
     ) -> group_state.Floor | None:
-        """Returns the floor of a read; waits for one until the deadline.
+        """Returns the floor of a read; waits if one is expected in time.
 
         Args:
           consistency: consistency that the read requires.
-          arrived: time at which the read arrived.
-          deadline: time until which to wait.
+          request: terms of the read.
 
         Returns:
-          The floor; None if none was known before the deadline.
+          The floor; None if none was known in time.
         """
+        immediately = True
+        began = self._clock.now()
         while True:
-            floor = self._state.floor(consistency, arrived)
+            floor = self._state.floor(consistency, request.arrived)
             if floor is not None:
                 return floor
-            if not await self.next_round(deadline):
+            until = self.wait_deadline(request, began)
+            if not await self.next_round(until, immediately):
                 return None
+            immediately = False
 
     async def wait_for_leader(
         self, request: request_context.RequestContext
@@ -264,14 +299,68 @@
         Returns:
           The primary; None if none was found in time.
         """
+        began = self._clock.now()
         while self.leader is None:
-            until = self._failover_estimate.wait_deadline(
-                request, self._clock.now()
-            )
+            if not await self.next_round(self.wait_deadline(request, began)):
+                return None
+        return self.leader
+
+    async def wait_for_writable(
+        self, request: request_context.RequestContext
+    ) -> group_state.Leader | None:
+        """Returns the primary once it acknowledges commits.
+
+        A write that is sent to a primary which acknowledges nothing ends in
+        doubt; one that was not sent can be repeated.
+
+        Returns:
+          The primary; None if none acknowledged commits in time.
+        """
+        began = self._clock.now()
+        while self.leader is None or self._stall.stalled(self._clock.now()):
+            until = self._recovery_deadline(request, began)
             if not await self.next_round(until):
                 return None
         return self.leader
 
+    def wait_deadline(
+        self,
+        request: request_context.RequestContext,
+        began: datetime.datetime,
+    ) -> datetime.datetime:
+        """Returns until when a request should wait for the group.
+
+        Without a primary, that depends on when one is expected. While this
+        proxy gets no connection to too many databases, another one may serve
+        the caller.
+
+        Args:
+          request: request that waits.
+          began: time at which it began to wait.
+        """
+        if self.leader is None:
+            return self._recovery_deadline(request, began)
+        if self._lacks_connections():
+            return failover_estimate.brief_wait(request, began)
+        return request.deadline
+
+    def _recovery_deadline(
+        self,
+        request: request_context.RequestContext,
+        began: datetime.datetime,
+    ) -> datetime.datetime:
+        """Returns until when to wait for a primary that takes writes."""
+        now = self._clock.now()
+        self._failover_estimate.record_loss(now)
+        if self.progressing:
+            return failover_estimate.brief_wait(request, began)
+        return self._failover_estimate.wait_deadline(request, began, now)
+
+    def _lacks_connections(self) -> bool:
+        """Whether too many databases refuse connections to prove anything."""
+        refusing = sum(pool.refused for pool in self._pools.values())
+        return refusing > self._state.synchronous_replicas
+
     def no_leader_rejection(self) -> errors.Failure:
         """Returns the rejection for a request that needs a primary."""
         wait = self._failover_estimate.retry_after(self._clock.now())
@@ -306,7 +395,6 @@
         self._lost = leader
         self._failover_estimate.record_loss(self._clock.now())
         self._state.lose_leader()
-        self._status_due = self._clock.now()
         pool = self._pools.get(leader.member)
         if pool is not None:
             pool.close_connections(reason)
@@ -334,18 +422,8 @@
         pool.update(member, limit, self._proxies)
 
     def commit_sent(self) -> None:
-        """Records that a commit was sent to the primary.
-
-        If a commit has been unanswered for 200 ms (`StallDetector.doubtful`),
-        the log ends are requested with the first round that starts at least
-        250 ms (`_FAST_STATUS_INTERVAL`) later, if no request is due earlier.
-        """
-        now = self._clock.now()
-        self._stall.record_commit(now)
-        if self._stall.doubtful(now):
-            self._status_due = min(
-                self._status_due, now + _FAST_STATUS_INTERVAL
-            )
+        """Records that a commit was sent to the primary."""
+        self._stall.record_commit(self._clock.now())
 
     async def _run(self) -> None:
         while True:
@@ -363,7 +441,9 @@
         idle = self._clock.now() - self._last_used >= _USE_TIMEOUT
         if self._reduced_probing and idle and not self._promoter.active:
             return _UNUSED_INTERVAL
-        return _NORMAL_INTERVAL if self._leader_responsive() else _FAST_INTERVAL
+        if not self._leader_responsive():
+            return _FAST_INTERVAL
+        return _EARLY_INTERVAL if self._lease.is_early else _NORMAL_INTERVAL
 
     def _leader_responsive(self) -> bool:
         """Whether the primary is known and responsive."""
@@ -374,30 +454,45 @@
 
     async def _round(self) -> None:
         sent = self._clock.now()
-        with_status = sent >= self._status_due
+        with_status = self._status_is_due(sent)
         if with_status:
-            urgent = self.leader is None or self._stall.doubtful(sent)
-            self._status_due = sent + (
-                _FAST_STATUS_INTERVAL if urgent else _STATUS_INTERVAL
-            )
+            self._last_status = sent
         before = self.leader
         finding = await self._prober.run_round(with_status)
         self.found(finding, sent)
         self._note_leader(before)
         self._check_leader()
+        self._note_recovery(finding)
         self._promoter.start_if_needed()
         for pool in self._pools.values():
             pool.trim()
         ended, self._round_ended = self._round_ended, asyncio.Event()
         ended.set()
 
+    def _status_is_due(self, now: datetime.datetime) -> bool:
+        """Returns whether a round that starts now requests the log ends."""
+        if self._last_status is None:
+            return True
+        urgent = not self._leader_responsive() or self._stall.doubtful(now)
+        interval = _FAST_STATUS_INTERVAL if urgent else _STATUS_INTERVAL
+        return now - self._last_status >= interval
+
+    def _note_recovery(self, finding: group_state.RoundResult) -> None:
+        """Ends a stall or an outage that the round shows to be over."""
+        now = self._clock.now()
+        if finding.replication is not None:
+            self._stall.record_log_ends(finding.replication)
+            if finding.replication.complete and self._stall.stalled(now):
+                self._stall.answered()
+        if self.leader and not self._stall.stalled(now):
+            self._failover_estimate.record_recovery(now)
+
     def _note_leader(self, before: group_state.Leader | None) -> None:
         leader = self.leader
         if leader is None or leader == before:
             return
         self._stall = stalls.StallDetector()
         self._lost = None
-        self._failover_estimate.record_recovery(self._clock.now())
         position = self._state.position(leader.member)
         self._journal.record(
             platform_events.LeaderChanged(
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import datetime
 from typing import TYPE_CHECKING
 
@@ -40,11 +41,30 @@
 """Maximum time a round waits for a database that did not answer the last
 probe."""
 
+_STATUS_PAUSE = datetime.timedelta(milliseconds=250)
+"""Time after which statuses are requested again if the same databases answered
+as before."""
+
 _SUSPENSION_THRESHOLD = datetime.timedelta(milliseconds=400)
 """If a round takes this much longer than twice `_ROUND_TIMEOUT`, this process
 was presumably suspended, and the health of all databases is reset."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _UnclearRound:
+    """A round that did not confirm a primary.
+
+    Attributes:
+      sent: time at which it was sent.
+      leading: databases that answered as the primary.
+      silent: databases that did not answer.
+    """
+
+    sent: datetime.datetime
+    leading: frozenset[member.MemberId]
+    silent: frozenset[member.MemberId]
+
+
 class GroupProber:
     """Runs rounds of status queries over the databases of one group."""
 
@@ -60,6 +80,7 @@
         self._health: dict[member.MemberId, vitals.DatabaseHealth] = {}
         self._probes: dict[member.MemberId, asyncio.Task[None]] = {}
         self._background = background.BackgroundTasks()
+        self._last_unclear: _UnclearRound | None = None
 
     def __repr__(self) -> str:
         return f"GroupProber({sorted(self._pools)})"
@@ -91,10 +112,7 @@
         now = self._clock.now()
         probe_round = self._state.open_round(now)
         await self._probe_all(probe_round, with_status)
-        unclear = probe_round.silent and self._any_leads(probe_round)
-        if not with_status and (
-            unclear or self._state.needs_statuses(probe_round)
-        ):
+        if not with_status and self._needs_statuses(probe_round):
             # These answers do not confirm a primary; the log ends in the
             # statuses may.
             probe_round = self._state.open_round(self._clock.now())
@@ -123,6 +141,7 @@
         request = request_context.RequestContext(
             CONTROL_RANK, now, now + _PROBE_TIMEOUT
         )
+        self.health(name).record_probe(now)
         borrowed = await pool.borrow(request, {})
         if borrowed.is_error():
             self._record_unreachable(name, borrowed.error)
@@ -143,9 +162,28 @@
         self.health(name).record_answer()
         return results
 
-    def _any_leads(self, probe_round: group_state.ProbeRound) -> bool:
-        """Returns whether any database answered as primary."""
-        return any(answer.leads for answer in probe_round.answers.values())
+    def _needs_statuses(self, probe_round: group_state.ProbeRound) -> bool:
+        """Returns whether to request the statuses after an unclear round.
+
+        While the same databases answer in the same way, the statuses rarely
+        tell more than a moment ago, so they are requested less often.
+        """
+        leading = probe_round.leading
+        unclear = bool(probe_round.silent and leading)
+        if not (unclear or self._state.needs_statuses(probe_round)):
+            self._last_unclear = None
+            return False
+        last = self._last_unclear
+        if (
+            last is not None
+            and (last.leading, last.silent) == (leading, probe_round.silent)
+            and probe_round.sent - last.sent < _STATUS_PAUSE
+        ):
+            return False
+        self._last_unclear = _UnclearRound(
+            probe_round.sent, leading, probe_round.silent
+        )
+        return True
 
     def _record_unreachable(
         self, name: member.MemberId, failure: errors.Failure
@@ -154,16 +192,26 @@
 
         Only a failed connection attempt counts against the database; other
         failures, such as a wait for a free connection that timed out, do not.
+        A database that refuses a session runs.
         """
         match failure:
+            case (
+                errors.SessionRefused()
+                | reply.Rejection(reason=reply.RejectionReason.CONNECTION_LIMIT)
+            ):
+                self.health(name).record_refused_session(self._clock.now())
             case errors.ConnectFailed():
                 self.health(name).record_refusal(self._clock.now())
 
     async def _probe_all(
         self, probe_round: group_state.ProbeRound, statuses: bool
     ) -> None:
-        responsive, doubtful = [], []
+        responsive: list[asyncio.Task[None]] = []
+        doubtful: list[asyncio.Task[None]] = []
         for name in probe_round.asked:
+            if name in self._pools and self._pools[name].held_by_callers:
+                # The probe waits for callers, not for the database.
+                self.health(name).reset()
             running = self._probes.get(name)
             if running is None or running.done():
                 running = self._background.start(
@@ -193,7 +241,6 @@
         The query opens and rolls back a transaction, which uses no slot of
         the database. Requesting the status as well does use one.
         """
-        self.health(name).record_probe(self._clock.now())
         batch: list[database_request.Request] = [
             database_request.Begin(),
             database_request.Rollback(),
@@ -204,8 +251,12 @@
         if results is None:
             return
         answer = self._decode(results, statuses)
-        if answer is not None:
-            probe_round.answers.setdefault(name, answer)
+        if answer is None:
+            return
+        probe_round.answers.setdefault(name, answer)
+        pool = self._pools.get(name)
+        if answer.status is not None and pool is not None:
+            pool.record_connections(answer.status.connections)
 
     def _decode(
         self, results: list[database_request.ReplyResult], statuses: bool
--- a/hickorygate/upstreams/group_state.py
+++ b/hickorygate/upstreams/group_state.py
@@ -32,7 +32,9 @@
 from hickorygate.core import position as positions
 from hickorygate.core import reply
 from hickorygate.core import types
+from hickorygate.upstreams import log_growth
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import stall
 
 __all__ = [
     "GroupState",
@@ -107,6 +109,11 @@
         """The databases that have not answered."""
         return self.asked - self.answers.keys()
 
+    @property
+    def leading(self) -> frozenset[members.MemberId]:
+        """The databases that answered as the primary."""
+        return frozenset(n for n, a in self.answers.items() if a.leads)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RoundResult:
@@ -119,11 +126,14 @@
         round was sent.
       floor: position that covers all commits acknowledged before the round;
         None if unknown.
+      replication: how far the replicas are; None if the round requested no log
+        ends or too few answered.
     """
 
     leader: Leader | None
     confirmed: bool
     floor: Floor | None
+    replication: stall.ReplicationSample | None = None
 
 
 class GroupState:
@@ -132,6 +142,7 @@
     __slots__ = (
         "_departed",
         "_floors",
+        "_growth",
         "_leader",
         "_members",
         "_positions",
@@ -147,6 +158,7 @@
         self._floors: collections.deque[Floor] = collections.deque()
         self._leader: Leader | None = None
         self._term: types.Term = 0
+        self._growth = log_growth.LogGrowth()
 
     @property
     def leader(self) -> Leader | None:
@@ -168,6 +180,11 @@
         """Databases that left and may have held the only copy of a commit."""
         return frozenset(self._departed)
 
+    @property
+    def growth(self) -> log_growth.LogGrowth:
+        """The growth of the replicas' logs."""
+        return self._growth
+
     @property
     def synchronous_replicas(self) -> int:
         """The number of replicas that must have a commit to acknowledge it."""
@@ -224,6 +241,7 @@
             self.record_position(name, answer.position)
             if answer.status is not None:
                 self._term = max(self._term, answer.status.term)
+        self._record_log_ends(probe_round)
         leader = self._find_leader(probe_round)
         floor = (
             self._floor_from_replicas(probe_round, leader)
@@ -242,7 +260,8 @@
             and floor is not None
             and floor.position.term <= leader.term
         )
-        return RoundResult(leader, confirmed, floor)
+        replication = self._compare_logs(probe_round, leader)
+        return RoundResult(leader, confirmed, floor, replication)
 
     def floor(
         self, consistency: catalog.Consistency, now: datetime.datetime
@@ -264,13 +283,39 @@
         primary. Their positions are not sufficient: a position has the term
         of the last log entry, which can be the term of a former primary.
         """
-        leading = [
-            n for n, answer in probe_round.answers.items() if answer.leads
-        ]
+        leading = probe_round.leading
         if not leading:
             return False
         known = self._leader.member if self._leader else None
-        return leading != [known]
+        return leading != {known}
+
+    def _record_log_ends(self, probe_round: ProbeRound) -> None:
+        ends = {
+            name: answer.status.received
+            for name, answer in probe_round.answers.items()
+            if answer.status is not None and not answer.leads
+        }
+        if ends:
+            self._growth.record(ends, probe_round.sent)
+
+    def _compare_logs(
+        self, probe_round: ProbeRound, leader: Leader | None
+    ) -> stall.ReplicationSample | None:
+        """Compares the logs of the primary and of its replicas."""
+        needed = self._synchronous_replicas
+        if leader is None or not needed:
+            return None
+        position = probe_round.answers[leader.member].position
+        ends = sorted(
+            answer.status.received
+            for answer in probe_round.answers.values()
+            if answer.status is not None and not answer.leads
+        )
+        if position is None or len(ends) < needed:
+            return None
+        return stall.ReplicationSample(
+            probe_round.sent, position, ends[-needed]
+        )
 
     def _find_leader(self, probe_round: ProbeRound) -> Leader | None:
         leading = [
--- a/hickorygate/upstreams/health.py
+++ b/hickorygate/upstreams/health.py
@@ -4,7 +4,7 @@
 
 import datetime
 
-__all__ = ["REFUSED_LIMIT", "SILENCE_LIMIT", "DatabaseHealth"]
+__all__ = ["FULL_LIMIT", "REFUSED_LIMIT", "SILENCE_LIMIT", "DatabaseHealth"]
 
 SILENCE_LIMIT = datetime.timedelta(milliseconds=1_000)
 """Time without an answer to a probe after which a database is unreachable.
@@ -16,6 +16,11 @@
 shorter than `SILENCE_LIMIT`, because a refusal means that no process
 listens."""
 
+FULL_LIMIT = datetime.timedelta(seconds=5)
+"""Time of refused sessions after which a database is unreachable. A database at
+its connection limit refuses sessions, and keeps the connections of callers that
+lost power for some seconds."""
+
 _DOUBT_LIMIT = datetime.timedelta(milliseconds=100)
 """Time without an answer to a probe after which it is doubtful that the
 database answers the next one."""
@@ -28,16 +33,24 @@
 class DatabaseHealth:
     """Tracks whether one database answers probes."""
 
-    __slots__ = ("_asked", "_refusals", "_refused_since")
+    __slots__ = ("_asked", "_full_since", "_refusals", "_refused_since")
 
     def __init__(self) -> None:
         self._asked: datetime.datetime | None = None
+        self._full_since: datetime.datetime | None = None
         self._refusals = 0
         self._refused_since: datetime.datetime | None = None
 
     def __repr__(self) -> str:
         return f"DatabaseHealth(asked={self._asked}, refusals={self._refusals})"
 
+    @property
+    def failing_since(self) -> datetime.datetime | None:
+        """Time since which the database doesn't answer; None if it does."""
+        if self._asked is None or self._refused_since is None:
+            return self._asked or self._refused_since
+        return min(self._asked, self._refused_since)
+
     def doubtful(self, now: datetime.datetime) -> bool:
         """Returns whether a recent probe was refused or is unanswered."""
         if self._refusals:
@@ -59,8 +72,17 @@
         if self._refused_since is None:
             self._refused_since = now
 
+    def record_refused_session(self, now: datetime.datetime) -> None:
+        """Records that the database runs but has no room for a session."""
+        full_since = self._full_since
+        self.reset()
+        self._full_since = full_since or now
+
     def lost(self, now: datetime.datetime) -> bool:
         """Returns whether the database is unreachable."""
+        full = self._full_since
+        if full is not None and now - full >= FULL_LIMIT:
+            return True
         refused = self._refused_since
         if refused is not None and self._refusals >= _MIN_REFUSALS:
             return now - refused >= REFUSED_LIMIT
@@ -73,5 +95,6 @@
         then does not count against the database.
         """
         self._asked = None
+        self._full_since = None
         self._refusals = 0
         self._refused_since = None
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -89,6 +89,8 @@
                 if group.prober.health(name).lost(now)
             ),
             stalled=group.stall.stalled(now),
+            progressing=group.progressing,
+            patience=self._lease.patience,
             term=group.state.term,
             synchronous_replicas=group.state.synchronous_replicas,
         )
@@ -180,6 +182,16 @@
         status = results[0].ok.group if results else None
         return takeovers.ReplicaPaused(effect.member, status)
 
+    async def inspect(
+        self, effect: takeovers.InspectReplica
+    ) -> takeovers.ReplicaInspected:
+        """Reads the status of a replica and returns the result."""
+        results = await self._group.prober.ask(
+            effect.member, database_request.ReadStatus()
+        )
+        status = results[0].ok.group if results else None
+        return takeovers.ReplicaInspected(effect.member, status)
+
     async def compare(
         self, effect: takeovers.CompareCandidate
     ) -> takeovers.Event:
@@ -267,6 +279,15 @@
     promoter.call(promoter.pause(effect), takeover)
 
 
+@_perform.register(takeovers.InspectReplica)
+def _(
+    effect: takeovers.InspectReplica,
+    promoter: Promoter,
+    takeover: takeovers.Takeover,
+) -> None:
+    promoter.call(promoter.inspect(effect), takeover)
+
+
 @_perform.register(takeovers.CompareCandidate)
 def _(
     effect: takeovers.CompareCandidate,
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -102,6 +102,16 @@
         record = self._lease_state.record
         return record.number if record else 0
 
+    @property
+    def is_early(self) -> bool:
+        """Whether this proxy is among the first to replace a lost primary."""
+        return self._order.is_early
+
+    @property
+    def patience(self) -> datetime.timedelta:
+        """Time to wait before replacing a primary that works for others."""
+        return self._order.patience
+
     def __repr__(self) -> str:
         return f"PromotionLease({self._lease_state!r})"
 
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -1,11 +1,13 @@
 """State machine that replaces a group's primary, without I/O.
 
-Unplanned takeover (the primary is lost): replication is first paused on every
-replica. After that the former primary cannot acknowledge a commit in the old
-term, and the responses contain the log end of each replica. The replica with
-the greatest log end is promoted. The number of databases without a response,
-including the primary, must not exceed the number of synchronous replicas,
-because these databases could have the only copies of a commit.
+Unplanned takeover (the primary is lost): the replicas are first inspected, so
+that none is paused unless enough of them answer to complete the takeover. Then
+replication is paused on every replica. After that the former primary cannot
+acknowledge a commit in the old term, and the responses contain the log end of
+each replica. The replica with the greatest log end is promoted. The number of
+databases without a response, including the primary, must not exceed the number
+of synchronous replicas, because these databases could have the only copies of a
+commit.
 
 Planned takeover (the primary is about to stop but still serves): all replicas
 except the candidate are paused. Every later commit is then acknowledged only
@@ -21,6 +23,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Set
 import dataclasses
 import datetime
 import enum
@@ -37,11 +40,13 @@
     "Effect",
     "Event",
     "Finish",
+    "InspectReplica",
     "LeaderFound",
     "OrderPromotion",
     "PauseReplica",
     "Plan",
     "PromotionEnded",
+    "ReplicaInspected",
     "ReplicaPaused",
     "Stage",
     "Takeover",
@@ -51,6 +56,10 @@
 _TAKEOVER_TIMEOUT = datetime.timedelta(seconds=6)
 """Maximum duration of a takeover."""
 
+_INSPECTION_TIMEOUT = datetime.timedelta(seconds=1.5)
+"""Maximum time for enough replicas to answer. The lease is then free for
+another proxy, which may reach them."""
+
 _EFFECT_TIMEOUT = datetime.timedelta(seconds=3)
 """Maximum time for an accepted promotion to take effect."""
 
@@ -61,6 +70,7 @@
 class Stage(enum.Enum):
     """The stage of a takeover."""
 
+    INSPECTING = "inspecting the replicas"
     PAUSING = "pausing the replicas"
     CATCHING_UP = "waiting for the candidate to catch up"
     PROMOTING = "ordering the promotion"
@@ -104,6 +114,19 @@
     """Base class of the events that a takeover handles."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReplicaInspected(Event):
+    """The result of an inspection.
+
+    Attributes:
+      member: replica that was asked for its status.
+      status: its status; None if the response was lost.
+    """
+
+    member: members.MemberId
+    status: reply.ReplicationStatus | None
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReplicaPaused(Event):
     """The result of a pause request.
@@ -155,6 +178,13 @@
     """Base class of the actions that a takeover requests."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InspectReplica(Effect):
+    """Read a replica's status; the result arrives as ReplicaInspected."""
+
+    member: members.MemberId
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PauseReplica(Effect):
     """Pause a replica; the result arrives as ReplicaPaused."""
@@ -203,6 +233,7 @@
 
     __slots__ = (
         "_chosen",
+        "_inspected",
         "_last_calls",
         "_outstanding",
         "_plan",
@@ -214,10 +245,12 @@
 
     def __init__(self, plan: Plan, now: datetime.datetime) -> None:
         self._plan = plan
-        self._stage = Stage.PAUSING
+        planned = plan.candidate is not None
+        self._stage = Stage.PAUSING if planned else Stage.INSPECTING
         self._started = now
         self._stage_started = now
         self._statuses: dict[members.MemberId, reply.ReplicationStatus] = {}
+        self._inspected: set[members.MemberId] = set()
         self._outstanding: set[members.MemberId] = set()
         self._last_calls: dict[members.MemberId, datetime.datetime] = {}
         self._chosen = plan.candidate
@@ -252,9 +285,15 @@
         """
         if now - self._started >= _TAKEOVER_TIMEOUT:
             return [self._abort("timed out")]
+        if self._stage is Stage.INSPECTING and self._enough(self._inspected):
+            self._enter_stage(Stage.PAUSING, now)
         if self._stage is Stage.PAUSING and self._enough_paused():
             self._finish_pausing(now)
         match self._stage:
+            case Stage.INSPECTING:
+                if now - self._stage_started >= _INSPECTION_TIMEOUT:
+                    return [self._abort("too few replicas answer")]
+                return self._inspection_effects(now)
             case Stage.PAUSING:
                 return self._pause_effects(now)
             case Stage.CATCHING_UP:
@@ -266,6 +305,16 @@
                     return [self._abort("the promotion had no effect")]
         return []
 
+    def take_inspection(self, event: ReplicaInspected) -> list[Effect]:
+        """Handles the response to an inspection."""
+        self._outstanding.discard(event.member)
+        if event.status is None or self._stage is not Stage.INSPECTING:
+            return []
+        if event.status.term >= self._plan.term:
+            return [self._abort("another database leads a newer term")]
+        self._inspected.add(event.member)
+        return []
+
     def take_pause(self, event: ReplicaPaused) -> list[Effect]:
         """Handles the response to a pause request."""
         self._outstanding.discard(event.member)
@@ -305,11 +354,14 @@
         return [Finish(True, demote, f"{event.member} is the primary")]
 
     def _enough_paused(self) -> bool:
-        missing = len(self._plan.pause - self._statuses.keys())
         if self._plan.candidate is not None:
-            return not missing
-        silent = missing + self._plan.unreachable_count
-        return bool(self._statuses) and silent <= self._plan.max_silent
+            return not self._plan.pause - self._statuses.keys()
+        return self._enough(self._statuses.keys())
+
+    def _enough(self, answered: Set[members.MemberId]) -> bool:
+        """Returns whether enough replicas answered to promote one of them."""
+        silent = len(self._plan.pause - answered) + self._plan.unreachable_count
+        return bool(answered) and silent <= self._plan.max_silent
 
     def _finish_pausing(self, now: datetime.datetime) -> None:
         if self._plan.candidate is not None:
@@ -335,6 +387,13 @@
         self._outstanding.clear()
         self._last_calls.clear()
 
+    def _inspection_effects(self, now: datetime.datetime) -> list[Effect]:
+        return [
+            InspectReplica(name)
+            for name in sorted(self._plan.pause - self._inspected)
+            if self._start_call(name, now)
+        ]
+
     def _pause_effects(self, now: datetime.datetime) -> list[Effect]:
         unpaused = self._plan.pause - self._statuses.keys()
         return [
@@ -383,6 +442,13 @@
     raise TypeError(f"no handler for {event!r} is registered")
 
 
+@handle.register
+def _(
+    event: ReplicaInspected, takeover: Takeover, now: datetime.datetime
+) -> list[Effect]:
+    return takeover.take_inspection(event)
+
+
 @handle.register
 def _(
     event: ReplicaPaused, takeover: Takeover, now: datetime.datetime
--- a/hickorygate/upstreams/takeover_order.py
+++ b/hickorygate/upstreams/takeover_order.py
@@ -33,27 +33,43 @@
 _MAX_DELAY = datetime.timedelta(seconds=4)
 """Longest wait of a proxy, if no other one takes over."""
 
+_PATIENCE_STEP = datetime.timedelta(seconds=1)
+"""Time that each proxy waits in turn before it replaces a primary that still
+works for others. The more proxies are cut off from it, the sooner one of them
+has its turn; a single one rarely has."""
+
 
 class TakeoverOrder:
     """The place of one proxy in the order."""
 
-    __slots__ = ("_delay", "_name")
+    __slots__ = ("_delay", "_name", "_place")
 
     def __init__(self, name: types.ProxyName) -> None:
         """Creates the order of a proxy that knows no other one."""
         self._name = name
         self._delay = datetime.timedelta()
+        self._place = 0
 
     @property
     def delay(self) -> datetime.timedelta:
         """Time from noticing a loss until the proxy may take over."""
         return self._delay
 
+    @property
+    def is_early(self) -> bool:
+        """Whether the proxy is among those that don't wait."""
+        return self._place < _IMMEDIATE_PROXIES
+
+    @property
+    def patience(self) -> datetime.timedelta:
+        """Time to wait while the primary works for others."""
+        return (self._place + 1) * _PATIENCE_STEP
+
     def __repr__(self) -> str:
         return f"TakeoverOrder({self._name!r}, delay={self._delay})"
 
     def set_proxies(self, live: Iterable[types.ProxyName]) -> None:
         """Sets the names of the live proxies."""
-        place = rendezvous.owner_index(_ORDER_KEY, self._name, live)
-        later = max(place + 1 - _IMMEDIATE_PROXIES, 0)
+        self._place = rendezvous.owner_index(_ORDER_KEY, self._name, live)
+        later = max(self._place + 1 - _IMMEDIATE_PROXIES, 0)
         self._delay = min(later * _STEP, _MAX_DELAY)
--- a/hickorygate/upstreams/takeover_trigger.py
+++ b/hickorygate/upstreams/takeover_trigger.py
@@ -65,6 +65,8 @@
       positions: last known position of each database.
       unreachable: databases that are unreachable.
       stalled: whether the primary has stopped acknowledging commits.
+      progressing: whether the lost primary still commits for others.
+      patience: time to wait before replacing such a primary.
       term: highest term seen so far.
       synchronous_replicas: number of replicas that must have a commit before
         it is acknowledged.
@@ -77,6 +79,8 @@
     positions: Mapping[members.MemberId, positions.Position | None]
     unreachable: frozenset[members.MemberId]
     stalled: bool
+    progressing: bool
+    patience: datetime.timedelta
     term: types.Term
     synchronous_replicas: int
 
@@ -125,10 +129,10 @@
     def _find_absence_reason(
         self, situation: GroupSnapshot, now: datetime.datetime
     ) -> Reason | None:
-        if situation.lost is not None:
-            return Lost()
-        since = self._unknown_since
-        if since is not None and now - since >= _UNKNOWN_TIMEOUT:
+        since = self._unknown_since or now
+        if situation.progressing and now - since < situation.patience:
+            return None
+        if situation.lost is not None or now - since >= _UNKNOWN_TIMEOUT:
             return Lost()
         return None
 
--- a/properties/platform_simulation.py
+++ b/properties/platform_simulation.py
@@ -170,6 +170,8 @@
             return
         leader = self.state.leader
         situation = takeover_trigger.GroupSnapshot(
+            progressing=False,
+            patience=datetime.timedelta(),
             leader=leader,
             lost=leader,
             members=self.state.members,
@@ -251,6 +253,15 @@
                     log.leads, log.term, log.received, log.paused_for
                 )
                 return takeovers.ReplicaPaused(name, None if lost else status)
+            case takeovers.InspectReplica(name):
+                log = self.logs[name]
+                lost = self.random.random() < 0.2
+                status = reply.ReplicationStatus(
+                    log.leads, log.term, log.received, log.paused_for
+                )
+                return takeovers.ReplicaInspected(
+                    name, None if lost else status
+                )
             case takeovers.CompareCandidate(leader, candidate):
                 return takeovers.CandidateSeen(
                     self.logs[leader].received, self.logs[candidate].received
