--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -552,7 +552,7 @@
     """The process can't listen at an address from its settings.
 
     Attributes:
-      part: section of the settings that holds the address.
+      part: section or name of the setting that holds the address.
       reason: error message of the operating system.
     """
 
--- a/hickorygate/platform/management_server.py
+++ b/hickorygate/platform/management_server.py
@@ -33,23 +33,21 @@
     def __repr__(self) -> str:
         return f"ManagementServer(sites={len(self._runners)})"
 
-    async def start(
-        self,
-        readiness: settings.Address,
-        metrics: settings.Address | None,
-    ) -> None:
-        """Starts to listen.
+    async def serve_readiness(self, address: settings.Address) -> None:
+        """Starts to answer readiness checks.
+
+        Raises:
+          OSError: listening on the address is not possible.
+        """
+        await self._serve(address, _READINESS, self._answer_readiness)
 
-        Args:
-          readiness: address of the readiness endpoint.
-          metrics: address of the metrics endpoint; None for no metrics.
+    async def serve_metrics(self, address: settings.Address) -> None:
+        """Starts to serve the metrics.
 
         Raises:
-          OSError: listening on an address is not possible.
+          OSError: listening on the address is not possible.
         """
-        await self._serve(readiness, _READINESS, self._answer_readiness)
-        if metrics is not None:
-            await self._serve(metrics, _METRICS, self._answer_metrics)
+        await self._serve(address, _METRICS, self._answer_metrics)
 
     async def close(self) -> None:
         """Stops the servers."""
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -220,15 +220,9 @@
 
     async def run(self) -> expression.Result[None, errors.Failure]:
         """Serves callers until a shutdown has ended."""
-        metrics = None
-        if self._metrics_port is not None:
-            host = self._settings.callers.host
-            metrics = settings_lib.Address(host, self._metrics_port)
-        try:
-            await self._probe.start(self._settings.readiness, metrics)
-            await self._line_server.start(self._settings.callers)
-        except OSError as error:
-            return expression.Error(errors.ListenFailed("front", str(error)))
+        listening = await self._listen()
+        if listening.is_error():
+            return listening
         self._start_tasks()
         self._journal.record(events.ProcessStarted(_VERSION))
         await self._finished.wait()
@@ -262,6 +256,25 @@
                     platform_events.SettingsReloaded(failure.message)
                 )
 
+    async def _listen(self) -> expression.Result[None, errors.Failure]:
+        """Opens all listeners; a failure names the setting to change."""
+        settings = self._settings
+        part = "listen.ready"
+        try:
+            await self._probe.serve_readiness(settings.readiness)
+            if self._metrics_port is not None:
+                part = "--metrics_port"
+                await self._probe.serve_metrics(
+                    settings_lib.Address(
+                        settings.callers.host, self._metrics_port
+                    )
+                )
+            part = "listen.front"
+            await self._line_server.start(settings.callers)
+        except OSError as error:
+            return expression.Error(errors.ListenFailed(part, str(error)))
+        return expression.Ok(None)
+
     def _start_tasks(self) -> None:
         sinks = (
             (
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -348,26 +348,36 @@
             await asyncio.sleep(0.001)
 
     def _replicate_to(self, database: LineDatabase) -> None:
-        if not database.running or database.faults.replication_blocked:
+        newer = self._newer_leader(database)
+        if newer is None or not database.log.leads:
             database.overlap_started = None
+        if newer is None:
+            return
+        if database.log.leads and not self._must_step_down(database):
             return
+        if database.log.received != newer.received or database.log.paused_for:
+            database.log.receive(newer)
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.lag.total_seconds(), database.log.apply)
+
+    def _newer_leader(self, database: LineDatabase) -> line_log.LineLog | None:
+        """Returns the log of the primary that a database receives from.
+
+        Returns:
+          The log; None if the database reaches no primary, or is itself the
+          newest one.
+        """
+        if not database.running or database.faults.replication_blocked:
+            return None
         leaders = [
             d.log
             for d in self.databases.values()
             if d.running and d.log.leads and d is not database
         ]
         newest = max(leaders, key=lambda log: log.term, default=None)
-        if newest is None:
-            return
-        if database.log.leads and database.log.term >= newest.term:
-            return
-        if database.log.leads and not self._must_step_down(database):
-            return
-        database.overlap_started = None
-        if database.log.received != newest.received or database.log.paused_for:
-            database.log.receive(newest)
-            loop = asyncio.get_running_loop()
-            loop.call_later(self.lag.total_seconds(), database.log.apply)
+        if newest is None or not database.log.leads:
+            return newest
+        return newest if newest.term > database.log.term else None
 
     def _must_step_down(self, database: LineDatabase) -> bool:
         """Returns whether a former primary has to stop leading.
--- a/hickorygate/tests/test_platform_process.py
+++ b/hickorygate/tests/test_platform_process.py
@@ -120,6 +120,31 @@
             )
         )
 
+    async def start_beside(self, taken: str) -> str:
+        """Starts another process while one of its ports is in use.
+
+        Returns:
+          The message of the failure.
+        """
+        former = self.ports
+        self.ports = {name: _free_port() for name in former}
+        self.ports[taken] = former[taken]
+        self.path.write_text(self.settings_text(grace=2))
+        reader, writer = os.pipe()
+        self.addCleanup(os.close, reader)
+        self.addCleanup(os.close, writer)
+        second = process.Process(
+            settings_lib.load(self.path).ok,
+            self.path,
+            self.ports["metrics"],
+            clock.SystemClock(),
+            event_log.NonBlockingHandler(writer),
+        )
+        self.addAsyncCleanup(second.close)
+        self.ports = former
+        async with asyncio.timeout(_LIMIT):
+            return (await second.run()).error.message
+
     async def get(self, what: str, path: str) -> tuple[int, str]:
         url = f"http://127.0.0.1:{self.ports[what]}{path}"
         async with aiohttp.ClientSession() as http, http.get(url) as answer:
@@ -223,3 +248,12 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+    async def test_a_port_in_use_is_named(self) -> None:
+        for taken, name in (
+            ("ready", "listen.ready"),
+            ("metrics", "--metrics_port"),
+            ("front", "listen.front"),
+        ):
+            with self.subTest(taken):
+                self.assertIn(f"{name}:", await self.start_beside(taken))
--- a/hickorygate/upstreams/status_prober.py
+++ b/hickorygate/upstreams/status_prober.py
@@ -66,6 +66,7 @@
         "_control_links",
         "_last_primary",
         "_listener",
+        "_lost",
         "_probe_requested",
         "_settings",
         "_timeline",
@@ -102,6 +103,7 @@
         self._waiter_count = 0
         self._listener: ProbeListener = _NullListener()
         self._last_primary: position.DatabaseStatus | None = None
+        self._lost: set[types.DatabaseName] = set()
         self._background = background.BackgroundTasks()
 
     def __repr__(self) -> str:
@@ -185,6 +187,9 @@
                 status, requested_at, self._clock.now()
             )
         )
+        if status.database in self._lost:
+            self._lost.remove(status.database)
+            self._timeline.record(events.DatabaseReturned(status.database))
         after = self._view.primary
         self._notify_view_changed()
         if after is not None:
@@ -208,6 +213,7 @@
         known = {s.status.database for s in self._view.observations}
         if name in known:
             self._view.forget(name)
+            self._lost.add(name)
             self._timeline.record(events.DatabaseLost(name, failure.message))
         self._listener.probe_failed(name)
         self._notify_view_changed()
