--- a/hickorygate/tests/test_platform_process.py
+++ b/hickorygate/tests/test_platform_process.py
@@ -245,10 +245,6 @@
             while not other_store.calls:
                 await asyncio.sleep(0.05)
 
-
-if __name__ == "__main__":
-    unittest.main()
-
     async def test_a_port_in_use_is_named(self) -> None:
         for taken, name in (
             ("ready", "listen.ready"),
@@ -257,3 +253,7 @@
         ):
             with self.subTest(taken):
                 self.assertIn(f"{name}:", await self.start_beside(taken))
+
+
+if __name__ == "__main__":
+    unittest.main()
