Await the answer to a commit from a database that is only silent

Cause: a primary that answered nothing for a second counted as lost, and every connection to it was closed. A write or commit that it was running was given up as in doubt, although its caller had seconds left and the primary went on a moment later. Reads at a replica that fell silent were the opposite: they hung to their deadline, since only the primary's connections were closed.

Change: when a database stops answering, what can be repeated, or has certainly not been committed, is interrupted at once, at replicas as well; a request that may commit goes on until its deadline, or until another primary has replaced the silent one. A database whose entry disappears finishes what it runs.

--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -215,7 +215,12 @@
         confirming = self._start_confirmation(place) if reads else None
         try:
             result = await statement_io.run_admitted(
-                self._env, self._group, pooled_connection, request, self._terms
+                self._env,
+                self._group,
+                pooled_connection,
+                request,
+                self._terms,
+                commits=not reads,
             )
             is_idle = result.is_ok() and result.ok.state is _IDLE
         except BaseException:
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -179,11 +179,11 @@
     pooled_connection: connection_pool.PooledConnection,
     request: database_request.Request,
     terms_: request_context.RequestContext,
+    commits: bool,
 ) -> database_request.ReplyResult:
     """Runs a statement on a borrowed connection once it is admitted.
 
-    If no answer arrives before the deadline, the connection is closed. The
-    caller of this function returns the connection to its pool.
+    The arguments and the result are those of `run_admitted`.
     """
     permits = pooled_connection.pool.permits
     entered = await permits.acquire(terms_)
@@ -193,7 +193,7 @@
     service: datetime.timedelta | None = None
     try:
         result = await run_admitted(
-            env, group, pooled_connection, request, terms_
+            env, group, pooled_connection, request, terms_, commits
         )
         if result.is_ok():
             service = env.clock.now() - started
@@ -208,16 +208,25 @@
     pooled_connection: connection_pool.PooledConnection,
     request: database_request.Request,
     terms_: request_context.RequestContext,
+    commits: bool,
 ) -> database_request.ReplyResult:
     """Runs a statement that has a permit on a borrowed connection.
 
     If no answer arrives before the deadline, the connection is closed. The
     caller of this function returns the connection to its pool.
+
+    Args:
+      env: dependencies that all sessions share.
+      group: databases of the service.
+      pooled_connection: borrowed connection.
+      request: the statement.
+      terms_: rank and deadline of the request.
+      commits: whether the statement may commit a write.
     """
     try:
         time_left_s = terms_.time_left(env.clock.now()).total_seconds()
         async with asyncio.timeout(time_left_s):
-            result = await pooled_connection.run(request)
+            result = await pooled_connection.run(request, commits)
     except TimeoutError:
         pooled_connection.connection.close()
         name = pooled_connection.pool.member.id
--- a/hickorygate/callers/transaction_statements.py
+++ b/hickorygate/callers/transaction_statements.py
@@ -95,7 +95,7 @@
         failure = await self._prepare(statement.prepared)
         if failure is not None:
             return self._abort(failure)
-        result = await self._run_statement(statement)
+        result = await self._run_statement(statement, commits=False)
         if result.is_error():
             return self._abort(result.error)
         reply = result.ok
@@ -118,7 +118,9 @@
             return self._reject_commit(failure)
         if self._transaction.has_written:
             self._group.commit_sent()
-        result = await self._run_statement(statement)
+        result = await self._run_statement(
+            statement, commits=self._transaction.has_written
+        )
         pooled_connection = self._transaction.pooled_connection
         assert pooled_connection is not None, (
             "_prepare() has opened a connection"
@@ -294,7 +296,7 @@
         return None
 
     async def _run_statement(
-        self, statement: statement_io.Statement
+        self, statement: statement_io.Statement, commits: bool
     ) -> database_request.ReplyResult:
         """Runs a statement; retries it while the database is only busy."""
         pooled_connection = self._transaction.pooled_connection
@@ -306,7 +308,12 @@
         number = 1
         while True:
             result = await statement_io.run_statement(
-                self._env, self._group, pooled_connection, request, self._terms
+                self._env,
+                self._group,
+                pooled_connection,
+                request,
+                self._terms,
+                commits,
             )
             if not _is_retryable(result):
                 return result
--- a/hickorygate/testing/model_fleet.py
+++ b/hickorygate/testing/model_fleet.py
@@ -35,6 +35,7 @@
     "strong": (0, 200, 1_000, catalogs.StrongConsistency()),
     "own": (1, 400, 1_000, catalogs.ReadYourWrites(_STALENESS)),
     "bounded": (2, 1_200, 2_000, catalogs.BoundedStaleness(_STALENESS)),
+    "patient": (1, 400, 4_000, catalogs.ReadYourWrites(_STALENESS)),
 }
 """Rank, target and time-out (in ms) and consistency of each route."""
 
--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -152,6 +152,7 @@
       refused: number of connections that were refused at the limit.
       statements: number of statements that ran.
       written: number of writes that ran, acknowledged or not.
+      running: number of statements that run or wait for a slot.
       status_requests: number of status requests that were answered.
       most_open: greatest number of connections at the same time.
     """
@@ -165,6 +166,7 @@
         self.refused = 0
         self.statements = 0
         self.written = 0
+        self.running = 0
         self.status_requests = 0
         self.most_open = 0
         self._clock = clock
@@ -173,7 +175,8 @@
         self._dead = 0
         self._dead_until: datetime.datetime | None = None
         self._cut_off: frozenset[types.ProxyName] = frozenset()
-        self._cut_ended = asyncio.Event()
+        self._silent = False
+        self._reachable_again = asyncio.Event()
         self._replicating = asyncio.Event()
         self._replicating.set()
 
@@ -210,8 +213,19 @@
     def cut_off(self, *proxies: types.ProxyName) -> None:
         """Lets some proxies get no answer, until the next call of this."""
         self._cut_off = frozenset(proxies)
-        ended, self._cut_ended = self._cut_ended, asyncio.Event()
-        ended.set()
+        self._wake_waiting()
+
+    def silence(self) -> None:
+        """Lets no proxy get an answer until `end_silence`.
+
+        The database runs on; its answers are sent when the silence ends.
+        """
+        self._silent = True
+
+    def end_silence(self) -> None:
+        """Ends the silence of the database."""
+        self._silent = False
+        self._wake_waiting()
 
     def silence_one_connection_each(self) -> None:
         """Lets nothing arrive any more on one connection of each proxy.
@@ -241,7 +255,7 @@
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         """Opens a connection; closes it at once at the connection limit."""
         await self._clock.sleep(self.group.settings.round_trip)
-        if proxy in self._cut_off:
+        if self._silent or proxy in self._cut_off:
             await self._clock.sleep(_CONNECT_TIMEOUT)
             return expression.Error(
                 errors.ConnectFailed(self.name, "TimeoutError")
@@ -268,18 +282,22 @@
     ) -> list[database_request.ReplyResult]:
         """Answers a batch of requests in order."""
         await self._clock.sleep(self.group.settings.round_trip)
-        while connection.silent or connection.proxy in self._cut_off:
-            await self._cut_ended.wait()
+        await self._wait_until_reachable(connection)
         found = []
         for request in batch:
             reply = await _answer(request, self, connection)
             found.append(expression.Ok(reply))
+        await self._wait_until_reachable(connection)
         return found
 
     async def run(self) -> None:
         """Runs one statement on a slot."""
-        async with self._slots:
-            await self._clock.sleep(self.group.settings.work)
+        self.running += 1
+        try:
+            async with self._slots:
+                await self._clock.sleep(self.group.settings.work)
+        finally:
+            self.running -= 1
         self.statements += 1
 
     async def commit(self) -> None:
@@ -289,6 +307,19 @@
         await self._replicating.wait()
         self.group.replicate()
 
+    async def _wait_until_reachable(self, connection: _ModelConnection) -> None:
+        while (
+            self._silent
+            or connection.silent
+            or connection.proxy in self._cut_off
+        ):
+            await self._reachable_again.wait()
+
+    def _wake_waiting(self) -> None:
+        """Wakes the requests that waited for the end of a cut or a silence."""
+        ended, self._reachable_again = self._reachable_again, asyncio.Event()
+        ended.set()
+
     def _dead_count(self) -> int:
         until = self._dead_until
         if until is None or self._clock.now() >= until:
@@ -310,18 +341,20 @@
         self.silent = False
         self.state = _IDLE
         self._database = database
-        self._closed = False
-        self._outstanding = 0
+        self._end = asyncio.get_running_loop().create_future()
+        self._outstanding: set[
+            asyncio.Task[list[database_request.ReplyResult]]
+        ] = set()
 
     @property
     def closed(self) -> bool:
         """Whether the connection is closed."""
-        return self._closed
+        return self._end.done()
 
     @property
     def waiting(self) -> bool:
         """Whether a request is outstanding."""
-        return self._outstanding > 0
+        return bool(self._outstanding)
 
     def __repr__(self) -> str:
         return f"_ModelConnection({self._database.name!r})"
@@ -329,16 +362,29 @@
     async def ask(
         self, *batch: database_request.Request
     ) -> list[database_request.ReplyResult]:
-        """Sends requests and returns their replies."""
-        self._outstanding += 1
-        try:
-            return await self._database.answer(self, batch)
-        finally:
-            self._outstanding -= 1
+        """Sends requests and returns their replies.
+
+        The database goes on with requests whose connection is closed.
+        """
+        if self.closed:
+            name = self._database.name
+            failure = errors.ConnectFailed(name, "closed before")
+            return [expression.Error(failure) for _ in batch]
+        answering = asyncio.create_task(self._database.answer(self, batch))
+        self._outstanding.add(answering)
+        answering.add_done_callback(self._outstanding.discard)
+        await asyncio.wait(
+            {answering, self._end}, return_when=asyncio.FIRST_COMPLETED
+        )
+        if answering.done():
+            return answering.result()
+        lost = errors.AnswerLost(self._database.name, "closed here")
+        return [expression.Error(lost) for _ in batch]
 
     def close(self) -> None:
-        """Closes the connection."""
-        self._closed = True
+        """Closes the connection; outstanding requests fail as lost."""
+        if not self._end.done():
+            self._end.set_result(None)
         self._database.forget(self)
 
 
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -64,7 +64,14 @@
 class PooledConnection:
     """A pooled connection, with the session state that is set on it."""
 
-    __slots__ = ("_connection", "_pool", "_prepared", "_returned", "_values")
+    __slots__ = (
+        "_committing",
+        "_connection",
+        "_pool",
+        "_prepared",
+        "_returned",
+        "_values",
+    )
 
     def __init__(
         self, pool: ConnectionPool, connection: database_request.Connection
@@ -74,6 +81,15 @@
         self._values: dict[str, str] = {}
         self._prepared: set[str] = set()
         self._returned: datetime.datetime | None = None
+        self._committing = False
+
+    @property
+    def committing(self) -> bool:
+        """Whether a request is outstanding that may commit a write.
+
+        Closing the connection would leave the outcome unknown.
+        """
+        return self._committing
 
     @property
     def connection(self) -> database_request.Connection:
@@ -111,10 +127,19 @@
         self._prepared.clear()
 
     async def run(
-        self, request: database_request.Request
+        self, request: database_request.Request, commits: bool = False
     ) -> database_request.ReplyResult:
-        """Sends one request and returns its reply."""
-        return (await self._connection.ask(request))[0]
+        """Sends one request and returns its reply.
+
+        Args:
+          request: request to send.
+          commits: whether the request may commit a write.
+        """
+        self._committing = commits
+        try:
+            return (await self._connection.ask(request))[0]
+        finally:
+            self._committing = False
 
     async def sync_session(
         self,
@@ -364,17 +389,30 @@
             return
         self._serve_next(pooled_connection)
 
-    def close_connections(self, reason: str) -> None:
-        """Closes all connections, including borrowed ones.
+    def interrupt(self, reason: str) -> None:
+        """Closes the connections of a database that doesn't answer.
 
-        Waiting borrowers fail; the pool can open new connections afterwards.
+        Requests that can be repeated, or that certainly have no effect yet,
+        fail and can be served elsewhere. A request that may commit goes on: the
+        database may only be slow to answer. Waiting borrowers fail; the pool
+        can open new connections afterwards.
         """
         for pooled_connection in [*self._idle, *self._borrowed]:
-            pooled_connection.connection.close()
+            if not pooled_connection.committing:
+                pooled_connection.connection.close()
         self._idle.clear()
         self._fail_waiters(self._connect_failure(reason))
         self._permits.close(self._connect_failure(reason))
 
+    def close_connections(self, reason: str) -> None:
+        """Closes all connections, whatever runs on them.
+
+        Waiting borrowers fail; the pool can open new connections afterwards.
+        """
+        self.interrupt(reason)
+        for pooled_connection in self._borrowed:
+            pooled_connection.connection.close()
+
     def retire(self, reason: str) -> None:
         """Closes the pool; borrowed connections close when returned."""
         self._closed = True
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -99,6 +99,7 @@
         ) = None
         self._last_status: datetime.datetime | None = None
         self._lost: group_state.Leader | None = None
+        self._unreachable: frozenset[members.MemberId] = frozenset()
         self._reduced_probing = False
         self._last_used = clock.now()
 
@@ -204,7 +205,7 @@
         """Replaces the set of databases of the group."""
         new = {member.id: member for member in listed}
         if self.leader is not None and self.leader.member not in new:
-            self.mark_leader_lost("it is no longer listed")
+            self._mark_leader_lost("it is no longer listed")
         for name, pool in list(self._pools.items()):
             current = new.get(name)
             if current is None or current.born != pool.member.born:
@@ -382,12 +383,11 @@
         self._rounds += 1
         self._last_finding = (finding, sent)
 
-    def mark_leader_lost(self, reason: str) -> None:
-        """Marks the primary as lost and closes its connections.
+    def _mark_leader_lost(self, reason: str) -> None:
+        """Marks the primary as lost.
 
         Args:
-          reason: description of the cause, for the event log and for the
-            failures of waiting requests.
+          reason: description of the cause, for the event log.
         """
         leader = self.leader
         if leader is None:
@@ -395,9 +395,6 @@
         self._lost = leader
         self._failover_estimate.record_loss(self._clock.now())
         self._state.lose_leader()
-        pool = self._pools.get(leader.member)
-        if pool is not None:
-            pool.close_connections(reason)
         self._journal.record(
             platform_events.LeaderLost(self.service, leader.member, reason)
         )
@@ -461,7 +458,7 @@
         finding = await self._prober.run_round(with_status)
         self.found(finding, sent)
         self._note_leader(before)
-        self._check_leader()
+        self._interrupt_lost()
         self._note_recovery(finding)
         self._promoter.start_if_needed()
         for pool in self._pools.values():
@@ -492,7 +489,7 @@
         if leader is None or leader == before:
             return
         self._stall = stalls.StallDetector()
-        self._lost = None
+        self._close_former_leader(leader)
         position = self._state.position(leader.member)
         self._journal.record(
             platform_events.LeaderChanged(
@@ -500,13 +497,26 @@
             )
         )
 
-    def _check_leader(self) -> None:
-        """Marks the primary as lost if it is unreachable."""
-        leader = self.leader
-        if leader is None:
+    def _close_former_leader(self, leader: group_state.Leader) -> None:
+        """Ends the wait for a lost primary that another one has replaced."""
+        lost, self._lost = self._lost, None
+        if lost is None or lost.member == leader.member:
             return
-        if self._prober.health(leader.member).lost(self._clock.now()):
-            self.mark_leader_lost("it doesn't answer")
+        pool = self._pools.get(lost.member)
+        if pool is not None:
+            pool.close_connections("it was replaced")
+
+    def _interrupt_lost(self) -> None:
+        """Interrupts the requests at databases that don't answer any more."""
+        now = self._clock.now()
+        former = self._unreachable
+        self._unreachable = frozenset(
+            name for name in self._pools if self._prober.health(name).lost(now)
+        )
+        if self.leader is not None and self.leader.member in self._unreachable:
+            self._mark_leader_lost("it doesn't answer")
+        for name in self._unreachable - former:
+            self._pools[name].interrupt("it doesn't answer")
 
     async def next_round(
         self, deadline: datetime.datetime, immediately: bool = False
