Ask the primary behind the read that its proof is for

Change: a query of a round goes behind a caller's single statement on the connection that is in use; databases answer in order. If the statement takes longer than 80 ms, the query gets a connection of its own. Connections of transactions and of commits aren't shared.

--- a/hickorygate/callers/caller_session_state.py
+++ b/hickorygate/callers/caller_session_state.py
@@ -9,8 +9,8 @@
 from hickorygate.core import operation
 from hickorygate.core import position as positions
 from hickorygate.core import types
-from hickorygate.upstreams import connection_pool
 from hickorygate.upstreams import group_state
+from hickorygate.upstreams import pooled_connection as pooled_connections
 
 __all__ = ["CallerRequest", "CallerSessionState", "OpenTransaction"]
 
@@ -64,7 +64,7 @@
     read_only: bool
     opened: datetime.datetime
     last_active: datetime.datetime
-    pooled_connection: connection_pool.PooledConnection | None = None
+    pooled_connection: pooled_connections.PooledConnection | None = None
     leader: group_state.Leader | None = None
     failed: bool = False
     abort_unreported: bool = False
--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -29,6 +29,7 @@
 from hickorygate.upstreams import group_monitor
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member
+from hickorygate.upstreams import pooled_connection as pooled_connections
 
 if TYPE_CHECKING:
     from hickorygate.callers import caller_session
@@ -206,7 +207,7 @@
     async def _run_at(
         self,
         place: StatementTarget,
-        pooled_connection: connection_pool.PooledConnection,
+        pooled_connection: pooled_connections.PooledConnection,
         reads: bool,
     ) -> _Exchange:
         request = self._statement.request(self._call.id, place.floor)
@@ -305,7 +306,7 @@
 
 def _forget_lost_names(
     result: database_request.ReplyResult,
-    pooled_connection: connection_pool.PooledConnection,
+    pooled_connection: pooled_connections.PooledConnection,
 ) -> None:
     """Discards a connection's prepared statements if the database lost one.
 
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -20,9 +20,11 @@
 from hickorygate.core import operation as operations
 from hickorygate.core import position
 from hickorygate.core import request_context
+from hickorygate.upstreams import borrow_queue
 from hickorygate.upstreams import connection_pool
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import group_monitor
+from hickorygate.upstreams import pooled_connection as pooled_connections
 
 __all__ = [
     "Statement",
@@ -63,7 +65,7 @@
         """
         if self.prepared is None:
             return database_request.RunStatement(name, self.body, floor)
-        prepared_name = connection_pool.prepared_name(self.prepared)
+        prepared_name = pooled_connections.prepared_name(self.prepared)
         return database_request.Execute(name, prepared_name, self.body, floor)
 
 
@@ -116,8 +118,8 @@
     terms_: request_context.RequestContext,
     state: caller_session_state.CallerSessionState,
     prepared: operations.PreparedStatement | None,
-    use: connection_pool.BorrowPurpose = connection_pool.BorrowPurpose.SHORT,
-) -> connection_pool.BorrowResult:
+    use: borrow_queue.BorrowPurpose = borrow_queue.BorrowPurpose.SHORT,
+) -> pooled_connections.BorrowResult:
     """Borrows a connection and gives it the caller's session state.
 
     Args:
@@ -145,7 +147,7 @@
 
 async def sync_session(
     env: session_context.SessionContext,
-    pooled_connection: connection_pool.PooledConnection,
+    pooled_connection: pooled_connections.PooledConnection,
     terms_: request_context.RequestContext,
     state: caller_session_state.CallerSessionState,
     prepared: operations.PreparedStatement | None,
@@ -176,7 +178,7 @@
 async def run_statement(
     env: session_context.SessionContext,
     group: group_monitor.GroupMonitor,
-    pooled_connection: connection_pool.PooledConnection,
+    pooled_connection: pooled_connections.PooledConnection,
     request: database_request.Request,
     terms_: request_context.RequestContext,
     commits: bool,
@@ -205,7 +207,7 @@
 async def run_admitted(
     env: session_context.SessionContext,
     group: group_monitor.GroupMonitor,
-    pooled_connection: connection_pool.PooledConnection,
+    pooled_connection: pooled_connections.PooledConnection,
     request: database_request.Request,
     terms_: request_context.RequestContext,
     commits: bool,
--- a/hickorygate/callers/transaction_statements.py
+++ b/hickorygate/callers/transaction_statements.py
@@ -22,10 +22,11 @@
 from hickorygate.core import operation as operations
 from hickorygate.core import reply as replies
 from hickorygate.core import request_context
-from hickorygate.upstreams import connection_pool
+from hickorygate.upstreams import borrow_queue
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import group_monitor
 from hickorygate.upstreams import member
+from hickorygate.upstreams import pooled_connection as pooled_connections
 
 if TYPE_CHECKING:
     from hickorygate.callers import caller_session
@@ -55,7 +56,7 @@
 
 
 async def _roll_back(
-    pooled_connection: connection_pool.PooledConnection,
+    pooled_connection: pooled_connections.PooledConnection,
 ) -> None:
     """Rolls back and returns the connection; closes it if that fails."""
     rolled_back = False
@@ -225,7 +226,7 @@
             self._terms,
             self._session.state,
             prepared,
-            connection_pool.BorrowPurpose.LONG,
+            borrow_queue.BorrowPurpose.LONG,
         )
         if borrowed.is_error():
             return borrowed.error
@@ -270,7 +271,7 @@
 
     async def _send_begin(
         self,
-        pooled_connection: connection_pool.PooledConnection,
+        pooled_connection: pooled_connections.PooledConnection,
         place: single_statements.StatementTarget,
     ) -> errors.Failure | None:
         request = database_request.Begin(
@@ -395,7 +396,7 @@
     def _reply_lost_commit(
         self,
         result: database_request.ReplyResult,
-        pooled_connection: connection_pool.PooledConnection,
+        pooled_connection: pooled_connections.PooledConnection,
     ) -> replies.Reply:
         """Answers a commit that got no reply from the database.
 
--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -149,6 +149,7 @@
       name: name of the database.
       group: group of the database.
       opened: number of connections that were opened.
+      begun: number of transactions that were begun, those of probes included.
       refused: number of connections that were refused at the limit.
       statements: number of statements that ran.
       written: number of writes that ran, acknowledged or not.
@@ -163,6 +164,7 @@
         self.name = name
         self.group = group
         self.opened = 0
+        self.begun = 0
         self.refused = 0
         self.statements = 0
         self.written = 0
@@ -342,6 +344,7 @@
         self.state = _IDLE
         self._database = database
         self._end = asyncio.get_running_loop().create_future()
+        self._turn = asyncio.Lock()
         self._outstanding: set[
             asyncio.Task[list[database_request.ReplyResult]]
         ] = set()
@@ -362,7 +365,7 @@
     async def ask(
         self, *batch: database_request.Request
     ) -> list[database_request.ReplyResult]:
-        """Sends requests and returns their replies.
+        """Sends requests and returns their replies, in the order of sending.
 
         The database goes on with requests whose connection is closed.
         """
@@ -370,7 +373,7 @@
             name = self._database.name
             failure = errors.ConnectFailed(name, "closed before")
             return [expression.Error(failure) for _ in batch]
-        answering = asyncio.create_task(self._database.answer(self, batch))
+        answering = asyncio.create_task(self._answer(batch))
         self._outstanding.add(answering)
         answering.add_done_callback(self._outstanding.discard)
         await asyncio.wait(
@@ -381,6 +384,12 @@
         lost = errors.AnswerLost(self._database.name, "closed here")
         return [expression.Error(lost) for _ in batch]
 
+    async def _answer(
+        self, batch: tuple[database_request.Request, ...]
+    ) -> list[database_request.ReplyResult]:
+        async with self._turn:
+            return await self._database.answer(self, batch)
+
     def close(self) -> None:
         """Closes the connection; outstanding requests fail as lost."""
         if not self._end.done():
@@ -419,6 +428,7 @@
     database: ModelDatabase,
     connection: _ModelConnection,
 ) -> replies.Reply:
+    database.begun += 1
     if not request.read_only and not database.leads:
         return _refused(database, connection)
     connection.state = _IN_TRANSACTION
--- a/hickorygate/tests/test_connection_pool.py
+++ b/hickorygate/tests/test_connection_pool.py
@@ -13,6 +13,7 @@
 from hickorygate.core import rank as ranks
 from hickorygate.core import reply
 from hickorygate.core import request_context
+from hickorygate.upstreams import borrow_queue
 from hickorygate.upstreams import connection_pool
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import group_prober
@@ -123,7 +124,7 @@
         pool = self.build(1)
         (await pool.borrow(self.make_request(), {})).ok.give_back()
         refused = await pool.borrow(
-            self.make_request(), {}, connection_pool.BorrowPurpose.LONG
+            self.make_request(), {}, borrow_queue.BorrowPurpose.LONG
         )
         self.assertTrue(refused.is_error())
         self.assertTrue((await pool.borrow(self.make_request(), {})).is_ok())
@@ -131,7 +132,7 @@
     async def test_a_transaction_gets_the_only_allowed_connection(self) -> None:
         pool = self.build(1, allowed=1)
         taken = await pool.borrow(
-            self.make_request(), {}, connection_pool.BorrowPurpose.LONG
+            self.make_request(), {}, borrow_queue.BorrowPurpose.LONG
         )
         self.assertTrue(taken.is_ok())
 
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -9,37 +9,25 @@
 from __future__ import annotations
 
 import asyncio
-import bisect
 from collections.abc import Mapping
-import dataclasses
 import datetime
-import enum
 
 import expression
-import xxhash
 
 from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
-from hickorygate.core import operation
 from hickorygate.core import reply
 from hickorygate.core import request_context
+from hickorygate.upstreams import borrow_queue
 from hickorygate.upstreams import connection_share
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import failure_rate as grades
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import permits as permit_lib
+from hickorygate.upstreams import pooled_connection as pooled_connections
 
-__all__ = [
-    "ConnectionPool",
-    "PooledConnection",
-    "BorrowResult",
-    "BorrowPurpose",
-    "prepared_name",
-]
-
-_MAX_PREPARED = 256
-"""Number of prepared statements on one connection at which it is reset."""
+__all__ = ["ConnectionPool"]
 
 _RECONNECT_DELAY = datetime.timedelta(milliseconds=100)
 """Minimum delay before the next connection attempt after a failed one."""
@@ -48,170 +36,6 @@
 """Longest such delay; it doubles while the database refuses sessions."""
 
 
-class BorrowPurpose(enum.Enum):
-    """The purpose for which a connection is borrowed."""
-
-    SHORT = "a single statement"
-    LONG = "a transaction, whose caller may be idle in between"
-
-
-def prepared_name(prepared: operation.PreparedStatement) -> str:
-    """Returns the name under which connections prepare a statement."""
-    text = f"{prepared.writes} {prepared.text}"
-    return "h" + xxhash.xxh3_64_hexdigest(text.encode(errors="surrogateescape"))
-
-
-class PooledConnection:
-    """A pooled connection, with the session state that is set on it."""
-
-    __slots__ = (
-        "_committing",
-        "_connection",
-        "_pool",
-        "_prepared",
-        "_returned",
-        "_values",
-    )
-
-    def __init__(
-        self, pool: ConnectionPool, connection: database_request.Connection
-    ) -> None:
-        self._pool = pool
-        self._connection = connection
-        self._values: dict[str, str] = {}
-        self._prepared: set[str] = set()
-        self._returned: datetime.datetime | None = None
-        self._committing = False
-
-    @property
-    def committing(self) -> bool:
-        """Whether a request is outstanding that may commit a write.
-
-        Closing the connection would leave the outcome unknown.
-        """
-        return self._committing
-
-    @property
-    def connection(self) -> database_request.Connection:
-        """The connection to the database."""
-        return self._connection
-
-    @property
-    def pool(self) -> ConnectionPool:
-        """The pool that the connection belongs to."""
-        return self._pool
-
-    @property
-    def values(self) -> Mapping[str, str]:
-        """The session variables that are set on the connection."""
-        return self._values
-
-    @property
-    def returned(self) -> datetime.datetime:
-        """The time at which the connection was last returned to the pool.
-
-        Must not be read before the first return.
-        """
-        assert self._returned is not None, "the connection was never returned"
-        return self._returned
-
-    def mark_idle(self, now: datetime.datetime) -> None:
-        """Records that the connection is idle from `now` on."""
-        self._returned = now
-
-    def __repr__(self) -> str:
-        return f"PooledConnection({self._connection!r})"
-
-    def forget_names(self) -> None:
-        """Clears the prepared names; the database does not have them."""
-        self._prepared.clear()
-
-    async def run(
-        self, request: database_request.Request, commits: bool = False
-    ) -> database_request.ReplyResult:
-        """Sends one request and returns its reply.
-
-        Args:
-          request: request to send.
-          commits: whether the request may commit a write.
-        """
-        self._committing = commits
-        try:
-            return (await self._connection.ask(request))[0]
-        finally:
-            self._committing = False
-
-    async def sync_session(
-        self,
-        values: Mapping[str, str],
-        prepared: operation.PreparedStatement | None,
-    ) -> errors.Failure | None:
-        """Sets the connection's session state to that of a caller.
-
-        Args:
-          values: session variables of the caller.
-          prepared: statement to prepare; None if there is none.
-
-        Returns:
-          The failure, after which the connection must be closed; None if the
-          session matches.
-        """
-        batch: list[database_request.Request] = []
-        held, names = self._values, self._prepared
-        if held.keys() - values.keys() or len(names) >= _MAX_PREPARED:
-            batch.append(database_request.Reset())
-            held, names = {}, set()
-        batch += [
-            database_request.SetValue(name, value)
-            for name, value in values.items()
-            if held.get(name) != value
-        ]
-        name = prepared_name(prepared) if prepared is not None else None
-        if prepared is not None and name is not None and name not in names:
-            batch.append(database_request.Prepare(name, prepared))
-            names = names | {name}
-        if not batch:
-            return None
-        for result in await self._connection.ask(*batch):
-            failure = database_request.failure_of(result)
-            if failure is not None:
-                return failure
-        self._values, self._prepared = dict(values), set(names)
-        return None
-
-    def give_back(self, broken: bool = False) -> None:
-        """Returns the connection to the pool.
-
-        Args:
-          broken: whether to close the connection because it is unusable.
-        """
-        if broken:
-            self._connection.close()
-        self._pool.accept_return(self)
-
-
-BorrowResult = expression.Result[PooledConnection, errors.Failure]
-
-
-@dataclasses.dataclass(order=True, slots=True)
-class _Waiter:
-    """A waiting borrower; ordered by rank, deadline and arrival.
-
-    Attributes:
-      rank: order of the request's rank; lower values are served first.
-      deadline: time until which the borrower waits.
-      number: sequence number of the wait.
-      use: purpose of the connection.
-      future: receives the connection or the failure.
-    """
-
-    rank: int
-    deadline: datetime.datetime
-    number: int
-    use: BorrowPurpose = dataclasses.field(compare=False)
-    future: asyncio.Future[BorrowResult] = dataclasses.field(compare=False)
-
-
 class ConnectionPool:
     """A pool of the connections to one database."""
 
@@ -228,13 +52,12 @@
         )
         self._connector = connector
         self._clock = clock
-        self._idle: list[PooledConnection] = []
-        self._borrowed: set[PooledConnection] = set()
-        self._long_term: set[PooledConnection] = set()
+        self._idle: list[pooled_connections.PooledConnection] = []
+        self._borrowed: set[pooled_connections.PooledConnection] = set()
+        self._long_term: set[pooled_connections.PooledConnection] = set()
         self._opening = 0
         self._opened = 0
-        self._waiters: list[_Waiter] = []
-        self._last_number = 0
+        self._waiting = borrow_queue.BorrowQueue(clock)
         self._retry_after: datetime.datetime | None = None
         self._reconnect_delay = _RECONNECT_DELAY
         self._last_failure: errors.Failure | None = None
@@ -303,7 +126,7 @@
     @property
     def load(self) -> int:
         """The number of requests that run on or wait for the database."""
-        return self._permits.load + len(self._waiters)
+        return self._permits.load + len(self._waiting)
 
     def __repr__(self) -> str:
         return f"ConnectionPool({self._member.id!r}, open={self.open_count})"
@@ -348,8 +171,8 @@
         self,
         request: request_context.RequestContext,
         values: Mapping[str, str],
-        use: BorrowPurpose = BorrowPurpose.SHORT,
-    ) -> BorrowResult:
+        use: borrow_queue.BorrowPurpose = borrow_queue.BorrowPurpose.SHORT,
+    ) -> pooled_connections.BorrowResult:
         """Borrows a connection; waits for one until the deadline.
 
         Args:
@@ -373,7 +196,27 @@
             return expression.Error(self._last_connect_failure())
         return await self._wait(request, use)
 
-    def accept_return(self, pooled_connection: PooledConnection) -> None:
+    def busy_connection(self) -> database_request.Connection | None:
+        """Returns a connection in use that also takes a status query.
+
+        Databases answer in order, so the query is answered once the statement
+        that runs on the connection has ended. Connections of transactions, and
+        those on which a commit waits for replicas, aren't considered.
+
+        Returns:
+          The connection; None if another one is idle or none is suitable.
+        """
+        if self._idle:
+            return None
+        for pooled_connection in self._borrowed - self._long_term:
+            connection = pooled_connection.connection
+            if not (pooled_connection.committing or connection.closed):
+                return connection
+        return None
+
+    def accept_return(
+        self, pooled_connection: pooled_connections.PooledConnection
+    ) -> None:
         """Accepts a returned connection and serves the next waiting borrower.
 
         A closed connection is dropped; a new one is opened instead if a
@@ -401,7 +244,7 @@
             if not pooled_connection.committing:
                 pooled_connection.connection.close()
         self._idle.clear()
-        self._fail_waiters(self._connect_failure(reason))
+        self._waiting.fail_all(self._connect_failure(reason))
         self._permits.close(self._connect_failure(reason))
 
     def close_connections(self, reason: str) -> None:
@@ -419,9 +262,9 @@
         for pooled_connection in self._idle:
             pooled_connection.connection.close()
         self._idle.clear()
-        self._fail_waiters(self._connect_failure(reason))
+        self._waiting.fail_all(self._connect_failure(reason))
 
-    def _may_borrow(self, use: BorrowPurpose) -> bool:
+    def _may_borrow(self, use: borrow_queue.BorrowPurpose) -> bool:
         """Returns whether a connection may be borrowed for a purpose.
 
         One connection is kept from transactions, unless the database is known
@@ -429,15 +272,15 @@
         status queries, without which this proxy could not determine the
         primary.
         """
-        if use is BorrowPurpose.SHORT or self._share.only_one:
+        if use is borrow_queue.BorrowPurpose.SHORT or self._share.only_one:
             return True
         if self._share.has_room(self._clock.now()) and self._may_open():
             return True
         return len(self._idle) + len(self._borrowed) - len(self._long_term) > 1
 
     def _hand_out_idle(
-        self, values: Mapping[str, str], use: BorrowPurpose
-    ) -> PooledConnection:
+        self, values: Mapping[str, str], use: borrow_queue.BorrowPurpose
+    ) -> pooled_connections.PooledConnection:
         for index in range(len(self._idle) - 1, -1, -1):
             if self._idle[index].values == values:
                 pooled_connection = self._idle.pop(index)
@@ -448,10 +291,12 @@
         return pooled_connection
 
     def _mark_borrowed(
-        self, pooled_connection: PooledConnection, use: BorrowPurpose
+        self,
+        pooled_connection: pooled_connections.PooledConnection,
+        use: borrow_queue.BorrowPurpose,
     ) -> None:
         self._borrowed.add(pooled_connection)
-        if use is BorrowPurpose.LONG:
+        if use is borrow_queue.BorrowPurpose.LONG:
             self._long_term.add(pooled_connection)
 
     def _may_open(self) -> bool:
@@ -460,7 +305,9 @@
             return False
         return self.open_count < self._share.limit(now)
 
-    async def _open(self, use: BorrowPurpose) -> BorrowResult:
+    async def _open(
+        self, use: borrow_queue.BorrowPurpose
+    ) -> pooled_connections.BorrowResult:
         self._opening += 1
         try:
             opened = await self._connector.open(self._member)
@@ -472,7 +319,7 @@
         self._opened += 1
         self._retry_after = None
         self._reconnect_delay = _RECONNECT_DELAY
-        pooled_connection = PooledConnection(self, opened.ok)
+        pooled_connection = pooled_connections.PooledConnection(self, opened.ok)
         if self._closed:
             opened.ok.close()
             return expression.Error(self._connect_failure("it left"))
@@ -489,22 +336,15 @@
             )
             self._share.record_refusal(self.open_count, now)
         if not self.open_count:
-            self._fail_waiters(failure)
+            self._waiting.fail_all(failure)
 
     async def _wait(
-        self, request: request_context.RequestContext, use: BorrowPurpose
-    ) -> BorrowResult:
-        loop = asyncio.get_running_loop()
-        future: asyncio.Future[BorrowResult] = loop.create_future()
-        self._last_number += 1
-        waiting = _Waiter(
-            request.rank.order, request.deadline, self._last_number, use, future
-        )
-        bisect.insort(self._waiters, waiting)
-        remaining = request.time_left(self._clock.now()).total_seconds()
-        timer = loop.call_later(
-            remaining, self._expire_waiter, waiting, request
-        )
+        self,
+        request: request_context.RequestContext,
+        use: borrow_queue.BorrowPurpose,
+    ) -> pooled_connections.BorrowResult:
+        waiter = self._waiting.add(request, use)
+        future = waiter.future
         try:
             return await future
         except asyncio.CancelledError:
@@ -516,56 +356,36 @@
                 self.accept_return(future.result().ok)
             raise
         finally:
-            timer.cancel()
-            self._remove_waiter(waiting)
+            self._waiting.remove(waiter)
 
-    def _expire_waiter(
-        self, waiting: _Waiter, request: request_context.RequestContext
+    def _serve_next(
+        self, pooled_connection: pooled_connections.PooledConnection
     ) -> None:
-        if waiting.future.done():
-            return
-        waited = self._clock.now() - request.arrived
-        failure = errors.DeadlinePassed(request.rank.name, waited)
-        waiting.future.set_result(expression.Error(failure))
-
-    def _remove_waiter(self, waiting: _Waiter) -> None:
-        """Removes a borrower from the queue."""
-        if waiting in self._waiters:
-            self._waiters.remove(waiting)
-
-    def _serve_next(self, pooled_connection: PooledConnection) -> None:
         """Gives a connection to the first eligible waiting borrower.
 
         The connection becomes idle if there is none.
         """
         self._idle.append(pooled_connection)
         pooled_connection.mark_idle(self._clock.now())
-        for waiting in self._waiters:
-            if not waiting.future.done() and self._may_borrow(waiting.use):
-                self._idle.pop()
-                self._remove_waiter(waiting)
-                self._mark_borrowed(pooled_connection, waiting.use)
-                waiting.future.set_result(expression.Ok(pooled_connection))
-                return
-        self._open_if_needed()
+        waiter = self._waiting.pop_first(self._may_borrow)
+        if waiter is None:
+            self._open_if_needed()
+            return
+        self._idle.pop()
+        self._mark_borrowed(pooled_connection, waiter.use)
+        waiter.future.set_result(expression.Ok(pooled_connection))
 
     def _open_if_needed(self) -> None:
         """Opens a connection if a borrower waits and the limit allows it."""
-        if self._waiters and self._may_open():
+        if self._waiting and self._may_open():
             self._background.start(self._open_for_waiter())
 
     async def _open_for_waiter(self) -> None:
-        opened = await self._open(BorrowPurpose.SHORT)
+        opened = await self._open(borrow_queue.BorrowPurpose.SHORT)
         if opened.is_ok():
             self._borrowed.discard(opened.ok)
             self._serve_next(opened.ok)
 
-    def _fail_waiters(self, failure: errors.Failure) -> None:
-        waiting, self._waiters = self._waiters, []
-        for waiter in waiting:
-            if not waiter.future.done():
-                waiter.future.set_result(expression.Error(failure))
-
     def _drop_closed(self) -> None:
         self._idle = [x for x in self._idle if not x.connection.closed]
 
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -41,6 +41,10 @@
 """Maximum time a round waits for a database that did not answer the last
 probe."""
 
+_SHARING_TIMEOUT = datetime.timedelta(milliseconds=80)
+"""Maximum time a query waits behind a caller's statement before it is sent on
+a connection of its own."""
+
 _STATUS_PAUSE = datetime.timedelta(milliseconds=250)
 """Time after which statuses are requested again if the same databases answered
 as before."""
@@ -138,10 +142,45 @@
         if pool is None:
             return None
         now = self._clock.now()
+        self.health(name).record_probe(now)
+        shared = await self._ask_behind_statement(pool, batch)
+        if shared is not None:
+            self.health(name).record_answer()
+            return shared
+        return await self._ask_alone(pool, batch)
+
+    async def _ask_behind_statement(
+        self,
+        pool: connection_pool.ConnectionPool,
+        batch: tuple[database_request.Request, ...],
+    ) -> list[database_request.ReplyResult] | None:
+        """Sends requests on a connection that a caller's statement uses.
+
+        Returns:
+          The replies; None if there is no such connection or its statement
+          takes too long.
+        """
+        connection = pool.busy_connection()
+        if connection is None:
+            return None
+        try:
+            async with asyncio.timeout(_SHARING_TIMEOUT.total_seconds()):
+                results = await connection.ask(*batch)
+        except TimeoutError:
+            return None
+        return results if _is_clean(results) else None
+
+    async def _ask_alone(
+        self,
+        pool: connection_pool.ConnectionPool,
+        batch: tuple[database_request.Request, ...],
+    ) -> list[database_request.ReplyResult] | None:
+        """Sends requests on a connection of their own."""
+        name = pool.member.id
+        now = self._clock.now()
         request = request_context.RequestContext(
             CONTROL_RANK, now, now + _PROBE_TIMEOUT
         )
-        self.health(name).record_probe(now)
         borrowed = await pool.borrow(request, {})
         if borrowed.is_error():
             self._record_unreachable(name, borrowed.error)
