Let no two processes of one name hold the promotion lease together

Cause: a process took over, at once, a lease whose holder had its own name, as if that process were certainly dead. A replacement that starts under the name of an instance which still runs could order promotions beside it.

Change: it waits for the release or the expiry, like any other.

--- a/hickorygate/upstreams/lease_record.py
+++ b/hickorygate/upstreams/lease_record.py
@@ -181,8 +181,9 @@
         if record.incarnation == self._incarnation:
             renewed = self._own_record(record.number, record.renewals + 1)
             return Write(renewed, self._stored.revision)
-        former_process = record.holder == self._name
-        if record.released or former_process or self._expired(now):
+        # The name is no proof: a replacement may start while the process that
+        # it replaces still runs.
+        if record.released or self._expired(now):
             return Write(
                 self._own_record(record.number + 1), self._stored.revision
             )
