Ignore changes that are older than what a watch already knows

Cause: the databases' watch accepts an outdated view. An event of such a view was applied whatever its revision, so an entry that had been removed before the list, or a former state of an entry, could come back into use after a restart or a new list.

Change: only changes above the known revision are applied, and removals. test_list_watch: two of its three tests failed before.

--- a/hickorygate/store/list_watch.py
+++ b/hickorygate/store/list_watch.py
@@ -225,13 +225,27 @@
         batch = await self._source.watch(self._settings, self._revision)
         if batch.is_error():
             return expression.Error(batch.error)
-        self._revision = max(self._revision, batch.ok.revision)
-        for change in batch.ok.changes:
-            self._sink.change(change)
+        self._apply(batch.ok, self._revision)
         if not batch.ok.changes:
             return expression.Ok(datetime.timedelta())
         return expression.Ok(self._next_batch_delay(began))
 
+    def _apply(self, batch: ChangeBatch, known: int) -> None:
+        """Applies the changes that are newer than what is known.
+
+        An outdated view may report states from before the list, for example an
+        object that was removed since. A removal keeps the revision of the
+        object's last change, so it is always applied.
+
+        Args:
+          batch: changes that the store returned.
+          known: revision up to which all changes were applied before.
+        """
+        for change in batch.changes:
+            if change.deleted or change.stored.revision > known:
+                self._sink.change(change)
+        self._revision = max(known, batch.revision)
+
     def _next_batch_delay(self, began: datetime.datetime) -> datetime.timedelta:
         """Returns the delay after a watch that returned changes.
 
--- /dev/null
+++ b/hickorygate/tests/test_list_watch.py
@@ -0,0 +1,115 @@
+"""Tests a watch whose answers may come from an outdated view of the store."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import datetime
+import random
+
+import expression
+
+from hickorygate.core import errors
+from hickorygate.store import list_watch
+from hickorygate.testing import virtual_time
+
+_WATCH = list_watch.WatchSettings(
+    "servers", datetime.timedelta(seconds=4), may_be_outdated=True
+)
+
+
+def _stored(name: str, revision: int) -> list_watch.StoredObject:
+    return list_watch.StoredObject(name, revision, f"{name}-{revision}")
+
+
+class _Source:
+    """A store that answers watches with prepared batches of changes."""
+
+    def __init__(
+        self,
+        listed: Sequence[list_watch.StoredObject],
+        *batches: Sequence[list_watch.Change],
+    ) -> None:
+        self._listed = listed
+        self._batches = list(batches)
+
+    async def list(
+        self, kind: str
+    ) -> expression.Result[list_watch.Snapshot, errors.Failure]:
+        return expression.Ok(list_watch.Snapshot(self._listed, 10))
+
+    async def watch(
+        self, settings: list_watch.WatchSettings, revision: int
+    ) -> expression.Result[list_watch.ChangeBatch, errors.Failure]:
+        if not self._batches:
+            await asyncio.sleep(settings.wait.total_seconds())
+            return expression.Ok(list_watch.ChangeBatch([], revision))
+        changes = self._batches.pop(0)
+        newest = max(change.stored.revision for change in changes)
+        return expression.Ok(
+            list_watch.ChangeBatch(changes, max(newest, revision))
+        )
+
+
+class _Sink:
+    """Keeps the values of the present objects."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, object] = {}
+
+    def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
+        self.values = {stored.name: stored.value for stored in objects}
+
+    def change(self, change: list_watch.Change) -> None:
+        if change.deleted:
+            self.values.pop(change.stored.name, None)
+        else:
+            self.values[change.stored.name] = change.stored.value
+
+    def lost(self, failure: errors.Failure) -> None:
+        raise AssertionError(failure.message)
+
+    def regained(self) -> None:
+        raise AssertionError("no outage was reported")
+
+
+class OutdatedViewTest(virtual_time.VirtualTimeTestCase):
+    """The list is at revision 10; events may be older or newer."""
+
+    async def follow(self, source: _Source) -> dict[str, object]:
+        """Returns the objects that a feed has after two seconds."""
+        sink = _Sink()
+        feed = list_watch.ListWatch(
+            _WATCH,
+            source,
+            sink,
+            virtual_time.LoopClock(asyncio.get_running_loop()),
+            random.Random(1),
+        )
+        running = asyncio.create_task(feed.run())
+        await asyncio.sleep(2)
+        running.cancel()
+        return sink.values
+
+    async def test_an_entry_that_was_removed_does_not_return(self) -> None:
+        # The database left before the list was made; the view still has it.
+        source = _Source(
+            [_stored("a", 3)], [list_watch.Change(_stored("gone", 7), False)]
+        )
+        self.assertEqual(await self.follow(source), {"a": "a-3"})
+
+    async def test_an_entry_does_not_go_back_to_a_former_state(self) -> None:
+        newer = list_watch.Change(_stored("a", 12), False)
+        older = list_watch.Change(_stored("a", 11), False)
+        source = _Source([_stored("a", 9)], [newer], [older])
+        self.assertEqual(await self.follow(source), {"a": "a-12"})
+
+    async def test_newer_changes_are_applied(self) -> None:
+        source = _Source(
+            [_stored("a", 3), _stored("b", 4)],
+            [
+                list_watch.Change(_stored("c", 11), False),
+                list_watch.Change(_stored("b", 12), True),
+            ],
+        )
+        self.assertEqual(await self.follow(source), {"a": "a-3", "c": "c-11"})
