Survive malformed messages and unexpected errors

A time without a zone, or years ahead, went through to the clock; an address with an impossible port reached connect(). - A configuration with a huge duration ended the watch of the configuration for good; one with a duration of zero was accepted. - A request id that isn't UTF-8 raised in the event log after the statement had run, so its answer was never sent. - Any unexpected error in a task that runs for the life of the process (rounds, watches, membership, expiry) ended that task in silence on the platform, and made the liveness check fail in the MySQL front end.

Change: the decoders return typed failures; such tasks are started again after a delay that doubles, with the event TaskFailed (error and place) and its counter; only a task that fails again and again fails the liveness check.

--- a/hickorygate/core/events.py
+++ b/hickorygate/core/events.py
@@ -42,6 +42,7 @@
     "Timestamp",
     "HybridLogicalClock",
     "StoreReset",
+    "TaskFailed",
     "Timeline",
     "WritesResumed",
     "event_types",
@@ -50,6 +51,12 @@
 _KEPT_EVENTS = 4_096
 """Number of events that are kept; older ones are dropped."""
 
+_MAX_COUNT = 2**31
+"""Count above which the next timestamp has a later wall-clock part, so that a
+count stays within what other processes accept."""
+
+_MICROSECOND = datetime.timedelta(microseconds=1)
+
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Timestamp:
@@ -81,8 +88,10 @@
         now = self._clock.now()
         if now > self._last.wall:
             self._last = Timestamp(now, 0)
-        else:
+        elif self._last.count < _MAX_COUNT:
             self._last = Timestamp(self._last.wall, self._last.count + 1)
+        else:
+            self._last = Timestamp(self._last.wall + _MICROSECOND, 0)
         return self._last
 
     def observe(self, stamp: Timestamp) -> None:
@@ -111,6 +120,22 @@
     """The process began to shut down and will refuse new callers."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TaskFailed(Event):
+    """An unexpected error ended a task of this process, or a callback.
+
+    Attributes:
+      problem: what it means for the task, for example that it was started
+        again.
+      error: class and message of the error.
+      place: where the error was raised, as "file:line function".
+    """
+
+    problem: str
+    error: str
+    place: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConfigApplied(Event):
     """A sheet was put in force in this process.
--- a/hickorygate/daemon.py
+++ b/hickorygate/daemon.py
@@ -175,8 +175,12 @@
         self._timeline.record(events.ProcessStarted(VERSION))
         return expression.Ok(None)
 
+    def record_error(self, event: events.TaskFailed) -> None:
+        """Records an unexpected error after which the process goes on."""
+        self._timeline.record(event)
+
     def record_crash(self) -> None:
-        """Records that a background task has failed.
+        """Records that a background task fails again and again.
 
         From then on the liveness check fails.
         """
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -86,7 +86,7 @@
             data = b"\n" + data
         try:
             written = os.write(self._descriptor, data)
-        except (BlockingIOError, BrokenPipeError):
+        except OSError:
             written = 0
         self._lost += written < len(data)
         if written:
@@ -175,6 +175,12 @@
     return value
 
 
+@_to_json.register
+def _(value: str) -> object:
+    # Ids and names of callers may contain bytes that aren't UTF-8.
+    return value.encode(errors="backslashreplace").decode()
+
+
 @_to_json.register
 def _(value: datetime.timedelta) -> object:
     return f"{value.total_seconds() * 1_000:.1f} ms"
--- a/hickorygate/operators/serve.py
+++ b/hickorygate/operators/serve.py
@@ -17,13 +17,22 @@
 from hickorygate import daemon as daemons
 from hickorygate.core import background
 from hickorygate.core import clock
+from hickorygate.core import events
 from hickorygate.core import settings as settings_lib
 from hickorygate.operators import command as commands
 from hickorygate.operators import failures
 from hickorygate.operators import log
 from hickorygate.operators import signals
+from hickorygate.operators import unexpected_errors
 
-__all__ = ["FAMILY", "Closable", "Serve", "close"]
+__all__ = [
+    "FAMILY",
+    "Closable",
+    "Monitored",
+    "Serve",
+    "close",
+    "install_exception_handler",
+]
 
 _NAME = "serve"
 _CLOSE_TIMEOUT = datetime.timedelta(seconds=5)
@@ -76,7 +85,7 @@
 async def _serve(settings: settings_lib.Settings) -> commands.Result:
     log.configure_logging(settings.name, settings.log)
     daemon = daemons.Daemon(settings, clock.SystemClock())
-    _install_exception_handler(daemon)
+    install_exception_handler(daemon)
     ended = await daemon.start()
     if ended.is_ok():
         _log_addresses(daemon)
@@ -113,10 +122,21 @@
             _log.error("still running after {}: {!r}", timeout, task)
 
 
-def _install_exception_handler(daemon: daemons.Daemon) -> None:
-    """Makes the liveness check fail after a background task has failed.
+class Monitored(Protocol):
+    """A daemon that is told of unexpected errors."""
 
-    All errors that reach the event loop's exception handler are logged.
+    def record_error(self, event: events.TaskFailed) -> None:
+        """Records an error after which the process goes on."""
+
+    def record_crash(self) -> None:
+        """Records that a task can't do its work any more."""
+
+
+def install_exception_handler(daemon: Monitored) -> None:
+    """Logs and records the errors that reach the event loop.
+
+    A task that fails is started again, or was one unit of work. Only a task
+    that fails again and again makes the liveness check fail.
     """
     loop = asyncio.get_running_loop()
 
@@ -124,7 +144,8 @@
         error = context.get("exception")
         trace = (type(error), error, error.__traceback__) if error else None
         _log.error("{}", context["message"], exc_info=trace)
-        if context["message"] == background.FAILED:
+        daemon.record_error(unexpected_errors.describe(context))
+        if context["message"] == background.FAILING:
             daemon.record_crash()
 
     loop.set_exception_handler(handle)
--- a/hickorygate/platform/object_decoding.py
+++ b/hickorygate/platform/object_decoding.py
@@ -43,7 +43,11 @@
 
 _Count = Annotated[int, pydantic.Field(strict=True, ge=0)]
 _Name = Annotated[str, pydantic.Field(strict=True, min_length=1)]
-_Milliseconds = Annotated[float, pydantic.Field(gt=0)]
+_MIN_MILLISECONDS = 0.001
+_MAX_MILLISECONDS = 30 * 86_400_000.0
+_Milliseconds = Annotated[
+    float, pydantic.Field(ge=_MIN_MILLISECONDS, le=_MAX_MILLISECONDS)
+]
 
 
 class _DatabaseEntry(pydantic.BaseModel):
@@ -125,7 +129,9 @@
     latency_goal_ms: _Milliseconds
     priority: _Count
     service: _Name
-    max_staleness_ms: Annotated[float, pydantic.Field(ge=0)] = 0
+    max_staleness_ms: Annotated[
+        float, pydantic.Field(ge=0, le=_MAX_MILLISECONDS)
+    ] = 0
 
     def route(self) -> catalogs.Route:
         rank = ranks.Rank(
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -7,6 +7,7 @@
 import datetime
 import pathlib
 import random
+from typing import Any
 import uuid
 
 import expression
@@ -21,6 +22,7 @@
 from hickorygate.core import retry
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
+from hickorygate.operators import unexpected_errors
 from hickorygate.platform import database
 from hickorygate.platform import line_server
 from hickorygate.platform import management_server
@@ -220,6 +222,8 @@
 
     async def run(self) -> expression.Result[None, errors.Failure]:
         """Serves callers until a shutdown has ended."""
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(self.report_error)
         listening = await self._listen()
         if listening.is_error():
             return listening
@@ -228,6 +232,12 @@
         await self._finished.wait()
         return expression.Ok(None)
 
+    def report_error(
+        self, loop: asyncio.AbstractEventLoop, context: dict[str, Any]
+    ) -> None:
+        """Records an unexpected error; the process goes on."""
+        self._journal.record(unexpected_errors.describe(context))
+
     async def close(self) -> None:
         """Stops the background tasks and closes all components."""
         await self._background.close()
@@ -240,9 +250,10 @@
         if self._shutdown is not None:
             return
         grace = datetime.timedelta(seconds=self._settings.grace_seconds)
-        self._shutdown = shutdowns.ShutdownSchedule(self._clock.now(), grace)
+        shutdown = shutdowns.ShutdownSchedule(self._clock.now(), grace)
+        self._shutdown = shutdown
         self._journal.record(events.ProcessDraining())
-        self._background.start(self._drain(self._shutdown))
+        self._background.keep(lambda: self._drain(shutdown))
 
     def reload(self) -> None:
         """Reloads the settings file; open listeners keep their addresses."""
@@ -290,11 +301,11 @@
             feed = list_watch.ListWatch(
                 settings, self._store, sink, self._clock, self._env.rng
             )
-            self._background.start(feed.run())
+            self._background.keep(feed.run)
         self._registry.start()
-        self._background.start(self._registration.run())
-        self._background.start(self._expire_transactions())
-        self._background.start(self._watch_settings())
+        self._background.keep(self._registration.run)
+        self._background.keep(self._expire_transactions)
+        self._background.keep(self._watch_settings)
 
     async def _watch_settings(self) -> None:
         """Reloads the settings when the file changes without a signal."""
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -22,6 +22,9 @@
 ]
 
 
+_MAX_GRACE_SECONDS = 3_600.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Address:
     """A host and a TCP port."""
@@ -82,7 +85,9 @@
     ready: AddressField = pydantic.Field(alias="listen.ready")
     store: AddressField = pydantic.Field(alias="platform.address")
     cloud: AddressField = pydantic.Field(alias="cloud_api.address")
-    grace_s: float = pydantic.Field(5.0, alias="bounds.grace_s", gt=0)
+    grace_s: float = pydantic.Field(
+        5.0, alias="bounds.grace_s", gt=0, le=_MAX_GRACE_SECONDS
+    )
 
     def settings(self) -> ProcessSettings:
         """Returns the settings in the form that the proxy uses."""
--- a/hickorygate/proxies/codec.py
+++ b/hickorygate/proxies/codec.py
@@ -93,7 +93,7 @@
         )
     try:
         parts = msgpack.unpackb(data, timestamp=_TIMESTAMP_AS_DATETIME)
-    except (ValueError, TypeError, msgpack.UnpackException):
+    except (ValueError, TypeError, OverflowError, msgpack.UnpackException):
         return _bad_packet("not a packet")
     if not isinstance(parts, list) or not parts:
         return _bad_packet("not a packet")
@@ -101,9 +101,12 @@
         return _bad_packet(
             f"version {parts[0]!r:.20}, this is {PROTOCOL_VERSION}"
         )
-    if len(parts) != _PACKET_FIELDS or parts[1] not in _MESSAGE_TYPES:
+    if len(parts) != _PACKET_FIELDS:
         return _bad_packet("unknown message")
-    return _validate(parts[1], parts[2], parts[3])
+    _, name, header, body = parts
+    if not isinstance(name, str) or name not in _MESSAGE_TYPES:
+        return _bad_packet("unknown message")
+    return _validate(name, header, body)
 
 
 def _validate(name: str, header: object, body: object) -> PacketResult:
--- a/hickorygate/proxies/member.py
+++ b/hickorygate/proxies/member.py
@@ -17,8 +17,27 @@
     types.ProxyName,
     pydantic.StringConstraints(pattern=r"^[A-Za-z0-9][A-Za-z0-9_.-]{0,62}$"),
 ]
+_MAX_PORT = 65_535
+
+
+def _check_port(address: str) -> str:
+    """Returns an address of the form `host:port` if its port is valid.
+
+    Raises:
+      ValueError: the port is out of range.
+    """
+    port = int(address.rpartition(":")[2])
+    if not 0 < port <= _MAX_PORT:
+        raise ValueError(f"port {port} is out of range")
+    return address
+
+
 Address = Annotated[
-    str, pydantic.StringConstraints(pattern=r"^[0-9A-Za-z_.:\[\]-]{3,120}$")
+    str,
+    pydantic.StringConstraints(
+        pattern=r"^([0-9A-Za-z_.-]{1,100}|\[[0-9A-Fa-f:.]{2,50}\]):[0-9]{1,5}$"
+    ),
+    pydantic.AfterValidator(_check_port),
 ]
 Incarnation = Annotated[int, pydantic.Field(ge=0, lt=2**62)]
 
--- a/hickorygate/proxies/mesh.py
+++ b/hickorygate/proxies/mesh.py
@@ -41,6 +41,10 @@
 """Value of `store_age_ms` which means that no answer of the store is known."""
 _LEAVE_FLUSH_TIME = datetime.timedelta(milliseconds=50)
 """Time for the last packets to be sent before the sockets close."""
+_MAX_CLOCK_LEAD = datetime.timedelta(days=1)
+"""Time by which the clock of another proxy may be ahead. A packet from further
+ahead is rejected, since timestamps are never issued below a received one."""
+
 _STORE_AGE_LIMIT = datetime.timedelta(seconds=45)
 """Age of the store's last answer at which the store counts as unreachable.
 
@@ -165,8 +169,8 @@
             other proxies.
         """
         self._create_membership(self._sockets.bind(), admin)
-        self._background.start(self._receive())
-        self._background.start(self._tick())
+        self._background.keep(self._receive)
+        self._background.keep(self._tick)
 
     async def close(self) -> None:
         """Stops and drops all unsent packets.
@@ -328,13 +332,18 @@
     ) -> codec.PacketResult:
         """Decodes a packet and verifies the identity of its sender.
 
-        A packet is rejected if its sender uses this proxy's name or, with
-        encryption, if the key of the connection isn't that of the sender.
+        A packet is rejected if its sender uses this proxy's name, if the
+        sender's clock is far ahead or, with encryption, if the key of the
+        connection isn't that of the sender.
         """
         result = codec.unpack(arrival.data)
         if result.is_error():
             return result
-        sender = result.ok.header.sender
+        header = result.ok.header
+        sender = header.sender
+        if header.wall - self._clock.now() > _MAX_CLOCK_LEAD:
+            reason = f"the clock of {sender.name!r} shows {header.wall}"
+            return expression.Error(errors.BadPeerMessage(reason))
         me = self._membership.me
         if sender.name == me.name:
             reason = f"{sender.address} uses this proxy's name {me.name!r}"
--- a/hickorygate/proxies/messages.py
+++ b/hickorygate/proxies/messages.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import dataclasses
-import datetime
 from typing import Annotated
 
 import pydantic
@@ -85,7 +84,7 @@
     """
 
     sender: members.Member
-    wall: datetime.datetime
+    wall: pydantic.AwareDatetime
     count: _Count
     versions: Versions
     digest: Annotated[int, pydantic.Field(ge=0, lt=2**64)]
--- a/hickorygate/proxies/sockets.py
+++ b/hickorygate/proxies/sockets.py
@@ -165,7 +165,9 @@
     def _outbox(self, address: member.Address, name: str) -> zmq.Socket | None:
         """Returns the open socket to an address, or opens one.
 
-        Returns None if encryption is on and the receiver's key is unknown.
+        Returns:
+          The socket; None if the address is unusable, or if encryption is on
+          and the receiver's key is unknown.
         """
         outbox = self._outboxes.get(address)
         if outbox is not None:
@@ -192,7 +194,11 @@
         if curve is not None:
             _set_curve_keys(outbox, curve)
             outbox.curve_serverkey = curve.public_keys[name].encode()
-        outbox.connect(f"tcp://{address}")
+        try:
+            outbox.connect(f"tcp://{address}")
+        except zmq.ZMQError:
+            outbox.close(linger=0)
+            return None
         return outbox
 
     def _enable_curve(
--- a/hickorygate/store/document_manager.py
+++ b/hickorygate/store/document_manager.py
@@ -134,8 +134,8 @@
             (watchers.instances(self._client), self._directory),
         ):
             watcher = self._watcher(watched, documents_of)
-            self._background.start(watcher.run())
-        self._background.start(self._review())
+            self._background.keep(watcher.run)
+        self._background.keep(self._review)
 
     async def close(self) -> None:
         """Stops watching and closes the client."""
--- a/hickorygate/testing/line_session.py
+++ b/hickorygate/testing/line_session.py
@@ -61,7 +61,7 @@
         """Queues the complete lines; called by the event loop."""
         *whole, self._buffer = (self._buffer + data).split(b"\r\n")
         for line in whole:
-            self._queue.put_nowait(line.decode())
+            self._queue.put_nowait(line.decode(errors="surrogateescape"))
 
     def abort(self) -> None:
         """Closes the connection without sending buffered data."""
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import datetime
 import os
 import unittest
@@ -54,6 +55,12 @@
             "proxy-1", self.clock, self.handler, self.statistics
         )
 
+    def test_a_request_id_that_is_not_utf_8_is_written(self) -> None:
+        name = b"1f\xff".decode(errors="surrogateescape")
+        self.log.record(dataclasses.replace(_ended("busy"), request=name))
+        (line,) = self.handler.lines
+        self.assertEqual(line["request"], "1f\\udcff")
+
     def test_a_line_names_time_process_and_fields(self) -> None:
         self.log.record(_ended("busy"))
         (line,) = self.handler.lines
--- a/hickorygate/tests/test_mesh.py
+++ b/hickorygate/tests/test_mesh.py
@@ -159,6 +159,28 @@
         await self.wait_for(lambda: plane.mesh.counts["packets_refused"] == 3)
         self.assertEqual(plane.mesh.membership.names, ("p1",))
 
+    async def test_malformed_packets_do_not_end_the_reception(self) -> None:
+        plane = await self.start("p1")
+        context = zmq.Context()
+        socket = context.socket(zmq.PUSH)
+        self.addCleanup(context.destroy, linger=0)
+        socket.connect(f"tcp://{plane.mesh.address}")
+        far = datetime.datetime(9999, 12, 31, tzinfo=datetime.UTC)
+        sender = members.Member("p-9", "127.0.0.1:9", "127.0.0.1:8", "a", 1)
+        header = messages.Header(sender, far, 0, messages.Versions(), 0, 0)
+        packets = (
+            msgpack.packb([2, [], {}, {}]),
+            msgpack.packb([2, {"a": 1}, {}, {}]),
+            b"\x94\xc7\x0c\xff" + b"\xff" * 12,
+            codec.pack(codec.Packet(header, messages.Announce())),
+        )
+        for packet in packets:
+            socket.send(packet)
+        refused = plane.mesh.counts
+        await self.wait_for(lambda: refused["packets_refused"] == len(packets))
+        other = await self.start("p2")
+        await self.wait_for(lambda: self.knows(plane, other))
+
     async def test_rejected_senders_are_not_remembered(self) -> None:
         plane = await self.start("p1")
         context = zmq.Context()
--- a/hickorygate/upstreams/failover_runner.py
+++ b/hickorygate/upstreams/failover_runner.py
@@ -91,7 +91,7 @@
 
     def start(self) -> None:
         """Starts the task that ticks the state machine."""
-        self._background.start(self._tick_periodically())
+        self._background.keep(self._tick_periodically)
 
     async def close(self) -> None:
         """Stops all tasks; a run under way is left to another proxy."""
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -165,7 +165,7 @@
 
     def start(self) -> None:
         """Starts the background task that runs the rounds."""
-        self._background.start(self._run())
+        self._background.keep(self._run)
 
     async def close(self) -> None:
         """Stops all background tasks and closes the connection pools."""
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -99,7 +99,7 @@
 
     def start(self) -> None:
         """Starts the task that removes expired entries and unused groups."""
-        self._background.start(self._run_expiry())
+        self._background.keep(self._run_expiry)
 
     async def close(self) -> None:
         """Stops the background tasks and closes all groups."""
--- a/hickorygate/upstreams/keepalive.py
+++ b/hickorygate/upstreams/keepalive.py
@@ -99,7 +99,7 @@
     def start(self) -> None:
         """Starts the task, unless it is running."""
         if self._task is None or self._task.done():
-            self._task = self._background.start(self._run())
+            self._task = self._background.keep(self._run)
 
     def stop(self) -> None:
         """Stops the task."""
--- a/hickorygate/upstreams/status_prober.py
+++ b/hickorygate/upstreams/status_prober.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 import datetime
+import functools
 from typing import Protocol
 
 import expression
@@ -113,7 +114,9 @@
         """Starts one task per database; the listener receives the results."""
         self._listener = listener
         for name in self._control_links:
-            self._background.start(self._probe_periodically(name))
+            self._background.keep(
+                functools.partial(self._probe_periodically, name)
+            )
 
     async def close(self) -> None:
         """Stops the tasks."""
