Start no takeover beside a primary that was promoted a moment ago

Change: the inspection that precedes the pauses ends the takeover if it finds the primary of the newest term, and any primary that answers in that time does so too, unless the takeover replaces a primary that answers.

--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -26,6 +26,9 @@
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
 
+_STATUS_WORK = datetime.timedelta(milliseconds=0.5)
+"""Time that a status request occupies a slot."""
+
 _IDLE = replies.TransactionState.IDLE
 _IN_TRANSACTION = replies.TransactionState.IN_TRANSACTION
 
@@ -58,6 +61,7 @@
       settings: sizes and times.
       databases: the databases by name.
       promotions: names of the databases that were ordered to take over.
+      pause_terms: terms for which replicas were asked to pause.
     """
 
     def __init__(self, settings: ModelSettings, clock: clocks.Clock) -> None:
@@ -66,10 +70,13 @@
             name: ModelDatabase(name, self, clock) for name in ("a", "b", "c")
         }
         self.promotions: list[str] = []
+        self.pause_terms: set[types.Term] = set()
         self._clock = clock
         self._leader = "a"
         self._end = positions.Position(1, 1)
         self._replicated = self._end
+        self._paused: dict[str, types.Term] = {}
+        self._changed = asyncio.Event()
 
     @property
     def leader(self) -> str:
@@ -107,6 +114,22 @@
         """Copies the primary's log to the replicas."""
         self._replicated = self._end
 
+    def pause(self, name: str, term: types.Term) -> types.Term:
+        """Pauses a replica until there is a primary of at least a term.
+
+        Returns:
+          The term that the replica waits for.
+        """
+        self.pause_terms.add(term)
+        if name != self._leader:
+            self._paused[name] = max(term, self._paused.get(name, 0))
+        return self._paused.get(name, 0)
+
+    async def wait_for_replica(self) -> None:
+        """Waits until a replica receives from the primary."""
+        while len(self._paused) >= len(self.databases) - 1:
+            await self._changed.wait()
+
     def promote(self, name: str) -> bool:
         """Accepts an order to promote a database."""
         self.promotions.append(name)
@@ -123,6 +146,13 @@
         end = self._replicated
         self._end = positions.Position(end.term + 1, end.offset)
         self._replicated = self._end
+        self._paused = {
+            paused: term
+            for paused, term in self._paused.items()
+            if term > self._end.term and paused != name
+        }
+        changed, self._changed = self._changed, asyncio.Event()
+        changed.set()
 
 
 class ModelConnector:
@@ -296,17 +326,22 @@
         """Runs one statement on a slot."""
         self.running += 1
         try:
-            async with self._slots:
-                await self._clock.sleep(self.group.settings.work)
+            await self.occupy_slot(self.group.settings.work)
         finally:
             self.running -= 1
         self.statements += 1
 
+    async def occupy_slot(self, duration: datetime.timedelta) -> None:
+        """Waits for a free slot and occupies it for some time."""
+        async with self._slots:
+            await self._clock.sleep(duration)
+
     async def commit(self) -> None:
         """Commits, and returns once a replica holds the commit."""
         self.written += 1
         self.group.append()
         await self._replicating.wait()
+        await self.group.wait_for_replica()
         self.group.replicate()
 
     async def _wait_until_reachable(self, connection: _ModelConnection) -> None:
@@ -467,6 +502,7 @@
     database: ModelDatabase,
     connection: _ModelConnection,
 ) -> replies.Reply:
+    await database.occupy_slot(_STATUS_WORK)
     return _status(database, connection)
 
 
@@ -476,7 +512,8 @@
     database: ModelDatabase,
     connection: _ModelConnection,
 ) -> replies.Reply:
-    return _status(database, connection, request.term)
+    paused_for = database.group.pause(database.name, request.term)
+    return _status(database, connection, paused_for)
 
 
 def _status(
--- a/hickorygate/tests/test_takeover.py
+++ b/hickorygate/tests/test_takeover.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from hickorygate.core import position as positions
@@ -78,6 +79,40 @@
         (end,) = self.takeover.advance(clock.at(1.5))
         self.assertFalse(end.succeeded)
 
+    def test_another_primary_ends_the_inspection(self) -> None:
+        # It was promoted before this takeover began, and needs its replicas.
+        self.takeover = takeover.Takeover(_plan(), clock.at(0))
+        self.takeover.advance(clock.at(0))
+        status = dataclasses.replace(_status(9, paused_for=0), is_primary=True)
+        found = takeover.ReplicaInspected("b", status)
+        effects = takeover.handle(found, self.takeover, clock.at(0.1))
+        self.assertFalse(effects[0].succeeded)
+
+    def test_a_former_primary_does_not_end_the_inspection(self) -> None:
+        # It was replaced a term ago and hasn't stepped down yet.
+        plan = dataclasses.replace(_plan(), term=3)
+        self.takeover = takeover.Takeover(plan, clock.at(0))
+        self.takeover.advance(clock.at(0))
+        former = dataclasses.replace(_status(9, paused_for=0), is_primary=True)
+        found = takeover.ReplicaInspected("b", former)
+        effects = takeover.handle(found, self.takeover, clock.at(0.1))
+        self.assertEqual(effects, [])
+
+    def test_a_primary_that_answers_again_is_kept(self) -> None:
+        self.takeover = takeover.Takeover(_plan(), clock.at(0))
+        self.takeover.advance(clock.at(0))
+        returned = takeover.LeaderFound("a", 1)
+        (end,) = takeover.handle(returned, self.takeover, clock.at(0.1))
+        self.assertFalse(end.succeeded)
+
+    def test_a_stalled_primary_that_answers_is_replaced(self) -> None:
+        plan = dataclasses.replace(_plan(), leader_answers=True)
+        self.takeover = takeover.Takeover(plan, clock.at(0))
+        self.takeover.advance(clock.at(0))
+        stalled = takeover.LeaderFound("a", 1)
+        effects = takeover.handle(stalled, self.takeover, clock.at(0.1))
+        self.assertEqual(effects, [])
+
     def test_a_newer_term_ends_the_inspection(self) -> None:
         self.takeover = takeover.Takeover(_plan(), clock.at(0))
         self.takeover.advance(clock.at(0))
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -96,6 +96,8 @@
         is listed, the lost primary; 0 in a planned takeover.
       leaving: databases that are about to stop and are promoted only if no
         other database has as much of the log.
+      leader_answers: whether the primary to replace answered when the plan was
+        made. Otherwise a primary that answers shows that the plan is obsolete.
     """
 
     service: types.ServiceName
@@ -107,6 +109,7 @@
     max_silent: int
     unreachable_count: int
     leaving: frozenset[members.MemberId]
+    leader_answers: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -308,10 +311,14 @@
     def take_inspection(self, event: ReplicaInspected) -> list[Effect]:
         """Handles the response to an inspection."""
         self._outstanding.discard(event.member)
-        if event.status is None or self._stage is not Stage.INSPECTING:
+        status = event.status
+        if status is None or self._stage is not Stage.INSPECTING:
             return []
-        if event.status.term >= self._plan.term:
+        if status.term >= self._plan.term:
             return [self._abort("another database leads a newer term")]
+        if status.is_primary and status.term == self._plan.term - 1:
+            # It was promoted before this takeover and needs its replicas.
+            return [self._abort(f"{event.member} is the primary")]
         self._inspected.add(event.member)
         return []
 
@@ -346,8 +353,15 @@
         return []
 
     def handle_leader(self, event: LeaderFound) -> list[Effect]:
-        """Ends the takeover if the primary that was found has the new term."""
+        """Ends the takeover if the primary that was found makes it obsolete.
+
+        That is a primary of the new term or, before a replica was paused, any
+        primary if none answered when the takeover began.
+        """
         if event.term < self._plan.term:
+            inspecting = self._stage is Stage.INSPECTING
+            if inspecting and not self._plan.leader_answers:
+                return [self._abort(f"{event.member} answers as the primary")]
             return []
         former = self._plan.leader
         demote = former if former != event.member else None
--- a/hickorygate/upstreams/takeover_trigger.py
+++ b/hickorygate/upstreams/takeover_trigger.py
@@ -205,6 +205,7 @@
         max_silent=0,
         unreachable_count=0,
         leaving=_leaving_members(situation),
+        leader_answers=True,
     )
 
 
@@ -226,6 +227,7 @@
         max_silent=max(situation.synchronous_replicas, 1),
         unreachable_count=len(situation.departed) + int(listed),
         leaving=_leaving_members(situation),
+        leader_answers=situation.leader is not None,
     )
 
 
