Move reads away from a database that answers nothing any more

Change: a read that waits for 100 ms while the database answers nothing at all has the databases queried; if that query stays without an answer for 200 ms, the read runs elsewhere. A status, which needs a slot, no longer makes a busy database look silent. Answers that take no slot are awaited for 350 ms at most before a statement is sent. New reads avoid databases that are silent.

--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -30,6 +30,7 @@
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member
 from hickorygate.upstreams import pooled_connection as pooled_connections
+from hickorygate.upstreams import silence_watch
 
 if TYPE_CHECKING:
     from hickorygate.callers import caller_session
@@ -166,6 +167,22 @@
         place = placed.ok
         self._call.served_by = place.pool.member.id
         self._call.tries += 1
+        if place.leader is not None:
+            return await self._attempt_at(place, reads)
+        try:
+            async with silence_watch.SilenceWatch(
+                self._group, self._call.served_by
+            ):
+                return await self._attempt_at(place, reads)
+        except TimeoutError:
+            failure = errors.AnswerLost(
+                self._call.served_by, "it doesn't answer any more"
+            )
+            return self._session.reply(expression.Error(failure))
+
+    async def _attempt_at(
+        self, place: StatementTarget, reads: bool
+    ) -> replies.Reply:
         permits = place.pool.permits
         entered = await permits.acquire(self._terms)
         if entered.is_error():
@@ -424,8 +441,8 @@
       group: databases of the service.
       route: route of the database name.
       call: request that the read belongs to; this function sets its `floor`.
-      excluded: databases where the request already failed; they are used
-        only if no other database is usable.
+      excluded: databases where the request already failed; they, and those
+        that answer no status query, are used only if no other one is usable.
     """
     terms = statement_io.request_terms(call, route)
     fresh = await freshness_floor(route.consistency, group, call, terms)
@@ -469,9 +486,13 @@
         if not group.prober.health(name).lost(now)
     ]
     staying = [c for c in usable if c.is_primary or not c.member.leaving]
-    fresh = [c for c in staying if c.member.id not in excluded]
+    preferred = [
+        c
+        for c in staying
+        if c.member.id not in excluded and not group.is_silent(c.member.id)
+    ]
     return read_placement.choose_database(
-        fresh or staying, floor, session.env.rng
+        preferred or staying, floor, session.env.rng
     )
 
 
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -31,12 +31,17 @@
     "run_admitted",
     "run_statement",
     "borrow",
+    "prompt_limit",
     "sync_session",
     "record_commit",
     "statement",
     "request_terms",
 ]
 
+_PROMPT_TIMEOUT = datetime.timedelta(milliseconds=350)
+"""Longest wait for an answer that takes no slot. Packets that were lost are
+sent again within that time."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Statement:
@@ -112,6 +117,17 @@
     )
 
 
+def prompt_limit(
+    terms_: request_context.RequestContext, now: datetime.datetime
+) -> float:
+    """Returns how long to wait for an answer that takes no slot, in seconds.
+
+    A database answers such a request at once, however busy it is. If it
+    doesn't, the statement, which was not sent yet, can be sent elsewhere.
+    """
+    return min(terms_.time_left(now), _PROMPT_TIMEOUT).total_seconds()
+
+
 async def borrow(
     env: session_context.SessionContext,
     pool: connection_pool.ConnectionPool,
@@ -159,9 +175,8 @@
       was not sent; the caller of this function must close the connection.
     """
     name = pooled_connection.pool.member.id
-    time_left_s = terms_.time_left(env.clock.now()).total_seconds()
     try:
-        async with asyncio.timeout(time_left_s):
+        async with asyncio.timeout(prompt_limit(terms_, env.clock.now())):
             failure = await pooled_connection.sync_session(
                 state.values, prepared
             )
--- a/hickorygate/callers/transaction_statements.py
+++ b/hickorygate/callers/transaction_statements.py
@@ -27,6 +27,7 @@
 from hickorygate.upstreams import group_monitor
 from hickorygate.upstreams import member
 from hickorygate.upstreams import pooled_connection as pooled_connections
+from hickorygate.upstreams import silence_watch
 
 if TYPE_CHECKING:
     from hickorygate.callers import caller_session
@@ -200,7 +201,7 @@
             placed = await self._find_place(excluded)
             if placed.is_error():
                 return placed.error
-            failure = await self._begin_at(placed.ok, prepared)
+            failure = await self._begin_unless_silent(placed.ok, prepared)
             if failure is None:
                 return None
             self._group.schedule_round()
@@ -213,6 +214,21 @@
             await self._env.clock.sleep(delay)
             number += 1
 
+    async def _begin_unless_silent(
+        self,
+        place: single_statements.StatementTarget,
+        prepared: operations.PreparedStatement | None,
+    ) -> errors.Failure | None:
+        """Opens the transaction; gives up if another database may serve it."""
+        if place.leader is not None:
+            return await self._begin_at(place, prepared)
+        name = place.pool.member.id
+        try:
+            async with silence_watch.SilenceWatch(self._group, name):
+                return await self._begin_at(place, prepared)
+        except TimeoutError:
+            return errors.ConnectFailed(name, "it doesn't answer any more")
+
     async def _begin_at(
         self,
         place: single_statements.StatementTarget,
@@ -277,10 +293,10 @@
         request = database_request.Begin(
             self._transaction.read_only, place.floor
         )
-        left = self._terms.time_left(self._session.now()).total_seconds()
+        limit = statement_io.prompt_limit(self._terms, self._session.now())
         name = pooled_connection.pool.member.id
         try:
-            async with asyncio.timeout(left):
+            async with asyncio.timeout(limit):
                 result = await pooled_connection.run(request)
         except TimeoutError:
             return errors.AnswerLost(name, "no answer to BEGIN")
--- a/hickorygate/tests/test_listing.py
+++ b/hickorygate/tests/test_listing.py
@@ -71,7 +71,7 @@
         database_health = health.DatabaseHealth()
         database_health.record_refusal(clock.at(0))
         database_health.record_refusal(clock.at(0.3))
-        database_health.record_answer()
+        database_health.record_answer(clock.at(0))
         self.assertFalse(
             database_health.doubtful(clock.at(0.3))
             or database_health.lost(clock.at(0.3))
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -228,7 +228,15 @@
         The reply also shows that the database works.
         """
         self._state.record_position(name, position)
-        self._prober.health(name).record_answer()
+        self._prober.health(name).record_answer(self._clock.now())
+
+    def heard_recently(self, name: members.MemberId) -> bool:
+        """Returns whether a database answered anything a moment ago."""
+        return self._prober.health(name).heard_recently(self._clock.now())
+
+    def is_silent(self, name: members.MemberId) -> bool:
+        """Returns whether a database answers no status query."""
+        return self._prober.health(name).silent(self._clock.now())
 
     def request_round(self) -> None:
         """Starts a round now, or after the one that is running."""
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -145,7 +145,7 @@
         self.health(name).record_probe(now)
         shared = await self._ask_behind_statement(pool, batch)
         if shared is not None:
-            self.health(name).record_answer()
+            self.health(name).record_answer(self._clock.now())
             return shared
         return await self._ask_alone(pool, batch)
 
@@ -165,7 +165,9 @@
             return None
         try:
             async with asyncio.timeout(_SHARING_TIMEOUT.total_seconds()):
-                results = await connection.ask(*batch)
+                results = await self._exchange(
+                    pool.member.id, connection, batch
+                )
         except TimeoutError:
             return None
         return results if _is_clean(results) else None
@@ -189,7 +191,9 @@
         clean = False
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT.total_seconds()):
-                results = await pooled_connection.connection.ask(*batch)
+                results = await self._exchange(
+                    name, pooled_connection.connection, batch
+                )
             clean = _is_clean(results)
         except TimeoutError:
             return None
@@ -198,9 +202,35 @@
         if not clean:
             self.health(name).record_refusal(self._clock.now())
             return None
-        self.health(name).record_answer()
+        self.health(name).record_answer(self._clock.now())
         return results
 
+    async def _exchange(
+        self,
+        name: member.MemberId,
+        connection: database_request.Connection,
+        batch: tuple[database_request.Request, ...],
+    ) -> list[database_request.ReplyResult]:
+        """Sends requests at once, and records the first replies when they come.
+
+        A status waits for a slot of the database, the requests before it don't.
+        So a busy database isn't taken for a silent one.
+        """
+        count = sum(
+            not isinstance(request, database_request.ReadStatus)
+            for request in batch
+        )
+        first = asyncio.create_task(connection.ask(*batch[:count]))
+        rest = asyncio.create_task(connection.ask(*batch[count:]))
+        try:
+            results = await first
+            if results and _is_clean(results):
+                self.health(name).record_answer(self._clock.now())
+            return results + await rest
+        finally:
+            first.cancel()
+            rest.cancel()
+
     def _needs_statuses(self, probe_round: group_state.ProbeRound) -> bool:
         """Returns whether to request the statuses after an unclear round.
 
--- a/hickorygate/upstreams/health.py
+++ b/hickorygate/upstreams/health.py
@@ -21,6 +21,9 @@
 its connection limit refuses sessions, and keeps the connections of callers that
 lost power for some seconds."""
 
+_QUIET_LIMIT = datetime.timedelta(milliseconds=200)
+"""Time without an answer to a probe after which reads run elsewhere."""
+
 _DOUBT_LIMIT = datetime.timedelta(milliseconds=100)
 """Time without an answer to a probe after which it is doubtful that the
 database answers the next one."""
@@ -33,9 +36,16 @@
 class DatabaseHealth:
     """Tracks whether one database answers probes."""
 
-    __slots__ = ("_asked", "_full_since", "_refusals", "_refused_since")
+    __slots__ = (
+        "_answered",
+        "_asked",
+        "_full_since",
+        "_refusals",
+        "_refused_since",
+    )
 
     def __init__(self) -> None:
+        self._answered: datetime.datetime | None = None
         self._asked: datetime.datetime | None = None
         self._full_since: datetime.datetime | None = None
         self._refusals = 0
@@ -57,14 +67,28 @@
             return True
         return self._asked is not None and now - self._asked >= _DOUBT_LIMIT
 
+    def silent(self, now: datetime.datetime) -> bool:
+        """Returns whether no answer to a probe arrived for some time.
+
+        The time is too short to tell whether the database is lost, but
+        sufficient to prefer another one.
+        """
+        return self._asked is not None and now - self._asked >= _QUIET_LIMIT
+
     def record_probe(self, now: datetime.datetime) -> None:
         """Records that a probe was sent."""
         if self._asked is None:
             self._asked = now
 
-    def record_answer(self) -> None:
-        """Records that a probe was answered."""
+    def heard_recently(self, now: datetime.datetime) -> bool:
+        """Returns whether the database answered anything a moment ago."""
+        answered = self._answered
+        return answered is not None and now - answered < _DOUBT_LIMIT
+
+    def record_answer(self, now: datetime.datetime) -> None:
+        """Records an answer to a probe or to a statement."""
         self.reset()
+        self._answered = now
 
     def record_refusal(self, now: datetime.datetime) -> None:
         """Records that a connection was refused or broken."""
