Count as silence only what a database was asked; lend no last connection

Many proxies saw the same room; those that got no other connection let their statements wait until the deadline. - A query that waited for a free connection, or for a slot to open one, counted as unanswered by the database. One proxy replaced a primary that worked.

Change: the last connection stays reserved for single statements. Silence counts from what was sent on an open connection, or from the first attempt to connect that the database's host didn't answer; a database that accepts a connection but opens no session in time is busy, not lost. Attempts to connect end after 0.5 s. A proxy that hears of a new primary before it missed the former one no longer waits for the answers of that one either, if it is silent.

--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -483,7 +483,7 @@
             failure_rate=pool.failure_rate.share(now),
         )
         for name, pool in group.pools.items()
-        if not group.prober.health(name).lost(now)
+        if not group.prober.is_lost(name)
     ]
     staying = [c for c in usable if c.is_primary or not c.member.leaving]
     preferred = [
--- a/hickorygate/core/reply.py
+++ b/hickorygate/core/reply.py
@@ -118,14 +118,12 @@
       received: position of the end of its log; reads may see less.
       paused_for: term whose primary the database waits for; 0 if replication
         isn't paused.
-      connections: number of connections to the database, from all proxies.
     """
 
     is_primary: bool
     term: types.Term
     received: positions.Position
     paused_for: types.Term
-    connections: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import dataclasses
 import datetime
 from typing import cast
@@ -19,7 +20,9 @@
 
 __all__ = ["DatabaseConnection", "DatabaseConnector"]
 
-_CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
+_SESSION_TIMEOUT = datetime.timedelta(seconds=1)
+"""Time for the database to open the session, which needs a free slot."""
 
 _USER = "hickorygate"
 _STATUS_REQUESTS = (
@@ -48,11 +51,6 @@
         """Whether the connection is closed."""
         return self._closed
 
-    @property
-    def waiting(self) -> bool:
-        """Whether a request is outstanding at the database."""
-        return bool(self._outstanding)
-
     def __repr__(self) -> str:
         return (
             f"DatabaseConnection({self._member.id!r}, closed={self._closed!r})"
@@ -149,30 +147,59 @@
     """Opens connections to databases."""
 
     async def open(
-        self, member: members.Member
+        self, member: members.Member, on_connect: Callable[[], None]
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         """Connects to a database and verifies its service and id."""
-        loop = asyncio.get_running_loop()
         connection = DatabaseConnection(member)
         try:
-            async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
-                await loop.create_connection(
-                    lambda: connection, member.host, member.port
-                )
-                greeted = await connection.open_session()
-        except (OSError, TimeoutError) as error:
-            connection.close()
-            reason = str(error) or type(error).__name__
-            return expression.Error(errors.ConnectFailed(member.id, reason))
+            connected = await _connect(connection, member)
+            if connected.is_error():
+                return connected
+            on_connect()
+            greeted = await _open_session(connection, member)
         except asyncio.CancelledError:
             connection.close()
             raise
         if greeted.is_error():
-            # No statement was sent, so the outcome of one isn't in doubt.
-            reason = f"session refused: {greeted.error.message}"
-            return expression.Error(errors.SessionRefused(member.id, reason))
+            return expression.Error(greeted.error)
         failure = database_request.failure_of(greeted)
         if failure is not None:
             connection.close()
             return expression.Error(failure)
         return expression.Ok(connection)
+
+
+async def _connect(
+    connection: DatabaseConnection, member: members.Member
+) -> expression.Result[None, errors.Failure]:
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
+            await loop.create_connection(
+                lambda: connection, member.host, member.port
+            )
+    except (OSError, TimeoutError) as error:
+        connection.close()
+        reason = str(error) or type(error).__name__
+        return expression.Error(errors.ConnectFailed(member.id, reason))
+    return expression.Ok(None)
+
+
+async def _open_session(
+    connection: DatabaseConnection, member: members.Member
+) -> database_request.ReplyResult:
+    """Opens the session on a new connection.
+
+    No statement was sent, so no failure leaves the outcome of one in doubt.
+    """
+    try:
+        async with asyncio.timeout(_SESSION_TIMEOUT.total_seconds()):
+            greeted = await connection.open_session()
+    except TimeoutError:
+        connection.close()
+        reason = "the session was not opened in time"
+        return expression.Error(errors.SessionRefused(member.id, reason))
+    if greeted.is_error():
+        reason = f"session refused: {greeted.error.message}"
+        return expression.Error(errors.SessionRefused(member.id, reason))
+    return greeted
--- a/hickorygate/platform/line_protocol.py
+++ b/hickorygate/platform/line_protocol.py
@@ -388,14 +388,9 @@
     if len(fields) < _STATUS_FIELDS:
         return None
     role, term, received, paused_for = fields[:4]
-    connections = fields[_STATUS_FIELDS - 1]
     position = _parse_position(received)
     if position is None or not (term.isdecimal() and paused_for.isdecimal()):
         return None
     return replies.ReplicationStatus(
-        role == "primary",
-        int(term),
-        position,
-        int(paused_for),
-        int(connections) if connections.isdecimal() else 0,
+        role == "primary", int(term), position, int(paused_for)
     )
--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import datetime
 import functools
@@ -24,7 +25,8 @@
 
 __all__ = ["ModelConnector", "ModelDatabase", "ModelGroup", "ModelSettings"]
 
-_CONNECT_TIMEOUT = datetime.timedelta(seconds=1)
+_CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
+_GREETING_TIMEOUT = datetime.timedelta(seconds=1)
 
 _STATUS_WORK = datetime.timedelta(milliseconds=0.5)
 """Time that a status request occupies a slot."""
@@ -166,10 +168,12 @@
         return f"ModelConnector({self._proxy!r})"
 
     async def open(
-        self, member: members.Member
+        self, member: members.Member, on_connect: Callable[[], None]
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         """Opens a connection to a database."""
-        return await self._group.databases[member.id].open(self._proxy)
+        return await self._group.databases[member.id].open(
+            self._proxy, on_connect
+        )
 
 
 class ModelDatabase:
@@ -283,7 +287,7 @@
             self._replicating.clear()
 
     async def open(
-        self, proxy: types.ProxyName
+        self, proxy: types.ProxyName, on_connect: Callable[[], None]
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         """Opens a connection; closes it at once at the connection limit."""
         await self._clock.sleep(self.group.settings.round_trip)
@@ -292,6 +296,7 @@
             return expression.Error(
                 errors.ConnectFailed(self.name, "TimeoutError")
             )
+        on_connect()
         if self.open_count >= self.group.settings.connections:
             self.refused += 1
             return expression.Error(
@@ -301,8 +306,14 @@
         self._open.add(connection)
         self.opened += 1
         self.most_open = max(self.most_open, self.open_count)
-        async with self._slots:
-            await self._clock.sleep(self.group.settings.opening)
+        try:
+            async with asyncio.timeout(_GREETING_TIMEOUT.total_seconds()):
+                await self.occupy_slot(self.group.settings.opening)
+        except TimeoutError:
+            connection.close()
+            return expression.Error(
+                errors.SessionRefused(self.name, "not opened in time")
+            )
         return expression.Ok(connection)
 
     def forget(self, connection: _ModelConnection) -> None:
@@ -389,11 +400,6 @@
         """Whether the connection is closed."""
         return self._end.done()
 
-    @property
-    def waiting(self) -> bool:
-        """Whether a request is outstanding."""
-        return bool(self._outstanding)
-
     def __repr__(self) -> str:
         return f"_ModelConnection({self._database.name!r})"
 
@@ -524,6 +530,6 @@
     database.status_requests += 1
     end = database.position
     status = replies.ReplicationStatus(
-        database.leads, end.term, end, paused_for, database.open_count
+        database.leads, end.term, end, paused_for
     )
     return dataclasses.replace(_done(database, connection), group=status)
--- a/hickorygate/tests/test_connection_pool.py
+++ b/hickorygate/tests/test_connection_pool.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import unittest
 
@@ -28,7 +29,6 @@
 
     def __init__(self) -> None:
         self.closed = False
-        self.waiting = False
         self.state = reply.TransactionState.IDLE
         self.sent: list[database_request.Request] = []
 
@@ -53,9 +53,10 @@
         self.opened: list[_Connection] = []
 
     async def open(
-        self, member: members.Member
+        self, member: members.Member, on_connect: Callable[[], None]
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         await asyncio.sleep(0)
+        on_connect()
         if sum(not c.closed for c in self.opened) >= self.most:
             self.refused += 1
             if self.resets:
--- a/hickorygate/tests/test_group_registry.py
+++ b/hickorygate/tests/test_group_registry.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import datetime
 import unittest
 
@@ -35,7 +36,7 @@
         self.asked: set[str] = set()
 
     async def open(
-        self, member: members.Member
+        self, member: members.Member, on_connect: Callable[[], None]
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         self.asked.add(member.service)
         return expression.Error(errors.ConnectFailed(member.id, "nobody"))
--- a/hickorygate/tests/test_line_protocol.py
+++ b/hickorygate/tests/test_line_protocol.py
@@ -138,9 +138,7 @@
         )
         self.assertEqual(
             line_protocol.parse_status(reply),
-            replies.ReplicationStatus(
-                False, 3, position.Position(3, 1_209), 4, 17
-            ),
+            replies.ReplicationStatus(False, 3, position.Position(3, 1_209), 4),
         )
         cut = self.parse(b"ROW replica 3", b"COMPLETE -", b"READY I 3.1")
         self.assertIsNone(line_protocol.parse_status(cut))
--- a/hickorygate/tests/test_partial_outage_load.py
+++ b/hickorygate/tests/test_partial_outage_load.py
@@ -225,6 +225,34 @@
         self.check_primary_kept()
         self.assertTrue(all(call.served for call in ended))
 
+    async def test_a_primary_without_free_slots_is_not_taken_for_lost(
+        self,
+    ) -> None:
+        # The only connection of each proxy belongs to a transaction, and no
+        # other one can be opened while all slots are taken.
+        await self.start(model_group.ModelSettings(connections=2 * _PROXIES))
+        await asyncio.sleep(1)
+        resting = [
+            asyncio.create_task(
+                proxy.call(
+                    "strong",
+                    operations.Begin(read_only=False),
+                    operations.Write("WRITE 1 x"),
+                    operations.Commit("COMMIT"),
+                    pause=datetime.timedelta(seconds=2.5),
+                )
+            )
+            for proxy in self.fleet.proxies
+        ]
+        await asyncio.sleep(1)
+        primary = self.fleet.group.databases["a"]
+        busy = datetime.timedelta(seconds=3)
+        async with asyncio.TaskGroup() as tasks:
+            for _ in range(primary.group.settings.slots):
+                tasks.create_task(primary.occupy_slot(busy))
+        await asyncio.gather(*resting)
+        self.check_primary_kept()
+
     async def test_one_silent_connection_does_not_make_a_primary_lost(
         self,
     ) -> None:
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -56,6 +56,7 @@
         self._borrowed: set[pooled_connections.PooledConnection] = set()
         self._long_term: set[pooled_connections.PooledConnection] = set()
         self._opening = 0
+        self._connecting_since: datetime.datetime | None = None
         self._opened = 0
         self._waiting = borrow_queue.BorrowQueue(clock)
         self._retry_after: datetime.datetime | None = None
@@ -101,17 +102,9 @@
         )
 
     @property
-    def held_by_callers(self) -> bool:
-        """Whether no connection is free because callers rest between requests.
-
-        A request that waits for a connection then says nothing about the
-        database.
-        """
-        return (
-            not self._idle
-            and not self._may_open()
-            and any(not held.connection.waiting for held in self._borrowed)
-        )
+    def connecting_since(self) -> datetime.datetime | None:
+        """Time of the first attempt to connect since the last answer."""
+        return self._connecting_since
 
     @property
     def borrowed_count(self) -> int:
@@ -148,9 +141,9 @@
             connection_share.permits_per_proxy(member.slots, proxies)
         )
 
-    def record_connections(self, count: int) -> None:
-        """Records how many connections of all proxies the database has."""
-        self._share.record_connections(count, self._clock.now())
+    def note_answer(self) -> None:
+        """Records that the database, or its host, answered."""
+        self._connecting_since = None
 
     def trim(self) -> None:
         """Closes connections beyond this proxy's even share.
@@ -267,15 +260,12 @@
     def _may_borrow(self, use: borrow_queue.BorrowPurpose) -> bool:
         """Returns whether a connection may be borrowed for a purpose.
 
-        One connection is kept from transactions, unless the database is known
-        to have room for another one. It is reserved for single statements and
-        status queries, without which this proxy could not determine the
-        primary.
+        One connection is kept from transactions. It is reserved for single
+        statements and status queries, without which this proxy could not
+        determine the primary.
         """
         if use is borrow_queue.BorrowPurpose.SHORT or self._share.only_one:
             return True
-        if self._share.has_room(self._clock.now()) and self._may_open():
-            return True
         return len(self._idle) + len(self._borrowed) - len(self._long_term) > 1
 
     def _hand_out_idle(
@@ -309,8 +299,10 @@
         self, use: borrow_queue.BorrowPurpose
     ) -> pooled_connections.BorrowResult:
         self._opening += 1
+        if self._connecting_since is None:
+            self._connecting_since = self._clock.now()
         try:
-            opened = await self._connector.open(self._member)
+            opened = await self._connector.open(self._member, self.note_answer)
         finally:
             self._opening -= 1
         if opened.is_error():
--- a/hickorygate/upstreams/connection_share.py
+++ b/hickorygate/upstreams/connection_share.py
@@ -37,13 +37,6 @@
 """Time without a refusal after which the next refusal starts a pause of
 `_FIRST_PAUSE` again."""
 
-_ROOM_SHARE = 0.9
-"""Largest share of the connection limit that is in use at a database that has
-room for more."""
-
-_COUNT_VALIDITY = datetime.timedelta(seconds=10)
-"""Time for which a reported number of connections is relied on."""
-
 ASSUMED_PROXIES = 6
 """Number of proxies assumed before the proxies have been counted."""
 
@@ -70,8 +63,6 @@
     """The limit on one proxy's connections to one database."""
 
     __slots__ = (
-        "_connections",
-        "_counted",
         "_last_refusal",
         "_max_connections",
         "_open_when_refused",
@@ -94,8 +85,6 @@
         self._open_when_refused = 0
         self._pause = _FIRST_PAUSE
         self._last_refusal: datetime.datetime | None = None
-        self._connections = 0
-        self._counted: datetime.datetime | None = None
 
     @property
     def even_share(self) -> int:
@@ -135,17 +124,6 @@
         )
         return max(self.even_share, min(wanted, self._max_connections))
 
-    def record_connections(self, count: int, now: datetime.datetime) -> None:
-        """Records the number of connections that the database reported."""
-        self._connections = count
-        self._counted = now
-
-    def has_room(self, now: datetime.datetime) -> bool:
-        """Returns whether the database is known to accept more connections."""
-        if self._counted is None or now - self._counted > _COUNT_VALIDITY:
-            return False
-        return self._connections < _ROOM_SHARE * self._max_connections
-
     def record_refusal(self, held: int, now: datetime.datetime) -> None:
         """Records that the database refused a connection.
 
--- a/hickorygate/upstreams/database_request.py
+++ b/hickorygate/upstreams/database_request.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 from typing import Protocol
 from typing import TypeAlias
@@ -156,10 +157,6 @@
     def closed(self) -> bool:
         """Whether the connection is closed and unusable."""
 
-    @property
-    def waiting(self) -> bool:
-        """Whether a request is outstanding at the database."""
-
     async def ask(self, *requests: Request) -> list[ReplyResult]:
         """Sends requests in one batch and returns their results in order."""
 
@@ -171,6 +168,12 @@
     """Opens connections to databases."""
 
     async def open(
-        self, member: members.Member
+        self, member: members.Member, on_connect: Callable[[], None]
     ) -> expression.Result[Connection, errors.Failure]:
-        """Connects to a database and verifies its identity."""
+        """Connects to a database and verifies its identity.
+
+        Args:
+          member: database to connect to.
+          on_connect: called once the database's host has answered; the session
+            may then still wait for a free slot.
+        """
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -228,7 +228,7 @@
         The reply also shows that the database works.
         """
         self._state.record_position(name, position)
-        self._prober.health(name).record_answer(self._clock.now())
+        self._prober.record_answer(name)
 
     def heard_recently(self, name: members.MemberId) -> bool:
         """Returns whether a database answered anything a moment ago."""
@@ -236,7 +236,7 @@
 
     def is_silent(self, name: members.MemberId) -> bool:
         """Returns whether a database answers no status query."""
-        return self._prober.health(name).silent(self._clock.now())
+        return self._prober.is_silent(name)
 
     def request_round(self) -> None:
         """Starts a round now, or after the one that is running."""
@@ -497,7 +497,7 @@
         if leader is None or leader == before:
             return
         self._stall = stalls.StallDetector()
-        self._close_former_leader(leader)
+        self._close_former_leader(before, leader)
         position = self._state.position(leader.member)
         self._journal.record(
             platform_events.LeaderChanged(
@@ -505,21 +505,26 @@
             )
         )
 
-    def _close_former_leader(self, leader: group_state.Leader) -> None:
-        """Ends the wait for a lost primary that another one has replaced."""
-        lost, self._lost = self._lost, None
-        if lost is None or lost.member == leader.member:
+    def _close_former_leader(
+        self, before: group_state.Leader | None, leader: group_state.Leader
+    ) -> None:
+        """Ends the wait for a silent primary that another one has replaced.
+
+        A former primary that answers finishes what it runs.
+        """
+        former = self._lost or before
+        lost, self._lost = self._lost is not None, None
+        if former is None or former.member == leader.member:
             return
-        pool = self._pools.get(lost.member)
-        if pool is not None:
+        pool = self._pools.get(former.member)
+        if pool is not None and (lost or self.is_silent(former.member)):
             pool.close_connections("it was replaced")
 
     def _interrupt_lost(self) -> None:
         """Interrupts the requests at databases that don't answer any more."""
-        now = self._clock.now()
         former = self._unreachable
         self._unreachable = frozenset(
-            name for name in self._pools if self._prober.health(name).lost(now)
+            name for name in self._pools if self._prober.is_lost(name)
         )
         if self.leader is not None and self.leader.member in self._unreachable:
             self._mark_leader_lost("it doesn't answer")
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -41,7 +41,7 @@
 """Maximum time a round waits for a database that did not answer the last
 probe."""
 
-_SHARING_TIMEOUT = datetime.timedelta(milliseconds=80)
+_SHARING_TIMEOUT = datetime.timedelta(milliseconds=60)
 """Maximum time a query waits behind a caller's statement before it is sent on
 a connection of its own."""
 
@@ -93,6 +93,23 @@
         """Returns the health state of a database."""
         return self._health.setdefault(name, vitals.DatabaseHealth())
 
+    def record_answer(self, name: member.MemberId) -> None:
+        """Records that a database answered a probe or a statement."""
+        self.health(name).record_answer(self._clock.now())
+        pool = self._pools.get(name)
+        if pool is not None:
+            pool.note_answer()
+
+    def is_silent(self, name: member.MemberId) -> bool:
+        """Returns whether a database has answered nothing for some time."""
+        health = self.health(name)
+        return health.silent(self._clock.now(), self._connecting_since(name))
+
+    def is_lost(self, name: member.MemberId) -> bool:
+        """Returns whether a database is unreachable."""
+        health = self.health(name)
+        return health.lost(self._clock.now(), self._connecting_since(name))
+
     def forget(self, name: member.MemberId) -> None:
         """Drops the health state of a database that left."""
         self._health.pop(name, None)
@@ -141,11 +158,9 @@
         pool = self._pools.get(name)
         if pool is None:
             return None
-        now = self._clock.now()
-        self.health(name).record_probe(now)
         shared = await self._ask_behind_statement(pool, batch)
         if shared is not None:
-            self.health(name).record_answer(self._clock.now())
+            self.record_answer(name)
             return shared
         return await self._ask_alone(pool, batch)
 
@@ -188,6 +203,8 @@
             self._record_unreachable(name, borrowed.error)
             return None
         pooled_connection = borrowed.ok
+        # A wait for a connection says nothing about the database.
+        self.health(name).record_probe(self._clock.now())
         clean = False
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT.total_seconds()):
@@ -202,7 +219,7 @@
         if not clean:
             self.health(name).record_refusal(self._clock.now())
             return None
-        self.health(name).record_answer(self._clock.now())
+        self.record_answer(name)
         return results
 
     async def _exchange(
@@ -225,7 +242,7 @@
         try:
             results = await first
             if results and _is_clean(results):
-                self.health(name).record_answer(self._clock.now())
+                self.record_answer(name)
             return results + await rest
         finally:
             first.cancel()
@@ -278,9 +295,6 @@
         responsive: list[asyncio.Task[None]] = []
         doubtful: list[asyncio.Task[None]] = []
         for name in probe_round.asked:
-            if name in self._pools and self._pools[name].held_by_callers:
-                # The probe waits for callers, not for the database.
-                self.health(name).reset()
             running = self._probes.get(name)
             if running is None or running.done():
                 running = self._background.start(
@@ -323,9 +337,6 @@
         if answer is None:
             return
         probe_round.answers.setdefault(name, answer)
-        pool = self._pools.get(name)
-        if answer.status is not None and pool is not None:
-            pool.record_connections(answer.status.connections)
 
     def _decode(
         self, results: list[database_request.ReplyResult], statuses: bool
@@ -342,6 +353,12 @@
                 return group_state.ProbeAnswer(False, begun.position, status)
         return None
 
+    def _connecting_since(
+        self, name: member.MemberId
+    ) -> datetime.datetime | None:
+        pool = self._pools.get(name)
+        return pool.connecting_since if pool is not None else None
+
     def _reset_health(self) -> None:
         for database_health in self._health.values():
             database_health.reset()
--- a/hickorygate/upstreams/health.py
+++ b/hickorygate/upstreams/health.py
@@ -67,13 +67,25 @@
             return True
         return self._asked is not None and now - self._asked >= _DOUBT_LIMIT
 
-    def silent(self, now: datetime.datetime) -> bool:
-        """Returns whether no answer to a probe arrived for some time.
-
-        The time is too short to tell whether the database is lost, but
-        sufficient to prefer another one.
+    def silent(
+        self,
+        now: datetime.datetime,
+        connecting_since: datetime.datetime | None = None,
+    ) -> bool:
+        """Returns whether nothing was answered for some time, or was refused.
+
+        That is too little to tell whether the database is lost, but sufficient
+        to prefer another one.
+
+        Args:
+          now: current time.
+          connecting_since: time since which new connections get no answer;
+            None if they do.
         """
-        return self._asked is not None and now - self._asked >= _QUIET_LIMIT
+        since = self._unanswered_since(connecting_since)
+        return bool(self._refusals) or (
+            since is not None and now - since >= _QUIET_LIMIT
+        )
 
     def record_probe(self, now: datetime.datetime) -> None:
         """Records that a probe was sent."""
@@ -102,15 +114,30 @@
         self.reset()
         self._full_since = full_since or now
 
-    def lost(self, now: datetime.datetime) -> bool:
-        """Returns whether the database is unreachable."""
+    def lost(
+        self,
+        now: datetime.datetime,
+        connecting_since: datetime.datetime | None = None,
+    ) -> bool:
+        """Returns whether the database is unreachable.
+
+        The arguments are those of `silent`.
+        """
         full = self._full_since
         if full is not None and now - full >= FULL_LIMIT:
             return True
         refused = self._refused_since
         if refused is not None and self._refusals >= _MIN_REFUSALS:
             return now - refused >= REFUSED_LIMIT
-        return self._asked is not None and now - self._asked >= SILENCE_LIMIT
+        since = self._unanswered_since(connecting_since)
+        return since is not None and now - since >= SILENCE_LIMIT
+
+    def _unanswered_since(
+        self, connecting_since: datetime.datetime | None
+    ) -> datetime.datetime | None:
+        """Returns since when neither a probe nor a connection is answered."""
+        known = [t for t in (self._asked, connecting_since) if t is not None]
+        return min(known, default=None)
 
     def reset(self) -> None:
         """Resets the state.
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -86,7 +86,7 @@
             unreachable=frozenset(
                 name
                 for name in group.state.members
-                if group.prober.health(name).lost(now)
+                if group.prober.is_lost(name)
             ),
             stalled=group.stall.stalled(now),
             progressing=group.progressing,
--- a/hickorygate/upstreams/silence_watch.py
+++ b/hickorygate/upstreams/silence_watch.py
@@ -17,7 +17,7 @@
 
 __all__ = ["DatabaseWatcher", "SilenceWatch"]
 
-_FIRST_CHECK = datetime.timedelta(milliseconds=100)
+_FIRST_CHECK = datetime.timedelta(milliseconds=60)
 """Time of waiting after which the database is checked; most reads are answered
 by then."""
 
