Hold callers after a start while the outage is young enough to end in time

Change: the rule for an overdue primary, waiting if the request can wait for half of the time that the outage has lasted, also holds for a proxy that has not found a primary yet, or gets no connections.

--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -62,6 +62,7 @@
         self._retry_after: datetime.datetime | None = None
         self._reconnect_delay = _RECONNECT_DELAY
         self._last_failure: errors.Failure | None = None
+        self._refused_since: datetime.datetime | None = None
         self._closed = False
         self._background = background.BackgroundTasks()
         self._failure_rate = grades.FailureRate()
@@ -93,13 +94,12 @@
         return live + self._opening
 
     @property
-    def refused(self) -> bool:
-        """Whether the database refuses connections and none is open."""
-        return (
-            self._last_failure is not None
-            and _is_connection_limit(self._last_failure)
-            and not self.open_count
-        )
+    def refused_since(self) -> datetime.datetime | None:
+        """Time since which the database refuses connections and none is open.
+
+        None if it accepts connections, or one is open.
+        """
+        return None if self.open_count else self._refused_since
 
     @property
     def connecting_since(self) -> datetime.datetime | None:
@@ -310,6 +310,7 @@
             return expression.Error(opened.error)
         self._opened += 1
         self._retry_after = None
+        self._refused_since = None
         self._reconnect_delay = _RECONNECT_DELAY
         pooled_connection = pooled_connections.PooledConnection(self, opened.ok)
         if self._closed:
@@ -327,6 +328,8 @@
                 2 * self._reconnect_delay, _MAX_RECONNECT_DELAY
             )
             self._share.record_refusal(self.open_count, now)
+            if self._refused_since is None:
+                self._refused_since = now
         if not self.open_count:
             self._waiting.fail_all(failure)
 
--- a/hickorygate/upstreams/failover_estimate.py
+++ b/hickorygate/upstreams/failover_estimate.py
@@ -1,9 +1,9 @@
 """Decides how long a request waits for a primary, without I/O.
 
 A request waits only if a primary is expected before the request's deadline. The
-expected duration of a failover is a moving average over the previous ones. A
-proxy that has not known a primary yet expects to find one at once; if it
-doesn't, other proxies may know one, and callers should ask those.
+expected duration of a failover is a moving average over the previous ones; a
+proxy that has not known a primary yet expects to find one at once. An outage
+that lasts longer is expected to last for about as long again.
 """
 
 from __future__ import annotations
@@ -12,7 +12,7 @@
 
 from hickorygate.core import request_context
 
-__all__ = ["FailoverEstimate", "brief_wait"]
+__all__ = ["FailoverEstimate", "brief_wait", "overdue_wait"]
 
 _INITIAL_ESTIMATE = datetime.timedelta(milliseconds=1_000)
 """Expected time from the detection of a loss to the promotion of another
@@ -54,6 +54,24 @@
     return min(began + brief, request.deadline)
 
 
+def overdue_wait(
+    request: request_context.RequestContext,
+    began: datetime.datetime,
+    missing_since: datetime.datetime,
+) -> datetime.datetime:
+    """Returns until when to wait for something that is overdue.
+
+    Args:
+      request: request that waits.
+      began: time at which it began to wait.
+      missing_since: time since which it waits for something that is missing.
+    """
+    missing = began - missing_since
+    if request.deadline - began >= _OVERDUE_FRACTION * missing:
+        return request.deadline
+    return brief_wait(request, began)
+
+
 class FailoverEstimate:
     """Estimates when the primary of one group is available again."""
 
@@ -103,25 +121,12 @@
             return request.deadline
         minimum = brief_wait(request, began)
         if now > expected + _MARGIN:
-            return self._overdue_deadline(request, began)
+            assert self._missing_since is not None, "there is a primary"
+            return overdue_wait(request, began, self._missing_since)
         if expected > request.deadline:
             return minimum
         return min(max(expected + _MARGIN, minimum), request.deadline)
 
-    def _overdue_deadline(
-        self,
-        request: request_context.RequestContext,
-        began: datetime.datetime,
-    ) -> datetime.datetime:
-        """Returns the time until which to wait for an overdue primary."""
-        assert self._missing_since is not None, "there is a primary"
-        missing = began - self._missing_since
-        if self._discovered and (
-            request.deadline - began >= _OVERDUE_FRACTION * missing
-        ):
-            return request.deadline
-        return brief_wait(request, began)
-
     def retry_after(self, now: datetime.datetime) -> datetime.timedelta:
         """Returns the delay after which a rejected caller should retry."""
         expected = self._expected()
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -339,9 +339,8 @@
     ) -> datetime.datetime:
         """Returns until when a request should wait for the group.
 
-        Without a primary, that depends on when one is expected. While this
-        proxy gets no connection to too many databases, another one may serve
-        the caller.
+        Without a primary, or without connections to too many databases, that
+        depends on how long this has lasted.
 
         Args:
           request: request that waits.
@@ -349,8 +348,9 @@
         """
         if self.leader is None:
             return self._recovery_deadline(request, began)
-        if self._lacks_connections():
-            return failover_estimate.brief_wait(request, began)
+        refused_since = self._refused_since()
+        if refused_since is not None:
+            return failover_estimate.overdue_wait(request, began, refused_since)
         return request.deadline
 
     def _recovery_deadline(
@@ -365,10 +365,19 @@
             return failover_estimate.brief_wait(request, began)
         return self._failover_estimate.wait_deadline(request, began, now)
 
-    def _lacks_connections(self) -> bool:
-        """Whether too many databases refuse connections to prove anything."""
-        refusing = sum(pool.refused for pool in self._pools.values())
-        return refusing > self._state.synchronous_replicas
+    def _refused_since(self) -> datetime.datetime | None:
+        """Returns since when too many databases refuse connections.
+
+        The others are then too few to prove anything. None if they aren't.
+        """
+        refusing = [
+            pool.refused_since
+            for pool in self._pools.values()
+            if pool.refused_since is not None
+        ]
+        if len(refusing) <= self._state.synchronous_replicas:
+            return None
+        return min(refusing)
 
     def no_leader_rejection(self) -> errors.Failure:
         """Returns the rejection for a request that needs a primary."""
