Watch the configuration for longer, and check the watch by cheap calls

Change: the watch is held for 24 s. Beside it, a watch that accepts an outdated view, at a tenth of the price and outside the store's rate, is held for 4 s again and again; what it finds is applied, and the exact watch starts anew.

--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -44,7 +44,9 @@
 """Time between two checks whether the settings file has changed."""
 
 _CONFIGURATION_WATCH = list_watch.WatchSettings(
-    object_decoding.CONFIGURATION, datetime.timedelta(seconds=4)
+    object_decoding.CONFIGURATION,
+    datetime.timedelta(seconds=24),
+    check_wait=datetime.timedelta(seconds=4),
 )
 _DATABASES_WATCH = list_watch.WatchSettings(
     object_decoding.SERVERS,
@@ -52,8 +54,9 @@
     may_be_outdated=True,
 )
 """Watches of the store. The configuration must be in force within seconds, so
-it is never read from an outdated view; a database announces its shutdown longer
-before, and a lost one is noticed by probes."""
+its list and its watch are never outdated, and a lost answer is noticed by
+checks; a database announces its shutdown longer before, and a lost one is
+noticed by probes."""
 
 _READY_TIMEOUT = datetime.timedelta(seconds=3)
 """Time after which a process with a configuration reports ready, even if the
--- a/hickorygate/tests/test_list_watch.py
+++ b/hickorygate/tests/test_list_watch.py
@@ -113,3 +113,86 @@
             ],
         )
         self.assertEqual(await self.follow(source), {"a": "a-3", "c": "c-11"})
+
+
+_CHECKED = list_watch.WatchSettings(
+    "config",
+    datetime.timedelta(seconds=24),
+    check_wait=datetime.timedelta(seconds=4),
+)
+
+
+class _DeafSource:
+    """A store that changes one object, and whose exact watches hang.
+
+    Attributes:
+      changed_at: time of the change, in seconds since the start.
+      lag: seconds by which the outdated view is behind.
+      cost: calls, of which one that accepts an outdated view is a tenth.
+    """
+
+    def __init__(self, changed_at: float, lag: float) -> None:
+        self.changed_at = changed_at
+        self.lag = lag
+        self.cost = 0.0
+
+    async def list(
+        self, kind: str
+    ) -> expression.Result[list_watch.Snapshot, errors.Failure]:
+        self.cost += 1
+        return expression.Ok(list_watch.Snapshot([_stored("main", 1)], 1))
+
+    async def watch(
+        self, settings: list_watch.WatchSettings, revision: int
+    ) -> expression.Result[list_watch.ChangeBatch, errors.Failure]:
+        self.cost += 0.1 if settings.may_be_outdated else 1
+        loop = asyncio.get_running_loop()
+        end = loop.time() + settings.wait.total_seconds()
+        known = self.changed_at + self.lag
+        if revision == 1 and settings.may_be_outdated and known < end:
+            await asyncio.sleep(max(known - loop.time(), 0))
+            change = list_watch.Change(_stored("main", 2), False)
+            return expression.Ok(list_watch.ChangeBatch([change], 2))
+        await asyncio.sleep(end - loop.time())
+        return expression.Ok(list_watch.ChangeBatch([], revision))
+
+
+class CheckedWatchTest(virtual_time.VirtualTimeTestCase):
+    """A long watch whose answer gets lost, checked by cheap calls."""
+
+    async def follow(
+        self, source: _DeafSource, seconds: float
+    ) -> dict[str, object]:
+        sink = _Sink()
+        feed = list_watch.ListWatch(
+            _CHECKED,
+            source,
+            sink,
+            virtual_time.LoopClock(asyncio.get_running_loop()),
+            random.Random(1),
+        )
+        running = asyncio.create_task(feed.run())
+        await asyncio.sleep(seconds)
+        running.cancel()
+        return sink.values
+
+    async def test_a_change_arrives_although_the_answer_was_lost(self) -> None:
+        for changed_at in (0.5, 3.9, 5.0, 20.0):
+            with self.subTest(changed_at=changed_at):
+                loop = asyncio.get_running_loop()
+                source = _DeafSource(loop.time() + changed_at, lag=0.5)
+                values = await self.follow(source, changed_at + 1)
+                self.assertEqual(values, {"main": "main-2"})
+
+    async def test_a_calm_minute_costs_few_calls(self) -> None:
+        source = _DeafSource(changed_at=1e9, lag=0)
+        await self.follow(source, 60)
+        self.assertLess(source.cost, 6)
+
+    async def test_a_view_that_never_hears_of_the_change_does_no_harm(
+        self,
+    ) -> None:
+        source = _DeafSource(changed_at=5, lag=1e9)
+        values = await self.follow(source, 60)
+        self.assertEqual(values, {"main": "main-1"})
+        self.assertLess(source.cost, 6)
