Record each call to the store that fails to follow a kind, and each list

A check beside a watch that failed left no line, and neither did a list.

Change: the events WatchFailed (kind, reason, time taken) and ObjectsListed.

--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -23,6 +23,7 @@
     "MemberLeaving",
     "MemberListed",
     "MemberUnlisted",
+    "ObjectsListed",
     "PromotionOrdered",
     "ReadDiscarded",
     "RequestEnded",
@@ -32,6 +33,7 @@
     "StoreRegained",
     "TakeoverEnded",
     "TakeoverStarted",
+    "WatchFailed",
 ]
 
 
@@ -282,6 +284,34 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WatchFailed(events.Event):
+    """A call that follows the objects of one kind had no usable answer.
+
+    Attributes:
+      kind: kind of the objects.
+      reason: message of the failure.
+      took: time from the call to the failure.
+    """
+
+    kind: str
+    reason: str
+    took: datetime.timedelta
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectsListed(events.Event):
+    """All objects of one kind were listed, to follow their changes from there.
+
+    Attributes:
+      kind: kind of the objects.
+      count: number of objects in the list.
+    """
+
+    kind: str
+    count: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreLost(events.Event):
     """The platform's store failed to answer.
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -73,7 +73,7 @@
 
 
 class _RegistrySink:
-    """Base class of sinks for store objects; records outages of the store."""
+    """Base class of sinks for store objects; records lists and failures."""
 
     _kind: str
 
@@ -83,6 +83,18 @@
         self._registry = registry
         self._journal = journal
 
+    def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
+        """Records that all objects were listed."""
+        self._journal.record(
+            platform_events.ObjectsListed(self._kind, len(objects))
+        )
+
+    def failed(self, failure: errors.Failure, took: datetime.timedelta) -> None:
+        """Records a call without a usable answer."""
+        self._journal.record(
+            platform_events.WatchFailed(self._kind, failure.message, took)
+        )
+
     def lost(self, failure: errors.Failure) -> None:
         """Records that the store is unreachable."""
         self._journal.record(
@@ -101,6 +113,7 @@
 
     def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
         """Replaces all databases with those of a complete list."""
+        super().replace(objects)
         found = [self._decode(stored) for stored in objects]
         self._registry.replace_members([m for m in found if m is not None])
 
@@ -136,6 +149,7 @@
 
     def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
         """Applies the configuration from a complete list of objects."""
+        super().replace(objects)
         for stored in objects:
             self._apply(stored)
 
--- a/hickorygate/store/list_watch.py
+++ b/hickorygate/store/list_watch.py
@@ -162,6 +162,9 @@
     def change(self, change: Change) -> None:
         """Applies one change."""
 
+    def failed(self, failure: errors.Failure, took: datetime.timedelta) -> None:
+        """Reports each call without a usable answer, and how long it took."""
+
     def lost(self, failure: errors.Failure) -> None:
         """Reports that the store stopped answering; called once per outage."""
 
@@ -209,11 +212,13 @@
     async def run(self) -> None:
         """Follows the store until the task is cancelled."""
         while True:
+            began = self._clock.now()
             match await self._step():
                 case expression.Result(tag="ok", ok=pause):
                     self._record_success()
                     await self._clock.sleep(pause)
                 case expression.Result(tag="error", error=failure):
+                    self._sink.failed(failure, self._clock.now() - began)
                     await self._clock.sleep(_handle_failure(failure, self))
 
     async def _step(
@@ -267,7 +272,9 @@
         while True:
             began = self._clock.now()
             batch = await self._source.watch(settings, revision)
-            if batch.is_ok() and any(
+            if batch.is_error():
+                self._sink.failed(batch.error, self._clock.now() - began)
+            elif any(
                 _is_newer(change, revision) for change in batch.ok.changes
             ):
                 return batch.ok
--- a/hickorygate/tests/test_control_load.py
+++ b/hickorygate/tests/test_control_load.py
@@ -61,6 +61,9 @@
         """Keeps the value of the change."""
         self.newest = change.stored.value
 
+    def failed(self, failure: errors.Failure, took: datetime.timedelta) -> None:
+        """Ignores a failed call."""
+
     def lost(self, failure: errors.Failure) -> None:
         """Ignores an outage."""
 
--- a/hickorygate/tests/test_list_watch.py
+++ b/hickorygate/tests/test_list_watch.py
@@ -56,6 +56,7 @@
 
     def __init__(self) -> None:
         self.values: dict[str, object] = {}
+        self.failures: list[errors.Failure] = []
 
     def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
         self.values = {stored.name: stored.value for stored in objects}
@@ -66,6 +67,9 @@
         else:
             self.values[change.stored.name] = change.stored.value
 
+    def failed(self, failure: errors.Failure, took: datetime.timedelta) -> None:
+        self.failures.append(failure)
+
     def lost(self, failure: errors.Failure) -> None:
         raise AssertionError(failure.message)
 
