Show that a silent cut keeps a confirmed configuration out of force

Its store cuts the watches without a sign, drops its history and changes the configuration; the configuration must be in force 3 s after the acknowledgement, or 4 s after the cut if that is later. The settings of both watches are public, so that the test uses those of the process.

--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -36,19 +36,19 @@
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import promotion_lease
 
-__all__ = ["Process"]
+__all__ = ["CONFIGURATION_WATCH", "DATABASES_WATCH", "Process"]
 
 _VERSION = "0.2.0"
 _TICK = datetime.timedelta(milliseconds=100)
 _SETTINGS_INTERVAL = datetime.timedelta(seconds=1)
 """Time between two checks whether the settings file has changed."""
 
-_CONFIGURATION_WATCH = list_watch.WatchSettings(
+CONFIGURATION_WATCH = list_watch.WatchSettings(
     object_decoding.CONFIGURATION,
     datetime.timedelta(seconds=24),
     check_wait=datetime.timedelta(seconds=4),
 )
-_DATABASES_WATCH = list_watch.WatchSettings(
+DATABASES_WATCH = list_watch.WatchSettings(
     object_decoding.SERVERS,
     datetime.timedelta(seconds=8),
     may_be_outdated=True,
@@ -306,11 +306,11 @@
     def _start_tasks(self) -> None:
         sinks = (
             (
-                _CONFIGURATION_WATCH,
+                CONFIGURATION_WATCH,
                 _ConfigurationSink(self._registry, self._journal),
             ),
             (
-                _DATABASES_WATCH,
+                DATABASES_WATCH,
                 _DatabaseSink(self._registry, self._journal),
             ),
         )
--- a/hickorygate/tests/test_list_watch.py
+++ b/hickorygate/tests/test_list_watch.py
@@ -10,6 +10,7 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.platform import process
 from hickorygate.store import list_watch
 from hickorygate.testing import virtual_time
 
@@ -200,3 +201,93 @@
         values = await self.follow(source, 60)
         self.assertEqual(values, {"main": "main-1"})
         self.assertLess(source.cost, 6)
+
+
+_CALL_TIMEOUT = datetime.timedelta(seconds=1)
+_IN_FORCE_AFTER_CHANGE = 3.0
+"""Seconds from the acknowledgement of a change until it must be in force."""
+_IN_FORCE_AFTER_FAULT = 4.0
+"""Seconds from the end of a fault until the bound holds again."""
+
+
+class _CutSource:
+    """A store that cuts all watches without a sign and forgets its history.
+
+    Attributes:
+      cut_at: time of the cut; watches sent before get no answer.
+      changed_at: time of the change of the only object.
+    """
+
+    def __init__(self, cut_at: float, changed_at: float) -> None:
+        self.cut_at = cut_at
+        self.changed_at = changed_at
+
+    async def list(
+        self, kind: str
+    ) -> expression.Result[list_watch.Snapshot, errors.Failure]:
+        await asyncio.sleep(0.01)
+        revision = self._revision()
+        return expression.Ok(
+            list_watch.Snapshot([_stored("main", revision)], revision)
+        )
+
+    async def watch(
+        self, settings: list_watch.WatchSettings, revision: int
+    ) -> expression.Result[list_watch.ChangeBatch, errors.Failure]:
+        now = asyncio.get_running_loop().time()
+        end = now + settings.wait.total_seconds()
+        if now >= self.cut_at and revision < self._revision():
+            await asyncio.sleep(0.01)
+            return expression.Error(list_watch.HistoryLost(revision))
+        if now < self.cut_at <= end:
+            await asyncio.sleep((settings.wait + _CALL_TIMEOUT).total_seconds())
+            return expression.Error(
+                errors.StoreUnavailable("no answer", sent=True)
+            )
+        if now < self.changed_at <= end:
+            await asyncio.sleep(self.changed_at - now)
+            change = list_watch.Change(_stored("main", 2), False)
+            return expression.Ok(list_watch.ChangeBatch([change], 2))
+        await asyncio.sleep(settings.wait.total_seconds())
+        return expression.Ok(list_watch.ChangeBatch([], revision))
+
+    def _revision(self) -> int:
+        now = asyncio.get_running_loop().time()
+        return 2 if now >= self.changed_at else 1
+
+
+class CutWatchTest(virtual_time.VirtualTimeTestCase):
+    """The watch of the configuration, with the settings of the process."""
+
+    # Guards against a confirmed configuration that is not in force in time
+    # because the watch was cut without a sign and the history was dropped.
+    async def test_a_change_is_in_force_in_time_after_a_silent_cut(
+        self,
+    ) -> None:
+        for cut_after in (0.3, 1.9, 3.95, 7.0, 23.9):
+            for changed_after in (0.05, 0.9, 1.5):
+                with self.subTest(cut=cut_after, changed=changed_after):
+                    await self._check(cut_after, changed_after)
+
+    async def _check(self, cut_after: float, changed_after: float) -> None:
+        loop = asyncio.get_running_loop()
+        cut_at = loop.time() + cut_after
+        source = _CutSource(cut_at, cut_at + changed_after)
+        sink = _Sink()
+        sink.lost = lambda failure: None  # type: ignore[method-assign]
+        sink.regained = lambda: None  # type: ignore[method-assign]
+        feed = list_watch.ListWatch(
+            process.CONFIGURATION_WATCH,
+            source,
+            sink,
+            virtual_time.LoopClock(loop),
+            random.Random(1),
+        )
+        running = asyncio.create_task(feed.run())
+        due = max(
+            source.changed_at + _IN_FORCE_AFTER_CHANGE,
+            cut_at + _IN_FORCE_AFTER_FAULT,
+        )
+        await asyncio.sleep(due - loop.time())
+        running.cancel()
+        self.assertEqual(sink.values, {"main": "main-2"})
