Use no connection to the store again after one of them went silent

What callers would see: after all open connections went silent, a configuration comes in force one time-out later for each idle connection, 2.75 s each.

Cause: idle connections were reused for 15 s, also after a call on a sibling had timed out.

Change: connections belong to generations; a time-out ends the generation, so that later calls open new ones. The part that keeps connections is a module of its own.

Evidence: SilentConnectionsTest failed before (the second call timed out as the first did) and passes. The stand-in store can silence its connections.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -16,8 +16,8 @@
 import pydantic
 
 from hickorygate.core import errors
+from hickorygate.platform import http_connections
 from hickorygate.platform import object_decoding
-from hickorygate.platform import sockets
 from hickorygate.store import failures
 from hickorygate.store import list_watch
 from hickorygate.store import objects
@@ -27,10 +27,6 @@
 CALL_TIMEOUT = datetime.timedelta(seconds=1)
 """Time-out of a call; a watch adds the time that the store may wait."""
 
-_KEEPALIVE_SECONDS = 15
-"""Longest idle time of a connection that is reused. A connection that was idle
-for longer may have been cut without notice."""
-
 _SERVER_ERRORS = 500
 
 _OUTDATED_QUERY = {"serializable": "1"}
@@ -167,7 +163,7 @@
 class ObjectStoreClient:
     """Calls the object store with a time-out; doesn't repeat calls."""
 
-    __slots__ = ("_calls", "_http", "_timeout", "_url")
+    __slots__ = ("_calls", "_connections", "_timeout", "_url")
 
     def __init__(
         self, url: str, timeout: datetime.timedelta = CALL_TIMEOUT
@@ -180,7 +176,7 @@
         """
         self._url = url
         self._timeout = timeout
-        self._http: aiohttp.ClientSession | None = None
+        self._connections = http_connections.HttpConnections()
         self._calls = 0
 
     @property
@@ -196,9 +192,8 @@
         self._url = url
 
     async def close(self) -> None:
-        """Closes the HTTP session and its connections."""
-        if self._http is not None:
-            await self._http.close()
+        """Closes the connections."""
+        await self._connections.close()
 
     async def list(
         self, kind: str, may_be_outdated: bool = False
@@ -368,8 +363,9 @@
             fields["Content-Length"] = str(request_body.size)
         try:
             async with (
+                self._connections.session() as session,
                 asyncio.timeout(limit),
-                self._http_session().request(
+                session.request(
                     method,
                     url,
                     params=query,
@@ -397,16 +393,6 @@
     def _object_url(self, key: objects.Key) -> str:
         return self._url + _path(key)
 
-    def _http_session(self) -> aiohttp.ClientSession:
-        if self._http is None:
-            connector = aiohttp.TCPConnector(
-                limit=0,
-                keepalive_timeout=_KEEPALIVE_SECONDS,
-                socket_factory=sockets.open_reset_on_close,
-            )
-            self._http = aiohttp.ClientSession(connector=connector)
-        return self._http
-
 
 def _path(key: objects.Key) -> str:
     return f"/-/objects/{key.kind}/{key.name}"
--- a/hickorygate/testing/object_store.py
+++ b/hickorygate/testing/object_store.py
@@ -14,6 +14,7 @@
 from collections.abc import Sequence
 import enum
 from typing import Any
+import weakref
 
 from aiohttp import web
 
@@ -102,6 +103,10 @@
         self._oldest_revision = 1
         self._faults: collections.deque[StoreFault] = collections.deque()
         self._changed = asyncio.Event()
+        self._transports: weakref.WeakSet[asyncio.BaseTransport] = (
+            weakref.WeakSet()
+        )
+        self._silent: weakref.WeakSet[asyncio.BaseTransport] = weakref.WeakSet()
         self._runner: web.AppRunner | None = None
 
     def __repr__(self) -> str:
@@ -120,7 +125,9 @@
 
     async def start(self, port: int = 0) -> None:
         """Starts to listen; port 0 stands for any free port."""
-        app = web.Application(middlewares=[self._apply_fault])
+        app = web.Application(
+            middlewares=[self._apply_silence, self._apply_fault]
+        )
         app.router.add_get("/-/objects/{kind}", self._list)
         app.router.add_post("/-/objects/{kind}", self._create)
         app.router.add_get("/-/objects/{kind}/{name}", self._read)
@@ -180,6 +187,23 @@
         self._oldest_revision = self._revision
         self._notify_watches()
 
+    def silence_connections(self) -> None:
+        """Answers nothing more on the connections that were used so far."""
+        self._silent |= self._transports
+
+    @web.middleware
+    async def _apply_silence(
+        self, request: web.Request, handler: _Handler
+    ) -> web.StreamResponse:
+        transport = request.transport
+        if transport is None:
+            return await handler(request)
+        self._transports.add(transport)
+        response = await handler(request)
+        if transport in self._silent:
+            await asyncio.sleep(_SILENCE_SECONDS)
+        return response
+
     @web.middleware
     async def _apply_fault(
         self, request: web.Request, handler: _Handler
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -13,6 +13,7 @@
 
 from hickorygate.core import clock
 from hickorygate.core import errors
+from hickorygate.platform import object_client
 from hickorygate.platform import settings
 from hickorygate.platform import store
 from hickorygate.store import list_watch
@@ -35,6 +36,7 @@
         self.values: dict[str, object] = {}
         self.snapshots = 0
         self.notes: list[str] = []
+        self.failures: list[errors.Failure] = []
 
     def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
         self.snapshots += 1
@@ -46,6 +48,9 @@
         else:
             self.values[change.stored.name] = change.stored.value
 
+    def failed(self, failure: errors.Failure, took: datetime.timedelta) -> None:
+        self.failures.append(failure)
+
     def lost(self, failure: errors.Failure) -> None:
         self.notes.append("lost")
 
@@ -317,3 +322,19 @@
 
 if __name__ == "__main__":
     unittest.main()
+
+
+class SilentConnectionsTest(_StoreTestCase):
+    """All open connections go silent at once, without being closed."""
+
+    # Guards against calls that use one dead idle connection after another,
+    # each until its time-out, while the store answers on new ones.
+    async def test_one_time_out_is_enough_to_leave_them(self) -> None:
+        api = object_client.ObjectStoreClient(
+            self.server.url, datetime.timedelta(milliseconds=200)
+        )
+        self.addAsyncCleanup(api.close)
+        await asyncio.gather(*(api.list("servers") for _ in range(4)))
+        self.server.silence_connections()
+        self.assertTrue((await api.list("servers")).is_error())
+        self.assertTrue((await api.list("servers")).is_ok())
