--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -30,6 +30,7 @@
     "RequestRetried",
     "SettingsReloaded",
     "StoreLost",
+    "StoreEraChanged",
     "StoreRegained",
     "TakeoverEnded",
     "TakeoverStarted",
@@ -325,6 +326,19 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreEraChanged(events.Event):
+    """The store tells another era, or its first one to this process.
+
+    After the first one, the store was restored from an older copy.
+
+    Attributes:
+      era: the era.
+    """
+
+    era: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class StoreRegained(events.Event):
     """The platform's store answers again.
--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -27,6 +27,9 @@
 CALL_TIMEOUT = datetime.timedelta(seconds=1)
 """Time-out of a call; a watch adds the time that the store may wait."""
 
+_ERA_HEADER = "Store-Era"
+"""Header whose value rises each time that the store is restored from a copy."""
+
 _SERVER_ERRORS = 500
 
 _OUTDATED_QUERY = {"serializable": "1"}
@@ -94,6 +97,10 @@
     return True
 
 
+def _ignore_era(era: int) -> None:
+    pass
+
+
 class _Withheld(Exception):
     """Raised when the body of a request must no longer be sent."""
 
@@ -143,10 +150,13 @@
     Attributes:
       status: HTTP status.
       body: body of the response.
+      era: number that rises each time that the store is restored from an
+        older copy; 0 if the response has none.
     """
 
     status: int
     body: bytes
+    era: int = 0
 
     def success_body(self) -> expression.Result[bytes, errors.Failure]:
         """Returns the body of a successful call, or a typed failure."""
@@ -163,17 +173,31 @@
 class ObjectStoreClient:
     """Calls the object store with a time-out; doesn't repeat calls."""
 
-    __slots__ = ("_calls", "_connections", "_timeout", "_url")
+    __slots__ = (
+        "_calls",
+        "_connections",
+        "_era",
+        "_on_era",
+        "_timeout",
+        "_url",
+    )
 
     def __init__(
-        self, url: str, timeout: datetime.timedelta = CALL_TIMEOUT
+        self,
+        url: str,
+        timeout: datetime.timedelta = CALL_TIMEOUT,
+        on_era: Callable[[int], None] = _ignore_era,
     ) -> None:
         """Initializes the client; makes no call yet.
 
         Args:
           url: base URL of the store.
           timeout: time after which a call counts as unanswered.
+          on_era: called with the first era that the store tells, and with each
+            later one, before the response is used.
         """
+        self._era = 0
+        self._on_era = on_era
         self._url = url
         self._timeout = timeout
         self._connections = http_connections.HttpConnections()
@@ -374,7 +398,11 @@
                 ) as response,
             ):
                 content = await response.read()
-                return expression.Ok(HttpResponse(response.status, content))
+                era = _decode_era(response.headers.get(_ERA_HEADER, ""))
+                self._note_era(era)
+                return expression.Ok(
+                    HttpResponse(response.status, content, era)
+                )
         except aiohttp.ClientConnectorError as error:
             return expression.Error(errors.StoreUnavailable(str(error), False))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
@@ -390,6 +418,11 @@
     ) -> HttpResult:
         return await self.call("GET", self._url + path, None, {}, query, wait)
 
+    def _note_era(self, era: int) -> None:
+        if era > self._era:
+            self._era = era
+            self._on_era(era)
+
     def _object_url(self, key: objects.Key) -> str:
         return self._url + _path(key)
 
@@ -398,6 +431,11 @@
     return f"/-/objects/{key.kind}/{key.name}"
 
 
+def _decode_era(text: str) -> int:
+    """Returns the era of a response; 0 if it tells none."""
+    return int(text) if text.isascii() and text.isdecimal() else 0
+
+
 def _decode(
     model: type[pydantic.BaseModel], body: bytes
 ) -> expression.Result[Any, errors.Failure]:
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -214,7 +214,7 @@
         self._journal = event_log.EventLog(
             settings.name, clock, handler, self._statistics
         )
-        self._store = store.PlatformStore(settings)
+        self._store = store.PlatformStore(settings, self._note_era)
         lease_state = lease_record.LeaseState(settings.name, uuid.uuid4().hex)
         lease = promotion_lease.PromotionLease(
             lease_state, self._store, clock, self._journal
@@ -309,6 +309,9 @@
                     platform_events.SettingsReloaded(failure.message)
                 )
 
+    def _note_era(self, era: int) -> None:
+        self._journal.record(platform_events.StoreEraChanged(era))
+
     async def _listen(self) -> expression.Result[None, errors.Failure]:
         """Opens all listeners; a failure names the setting to change."""
         settings = self._settings
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -36,15 +36,32 @@
     renewals: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
+def _ignore_era(era: int) -> None:
+    pass
+
+
 class PlatformStore:
     """The promotion lease, proxy registrations and promotions in the store.
 
     Uses the names and formats of the platform.
     """
 
-    def __init__(self, settings: settings_lib.ProcessSettings) -> None:
+    def __init__(
+        self,
+        settings: settings_lib.ProcessSettings,
+        on_era: Callable[[int], None] = _ignore_era,
+    ) -> None:
+        """Initializes the store; makes no call yet.
+
+        Args:
+          settings: settings of the process.
+          on_era: called with the first era that the store tells, and with each
+            later one, before the response is used.
+        """
         self._settings = settings
-        self._api = object_client.ObjectStoreClient(f"http://{settings.store}")
+        self._api = object_client.ObjectStoreClient(
+            f"http://{settings.store}", on_era=on_era
+        )
 
     @property
     def calls(self) -> int:
--- a/hickorygate/testing/object_store.py
+++ b/hickorygate/testing/object_store.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from collections.abc import Mapping
 from collections.abc import Sequence
+import dataclasses
 import enum
 from typing import Any
 import weakref
@@ -68,6 +69,21 @@
     return stored["spec"]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Copy:
+    """An earlier state of the store.
+
+    Attributes:
+      revision: revision of the store.
+      objects: objects by kind and name.
+      history: revision, kind, object and deletion of each change.
+    """
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+    history: list[tuple[int, str, dict[str, Any], bool]]
+
+
 class ObjectStore:
     """The HTTP server of the stand-in platform.
 
@@ -100,6 +116,8 @@
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._revision = 1
+        self._era = 1
+        self._copy = _Copy(1, {}, [])
         self._oldest_revision = 1
         self._faults: collections.deque[StoreFault] = collections.deque()
         self._changed = asyncio.Event()
@@ -187,6 +205,21 @@
         self._oldest_revision = self._revision
         self._notify_watches()
 
+    def copy(self) -> None:
+        """Makes the copy that a restore brings back."""
+        self._copy = _Copy(
+            self._revision,
+            {kind: dict(found) for kind, found in self._objects.items()},
+            list(self._history),
+        )
+
+    def restore(self) -> None:
+        """Goes back to the copy and begins a new era."""
+        self._revision = self._copy.revision
+        self._objects = {k: dict(f) for k, f in self._copy.objects.items()}
+        self._history = list(self._copy.history)
+        self._era += 1
+
     def silence_connections(self) -> None:
         """Answers nothing more on the connections that were used so far."""
         self._silent |= self._transports
@@ -200,6 +233,7 @@
             return await handler(request)
         self._transports.add(transport)
         response = await handler(request)
+        response.headers["Store-Era"] = str(self._era)
         if transport in self._silent:
             await asyncio.sleep(_SILENCE_SECONDS)
         return response
@@ -276,7 +310,7 @@
         seconds = int(request.query.get("wait_ms", "0")) / 1_000
         deadline = asyncio.get_running_loop().time() + seconds
         while True:
-            if since < self._oldest_revision:
+            if not self._oldest_revision <= since <= self._revision:
                 return web.Response(status=410)
             events = [
                 {"object": self._render(request, stored), "deleted": deleted}
