--- /dev/null
+++ b/hickorygate/tests/test_restored_store.py
@@ -0,0 +1,189 @@
+"""Tests proxies before a store that comes back from an older copy."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+import datetime
+import random
+import unittest
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.platform import settings as settings_lib
+from hickorygate.platform import store as stores
+from hickorygate.store import list_watch
+from hickorygate.testing import clock
+from hickorygate.testing import object_store
+from hickorygate.upstreams import lease_record
+from hickorygate.upstreams import promotion_lease
+
+_TIMEOUT_SECONDS = 3
+_WATCH = list_watch.WatchSettings(
+    "config", datetime.timedelta(milliseconds=200)
+)
+
+
+class _RestoredStoreTestCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        self.server = object_store.ObjectStore()
+        await self.server.start()
+        self.addAsyncCleanup(self.server.close)
+
+    def store(self) -> stores.PlatformStore:
+        address = settings_lib.Address("127.0.0.1", self.server.port)
+        store = stores.PlatformStore(
+            settings_lib.ProcessSettings(
+                name="proxy-1",
+                zone="z",
+                callers=address,
+                readiness=address,
+                store=address,
+                promotion_api=address,
+                grace_seconds=5,
+            )
+        )
+        self.addAsyncCleanup(store.close)
+        return store
+
+
+class RestoredLeaseTest(_RestoredStoreTestCase):
+    """Two proxies use the promotion lease; the copy is older than its use."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        await super().asyncSetUp()
+        self.clock = clock.FakeClock()
+        self.one, self.two = (self.lease(name) for name in ("one", "two"))
+
+    def lease(self, name: str) -> promotion_lease.PromotionLease:
+        journal = events.Timeline(name, events.HybridLogicalClock(self.clock))
+        return promotion_lease.PromotionLease(
+            lease_record.LeaseState(name, name),
+            self.store(),
+            self.clock,
+            journal,
+        )
+
+    async def acquire(self, lease: promotion_lease.PromotionLease) -> None:
+        for _ in range(3):
+            if await lease.acquire(lambda: True):
+                return
+        self.fail("the lease was not acquired")
+
+    async def order(self, lease: promotion_lease.PromotionLease) -> None:
+        await self.acquire(lease)
+        self.assertTrue(await lease.promote("ledger", "b"))
+        await lease.release()
+
+    def numbers(self) -> list[int]:
+        return [int(call["number"]) for call in self.server.promotions]
+
+    # Guards against two holders that promote with the same fencing token
+    # after the store forgot the first one's record.
+    async def test_fencing_tokens_rise_over_restores(self) -> None:
+        self.server.copy()
+        await self.order(self.one)
+        self.server.restore()
+        await self.order(self.two)
+        self.server.restore()
+        await self.order(self.one)
+        await self.order(self.two)
+        numbers = self.numbers()
+        self.assertEqual(numbers, sorted(set(numbers)))
+
+    # Guards against a lease that is given away while its holder, whose record
+    # the store forgot, still counts on it.
+    async def test_a_forgotten_lease_is_not_given_away(self) -> None:
+        self.server.copy()
+        await self.acquire(self.one)
+        self.server.restore()
+        await self.acquire(self.two)
+        self.assertFalse(self.one.held)
+
+    # Guards against a record of the copy by which a proxy counts as holder.
+    async def test_a_record_of_the_copy_makes_no_holder(self) -> None:
+        await self.order(self.one)
+        await self.acquire(self.one)
+        self.server.copy()
+        await self.one.release()
+        await self.order(self.two)
+        self.server.restore()
+        await self.order(self.one)
+        numbers = self.numbers()
+        self.assertEqual(numbers, sorted(set(numbers)))
+
+
+class _Sink:
+    """Keeps the values of the objects."""
+
+    def __init__(self) -> None:
+        self.values: dict[str, object] = {}
+
+    def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
+        self.values = {stored.name: stored.value for stored in objects}
+
+    def change(self, change: list_watch.Change) -> None:
+        if change.deleted:
+            self.values.pop(change.stored.name, None)
+        else:
+            self.values[change.stored.name] = change.stored.value
+
+    def failed(self, failure: errors.Failure, took: datetime.timedelta) -> None:
+        """Ignores a failed call."""
+
+    def lost(self, failure: errors.Failure) -> None:
+        """Ignores an outage."""
+
+    def regained(self) -> None:
+        """Ignores the end of an outage."""
+
+
+class RestoredWatchTest(_RestoredStoreTestCase):
+    """A proxy that follows objects and misses the store's return."""
+
+    async def expect(self, sink: _Sink, values: dict[str, object]) -> None:
+        async with asyncio.timeout(_TIMEOUT_SECONDS):
+            while sink.values != values:
+                await asyncio.sleep(0.02)
+
+    async def follow(self, settings: list_watch.WatchSettings) -> None:
+        sink = _Sink()
+        feed = list_watch.ListWatch(
+            settings,
+            self.store(),
+            sink,
+            clocks.SystemClock(),
+            random.Random(1),
+        )
+        running = asyncio.create_task(feed.run())
+        self.addCleanup(running.cancel)
+        self.server.put("config", "main", "1")
+        await self.expect(sink, {"main": "1"})
+        self.server.copy()
+        for value in ("2", "3"):
+            self.server.put("config", "main", value)
+        await self.expect(sink, {"main": "3"})
+        self.server.restore()
+        self.server.put("config", "main", "4")
+        for value in ("x", "y"):
+            self.server.put("config", "other", value)
+        await self.expect(sink, {"main": "4", "other": "y"})
+        self.server.restore()
+        for value in ("5", "6", "7", "8", "9", "10"):
+            self.server.put("config", "main", value)
+        await self.expect(sink, {"main": "10"})
+
+    # Guards against changes that are missed because the store gave revisions
+    # out again after a restore.
+    async def test_changes_after_a_restore_are_seen(self) -> None:
+        await self.follow(_WATCH)
+
+    async def test_changes_in_a_view_that_may_be_outdated_are_seen(
+        self,
+    ) -> None:
+        await self.follow(
+            list_watch.WatchSettings(
+                "config", _WATCH.wait, may_be_outdated=True
+            )
+        )
