Keep the promotion lease safe when the store is restored from a copy

What callers would see: two proxies promote under one fencing token, or at the same time.

Cause: the number and the holder were known only from the record. A restore takes the record back, so the next proxy got a number that was used, and a lease that another one still counted on.

Change: a record carries the era in which it was written. Without a record of the present era, a proxy writes one only once every lease of an earlier era has expired, counted from when it saw the era, or if its own lease is still valid. A new era's numbers begin above those of all earlier ones. An update that another era accepted, a read of an earlier era and a record of the copy make no holder.

Tests: the number of the first holder in the process test is that of the era of the stand-in store; test_lease_record and test_platform_store wrap the record with its era, otherwise unchanged.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -22,7 +22,13 @@
 from hickorygate.store import list_watch
 from hickorygate.store import objects
 
-__all__ = ["CALL_TIMEOUT", "HttpResponse", "HttpResult", "ObjectStoreClient"]
+__all__ = [
+    "CALL_TIMEOUT",
+    "HttpResponse",
+    "HttpResult",
+    "ObjectReading",
+    "ObjectStoreClient",
+]
 
 CALL_TIMEOUT = datetime.timedelta(seconds=1)
 """Time-out of a call; a watch adds the time that the store may wait."""
@@ -167,6 +173,19 @@
         return expression.Error(errors.StoreUnavailable(reason, sent))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ObjectReading:
+    """An object as of one response.
+
+    Attributes:
+      stored: the object; None if there is none.
+      era: era of the store at the response; 0 if it told none.
+    """
+
+    stored: list_watch.StoredObject | None
+    era: int
+
+
 HttpResult = expression.Result[HttpResponse, errors.Failure]
 
 
@@ -285,10 +304,17 @@
         self, key: objects.Key
     ) -> expression.Result[list_watch.StoredObject | None, errors.Failure]:
         """Returns an object; None if it does not exist."""
+        reading = await self.read_with_era(key)
+        return reading.map(lambda found: found.stored)
+
+    async def read_with_era(
+        self, key: objects.Key
+    ) -> expression.Result[ObjectReading, errors.Failure]:
+        """Returns an object, if it exists, and the era of the response."""
         answered = await self._get(_path(key), {})
         if answered.is_ok() and answered.ok.status == _Status.NOT_FOUND:
-            return expression.Ok(None)
-        return answered.bind(HttpResponse.success_body).bind(_decode_object)
+            return expression.Ok(ObjectReading(None, answered.ok.era))
+        return answered.bind(_decode_reading)
 
     async def store(
         self, key: objects.Key, value: object, expected: int | None
@@ -304,6 +330,13 @@
         Returns:
           The object as stored, or `ObjectConflict` with the current revision.
         """
+        written = await self.store_with_era(key, value, expected)
+        return written.map(lambda found: found.stored)
+
+    async def store_with_era(
+        self, key: objects.Key, value: object, expected: int | None
+    ) -> expression.Result[ObjectReading, errors.Failure]:
+        """Does what `store` does, and also returns the era of the response."""
         meta: dict[str, object] = {"name": key.name}
         if expected:
             meta["revision"] = expected
@@ -323,7 +356,7 @@
                 return found.bind(lambda other: _conflict(key, expected, other))
             case _Status.NOT_FOUND:
                 return _conflict(key, expected, None)
-        return answered.ok.success_body().bind(_decode_object)
+        return _decode_reading(answered.ok)
 
     async def delete(
         self, key: objects.Key
@@ -460,6 +493,13 @@
     return _decode(_Object, body).map(lambda found: found.stored())
 
 
+def _decode_reading(
+    answered: HttpResponse,
+) -> expression.Result[ObjectReading, errors.Failure]:
+    decoded = answered.success_body().bind(_decode_object)
+    return decoded.map(lambda found: ObjectReading(found, answered.era))
+
+
 def _conflict(
     key: objects.Key,
     expected: int | None,
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -216,11 +216,11 @@
         )
         self._store = store.PlatformStore(settings, self._note_era)
         lease_state = lease_record.LeaseState(settings.name, uuid.uuid4().hex)
-        lease = promotion_lease.PromotionLease(
+        self._lease = promotion_lease.PromotionLease(
             lease_state, self._store, clock, self._journal
         )
         self._registry = group_registry.GroupRegistry(
-            database.DatabaseConnector(), lease, clock, self._journal
+            database.DatabaseConnector(), self._lease, clock, self._journal
         )
         self._background = background.BackgroundTasks()
         self._env = session_context.SessionContext(
@@ -311,6 +311,7 @@
 
     def _note_era(self, era: int) -> None:
         self._journal.record(platform_events.StoreEraChanged(era))
+        self._lease.note_era(era)
 
     async def _listen(self) -> expression.Result[None, errors.Failure]:
         """Opens all listeners; a failure names the setting to change."""
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -34,6 +34,7 @@
     number: Annotated[int, pydantic.Field(ge=0)]
     released: bool
     renewals: Annotated[int, pydantic.Field(ge=0)] = 0
+    era: Annotated[int, pydantic.Field(ge=0)] = 0
 
 
 def _ignore_era(era: int) -> None:
@@ -96,16 +97,14 @@
 
     async def read_lease(
         self,
-    ) -> expression.Result[
-        lease_record.StoredLeaseRecord | None, errors.Failure
-    ]:
-        """Returns the record of the promotion lease; None before the first."""
-        found = await self._api.read(_LEASE_KEY)
-        return found.map(lambda f: None if f is None else _decode_lease(f))
+    ) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
+        """Returns the record of the promotion lease, if there is one."""
+        found = await self._api.read_with_era(_LEASE_KEY)
+        return found.map(_decode_reading)
 
     async def write_lease(
         self, record: lease_record.LeaseRecord, revision: int | None
-    ) -> expression.Result[lease_record.StoredLeaseRecord, errors.Failure]:
+    ) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
         """Stores the record of the promotion lease with a conditional update.
 
         Args:
@@ -122,8 +121,9 @@
             number=record.number,
             released=record.released,
             renewals=record.renewals,
+            era=record.era,
         )
-        written = await self._api.store(
+        written = await self._api.store_with_era(
             _LEASE_KEY, lease.model_dump(), revision or 0
         )
         match written:
@@ -131,7 +131,7 @@
                 tag="error", error=failures.ObjectConflict()
             ):
                 return expression.Error(lease_record.LeaseConflict())
-        return written.map(_decode_lease)
+        return written.map(_decode_reading)
 
     async def announce(
         self, name: types.ProxyName, beat: int, exists: bool
@@ -198,6 +198,13 @@
         )
 
 
+def _decode_reading(
+    found: object_client.ObjectReading,
+) -> lease_record.LeaseReading:
+    stored = None if found.stored is None else _decode_lease(found.stored)
+    return lease_record.LeaseReading(stored, found.era)
+
+
 def _decode_lease(
     found: list_watch.StoredObject,
 ) -> lease_record.StoredLeaseRecord:
@@ -215,5 +222,6 @@
         lease.number,
         lease.released,
         lease.renewals,
+        lease.era,
     )
     return lease_record.StoredLeaseRecord(record, found.revision)
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -80,18 +80,16 @@
 
     async def read_lease(
         self,
-    ) -> expression.Result[
-        lease_record.StoredLeaseRecord | None, errors.Failure
-    ]:
-        """Returns the stored lease record, or None if there is none."""
+    ) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
+        """Returns the stored lease record, if there is one."""
         await asyncio.sleep(0)
         if self.down:
             return expression.Error(errors.StoreUnavailable("down", False))
-        return expression.Ok(self._stored)
+        return expression.Ok(lease_record.LeaseReading(self._stored))
 
     async def write_lease(
         self, record: lease_record.LeaseRecord, revision: int | None
-    ) -> expression.Result[lease_record.StoredLeaseRecord, errors.Failure]:
+    ) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
         """Stores the lease record if its revision is still the expected one."""
         await asyncio.sleep(0)
         if self.down:
@@ -100,7 +98,7 @@
         if now != revision:
             return expression.Error(lease_record.LeaseConflict())
         self._stored = lease_record.StoredLeaseRecord(record, (now or 0) + 1)
-        return expression.Ok(self._stored)
+        return expression.Ok(lease_record.LeaseReading(self._stored))
 
     async def promote(
         self,
--- a/hickorygate/tests/test_lease_record.py
+++ b/hickorygate/tests/test_lease_record.py
@@ -15,11 +15,15 @@
         self.one = lease_record.LeaseState("one", "x")
         self.two = lease_record.LeaseState("two", "y")
         self.stored: lease_record.StoredLeaseRecord | None = None
+        self.era = 0
+
+    def reading(self) -> lease_record.LeaseReading:
+        return lease_record.LeaseReading(self.stored, self.era)
 
     def claim(
         self, lease_state: lease_record.LeaseState, at: float
     ) -> lease_record.Action:
-        lease_state.record_read(self.stored, clock.at(at))
+        lease_state.record_read(self.reading(), clock.at(at))
         action = lease_state.decide(clock.at(at))
         if isinstance(action, lease_record.Write):
             self.store(lease_state, action, at)
@@ -32,7 +36,7 @@
         at: float,
     ) -> None:
         self.apply(write)
-        lease_state.record_write(self.stored, clock.at(at))
+        lease_state.record_write(self.reading(), clock.at(at))
 
     def apply(self, write: lease_record.Write) -> bool:
         """Stores a record as the platform does.
@@ -114,6 +118,6 @@
 
     def test_a_record_of_another_process_grants_no_lease(self) -> None:
         self.claim(self.one, 0)
-        self.two.record_write(self.stored, clock.at(0))
+        self.two.record_write(self.reading(), clock.at(0))
         self.assertFalse(self.two.may_call(clock.at(0)))
         self.assertIsNone(self.two.release())
--- a/hickorygate/tests/test_platform_process.py
+++ b/hickorygate/tests/test_platform_process.py
@@ -22,6 +22,9 @@
 _LIMIT = 8
 """Seconds that a test waits for an expected event."""
 
+_FIRST_NUMBER = "1000001"
+"""The fencing token of the first holder in the stand-in store's first era."""
+
 
 def _free_port() -> int:
     with socket.socket() as probe:
@@ -202,7 +205,7 @@
         order = self.store.promotions[0]
         self.assertEqual(
             (order["service"], order["holder"], order["number"]),
-            ("ledger", "proxy-1", "1"),
+            ("ledger", "proxy-1", _FIRST_NUMBER),
         )
         self.assertIn(order["id"], ("b", "c"))
 
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -105,7 +105,9 @@
         self.server.inject_faults(_FAULT.LOST)
         failed = await self.store.write_lease(record, None)
         self.assertIs(failed.error.outcome, errors.Outcome.UNKNOWN)
-        self.assertEqual((await self.store.read_lease()).ok.record, record)
+        self.assertEqual(
+            (await self.store.read_lease()).ok.stored.record, record
+        )
 
     async def test_a_silent_store_times_out(self) -> None:
         self.server.inject_faults(_FAULT.SILENT)
@@ -118,17 +120,18 @@
 
     async def test_the_lease_is_updated_conditionally(self) -> None:
         mine = lease_record.LeaseRecord("proxy-1", "x", 1, False)
-        self.assertIsNone((await self.store.read_lease()).ok)
+        self.assertIsNone((await self.store.read_lease()).ok.stored)
         first = (await self.store.write_lease(mine, None)).ok
+        revision = first.stored.revision
         again = await self.store.write_lease(mine, None)
         self.assertEqual(again.error, lease_record.LeaseConflict())
-        same = (await self.store.write_lease(mine, first.revision)).ok
+        same = (await self.store.write_lease(mine, revision)).ok
         self.assertEqual(same, first)
         renewed = dataclasses.replace(mine, renewals=1)
-        second = (await self.store.write_lease(renewed, first.revision)).ok
-        self.assertGreater(second.revision, first.revision)
-        self.assertEqual(second.record, renewed)
-        late = await self.store.write_lease(mine, first.revision)
+        second = (await self.store.write_lease(renewed, revision)).ok
+        self.assertGreater(second.stored.revision, revision)
+        self.assertEqual(second.stored.record, renewed)
+        late = await self.store.write_lease(mine, revision)
         self.assertEqual(late.error, lease_record.LeaseConflict())
 
     async def promote(
--- a/hickorygate/tests/test_restored_store.py
+++ b/hickorygate/tests/test_restored_store.py
@@ -113,6 +113,16 @@
         numbers = self.numbers()
         self.assertEqual(numbers, sorted(set(numbers)))
 
+    async def test_a_holder_goes_on_at_once(self) -> None:
+        self.server.copy()
+        await self.acquire(self.one)
+        self.server.restore()
+        self.one.note_era(2)
+        began = self.clock.now()
+        self.assertTrue(await self.one.renew())
+        self.assertEqual(self.clock.now(), began)
+        self.assertTrue(await self.one.promote("ledger", "b"))
+
 
 class _Sink:
     """Keeps the values of the objects."""
--- a/hickorygate/tests/test_takeover_load.py
+++ b/hickorygate/tests/test_takeover_load.py
@@ -44,15 +44,13 @@
 
     async def read_lease(
         self,
-    ) -> expression.Result[
-        lease_record.StoredLeaseRecord | None, errors.Failure
-    ]:
+    ) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
         self.calls += 1
         return await super().read_lease()
 
     async def write_lease(
         self, record: lease_record.LeaseRecord, revision: int | None
-    ) -> expression.Result[lease_record.StoredLeaseRecord, errors.Failure]:
+    ) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
         self.calls += 1
         return await super().write_lease(record, revision)
 
--- a/hickorygate/upstreams/lease_record.py
+++ b/hickorygate/upstreams/lease_record.py
@@ -5,6 +5,13 @@
 are healthy. Each change of holder, and each new process of the same holder,
 increments the fencing token in a conditional update.
 
+The store may be restored from an older copy, which begins a new era: records
+that were written since the copy are gone, and revisions repeat. A record of an
+earlier era therefore proves nothing about the present holder. It is replaced
+only after every lease of the earlier era has expired, or by the holder of a
+lease that is still valid. Fencing tokens begin anew in each era, above those of
+all earlier ones.
+
 A holder measures the lease duration from the time before the call that
 acquired or renewed the lease. A proxy that waits for the lease to expire
 measures from the time after it read the record, and waits longer than the
@@ -25,6 +32,7 @@
     "Action",
     "LeaseState",
     "LeaseConflict",
+    "LeaseReading",
     "LeaseRecord",
     "StoredLeaseRecord",
     "Wait",
@@ -42,6 +50,9 @@
 """Minimum remaining lease time to start a call under the lease: the timeout
 of the call plus the time to detect it."""
 
+_NUMBERS_PER_ERA = 1_000_000
+"""Fencing tokens of one era; more than there can be holders in it."""
+
 _POLL_INTERVAL = datetime.timedelta(milliseconds=200)
 """Interval at which a waiting proxy reads the record."""
 
@@ -59,6 +70,7 @@
       renewals: number of renewals by this holder. The store creates a new
         revision only if the content changes, and each renewal must create
         one.
+      era: era of the store in which the record was written.
     """
 
     holder: types.ProxyName
@@ -66,6 +78,7 @@
     number: int
     released: bool
     renewals: int = 0
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -81,6 +94,19 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseReading:
+    """The state of the lease in the store.
+
+    Attributes:
+      stored: the record; None if there is none.
+      era: era of the store from which the state is.
+    """
+
+    stored: StoredLeaseRecord | None
+    era: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaseConflict(errors.Failure):
     """Failure of an update because another proxy changed the record first."""
@@ -123,9 +149,12 @@
     """One process's view of the promotion lease."""
 
     __slots__ = (
+        "_era",
+        "_era_since",
         "_held_until",
         "_incarnation",
         "_name",
+        "_number",
         "_stored",
         "_unchanged_since",
     )
@@ -136,6 +165,9 @@
         self._stored: StoredLeaseRecord | None = None
         self._unchanged_since: datetime.datetime | None = None
         self._held_until: datetime.datetime | None = None
+        self._era = 0
+        self._era_since: datetime.datetime | None = None
+        self._number = 0
 
     @property
     def name(self) -> types.ProxyName:
@@ -151,57 +183,95 @@
         return f"LeaseState({self._name!r}, {self.record!r})"
 
     def may_call(self, now: datetime.datetime) -> bool:
-        """Returns whether a call would end before the held lease expires."""
+        """Returns whether a call would end before the held lease expires.
+
+        False while the present era of the store has no record of this holder.
+        """
         return (
             self._held_until is not None
             and now + _CALL_MARGIN < self._held_until
+            and self._owns(self._stored)
         )
 
+    def record_era(self, era: int, now: datetime.datetime) -> None:
+        """Records that the store told its era.
+
+        Args:
+          era: the era.
+          now: time after the response that told it.
+        """
+        if era > self._era:
+            self._era = era
+            self._era_since = now
+            self._stored = None
+
     def record_read(
-        self, stored: StoredLeaseRecord | None, now: datetime.datetime
-    ) -> None:
+        self, reading: LeaseReading, now: datetime.datetime
+    ) -> bool:
         """Records the result of a linearizable read of the record.
 
         Args:
-          stored: record that was read; None if there is none.
+          reading: what was read.
           now: time after the read.
+
+        Returns:
+          Whether the reading is of the present era; otherwise it is dropped.
         """
+        self.record_era(reading.era, now)
+        if reading.era < self._era:
+            return False
+        stored = reading.stored
         if stored != self._stored or self._unchanged_since is None:
             self._unchanged_since = now
         self._stored = stored
+        if stored is not None:
+            self._number = max(self._number, stored.record.number)
+        return True
 
     def decide(self, now: datetime.datetime) -> Action:
         """Returns how to acquire or renew the lease.
 
         `record_read` must be called before.
         """
-        if self._stored is None:
-            return Write(self._own_record(1), None)
-        record = self._stored.record
+        stored = self._stored
+        if stored is None or stored.record.era != self._era:
+            return self._decide_in_new_era(now)
+        record = stored.record
         if record.incarnation == self._incarnation:
             renewed = self._own_record(record.number, record.renewals + 1)
-            return Write(renewed, self._stored.revision)
+            return Write(renewed, stored.revision)
         # The name is no proof: a replacement may start while the process that
         # it replaces still runs.
         if record.released or self._expired(now):
-            return Write(
-                self._own_record(record.number + 1), self._stored.revision
-            )
+            return Write(self._own_record(record.number + 1), stored.revision)
         return Wait(_POLL_INTERVAL)
 
+    def _decide_in_new_era(self, now: datetime.datetime) -> Action:
+        """Returns how to write the first record of the present era."""
+        held = self._held_until is not None and now < self._held_until
+        if not held and not self._former_leases_expired(now):
+            return Wait(_POLL_INTERVAL)
+        number = max(self._number, self._era * _NUMBERS_PER_ERA) + 1
+        revision = self._stored.revision if self._stored else None
+        return Write(self._own_record(number), revision)
+
     def record_write(
-        self, stored: StoredLeaseRecord, sent: datetime.datetime
+        self, reading: LeaseReading, sent: datetime.datetime
     ) -> None:
         """Records that the store accepted an update of this process.
 
+        An update that was accepted in another era than the one for which it
+        was made doesn't acquire the lease.
+
         Args:
-          stored: record and revision that the store returned.
+          reading: record, revision and era that the store returned.
           sent: time at which the call was started.
         """
-        self.record_read(stored, sent)
-        if stored.record.incarnation != self._incarnation:
+        if not self.record_read(reading, sent) or reading.stored is None:
+            return
+        if not self._owns(reading.stored):
             return
-        if stored.record.released:
+        if reading.stored.record.released:
             self._held_until = None
         else:
             self._held_until = sent + LEASE_DURATION
@@ -209,17 +279,31 @@
     def release(self) -> Write | None:
         """Returns the update that releases the lease; None if not held."""
         held, self._held_until = self._held_until, None
-        if held is None or self._stored is None:
-            return None
-        record = self._stored.record
-        if record.incarnation != self._incarnation:
+        if held is None or self._stored is None or not self._owns(self._stored):
             return None
-        released_record = dataclasses.replace(record, released=True)
+        released_record = dataclasses.replace(
+            self._stored.record, released=True
+        )
         return Write(released_record, self._stored.revision)
 
+    def _owns(self, stored: StoredLeaseRecord | None) -> bool:
+        """Returns whether a record is this holder's, of the present era."""
+        return (
+            stored is not None
+            and stored.record.incarnation == self._incarnation
+            and stored.record.era == self._era
+        )
+
     def _own_record(self, number: int, renewals: int = 0) -> LeaseRecord:
         return LeaseRecord(
-            self._name, self._incarnation, number, False, renewals
+            self._name, self._incarnation, number, False, renewals, self._era
+        )
+
+    def _former_leases_expired(self, now: datetime.datetime) -> bool:
+        """Returns whether no lease of an earlier era can be valid any more."""
+        since = self._era_since
+        return since is None or (
+            now - since >= LEASE_DURATION + _CLOCK_SKEW_MARGIN
         )
 
     def _expired(self, now: datetime.datetime) -> bool:
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -43,14 +43,12 @@
 
     async def read_lease(
         self,
-    ) -> expression.Result[
-        lease_record.StoredLeaseRecord | None, errors.Failure
-    ]:
-        """Returns the record; None if none was ever stored."""
+    ) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
+        """Returns the record, if there is one, and the era of the store."""
 
     async def write_lease(
         self, record: lease_record.LeaseRecord, revision: int | None
-    ) -> expression.Result[lease_record.StoredLeaseRecord, errors.Failure]:
+    ) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
         """Stores a record if the stored revision is still `revision`."""
 
     async def promote(
@@ -119,6 +117,10 @@
         """Sets the names of the proxies that may also acquire the lease."""
         self._order.set_proxies(live)
 
+    def note_era(self, era: int) -> None:
+        """Notes the era that the store told in a response."""
+        self._lease_state.record_era(era, self._clock.now())
+
     async def acquire(self, needed: Callable[[], bool]) -> bool:
         """Acquires the lease once it is this proxy's turn.
 
@@ -216,7 +218,8 @@
             self._retry_delay = min(2 * delay, _MAX_RETRY_DELAY)
             return delay
         self._retry_delay = _RETRY_DELAY
-        self._lease_state.record_read(read.ok, self._clock.now())
+        if not self._lease_state.record_read(read.ok, self._clock.now()):
+            return _RETRY_DELAY
         match self._lease_state.decide(self._clock.now()):
             case lease_record.Wait(duration):
                 return duration
@@ -228,6 +231,7 @@
         sent = self._clock.now()
         written = await self._store.write_lease(write.record, write.revision)
         if written.is_ok():
+            self._lease_state.record_era(written.ok.era, self._clock.now())
             self._lease_state.record_write(written.ok, sent)
             return
         self._journal.record(platform_events.DutyLost(written.error.message))
