List anew when the store was restored, and never mix two eras

What callers would see: a configuration or a change of a database that is never in force at a proxy that missed the store's return.

Cause: a watch went on from a revision of before the restore. Once the store had given out as many revisions again, it answered, without the changes in between; newer ones counted as older.

Change: lists and changes carry the era of the store. Another era than the known one means listing anew; a view of an earlier era is ignored; a list whose pages are of two eras is a failure.

Evidence: RestoredWatchTest failed before (a change is never seen) and passes.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -248,8 +248,9 @@
           may_be_outdated: whether changes of the last seconds may be missing.
             Such a call doesn't count toward the store's rate.
         """
-        found: list[list_watch.StoredObject] = []
+        items: list[list_watch.StoredObject] = []
         revision: int | None = None
+        era: int | None = None
         every_page = _OUTDATED_QUERY if may_be_outdated else {}
         query = dict(every_page)
         while True:
@@ -257,11 +258,15 @@
             page = answered.bind(HttpResponse.success_body).bind(_decode_page)
             if page.is_error():
                 return expression.Error(page.error)
-            found += [item.stored() for item in page.ok.items]
+            if era is not None and answered.ok.era != era:
+                found = list_watch.StoreRestored(era, answered.ok.era)
+                return expression.Error(found)
+            era = answered.ok.era
+            items += [item.stored() for item in page.ok.items]
             # A watch from the first page's revision returns later changes.
             revision = page.ok.current_rev if revision is None else revision
             if not (page.ok.has_more and page.ok.items):
-                return expression.Ok(list_watch.Snapshot(found, revision))
+                return expression.Ok(list_watch.Snapshot(items, revision, era))
             query = every_page | {"after": page.ok.items[-1].meta.name}
 
     async def watch(
@@ -297,7 +302,9 @@
             for event in decoded.ok.events
         ]
         return expression.Ok(
-            list_watch.ChangeBatch(changes, decoded.ok.current_rev)
+            list_watch.ChangeBatch(
+                changes, decoded.ok.current_rev, answered.ok.era
+            )
         )
 
     async def read(
--- a/hickorygate/store/list_watch.py
+++ b/hickorygate/store/list_watch.py
@@ -26,6 +26,7 @@
     "Sink",
     "Snapshot",
     "Source",
+    "StoreRestored",
     "StoredObject",
     "WatchSettings",
 ]
@@ -94,10 +95,13 @@
     Attributes:
       objects: the objects.
       revision: revision of the store to watch from.
+      era: number that rises each time that the store is restored from an older
+        copy; 0 if unknown.
     """
 
     objects: Sequence[StoredObject]
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -107,10 +111,12 @@
     Attributes:
       changes: the changes, the newest last.
       revision: revision of the store to continue the watch from.
+      era: as in `Snapshot`.
     """
 
     changes: Sequence[Change]
     revision: int
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -129,6 +135,26 @@
         return f"history since revision {self.revision} is gone; list again"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoreRestored(errors.Failure):
+    """The store was restored from an older copy, which gives revisions again.
+
+    Attributes:
+      known: era whose revisions are known.
+      found: present era of the store.
+    """
+
+    known: int
+    found: int
+
+    @property
+    def message(self) -> str:
+        """Human-readable message."""
+        return (
+            f"the store went from era {self.known} to {self.found}; list again"
+        )
+
+
 class Source(Protocol):
     """A store whose objects can be listed and watched."""
 
@@ -175,6 +201,7 @@
         "_batch_delay",
         "_clock",
         "_connected",
+        "_era",
         "_revision",
         "_settings",
         "_sink",
@@ -197,6 +224,7 @@
             _FIRST_RETRY_DELAY, _MAX_RETRY_DELAY, generator
         )
         self._revision: int | None = None
+        self._era = 0
         self._connected = True
         self._batch_delay = _MIN_BATCH_DELAY
 
@@ -224,13 +252,21 @@
             listed = await self._source.list(self._settings.kind)
             if listed.is_error():
                 return expression.Error(listed.error)
+            if listed.ok.era < self._era:
+                return expression.Ok(_MIN_BATCH_DELAY)
             self._revision = listed.ok.revision
+            self._era = listed.ok.era
             self._sink.replace(listed.ok.objects)
             return expression.Ok(datetime.timedelta())
         began = self._clock.now()
         batch = await self._source.watch(self._settings, self._revision)
         if batch.is_error():
             return expression.Error(batch.error)
+        if batch.ok.era > self._era:
+            return expression.Error(StoreRestored(self._era, batch.ok.era))
+        if batch.ok.era < self._era:
+            # An outdated view from before the restore.
+            return expression.Ok(_MIN_BATCH_DELAY)
         self._apply(batch.ok, self._revision)
         if not batch.ok.changes:
             return expression.Ok(datetime.timedelta())
@@ -302,3 +338,9 @@
 def _(failure: HistoryLost, feed: ListWatch) -> datetime.timedelta:
     feed.forget_revision()
     return datetime.timedelta()
+
+
+@_handle_failure.register
+def _(failure: StoreRestored, feed: ListWatch) -> datetime.timedelta:
+    feed.forget_revision()
+    return datetime.timedelta()
