Order the entries of a database by its own count, not by the store's

What callers would see: work sent to a database that had announced its shutdown, or one that has left in use again, after the store went back to a copy.

Cause: the newest list won, whatever it was a copy of.

Change: entries carry the count of their process (seq_no). An earlier entry of the same process is ignored, and so is one from before the database left. Entries of different processes of one id have no order.

--- a/hickorygate/platform/object_decoding.py
+++ b/hickorygate/platform/object_decoding.py
@@ -63,6 +63,7 @@
     db_role: Literal["primary", "replica"]
     cold_left_ms: Annotated[float, pydantic.Field(ge=0)] = 0
     born: _Count = 0
+    seq_no: _Count = 0
 
 
 def decode_member(name: str, value: object) -> member.Member | None:
@@ -82,6 +83,7 @@
         leaving=entry.state == "draining",
         leads=entry.db_role == "primary",
         warming=entry.cold_left_ms > 0,
+        sequence=entry.seq_no,
     )
 
 
--- a/hickorygate/tests/test_listing.py
+++ b/hickorygate/tests/test_listing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import unittest
 
 from hickorygate.testing import clock
@@ -51,6 +52,45 @@
         self.assertEqual(self.names(), ["a"])
 
 
+class RestoredListTest(unittest.TestCase):
+    """Lists and changes from a store that was restored from an older copy."""
+
+    def setUp(self) -> None:
+        self.listing = members.Listing()
+        self.early = _member("a")
+        self.late = dataclasses.replace(self.early, leaving=True, sequence=9)
+        self.listing.put(self.early)
+        self.listing.put(self.late)
+
+    # Guards against a database that gets work again although it announced its
+    # shutdown, because the store went back to an earlier entry.
+    def test_an_earlier_entry_of_a_leaving_database_is_ignored(self) -> None:
+        self.listing.replace([self.early], clock.at(1))
+        self.assertEqual(self.listing.members, (self.late,))
+        self.assertFalse(self.listing.expire(clock.at(9)))
+
+    # Guards against a database that is in use again after it left.
+    def test_a_database_that_left_does_not_return(self) -> None:
+        self.listing.remove("a", clock.at(1))
+        self.listing.replace([self.early], clock.at(2))
+        self.listing.put(self.late)
+        self.assertEqual(self.listing.members, ())
+
+    def test_a_database_that_starts_again_is_listed(self) -> None:
+        self.listing.remove("a", clock.at(1))
+        again = dataclasses.replace(self.early, born=0)
+        self.listing.put(again)
+        self.assertEqual(self.listing.members, (again,))
+
+    def test_a_later_entry_of_a_database_that_was_dropped_is_listed(
+        self,
+    ) -> None:
+        self.listing.remove("a", clock.at(1))
+        alive = dataclasses.replace(self.late, sequence=10)
+        self.listing.put(alive)
+        self.assertEqual(self.listing.members, (alive,))
+
+
 class DatabaseHealthTest(unittest.TestCase):
     """Tests when a database counts as unreachable."""
 
--- a/hickorygate/upstreams/member.py
+++ b/hickorygate/upstreams/member.py
@@ -23,6 +23,9 @@
 outage of the store reappear within two seconds of its recovery; the remainder
 allows for the delivery to this process."""
 
+_MAX_DEPARTED = 1_000
+"""Number of databases that left whose last entries are remembered."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Member:
@@ -40,6 +43,8 @@
       leaving: whether the database has announced its shutdown.
       leads: whether the database reported itself as the primary.
       warming: whether the database is still slow after its start.
+      sequence: number that rises with each entry that the process writes; 0 if
+        its entries are not numbered.
     """
 
     id: MemberId
@@ -52,16 +57,23 @@
     leaving: bool
     leads: bool
     warming: bool = False
+    sequence: int = dataclasses.field(default=0, compare=False)
 
 
 class Listing:
-    """The listed databases, including recently missing entries."""
+    """The listed databases, including recently missing entries.
+
+    Entries of one database process are ordered by their own sequence numbers,
+    not by the store's revisions, so an entry from an older copy of the store
+    replaces no later one.
+    """
 
-    __slots__ = ("_members", "_missing", "_services")
+    __slots__ = ("_departed", "_members", "_missing", "_services")
 
     def __init__(self) -> None:
         self._members: dict[MemberId, Member] = {}
         self._missing: dict[MemberId, datetime.datetime] = {}
+        self._departed: dict[MemberId, Member] = {}
         self._services: dict[types.ServiceName, dict[MemberId, Member]] = {}
 
     @property
@@ -93,10 +105,21 @@
         return frozenset().union(*changed)
 
     def put(self, member: Member) -> frozenset[types.ServiceName]:
-        """Adds or updates an entry; returns the services that changed."""
+        """Adds or updates an entry; returns the services that changed.
+
+        An entry that its database wrote before the known one is ignored, and so
+        is an entry from before a database left.
+        """
+        if self._has_departed(member):
+            return frozenset()
         self._missing.pop(member.id, None)
         former = self._members.get(member.id)
+        if former is not None and _is_earlier(member, former):
+            return frozenset()
         if former == member:
+            # Only the sequence number may be another one.
+            self._members[member.id] = member
+            self._services[member.service][member.id] = member
             return frozenset()
         self._members[member.id] = member
         changed = {member.service}
@@ -118,6 +141,7 @@
         if member is None:
             return frozenset()
         if member.leaving:
+            self._remember_departed(member)
             return self._drop(name)
         self._missing.setdefault(name, now)
         return frozenset()
@@ -139,6 +163,22 @@
         """Restarts the expiry of missing entries after a store outage."""
         self._missing = dict.fromkeys(self._missing, now)
 
+    def _has_departed(self, member: Member) -> bool:
+        """Returns whether an entry is from before its database left."""
+        last = self._departed.get(member.id)
+        return (
+            last is not None
+            and last.sequence > 0
+            and last.born == member.born
+            and last.sequence >= member.sequence
+        )
+
+    def _remember_departed(self, member: Member) -> None:
+        self._departed.pop(member.id, None)
+        self._departed[member.id] = member
+        if len(self._departed) > _MAX_DEPARTED:
+            del self._departed[next(iter(self._departed))]
+
     def _drop(self, name: MemberId) -> frozenset[types.ServiceName]:
         self._missing.pop(name, None)
         member = self._members.pop(name, None)
@@ -146,3 +186,11 @@
             return frozenset()
         del self._services[member.service][name]
         return frozenset({member.service})
+
+
+def _is_earlier(member: Member, known: Member) -> bool:
+    """Returns whether a process wrote an entry before a known one.
+
+    The entries of different processes of one id have no order.
+    """
+    return member.born == known.born and member.sequence < known.sequence
