Read the other objects of a response when one can't be represented

What callers would see: after another writer left one entry that is nested very deeply, or has a number too large, no proxy followed the databases or the configuration any more, and none that started found a database (reported by other operators).

Cause: a page was decoded as a whole; orjson refuses such values, so each list and each watch failed, for good.

Change: a text that orjson refuses is repaired, value by value, and decoded again. Such a value becomes null, so its entry names no database; the others hold.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -17,6 +17,7 @@
 
 from hickorygate.core import errors
 from hickorygate.platform import http_connections
+from hickorygate.platform import lenient_json
 from hickorygate.platform import object_decoding
 from hickorygate.store import failures
 from hickorygate.store import list_watch
@@ -480,7 +481,7 @@
     model: type[pydantic.BaseModel], body: bytes
 ) -> expression.Result[Any, errors.Failure]:
     try:
-        return expression.Ok(model.model_validate(orjson.loads(body)))
+        return expression.Ok(model.model_validate(lenient_json.loads(body)))
     except (ValueError, pydantic.ValidationError) as error:
         reason = f"malformed body: {str(error).splitlines()[0]}"
         return expression.Error(errors.StoreUnavailable(reason, True))
--- a/hickorygate/testing/object_store.py
+++ b/hickorygate/testing/object_store.py
@@ -14,6 +14,7 @@
 from collections.abc import Sequence
 import dataclasses
 import enum
+import json
 from typing import Any
 import weakref
 
@@ -116,6 +117,7 @@
         self._objects: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any], bool]] = []
         self._revision = 1
+        self._texts: dict[str, str] = {}
         self._era = 1
         self._copy = _Copy(1, {}, [])
         self._oldest_revision = 1
@@ -194,6 +196,18 @@
             self._store(_SERVERS, name, entry)
         return self._revision
 
+    def put_text(self, kind: str, name: str, text: str) -> None:
+        """Stores an object whose content is sent as the given text."""
+        placeholder = f"text of {kind}/{name}"
+        self._texts[json.dumps(placeholder)] = text
+        self._store(kind, name, placeholder)
+
+    def _dump(self, body: object) -> str:
+        text = json.dumps(body)
+        for placeholder, replacement in self._texts.items():
+            text = text.replace(placeholder, replacement)
+        return text
+
     def remove(self, kind: str, name: str) -> None:
         """Removes an object without a call to the API."""
         removed = self._objects[kind].pop(name)
@@ -301,7 +315,8 @@
                 "items": page,
                 "has_more": len(names) > self.page,
                 "current_rev": self._revision,
-            }
+            },
+            dumps=self._dump,
         )
 
     async def _watch(self, request: web.Request) -> web.Response:
@@ -324,7 +339,8 @@
                     {
                         "events": events,
                         "current_rev": self._visible_revision(request),
-                    }
+                    },
+                    dumps=self._dump,
                 )
             try:
                 async with asyncio.timeout(remaining):
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -14,6 +14,7 @@
 from hickorygate.core import clock
 from hickorygate.core import errors
 from hickorygate.platform import object_client
+from hickorygate.platform import object_decoding
 from hickorygate.platform import settings
 from hickorygate.platform import store
 from hickorygate.store import list_watch
@@ -341,3 +342,41 @@
         self.server.silence_connections()
         self.assertTrue((await api.list("servers")).is_error())
         self.assertTrue((await api.list("servers")).is_ok())
+
+
+class OddEntryTest(_StoreTestCase):
+    """Another writer left one entry that few readers can decode."""
+
+    def odd_texts(self) -> dict[str, str]:
+        return {
+            "nested lists": "[" * 100_000 + "]" * 100_000,
+            "nested objects": '{"a":' * 5_000 + "1" + "}" * 5_000,
+            "large exponent": '{"slots": 1e999}',
+            "many digits": '{"slots": ' + "9" * 5_000 + "}",
+            "no number": '{"slots": NaN}',
+            "lone surrogate": '{"zone": "\\ud800"}',
+            "control character": '{"zone": "\x01"}',
+            "port": '{"address": "10.0.0.1:99999"}',
+        }
+
+    # Guards against one odd entry that stops a proxy from following all others.
+    async def test_the_other_entries_are_listed(self) -> None:
+        for kind, text in self.odd_texts().items():
+            with self.subTest(kind):
+                self.server.put("servers", "i-1", {"zone": "a", "slots": 2})
+                self.server.put_text("servers", "odd", text)
+                listed = (await self.store.list("servers")).ok
+                values = {o.name: o.value for o in listed.objects}
+                self.assertEqual(values["i-1"], {"zone": "a", "slots": 2})
+                self.assertIsNone(
+                    object_decoding.decode_member("odd", values["odd"])
+                )
+
+    async def test_their_changes_are_seen(self) -> None:
+        for kind, text in self.odd_texts().items():
+            with self.subTest(kind):
+                before = (await self.store.list("servers")).ok.revision
+                self.server.put_text("servers", f"odd {kind}", text)
+                self.server.put("servers", "i-1", {"zone": kind})
+                batch = (await self.store.watch(_WATCH, before)).ok
+                self.assertEqual(batch.changes[-1].stored.value, {"zone": kind})
