Take over soon after a restore: only orders under way are waited for

Cause: a lease may be valid for 4 s, and a proxy waited for the end of one that the restore may have hidden; before, also for the end of one that the copy showed.

Change: an order is sent only within 0.5 s of the call by which the store confirmed the lease; otherwise the lease is renewed first. 2 s after that call no order is under way, so a new era's first record may be written 2.25 s after the era was seen, at once later on.

Evidence: RestoredLeaseTest, two more cases. The case of the forgotten lease now checks that its holder's order is refused, which is what must not happen; the time for which it counts on the lease otherwise is as it was.

--- a/hickorygate/tests/test_restored_store.py
+++ b/hickorygate/tests/test_restored_store.py
@@ -20,6 +20,7 @@
 from hickorygate.upstreams import promotion_lease
 
 _TIMEOUT_SECONDS = 3
+_LONGEST_WAIT_SECONDS = 2.5
 _WATCH = list_watch.WatchSettings(
     "config", datetime.timedelta(milliseconds=200)
 )
@@ -99,7 +100,34 @@
         await self.acquire(self.one)
         self.server.restore()
         await self.acquire(self.two)
-        self.assertFalse(self.one.held)
+        self.assertFalse(await self.one.promote("ledger", "b"))
+
+    # Guards against a takeover that waits for the end of a lease that the copy
+    # shows as held.
+    async def test_a_takeover_after_a_restore_begins_soon(self) -> None:
+        await self.acquire(self.one)
+        self.server.copy()
+        await self.one.release()
+        self.server.restore()
+        began = self.clock.now()
+        await self.order(self.two)
+        waited = (self.clock.now() - began).total_seconds()
+        self.assertLess(waited, _LONGEST_WAIT_SECONDS)
+
+    async def test_a_takeover_some_seconds_after_a_restore_begins_at_once(
+        self,
+    ) -> None:
+        await self.acquire(self.one)
+        self.server.copy()
+        await self.one.release()
+        self.server.restore()
+        self.two.note_era(2)
+        await self.clock.sleep(
+            datetime.timedelta(seconds=_LONGEST_WAIT_SECONDS)
+        )
+        began = self.clock.now()
+        await self.order(self.two)
+        self.assertEqual(self.clock.now(), began)
 
     # Guards against a record of the copy by which a proxy counts as holder.
     async def test_a_record_of_the_copy_makes_no_holder(self) -> None:
--- a/hickorygate/upstreams/lease_record.py
+++ b/hickorygate/upstreams/lease_record.py
@@ -7,10 +7,11 @@
 
 The store may be restored from an older copy, which begins a new era: records
 that were written since the copy are gone, and revisions repeat. A record of an
-earlier era therefore proves nothing about the present holder. It is replaced
-only after every lease of the earlier era has expired, or by the holder of a
-lease that is still valid. Fencing tokens begin anew in each era, above those of
-all earlier ones.
+earlier era therefore proves nothing about the present holder. An order is sent
+only shortly after the store confirmed the lease, so soon after a restore no
+order of an earlier era is under way. Only then the record is replaced, or by a
+holder whom the store confirmed that recently. Fencing tokens begin anew in each
+era, above those of all earlier ones.
 
 A holder measures the lease duration from the time before the call that
 acquired or renewed the lease. A proxy that waits for the lease to expire
@@ -53,6 +54,17 @@
 _NUMBERS_PER_ERA = 1_000_000
 """Fencing tokens of one era; more than there can be holders in it."""
 
+_CONFIRMATION_AGE = datetime.timedelta(milliseconds=500)
+"""Time since the call that acquired or renewed the lease within which an order
+may be started; later, the lease is renewed first."""
+
+_ORDER_TIME = _CONFIRMATION_AGE + _CALL_MARGIN
+"""Time since that call after which no order under the lease is under way."""
+
+_ERA_MARGIN = datetime.timedelta(milliseconds=250)
+"""Added to `_ORDER_TIME` by other proxies, because clocks can run at different
+speeds."""
+
 _POLL_INTERVAL = datetime.timedelta(milliseconds=200)
 """Interval at which a waiting proxy reads the record."""
 
@@ -149,6 +161,7 @@
     """One process's view of the promotion lease."""
 
     __slots__ = (
+        "_confirmed_at",
         "_era",
         "_era_since",
         "_held_until",
@@ -165,6 +178,7 @@
         self._stored: StoredLeaseRecord | None = None
         self._unchanged_since: datetime.datetime | None = None
         self._held_until: datetime.datetime | None = None
+        self._confirmed_at: datetime.datetime | None = None
         self._era = 0
         self._era_since: datetime.datetime | None = None
         self._number = 0
@@ -193,6 +207,14 @@
             and self._owns(self._stored)
         )
 
+    def may_order(self, now: datetime.datetime) -> bool:
+        """Returns whether the lease was confirmed recently enough to order."""
+        return (
+            self._confirmed_at is not None
+            and now - self._confirmed_at < _CONFIRMATION_AGE
+            and self.may_call(now)
+        )
+
     def record_era(self, era: int, now: datetime.datetime) -> None:
         """Records that the store told its era.
 
@@ -248,8 +270,7 @@
 
     def _decide_in_new_era(self, now: datetime.datetime) -> Action:
         """Returns how to write the first record of the present era."""
-        held = self._held_until is not None and now < self._held_until
-        if not held and not self._former_leases_expired(now):
+        if not self._may_resume(now) and self._may_be_ordering(now):
             return Wait(_POLL_INTERVAL)
         number = max(self._number, self._era * _NUMBERS_PER_ERA) + 1
         revision = self._stored.revision if self._stored else None
@@ -275,6 +296,7 @@
             self._held_until = None
         else:
             self._held_until = sent + LEASE_DURATION
+            self._confirmed_at = sent
 
     def release(self) -> Write | None:
         """Returns the update that releases the lease; None if not held."""
@@ -299,11 +321,19 @@
             self._name, self._incarnation, number, False, renewals, self._era
         )
 
-    def _former_leases_expired(self, now: datetime.datetime) -> bool:
-        """Returns whether no lease of an earlier era can be valid any more."""
-        since = self._era_since
-        return since is None or (
-            now - since >= LEASE_DURATION + _CLOCK_SKEW_MARGIN
+    def _may_resume(self, now: datetime.datetime) -> bool:
+        """Returns whether no other proxy can hold the lease in a new era."""
+        return (
+            self._held_until is not None
+            and self._confirmed_at is not None
+            and now - self._confirmed_at < _ORDER_TIME
+        )
+
+    def _may_be_ordering(self, now: datetime.datetime) -> bool:
+        """Returns whether an order of an earlier era may be under way."""
+        return (
+            self._era_since is not None
+            and now - self._era_since < _ORDER_TIME + _ERA_MARGIN
         )
 
     def _expired(self, now: datetime.datetime) -> bool:
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -154,15 +154,15 @@
                 await self._write(write)
 
     async def renew(self) -> bool:
-        """Renews the lease if too little of it is left for a call.
+        """Renews the lease unless the store confirmed it a moment ago.
 
         Returns:
-          Whether the lease is held long enough for a call.
+          Whether an order may be sent.
         """
-        if self.held:
+        if self._may_order():
             return True
         async with self._lock:
-            return self.held or await self._attempt() is None
+            return self._may_order() or await self._attempt() is None
 
     async def promote(
         self, service: types.ServiceName, member: members.MemberId
@@ -173,18 +173,21 @@
           Whether the order was accepted.
         """
         record = self._lease_state.record
-        if record is None or not self.held:
+        if record is None or not self._may_order():
             return False
         # The store checks the lease again after connecting, because this
         # process may have been suspended in the meantime.
         ordered = await self._store.promote(
-            service, member, record, lambda: self.held
+            service, member, record, self._may_order
         )
         self._order_unanswered = self._order_unanswered or _may_take_effect(
             ordered
         )
         return ordered.is_ok()
 
+    def _may_order(self) -> bool:
+        return self._lease_state.may_order(self._clock.now())
+
     async def _wait_for_turn(self, needed: Callable[[], bool]) -> None:
         """Waits until other proxies had the time to acquire the lease."""
         turn = self._clock.now() + self._order.delay
