Bound the era, the watch and the age of a confirmation by what can occur

Cause: a header with thousands of digits would have raised; a settings file with a bound of over 30 s would not have been accepted; with a store that takes 0.5 s for an answer no order could have been sent, since its confirmation was always older.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -8,6 +8,7 @@
 import dataclasses
 import datetime
 import enum
+import re
 from typing import Any
 
 import aiohttp
@@ -37,6 +38,8 @@
 _ERA_HEADER = "Store-Era"
 """Header whose value rises each time that the store is restored from a copy."""
 
+_ERA = re.compile(r"[0-9]{1,18}")
+
 _SERVER_ERRORS = 500
 
 _OUTDATED_QUERY = {"serializable": "1"}
@@ -474,7 +477,7 @@
 
 def _decode_era(text: str) -> int:
     """Returns the era of a response; 0 if it tells none."""
-    return int(text) if text.isascii() and text.isdecimal() else 0
+    return int(text) if _ERA.fullmatch(text) else 0
 
 
 def _decode(
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -50,7 +50,8 @@
 
 
 _MIN_WATCH = datetime.timedelta(milliseconds=250)
-"""Shortest time for which the store is asked to hold a watch open."""
+_MAX_WATCH = datetime.timedelta(seconds=24)
+"""Shortest and longest time for which the store is asked to hold a watch."""
 
 _RECONNECT_MARGIN = datetime.timedelta(milliseconds=250)
 """Time to connect to the store anew and ask again after a call timed out."""
@@ -85,7 +86,9 @@
 
 def _watch_hold(settings: settings_lib.ProcessSettings) -> datetime.timedelta:
     delay = object_client.CALL_TIMEOUT + _RECONNECT_MARGIN
-    return max(settings.configuration_bound - delay, _MIN_WATCH)
+    return min(
+        max(settings.configuration_bound - delay, _MIN_WATCH), _MAX_WATCH
+    )
 
 
 def _file_version(path: pathlib.Path) -> tuple[int, int] | None:
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -27,7 +27,7 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _CONFIGURATION_BOUND = datetime.timedelta(seconds=3)
 """Time after which a configuration must be in force if the file names none."""
-_MAX_CONFIGURATION_BOUND = datetime.timedelta(seconds=30)
+_MAX_MILLISECONDS = 86_400_000.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -100,7 +100,7 @@
         _CONFIGURATION_BOUND / _MILLISECOND,
         alias="bounds.config_apply_ms",
         gt=0,
-        le=_MAX_CONFIGURATION_BOUND / _MILLISECOND,
+        le=_MAX_MILLISECONDS,
     )
 
     def settings(self) -> ProcessSettings:
--- a/hickorygate/upstreams/lease_record.py
+++ b/hickorygate/upstreams/lease_record.py
@@ -54,9 +54,10 @@
 _NUMBERS_PER_ERA = 1_000_000
 """Fencing tokens of one era; more than there can be holders in it."""
 
-_CONFIRMATION_AGE = datetime.timedelta(milliseconds=500)
+_CONFIRMATION_AGE = datetime.timedelta(seconds=1)
 """Time since the call that acquired or renewed the lease within which an order
-may be started; later, the lease is renewed first."""
+may be started; later, the lease is renewed first. A call that is answered takes
+no longer."""
 
 _ORDER_TIME = _CONFIRMATION_AGE + _CALL_MARGIN
 """Time since that call after which no order under the lease is under way."""
