--- a/hickorygate/tests/test_restored_store.py
+++ b/hickorygate/tests/test_restored_store.py
@@ -9,13 +9,19 @@
 import unittest
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import document
 from hickorygate.core import errors
 from hickorygate.core import events
+from hickorygate.platform import object_client
 from hickorygate.platform import settings as settings_lib
 from hickorygate.platform import store as stores
+from hickorygate.store import client as store_client
 from hickorygate.store import list_watch
+from hickorygate.store import objects
+from hickorygate.store import sheet_state
 from hickorygate.testing import clock
 from hickorygate.testing import object_store
+from hickorygate.testing import sheets
 from hickorygate.upstreams import lease_record
 from hickorygate.upstreams import promotion_lease
 
@@ -225,3 +231,44 @@
                 "config", _WATCH.wait, may_be_outdated=True
             )
         )
+
+
+class RestoredSheetTest(_RestoredStoreTestCase):
+    """A sheet of the MySQL front end, whose version is the store's revision."""
+
+    # Guards against a sheet that was loaded after a restore and never comes in
+    # force, because the store gave its version out before.
+    async def test_a_sheet_loaded_after_a_restore_is_in_force(self) -> None:
+        api = object_client.ObjectStoreClient(self.server.url)
+        client = store_client.Client(
+            api, clocks.SystemClock(), random.Random(1)
+        )
+        self.addAsyncCleanup(client.close)
+        state = sheet_state.SheetState()
+        await self.load(client, state, "first")
+        self.server.copy()
+        for comment in ("second", "third"):
+            await self.load(client, state, comment)
+        self.server.restore()
+        await self.load(client, state, "after the restore")
+
+    async def load(
+        self,
+        client: store_client.Client,
+        state: sheet_state.SheetState,
+        comment: str,
+    ) -> None:
+        """Loads a sheet, and checks that a proxy puts it in force."""
+        found = (await client.sheet()).ok
+        content = objects.SheetObject(
+            text=sheets.text(comment=comment),
+            loaded_by="operator",
+            loaded_at=datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC),
+        )
+        expected = found.version if found else 0
+        stored = await client.store(objects.SHEET_KEY, content, expected)
+        version = stored.ok
+        effects = state.offer(
+            document.ReceivedDocument(version, content.text, "platform")
+        )
+        self.assertIsInstance(effects[0], sheet_state.ApplySheet)
