Play the failover tests on virtual time

Seen: test_a_silent_primary_is_lost_after_a_second timed out once (2.2 s) in a whole run at a load of 22 on 8 cores. The run's log shows why: one step of the loop took 3.174 s of wall-clock time in that test, longer than its bound.

Change: the proxies of FailoverTest take the loop's clock, and the loop runs on virtual time.

--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -129,9 +129,12 @@
     """
 
     def __init__(
-        self, name: str, group: line_group.LineGroup, store: MemoryStore
+        self,
+        name: str,
+        group: line_group.LineGroup,
+        store: MemoryStore,
+        clock: clocks.Clock,
     ) -> None:
-        clock = clocks.SystemClock()
         self.name = name
         self.journal = events.Timeline(name, events.HybridLogicalClock(clock))
         lease_state = lease_record.LeaseState(name, name)
@@ -235,11 +238,28 @@
       proxies: proxies of the group.
     """
 
-    def __init__(self, proxies: int = 1, **options: object) -> None:
+    def __init__(
+        self,
+        proxies: int = 1,
+        clock: clocks.Clock | None = None,
+        **options: object,
+    ) -> None:
+        """Creates the group and its proxies; they are not started yet.
+
+        Args:
+          proxies: number of proxies.
+          clock: clock of the proxies; None for the system's.
+          **options: options of the group.
+        """
         self.group = line_group.LineGroup(**options)  # type: ignore[arg-type]
         self.store = MemoryStore(self.group)
         self.proxies = [
-            LineProxy(f"proxy-{i}", self.group, self.store)
+            LineProxy(
+                f"proxy-{i}",
+                self.group,
+                self.store,
+                clock or clocks.SystemClock(),
+            )
             for i in range(proxies)
         ]
         self._clients: list[LineClient] = []
--- a/hickorygate/tests/test_line_path.py
+++ b/hickorygate/tests/test_line_path.py
@@ -10,9 +10,11 @@
 import unittest
 
 from hickorygate.core import clock
+from hickorygate.core import clock as clocks
 from hickorygate.platform import settings
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
+from hickorygate.testing import virtual_time
 
 
 def _code(received: list[str]) -> str:
@@ -53,7 +55,9 @@
     ) -> None:
         # A proxy without a configuration knows no database name yet. After a
         # power loss such proxies refused 299 requests as unknown.
-        proxy = line_cluster.LineProxy("late", self.group, self.cluster.store)
+        proxy = line_cluster.LineProxy(
+            "late", self.group, self.cluster.store, clocks.SystemClock()
+        )
         await proxy.server.start(settings.Address("127.0.0.1", 0))
         self.addAsyncCleanup(proxy.close)
         streams = await asyncio.open_connection("127.0.0.1", proxy.server.port)
@@ -253,12 +257,15 @@
         self.assertEqual(_code(received), "INDOUBT")
 
 
-class FailoverTest(unittest.IsolatedAsyncioTestCase):
+class FailoverTest(virtual_time.VirtualTimeTestCase):
     """Failover with two proxies, for different faults of the primary."""
 
     async def asyncSetUp(self) -> None:  # noqa: N802
         self.cluster = await self.enterAsyncContext(
-            line_cluster.LineCluster(proxies=2)
+            line_cluster.LineCluster(
+                proxies=2,
+                clock=virtual_time.LoopClock(asyncio.get_running_loop()),
+            )
         )
         self.group = self.cluster.group
         self.clients = [
