--- a/hickorygate/tests/test_line_path.py
+++ b/hickorygate/tests/test_line_path.py
@@ -10,7 +10,6 @@
 import unittest
 
 from hickorygate.core import clock
-from hickorygate.core import clock as clocks
 from hickorygate.platform import settings
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
@@ -56,7 +55,7 @@
         # A proxy without a configuration knows no database name yet. After a
         # power loss such proxies refused 299 requests as unknown.
         proxy = line_cluster.LineProxy(
-            "late", self.group, self.cluster.store, clocks.SystemClock()
+            "late", self.group, self.cluster.store, clock.SystemClock()
         )
         await proxy.server.start(settings.Address("127.0.0.1", 0))
         self.addAsyncCleanup(proxy.close)
