Record connections that return to a pool in an unknown session state

Change: a pooled connection keeps the requests whose replies no borrower has read, whether setting the session state failed, and the transaction's state. ConnectionUnsettled tells why the state is unknown, and which requests were left. Nothing else behaves differently.

--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -15,6 +15,7 @@
 __all__ = [
     "CatalogApplied",
     "CatalogRejected",
+    "ConnectionUnsettled",
     "DutyLost",
     "DutyWon",
     "EntryIgnored",
@@ -104,6 +105,22 @@
     leader: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ConnectionUnsettled(events.Event):
+    """A connection was returned while its session state was not known.
+
+    Attributes:
+      database: id of the database.
+      reason: why the session state is not known.
+      unread: class names of the requests whose replies were not read, oldest
+        first.
+    """
+
+    database: str
+    reason: str
+    unread: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaderChanged(events.Event):
     """A group has a new primary, or its primary leads a new term.
--- a/hickorygate/tests/test_connection_pool.py
+++ b/hickorygate/tests/test_connection_pool.py
@@ -11,6 +11,8 @@
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.core import platform_events
 from hickorygate.core import rank as ranks
 from hickorygate.core import reply
 from hickorygate.core import request_context
@@ -76,8 +78,9 @@
     ) -> connection_pool.ConnectionPool:
         self.connector = _Connector(most)
         clock = clocks.SystemClock()
+        self.journal = events.Timeline("p", events.HybridLogicalClock(clock))
         return connection_pool.ConnectionPool(
-            _MEMBER, allowed, self.connector, clock
+            _MEMBER, allowed, self.connector, clock, self.journal
         )
 
     def make_request(self, order: int = 0, seconds: float = 0.2) -> object:
@@ -119,6 +122,22 @@
             [database_request.Reset(), database_request.SetValue("w", "2")],
         )
 
+    async def test_a_return_with_an_unknown_session_state_is_recorded(
+        self,
+    ) -> None:
+        pool = self.build(5)
+        pooled_connection = (await pool.borrow(self.make_request(), {})).ok
+        self.connector.opened[0].state = reply.TransactionState.IN_TRANSACTION
+        await pooled_connection.run(database_request.Begin())
+        pooled_connection.give_back()
+        (recorded,) = self.journal.events
+        self.assertEqual(
+            recorded.event,
+            platform_events.ConnectionUnsettled(
+                "a", "a transaction is open", unread=""
+            ),
+        )
+
     async def test_the_last_connection_is_not_lent_to_a_transaction(
         self,
     ) -> None:
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -17,6 +17,8 @@
 from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.core import platform_events
 from hickorygate.core import reply
 from hickorygate.core import request_context
 from hickorygate.upstreams import borrow_queue
@@ -45,6 +47,7 @@
         max_connections: int,
         connector: database_request.Connector,
         clock: clocks.Clock,
+        journal: events.Journal,
     ) -> None:
         self._member = member
         self._share = connection_share.ConnectionShare(
@@ -52,6 +55,7 @@
         )
         self._connector = connector
         self._clock = clock
+        self._journal = journal
         self._idle: list[pooled_connections.PooledConnection] = []
         self._borrowed: set[pooled_connections.PooledConnection] = set()
         self._long_term: set[pooled_connections.PooledConnection] = set()
@@ -225,6 +229,23 @@
             return
         self._serve_next(pooled_connection)
 
+    def record_unsettled(
+        self, pooled_connection: pooled_connections.PooledConnection
+    ) -> None:
+        """Records that the session state of a connection is not known."""
+        reason = pooled_connection.unsettled
+        assert reason is not None, "the session state is known"
+        self._journal.record(
+            platform_events.ConnectionUnsettled(
+                database=self._member.id,
+                reason=reason.value,
+                unread=" ".join(
+                    type(request).__name__
+                    for request in pooled_connection.unread
+                ),
+            )
+        )
+
     def interrupt(self, reason: str) -> None:
         """Closes the connections of a database that doesn't answer.
 
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -423,7 +423,7 @@
         pool = self._pools.get(name)
         if pool is None:
             pool = connection_pool.ConnectionPool(
-                member, limit, self._connector, self._clock
+                member, limit, self._connector, self._clock, self._journal
             )
             self._pools[name] = pool
             self._journal.record(
--- a/hickorygate/upstreams/pooled_connection.py
+++ b/hickorygate/upstreams/pooled_connection.py
@@ -4,6 +4,8 @@
 
 from collections.abc import Mapping
 import datetime
+import enum
+import itertools
 from typing import Protocol
 
 import expression
@@ -11,17 +13,32 @@
 
 from hickorygate.core import errors
 from hickorygate.core import operation
+from hickorygate.core import reply
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import failure_rate as failure_rates
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import permits as permit_lib
 
-__all__ = ["BorrowResult", "Pool", "PooledConnection", "prepared_name"]
+__all__ = [
+    "BorrowResult",
+    "Pool",
+    "PooledConnection",
+    "UnsettledReason",
+    "prepared_name",
+]
 
 _MAX_PREPARED = 256
 """Number of prepared statements on one connection at which it is reset."""
 
 
+class UnsettledReason(enum.Enum):
+    """Why the session state of a connection is not known."""
+
+    REPLY_UNREAD = "a reply was not awaited"
+    SYNC_FAILED = "setting the session state failed"
+    IN_TRANSACTION = "a transaction is open"
+
+
 def prepared_name(prepared: operation.PreparedStatement) -> str:
     """Returns the name under which connections prepare a statement."""
     text = f"{prepared.writes} {prepared.text}"
@@ -46,16 +63,23 @@
     def accept_return(self, pooled_connection: PooledConnection) -> None:
         """Accepts a returned connection."""
 
+    def record_unsettled(self, pooled_connection: PooledConnection) -> None:
+        """Records that the session state of a connection is not known."""
+
 
 class PooledConnection:
     """A pooled connection, with the session state that is set on it."""
 
     __slots__ = (
+        "_asked",
         "_committing",
         "_connection",
         "_pool",
         "_prepared",
         "_returned",
+        "_state",
+        "_sync_failed",
+        "_unread",
         "_values",
     )
 
@@ -68,6 +92,10 @@
         self._prepared: set[str] = set()
         self._returned: datetime.datetime | None = None
         self._committing = False
+        self._state = reply.TransactionState.IDLE
+        self._sync_failed = False
+        self._asked = 0
+        self._unread: dict[int, tuple[database_request.Request, ...]] = {}
 
     @property
     def committing(self) -> bool:
@@ -101,6 +129,22 @@
         assert self._returned is not None, "the connection was never returned"
         return self._returned
 
+    @property
+    def unsettled(self) -> UnsettledReason | None:
+        """Why the session state is not known; None if it is known."""
+        if self._unread:
+            return UnsettledReason.REPLY_UNREAD
+        if self._sync_failed:
+            return UnsettledReason.SYNC_FAILED
+        if self._state is not reply.TransactionState.IDLE:
+            return UnsettledReason.IN_TRANSACTION
+        return None
+
+    @property
+    def unread(self) -> tuple[database_request.Request, ...]:
+        """The requests whose replies no borrower has read, oldest first."""
+        return tuple(itertools.chain.from_iterable(self._unread.values()))
+
     def mark_idle(self, now: datetime.datetime) -> None:
         """Records that the connection is idle from `now` on."""
         self._returned = now
@@ -123,7 +167,7 @@
         """
         self._committing = commits
         try:
-            return (await self._connection.ask(request))[0]
+            return (await self._ask(request))[0]
         finally:
             self._committing = False
 
@@ -158,10 +202,12 @@
             names = names | {name}
         if not batch:
             return None
-        for result in await self._connection.ask(*batch):
+        self._sync_failed = True
+        for result in await self._ask(*batch):
             failure = database_request.failure_of(result)
             if failure is not None:
                 return failure
+        self._sync_failed = False
         self._values, self._prepared = dict(values), set(names)
         return None
 
@@ -173,7 +219,25 @@
         """
         if broken:
             self._connection.close()
+        if not self._connection.closed and self.unsettled is not None:
+            self._pool.record_unsettled(self)
         self._pool.accept_return(self)
 
+    async def _ask(
+        self, *batch: database_request.Request
+    ) -> list[database_request.ReplyResult]:
+        """Sends requests at once, and follows the transaction's state.
+
+        The replies stay unread if the borrower stops waiting for them.
+        """
+        self._asked += 1
+        number = self._asked
+        self._unread[number] = batch
+        results = await self._connection.ask(*batch)
+        del self._unread[number]
+        if results[-1].is_ok():
+            self._state = results[-1].ok.state
+        return results
+
 
 BorrowResult = expression.Result[PooledConnection, errors.Failure]
