Close a connection whose session state is not known, whoever returns it

Cause: in an open transaction, a SET that is not answered within 350 ms fails the statement as "not sent". The transaction was then rolled back on the same connection, and a ROLLBACK that was answered returned it to the pool. The SET had meanwhile run, but the pool knew the value from before and gave the connection to a session with that value without setting it. A commit whose SET is late took the same way. Each of ten places judged for itself whether a connection was usable; this one judged by the last answer alone.

Change: the judgement is in PooledConnection alone. A reply that nobody read, a session state that was not set completely and an open transaction each close the connection; give_back() no longer takes a verdict. Probes on a connection of their own go the same way. It works for every path, since only that object sends a borrower's requests and only its give_back() reaches the pool.

--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -240,16 +240,13 @@
                 self._terms,
                 commits=not reads,
             )
-            is_idle = result.is_ok() and result.ok.state is _IDLE
         except BaseException:
             if confirming is not None:
                 confirming.cancel()
-            pooled_connection.give_back(broken=True)
             raise
+        finally:
+            pooled_connection.give_back()
         _forget_lost_names(result, pooled_connection)
-        pooled_connection.give_back(
-            broken=not is_idle and _may_have_run(result)
-        )
         if not reads:
             self._record_write(result)
         return _Exchange(self._to_reply(result), result.is_ok(), confirming)
@@ -316,11 +313,6 @@
         )
 
 
-def _may_have_run(result: database_request.ReplyResult) -> bool:
-    """Returns whether the statement may have reached the database."""
-    return result.is_ok() or result.error.outcome is errors.Outcome.UNKNOWN
-
-
 def _forget_lost_names(
     result: database_request.ReplyResult,
     pooled_connection: pooled_connections.PooledConnection,
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -152,12 +152,16 @@
     if borrowed.is_error():
         return borrowed
     pooled_connection = borrowed.ok
-    failure = await sync_session(
-        env, pooled_connection, terms_, state, prepared
-    )
+    try:
+        failure = await sync_session(
+            env, pooled_connection, terms_, state, prepared
+        )
+    except BaseException:
+        pooled_connection.give_back()
+        raise
     if failure is None:
         return borrowed
-    pooled_connection.give_back(broken=True)
+    pooled_connection.give_back()
     return expression.Error(failure)
 
 
@@ -172,7 +176,7 @@
 
     Returns:
       None on success. Otherwise a failure whose outcome is that the statement
-      was not sent; the caller of this function must close the connection.
+      was not sent; the connection is closed.
     """
     name = pooled_connection.pool.member.id
     try:
@@ -182,9 +186,6 @@
             )
     except TimeoutError:
         return errors.ConnectFailed(name, "no answer while preparing")
-    except asyncio.CancelledError:
-        pooled_connection.give_back(broken=True)
-        raise
     if failure is None:
         return None
     return errors.ConnectFailed(name, failure.message)
@@ -245,12 +246,8 @@
         async with asyncio.timeout(time_left_s):
             result = await pooled_connection.run(request, commits)
     except TimeoutError:
-        pooled_connection.connection.close()
         name = pooled_connection.pool.member.id
         result = expression.Error(errors.AnswerOverdue(name, "timed out"))
-    except asyncio.CancelledError:
-        pooled_connection.connection.close()
-        raise
     pooled_connection.pool.failure_rate.note(
         _is_database_failure(result), env.clock.now()
     )
--- a/hickorygate/callers/transaction_statements.py
+++ b/hickorygate/callers/transaction_statements.py
@@ -59,16 +59,14 @@
 async def _roll_back(
     pooled_connection: pooled_connections.PooledConnection,
 ) -> None:
-    """Rolls back and returns the connection; closes it if that fails."""
-    rolled_back = False
+    """Rolls back and returns the connection; it is closed if that fails."""
     try:
         async with asyncio.timeout(_ROLLBACK_LIMIT.total_seconds()):
-            result = await pooled_connection.run(database_request.Rollback())
-        rolled_back = result.is_ok() and result.ok.state is _IDLE
+            await pooled_connection.run(database_request.Rollback())
     except TimeoutError:
         return
     finally:
-        pooled_connection.give_back(broken=not rolled_back)
+        pooled_connection.give_back()
 
 
 class _TransactionStep:
@@ -133,7 +131,7 @@
         if result.is_error():
             return self._reply_lost_commit(result, pooled_connection)
         reply = result.ok
-        pooled_connection.give_back(broken=reply.state is not _IDLE)
+        pooled_connection.give_back()
         if reply.result.is_ok() and self._transaction.has_written:
             service = self._transaction.route.service
             self._session.state.raise_floor(service, reply.position)
@@ -247,11 +245,13 @@
         if borrowed.is_error():
             return borrowed.error
         pooled_connection = borrowed.ok
-        failure = await self._send_begin(pooled_connection, place)
+        try:
+            failure = await self._send_begin(pooled_connection, place)
+        except BaseException:
+            pooled_connection.give_back()
+            raise
         if failure is not None:
-            pooled_connection.give_back(
-                broken=failure.outcome is not errors.Outcome.NOT_RUN
-            )
+            pooled_connection.give_back()
             return failure
         self._transaction.pooled_connection = pooled_connection
         self._transaction.leader = place.leader
@@ -300,15 +300,13 @@
                 result = await pooled_connection.run(request)
         except TimeoutError:
             return errors.AnswerLost(name, "no answer to BEGIN")
-        except asyncio.CancelledError:
-            pooled_connection.give_back(broken=True)
-            raise
         if result.is_error():
             return result.error
         self._group.record_reply(name, result.ok.position)
         if result.ok.result.is_error():
             return result.ok.result.error
         if result.ok.state is not _IN_TRANSACTION:
+            pooled_connection.connection.close()
             return errors.AnswerLost(name, "no transaction was opened")
         return None
 
@@ -398,7 +396,7 @@
         )
         self._transaction.failed = True
         if pooled_connection is not None:
-            pooled_connection.give_back(broken=True)
+            pooled_connection.give_back()
         return self._session.rejection(replies.RejectionReason.ABORTED, reason)
 
     def _reject_commit(self, failure: errors.Failure) -> replies.Reply:
@@ -419,7 +417,7 @@
         The answer is an ABORTED rejection if the commit did not run, otherwise
         the failure.
         """
-        pooled_connection.give_back(broken=True)
+        pooled_connection.give_back()
         self._group.schedule_round()
         if result.error.outcome is errors.Outcome.NOT_RUN:
             return self._session.rejection(
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -107,7 +107,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ConnectionUnsettled(events.Event):
-    """A connection was returned while its session state was not known.
+    """A connection was closed because its session state was not known.
 
     Attributes:
       database: id of the database.
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -1,9 +1,10 @@
 """Writes events as JSON lines to standard output, with a rate limit.
 
 Three kinds of events have separate limits: state changes of the process have
-the highest limit, failed and retried requests a lower one, and successful
-requests the lowest. So many requests never displace the state changes, and
-successful requests never displace the failed ones.
+the highest limit, failed and retried requests (and the connections that are
+closed with them) a lower one, and successful requests the lowest. So many
+requests never displace the state changes, and successful requests never
+displace the failed ones.
 Dropped events are counted, and the next line contains the count. Writes don't
 block: a reader that doesn't read never makes the process wait.
 """
@@ -149,6 +150,7 @@
             case (
                 platform_events.RequestEnded()
                 | platform_events.RequestRetried()
+                | platform_events.ConnectionUnsettled()
             ):
                 return self._failed
         return self._state_changes
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -82,6 +82,8 @@
       faults: injected faults.
       group: group that the database belongs to.
       ran: ids and texts of the callers' requests that the database ran.
+      values_of_runs: session values with which each of these requests ran, by
+        its id.
       leaving: whether the database is announced as about to stop.
       last_ran: event loop time, in seconds, of the newest request in `ran`;
         None if there is none.
@@ -96,6 +98,7 @@
         self.faults = DatabaseFaults()
         self.group = group
         self.ran: list[tuple[str, str]] = []
+        self.values_of_runs: dict[str, dict[str, str]] = {}
         self.leaving = False
         self.last_ran: float | None = None
         self.overlap_started: float | None = None
@@ -175,9 +178,18 @@
             self._slots.release()
         return True
 
-    def record_run(self, request: str, text: str) -> None:
-        """Records that the database ran a caller's request."""
+    def record_run(
+        self, request: str, text: str, values: dict[str, str]
+    ) -> None:
+        """Records that the database ran a caller's request.
+
+        Args:
+          request: request id that the caller assigned.
+          text: text of the request.
+          values: session values of the connection.
+        """
         self.ran.append((request, text))
+        self.values_of_runs[request] = dict(values)
         self.last_ran = asyncio.get_running_loop().time()
 
     def inherit(self, former: LineDatabase) -> None:
--- a/hickorygate/testing/line_session.py
+++ b/hickorygate/testing/line_session.py
@@ -178,13 +178,16 @@
         if not await self._database.run_in_slot():
             self._send_error("BUSY")
             return
-        self._database.record_run(request, text)
+        self._record_run(request, text)
         if writes:
             await self._write(request, (words[1], " ".join(words[2:])))
         else:
             self._send(f"ROW {self._value_of(words[1])}")
             self._send_complete(request)
 
+    def _record_run(self, request: str, text: str) -> None:
+        self._database.record_run(request, text, self.session_variables)
+
     async def _write(self, request: str, write: tuple[str, str]) -> None:
         if self._state == "T":
             self._writes.append(write)
@@ -197,7 +200,7 @@
         if writes and not self._database.log.leads:
             self._send_error("READONLY")
             return
-        self._database.record_run(request, "COMMIT")
+        self._record_run(request, "COMMIT")
         self._end_transaction()
         if writes:
             await self._commit_writes(request, writes)
--- /dev/null
+++ b/hickorygate/tests/test_session_values.py
@@ -0,0 +1,118 @@
+"""Tests that statements run with the session values of their own session.
+
+The proxy is real; the databases and the store are stand-ins.
+"""
+
+from __future__ import annotations
+
+import asyncio
+
+from hickorygate.core import platform_events
+from hickorygate.testing import line_cluster
+from hickorygate.testing import virtual_time
+
+_SILENCE_SECONDS = 0.6
+"""Longer than a proxy waits for an answer to SET, shorter than it takes for a
+database to count as lost."""
+
+_READERS = 6
+"""Number of sessions that read at once, so that each connection is used."""
+
+
+class SilentDatabaseTest(virtual_time.VirtualTimeTestCase):
+    """A primary that is silent for a moment while a session value changes."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        clock = virtual_time.LoopClock(asyncio.get_running_loop())
+        self.cluster = await self.enterAsyncContext(
+            line_cluster.LineCluster(clock=clock)
+        )
+        self.primary = self.cluster.group.databases["a"]
+
+    async def open_transaction(self) -> line_cluster.LineClient:
+        """Returns a session with the value "plain" in a transaction."""
+        client = await self.cluster.connect(line_cluster.PRIMARY_DB)
+        await client.query("SET mode plain")
+        await client.query("BEGIN")
+        await client.query("READ x")
+        return client
+
+    async def query_in_silence(
+        self, client: line_cluster.LineClient, text: str
+    ) -> list[str]:
+        """Sends a statement to a silent primary, which answers later."""
+        self.primary.faults.unresponsive = True
+        loop = asyncio.get_running_loop()
+        loop.call_later(_SILENCE_SECONDS, self.end_silence)
+        received = await client.query(text)
+        await asyncio.sleep(2 * _SILENCE_SECONDS)
+        return received
+
+    def end_silence(self) -> None:
+        self.primary.faults.unresponsive = False
+
+    async def assert_reads_run_with_their_own_value(self) -> None:
+        known = set(self.primary.values_of_runs)
+        readers = [
+            await self.cluster.connect(line_cluster.PRIMARY_DB)
+            for _ in range(_READERS)
+        ]
+        for reader in readers:
+            await reader.query("SET mode plain")
+        await asyncio.gather(*(reader.query("READ x") for reader in readers))
+        runs = self.primary.values_of_runs
+        values = [runs[request] for request in runs.keys() - known]
+        self.assertEqual(values, _READERS * [{"mode": "plain"}])
+
+    async def test_a_set_that_is_late_in_a_transaction_reaches_no_other_session(
+        self,
+    ) -> None:
+        # The transaction was rolled back on its connection, which returned to
+        # the pool as one with the value from before the late SET (PINNED).
+        client = await self.open_transaction()
+        await client.query("SET mode audit")
+        received = await self.query_in_silence(client, "READ x")
+        self.assertTrue(received[-1].startswith("READY E"), received)
+        await self.assert_reads_run_with_their_own_value()
+
+    async def test_a_set_that_is_late_before_a_commit_reaches_no_other_session(
+        self,
+    ) -> None:
+        # As above; a commit that can't be prepared is rejected and the
+        # transaction is rolled back.
+        client = await self.open_transaction()
+        await client.query("WRITE x 1")
+        await client.query("SET mode audit")
+        received = await self.query_in_silence(client, "COMMIT")
+        self.assertIn("ERROR ABORTED", received[0])
+        self.assertEqual(self.cluster.group.acknowledged, [])
+        await self.assert_reads_run_with_their_own_value()
+
+    async def test_a_set_whose_caller_leaves_reaches_no_other_session(
+        self,
+    ) -> None:
+        client = await self.open_transaction()
+        await client.query("SET mode audit")
+        self.primary.faults.unresponsive = True
+        pending = asyncio.create_task(client.query("READ x"))
+        await asyncio.sleep(0.05)
+        client.close()
+        await asyncio.sleep(_SILENCE_SECONDS)
+        self.end_silence()
+        await asyncio.sleep(_SILENCE_SECONDS)
+        pending.cancel()
+        await self.assert_reads_run_with_their_own_value()
+
+    async def test_the_log_tells_which_replies_nobody_awaited(self) -> None:
+        client = await self.open_transaction()
+        await client.query("SET mode audit")
+        await self.query_in_silence(client, "READ x")
+        recorded = [
+            found.event
+            for found in self.cluster.proxies[0].journal.events
+            if isinstance(found.event, platform_events.ConnectionUnsettled)
+        ]
+        expected = platform_events.ConnectionUnsettled(
+            "a", "a reply was not awaited", "SetValue"
+        )
+        self.assertIn(expected, recorded)
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -205,18 +205,14 @@
         pooled_connection = borrowed.ok
         # A wait for a connection says nothing about the database.
         self.health(name).record_probe(self._clock.now())
-        clean = False
         try:
             async with asyncio.timeout(_PROBE_TIMEOUT.total_seconds()):
-                results = await self._exchange(
-                    name, pooled_connection.connection, batch
-                )
-            clean = _is_clean(results)
+                results = await self._exchange(name, pooled_connection, batch)
         except TimeoutError:
             return None
         finally:
-            pooled_connection.give_back(broken=not clean)
-        if not clean:
+            pooled_connection.give_back()
+        if not _is_clean(results):
             self.health(name).record_refusal(self._clock.now())
             return None
         self.record_answer(name)
--- a/hickorygate/upstreams/pooled_connection.py
+++ b/hickorygate/upstreams/pooled_connection.py
@@ -1,4 +1,10 @@
-"""A connection to a database that a pool lends, with its session state."""
+"""A connection to a database that a pool lends, with its session state.
+
+This module alone decides whether a connection may be lent again: only if its
+session state is known. That is the case if the replies to all requests were
+read, the session variables and prepared statements were set completely, and no
+transaction is open. Otherwise the connection is closed, whoever returns it.
+"""
 
 from __future__ import annotations
 
@@ -167,7 +173,7 @@
         """
         self._committing = commits
         try:
-            return (await self._ask(request))[0]
+            return (await self.ask(request))[0]
         finally:
             self._committing = False
 
@@ -183,8 +189,8 @@
           prepared: statement to prepare; None if there is none.
 
         Returns:
-          The failure, after which the connection must be closed; None if the
-          session matches.
+          The failure, after which the connection is closed; None if the session
+          matches.
         """
         batch: list[database_request.Request] = []
         held, names = self._values, self._prepared
@@ -202,42 +208,51 @@
             names = names | {name}
         if not batch:
             return None
-        self._sync_failed = True
-        for result in await self._ask(*batch):
+        for result in await self.ask(*batch):
             failure = database_request.failure_of(result)
             if failure is not None:
+                self._sync_failed = True
+                self._discard()
                 return failure
-        self._sync_failed = False
         self._values, self._prepared = dict(values), set(names)
         return None
 
-    def give_back(self, broken: bool = False) -> None:
-        """Returns the connection to the pool.
-
-        Args:
-          broken: whether to close the connection because it is unusable.
-        """
-        if broken:
-            self._connection.close()
-        if not self._connection.closed and self.unsettled is not None:
-            self._pool.record_unsettled(self)
-        self._pool.accept_return(self)
-
-    async def _ask(
+    async def ask(
         self, *batch: database_request.Request
     ) -> list[database_request.ReplyResult]:
-        """Sends requests at once, and follows the transaction's state.
+        """Sends requests at once and returns their replies in order.
 
-        The replies stay unread if the borrower stops waiting for them.
+        If the borrower stops waiting, nobody reads what the requests did to the
+        session state, so the connection is closed.
         """
         self._asked += 1
         number = self._asked
         self._unread[number] = batch
-        results = await self._connection.ask(*batch)
+        try:
+            results = await self._connection.ask(*batch)
+        except BaseException:
+            self._discard()
+            raise
         del self._unread[number]
-        if results[-1].is_ok():
+        if results and results[-1].is_ok():
             self._state = results[-1].ok.state
         return results
 
+    def give_back(self) -> None:
+        """Returns the connection to the pool.
+
+        A connection whose session state is not known is closed instead of being
+        lent again.
+        """
+        if self.unsettled is not None:
+            self._discard()
+        self._pool.accept_return(self)
+
+    def _discard(self) -> None:
+        """Closes the connection because its session state is not known."""
+        if not self._connection.closed:
+            self._pool.record_unsettled(self)
+            self._connection.close()
+
 
 BorrowResult = expression.Result[PooledConnection, errors.Failure]
