Prepare a statement again if its name was lost inside a transaction

What callers saw: an EXECUTE in a transaction refused with UNKNSTMT though its PREPARE was acknowledged, and again in each further transaction on that connection.

Cause: only single statements told the connection that its database lacked a name; transactions didn't.

Change: PooledConnection reads that from the reply itself, for every borrower.

--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -246,7 +246,6 @@
             raise
         finally:
             pooled_connection.give_back()
-        _forget_lost_names(result, pooled_connection)
         if not reads:
             self._record_write(result)
         return _Exchange(self._to_reply(result), result.is_ok(), confirming)
@@ -313,22 +312,6 @@
         )
 
 
-def _forget_lost_names(
-    result: database_request.ReplyResult,
-    pooled_connection: pooled_connections.PooledConnection,
-) -> None:
-    """Discards a connection's prepared statements if the database lost one.
-
-    The proxy's list of statements prepared on the connection is cleared, so
-    the next request that uses the connection prepares its statement again.
-    """
-    match database_request.failure_of(result):
-        case replies.Rejection(
-            reason=replies.RejectionReason.UNKNOWN_STATEMENT
-        ):
-            pooled_connection.forget_names()
-
-
 async def find_primary_target(
     group: group_monitor.GroupMonitor,
     terms: request_context.RequestContext,
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -192,6 +192,11 @@
         self.values_of_runs[request] = dict(values)
         self.last_ran = asyncio.get_running_loop().time()
 
+    def forget_names(self) -> None:
+        """Forgets the prepared statements of all connections."""
+        for session in self._sessions:
+            session.names.clear()
+
     def inherit(self, former: LineDatabase) -> None:
         """Takes over the address and the log of another database."""
         self._port = former.port
--- a/hickorygate/tests/test_session_values.py
+++ b/hickorygate/tests/test_session_values.py
@@ -1,4 +1,4 @@
-"""Tests that statements run with the session values of their own session.
+"""Tests that statements run with the session state of their own session.
 
 The proxy is real; the databases and the store are stand-ins.
 """
@@ -116,3 +116,32 @@
             "a", "a reply was not awaited", "SetValue"
         )
         self.assertIn(expected, recorded)
+
+
+class LostNamesTest(virtual_time.VirtualTimeTestCase):
+    """A database that forgets the statements prepared on its connections."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        clock = virtual_time.LoopClock(asyncio.get_running_loop())
+        self.cluster = await self.enterAsyncContext(
+            line_cluster.LineCluster(clock=clock)
+        )
+
+    async def execute_in_transaction(
+        self, client: line_cluster.LineClient
+    ) -> str:
+        """Returns the first line of the answer to EXECUTE."""
+        await client.query("BEGIN")
+        received = await client.query("EXECUTE s x")
+        await client.query("ROLLBACK")
+        return received[0]
+
+    async def test_a_name_lost_in_a_transaction_is_prepared_again(self) -> None:
+        # Only single statements noted that the database lacked the name, so
+        # each further transaction on the connection failed too.
+        client = await self.cluster.connect(line_cluster.PRIMARY_DB)
+        await client.query("PREPARE s READ q")
+        self.assertIn("ROW", await self.execute_in_transaction(client))
+        self.cluster.group.databases["a"].forget_names()
+        self.assertIn("UNKNSTMT", await self.execute_in_transaction(client))
+        self.assertIn("ROW", await self.execute_in_transaction(client))
--- a/hickorygate/upstreams/pooled_connection.py
+++ b/hickorygate/upstreams/pooled_connection.py
@@ -158,24 +158,26 @@
     def __repr__(self) -> str:
         return f"PooledConnection({self._connection!r})"
 
-    def forget_names(self) -> None:
-        """Clears the prepared names; the database does not have them."""
-        self._prepared.clear()
-
     async def run(
         self, request: database_request.Request, commits: bool = False
     ) -> database_request.ReplyResult:
         """Sends one request and returns its reply.
 
+        If the database lacks a prepared statement, none counts as prepared on
+        the connection any more.
+
         Args:
           request: request to send.
           commits: whether the request may commit a write.
         """
         self._committing = commits
         try:
-            return (await self.ask(request))[0]
+            result = (await self.ask(request))[0]
         finally:
             self._committing = False
+        if _lacks_statement(result):
+            self._prepared.clear()
+        return result
 
     async def sync_session(
         self,
@@ -256,3 +258,11 @@
 
 
 BorrowResult = expression.Result[PooledConnection, errors.Failure]
+
+
+def _lacks_statement(result: database_request.ReplyResult) -> bool:
+    """Returns whether a database doesn't know a prepared statement."""
+    match database_request.failure_of(result):
+        case reply.Rejection(reason=reply.RejectionReason.UNKNOWN_STATEMENT):
+            return True
+    return False
