Ignore the second return of a connection, which another borrower may have

Change: the pool takes back borrowed connections only. Tests besides: a refused SET and a statement given up close the connection, whatever is answered after them.

--- a/hickorygate/tests/test_connection_pool.py
+++ b/hickorygate/tests/test_connection_pool.py
@@ -27,10 +27,12 @@
 
 
 class _Connection:
-    """A connection that answers each request with success."""
+    """A connection that answers each request, with success by default."""
 
     def __init__(self) -> None:
         self.closed = False
+        self.silent = False
+        self.refuses = False
         self.state = reply.TransactionState.IDLE
         self.sent: list[database_request.Request] = []
 
@@ -38,12 +40,20 @@
         self, *batch: database_request.Request
     ) -> list[database_request.ReplyResult]:
         self.sent += batch
-        done = reply.Reply(expression.Ok(reply.Answer()), self.state)
+        while self.silent:
+            await asyncio.sleep(0.001)
+        done = reply.Reply(self._result(), self.state)
         return [expression.Ok(done) for _ in batch]
 
     def close(self) -> None:
         self.closed = True
 
+    def _result(self) -> reply.Result:
+        if self.refuses:
+            reason = reply.RejectionReason.MALFORMED
+            return expression.Error(reply.Rejection(reason))
+        return expression.Ok(reply.Answer())
+
 
 class _Connector:
     """A connector that opens a limited number of connections."""
@@ -112,6 +122,43 @@
         self.assertIsNone(await again.sync_session({"v": "1"}, None))
         self.assertEqual(len(again.connection.sent), 1)
 
+    async def test_a_connection_that_is_returned_twice_is_lent_once(
+        self,
+    ) -> None:
+        pool = self.build(5)
+        pooled_connection = (await pool.borrow(self.make_request(), {})).ok
+        pooled_connection.give_back()
+        pooled_connection.give_back()
+        borrowed = [
+            (await pool.borrow(self.make_request(), {})).ok for _ in range(2)
+        ]
+        self.assertIsNot(borrowed[0], borrowed[1])
+
+    async def test_a_refused_session_value_closes_the_connection(self) -> None:
+        pool = self.build(5)
+        pooled_connection = (await pool.borrow(self.make_request(), {})).ok
+        (connection,) = self.connector.opened
+        connection.refuses = True
+        failure = await pooled_connection.sync_session({"v": "1"}, None)
+        self.assertIsNotNone(failure)
+        connection.refuses = False
+        await pooled_connection.run(database_request.Rollback())
+        pooled_connection.give_back()
+        self.assertTrue(connection.closed)
+
+    async def test_a_statement_given_up_closes_the_connection(self) -> None:
+        pool = self.build(5)
+        pooled_connection = (await pool.borrow(self.make_request(), {})).ok
+        (connection,) = self.connector.opened
+        connection.silent = True
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0.01):
+                await pooled_connection.run(database_request.Begin())
+        connection.silent = False
+        await pooled_connection.run(database_request.Rollback())
+        pooled_connection.give_back()
+        self.assertTrue(connection.closed)
+
     async def test_removed_session_values_are_reset(self) -> None:
         pool = self.build(5)
         pooled_connection = (await pool.borrow(self.make_request(), {})).ok
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -217,9 +217,12 @@
         """Accepts a returned connection and serves the next waiting borrower.
 
         A closed connection is dropped; a new one is opened instead if a
-        borrower waits.
+        borrower waits. A second return of the same connection has no effect:
+        another borrower may have it.
         """
-        self._borrowed.discard(pooled_connection)
+        if pooled_connection not in self._borrowed:
+            return
+        self._borrowed.remove(pooled_connection)
         self._long_term.discard(pooled_connection)
         if self._closed:
             pooled_connection.connection.close()
