Send a probe in the turn of the loop that chose its connection

What callers could see: a transaction rolled back under a caller, whose next statements then ran outside of it (PINNED).

Cause: a probe (BEGIN, ROLLBACK) is sent on a connection that runs a single statement. It was written by a task, one turn after the connection was chosen. Within that turn the statement may end, the connection may return to the pool and begin a transaction of another caller; the probe's ROLLBACK ends that one.

Change: the probe is written before the prober waits for anything. Only the status request behind it, which changes no state, is sent by a task.

--- a/hickorygate/tests/test_connection_pool.py
+++ b/hickorygate/tests/test_connection_pool.py
@@ -267,3 +267,26 @@
             "a", database_request.Begin(), database_request.Rollback()
         )
         self.assertTrue(connection.closed)
+
+    async def test_a_probe_is_not_sent_into_a_transaction(self) -> None:
+        # A probe that chose a connection in use was sent one turn of the loop
+        # later. If the connection had begun another caller's transaction by
+        # then, the ROLLBACK of the probe ended it.
+        pool = self.build(1, allowed=1)
+        statement = (await pool.borrow(self.make_request(), {})).ok
+        (connection,) = self.connector.opened
+        prober = group_prober.GroupProber(
+            group_state.GroupState(1), {"a": pool}, clocks.SystemClock()
+        )
+
+        async def begin() -> None:
+            statement.give_back()
+            use = borrow_queue.BorrowPurpose.LONG
+            borrowed = (await pool.borrow(self.make_request(), {}, use)).ok
+            await borrowed.run(database_request.Begin(read_only=True))
+
+        probe = (database_request.Begin(), database_request.Rollback())
+        await asyncio.gather(prober.ask("a", *probe), begin())
+        self.assertEqual(
+            connection.sent, [*probe, database_request.Begin(read_only=True)]
+        )
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -233,15 +233,15 @@
             not isinstance(request, database_request.ReadStatus)
             for request in batch
         )
-        first = asyncio.create_task(connection.ask(*batch[:count]))
         rest = asyncio.create_task(connection.ask(*batch[count:]))
         try:
-            results = await first
+            # Sent by this turn of the loop: in the next one, the connection
+            # may already run a caller's transaction.
+            results = await connection.ask(*batch[:count])
             if results and _is_clean(results):
                 self.record_answer(name)
             return results + await rest
         finally:
-            first.cancel()
             rest.cancel()
 
     def _needs_statuses(self, probe_round: group_state.ProbeRound) -> bool:
