--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -1,6 +1,7 @@
 """Runs statements outside transactions.
 
-Reads go to any database that is fresh enough, writes to the primary.
+`statement_target` chooses the database; a failed statement is retried where
+that is safe.
 """
 
 from __future__ import annotations
@@ -14,17 +15,14 @@
 import expression
 
 from hickorygate.callers import caller_session_state
-from hickorygate.callers import read_placement
 from hickorygate.callers import retry_delay
 from hickorygate.callers import statement_io
+from hickorygate.callers import statement_target
 from hickorygate.core import catalog
 from hickorygate.core import errors
 from hickorygate.core import operation as operations
 from hickorygate.core import platform_events
-from hickorygate.core import position
 from hickorygate.core import reply as replies
-from hickorygate.core import request_context
-from hickorygate.upstreams import connection_pool
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import group_monitor
 from hickorygate.upstreams import group_state
@@ -35,41 +33,11 @@
 if TYPE_CHECKING:
     from hickorygate.callers import caller_session
 
-__all__ = [
-    "FloorResult",
-    "StatementTarget",
-    "StatementTargetResult",
-    "find_primary_target",
-    "find_read_target",
-    "freshness_floor",
-    "needs_confirmed_primary",
-    "run",
-]
+__all__ = ["run"]
 
 _IDLE = replies.TransactionState.IDLE
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class StatementTarget:
-    """The database that a statement is sent to, and the conditions on it.
-
-    Attributes:
-      pool: connection pool of the database.
-      floor: log position that the database must have reached; None if any
-        position will do.
-      leader: primary and term that the database must still have; None if it
-        doesn't have to be the primary.
-    """
-
-    pool: connection_pool.ConnectionPool
-    floor: position.Position | None
-    leader: group_state.Leader | None
-
-
-StatementTargetResult = expression.Result[StatementTarget, errors.Failure]
-FloorResult = expression.Result[group_state.Floor | None, errors.Failure]
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Exchange:
     """An exchange with a database about one statement.
@@ -181,7 +149,7 @@
             return self._session.reply(expression.Error(failure))
 
     async def _attempt_at(
-        self, place: StatementTarget, reads: bool
+        self, place: statement_target.StatementTarget, reads: bool
     ) -> replies.Reply:
         permits = place.pool.permits
         entered = await permits.acquire(self._terms)
@@ -201,7 +169,9 @@
             place, exchange.reply, exchange.confirming
         )
 
-    async def _exchange(self, place: StatementTarget, reads: bool) -> _Exchange:
+    async def _exchange(
+        self, place: statement_target.StatementTarget, reads: bool
+    ) -> _Exchange:
         """Runs the statement, which has a permit, on a connection.
 
         The connection is borrowed after the permit was granted, so that
@@ -223,7 +193,7 @@
 
     async def _run_at(
         self,
-        place: StatementTarget,
+        place: statement_target.StatementTarget,
         pooled_connection: pooled_connections.PooledConnection,
         reads: bool,
     ) -> _Exchange:
@@ -267,7 +237,7 @@
             )
 
     def _start_confirmation(
-        self, place: StatementTarget
+        self, place: statement_target.StatementTarget
     ) -> asyncio.Task[group_state.Leader | None] | None:
         """Starts to check that the database is still the primary."""
         if place.leader is None:
@@ -280,7 +250,7 @@
 
     async def _deliver_if_confirmed(
         self,
-        place: StatementTarget,
+        place: statement_target.StatementTarget,
         reply: replies.Reply,
         confirming: asyncio.Task[group_state.Leader | None],
     ) -> replies.Reply:
@@ -303,174 +273,18 @@
         )
         return self._session.reply(expression.Error(failure))
 
-    async def _find_place(self, reads: bool) -> StatementTargetResult:
+    async def _find_place(
+        self, reads: bool
+    ) -> statement_target.StatementTargetResult:
         if not reads:
-            leader = await self._group.wait_for_writable(self._terms)
-            return _primary_target(self._group, leader, None)
-        return await find_read_target(
+            return await statement_target.find_writable_target(
+                self._group, self._terms
+            )
+        return await statement_target.find_read_target(
             self._session, self._group, self._route, self._call, self._excluded
         )
 
 
-async def find_primary_target(
-    group: group_monitor.GroupMonitor,
-    terms: request_context.RequestContext,
-    floor: position.Position | None,
-) -> StatementTargetResult:
-    """Finds the primary for a statement.
-
-    While there is no primary, the function waits for one until the request's
-    deadline at the latest, and only briefly if the group's `FailoverEstimate`
-    expects none before the deadline.
-
-    Args:
-      group: databases of the service.
-      terms: rank and deadline of the request.
-      floor: log position that the primary must have reached; None if any
-        position will do.
-    """
-    leader = await group.wait_for_leader(terms)
-    return _primary_target(group, leader, floor)
-
-
-def _primary_target(
-    group: group_monitor.GroupMonitor,
-    leader: group_state.Leader | None,
-    floor: position.Position | None,
-) -> StatementTargetResult:
-    if leader is None or leader.member not in group.pools:
-        return expression.Error(group.no_leader_rejection())
-    return expression.Ok(
-        StatementTarget(group.pools[leader.member], floor, leader)
-    )
-
-
-@functools.singledispatch
-def needs_confirmed_primary(consistency: catalog.Consistency) -> bool:
-    """Returns whether reads need proof that their database was the primary."""
-    return False
-
-
-@needs_confirmed_primary.register
-def _(consistency: catalog.StrongConsistency) -> bool:
-    return True
-
-
-@functools.singledispatch
-async def freshness_floor(
-    consistency: catalog.Consistency,
-    group: group_monitor.GroupMonitor,
-    call: caller_session_state.CallerRequest,
-    terms: request_context.RequestContext,
-) -> FloorResult:
-    """Returns the lowest log position that the reads of a request must see.
-
-    Args:
-      consistency: consistency of the route.
-      group: databases of the service.
-      call: request that the reads belong to; this function sets its `floor`.
-      terms: rank and deadline of the request.
-
-    Returns:
-      The floor, or None if the reads must see every acknowledged commit and
-      therefore run at the primary.
-    """
-    raise TypeError(f"no freshness_floor() for {consistency!r}; register one")
-
-
-@freshness_floor.register(catalog.StrongConsistency)
-async def _(
-    consistency: catalog.StrongConsistency,
-    group: group_monitor.GroupMonitor,
-    call: caller_session_state.CallerRequest,
-    terms: request_context.RequestContext,
-) -> FloorResult:
-    return expression.Ok(None)
-
-
-@freshness_floor.register(catalog.BoundedStaleness)
-async def _(
-    consistency: catalog.BoundedStaleness,
-    group: group_monitor.GroupMonitor,
-    call: caller_session_state.CallerRequest,
-    terms: request_context.RequestContext,
-) -> FloorResult:
-    floor = await group.wait_for_floor(consistency, terms)
-    if floor is None:
-        return expression.Error(group.no_leader_rejection())
-    call.floor = floor
-    return expression.Ok(floor)
-
-
-async def find_read_target(
-    session: caller_session.CallerSession,
-    group: group_monitor.GroupMonitor,
-    route: catalog.Route,
-    call: caller_session_state.CallerRequest,
-    excluded: set[member.MemberId],
-) -> StatementTargetResult:
-    """Finds a database that is fresh enough for a read.
-
-    Args:
-      session: session that the read belongs to.
-      group: databases of the service.
-      route: route of the database name.
-      call: request that the read belongs to; this function sets its `floor`.
-      excluded: databases where the request already failed; they, and those
-        that answer no status query, are used only if no other one is usable.
-    """
-    terms = statement_io.request_terms(call, route)
-    fresh = await freshness_floor(route.consistency, group, call, terms)
-    if fresh.is_error():
-        return expression.Error(fresh.error)
-    if fresh.ok is None:
-        return await find_primary_target(group, terms, None)
-    own = read_placement.session_floor(
-        route.consistency, session.state.floors, route.service
-    )
-    floor = fresh.ok.position
-    needed = floor if own is None else max(floor, own)
-    began = session.now()
-    while True:
-        chosen = _choose(session, group, needed, excluded)
-        if chosen is not None:
-            pool = group.pools[chosen.member.id]
-            return expression.Ok(StatementTarget(pool, needed, None))
-        if not await group.next_round(group.wait_deadline(terms, began)):
-            return expression.Error(group.no_leader_rejection())
-
-
-def _choose(
-    session: caller_session.CallerSession,
-    group: group_monitor.GroupMonitor,
-    floor: position.Position | None,
-    excluded: set[member.MemberId],
-) -> read_placement.ReadCandidate | None:
-    leader = group.leader
-    now = session.now()
-    usable = [
-        read_placement.ReadCandidate(
-            member=pool.member,
-            position=group.state.position(name),
-            is_primary=leader is not None and leader.member == name,
-            load=pool.load,
-            in_same_zone=pool.member.zone == session.env.zone,
-            failure_rate=pool.failure_rate.share(now),
-        )
-        for name, pool in group.pools.items()
-        if not group.prober.is_lost(name)
-    ]
-    staying = [c for c in usable if c.is_primary or not c.member.leaving]
-    preferred = [
-        c
-        for c in staying
-        if c.member.id not in excluded and not group.is_silent(c.member.id)
-    ]
-    return read_placement.choose_database(
-        preferred or staying, floor, session.env.rng
-    )
-
-
 @functools.singledispatch
 async def run(
     operation: operations.Operation,
