Don't acknowledge a write that ran in a transaction which nobody commits

What callers could see: success for a write that its database then rolls back (LOST).

Cause: the reply tells the transaction's state; a single statement used it to close the connection, but reported success all the same.

Change: a single statement that ran in a transaction counts as one whose answer was lost. A read runs again elsewhere, a write is in doubt.

--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -216,6 +216,7 @@
             raise
         finally:
             pooled_connection.give_back()
+        result = _outside_transaction(result, self._call.served_by)
         if not reads:
             self._record_write(result)
         return _Exchange(self._to_reply(result), result.is_ok(), confirming)
@@ -285,6 +286,22 @@
         )
 
 
+def _outside_transaction(
+    result: database_request.ReplyResult, database: member.MemberId
+) -> database_request.ReplyResult:
+    """Returns a result, or a failure if the statement ran in a transaction.
+
+    Nobody asked for that transaction, and it is never committed.
+    """
+    if database_request.failure_of(result) is not None:
+        return result
+    if result.ok.state is _IDLE:
+        return result
+    return expression.Error(
+        errors.AnswerLost(database, "it ran in an open transaction")
+    )
+
+
 @functools.singledispatch
 async def run(
     operation: operations.Operation,
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -197,6 +197,14 @@
         for session in self._sessions:
             session.names.clear()
 
+    def strand_transactions(self) -> None:
+        """Opens a transaction on each connection, unasked.
+
+        It is what a ROLLBACK of a probe that fails leaves behind.
+        """
+        for session in self._sessions:
+            session.open_transaction()
+
     def inherit(self, former: LineDatabase) -> None:
         """Takes over the address and the log of another database."""
         self._port = former.port
--- a/hickorygate/testing/line_session.py
+++ b/hickorygate/testing/line_session.py
@@ -68,6 +68,10 @@
         if self._transport is not None:
             self._transport.abort()
 
+    def open_transaction(self) -> None:
+        """Opens a transaction that no request asked for."""
+        self._state = "T"
+
     async def _serve(self) -> None:
         while True:
             line = await self._queue.get()
--- a/hickorygate/tests/test_session_values.py
+++ b/hickorygate/tests/test_session_values.py
@@ -145,3 +145,34 @@
         self.cluster.group.databases["a"].forget_names()
         self.assertIn("UNKNSTMT", await self.execute_in_transaction(client))
         self.assertIn("ROW", await self.execute_in_transaction(client))
+
+
+class StrandedTransactionTest(virtual_time.VirtualTimeTestCase):
+    """A database with transactions on its connections that nobody began."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        clock = virtual_time.LoopClock(asyncio.get_running_loop())
+        self.cluster = await self.enterAsyncContext(
+            line_cluster.LineCluster(clock=clock)
+        )
+        self.client = await self.cluster.connect(line_cluster.PRIMARY_DB)
+        await self.client.query("WRITE x 1")
+
+    async def test_a_write_in_a_stranded_transaction_is_not_acknowledged(
+        self,
+    ) -> None:
+        # The write ran in a transaction that nobody commits, and its caller
+        # was told that it is kept (LOST).
+        self.cluster.group.databases["a"].strand_transactions()
+        received = await self.client.query("WRITE x 2")
+        self.assertIn("ERROR INDOUBT", received[0])
+        self.assertEqual(len(self.cluster.group.acknowledged), 1)
+
+    async def test_later_statements_run_outside_of_it(self) -> None:
+        self.cluster.group.databases["a"].strand_transactions()
+        for number in range(8):
+            await self.client.query(f"WRITE x {number}")
+        received = await self.client.query("WRITE x last")
+        self.assertIn("COMPLETE", received[0])
+        received = await self.client.query("READ x")
+        self.assertEqual(received[0], "ROW last")
--- a/hickorygate/tests/test_slot_pool.py
+++ b/hickorygate/tests/test_slot_pool.py
@@ -7,6 +7,7 @@
 import datetime
 import unittest
 
+from hickorygate.core import assignment
 from hickorygate.core import clock
 from hickorygate.core import errors
 from hickorygate.core import pool_errors
@@ -165,6 +166,22 @@
         self.assertTrue(connection.closed)
         self.assertTrue((await self.run_one(pool)).is_ok())
 
+    async def test_connection_whose_variables_are_unknown_is_not_reused(
+        self,
+    ) -> None:
+        # A SET without an answer may still take effect. The connection must
+        # not serve a session that has the variables from before.
+        pool = self.pool()
+        connection = await self.lease(pool)
+        self.relay.cut(relay.Direction.BOTH)
+        variables = (assignment.SessionVariable("sql_mode", "''"),)
+        changed = await connection.set_variables(variables, _SECOND / 10)
+        self.assertTrue(changed.is_error())
+        pool.release(connection)
+        self.assertTrue(connection.closed)
+        self.relay.heal()
+        self.assertIsNot(await self.lease(pool), connection)
+
     async def test_idle_transaction_is_ended_with_a_typed_error(self) -> None:
         pool = self.pool(transaction_idle_ms=200, keepalive_ms=50)
         connection = await self.lease(pool)
