--- a/hickorygate/testing/model_fleet.py
+++ b/hickorygate/testing/model_fleet.py
@@ -164,15 +164,17 @@
         session = caller_session.CallerSession(database, self._env)
         began = self._clock.now()
         failure = None
-        for number, step in enumerate(steps):
-            if number:
-                await self._clock.sleep(pause)
-            reply: replies.Reply = await session.perform(f"q{number}", step)
-            if reply.result.is_error():
-                failure = reply.result.error
-                break
+        try:
+            for number, step in enumerate(steps):
+                if number:
+                    await self._clock.sleep(pause)
+                reply: replies.Reply = await session.perform(f"q{number}", step)
+                if reply.result.is_error():
+                    failure = reply.result.error
+                    break
+        finally:
+            session.close()
         took = self._clock.now() - began
-        session.close()
         return CallOutcome(failure is None, failure, began, took)
 
 
--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -23,7 +23,13 @@
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import member as members
 
-__all__ = ["ModelConnector", "ModelDatabase", "ModelGroup", "ModelSettings"]
+__all__ = [
+    "ModelConnector",
+    "ModelDatabase",
+    "ModelGroup",
+    "ModelRun",
+    "ModelSettings",
+]
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
 _GREETING_TIMEOUT = datetime.timedelta(seconds=1)
@@ -56,6 +62,23 @@
     promotion: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ModelRun:
+    """A caller's statement that a database ran, and the session it ran in.
+
+    Attributes:
+      text: text of the statement, or the arguments of a prepared one.
+      values: session variables.
+      shape: text of the prepared statement; None if it is none.
+      transaction: number of the transaction; None outside of one.
+    """
+
+    text: str
+    values: dict[str, str]
+    shape: str | None
+    transaction: int | None
+
+
 class ModelGroup:
     """One primary and two replicas that follow it at once.
 
@@ -186,6 +209,7 @@
       begun: number of transactions that were begun, those of probes included.
       refused: number of connections that were refused at the limit.
       statements: number of statements that ran.
+      runs: these statements.
       written: number of writes that ran, acknowledged or not.
       running: number of statements that run or wait for a slot.
       status_requests: number of status requests that were answered.
@@ -201,6 +225,7 @@
         self.begun = 0
         self.refused = 0
         self.statements = 0
+        self.runs: list[ModelRun] = []
         self.written = 0
         self.running = 0
         self.status_requests = 0
@@ -382,13 +407,18 @@
       proxy: name of the proxy that opened it.
       silent: whether nothing arrives any more, although the database works.
       state: transaction state of the connection.
+      values: session variables.
+      names: texts of the prepared statements, by name.
     """
 
     def __init__(self, database: ModelDatabase, proxy: types.ProxyName) -> None:
         self.proxy = proxy
         self.silent = False
         self.state = _IDLE
+        self.values: dict[str, str] = {}
+        self.names: dict[str, str] = {}
         self._database = database
+        self._transaction = 0
         self._end = asyncio.get_running_loop().create_future()
         self._turn = asyncio.Lock()
         self._outstanding: set[
@@ -403,6 +433,18 @@
     def __repr__(self) -> str:
         return f"_ModelConnection({self._database.name!r})"
 
+    def describe(self, text: str, shape: str | None = None) -> ModelRun:
+        """Returns a statement that runs on the connection now."""
+        transaction = None
+        if self.state is _IN_TRANSACTION:
+            transaction = self._transaction
+        return ModelRun(text, dict(self.values), shape, transaction)
+
+    def begin(self) -> None:
+        """Begins a transaction with a number of its own."""
+        self.state = _IN_TRANSACTION
+        self._transaction = self._database.begun
+
     async def ask(
         self, *batch: database_request.Request
     ) -> list[database_request.ReplyResult]:
@@ -472,7 +514,7 @@
     database.begun += 1
     if not request.read_only and not database.leads:
         return _refused(database, connection)
-    connection.state = _IN_TRANSACTION
+    connection.begin()
     return _done(database, connection)
 
 
@@ -497,11 +539,55 @@
         if not database.leads:
             return _refused(database, connection)
         await database.commit()
+    database.runs.append(connection.describe(request.text))
     if request.text == "COMMIT":
         connection.state = _IDLE
     return _done(database, connection)
 
 
+@_answer.register
+async def _(
+    request: database_request.Execute,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    await database.run()
+    shape = connection.names.get(request.name)
+    database.runs.append(connection.describe(request.arguments, shape))
+    return _done(database, connection)
+
+
+@_answer.register
+async def _(
+    request: database_request.SetValue,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    connection.values[request.name] = request.value
+    return _done(database, connection)
+
+
+@_answer.register
+async def _(
+    request: database_request.Prepare,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    connection.names[request.name] = request.prepared.text
+    return _done(database, connection)
+
+
+@_answer.register
+async def _(
+    request: database_request.Reset,
+    database: ModelDatabase,
+    connection: _ModelConnection,
+) -> replies.Reply:
+    connection.values.clear()
+    connection.names.clear()
+    return _done(database, connection)
+
+
 @_answer.register
 async def _(
     request: database_request.ReadStatus,
