--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -11,15 +11,14 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
-import functools
 
 import expression
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import position as positions
-from hickorygate.core import reply as replies
 from hickorygate.core import types
+from hickorygate.testing import model_connection
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import member as members
 
@@ -27,19 +26,12 @@
     "ModelConnector",
     "ModelDatabase",
     "ModelGroup",
-    "ModelRun",
     "ModelSettings",
 ]
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
 _GREETING_TIMEOUT = datetime.timedelta(seconds=1)
 
-_STATUS_WORK = datetime.timedelta(milliseconds=0.5)
-"""Time that a status request occupies a slot."""
-
-_IDLE = replies.TransactionState.IDLE
-_IN_TRANSACTION = replies.TransactionState.IN_TRANSACTION
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ModelSettings:
@@ -62,23 +54,6 @@
     promotion: datetime.timedelta = datetime.timedelta(milliseconds=300)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ModelRun:
-    """A caller's statement that a database ran, and the session it ran in.
-
-    Attributes:
-      text: text of the statement, or the arguments of a prepared one.
-      values: session variables.
-      shape: text of the prepared statement; None if it is none.
-      transaction: number of the transaction; None outside of one.
-    """
-
-    text: str
-    values: dict[str, str]
-    shape: str | None
-    transaction: int | None
-
-
 class ModelGroup:
     """One primary and two replicas that follow it at once.
 
@@ -225,13 +200,13 @@
         self.begun = 0
         self.refused = 0
         self.statements = 0
-        self.runs: list[ModelRun] = []
+        self.runs: list[model_connection.ModelRun] = []
         self.written = 0
         self.running = 0
         self.status_requests = 0
         self.most_open = 0
         self._clock = clock
-        self._open: set[_ModelConnection] = set()
+        self._open: set[model_connection.ModelConnection] = set()
         self._slots = asyncio.Semaphore(group.settings.slots)
         self._dead = 0
         self._dead_until: datetime.datetime | None = None
@@ -293,7 +268,9 @@
 
         Proxies that have only one connection are spared.
         """
-        by_proxy: dict[types.ProxyName, list[_ModelConnection]] = {}
+        by_proxy: dict[
+            types.ProxyName, list[model_connection.ModelConnection]
+        ] = {}
         for connection in self._open:
             by_proxy.setdefault(connection.proxy, []).append(connection)
         for connections in by_proxy.values():
@@ -327,7 +304,7 @@
             return expression.Error(
                 errors.SessionRefused(self.name, "closed by the database")
             )
-        connection = _ModelConnection(self, proxy)
+        connection = model_connection.ModelConnection(self, proxy)
         self._open.add(connection)
         self.opened += 1
         self.most_open = max(self.most_open, self.open_count)
@@ -341,19 +318,21 @@
             )
         return expression.Ok(connection)
 
-    def forget(self, connection: _ModelConnection) -> None:
+    def forget(self, connection: model_connection.ModelConnection) -> None:
         """Removes a closed connection."""
         self._open.discard(connection)
 
     async def answer(
-        self, connection: _ModelConnection, batch: tuple[object, ...]
+        self,
+        connection: model_connection.ModelConnection,
+        batch: tuple[object, ...],
     ) -> list[database_request.ReplyResult]:
         """Answers a batch of requests in order."""
         await self._clock.sleep(self.group.settings.round_trip)
         await self._wait_until_reachable(connection)
         found = []
         for request in batch:
-            reply = await _answer(request, self, connection)
+            reply = await model_connection.answer(request, self, connection)
             found.append(expression.Ok(reply))
         await self._wait_until_reachable(connection)
         return found
@@ -380,7 +359,9 @@
         await self.group.wait_for_replica()
         self.group.replicate()
 
-    async def _wait_until_reachable(self, connection: _ModelConnection) -> None:
+    async def _wait_until_reachable(
+        self, connection: model_connection.ModelConnection
+    ) -> None:
         while (
             self._silent
             or connection.silent
@@ -398,224 +379,3 @@
         if until is None or self._clock.now() >= until:
             return 0
         return self._dead
-
-
-class _ModelConnection:
-    """A connection to a model database.
-
-    Attributes:
-      proxy: name of the proxy that opened it.
-      silent: whether nothing arrives any more, although the database works.
-      state: transaction state of the connection.
-      values: session variables.
-      names: texts of the prepared statements, by name.
-    """
-
-    def __init__(self, database: ModelDatabase, proxy: types.ProxyName) -> None:
-        self.proxy = proxy
-        self.silent = False
-        self.state = _IDLE
-        self.values: dict[str, str] = {}
-        self.names: dict[str, str] = {}
-        self._database = database
-        self._transaction = 0
-        self._end = asyncio.get_running_loop().create_future()
-        self._turn = asyncio.Lock()
-        self._outstanding: set[
-            asyncio.Task[list[database_request.ReplyResult]]
-        ] = set()
-
-    @property
-    def closed(self) -> bool:
-        """Whether the connection is closed."""
-        return self._end.done()
-
-    def __repr__(self) -> str:
-        return f"_ModelConnection({self._database.name!r})"
-
-    def describe(self, text: str, shape: str | None = None) -> ModelRun:
-        """Returns a statement that runs on the connection now."""
-        transaction = None
-        if self.state is _IN_TRANSACTION:
-            transaction = self._transaction
-        return ModelRun(text, dict(self.values), shape, transaction)
-
-    def begin(self) -> None:
-        """Begins a transaction with a number of its own."""
-        self.state = _IN_TRANSACTION
-        self._transaction = self._database.begun
-
-    async def ask(
-        self, *batch: database_request.Request
-    ) -> list[database_request.ReplyResult]:
-        """Sends requests and returns their replies, in the order of sending.
-
-        The database goes on with requests whose connection is closed.
-        """
-        if self.closed:
-            name = self._database.name
-            failure = errors.ConnectFailed(name, "closed before")
-            return [expression.Error(failure) for _ in batch]
-        answering = asyncio.create_task(self._answer(batch))
-        self._outstanding.add(answering)
-        answering.add_done_callback(self._outstanding.discard)
-        await asyncio.wait(
-            {answering, self._end}, return_when=asyncio.FIRST_COMPLETED
-        )
-        if answering.done():
-            return answering.result()
-        lost = errors.AnswerLost(self._database.name, "closed here")
-        return [expression.Error(lost) for _ in batch]
-
-    async def _answer(
-        self, batch: tuple[database_request.Request, ...]
-    ) -> list[database_request.ReplyResult]:
-        async with self._turn:
-            return await self._database.answer(self, batch)
-
-    def close(self) -> None:
-        """Closes the connection; outstanding requests fail as lost."""
-        if not self._end.done():
-            self._end.set_result(None)
-        self._database.forget(self)
-
-
-def _done(
-    database: ModelDatabase, connection: _ModelConnection
-) -> replies.Reply:
-    answer = expression.Ok(replies.Answer(signature=b"signed"))
-    return replies.Reply(answer, connection.state, database.position)
-
-
-def _refused(
-    database: ModelDatabase, connection: _ModelConnection
-) -> replies.Reply:
-    rejection = replies.Rejection(
-        replies.RejectionReason.READ_ONLY, database.name
-    )
-    return replies.Reply(
-        expression.Error(rejection), connection.state, database.position
-    )
-
-
-@functools.singledispatch
-async def _answer(
-    request: object, database: ModelDatabase, connection: _ModelConnection
-) -> replies.Reply:
-    return _done(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.Begin,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    database.begun += 1
-    if not request.read_only and not database.leads:
-        return _refused(database, connection)
-    connection.begin()
-    return _done(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.Rollback,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    connection.state = _IDLE
-    return _done(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.RunStatement,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    await database.run()
-    if request.text.startswith("WRITE"):
-        if not database.leads:
-            return _refused(database, connection)
-        await database.commit()
-    database.runs.append(connection.describe(request.text))
-    if request.text == "COMMIT":
-        connection.state = _IDLE
-    return _done(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.Execute,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    await database.run()
-    shape = connection.names.get(request.name)
-    database.runs.append(connection.describe(request.arguments, shape))
-    return _done(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.SetValue,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    connection.values[request.name] = request.value
-    return _done(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.Prepare,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    connection.names[request.name] = request.prepared.text
-    return _done(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.Reset,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    connection.values.clear()
-    connection.names.clear()
-    return _done(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.ReadStatus,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    await database.occupy_slot(_STATUS_WORK)
-    return _status(database, connection)
-
-
-@_answer.register
-async def _(
-    request: database_request.Pause,
-    database: ModelDatabase,
-    connection: _ModelConnection,
-) -> replies.Reply:
-    paused_for = database.group.pause(database.name, request.term)
-    return _status(database, connection, paused_for)
-
-
-def _status(
-    database: ModelDatabase,
-    connection: _ModelConnection,
-    paused_for: int = 0,
-) -> replies.Reply:
-    database.status_requests += 1
-    end = database.position
-    status = replies.ReplicationStatus(
-        database.leads, end.term, end, paused_for
-    )
-    return dataclasses.replace(_done(database, connection), group=status)
--- a/properties/test_session_state.py
+++ b/properties/test_session_state.py
@@ -20,6 +20,7 @@
 from hypothesis import strategies
 
 from hickorygate.core import operation as operations
+from hickorygate.testing import model_connection
 from hickorygate.testing import model_fleet
 from hickorygate.testing import model_group
 from hickorygate.testing import virtual_time
@@ -70,7 +71,7 @@
         return f"{self.value}/{self.shape}/{self.transaction}"
 
 
-def _parse(run: model_group.ModelRun) -> _Expectation:
+def _parse(run: model_connection.ModelRun) -> _Expectation:
     return _Expectation(*run.text.split(" ")[-1].split("/"))
 
 
@@ -128,7 +129,7 @@
         self._fleet = model_fleet.ModelFleet(1, _SETTINGS)
         self._database = self._fleet.group.databases["a"]
 
-    async def run(self) -> list[model_group.ModelRun]:
+    async def run(self) -> list[model_connection.ModelRun]:
         """Returns the callers' statements that the database ran."""
         await self._fleet.start(self._rng, datetime.timedelta())
         await asyncio.sleep(0.5)
@@ -195,5 +196,5 @@
 
 async def _run(
     seed: int, silences: list[tuple[float, float]]
-) -> list[model_group.ModelRun]:
+) -> list[model_connection.ModelRun]:
     return await _Play(seed, silences).run()
