Let the soak's callers set session values, also in transactions

Change: callers set a session value before some statements; each statement is checked against the values with which its database ran it. A caller leaves a session whose SET was refused, as the clients of the platform do.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -23,9 +23,13 @@
 _ITEMS = 3
 """Number of items that a caller writes to at a time."""
 
+_VALUES = ("plain", "audit", "night")
+_CHANGE_SHARE = 0.3
+"""Share of the statements before which a session value is set."""
+
 
 class _SessionAbandoned(Exception):
-    """The caller leaves the session in the middle of a transaction."""
+    """The caller leaves the session, perhaps in the middle of a transaction."""
 
 
 class Caller:
@@ -47,6 +51,9 @@
         self._tested_system = tested_system
         self._consistency_checker = consistency_checker
         self._rng = rng
+        # Of its own, so that the other choices are those of a seed's runs
+        # before session values were played.
+        self._value_rng = random.Random(f"values of caller {number}")
         self._service = number % len(tested_system.groups)
         self._items = [self._new_item() for _ in range(_ITEMS)]
         self._versions: collections.Counter[str] = collections.Counter()
@@ -103,6 +110,7 @@
         try:
             self.outcomes[opened.code or "opened"] += 1
             while opened.succeeded:
+                await self._vary_value(session)
                 await self._operate(session, kind)
                 if self._rng.random() < 1 / _SESSION_LENGTH:
                     return
@@ -121,12 +129,25 @@
             case _:
                 await self._read(session, kind, self._any_item())
 
+    async def _vary_value(self, session: sessions.Session) -> None:
+        """Sets a session value now and then.
+
+        Raises:
+          _SessionAbandoned: the value was refused, as in a transaction that was
+            aborted meanwhile.
+        """
+        if self._value_rng.random() >= _CHANGE_SHARE:
+            return
+        value = self._value_rng.choice(_VALUES)
+        if not (await session.set_value("mode", value)).succeeded:
+            raise _SessionAbandoned
+
     async def _read(
         self, session: sessions.Session, kind: str, item: str
     ) -> bool:
         sent = self._now()
         answer = await session.query(f"READ {item}")
-        self._check_answer(answer)
+        self._check_answer(session, answer)
         self._check_read(answer, kind, item, sent)
         return answer.succeeded
 
@@ -139,11 +160,12 @@
         """
         item = self._any_item()
         self._check_answer(
-            await session.query(f"PREPARE s1 READ shape{self._number}")
+            session,
+            await session.query(f"PREPARE s1 READ shape{self._number}"),
         )
         sent = self._now()
         answer = await session.query(f"EXECUTE s1 {item}")
-        self._check_answer(answer)
+        self._check_answer(session, answer)
         self._check_read(answer, kind, item, sent)
 
     async def _write(self, session: sessions.Session, item: str) -> bool:
@@ -154,11 +176,12 @@
 
     async def _transact(self, session: sessions.Session) -> None:
         """Writes two items in a transaction, which may be abandoned."""
-        self._check_answer(await session.query("BEGIN"))
+        self._check_answer(session, await session.query("BEGIN"))
         write = self._new_write(*self._rng.sample(self._items, 2))
         for item, version in write.versions.items():
+            await self._vary_value(session)
             answer = await session.query(f"WRITE {item} {version}")
-            self._check_answer(answer)
+            self._check_answer(session, answer)
             if not answer.succeeded:
                 await session.query("ROLLBACK")
                 return
@@ -166,7 +189,7 @@
         if self._rng.random() < 0.1:
             raise _SessionAbandoned
         if self._rng.random() < 0.2:
-            self._check_answer(await session.query("ROLLBACK"))
+            self._check_answer(session, await session.query("ROLLBACK"))
             return
         await self._commit(session, write, "COMMIT")
 
@@ -183,7 +206,7 @@
         except sessions.SessionEnded:
             self._replace_items(write)
             raise
-        self._check_answer(answer)
+        self._check_answer(session, answer)
         if answer.succeeded:
             self._consistency_checker.record_acknowledged(write, self._now())
             self._own.update(write.versions)
@@ -211,9 +234,14 @@
             )
         )
 
-    def _check_answer(self, answer: sessions.Answer) -> None:
+    def _check_answer(
+        self, session: sessions.Session, answer: sessions.Answer
+    ) -> None:
         """Counts the outcome and checks the signature of a successful answer.
 
+        The session values with which the request ran are checked too, whatever
+        the answer.
+
         The signature proves that a database of the service ran this request.
         Answers of the proxy itself carry none.
         """
@@ -227,6 +255,13 @@
                 checker.Guarantee.MATCHED_ANSWER,
                 f"{answer.request} was answered with {answer.signature}",
             )
+        group = self._tested_system.groups[self._service]
+        for database in group.databases.values():
+            ran_with = database.values_of_runs.get(answer.request)
+            if ran_with is not None:
+                self._consistency_checker.check_values(
+                    answer.request, session.values, ran_with
+                )
 
     def _new_write(self, *items: str) -> checker.SentWrite:
         for item in items:
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -37,6 +37,7 @@
     NOT_RUN = "what was refused as not run did not run"
     ATOMIC = "a transaction takes effect whole or not at all"
     MATCHED_ANSWER = "each answer is that to its own request"
+    OWN_SESSION = "a statement runs with the values of its own session"
     FENCED = "numbers of promoters never go back and have one holder each"
     MONOTONIC_CONFIGURATION = (
         "a configuration in force is never followed by an older one"
@@ -121,6 +122,25 @@
         """Records a broken guarantee."""
         self._violations.append(Violation(promise, detail))
 
+    def check_values(
+        self,
+        request: str,
+        values: Mapping[str, str],
+        ran_with: Mapping[str, str],
+    ) -> None:
+        """Checks the session values that a database used for a statement.
+
+        Args:
+          request: request id of the statement.
+          values: values that were acknowledged to the session.
+          ran_with: values on the connection that ran the statement.
+        """
+        if ran_with != values:
+            self.record_violation(
+                Guarantee.OWN_SESSION,
+                f"{request} ran with {ran_with} instead of {values}",
+            )
+
     def record_sent(self, write: SentWrite) -> None:
         """Records a write before it is sent."""
         self._sent[write.request] = write
--- a/soak/session.py
+++ b/soak/session.py
@@ -48,11 +48,16 @@
 
 
 class Session:
-    """A connection that runs one request at a time."""
+    """A connection that runs one request at a time.
+
+    Attributes:
+      values: session values that were acknowledged.
+    """
 
     def __init__(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.values: dict[str, str] = {}
         self._reader = reader
         self._writer = writer
 
@@ -89,6 +94,17 @@
         name = request or self.next_request()
         return await self._send(name, f"QUERY {name} {text}")
 
+    async def set_value(self, name: str, value: str) -> Answer:
+        """Sets a session value and keeps it if it was acknowledged.
+
+        Raises:
+          SessionEnded: the connection ends before the answer is complete.
+        """
+        answer = await self.query(f"SET {name} {value}")
+        if answer.succeeded:
+            self.values[name] = value
+        return answer
+
     @staticmethod
     def next_request() -> str:
         """Returns a request id that is unique in this process."""
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -104,6 +104,12 @@
         broken = [v.promise for v in self.consistency_checker.violations]
         self.assertEqual(broken, list(promises))
 
+    def test_a_statement_must_run_with_the_values_of_its_session(self) -> None:
+        self.consistency_checker.check_values("a", {"m": "1"}, {"m": "1"})
+        self.assert_broken()
+        self.consistency_checker.check_values("b", {"m": "1"}, {"m": "2"})
+        self.assert_broken(checker.Guarantee.OWN_SESSION)
+
     def test_a_read_must_see_what_was_acknowledged_before(self) -> None:
         self.consistency_checker.record_acknowledged(self.write("a", x=1), 5.0)
         self.consistency_checker.read(_seen(1))
