--- a/hickorygate/tests/test_session_values.py
+++ b/hickorygate/tests/test_session_values.py
@@ -19,8 +19,8 @@
 """Number of sessions that read at once, so that each connection is used."""
 
 
-class SilentDatabaseTest(virtual_time.VirtualTimeTestCase):
-    """A primary that is silent for a moment while a session value changes."""
+class _ProxyTestCase(virtual_time.VirtualTimeTestCase):
+    """One proxy before three databases, of which "a" is the primary."""
 
     async def asyncSetUp(self) -> None:  # noqa: N802
         clock = virtual_time.LoopClock(asyncio.get_running_loop())
@@ -29,6 +29,10 @@
         )
         self.primary = self.cluster.group.databases["a"]
 
+
+class SilentDatabaseTest(_ProxyTestCase):
+    """A primary that is silent for a moment while a session value changes."""
+
     async def open_transaction(self) -> line_cluster.LineClient:
         """Returns a session with the value "plain" in a transaction."""
         client = await self.cluster.connect(line_cluster.PRIMARY_DB)
@@ -118,15 +122,9 @@
         self.assertIn(expected, recorded)
 
 
-class LostNamesTest(virtual_time.VirtualTimeTestCase):
+class LostNamesTest(_ProxyTestCase):
     """A database that forgets the statements prepared on its connections."""
 
-    async def asyncSetUp(self) -> None:  # noqa: N802
-        clock = virtual_time.LoopClock(asyncio.get_running_loop())
-        self.cluster = await self.enterAsyncContext(
-            line_cluster.LineCluster(clock=clock)
-        )
-
     async def execute_in_transaction(
         self, client: line_cluster.LineClient
     ) -> str:
@@ -142,19 +140,16 @@
         client = await self.cluster.connect(line_cluster.PRIMARY_DB)
         await client.query("PREPARE s READ q")
         self.assertIn("ROW", await self.execute_in_transaction(client))
-        self.cluster.group.databases["a"].forget_names()
+        self.primary.forget_names()
         self.assertIn("UNKNSTMT", await self.execute_in_transaction(client))
         self.assertIn("ROW", await self.execute_in_transaction(client))
 
 
-class StrandedTransactionTest(virtual_time.VirtualTimeTestCase):
+class StrandedTransactionTest(_ProxyTestCase):
     """A database with transactions on its connections that nobody began."""
 
     async def asyncSetUp(self) -> None:  # noqa: N802
-        clock = virtual_time.LoopClock(asyncio.get_running_loop())
-        self.cluster = await self.enterAsyncContext(
-            line_cluster.LineCluster(clock=clock)
-        )
+        await super().asyncSetUp()
         self.client = await self.cluster.connect(line_cluster.PRIMARY_DB)
         await self.client.query("WRITE x 1")
 
@@ -163,13 +158,13 @@
     ) -> None:
         # The write ran in a transaction that nobody commits, and its caller
         # was told that it is kept (LOST).
-        self.cluster.group.databases["a"].strand_transactions()
+        self.primary.strand_transactions()
         received = await self.client.query("WRITE x 2")
         self.assertIn("ERROR INDOUBT", received[0])
         self.assertEqual(len(self.cluster.group.acknowledged), 1)
 
     async def test_later_statements_run_outside_of_it(self) -> None:
-        self.cluster.group.databases["a"].strand_transactions()
+        self.primary.strand_transactions()
         for number in range(8):
             await self.client.query(f"WRITE x {number}")
         received = await self.client.query("WRITE x last")
