--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -197,10 +197,10 @@
         for session in self._sessions:
             session.names.clear()
 
-    def strand_transactions(self) -> None:
+    def open_orphaned_transactions(self) -> None:
         """Opens a transaction on each connection, unasked.
 
-        It is what a ROLLBACK of a probe that fails leaves behind.
+        A probe leaves one behind if the database fails its ROLLBACK.
         """
         for session in self._sessions:
             session.open_transaction()
--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -22,12 +22,7 @@
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import member as members
 
-__all__ = [
-    "ModelConnector",
-    "ModelDatabase",
-    "ModelGroup",
-    "ModelSettings",
-]
+__all__ = ["ModelConnector", "ModelDatabase", "ModelGroup", "ModelSettings"]
 
 _CONNECT_TIMEOUT = datetime.timedelta(seconds=0.5)
 _GREETING_TIMEOUT = datetime.timedelta(seconds=1)
--- a/hickorygate/tests/test_session_values.py
+++ b/hickorygate/tests/test_session_values.py
@@ -145,7 +145,7 @@
         self.assertIn("ROW", await self.execute_in_transaction(client))
 
 
-class StrandedTransactionTest(_ProxyTestCase):
+class OrphanedTransactionTest(_ProxyTestCase):
     """A database with transactions on its connections that nobody began."""
 
     async def asyncSetUp(self) -> None:  # noqa: N802
@@ -153,18 +153,18 @@
         self.client = await self.cluster.connect(line_cluster.PRIMARY_DB)
         await self.client.query("WRITE x 1")
 
-    async def test_a_write_in_a_stranded_transaction_is_not_acknowledged(
+    async def test_a_write_in_an_orphaned_transaction_is_not_acknowledged(
         self,
     ) -> None:
         # The write ran in a transaction that nobody commits, and its caller
         # was told that it is kept (LOST).
-        self.primary.strand_transactions()
+        self.primary.open_orphaned_transactions()
         received = await self.client.query("WRITE x 2")
         self.assertIn("ERROR INDOUBT", received[0])
         self.assertEqual(len(self.cluster.group.acknowledged), 1)
 
     async def test_later_statements_run_outside_of_it(self) -> None:
-        self.primary.strand_transactions()
+        self.primary.open_orphaned_transactions()
         for number in range(8):
             await self.client.query(f"WRITE x {number}")
         received = await self.client.query("WRITE x last")
