Play short silences of primaries in the soak

Change: each run also has silences of a primary of 0.4 to 0.8 s, drawn apart from the other faults, so those of a seed are as before.

--- a/soak/plan.py
+++ b/soak/plan.py
@@ -46,6 +46,13 @@
 """Fraction of the faults that are injected three times in a row."""
 
 _SERIES_LENGTH = 3
+_SILENCE_GAP_SECONDS = 1.5
+"""Mean time between short silences of a primary."""
+
+_SILENCE_SECONDS = (0.4, 0.8)
+"""Lengths of a short silence: longer than a proxy waits for an answer that
+takes no slot, shorter than it takes for a database to count as lost."""
+
 _STORE_KINDS = (
     object_store.StoreFault.BUSY,
     object_store.StoreFault.TOO_MANY,
@@ -297,9 +304,24 @@
         if rng.random() < _SERIES_SHARE:
             faults += _repeat(fault, rng)
         at += rng.expovariate(1 / _MEAN_GAP_SECONDS)
+    faults += _draw_silences(seed, size)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
+def _draw_silences(seed: int, size: RunSize) -> list[Fault]:
+    """Returns short silences, drawn apart from the other faults of a seed."""
+    rng = random.Random(f"silences of {seed}")
+    silences: list[Fault] = []
+    at = _FIRST_FAULT_SECONDS
+    while at < size.seconds:
+        lasts = _seconds(rng.uniform(*_SILENCE_SECONDS))
+        silences.append(
+            MuteDatabase(_seconds(at), lasts, _service(rng, size), True)
+        )
+        at += rng.expovariate(1 / _SILENCE_GAP_SECONDS)
+    return silences
+
+
 def _repeat(fault: Fault, rng: random.Random) -> list[Fault]:
     pause = _seconds(rng.uniform(0.1, 1.5))
     return [
