Check that each connection returns to its pool, whoever leaves

A mutation (trial) that kept the connection of a caller who left while its session state was being set passed all tests. The property of session state now counts the connections that were never returned.

--- a/properties/test_session_state.py
+++ b/properties/test_session_state.py
@@ -121,9 +121,14 @@
 
 
 class _Play:
-    """One proxy, its callers and the silences of its database."""
+    """One proxy, its callers and the silences of its database.
+
+    Attributes:
+      kept: number of connections that were never returned to their pools.
+    """
 
     def __init__(self, seed: int, silences: list[tuple[float, float]]) -> None:
+        self.kept = 0
         self._rng = random.Random(seed)
         self._silences = silences
         self._fleet = model_fleet.ModelFleet(1, _SETTINGS)
@@ -139,7 +144,9 @@
             for number in range(_CALLERS):
                 rng = random.Random(self._rng.random())
                 tasks.create_task(self._call_repeatedly(f"c{number}", rng))
+        pools = tuple(self._fleet.proxies[0].monitor.pools.values())
         await self._fleet.close()
+        self.kept = sum(pool.borrowed_count for pool in pools)
         runs = [
             run
             for database in self._fleet.group.databases.values()
@@ -178,7 +185,8 @@
     def test_statements_run_with_the_state_of_their_session(
         self, seed: int, silences: list[tuple[float, float]]
     ) -> None:
-        runs = virtual_time.run(_run(seed, silences))
+        runs, kept = virtual_time.run(_run(seed, silences))
+        self.assertEqual(kept, 0, "connections that were not returned")
         self.assertGreater(len(runs), _CALLERS)
         owners: dict[int, set[str]] = collections.defaultdict(set)
         for run in runs:
@@ -196,5 +204,6 @@
 
 async def _run(
     seed: int, silences: list[tuple[float, float]]
-) -> list[model_connection.ModelRun]:
-    return await _Play(seed, silences).run()
+) -> tuple[list[model_connection.ModelRun], int]:
+    play = _Play(seed, silences)
+    return await play.run(), play.kept
