--- a/hickorygate/callers/caller_session.py
+++ b/hickorygate/callers/caller_session.py
@@ -22,6 +22,7 @@
 from hickorygate.core import platform_events
 from hickorygate.core import reply as replies
 from hickorygate.core import types
+from hickorygate.core import workspace as workspaces
 
 __all__ = ["CallerSession"]
 
@@ -40,10 +41,24 @@
     __slots__ = ("_env", "_state")
 
     def __init__(
-        self, database: types.SchemaName, env: session_context.SessionContext
+        self,
+        database: types.SchemaName,
+        env: session_context.SessionContext,
+        workspace: types.WorkspaceName = "",
+        credential: workspaces.Credential | None = None,
     ) -> None:
+        """Creates the session.
+
+        Args:
+          database: database name that the caller connected to.
+          env: dependencies that all sessions share.
+          workspace: workspace of the caller; empty if it has none.
+          credential: digest of the caller's key; None if it sent none.
+        """
         self._env = env
-        self._state = caller_session_state.CallerSessionState(database)
+        self._state = caller_session_state.CallerSessionState(
+            database, workspace=workspace, credential=credential
+        )
 
     @property
     def state(self) -> caller_session_state.CallerSessionState:
@@ -90,7 +105,9 @@
         route = self.route() if transaction is None else transaction.route
         timeout = route.timeout if route else datetime.timedelta()
         deadline = self._env.shutdown.limit(now + timeout)
-        call = caller_session_state.CallerRequest(query, now, deadline)
+        call = caller_session_state.CallerRequest(
+            query, now, deadline, workspace=self._state.workspace
+        )
         reply = await self._run_operation(operation, call)
         if self._state.transaction is not None:
             self._state.transaction.last_active = self.now()
--- a/hickorygate/callers/caller_session_state.py
+++ b/hickorygate/callers/caller_session_state.py
@@ -9,6 +9,7 @@
 from hickorygate.core import operation
 from hickorygate.core import position as positions
 from hickorygate.core import types
+from hickorygate.core import workspace as workspaces
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import pooled_connection as pooled_connections
 
@@ -28,6 +29,7 @@
       floor: lowest log position that the request's reads must see; None if
         no floor was needed.
       tries: number of attempts to run the request at a database.
+      workspace: workspace of the caller; empty if it has none.
     """
 
     id: str
@@ -36,6 +38,7 @@
     served_by: str = ""
     floor: group_state.Floor | None = None
     tries: int = 0
+    workspace: types.WorkspaceName = ""
 
 
 @dataclasses.dataclass(slots=True)
@@ -83,6 +86,8 @@
         chose.
       floors: log position of this session's newest commit, by service.
       transaction: transaction that is open; None if none is.
+      workspace: workspace of the caller; empty if it has none.
+      credential: digest of the caller's key; None if the caller sent none.
     """
 
     database: types.SchemaName
@@ -94,6 +99,8 @@
         default_factory=dict
     )
     transaction: OpenTransaction | None = None
+    workspace: types.WorkspaceName = ""
+    credential: workspaces.Credential | None = None
 
     def raise_floor(
         self, service: types.ServiceName, position: positions.Position | None
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -111,9 +111,9 @@
 def request_terms(
     call: caller_session_state.CallerRequest, route: catalog.Route
 ) -> request_context.RequestContext:
-    """Returns the rank, arrival and deadline of a request."""
+    """Returns the rank, arrival, deadline and workspace of a request."""
     return request_context.RequestContext(
-        route.rank, call.arrived, call.deadline
+        route.rank, call.arrived, call.deadline, workspace=call.workspace
     )
 
 
--- a/hickorygate/core/catalog.py
+++ b/hickorygate/core/catalog.py
@@ -8,6 +8,7 @@
 
 from hickorygate.core import rank as ranks
 from hickorygate.core import types
+from hickorygate.core import workspace as workspaces
 
 __all__ = [
     "BoundedStaleness",
@@ -52,6 +53,7 @@
       consistency: consistency level of the reads.
       rank: rank of the statements; its target is for a whole operation.
       timeout: maximum time for one statement.
+      public: whether callers need no key.
     """
 
     database: types.SchemaName
@@ -59,6 +61,7 @@
     consistency: Consistency
     rank: ranks.Rank
     timeout: datetime.timedelta
+    public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,12 +91,20 @@
       services: settings by name of the service.
       transaction_idle_timeout: idle time after which a transaction may be
         ended.
+      workspaces: valid workspaces by name; empty if the configuration lists
+        none.
+      keys: workspaces by key; None if the configuration lists no workspaces,
+        so that any key is accepted.
     """
 
     version: int
     routes: Mapping[types.SchemaName, Route]
     services: Mapping[types.ServiceName, ServiceSettings]
     transaction_idle_timeout: datetime.timedelta
+    workspaces: Mapping[types.WorkspaceName, workspaces.Workspace] = (
+        dataclasses.field(default_factory=dict)
+    )
+    keys: workspaces.KeyRing | None = None
 
     def __repr__(self) -> str:
         return f"Catalog(version={self.version}, routes={len(self.routes)})"
--- a/hickorygate/core/request_context.py
+++ b/hickorygate/core/request_context.py
@@ -6,6 +6,7 @@
 import datetime
 
 from hickorygate.core import rank as ranks
+from hickorygate.core import types
 
 __all__ = ["RequestContext"]
 
@@ -22,6 +23,7 @@
         needs the newest data.
       idempotency_key: key of a write; repeated writes with the same key run
         once.
+      workspace: workspace of the caller; empty if it has none.
     """
 
     rank: ranks.Rank
@@ -29,6 +31,7 @@
     deadline: datetime.datetime
     staleness: datetime.timedelta | None = None
     idempotency_key: str | None = None
+    workspace: types.WorkspaceName = ""
 
     def time_left(self, now: datetime.datetime) -> datetime.timedelta:
         """Returns the time until the deadline, at least zero."""
--- a/hickorygate/core/types.py
+++ b/hickorygate/core/types.py
@@ -18,6 +18,7 @@
     "ServiceName",
     "SheetVersion",
     "Term",
+    "WorkspaceName",
     "ZoneName",
 ]
 
@@ -30,6 +31,9 @@
 ServiceName: TypeAlias = str
 ZoneName: TypeAlias = str
 
+WorkspaceName: TypeAlias = str
+"""Name of a caller's workspace; empty if the caller has none."""
+
 Term: TypeAlias = int
 """Term of a primary; each promotion increases it."""
 
