--- a/hickorygate/callers/caller_session.py
+++ b/hickorygate/callers/caller_session.py
@@ -7,11 +7,13 @@
 
 from __future__ import annotations
 
+import asyncio
 import datetime
 import functools
 
 import expression
 
+from hickorygate.callers import access
 from hickorygate.callers import caller_session_state
 from hickorygate.callers import session_context
 from hickorygate.callers import single_statements
@@ -38,7 +40,15 @@
     The front end passes in one operation at a time.
     """
 
-    __slots__ = ("_env", "_state")
+    __slots__ = (
+        "_call",
+        "_checked",
+        "_env",
+        "_interruption",
+        "_revoked",
+        "_state",
+        "_task",
+    )
 
     def __init__(
         self,
@@ -59,6 +69,11 @@
         self._state = caller_session_state.CallerSessionState(
             database, workspace=workspace, credential=credential
         )
+        self._checked: catalog.Catalog | None = None
+        self._revoked: replies.Rejection | None = None
+        self._call: caller_session_state.CallerRequest | None = None
+        self._task: asyncio.Task[object] | None = None
+        self._interruption: replies.Rejection | None = None
 
     @property
     def state(self) -> caller_session_state.CallerSessionState:
@@ -75,6 +90,16 @@
         """Whether no transaction is open."""
         return self._state.transaction is None
 
+    @property
+    def is_revoked(self) -> bool:
+        """Whether the session's key no longer identifies its workspace."""
+        return self._revoked is not None
+
+    @property
+    def is_running(self) -> bool:
+        """Whether an operation runs."""
+        return self._task is not None
+
     def __repr__(self) -> str:
         return f"CallerSession({self._state.database!r})"
 
@@ -100,6 +125,7 @@
           query: request id that the caller assigned.
           operation: operation to run.
         """
+        self.check_access()
         now = self.now()
         transaction = self._state.transaction
         route = self.route() if transaction is None else transaction.route
@@ -108,12 +134,110 @@
         call = caller_session_state.CallerRequest(
             query, now, deadline, workspace=self._state.workspace
         )
-        reply = await self._run_operation(operation, call)
+        if self._revoked is None:
+            reply = await self._run_unless_interrupted(operation, call)
+        else:
+            reply = self.reply(expression.Error(self._revoked))
         if self._state.transaction is not None:
             self._state.transaction.last_active = self.now()
         self._record_end(operation, call, reply)
         return reply
 
+    def check_access(self) -> None:
+        """Applies the configuration in force to the session's key.
+
+        If the key no longer identifies the session's workspace, the session is
+        revoked: its transaction is rolled back, and an operation that was not
+        sent to a database yet is rejected. One that was sent gets its answer.
+        """
+        checked = self._env.fleet.catalog
+        if checked is None or checked is self._checked or self.is_revoked:
+            return
+        self._checked = checked
+        state = self._state
+        renewed = access.renew(
+            checked, state.database, state.workspace, state.credential
+        )
+        if renewed.is_error():
+            self._revoke(renewed.error)
+        elif renewed.ok != state.workspace:
+            self._change_workspace(renewed.ok)
+
+    def _revoke(self, rejection: replies.Rejection) -> None:
+        self._revoked = rejection
+        self._env.journal.record(
+            platform_events.SessionRevoked(
+                self._state.database, self._state.workspace, not self.idle
+            )
+        )
+        if self._task is None:
+            self.close()
+        else:
+            self._interrupt(rejection)
+
+    def _change_workspace(self, workspace: types.WorkspaceName) -> None:
+        """Continues the session for another workspace."""
+        self._state.workspace = workspace
+        if self._task is None:
+            self._abort_foreign_transaction()
+        else:
+            reason = replies.RejectionReason.BUSY
+            detail = "the workspace of the key changed; retry"
+            self._interrupt(replies.Rejection(reason, detail))
+
+    def _abort_foreign_transaction(self) -> None:
+        """Aborts a transaction on a connection of another workspace."""
+        transaction = self._state.transaction
+        held = transaction.pooled_connection if transaction else None
+        if held is not None and held.workspace != self._state.workspace:
+            self.abort_open_transaction()
+
+    def _interrupt(self, rejection: replies.Rejection) -> None:
+        """Ends the running operation unless its statement is in flight."""
+        assert self._task is not None and self._call is not None, (
+            "no operation runs"
+        )
+        if self._call.in_flight or self._interruption is not None:
+            return
+        self._interruption = rejection
+        self._task.cancel()
+
+    async def _run_unless_interrupted(
+        self,
+        operation: operations.Operation,
+        call: caller_session_state.CallerRequest,
+    ) -> replies.Reply:
+        task = asyncio.current_task()
+        assert task is not None, "operations run in a task"
+        self._task, self._call = task, call
+        try:
+            reply = await self._run_operation(operation, call)
+        except asyncio.CancelledError:
+            if self._interruption is None or task.uncancel():
+                raise
+            reply = self._answer_interrupted(self._interruption)
+        finally:
+            self._task = self._call = self._interruption = None
+        if self.is_revoked:
+            self.close()
+        else:
+            self._abort_foreign_transaction()
+        return reply
+
+    def _answer_interrupted(
+        self, rejection: replies.Rejection
+    ) -> replies.Reply:
+        """Answers an operation that was ended before it was sent."""
+        transaction = self._state.transaction
+        if self.is_revoked:
+            self.close()
+        elif transaction is not None:
+            transaction_statements.abort_transaction(self._env, transaction)
+            return self.rejection(
+                replies.RejectionReason.ABORTED, rejection.detail
+            )
+        return self.reply(expression.Error(rejection))
+
     async def _run_operation(
         self,
         operation: operations.Operation,
--- a/hickorygate/callers/caller_session_state.py
+++ b/hickorygate/callers/caller_session_state.py
@@ -30,6 +30,8 @@
         no floor was needed.
       tries: number of attempts to run the request at a database.
       workspace: workspace of the caller; empty if it has none.
+      in_flight: whether the statement was sent to a database and its answer
+        isn't decided yet.
     """
 
     id: str
@@ -39,6 +41,7 @@
     floor: group_state.Floor | None = None
     tries: int = 0
     workspace: types.WorkspaceName = ""
+    in_flight: bool = False
 
 
 @dataclasses.dataclass(slots=True)
--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 import random
@@ -26,10 +27,17 @@
     def version(self) -> int:
         """Version of the configuration in force; 0 before the first one."""
 
+    @property
+    def catalog(self) -> catalog.Catalog | None:
+        """The configuration in force; None before the first one."""
+
     @property
     def transaction_idle(self) -> datetime.timedelta:
         """Time after which an idle transaction may be aborted."""
 
+    def subscribe(self, on_change: Callable[[], None]) -> None:
+        """Registers a function that is called after each configuration."""
+
     async def wait_for_configuration(self, limit: datetime.timedelta) -> bool:
         """Waits for the first configuration.
 
--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -109,6 +109,7 @@
                 )
             )
             self._excluded.add(self._call.served_by)
+            self._call.in_flight = False
             await self._env.clock.sleep(delay)
             number += 1
 
@@ -201,6 +202,7 @@
         if not reads:
             self._group.commit_sent()
         confirming = self._start_confirmation(place) if reads else None
+        self._call.in_flight = True
         try:
             result = await statement_io.run_admitted(
                 self._env,
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -198,10 +198,12 @@
     request: database_request.Request,
     terms_: request_context.RequestContext,
     commits: bool,
+    call: caller_session_state.CallerRequest,
 ) -> database_request.ReplyResult:
     """Runs a statement on a borrowed connection once it is admitted.
 
-    The arguments and the result are those of `run_admitted`.
+    The arguments and the result are those of `run_admitted`; `in_flight` of the
+    call is set once the statement is sent.
     """
     permits = pooled_connection.pool.permits
     entered = await permits.acquire(terms_)
@@ -209,6 +211,7 @@
         return expression.Error(entered.error)
     started = env.clock.now()
     service: datetime.timedelta | None = None
+    call.in_flight = True
     try:
         result = await run_admitted(
             env, group, pooled_connection, request, terms_, commits
--- a/hickorygate/callers/transaction_statements.py
+++ b/hickorygate/callers/transaction_statements.py
@@ -116,9 +116,7 @@
             return self._reject_commit(failure)
         if self._transaction.has_written:
             self._group.commit_sent()
-        result = await self._run_statement(
-            statement, commits=self._transaction.has_written
-        )
+        result = await self._run_commit(statement)
         pooled_connection = self._transaction.pooled_connection
         assert pooled_connection is not None, (
             "_prepare() has opened a connection"
@@ -135,6 +133,18 @@
             self._session.state.raise_floor(service, reply.position)
         return dataclasses.replace(reply, state=_IDLE)
 
+    async def _run_commit(
+        self, statement: statement_io.Statement
+    ) -> database_request.ReplyResult:
+        """Runs the commit; one that is given up in the queue wasn't sent."""
+        commits = self._transaction.has_written
+        try:
+            return await self._run_statement(statement, commits)
+        except asyncio.CancelledError:
+            if commits and not self._call.in_flight:
+                self._group.stall.drop_commit()
+            raise
+
     async def roll_back(self) -> replies.Reply:
         """Rolls back; returns once the rollback has ended."""
         pooled_connection = self._transaction.pooled_connection
@@ -209,6 +219,7 @@
                 request,
                 self._terms,
                 commits,
+                self._call,
             )
             if not _is_retryable(result):
                 return result
@@ -217,6 +228,7 @@
             )
             if delay is None:
                 return result
+            self._call.in_flight = False
             await self._env.clock.sleep(delay)
             number += 1
 
--- a/hickorygate/core/catalog.py
+++ b/hickorygate/core/catalog.py
@@ -95,6 +95,8 @@
         none.
       keys: workspaces by key; None if the configuration lists no workspaces,
         so that any key is accepted.
+      workspace_errors: why entries of workspaces are invalid, without keys;
+        such entries grant nothing.
     """
 
     version: int
@@ -105,6 +107,7 @@
         dataclasses.field(default_factory=dict)
     )
     keys: workspaces.KeyRing | None = None
+    workspace_errors: tuple[str, ...] = ()
 
     def __repr__(self) -> str:
         return f"Catalog(version={self.version}, routes={len(self.routes)})"
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -29,6 +29,7 @@
     "ReadDiscarded",
     "RequestEnded",
     "RequestRetried",
+    "SessionRevoked",
     "SettingsReloaded",
     "StoreLost",
     "StoreEraChanged",
@@ -36,6 +37,7 @@
     "TakeoverEnded",
     "TakeoverStarted",
     "WatchFailed",
+    "WorkspacesIgnored",
 ]
 
 
@@ -302,6 +304,34 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspacesIgnored(events.Event):
+    """Entries of workspaces in a configuration are invalid and grant nothing.
+
+    Attributes:
+      version: version of the configuration.
+      reasons: why the entries are invalid.
+    """
+
+    version: int
+    reasons: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SessionRevoked(events.Event):
+    """A session ended because its key no longer identifies its workspace.
+
+    Attributes:
+      database: database name that the caller connected to.
+      workspace: workspace of the session; empty if it had none.
+      in_transaction: whether a transaction was open, which is rolled back.
+    """
+
+    database: types.SchemaName
+    workspace: types.WorkspaceName
+    in_transaction: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WatchFailed(events.Event):
     """A call that follows the objects of one kind had no usable answer.
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -13,6 +13,7 @@
 
 from hickorygate.core import errors
 from hickorygate.core import reply as replies
+from hickorygate.core import types
 from hickorygate.platform import line_protocol
 from hickorygate.platform import sockets
 from hickorygate.upstreams import database_request
@@ -24,7 +25,9 @@
 _SESSION_TIMEOUT = datetime.timedelta(seconds=1)
 """Time for the database to open the session, which needs a free slot."""
 
-_USER = "hickorygate"
+_NO_WORKSPACE = "hickorygate"
+"""Name that databases are told for callers without a workspace."""
+
 _STATUS_REQUESTS = (
     database_request.ReadStatus,
     database_request.Pause,
@@ -79,12 +82,15 @@
         if self._buffer.oversized:
             self._close_with_reason("an answer is longer than a message")
 
-    async def open_session(self) -> database_request.ReplyResult:
-        """Opens the session at the database.
+    async def open_session(
+        self, workspace: types.WorkspaceName
+    ) -> database_request.ReplyResult:
+        """Opens the session at the database for a workspace.
 
         The database checks that its service and id are the expected ones.
         """
-        line = f"CONNECT {self._member.service} {_USER} {self._member.id}\r\n"
+        user = workspace or _NO_WORKSPACE
+        line = f"CONNECT {self._member.service} {user} {self._member.id}\r\n"
         return (await self._send([line.encode()], [False]))[0]
 
     async def ask(
@@ -147,7 +153,10 @@
     """Opens connections to databases."""
 
     async def open(
-        self, member: members.Member, on_connect: Callable[[], None]
+        self,
+        member: members.Member,
+        on_connect: Callable[[], None],
+        workspace: types.WorkspaceName = "",
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         """Connects to a database and verifies its service and id."""
         connection = DatabaseConnection(member)
@@ -156,7 +165,7 @@
             if connected.is_error():
                 return connected
             on_connect()
-            greeted = await _open_session(connection, member)
+            greeted = await _open_session(connection, member, workspace)
         except asyncio.CancelledError:
             connection.close()
             raise
@@ -186,7 +195,9 @@
 
 
 async def _open_session(
-    connection: DatabaseConnection, member: members.Member
+    connection: DatabaseConnection,
+    member: members.Member,
+    workspace: types.WorkspaceName,
 ) -> database_request.ReplyResult:
     """Opens the session on a new connection.
 
@@ -194,7 +205,7 @@
     """
     try:
         async with asyncio.timeout(_SESSION_TIMEOUT.total_seconds()):
-            greeted = await connection.open_session()
+            greeted = await connection.open_session(workspace)
     except TimeoutError:
         connection.close()
         reason = "the session was not opened in time"
--- a/hickorygate/platform/line_protocol.py
+++ b/hickorygate/platform/line_protocol.py
@@ -16,6 +16,7 @@
 from hickorygate.core import operation as operations
 from hickorygate.core import position as positions
 from hickorygate.core import reply as replies
+from hickorygate.core import workspace as workspaces
 from hickorygate.upstreams import database_request
 
 __all__ = [
@@ -82,9 +83,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Connect(Message):
-    """Opens a session for a database name."""
+    """Opens a session for a database name.
+
+    Attributes:
+      database: database name.
+      credential: digest of the caller's key; None if it sent none.
+    """
 
     database: str
+    credential: workspaces.Credential | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -154,7 +161,9 @@
         case "CONNECT":
             fields = rest.split(" ")
             if fields[0]:
-                return Connect(fields[0])
+                key = fields[1] if len(fields) > 1 else ""
+                credential = workspaces.Credential.of(key) if key else None
+                return Connect(fields[0], credential)
         case "TERMINATE":
             return Terminate()
     return MalformedMessage()
--- a/hickorygate/platform/line_server.py
+++ b/hickorygate/platform/line_server.py
@@ -11,9 +11,11 @@
 
 import expression
 
+from hickorygate.callers import access
 from hickorygate.callers import caller_session
 from hickorygate.callers import session_context
 from hickorygate.core import reply as replies
+from hickorygate.core import workspace as workspaces
 from hickorygate.platform import line_protocol
 from hickorygate.platform import settings
 from hickorygate.platform import sockets
@@ -143,9 +145,25 @@
         """
         self._closes_when_quiet = True
 
-    async def open_session(self, name: str) -> None:
+    def check_access(self) -> None:
+        """Closes the connection if its session is revoked and not in use.
+
+        A session in the middle of an operation closes it after the answer.
+        """
+        if self._session is None or self._closing:
+            return
+        self._session.check_access()
+        if self._session.is_revoked and not self._session.is_running:
+            self.close()
+
+    async def open_session(
+        self, name: str, credential: workspaces.Credential | None
+    ) -> None:
         """Opens a session, or refuses a database name without a route.
 
+        A key that identifies no workspace is refused as well, unless the route
+        is public.
+
         A process without a configuration cannot tell whether a name is
         unknown, so it waits for the first configuration. A process that stops
         soon refuses the session, so that its first request isn't cut off.
@@ -160,10 +178,17 @@
                 replies.RejectionReason.BUSY, "no configuration yet; retry"
             )
             return
-        if self._env.fleet.route(name) is None:
+        catalog = self._env.fleet.catalog
+        if catalog is None or name not in catalog.routes:
             self.refuse(replies.RejectionReason.UNKNOWN_DATABASE, name)
             return
-        self._session = caller_session.CallerSession(name, self._env)
+        admitted = access.admit(catalog, name, credential)
+        if admitted.is_error():
+            self.refuse(admitted.error.reason, admitted.error.detail)
+            return
+        self._session = caller_session.CallerSession(
+            name, self._env, admitted.ok, credential
+        )
         self._write(b"READY I -\r\n")
 
     def refuse(self, reason: replies.RejectionReason, detail: str) -> None:
@@ -185,8 +210,12 @@
         if self._session is None:
             self.refuse(replies.RejectionReason.MALFORMED, "connect first")
             return
+        self._session.check_access()
+        was_revoked = self._session.is_revoked
         reply = await self._session.perform(query.id, query.operation)
         self._write(line_protocol.encode_reply(reply))
+        if self._session.is_revoked and (was_revoked or not self._pending):
+            self.close()
 
     def reject_malformed(self) -> None:
         """Answers a malformed line; an open session continues."""
@@ -244,7 +273,7 @@
 @_handle.register
 async def _(message: line_protocol.Connect, caller: CallerConnection) -> None:
     if caller.session is None:
-        await caller.open_session(message.database)
+        await caller.open_session(message.database, message.credential)
     else:
         caller.reject_malformed()
 
@@ -294,6 +323,7 @@
         Raises:
           OSError: listening on the address is not possible.
         """
+        self._env.fleet.subscribe(self._check_access)
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._accept, address.host, address.port, backlog=_BACKLOG
@@ -313,6 +343,11 @@
         if self._server is not None:
             self._server.close()
 
+    def _check_access(self) -> None:
+        """Closes the sessions that the configuration in force doesn't allow."""
+        for caller in tuple(self._callers):
+            caller.check_access()
+
     def _accept(self) -> CallerConnection:
         caller = CallerConnection(self._env, self._callers.discard)
         self._callers.add(caller)
--- a/hickorygate/platform/object_decoding.py
+++ b/hickorygate/platform/object_decoding.py
@@ -6,6 +6,7 @@
 from collections.abc import Sequence
 import datetime
 from typing import Annotated
+from typing import Any
 from typing import Literal
 
 import expression
@@ -15,6 +16,7 @@
 from hickorygate.core import errors
 from hickorygate.core import rank as ranks
 from hickorygate.platform import settings
+from hickorygate.platform import workspace_decoding
 from hickorygate.store import failures
 from hickorygate.store import list_watch
 from hickorygate.store import objects
@@ -50,6 +52,10 @@
 ]
 
 
+_Flag = Annotated[bool, pydantic.BeforeValidator(lambda value: value is True)]
+"""A flag that is set only by the value true, not by one that resembles it."""
+
+
 class _DatabaseEntry(pydantic.BaseModel):
     """The service discovery entry of a database."""
 
@@ -134,6 +140,7 @@
     max_staleness_ms: Annotated[
         float, pydantic.Field(ge=0, le=_MAX_MILLISECONDS)
     ] = 0
+    public: _Flag = False
 
     def route(self) -> catalogs.Route:
         rank = ranks.Rank(
@@ -148,6 +155,7 @@
             consistency=self._consistency(),
             rank=rank,
             timeout=datetime.timedelta(milliseconds=self.timeout_ms),
+            public=self.public,
         )
 
     def _consistency(self) -> catalogs.Consistency:
@@ -180,14 +188,19 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
+    tenants: list[Any] | None = None
 
     def catalog(self) -> catalogs.Catalog:
         idle = datetime.timedelta(milliseconds=self.limits.tx_idle_ms)
+        listed = workspace_decoding.decode_workspaces(self.tenants or ())
         return catalogs.Catalog(
             version=self.version,
             routes={route.host: route.route() for route in self.routes},
             services={s.name: _service_terms(s) for s in self.services},
             transaction_idle_timeout=idle,
+            workspaces=listed.workspaces,
+            keys=listed.keys if self.tenants else None,
+            workspace_errors=listed.errors,
         )
 
 
--- a/hickorygate/testing/model_connection.py
+++ b/hickorygate/testing/model_connection.py
@@ -36,12 +36,14 @@
       values: session variables.
       shape: text of the prepared statement; None if it is none.
       transaction: number of the transaction; None outside of one.
+      workspace: workspace that the connection was opened for.
     """
 
     text: str
     values: dict[str, str]
     shape: str | None
     transaction: int | None
+    workspace: types.WorkspaceName = ""
 
 
 class ModelConnection:
@@ -49,6 +51,7 @@
 
     Attributes:
       proxy: name of the proxy that opened it.
+      workspace: workspace that it was opened for; empty for none.
       silent: whether nothing arrives any more, although the database works.
       state: transaction state of the connection.
       values: session variables.
@@ -56,9 +59,13 @@
     """
 
     def __init__(
-        self, database: model_group.ModelDatabase, proxy: types.ProxyName
+        self,
+        database: model_group.ModelDatabase,
+        proxy: types.ProxyName,
+        workspace: types.WorkspaceName = "",
     ) -> None:
         self.proxy = proxy
+        self.workspace = workspace
         self.silent = False
         self.state = _IDLE
         self.values: dict[str, str] = {}
@@ -84,7 +91,9 @@
         transaction = None
         if self.state is _IN_TRANSACTION:
             transaction = self._transaction
-        return ModelRun(text, dict(self.values), shape, transaction)
+        return ModelRun(
+            text, dict(self.values), shape, transaction, self.workspace
+        )
 
     def begin(self) -> None:
         """Begins a transaction with a number of its own."""
--- a/hickorygate/testing/model_fleet.py
+++ b/hickorygate/testing/model_fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import datetime
 import random
@@ -74,6 +75,7 @@
       name: name of the proxy.
       journal: timeline of the proxy's events.
       monitor: monitor of the group.
+      catalog: configuration in force; None for one without workspaces.
     """
 
     def __init__(
@@ -100,6 +102,7 @@
         self._group = group
         self._clock = clock
         self._background = background.BackgroundTasks()
+        self.catalog: catalogs.Catalog | None = None
         self._env = session_context.SessionContext(
             fleet=self,
             clock=clock,
@@ -123,6 +126,9 @@
     def __repr__(self) -> str:
         return f"ModelProxy({self.name!r})"
 
+    def subscribe(self, on_change: Callable[[], None]) -> None:
+        """Does nothing; the configuration never changes."""
+
     def start(self, names: list[str]) -> None:
         """Starts the rounds of a proxy that knows the names of all proxies."""
         live = frozenset(names)
--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -161,11 +161,14 @@
         return f"ModelConnector({self._proxy!r})"
 
     async def open(
-        self, member: members.Member, on_connect: Callable[[], None]
+        self,
+        member: members.Member,
+        on_connect: Callable[[], None],
+        workspace: types.WorkspaceName = "",
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         """Opens a connection to a database."""
         return await self._group.databases[member.id].open(
-            self._proxy, on_connect
+            self._proxy, on_connect, workspace
         )
 
 
@@ -284,7 +287,10 @@
             self._replicating.clear()
 
     async def open(
-        self, proxy: types.ProxyName, on_connect: Callable[[], None]
+        self,
+        proxy: types.ProxyName,
+        on_connect: Callable[[], None],
+        workspace: types.WorkspaceName = "",
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         """Opens a connection; closes it at once at the connection limit."""
         await self._clock.sleep(self.group.settings.round_trip)
@@ -299,7 +305,7 @@
             return expression.Error(
                 errors.SessionRefused(self.name, "closed by the database")
             )
-        connection = model_connection.ModelConnection(self, proxy)
+        connection = model_connection.ModelConnection(self, proxy, workspace)
         self._open.add(connection)
         self.opened += 1
         self.most_open = max(self.most_open, self.open_count)
--- a/hickorygate/tests/test_connection_pool.py
+++ b/hickorygate/tests/test_connection_pool.py
@@ -65,7 +65,10 @@
         self.opened: list[_Connection] = []
 
     async def open(
-        self, member: members.Member, on_connect: Callable[[], None]
+        self,
+        member: members.Member,
+        on_connect: Callable[[], None],
+        workspace: str = "",
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         await asyncio.sleep(0)
         on_connect()
--- a/hickorygate/tests/test_group_registry.py
+++ b/hickorygate/tests/test_group_registry.py
@@ -36,7 +36,10 @@
         self.asked: set[str] = set()
 
     async def open(
-        self, member: members.Member, on_connect: Callable[[], None]
+        self,
+        member: members.Member,
+        on_connect: Callable[[], None],
+        workspace: str = "",
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         self.asked.add(member.service)
         return expression.Error(errors.ConnectFailed(member.id, "nobody"))
--- a/hickorygate/upstreams/borrow_queue.py
+++ b/hickorygate/upstreams/borrow_queue.py
@@ -5,6 +5,7 @@
 import asyncio
 import bisect
 from collections.abc import Callable
+from collections.abc import Iterator
 import dataclasses
 import datetime
 import enum
@@ -14,16 +15,23 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import request_context
+from hickorygate.core import types
 from hickorygate.upstreams import pooled_connection
 
 __all__ = ["BorrowPurpose", "BorrowQueue", "Waiter"]
 
+_OVERTAKE_LIMIT = datetime.timedelta(milliseconds=25)
+"""Time for which a borrower may be overtaken by those of the same rank that can
+use a returned connection as it is. Opening one for another workspace takes 12
+ms and a slot."""
+
 
 class BorrowPurpose(enum.Enum):
     """The purpose for which a connection is borrowed."""
 
     SHORT = "a single statement"
     LONG = "a transaction, whose caller may be idle in between"
+    STATUS = "a status query, on a connection of any workspace"
 
 
 @dataclasses.dataclass(order=True, slots=True)
@@ -35,8 +43,11 @@
       deadline: time until which the borrower waits.
       number: sequence number of the wait.
       use: purpose of the connection.
+      workspace: workspace of the borrower; empty if it has none.
+      since: time at which the wait began.
       future: receives the connection or the failure.
       timer: ends the wait at the deadline.
+      opening: whether a connection is being opened for the borrower.
     """
 
     rank: int
@@ -47,6 +58,14 @@
         compare=False
     )
     timer: asyncio.TimerHandle = dataclasses.field(compare=False)
+    workspace: types.WorkspaceName = dataclasses.field(compare=False)
+    since: datetime.datetime = dataclasses.field(compare=False)
+    opening: bool = dataclasses.field(compare=False, default=False)
+
+    def accepts(self, workspace: types.WorkspaceName) -> bool:
+        """Returns whether a workspace's connection serves the borrower."""
+        any_workspace = self.use is BorrowPurpose.STATUS
+        return any_workspace or self.workspace == workspace
 
 
 class BorrowQueue:
@@ -73,7 +92,8 @@
         future: asyncio.Future[pooled_connection.BorrowResult] = (
             loop.create_future()
         )
-        left = request.time_left(self._clock.now()).total_seconds()
+        now = self._clock.now()
+        left = request.time_left(now).total_seconds()
         timer = loop.call_later(left, self._expire, future, request)
         self._last_number += 1
         waiter = Waiter(
@@ -83,6 +103,8 @@
             use,
             future,
             timer,
+            request.workspace,
+            now,
         )
         bisect.insort(self._waiters, waiter)
         return waiter
@@ -93,20 +115,59 @@
         if waiter in self._waiters:
             self._waiters.remove(waiter)
 
-    def pop_first(
-        self, may_borrow: Callable[[BorrowPurpose], bool]
+    def next_for(
+        self,
+        workspace: types.WorkspaceName,
+        may_borrow: Callable[[BorrowPurpose], bool],
     ) -> Waiter | None:
-        """Removes and returns the first borrower that may get a connection.
+        """Returns the borrower to serve next when a connection is idle.
+
+        The borrower may be of another workspace; then a connection has to be
+        opened for it. That is so if no borrower of its rank can use the idle
+        connection, or it has waited for `_OVERTAKE_LIMIT`.
 
         Args:
+          workspace: workspace of the idle connection.
           may_borrow: returns whether a connection may be lent for a purpose.
         """
-        for waiter in self._waiters:
-            if not waiter.future.done() and may_borrow(waiter.use):
-                self.remove(waiter)
+        now = self._clock.now()
+        first: Waiter | None = None
+        for waiter in self._eligible(may_borrow):
+            if first is not None and waiter.rank != first.rank:
+                break
+            if waiter.accepts(workspace):
+                return waiter
+            if waiter.opening:
+                continue
+            if now - waiter.since >= _OVERTAKE_LIMIT:
+                return waiter
+            first = first or waiter
+        return first
+
+    def first_accepting(
+        self,
+        workspace: types.WorkspaceName,
+        may_borrow: Callable[[BorrowPurpose], bool],
+    ) -> Waiter | None:
+        """Returns the first borrower that a workspace's connection can serve.
+
+        Args:
+          workspace: workspace of the connection.
+          may_borrow: returns whether a connection may be lent for a purpose.
+        """
+        for waiter in self._eligible(may_borrow):
+            if waiter.accepts(workspace):
                 return waiter
         return None
 
+    def unserved(self) -> list[Waiter]:
+        """Returns the borrowers for which no connection is being opened."""
+        return [
+            waiter
+            for waiter in self._waiters
+            if not waiter.opening and not waiter.future.done()
+        ]
+
     def fail_all(self, failure: errors.Failure) -> None:
         """Ends the wait of all borrowers with a failure."""
         waiters, self._waiters = self._waiters, []
@@ -115,6 +176,14 @@
             if not waiter.future.done():
                 waiter.future.set_result(expression.Error(failure))
 
+    def _eligible(
+        self, may_borrow: Callable[[BorrowPurpose], bool]
+    ) -> Iterator[Waiter]:
+        """Yields the borrowers that may get a connection, in their order."""
+        for waiter in self._waiters:
+            if not waiter.future.done() and may_borrow(waiter.use):
+                yield waiter
+
     def _expire(
         self,
         future: asyncio.Future[pooled_connection.BorrowResult],
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -1,9 +1,10 @@
 """A pool of the connections to one database.
 
 The number of connections is limited by this proxy's share of the database's
-connection limit. A connection keeps the session variables and prepared
-statements that were last set on it. A borrower preferably gets a connection
-whose session variables already match its own.
+connection limit. A connection is opened for one workspace and serves no other
+one. It keeps the session variables and prepared statements that were last set
+on it. A borrower preferably gets a connection whose session variables already
+match its own.
 """
 
 from __future__ import annotations
@@ -19,23 +20,23 @@
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import platform_events
-from hickorygate.core import reply
 from hickorygate.core import request_context
+from hickorygate.core import types
 from hickorygate.upstreams import borrow_queue
+from hickorygate.upstreams import connection_opener
 from hickorygate.upstreams import connection_share
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import failure_rate as grades
+from hickorygate.upstreams import idle_connections
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import permits as permit_lib
 from hickorygate.upstreams import pooled_connection as pooled_connections
 
 __all__ = ["ConnectionPool"]
 
-_RECONNECT_DELAY = datetime.timedelta(milliseconds=100)
-"""Minimum delay before the next connection attempt after a failed one."""
-
-_MAX_RECONNECT_DELAY = datetime.timedelta(milliseconds=400)
-"""Longest such delay; it doubles while the database refuses sessions."""
+_SHORT = borrow_queue.BorrowPurpose.SHORT
+_LONG = borrow_queue.BorrowPurpose.LONG
+_STATUS = borrow_queue.BorrowPurpose.STATUS
 
 
 class ConnectionPool:
@@ -53,20 +54,16 @@
         self._share = connection_share.ConnectionShare(
             member.slots, max_connections
         )
-        self._connector = connector
+        self._opener = connection_opener.ConnectionOpener(connector, clock)
         self._clock = clock
         self._journal = journal
-        self._idle: list[pooled_connections.PooledConnection] = []
+        self._idle = idle_connections.IdleConnections()
         self._borrowed: set[pooled_connections.PooledConnection] = set()
         self._long_term: set[pooled_connections.PooledConnection] = set()
-        self._opening = 0
-        self._connecting_since: datetime.datetime | None = None
-        self._opened = 0
+        self._status_lent: set[pooled_connections.PooledConnection] = set()
+        self._replaced = 0
         self._waiting = borrow_queue.BorrowQueue(clock)
-        self._retry_after: datetime.datetime | None = None
-        self._reconnect_delay = _RECONNECT_DELAY
-        self._last_failure: errors.Failure | None = None
-        self._refused_since: datetime.datetime | None = None
+        self._retry_timer: asyncio.TimerHandle | None = None
         self._closed = False
         self._background = background.BackgroundTasks()
         self._failure_rate = grades.FailureRate()
@@ -90,12 +87,11 @@
     @property
     def open_count(self) -> int:
         """The number of connections that are open or being opened."""
-        held = [*self._idle, *self._borrowed]
         live = sum(
             not pooled_connection.connection.closed
-            for pooled_connection in held
+            for pooled_connection in self._borrowed
         )
-        return live + self._opening
+        return self._idle.live_count + live + self._opener.opening
 
     @property
     def refused_since(self) -> datetime.datetime | None:
@@ -103,12 +99,12 @@
 
         None if it accepts connections, or one is open.
         """
-        return None if self.open_count else self._refused_since
+        return None if self.open_count else self._opener.refused_since
 
     @property
     def connecting_since(self) -> datetime.datetime | None:
         """Time of the first attempt to connect since the last answer."""
-        return self._connecting_since
+        return self._opener.connecting_since
 
     @property
     def borrowed_count(self) -> int:
@@ -118,7 +114,12 @@
     @property
     def opened(self) -> int:
         """The number of connections opened since the start."""
-        return self._opened
+        return self._opener.opened
+
+    @property
+    def replaced(self) -> int:
+        """The number of connections closed for another workspace."""
+        return self._replaced
 
     @property
     def load(self) -> int:
@@ -147,7 +148,7 @@
 
     def note_answer(self) -> None:
         """Records that the database, or its host, answered."""
-        self._connecting_since = None
+        self._opener.note_answer()
 
     def trim(self) -> None:
         """Closes connections beyond this proxy's even share.
@@ -156,12 +157,12 @@
         are closed.
         """
         now = self._clock.now()
-        self._drop_closed()
+        self._idle.drop_closed()
         while self._idle and self.open_count > self._share.even_share:
-            pooled_connection = self._idle[0]
+            pooled_connection = self._idle.oldest
             if now - pooled_connection.returned < self._share.idle_limit:
                 return
-            self._idle.pop(0)
+            self._idle.remove(pooled_connection)
             pooled_connection.connection.close()
 
     async def borrow(
@@ -172,8 +173,12 @@
     ) -> pooled_connections.BorrowResult:
         """Borrows a connection; waits for one until the deadline.
 
+        The connection was opened for the borrower's workspace. At the limit of
+        connections, the least recently used idle one of another workspace is
+        closed for it.
+
         Args:
-          request: rank and deadline of the borrower.
+          request: rank, deadline and workspace of the borrower.
           values: session variables of the borrower.
           use: purpose of the connection.
 
@@ -182,11 +187,22 @@
         """
         if self._closed:
             return expression.Error(self._connect_failure("it left"))
-        self._drop_closed()
-        if self._idle and self._may_borrow(use):
-            return expression.Ok(self._hand_out_idle(values, use))
-        if self._may_open():
-            opened = await self._open(use)
+        workspace = request.workspace
+        if workspace:
+            self._share.use_workspaces()
+        self._idle.drop_closed()
+        found = self._find_idle(values, workspace, use)
+        if found is not None:
+            self._lend_idle(found, use)
+            return expression.Ok(found)
+        if self._may_open(use):
+            opened = await self._open(workspace, use)
+            if opened.is_ok() or not self.open_count:
+                return opened
+        replaced = self._replaceable(workspace, use)
+        if replaced is not None:
+            self._close_replaced(replaced)
+            opened = await self._open(workspace, use, replaces=True)
             if opened.is_ok() or not self.open_count:
                 return opened
         if not self.open_count:
@@ -224,12 +240,19 @@
             return
         self._borrowed.remove(pooled_connection)
         self._long_term.discard(pooled_connection)
+        keeps_time = pooled_connection in self._status_lent
+        self._status_lent.discard(pooled_connection)
         if self._closed:
             pooled_connection.connection.close()
             return
         if pooled_connection.connection.closed:
             self._open_if_needed()
             return
+        if keeps_time:
+            # A status query doesn't show that the workspace is in use.
+            self._idle.restore(pooled_connection)
+        else:
+            self._idle.add(pooled_connection, self._clock.now())
         self._serve_next(pooled_connection)
 
     def record_unsettled(
@@ -257,10 +280,10 @@
         database may only be slow to answer. Waiting borrowers fail; the pool
         can open new connections afterwards.
         """
-        for pooled_connection in [*self._idle, *self._borrowed]:
+        self._idle.close_all()
+        for pooled_connection in self._borrowed:
             if not pooled_connection.committing:
                 pooled_connection.connection.close()
-        self._idle.clear()
         self._waiting.fail_all(self._connect_failure(reason))
         self._permits.close(self._connect_failure(reason))
 
@@ -276,33 +299,41 @@
     def retire(self, reason: str) -> None:
         """Closes the pool; borrowed connections close when returned."""
         self._closed = True
-        for pooled_connection in self._idle:
-            pooled_connection.connection.close()
-        self._idle.clear()
+        self._idle.close_all()
         self._waiting.fail_all(self._connect_failure(reason))
 
     def _may_borrow(self, use: borrow_queue.BorrowPurpose) -> bool:
-        """Returns whether a connection may be borrowed for a purpose.
+        """Returns whether an idle connection may be borrowed for a purpose.
 
         One connection is kept from transactions. It is reserved for single
         statements and status queries, without which this proxy could not
         determine the primary.
         """
-        if use is borrow_queue.BorrowPurpose.SHORT or self._share.only_one:
+        if use is not _LONG or self._share.only_one:
             return True
         return len(self._idle) + len(self._borrowed) - len(self._long_term) > 1
 
-    def _hand_out_idle(
-        self, values: Mapping[str, str], use: borrow_queue.BorrowPurpose
-    ) -> pooled_connections.PooledConnection:
-        for index in range(len(self._idle) - 1, -1, -1):
-            if self._idle[index].values == values:
-                pooled_connection = self._idle.pop(index)
-                break
-        else:
-            pooled_connection = self._idle.pop()
+    def _find_idle(
+        self,
+        values: Mapping[str, str],
+        workspace: types.WorkspaceName,
+        use: borrow_queue.BorrowPurpose,
+    ) -> pooled_connections.PooledConnection | None:
+        """Returns an idle connection that a borrower may get; None if none."""
+        if not self._idle or not self._may_borrow(use):
+            return None
+        return self._idle.find(values, None if use is _STATUS else workspace)
+
+    def _lend_idle(
+        self,
+        pooled_connection: pooled_connections.PooledConnection,
+        use: borrow_queue.BorrowPurpose,
+    ) -> None:
+        """Marks an idle connection as borrowed."""
+        self._idle.remove(pooled_connection)
+        if use is _STATUS and self._share.serves_workspaces:
+            self._status_lent.add(pooled_connection)
         self._mark_borrowed(pooled_connection, use)
-        return pooled_connection
 
     def _mark_borrowed(
         self,
@@ -310,33 +341,72 @@
         use: borrow_queue.BorrowPurpose,
     ) -> None:
         self._borrowed.add(pooled_connection)
-        if use is borrow_queue.BorrowPurpose.LONG:
+        if use is _LONG:
             self._long_term.add(pooled_connection)
 
-    def _may_open(self) -> bool:
-        now = self._clock.now()
-        if self._retry_after is not None and now < self._retry_after:
+    def _may_open(self, use: borrow_queue.BorrowPurpose) -> bool:
+        """Returns whether a further connection may be opened.
+
+        If connections belong to workspaces, the last one isn't opened for a
+        transaction: no other workspace could use it until that ends.
+        """
+        count = self.open_count
+        limit = self._share.limit(self._clock.now())
+        if count >= limit or not self._opener.may_open():
             return False
-        return self.open_count < self._share.limit(now)
+        if use is not _LONG or not self._share.serves_workspaces:
+            return True
+        short_term = count - len(self._long_term) - self._opener.opening_long
+        return short_term > 0 or count + 1 < limit or limit == 1
+
+    def _replaceable(
+        self,
+        workspace: types.WorkspaceName,
+        use: borrow_queue.BorrowPurpose,
+    ) -> pooled_connections.PooledConnection | None:
+        """Returns an idle connection to close for one of another workspace."""
+        if use is _STATUS or not self._may_borrow(use):
+            return None
+        if not self._opener.may_replace():
+            return None
+        return self._idle.oldest_of_others(workspace)
+
+    def _close_replaced(
+        self, pooled_connection: pooled_connections.PooledConnection
+    ) -> None:
+        """Closes an idle connection to make room for another workspace."""
+        self._idle.remove(pooled_connection)
+        pooled_connection.connection.close()
+        self._replaced += 1
 
     async def _open(
-        self, use: borrow_queue.BorrowPurpose
+        self,
+        workspace: types.WorkspaceName,
+        use: borrow_queue.BorrowPurpose,
+        replaces: bool = False,
+    ) -> pooled_connections.BorrowResult:
+        self._opener.reserve(use is _LONG)
+        return await self._open_reserved(workspace, use, replaces)
+
+    async def _open_reserved(
+        self,
+        workspace: types.WorkspaceName,
+        use: borrow_queue.BorrowPurpose,
+        replaces: bool,
     ) -> pooled_connections.BorrowResult:
-        self._opening += 1
-        if self._connecting_since is None:
-            self._connecting_since = self._clock.now()
         try:
-            opened = await self._connector.open(self._member, self.note_answer)
-        finally:
-            self._opening -= 1
+            opened = await self._opener.open(
+                self._member, workspace, use is _LONG, replaces
+            )
+        except BaseException:
+            self._serve_waiting_later()
+            raise
         if opened.is_error():
             self._record_refusal(opened.error)
             return expression.Error(opened.error)
-        self._opened += 1
-        self._retry_after = None
-        self._refused_since = None
-        self._reconnect_delay = _RECONNECT_DELAY
-        pooled_connection = pooled_connections.PooledConnection(self, opened.ok)
+        pooled_connection = pooled_connections.PooledConnection(
+            self, opened.ok, workspace
+        )
         if self._closed:
             opened.ok.close()
             return expression.Error(self._connect_failure("it left"))
@@ -344,18 +414,11 @@
         return expression.Ok(pooled_connection)
 
     def _record_refusal(self, failure: errors.Failure) -> None:
-        self._last_failure = failure
-        now = self._clock.now()
-        self._retry_after = now + self._reconnect_delay
-        if _is_connection_limit(failure):
-            self._reconnect_delay = min(
-                2 * self._reconnect_delay, _MAX_RECONNECT_DELAY
-            )
-            self._share.record_refusal(self.open_count, now)
-            if self._refused_since is None:
-                self._refused_since = now
+        if connection_opener.is_connection_limit(failure):
+            self._share.record_refusal(self.open_count, self._clock.now())
         if not self.open_count:
             self._waiting.fail_all(failure)
+        self._serve_waiting_later()
 
     async def _wait(
         self,
@@ -363,6 +426,7 @@
         use: borrow_queue.BorrowPurpose,
     ) -> pooled_connections.BorrowResult:
         waiter = self._waiting.add(request, use)
+        self._serve_waiting_later()
         future = waiter.future
         try:
             return await future
@@ -380,49 +444,123 @@
     def _serve_next(
         self, pooled_connection: pooled_connections.PooledConnection
     ) -> None:
-        """Gives a connection to the first eligible waiting borrower.
+        """Serves the next waiting borrower now that a connection is idle.
 
-        The connection becomes idle if there is none.
+        A borrower of another workspace gets a new connection; the idle one is
+        closed for it if no further one may be open. Without an eligible
+        borrower, the connection stays idle.
         """
-        self._idle.append(pooled_connection)
-        pooled_connection.mark_idle(self._clock.now())
-        waiter = self._waiting.pop_first(self._may_borrow)
-        if waiter is None:
-            self._open_if_needed()
+        workspace = pooled_connection.workspace
+        while True:
+            waiter = self._waiting.next_for(workspace, self._may_borrow)
+            if waiter is None:
+                self._open_if_needed()
+                return
+            if waiter.accepts(workspace):
+                self._hand_over(pooled_connection, waiter)
+                return
+            if self._may_open(waiter.use):
+                self._open_for(waiter)
+                continue
+            if self._opener.may_replace():
+                self._close_replaced(pooled_connection)
+                self._open_for(waiter, replaces=True)
+                return
+            self._serve_accepting(pooled_connection)
+            self._serve_waiting_later()
             return
-        self._idle.pop()
-        self._mark_borrowed(pooled_connection, waiter.use)
+
+    def _serve_accepting(
+        self, pooled_connection: pooled_connections.PooledConnection
+    ) -> bool:
+        """Gives an idle connection to the first borrower that can use it.
+
+        Returns:
+          Whether there is one.
+        """
+        waiter = self._waiting.first_accepting(
+            pooled_connection.workspace, self._may_borrow
+        )
+        if waiter is not None:
+            self._hand_over(pooled_connection, waiter)
+        return waiter is not None
+
+    def _hand_over(
+        self,
+        pooled_connection: pooled_connections.PooledConnection,
+        waiter: borrow_queue.Waiter,
+    ) -> None:
+        """Gives an idle connection to a waiting borrower."""
+        self._waiting.remove(waiter)
+        self._lend_idle(pooled_connection, waiter.use)
         waiter.future.set_result(expression.Ok(pooled_connection))
 
     def _open_if_needed(self) -> None:
         """Opens a connection if a borrower waits and the limit allows it."""
-        if self._waiting and self._may_open():
-            self._background.start(self._open_for_waiter())
+        for waiter in self._waiting.unserved():
+            if self._may_open(waiter.use):
+                self._open_for(waiter)
+            return
 
-    async def _open_for_waiter(self) -> None:
-        opened = await self._open(borrow_queue.BorrowPurpose.SHORT)
-        if opened.is_ok():
-            self._borrowed.discard(opened.ok)
-            self._serve_next(opened.ok)
+    def _open_for(
+        self, waiter: borrow_queue.Waiter, replaces: bool = False
+    ) -> None:
+        """Starts to open a connection for a waiting borrower."""
+        waiter.opening = self._share.serves_workspaces
+        self._opener.reserve(False)
+        self._background.start(self._open_and_hand_over(waiter, replaces))
 
-    def _drop_closed(self) -> None:
-        self._idle = [x for x in self._idle if not x.connection.closed]
+    async def _open_and_hand_over(
+        self, waiter: borrow_queue.Waiter, replaces: bool
+    ) -> None:
+        opened = await self._open_reserved(waiter.workspace, _SHORT, replaces)
+        preferred, waiter.opening = waiter.opening, False
+        if opened.is_error():
+            return
+        pooled_connection = opened.ok
+        self._borrowed.discard(pooled_connection)
+        self._idle.add(pooled_connection, self._clock.now())
+        waits = preferred and not waiter.future.done()
+        if waits and self._may_borrow(waiter.use):
+            self._hand_over(pooled_connection, waiter)
+        elif not self._serve_accepting(pooled_connection):
+            self._serve_next(pooled_connection)
+
+    def _serve_waiting_later(self) -> None:
+        """Serves waiting borrowers again when the pause after a refusal ends.
+
+        Needed if connections belong to workspaces: a borrower then may wait
+        although only connections of other workspaces are idle, so that none is
+        going to be returned.
+        """
+        if not self._share.serves_workspaces or self._retry_timer is not None:
+            return
+        delay = self._opener.pause() or datetime.timedelta()
+        self._retry_timer = asyncio.get_running_loop().call_later(
+            delay.total_seconds(), self._serve_waiting
+        )
+
+    def _serve_waiting(self) -> None:
+        """Serves the waiting borrowers that need no returned connection."""
+        self._retry_timer = None
+        self._idle.drop_closed()
+        for waiter in self._waiting.unserved():
+            found = self._find_idle({}, waiter.workspace, waiter.use)
+            if found is not None:
+                self._hand_over(found, waiter)
+            elif self._may_open(waiter.use):
+                self._open_for(waiter)
+            else:
+                replaced = self._replaceable(waiter.workspace, waiter.use)
+                if replaced is not None:
+                    self._close_replaced(replaced)
+                    self._open_for(waiter, replaces=True)
+                elif self._idle and self._opener.pause() is not None:
+                    self._serve_waiting_later()
 
     def _connect_failure(self, reason: str) -> errors.ConnectFailed:
         return errors.ConnectFailed(self._member.id, reason)
 
     def _last_connect_failure(self) -> errors.Failure:
-        return self._last_failure or self._connect_failure("tried a moment ago")
-
-
-def _is_connection_limit(failure: errors.Failure) -> bool:
-    """Returns whether the database's connection limit was reached.
-
-    A database at its limit says so, or closes the connection at once.
-    """
-    match failure:
-        case errors.SessionRefused():
-            return True
-        case reply.Rejection(reason=reply.RejectionReason.CONNECTION_LIMIT):
-            return True
-    return False
+        failure = self._connect_failure("tried a moment ago")
+        return self._opener.last_failure or failure
--- a/hickorygate/upstreams/connection_share.py
+++ b/hickorygate/upstreams/connection_share.py
@@ -68,6 +68,7 @@
         "_open_when_refused",
         "_pause",
         "_proxies",
+        "_serves_workspaces",
         "_slots",
     )
 
@@ -83,6 +84,7 @@
         self._max_connections = max_connections
         self._proxies = ASSUMED_PROXIES
         self._open_when_refused = 0
+        self._serves_workspaces = False
         self._pause = _FIRST_PAUSE
         self._last_refusal: datetime.datetime | None = None
 
@@ -92,10 +94,15 @@
         even = max(self._max_connections // self._proxies, 1)
         return min(even, self._slots + _EXTRA_OVER_SLOTS)
 
+    @property
+    def serves_workspaces(self) -> bool:
+        """Whether connections belong to workspaces."""
+        return self._serves_workspaces
+
     @property
     def idle_limit(self) -> datetime.timedelta:
         """The idle time after which connections beyond the share close."""
-        scarce = self.even_share < self._slots
+        scarce = self._serves_workspaces or self.even_share < self._slots
         return _SCARCE_IDLE_LIMIT if scarce else _IDLE_LIMIT
 
     @property
@@ -111,6 +118,15 @@
         self._max_connections = max_connections
         self._proxies = proxies
 
+    def use_workspaces(self) -> None:
+        """Records that connections belong to workspaces.
+
+        The proxy then receives all traffic of some workspaces and none of
+        others, so it may exceed its even share as long as the database accepts
+        more connections.
+        """
+        self._serves_workspaces = True
+
     def limit(self, now: datetime.datetime) -> int:
         """Returns the number of connections that may be open."""
         if (
@@ -118,10 +134,9 @@
             and now - self._last_refusal < self._pause
         ):
             return min(self.even_share, max(self._open_when_refused, 1))
-        wanted = min(
-            self._slots + _EXTRA_OVER_SLOTS,
-            self.even_share + _EXTRA_CONNECTIONS,
-        )
+        wanted = self._slots + _EXTRA_OVER_SLOTS
+        if not self._serves_workspaces:
+            wanted = min(wanted, self.even_share + _EXTRA_CONNECTIONS)
         return max(self.even_share, min(wanted, self._max_connections))
 
     def record_refusal(self, held: int, now: datetime.datetime) -> None:
--- a/hickorygate/upstreams/database_request.py
+++ b/hickorygate/upstreams/database_request.py
@@ -18,6 +18,7 @@
 
 __all__ = [
     "Begin",
+    "ConnectResult",
     "Connection",
     "Connector",
     "Demote",
@@ -164,16 +165,24 @@
         """Closes the connection; outstanding requests fail as lost."""
 
 
+ConnectResult: TypeAlias = expression.Result[Connection, errors.Failure]
+"""An opened connection, or the failure to open one."""
+
+
 class Connector(Protocol):
     """Opens connections to databases."""
 
     async def open(
-        self, member: members.Member, on_connect: Callable[[], None]
-    ) -> expression.Result[Connection, errors.Failure]:
+        self,
+        member: members.Member,
+        on_connect: Callable[[], None],
+        workspace: types.WorkspaceName = "",
+    ) -> ConnectResult:
         """Connects to a database and verifies its identity.
 
         Args:
           member: database to connect to.
           on_connect: called once the database's host has answered; the session
             may then still wait for a free slot.
+          workspace: workspace that the database is told; empty for none.
         """
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -15,6 +15,7 @@
 from hickorygate.core import rank
 from hickorygate.core import reply
 from hickorygate.core import request_context
+from hickorygate.upstreams import borrow_queue
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import health as vitals
@@ -198,7 +199,9 @@
         request = request_context.RequestContext(
             CONTROL_RANK, now, now + _PROBE_TIMEOUT
         )
-        borrowed = await pool.borrow(request, {})
+        borrowed = await pool.borrow(
+            request, {}, borrow_queue.BorrowPurpose.STATUS
+        )
         if borrowed.is_error():
             self._record_unreachable(name, borrowed.error)
             return None
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import datetime
 
@@ -56,6 +57,7 @@
         self._journal = journal
         self._catalog: catalogs.Catalog | None = None
         self._configured = asyncio.Event()
+        self._on_change: list[Callable[[], None]] = []
         self._listing = members.Listing()
         self._list_received = False
         self._proxies = connection_share.ASSUMED_PROXIES
@@ -69,6 +71,11 @@
         """The version of the active configuration; 0 if there is none."""
         return self._catalog.version if self._catalog else 0
 
+    @property
+    def catalog(self) -> catalogs.Catalog | None:
+        """The active configuration; None before the first one."""
+        return self._catalog
+
     @property
     def transaction_idle(self) -> datetime.timedelta:
         """The idle time after which a transaction may be ended."""
@@ -107,6 +114,10 @@
         for group in self._groups.values():
             await group.close()
 
+    def subscribe(self, on_change: Callable[[], None]) -> None:
+        """Registers a function that is called after each configuration."""
+        self._on_change.append(on_change)
+
     async def wait_for_configuration(self, limit: datetime.timedelta) -> bool:
         """Waits for the first configuration.
 
@@ -164,6 +175,14 @@
         self._journal.record(
             platform_events.CatalogApplied(catalog.version, len(catalog.routes))
         )
+        if catalog.workspace_errors:
+            self._journal.record(
+                platform_events.WorkspacesIgnored(
+                    catalog.version, "; ".join(catalog.workspace_errors)
+                )
+            )
+        for on_change in self._on_change:
+            on_change()
 
     def replace_members(self, listed: Sequence[members.Member]) -> None:
         """Replaces the list of databases."""
--- a/hickorygate/upstreams/pooled_connection.py
+++ b/hickorygate/upstreams/pooled_connection.py
@@ -20,6 +20,7 @@
 from hickorygate.core import errors
 from hickorygate.core import operation
 from hickorygate.core import reply
+from hickorygate.core import types
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import failure_rate as failure_rates
 from hickorygate.upstreams import member as members
@@ -87,13 +88,18 @@
         "_sync_failed",
         "_unread",
         "_values",
+        "_workspace",
     )
 
     def __init__(
-        self, pool: Pool, connection: database_request.Connection
+        self,
+        pool: Pool,
+        connection: database_request.Connection,
+        workspace: types.WorkspaceName = "",
     ) -> None:
         self._pool = pool
         self._connection = connection
+        self._workspace = workspace
         self._values: dict[str, str] = {}
         self._prepared: set[str] = set()
         self._returned: datetime.datetime | None = None
@@ -116,6 +122,11 @@
         """The connection to the database."""
         return self._connection
 
+    @property
+    def workspace(self) -> types.WorkspaceName:
+        """The workspace that the connection was opened for; empty for none."""
+        return self._workspace
+
     @property
     def pool(self) -> Pool:
         """The pool that the connection belongs to."""
