--- a/hickorygate/callers/caller_session.py
+++ b/hickorygate/callers/caller_session.py
@@ -13,6 +13,8 @@
 import expression
 
 from hickorygate.callers import caller_session_state
+from hickorygate.callers import forwarded_statements
+from hickorygate.callers import forwarded_transactions
 from hickorygate.callers import session_context
 from hickorygate.callers import single_statements
 from hickorygate.callers import transaction_statements
@@ -108,10 +110,27 @@
         call = caller_session_state.CallerRequest(
             query, now, deadline, workspace=self._state.workspace
         )
+        reply = await self.process(operation, call)
+        self._record_end(operation, call, reply)
+        return reply
+
+    async def process(
+        self,
+        operation: operations.Operation,
+        call: caller_session_state.CallerRequest,
+    ) -> replies.Reply:
+        """Runs an operation of a request; its end is not recorded.
+
+        A serving proxy calls this method for a statement of another proxy,
+        which has checked the caller's key and records the end.
+
+        Args:
+          operation: operation to run.
+          call: request of the operation; its attributes are updated.
+        """
         reply = await self._run_operation(operation, call)
         if self._state.transaction is not None:
             self._state.transaction.last_active = self.now()
-        self._record_end(operation, call, reply)
         return reply
 
     async def _run_operation(
@@ -128,6 +147,11 @@
         if local is not None:
             return local
         if transaction is not None:
+            forwarded = await forwarded_transactions.run(
+                operation, self, transaction, call
+            )
+            if forwarded is not None:
+                return forwarded
             return await transaction_statements.run(
                 operation, self, transaction, call
             )
@@ -136,6 +160,9 @@
             return self.rejection(
                 replies.RejectionReason.UNKNOWN_DATABASE, self._state.database
             )
+        forwarded = await forwarded_statements.run(operation, self, route, call)
+        if forwarded is not None:
+            return forwarded
         return await single_statements.run(operation, self, route, call)
 
     def expire(self, now: datetime.datetime) -> None:
@@ -159,10 +186,7 @@
         """Ends the session and rolls back its open transaction."""
         transaction = self._state.transaction
         self._state.transaction = None
-        if (
-            transaction is not None
-            and transaction.pooled_connection is not None
-        ):
+        if transaction is not None and transaction.has_started:
             transaction_statements.abort_transaction(self._env, transaction)
 
     def rejection(
@@ -272,7 +296,7 @@
     operation: operations.Rollback, session: CallerSession
 ) -> replies.Reply | None:
     transaction = session.state.transaction
-    if transaction is not None and transaction.pooled_connection is not None:
+    if transaction is not None and transaction.has_started:
         return None
     session.state.transaction = None
     return session.reply(_EMPTY_ANSWER)
--- a/hickorygate/callers/caller_session_state.py
+++ b/hickorygate/callers/caller_session_state.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import datetime
+from typing import Protocol
 
 from hickorygate.core import catalog
 from hickorygate.core import operation
@@ -13,7 +14,19 @@
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import pooled_connection as pooled_connections
 
-__all__ = ["CallerRequest", "CallerSessionState", "OpenTransaction"]
+__all__ = [
+    "CallerRequest",
+    "CallerSessionState",
+    "OpenTransaction",
+    "RemoteTransaction",
+]
+
+
+class RemoteTransaction(Protocol):
+    """A transaction that is open at a serving proxy."""
+
+    def abort(self) -> None:
+        """Makes the proxy roll it back, without waiting for that."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -52,6 +65,8 @@
       last_active: time at which the last statement of the transaction ended.
       pooled_connection: database connection of the transaction; None before the
         first statement and after an abort.
+      remote: the transaction at the serving proxy that runs it; None if it
+        runs here, has not started or is aborted.
       leader: primary and term that the transaction runs on; None if it runs
         on a replica.
       failed: whether the transaction is aborted, so that only COMMIT or
@@ -68,12 +83,18 @@
     opened: datetime.datetime
     last_active: datetime.datetime
     pooled_connection: pooled_connections.PooledConnection | None = None
+    remote: RemoteTransaction | None = None
     leader: group_state.Leader | None = None
     failed: bool = False
     abort_unreported: bool = False
     has_written: bool = False
     confirmed: bool = False
 
+    @property
+    def has_started(self) -> bool:
+        """Whether it is open at a database, here or at a serving proxy."""
+        return self.pooled_connection is not None or self.remote is not None
+
 
 @dataclasses.dataclass(slots=True)
 class CallerSessionState:
--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -7,6 +7,7 @@
 import random
 from typing import Protocol
 
+from hickorygate.callers import serving
 from hickorygate.callers import shutdown
 from hickorygate.core import background
 from hickorygate.core import catalog
@@ -62,6 +63,9 @@
       retries: budget that bounds retries to a share of the requests.
       background: owner of the tasks that outlive a request.
       shutdown: limits that a shutdown of the process sets.
+      serving: which proxies serve which statements; None if this proxy runs
+        all statements itself.
+      forwarder: links to the serving proxies; None if there are none.
     """
 
     fleet: ServiceGroups
@@ -74,3 +78,5 @@
     shutdown: shutdown.ShutdownNotice = dataclasses.field(
         default_factory=shutdown.ShutdownNotice
     )
+    serving: serving.ServerChoice | None = None
+    forwarder: serving.ServerLinks | None = None
--- a/hickorygate/callers/transaction_statements.py
+++ b/hickorygate/callers/transaction_statements.py
@@ -49,7 +49,10 @@
         transaction.pooled_connection,
         None,
     )
+    remote, transaction.remote = transaction.remote, None
     transaction.failed = True
+    if remote is not None:
+        remote.abort()
     if pooled_connection is not None:
         env.background.start(_roll_back(pooled_connection))
 
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -21,6 +21,7 @@
     "EntryIgnored",
     "LeaderChanged",
     "LeaderLost",
+    "LinkLost",
     "MemberLeaving",
     "MemberListed",
     "MemberUnlisted",
@@ -32,6 +33,7 @@
     "SettingsReloaded",
     "StoreLost",
     "StoreEraChanged",
+    "StatementForwarded",
     "StoreRegained",
     "TakeoverEnded",
     "TakeoverStarted",
@@ -376,3 +378,36 @@
     """
 
     problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LinkLost(events.Event):
+    """A link to a serving proxy was closed, or the proxy doesn't answer.
+
+    Attributes:
+      server: name of the serving proxy.
+      reason: why the link is given up.
+      outstanding: number of statements without a reply.
+    """
+
+    server: types.ProxyName
+    reason: str
+    outstanding: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatementForwarded(events.Event):
+    """A request was sent to serving proxies.
+
+    Attributes:
+      request: request id, chosen by the caller.
+      server: name of the proxy that it was sent to last.
+      outcome: "ok", the reason of a rejection, "local" if this proxy ran it
+        in the end, or what a failure says about whether the request ran.
+      tries: number of proxies that it was sent to.
+    """
+
+    request: str
+    server: types.ProxyName
+    outcome: str
+    tries: int
--- a/hickorygate/core/rendezvous.py
+++ b/hickorygate/core/rendezvous.py
@@ -9,12 +9,16 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 
 import xxhash
 
 from hickorygate.core import types
 
-__all__ = ["owners", "owner_index"]
+__all__ = ["owners", "owner_index", "weighted_owners"]
+
+_HASH_RANGE = float(2**64)
 
 
 def owners(
@@ -48,5 +52,30 @@
     return sum(_weight(key, other) > own for other in set(live) - {proxy})
 
 
+def weighted_owners(
+    key: str, weights: Mapping[types.ProxyName, float], count: int
+) -> tuple[types.ProxyName, ...]:
+    """Returns the owners of a key; a proxy owns keys in proportion to weight.
+
+    Source: Schindelhauer and Schomaker, "Weighted Distributed Hash Tables",
+    2005 (logarithmic method).
+
+    Args:
+      key: the key.
+      weights: weight of each candidate; one without a positive weight owns
+        nothing.
+      count: maximum number of owners.
+    """
+
+    def score(name: types.ProxyName) -> tuple[float, types.ProxyName]:
+        digest, _ = _weight(key, name)
+        # Strictly between 0 and 1, so that the logarithm is negative.
+        uniform = (digest + 0.5) / _HASH_RANGE
+        return -weights[name] / math.log(min(uniform, 1 - 1e-12)), name
+
+    usable = [name for name, weight in weights.items() if weight > 0]
+    return tuple(sorted(usable, key=score, reverse=True)[:count])
+
+
 def _weight(key: str, name: types.ProxyName) -> tuple[int, types.ProxyName]:
     return xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name
--- a/hickorygate/core/reply.py
+++ b/hickorygate/core/reply.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import enum
+import functools
 from typing import TypeAlias
 
 import expression
@@ -20,6 +21,7 @@
     "Reply",
     "Result",
     "TransactionState",
+    "as_rejection",
 ]
 
 
@@ -143,3 +145,23 @@
     state: TransactionState
     position: positions.Position | None = None
     group: ReplicationStatus | None = None
+
+
+@functools.singledispatch
+def as_rejection(failure: errors.Failure) -> Rejection:
+    """Returns a failure as a rejection with the same outcome.
+
+    A rejection stays as it is. For any other failure, the outcome (not run,
+    ran, unknown) determines the reason.
+    """
+    reasons = {
+        errors.Outcome.NOT_RUN: RejectionReason.BUSY,
+        errors.Outcome.RAN: RejectionReason.FAILED,
+        errors.Outcome.UNKNOWN: RejectionReason.IN_DOUBT,
+    }
+    return Rejection(reasons[failure.outcome], failure.message)
+
+
+@as_rejection.register
+def _(failure: Rejection) -> Rejection:
+    return failure
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -145,11 +145,15 @@
     def rate_limit_for(self, event: events.Event) -> LineRateLimit:
         """Returns the rate limit that applies to an event."""
         match event:
-            case platform_events.RequestEnded(outcome="ok"):
+            case (
+                platform_events.RequestEnded(outcome="ok")
+                | platform_events.StatementForwarded(outcome="ok")
+            ):
                 return self._served
             case (
                 platform_events.RequestEnded()
                 | platform_events.RequestRetried()
+                | platform_events.StatementForwarded()
                 | platform_events.ConnectionUnsettled()
             ):
                 return self._failed
--- a/hickorygate/platform/line_protocol.py
+++ b/hickorygate/platform/line_protocol.py
@@ -222,27 +222,12 @@
     A rejection has its own code. For any other failure, the outcome (not run,
     ran, unknown) determines the code.
     """
-    rejection = _as_rejection(failure)
+    rejection = replies.as_rejection(failure)
     detail = _LINE_BREAKS.sub(" ", rejection.detail) or "-"
     line = f"ERROR {_CODES[rejection.reason]} {detail}"
     return line.encode(_ENCODING, _DECODE_ERRORS) + _LINE_END
 
 
-@functools.singledispatch
-def _as_rejection(failure: errors.Failure) -> replies.Rejection:
-    reasons = {
-        errors.Outcome.NOT_RUN: replies.RejectionReason.BUSY,
-        errors.Outcome.RAN: replies.RejectionReason.FAILED,
-        errors.Outcome.UNKNOWN: replies.RejectionReason.IN_DOUBT,
-    }
-    return replies.Rejection(reasons[failure.outcome], failure.message)
-
-
-@_as_rejection.register
-def _(failure: replies.Rejection) -> replies.Rejection:
-    return failure
-
-
 def encode_request(request: database_request.Request) -> bytes:
     """Encodes a request to a database."""
     name, text = _request_text(request)
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -16,6 +16,7 @@
 __all__ = [
     "Address",
     "AddressField",
+    "Limits",
     "ProcessSettings",
     "load",
     "parse",
@@ -28,6 +29,9 @@
 _CONFIGURATION_BOUND = datetime.timedelta(seconds=3)
 """Time after which a configuration must be in force if the file names none."""
 _MAX_MILLISECONDS = 86_400_000.0
+_MAX_CORES = 4_096.0
+_MBPS_PER_CORE = 50.0
+"""Bandwidth in Mbit/s that a core's work as a serving proxy needs at most."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,9 +57,43 @@
     return Address(host, int(port))
 
 
+def parse_ports(text: object) -> range:
+    """Parses `FIRST,LAST`, a range of TCP ports.
+
+    Raises:
+      ValueError: the text does not have this form.
+    """
+    first, _, last = str(text).partition(",")
+    if not (first.isdecimal() and last.isdecimal()):
+        raise ValueError(f"{text!r} is not FIRST,LAST; example: 7440,7455")
+    if not 0 < int(first) <= int(last) < 65_536:
+        raise ValueError(f"{text!r} is not a range of TCP ports")
+    return range(int(first), int(last) + 1)
+
+
 AddressField = Annotated[Address, pydantic.BeforeValidator(parse_address)]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Limits:
+    """The resources that the instance has.
+
+    Attributes:
+      cores: number of cores that the process may use.
+      link_mbps: bandwidth of the network, in Mbit/s; None if unknown.
+    """
+
+    cores: float = 1.0
+    link_mbps: float | None = None
+
+    @property
+    def capacity(self) -> float:
+        """Cores for the work of a serving proxy that the network keeps busy."""
+        if self.link_mbps is None:
+            return self.cores
+        return min(self.cores, self.link_mbps / _MBPS_PER_CORE)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProcessSettings:
     """The settings of one proxy process.
@@ -70,6 +108,10 @@
       grace_seconds: time from SIGTERM to SIGKILL.
       configuration_bound: time after which an acknowledged configuration must
         be in force.
+      statements_host: address to listen on for statements of other proxies;
+        empty for no listener.
+      statements_ports: TCP ports to try for that listener, in order.
+      limits: resources of the instance.
     """
 
     name: types.ProxyName
@@ -80,6 +122,9 @@
     promotion_api: Address
     grace_seconds: float
     configuration_bound: datetime.timedelta = _CONFIGURATION_BOUND
+    statements_host: str = ""
+    statements_ports: range = range(0)
+    limits: Limits = Limits()
 
 
 class _File(pydantic.BaseModel):
@@ -103,6 +148,20 @@
         le=_MAX_MILLISECONDS,
     )
 
+    ip: str = ""
+    port_range: Annotated[
+        range, pydantic.PlainValidator(parse_ports)
+    ] = range(0)
+    cpu_share: float = pydantic.Field(
+        1.0, alias="limits.cpu_share", gt=0, le=_MAX_CORES
+    )
+    cpu_cores: float = pydantic.Field(
+        1.0, alias="limits.cpu_cores", gt=0, le=_MAX_CORES
+    )
+    link_mbps: float | None = pydantic.Field(
+        None, alias="limits.link_mbps", gt=0
+    )
+
     def settings(self) -> ProcessSettings:
         """Returns the settings in the form that the proxy uses."""
         return ProcessSettings(
@@ -114,6 +173,9 @@
             promotion_api=self.cloud,
             grace_seconds=self.grace_s,
             configuration_bound=self.config_apply_ms * _MILLISECOND,
+            statements_host=self.ip,
+            statements_ports=self.port_range,
+            limits=Limits(self.cpu_share * self.cpu_cores, self.link_mbps),
         )
 
 
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import dataclasses
 from typing import Annotated
 
 import expression
@@ -15,6 +16,7 @@
 from hickorygate.store import failures
 from hickorygate.store import list_watch
 from hickorygate.store import objects
+from hickorygate.store import registration
 from hickorygate.upstreams import lease_record
 from hickorygate.upstreams import member as members
 
@@ -41,6 +43,16 @@
     pass
 
 
+class _StoredProxy(pydantic.BaseModel):
+    """The stored form of a proxy's registration."""
+
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    address: settings_lib.AddressField
+    zone: Annotated[str, pydantic.Field(min_length=1)]
+    capacity: Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
+
+
 class PlatformStore:
     """The promotion lease, proxy registrations and promotions in the store.
 
@@ -134,7 +146,13 @@
         return written.map(_decode_reading)
 
     async def announce(
-        self, name: types.ProxyName, beat: int, exists: bool
+        self,
+        name: types.ProxyName,
+        beat: int,
+        exists: bool,
+        description: registration.ProxyDescription = (
+            registration.ProxyDescription()
+        ),
     ) -> expression.Result[None, errors.Failure]:
         """Creates or renews the registration of this proxy.
 
@@ -142,10 +160,14 @@
           name: name of the proxy.
           beat: counter that must change with each renewal.
           exists: whether the registration exists already.
+          description: what other proxies need to know of this one.
         """
         key = objects.Key(_PROXY_KIND, name)
         expected = None if exists else 0
-        written = await self._api.store(key, {"beat": beat}, expected)
+        value: dict[str, object] = {"beat": beat}
+        if description.address:
+            value |= dataclasses.asdict(description)
+        written = await self._api.store(key, value, expected)
         return written.map(lambda _: None)
 
     async def withdraw(
@@ -156,15 +178,20 @@
 
     async def proxies(
         self, may_be_outdated: bool
-    ) -> expression.Result[dict[types.ProxyName, int], errors.Failure]:
-        """Returns the revision of each proxy's registration, by proxy name.
+    ) -> expression.Result[
+        dict[types.ProxyName, registration.RegisteredProxy], errors.Failure
+    ]:
+        """Returns all registered proxies by name.
+
+        A registration without a valid address, as an older build writes it,
+        counts as a proxy that can't serve.
 
         Args:
           may_be_outdated: whether changes of the last seconds may be missing.
         """
         listed = await self._api.list(_PROXY_KIND, may_be_outdated)
         return listed.map(
-            lambda snapshot: {o.name: o.revision for o in snapshot.objects}
+            lambda snapshot: {o.name: _decode_proxy(o) for o in snapshot.objects}
         )
 
     async def promote(
@@ -225,3 +252,15 @@
         lease.era,
     )
     return lease_record.StoredLeaseRecord(record, found.revision)
+
+
+def _decode_proxy(
+    found: list_watch.StoredObject,
+) -> registration.RegisteredProxy:
+    try:
+        proxy = _StoredProxy.model_validate(found.value)
+    except pydantic.ValidationError:
+        return registration.RegisteredProxy(revision=found.revision)
+    return registration.RegisteredProxy(
+        str(proxy.address), proxy.zone, proxy.capacity, found.revision
+    )
--- /dev/null
+++ b/hickorygate/proxies/serving_links.py
@@ -0,0 +1,158 @@
+"""All links of a gateway, with the timer that watches them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable
+import datetime
+
+from hickorygate.core import clock as clocks
+from hickorygate.core import events
+from hickorygate.core import platform_events
+from hickorygate.core import types
+from hickorygate.proxies import link_state
+from hickorygate.proxies import serving_plan
+from hickorygate.proxies import statement_link
+
+__all__ = ["ServingLinks"]
+
+_CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
+_IDLE_CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
+"""Times between two checks of all links, while a statement is outstanding and
+otherwise."""
+
+
+def _ignore_version(version: int) -> None:
+    pass
+
+
+def _ignore_refusal() -> None:
+    pass
+
+
+class ServingLinks:
+    """The links to serving proxies."""
+
+    def __init__(
+        self,
+        plan: serving_plan.ServingPlan,
+        clock: clocks.Clock,
+        journal: events.Journal,
+        on_version: Callable[[int], None] = _ignore_version,
+        on_refused: Callable[[], None] = _ignore_refusal,
+    ) -> None:
+        """Creates the links; each is opened when it is needed.
+
+        Args:
+          plan: addresses of the proxies.
+          clock: source of time.
+          journal: log that events are recorded in.
+          on_version: called with the configuration version in each reply.
+          on_refused: called when a link could not be opened.
+        """
+        self._plan = plan
+        self._clock = clock
+        self._journal = journal
+        self._on_version = on_version
+        self._on_refused = on_refused
+        self._links: dict[types.ProxyName, statement_link.StatementLink] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._next_check: datetime.datetime | None = None
+        self._lost = 0
+
+    @property
+    def links(self) -> dict[types.ProxyName, statement_link.StatementLink]:
+        """Links by the name of the serving proxy, open or not."""
+        return self._links
+
+    @property
+    def lost(self) -> int:
+        """Number of links that were lost."""
+        return self._lost
+
+    def __repr__(self) -> str:
+        return f"ServingLinks({len(self._links)})"
+
+    async def ready(
+        self, server: types.ProxyName, wanted: link_state.LinkQuality
+    ) -> statement_link.StatementConnection | None:
+        """Returns a connection to a proxy, if its link has this quality.
+
+        Args:
+          server: name of the serving proxy.
+          wanted: quality that the link must have.
+
+        Returns:
+          The connection; None if there is none of this quality.
+        """
+        address = self._plan.address(server)
+        if not address:
+            return None
+        link = self._links.get(server)
+        if link is None:
+            link = self._links[server] = statement_link.StatementLink(
+                self._plan.name, server, self, self._clock
+            )
+        quality = link.quality(self._clock.now())
+        if quality is link_state.LinkQuality.UNUSABLE:
+            link.open_if_due(address)
+        if quality is not wanted:
+            return None
+        connection = link.connection or await link.ready(address)
+        if connection is not None:
+            self._watch()
+        return connection
+
+    def link_refused(self, server: types.ProxyName) -> None:
+        """Reports a link that could not be opened."""
+        self._on_refused()
+
+    def link_lost(
+        self, server: types.ProxyName, reason: str, outstanding: int
+    ) -> None:
+        """Records a link that was closed, or whose proxy doesn't answer."""
+        self._lost += 1
+        self._journal.record(
+            platform_events.LinkLost(server, reason, outstanding)
+        )
+
+    def version_seen(self, version: int) -> None:
+        """Passes on the version of another proxy's configuration."""
+        self._on_version(version)
+
+    def close(self) -> None:
+        """Closes all links."""
+        if self._timer is not None:
+            self._timer.cancel()
+        for link in self._links.values():
+            link.close()
+
+    def _watch(self) -> None:
+        """Starts the timer, or brings its next check forward."""
+        due = self._clock.now() + _CHECK_INTERVAL
+        if self._next_check is not None and self._next_check <= due:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._schedule(_CHECK_INTERVAL)
+
+    def _schedule(self, interval: datetime.timedelta) -> None:
+        self._next_check = self._clock.now() + interval
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(interval.total_seconds(), self._check)
+
+    def _check(self) -> None:
+        assert self._next_check is not None, "_schedule() has set it"
+        now = self._clock.now()
+        late = max(now - self._next_check, datetime.timedelta())
+        self._timer = self._next_check = None
+        busy = is_open = False
+        for link in tuple(self._links.values()):
+            connection = link.connection
+            if connection is None:
+                continue
+            connection.check(now, late)
+            is_open = is_open or not connection.closed
+            busy = busy or connection.outstanding > 0
+        if is_open:
+            self._schedule(_CHECK_INTERVAL if busy else _IDLE_CHECK_INTERVAL)
--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
+import dataclasses
 import datetime
 import random
 from typing import Protocol
@@ -14,7 +17,12 @@
 from hickorygate.core import types
 from hickorygate.upstreams import proxy_count
 
-__all__ = ["ProxyRegistration", "ProxyRegistry"]
+__all__ = [
+    "ProxyDescription",
+    "ProxyRegistration",
+    "ProxyRegistry",
+    "RegisteredProxy",
+]
 
 _COUNT_DELAY = datetime.timedelta(milliseconds=300)
 """Delay between a renewal and a count, so that proxies that start together
@@ -23,12 +31,47 @@
 _JITTER = 0.2
 """Maximum relative deviation from the time between renewals."""
 
+_MIN_EARLY_INTERVAL = datetime.timedelta(seconds=2)
+"""Minimum time between a count and an early one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProxyDescription:
+    """What other proxies need to know of a proxy.
+
+    Attributes:
+      address: host and port of its listener for statements; empty if it
+        serves none.
+      zone: availability zone; empty if unknown.
+      capacity: number of cores that it may use, reduced if its network is
+        slow; 0 if unknown.
+    """
+
+    address: str = ""
+    zone: types.ZoneName = ""
+    capacity: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RegisteredProxy(ProxyDescription):
+    """A proxy as its object in the store describes it.
+
+    Attributes:
+      revision: revision of the object, which rises with each renewal.
+    """
+
+    revision: int = 0
+
 
 class ProxyRegistry(Protocol):
     """The store in which each proxy keeps an object of its own."""
 
     async def announce(
-        self, name: types.ProxyName, beat: int, exists: bool
+        self,
+        name: types.ProxyName,
+        beat: int,
+        exists: bool,
+        description: ProxyDescription = ProxyDescription(),
     ) -> expression.Result[None, errors.Failure]:
         """Creates or renews a proxy's object.
 
@@ -36,6 +79,7 @@
           name: name of the proxy.
           beat: content of the object; must differ from the previous content.
           exists: whether to renew an existing object instead of creating one.
+          description: what other proxies need to know.
         """
 
     async def withdraw(
@@ -45,8 +89,10 @@
 
     async def proxies(
         self, may_be_outdated: bool
-    ) -> expression.Result[dict[types.ProxyName, int], errors.Failure]:
-        """Returns the revision of each proxy's object, by name.
+    ) -> expression.Result[
+        dict[types.ProxyName, RegisteredProxy], errors.Failure
+    ]:
+        """Returns all registered proxies by name.
 
         Args:
           may_be_outdated: whether changes of the last seconds may be missing,
@@ -66,7 +112,8 @@
         store: ProxyRegistry,
         clock: clocks.Clock,
         rng: random.Random,
-        on_count: Callable[[frozenset[types.ProxyName]], None],
+        on_count: Callable[[Mapping[types.ProxyName, RegisteredProxy]], None],
+        description: ProxyDescription = ProxyDescription(),
     ) -> None:
         """Creates the registration; `run` makes the first call.
 
@@ -75,19 +122,22 @@
           store: the store of the proxies' objects.
           clock: source of time and of delays.
           rng: source of jitter.
-          on_count: called with the names of the live proxies after each count,
-            including this one.
+          on_count: called with the live proxies after each count, including
+            this one.
+          description: what other proxies need to know of this one.
         """
         self._name = name
         self._store = store
         self._clock = clock
         self._rng = rng
         self._on_count = on_count
+        self._description = description
         self._proxy_counter = proxy_count.ProxyCounter()
         self._exists = False
         # A random start, so that a new process changes the object that a
         # former process of this name left behind.
         self._beat = rng.getrandbits(40)
+        self._early = asyncio.Event()
 
     def __repr__(self) -> str:
         return f"ProxyRegistration({self._name!r}, {self._proxy_counter!r})"
@@ -104,25 +154,46 @@
                 await self._count(may_be_outdated=True)
             await self._renew()
 
+    def describe(self, description: ProxyDescription) -> None:
+        """Sets what the next renewal tells other proxies."""
+        self._description = description
+
+    def request_count(self) -> None:
+        """Asks for a count before the next regular one is due.
+
+        A proxy that was replaced has another address, and counts are rare.
+        """
+        self._early.set()
+
     async def deregister(self) -> None:
         """Removes this proxy's object."""
         await self._store.withdraw(self._name)
 
     async def _pause(self) -> None:
-        """Waits until the next count is due."""
+        """Waits until the next count is due, or one was requested."""
         live = self._proxy_counter.live(self._clock.now())
         factor = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
-        await self._clock.sleep(proxy_count.count_interval(len(live)) * factor)
+        wait = proxy_count.count_interval(len(live)) * factor
+        shortest = min(_MIN_EARLY_INTERVAL, wait)
+        await self._clock.sleep(shortest)
+        try:
+            async with asyncio.timeout((wait - shortest).total_seconds()):
+                await self._early.wait()
+        except TimeoutError:
+            pass
+        self._early.clear()
 
     async def _renew(self) -> None:
         """Creates or renews the object; if one fails, tries the other."""
         self._beat += 1
         written = await self._store.announce(
-            self._name, self._beat, self._exists
+            self._name, self._beat, self._exists, self._description
         )
         if written.is_error():
             self._exists = not self._exists
-            await self._store.announce(self._name, self._beat, self._exists)
+            await self._store.announce(
+                self._name, self._beat, self._exists, self._description
+            )
         else:
             self._exists = True
 
@@ -145,7 +216,17 @@
         for name in self._proxy_counter.gone(self._clock.now())[:1]:
             await self._store.withdraw(name)
 
-    def _apply_count(self, revisions: dict[types.ProxyName, int]) -> None:
+    def _apply_count(
+        self, proxies: Mapping[types.ProxyName, RegisteredProxy]
+    ) -> None:
         now = self._clock.now()
-        self._proxy_counter.update(revisions, now)
-        self._on_count(self._proxy_counter.live(now) | {self._name})
+        self._proxy_counter.update(
+            {name: proxy.revision for name, proxy in proxies.items()}, now
+        )
+        live = self._proxy_counter.live(now)
+        found = {n: proxy for n, proxy in proxies.items() if n in live}
+        own = self._description
+        found[self._name] = RegisteredProxy(
+            own.address, own.zone, own.capacity, self._beat
+        )
+        self._on_count(found)
--- a/hickorygate/tests/test_control_load.py
+++ b/hickorygate/tests/test_control_load.py
@@ -80,7 +80,11 @@
         self.cheap_counts = 0
 
     async def announce(
-        self, name: str, beat: int, exists: bool
+        self,
+        name: str,
+        beat: int,
+        exists: bool,
+        description: registration.ProxyDescription,
     ) -> expression.Result[None, errors.Failure]:
         """Counts a renewal."""
         self.renewals += 1
@@ -94,11 +98,14 @@
 
     async def proxies(
         self, may_be_outdated: bool
-    ) -> expression.Result[dict[str, int], errors.Failure]:
+    ) -> expression.Result[
+        dict[str, registration.RegisteredProxy], errors.Failure
+    ]:
         """Returns this proxy and another one."""
         self.cheap_counts += may_be_outdated
         self.exact_counts += not may_be_outdated
-        return expression.Ok({"one": self.renewals, "two": self.renewals})
+        proxy = registration.RegisteredProxy(revision=self.renewals)
+        return expression.Ok({"one": proxy, "two": proxy})
 
 
 async def _follow_changes(source: _ChangingSource, sink: _Sink) -> None:
--- a/hickorygate/tests/test_platform_store.py
+++ b/hickorygate/tests/test_platform_store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 import dataclasses
 import datetime
@@ -271,7 +272,7 @@
                 self.store,
                 clock.SystemClock(),
                 random.Random(name),
-                lambda live, name=name: seen.update({name: live}),
+                lambda live, name=name: seen.update({name: frozenset(live)}),
             )
             task = asyncio.create_task(proxy_registration.run())
             self.addCleanup(task.cancel)
@@ -306,7 +307,7 @@
 
     async def test_a_new_process_takes_over_its_object(self) -> None:
         await self.store.announce("proxy-1", 1, False)
-        seen: list[frozenset[str]] = []
+        seen: list[Mapping[str, registration.RegisteredProxy]] = []
         proxy_registration = registration.ProxyRegistration(
             "proxy-1",
             self.store,
@@ -319,7 +320,7 @@
         async with asyncio.timeout(3):
             while not seen:
                 await asyncio.sleep(0.01)
-        self.assertEqual(seen, [{"proxy-1"}])
+        self.assertEqual([set(found) for found in seen], [{"proxy-1"}])
         await proxy_registration.deregister()
         self.assertEqual((await self.store.proxies(False)).ok, {})
 
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -457,7 +457,8 @@
             return _UNUSED_INTERVAL
         if not self._leader_responsive():
             return _FAST_INTERVAL
-        return _EARLY_INTERVAL if self._lease.is_early else _NORMAL_INTERVAL
+        is_early = self._lease.order(self.service).is_early
+        return _EARLY_INTERVAL if is_early else _NORMAL_INTERVAL
 
     def _leader_responsive(self) -> bool:
         """Whether the primary is known and responsive."""
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -12,7 +12,7 @@
 from hickorygate.core import events
 from hickorygate.core import platform_events
 from hickorygate.core import types
-from hickorygate.upstreams import connection_share
+from hickorygate.proxies import serving_plan
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import group_monitor
 from hickorygate.upstreams import member as members
@@ -27,13 +27,13 @@
 """Idle limit of transactions before a configuration is received."""
 
 _MAX_MONITORED_GROUPS = 12
-"""Maximum number of groups up to which all groups are monitored. With more,
-only groups that callers use are monitored, because each monitored database
-receives 2.5 queries per second."""
+"""Maximum number of groups up to which all groups that this proxy serves are
+monitored. With more, only groups that callers use are monitored, because each
+monitored database receives 2.5 queries per second."""
 
 _UNUSED_TIMEOUT = datetime.timedelta(seconds=20)
 """Time without use after which a group is no longer monitored, if there are
-more than `_MAX_MONITORED_GROUPS`."""
+more than `_MAX_MONITORED_GROUPS` or other proxies serve it."""
 
 
 class GroupRegistry:
@@ -49,7 +49,19 @@
         lease: promotion_lease.PromotionLease,
         clock: clocks.Clock,
         journal: events.Journal,
+        plan: serving_plan.ServingPlan | None = None,
     ) -> None:
+        """Creates a registry without groups.
+
+        Args:
+          connector: opens connections to databases.
+          lease: promotion lease of this process.
+          clock: source of time.
+          journal: log that events are recorded in.
+          plan: which proxies serve which services; the registry keeps its
+            configuration up to date. None if all proxies serve all of them.
+        """
+        self._plan = plan
         self._connector = connector
         self._lease = lease
         self._clock = clock
@@ -58,7 +70,7 @@
         self._configured = asyncio.Event()
         self._listing = members.Listing()
         self._list_received = False
-        self._proxies = connection_share.ASSUMED_PROXIES
+        self._proxies: frozenset[types.ProxyName] | None = None
         self._store_lost = False
         self._groups: dict[types.ServiceName, group_monitor.GroupMonitor] = {}
         self._last_used: dict[types.ServiceName, datetime.datetime] = {}
@@ -152,13 +164,13 @@
         if catalog.version <= self.version:
             return
         self._catalog = catalog
+        if self._plan is not None:
+            self._plan.set_catalog(catalog)
         self._configured.set()
         for name, terms in catalog.services.items():
             if name in self._groups:
                 self._groups[name].set_service_settings(terms)
-                self._groups[name].set_reduced_probing(self._reduced_probing)
-            elif not self._reduced_probing:
-                self._open_group(terms)
+        self._apply_plan(catalog)
         for name in self._groups.keys() - catalog.services.keys():
             self._close_group(name)
         self._journal.record(
@@ -182,9 +194,9 @@
     def set_proxies(self, live: frozenset[types.ProxyName]) -> None:
         """Sets the names of the proxies that share the databases."""
         self._lease.set_proxies(live)
-        self._proxies = len(live)
-        for group in self._groups.values():
-            group.set_proxies(self._proxies)
+        self._proxies = live
+        if self._catalog is not None:
+            self._apply_plan(self._catalog)
 
     def suspend_expiry(self) -> None:
         """Suspends the expiry of entries, because the watch on them failed."""
@@ -195,14 +207,36 @@
         self._store_lost = False
         self._listing.restart(self._clock.now())
 
-    @property
-    def _reduced_probing(self) -> bool:
-        """Whether there are too many groups to monitor all of them."""
+    def _is_monitored(self, service: types.ServiceName) -> bool:
+        """Returns whether a group is monitored also while nobody uses it.
+
+        It isn't if other proxies serve it, or there are too many groups.
+        """
         catalog = self._catalog
-        return (
-            catalog is not None
-            and len(catalog.services) > _MAX_MONITORED_GROUPS
-        )
+        if catalog is None or len(catalog.services) > _MAX_MONITORED_GROUPS:
+            return False
+        return self._plan is None or self._plan.serves(service)
+
+    def _apply_plan(self, catalog: catalogs.Catalog) -> None:
+        """Opens the groups to monitor, and updates who shares each group."""
+        for name, terms in catalog.services.items():
+            monitored = self._is_monitored(name)
+            if name in self._groups:
+                self._groups[name].set_reduced_probing(not monitored)
+                self._share_group(self._groups[name])
+            elif monitored:
+                self._open_group(terms)
+
+    def _share_group(self, group: group_monitor.GroupMonitor) -> None:
+        """Tells a group which proxies share its databases."""
+        if self._proxies is None:
+            return
+        names = self._proxies
+        if self._plan is not None:
+            names = self._plan.server_names(group.service) or names
+            self._lease.set_monitors(group.service, names)
+            names |= {self._plan.name}
+        group.set_proxies(len(names))
 
     def _open_group(
         self, terms: catalogs.ServiceSettings
@@ -212,8 +246,8 @@
             terms, self._connector, self._lease, self._clock, self._journal
         )
         self._groups[terms.name] = group
-        group.set_reduced_probing(self._reduced_probing)
-        group.set_proxies(self._proxies)
+        group.set_reduced_probing(not self._is_monitored(terms.name))
+        self._share_group(group)
         group.set_members(self._listing.of(terms.name))
         group.start()
         return group
@@ -237,9 +271,9 @@
 
     def _close_unused(self, now: datetime.datetime) -> None:
         """Closes groups that no caller used recently."""
-        if not self._reduced_probing:
-            return
         for name, group in tuple(self._groups.items()):
+            if self._is_monitored(name):
+                continue
             since = self._last_used.setdefault(name, now)
             if now - since >= _UNUSED_TIMEOUT and not group.busy:
                 self._close_group(name)
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -90,13 +90,14 @@
             ),
             stalled=group.stall.stalled(now),
             progressing=group.progressing,
-            patience=self._lease.patience,
+            patience=self._lease.order(group.service).patience,
             term=group.state.term,
             synchronous_replicas=group.state.synchronous_replicas,
         )
 
     async def _run(self, reason: takeover_trigger.Reason) -> None:
-        if not await self._lease.acquire(self._still_needed):
+        service = self._group.service
+        if not await self._lease.acquire(self._still_needed, service):
             return
         try:
             # Acquiring the lease can take long; the reason may be obsolete.
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -84,6 +84,7 @@
         self._clock = clock
         self._journal = journal
         self._order = takeover_order.TakeoverOrder(lease_state.name)
+        self._orders: dict[types.ServiceName, takeover_order.TakeoverOrder] = {}
         self._use_count = 0
         self._order_unanswered = False
         self._retry_delay = _RETRY_DELAY
@@ -100,16 +101,6 @@
         record = self._lease_state.record
         return record.number if record else 0
 
-    @property
-    def is_early(self) -> bool:
-        """Whether this proxy is among the first to replace a lost primary."""
-        return self._order.is_early
-
-    @property
-    def patience(self) -> datetime.timedelta:
-        """Time to wait before replacing a primary that works for others."""
-        return self._order.patience
-
     def __repr__(self) -> str:
         return f"PromotionLease({self._lease_state!r})"
 
@@ -117,21 +108,43 @@
         """Sets the names of the proxies that may also acquire the lease."""
         self._order.set_proxies(live)
 
+    def set_monitors(
+        self, service: types.ServiceName, live: Iterable[types.ProxyName]
+    ) -> None:
+        """Sets the names of the proxies that monitor the group of a service.
+
+        Without this call, these are all proxies.
+        """
+        order = self._orders.get(service)
+        if order is None:
+            order = takeover_order.TakeoverOrder(self._lease_state.name)
+            self._orders[service] = order
+        order.set_proxies(live)
+
+    def order(
+        self, service: types.ServiceName
+    ) -> takeover_order.TakeoverOrder:
+        """Returns the place of this proxy in the order for a group."""
+        return self._orders.get(service, self._order)
+
     def note_era(self, era: int) -> None:
         """Notes the era that the store told in a response."""
         self._lease_state.record_era(era, self._clock.now())
 
-    async def acquire(self, needed: Callable[[], bool]) -> bool:
+    async def acquire(
+        self, needed: Callable[[], bool], service: types.ServiceName = ""
+    ) -> bool:
         """Acquires the lease once it is this proxy's turn.
 
         Args:
           needed: returns whether the caller still needs the lease; the
             attempt ends otherwise.
+          service: service whose primary is replaced.
 
         Returns:
           Whether the lease is held; if so, `release` must be called later.
         """
-        await self._wait_for_turn(needed)
+        await self._wait_for_turn(needed, self.order(service).delay)
         async with self._lock:
             held = self.held or await self._acquire(needed)
         if held:
@@ -188,9 +201,11 @@
     def _may_order(self) -> bool:
         return self._lease_state.may_order(self._clock.now())
 
-    async def _wait_for_turn(self, needed: Callable[[], bool]) -> None:
+    async def _wait_for_turn(
+        self, needed: Callable[[], bool], delay: datetime.timedelta
+    ) -> None:
         """Waits until other proxies had the time to acquire the lease."""
-        turn = self._clock.now() + self._order.delay
+        turn = self._clock.now() + delay
         while needed() and not self.held:
             left = turn - self._clock.now()
             if left <= datetime.timedelta():
--- a/hickorygate/upstreams/takeover_order.py
+++ b/hickorygate/upstreams/takeover_order.py
@@ -5,8 +5,9 @@
 would cost calls in proportion to the fleet. So each proxy first waits for its
 turn, and most find that another one has replaced the primary meanwhile.
 
-The order is the same for all groups, so that one holder of the lease replaces
-the primaries of all groups that fail together. Proxies may disagree about it
+Groups that are monitored by the same proxies have the same order, so that one
+holder of the lease replaces the primaries of all those that fail together. A
+group that only some proxies monitor has an order of these. Proxies may disagree about it
 while their lists of proxies differ: the lease decides, the order only saves
 calls.
 """
@@ -69,7 +70,15 @@
         return f"TakeoverOrder({self._name!r}, delay={self._delay})"
 
     def set_proxies(self, live: Iterable[types.ProxyName]) -> None:
-        """Sets the names of the live proxies."""
-        self._place = rendezvous.owner_index(_ORDER_KEY, self._name, live)
+        """Sets the names of the live proxies that monitor the group.
+
+        A proxy that isn't one of them has its turn after all others.
+        """
+        names = frozenset(live)
+        self._place = (
+            rendezvous.owner_index(_ORDER_KEY, self._name, names)
+            if self._name in names
+            else len(names)
+        )
         later = max(self._place + 1 - _IMMEDIATE_PROXIES, 0)
         self._delay = min(later * _STEP, _MAX_DELAY)
