Wire serving proxies into the process and the test cluster

A process with ip and port_range in its settings listens for statements of other proxies and registers its address; a session sends its statements to the candidates of the plan and runs them itself if none is usable.

--- a/hickorygate/callers/forwarded_transactions.py
+++ b/hickorygate/callers/forwarded_transactions.py
@@ -92,14 +92,10 @@
 
     async def run(self, remote: _RemoteTransaction) -> replies.Reply:
         """Runs a later statement where the transaction is open."""
-        answered = await self._send(
-            remote, messages.TransactionStart.CONTINUES
-        )
+        answered = await self._send(remote, messages.TransactionStart.CONTINUES)
         return self._finish(answered, remote)
 
-    async def _open(
-        self, search: serving.ServerSearch
-    ) -> replies.Reply | None:
+    async def _open(self, search: serving.ServerSearch) -> replies.Reply | None:
         starts = messages.TransactionStart
         start = (
             starts.READ_ONLY
--- a/hickorygate/callers/serving.py
+++ b/hickorygate/callers/serving.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import datetime
-from typing import Protocol
 from typing import TYPE_CHECKING
+from typing import Protocol
 
 import expression
 
@@ -100,7 +100,10 @@
         """
         if self._links is None or not self._candidates:
             return None
-        for quality in (link_state.LinkQuality.GOOD, link_state.LinkQuality.SLOW):
+        for quality in (
+            link_state.LinkQuality.GOOD,
+            link_state.LinkQuality.SLOW,
+        ):
             for name in self._candidates:
                 if name == self._name:
                     return None
@@ -112,9 +115,7 @@
                     return connection
         return None
 
-    def event(
-        self, outcome: str
-    ) -> platform_events.StatementForwarded | None:
+    def event(self, outcome: str) -> platform_events.StatementForwarded | None:
         """Returns the event that ends the search; None if nothing was sent."""
         if not self._tried:
             return None
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
 import pathlib
@@ -20,6 +21,7 @@
 from hickorygate.core import events
 from hickorygate.core import platform_events
 from hickorygate.core import retry
+from hickorygate.core import types
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
 from hickorygate.operators import unexpected_errors
@@ -30,6 +32,9 @@
 from hickorygate.platform import object_decoding
 from hickorygate.platform import settings as settings_lib
 from hickorygate.platform import store
+from hickorygate.proxies import serving_links
+from hickorygate.proxies import serving_plan
+from hickorygate.proxies import statement_server
 from hickorygate.store import list_watch
 from hickorygate.store import registration
 from hickorygate.upstreams import group_registry
@@ -49,6 +54,10 @@
 state of some groups is unknown."""
 
 
+_REREAD_ATTEMPTS = 5
+"""Number of times that the configuration is read again, until it is as new as
+another proxy's."""
+
 _MIN_WATCH = datetime.timedelta(milliseconds=250)
 _MAX_WATCH = datetime.timedelta(seconds=24)
 """Shortest and longest time for which the store is asked to hold a watch."""
@@ -222,8 +231,16 @@
         self._lease = promotion_lease.PromotionLease(
             lease_state, self._store, clock, self._journal
         )
+        plan = serving_plan.ServingPlan(settings.name, settings.zone)
         self._registry = group_registry.GroupRegistry(
-            database.DatabaseConnector(), self._lease, clock, self._journal
+            database.DatabaseConnector(),
+            self._lease,
+            clock,
+            self._journal,
+            plan,
+        )
+        self._links = serving_links.ServingLinks(
+            plan, clock, self._journal, self._note_version, self._note_refusal
         )
         self._background = background.BackgroundTasks()
         self._env = session_context.SessionContext(
@@ -234,14 +251,24 @@
             journal=self._journal,
             retries=retry.RetryBudget(share=1.0, limit=100.0),
             background=self._background,
+            serving=plan,
+            forwarder=self._links,
         )
         self._line_server = line_server.LineServer(self._env)
+        self._statements = statement_server.StatementServer(
+            settings.name, self._env, self._note_version
+        )
+        self._configuration_sink = _ConfigurationSink(
+            self._registry, self._journal
+        )
+        self._rereading: asyncio.Task[None] | None = None
+        self._plan = plan
         self._registration = registration.ProxyRegistration(
             settings.name,
             self._store,
             clock,
             self._env.rng,
-            self._registry.set_proxies,
+            self._set_proxies,
         )
         self._probe = management_server.ManagementServer(
             self.ready, self._render_metrics
@@ -285,6 +312,8 @@
 
     async def close(self) -> None:
         """Stops the background tasks and closes all components."""
+        self._links.close()
+        self._statements.close()
         await self._background.close()
         await self._registry.close()
         await self._probe.close()
@@ -316,6 +345,36 @@
         self._journal.record(platform_events.StoreEraChanged(era))
         self._lease.note_era(era)
 
+    def _set_proxies(
+        self, proxies: Mapping[types.ProxyName, registration.RegisteredProxy]
+    ) -> None:
+        """Applies a count of the proxies."""
+        self._plan.set_proxies(proxies)
+        self._registry.set_proxies(frozenset(proxies))
+
+    def _note_refusal(self) -> None:
+        """Counts the proxies early: one of them may have a new address."""
+        self._registration.request_count()
+
+    def _note_version(self, version: int) -> None:
+        """Rereads the configuration if another proxy has a newer one."""
+        if version > self._registry.version and self._rereading is None:
+            self._rereading = self._background.start(
+                self._reread_configuration(version)
+            )
+
+    async def _reread_configuration(self, version: int) -> None:
+        try:
+            for _ in range(_REREAD_ATTEMPTS):
+                listed = await self._store.list(object_decoding.CONFIGURATION)
+                if listed.is_ok():
+                    self._configuration_sink.replace(listed.ok.objects)
+                if self._registry.version >= version:
+                    return
+                await self._clock.sleep(_TICK)
+        finally:
+            self._rereading = None
+
     async def _listen(self) -> expression.Result[None, errors.Failure]:
         """Opens all listeners; a failure names the setting to change."""
         settings = self._settings
@@ -329,17 +388,38 @@
                         settings.callers.host, self._metrics_port
                     )
                 )
+            part = "port_range"
+            await self._listen_for_statements()
             part = "listen.front"
             await self._line_server.start(settings.callers)
         except OSError as error:
             return expression.Error(errors.ListenFailed(part, str(error)))
         return expression.Ok(None)
 
+    async def _listen_for_statements(self) -> None:
+        """Opens the listener for other proxies, if the settings name one.
+
+        Raises:
+          OSError: no port of the range is free.
+        """
+        settings = self._settings
+        host = settings.statements_host
+        if not (host and settings.statements_ports):
+            return
+        await self._statements.start(host, settings.statements_ports)
+        self._registration.describe(
+            registration.ProxyDescription(
+                str(settings_lib.Address(host, self._statements.port)),
+                settings.zone,
+                settings.limits.capacity,
+            )
+        )
+
     def _start_tasks(self) -> None:
         sinks = (
             (
                 configuration_watch(self._settings),
-                _ConfigurationSink(self._registry, self._journal),
+                self._configuration_sink,
             ),
             (
                 databases_watch(self._settings),
@@ -372,12 +452,14 @@
             now = self._clock.now()
             for caller in self._line_server.callers:
                 caller.expire(now)
+            self._statements.expire(now)
 
     async def _drain(self, shutdown: shutdowns.ShutdownSchedule) -> None:
         """Closes sessions according to the schedule of the shutdown."""
         self._background.start(self._registration.deregister())
         notice = self._env.shutdown
         notice.answer_by = shutdown.answer_by
+        self._statements.leave()
         closed = 0
         while True:
             ending = shutdown.at(self._clock.now())
@@ -391,7 +473,8 @@
                 closed += 1
             if ending.abort_transactions:
                 self._drop_transactions()
-            drained = ending.close_share >= 1 and not self._line_server.callers
+            idle = not (self._line_server.callers or self._statements.busy)
+            drained = ending.close_share >= 1 and idle
             if ending.exit or drained:
                 self._line_server.stop_listening()
                 self._finished.set()
@@ -399,6 +482,7 @@
             await self._clock.sleep(_TICK / 2)
 
     def _drop_transactions(self) -> None:
+        self._statements.abort_idle_transactions()
         for caller in self._line_server.callers:
             if caller.session is not None and not caller.is_processing:
                 caller.session.abort_open_transaction()
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -149,9 +149,9 @@
     )
 
     ip: str = ""
-    port_range: Annotated[
-        range, pydantic.PlainValidator(parse_ports)
-    ] = range(0)
+    port_range: Annotated[range, pydantic.PlainValidator(parse_ports)] = range(
+        0
+    )
     cpu_share: float = pydantic.Field(
         1.0, alias="limits.cpu_share", gt=0, le=_MAX_CORES
     )
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -191,7 +191,9 @@
         """
         listed = await self._api.list(_PROXY_KIND, may_be_outdated)
         return listed.map(
-            lambda snapshot: {o.name: _decode_proxy(o) for o in snapshot.objects}
+            lambda snapshot: {
+                o.name: _decode_proxy(o) for o in snapshot.objects
+            }
         )
 
     async def promote(
--- a/hickorygate/proxies/serving_plan.py
+++ b/hickorygate/proxies/serving_plan.py
@@ -197,7 +197,7 @@
         if self._name in owners:
             first = owners.index(self._name)
         else:
-            first = xxhash.xxh64_intdigest(self._name) % len(owners)
+            first = xxhash.xxh64_intdigest(self._name.encode()) % len(owners)
         return owners[first:] + owners[:first]
 
     def _zone_order(
@@ -206,5 +206,7 @@
         """Returns the other zones, in an order that differs by proxy."""
         return sorted(
             zones,
-            key=lambda zone: xxhash.xxh64_intdigest(f"{self._name}\0{zone}"),
+            key=lambda zone: xxhash.xxh64_intdigest(
+                f"{self._name}\0{zone}".encode()
+            ),
         )
--- a/hickorygate/proxies/statement_codec.py
+++ b/hickorygate/proxies/statement_codec.py
@@ -89,6 +89,7 @@
 _STARTS = {start.value: start for start in messages.TransactionStart}
 _VERDICTS = {verdict.value: verdict for verdict in messages.Verdict}
 
+
 class FrameBuffer:
     """Splits a stream of bytes into the payloads of frames."""
 
--- a/hickorygate/proxies/statement_link.py
+++ b/hickorygate/proxies/statement_link.py
@@ -9,9 +9,9 @@
 import asyncio
 import datetime
 import functools
-from typing import cast
 from typing import Protocol
 from typing import TypeAlias
+from typing import cast
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
@@ -214,9 +214,7 @@
         """Records the answer to a ping."""
         self._state.pong_received(number, self._clock.now())
 
-    def check(
-        self, now: datetime.datetime, late: datetime.timedelta
-    ) -> None:
+    def check(self, now: datetime.datetime, late: datetime.timedelta) -> None:
         """Applies time limits and sends a ping if one is due.
 
         Args:
@@ -405,7 +403,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(_CONNECT_TIMEOUT.total_seconds()):
-                await loop.create_connection(lambda: connection, host, int(port))
+                await loop.create_connection(
+                    lambda: connection, host, int(port)
+                )
         except (OSError, TimeoutError, ValueError):
             self._state.opening_failed(self._clock.now())
             self._listener.link_refused(self._server)
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -21,6 +21,10 @@
 from hickorygate.platform import database
 from hickorygate.platform import line_server
 from hickorygate.platform import settings
+from hickorygate.proxies import serving_links
+from hickorygate.proxies import serving_plan
+from hickorygate.proxies import statement_server
+from hickorygate.store import registration
 from hickorygate.testing import line_group
 from hickorygate.upstreams import group_registry
 from hickorygate.upstreams import lease_record
@@ -40,8 +44,16 @@
 _TIMEOUT = datetime.timedelta(seconds=3)
 
 
-def make_catalog(version: int, service: str = "ledger") -> catalogs.Catalog:
-    """Returns a configuration with one database name per consistency level."""
+def make_catalog(
+    version: int, service: str = "ledger", connections: int = 20
+) -> catalogs.Catalog:
+    """Returns a configuration with one database name per consistency level.
+
+    Args:
+      version: version of the configuration.
+      service: name of its service.
+      connections: number of connections that a database accepts.
+    """
     kinds = {
         PRIMARY_DB: catalogs.StrongConsistency(),
         BOUNDED_DB: catalogs.BoundedStaleness(_STALENESS),
@@ -54,7 +66,7 @@
         routes[name] = catalogs.Route(
             name, service, consistency, rank, _TIMEOUT
         )
-    terms = catalogs.ServiceSettings(service, 20, 1)
+    terms = catalogs.ServiceSettings(service, connections, 1)
     return catalogs.Catalog(
         version, routes, {service: terms}, datetime.timedelta(seconds=3)
     )
@@ -126,6 +138,11 @@
       fleet: registry of the databases that the proxy knows.
       background: background tasks of the callers' sessions.
       server: listener for callers.
+      zone: availability zone of the proxy.
+      plan: which proxies serve which statements.
+      links: links to serving proxies.
+      seen_versions: configuration versions in replies of serving proxies.
+      statements: listener for other proxies.
     """
 
     def __init__(
@@ -134,30 +151,39 @@
         group: line_group.LineGroup,
         store: MemoryStore,
         clock: clocks.Clock,
+        zone: str = "a",
     ) -> None:
         self.name = name
+        self.zone = zone
         self.journal = events.Timeline(name, events.HybridLogicalClock(clock))
         lease_state = lease_record.LeaseState(name, name)
         lease = promotion_lease.PromotionLease(
             lease_state, store, clock, self.journal
         )
+        self.plan = serving_plan.ServingPlan(name, zone)
+        self.seen_versions: list[int] = []
         self.fleet = group_registry.GroupRegistry(
-            database.DatabaseConnector(), lease, clock, self.journal
+            database.DatabaseConnector(), lease, clock, self.journal, self.plan
+        )
+        self.links = serving_links.ServingLinks(
+            self.plan, clock, self.journal, self.seen_versions.append
         )
         self.background = background.BackgroundTasks()
         self.shutdown = shutdown.ShutdownNotice()
-        self.server = line_server.LineServer(
-            session_context.SessionContext(
-                fleet=self.fleet,
-                clock=clock,
-                zone="a",
-                rng=random.Random(1),
-                journal=self.journal,
-                retries=retry.RetryBudget(),
-                background=self.background,
-                shutdown=self.shutdown,
-            )
+        env = session_context.SessionContext(
+            fleet=self.fleet,
+            clock=clock,
+            zone=zone,
+            rng=random.Random(1),
+            journal=self.journal,
+            retries=retry.RetryBudget(),
+            background=self.background,
+            shutdown=self.shutdown,
+            serving=self.plan,
+            forwarder=self.links,
         )
+        self.server = line_server.LineServer(env)
+        self.statements = statement_server.StatementServer(name, env)
         self._group = group
 
     def __repr__(self) -> str:
@@ -173,6 +199,7 @@
         self.fleet.apply(catalog or make_catalog(1, self._group.service))
         self.fleet.start()
         await self.server.start(settings.Address("127.0.0.1", 0))
+        await self.statements.start("127.0.0.1", (0,))
         group = self.fleet.group(self._group.service)
         assert group is not None, "the catalog contains no such service"
         while group.leader is None:
@@ -183,9 +210,16 @@
         for caller in self.server.callers:
             caller.close()
         self.server.stop_listening()
+        self.links.close()
+        self.statements.close()
         await self.background.close()
         await self.fleet.close()
 
+    def registered(self) -> registration.RegisteredProxy:
+        """Returns the proxy as its object in a store would describe it."""
+        address = f"127.0.0.1:{self.statements.port}"
+        return registration.RegisteredProxy(address, self.zone, 1.0, 1)
+
     def reload_members(self) -> None:
         """Reloads the list of databases from the group."""
         self.fleet.replace_members(self._group.members())
@@ -242,6 +276,7 @@
         self,
         proxies: int = 1,
         clock: clocks.Clock | None = None,
+        zones: str = "a",
         **options: object,
     ) -> None:
         """Creates the group and its proxies; they are not started yet.
@@ -249,6 +284,7 @@
         Args:
           proxies: number of proxies.
           clock: clock of the proxies; None for the system's.
+          zones: availability zones, which the proxies take in turn.
           **options: options of the group.
         """
         self.group = line_group.LineGroup(**options)  # type: ignore[arg-type]
@@ -259,6 +295,7 @@
                 self.group,
                 self.store,
                 clock or clocks.SystemClock(),
+                zones[i % len(zones)],
             )
             for i in range(proxies)
         ]
@@ -280,6 +317,13 @@
             await proxy.close()
         await self.group.close()
 
+    def count_proxies(self) -> None:
+        """Makes all proxies known to each other."""
+        found = {proxy.name: proxy.registered() for proxy in self.proxies}
+        for proxy in self.proxies:
+            proxy.plan.set_proxies(found)
+            proxy.fleet.set_proxies(frozenset(found))
+
     async def connect(self, name: str, proxy: int = 0) -> LineClient:
         """Opens a session for a database name at a proxy."""
         port = self.proxies[proxy].server.port
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -121,9 +121,7 @@
             self._orders[service] = order
         order.set_proxies(live)
 
-    def order(
-        self, service: types.ServiceName
-    ) -> takeover_order.TakeoverOrder:
+    def order(self, service: types.ServiceName) -> takeover_order.TakeoverOrder:
         """Returns the place of this proxy in the order for a group."""
         return self._orders.get(service, self._order)
 
--- a/hickorygate/upstreams/takeover_order.py
+++ b/hickorygate/upstreams/takeover_order.py
@@ -7,9 +7,9 @@
 
 Groups that are monitored by the same proxies have the same order, so that one
 holder of the lease replaces the primaries of all those that fail together. A
-group that only some proxies monitor has an order of these. Proxies may disagree about it
-while their lists of proxies differ: the lease decides, the order only saves
-calls.
+group that only some proxies monitor has an order of these. Proxies may disagree
+about it while their lists of proxies differ: the lease decides, the order only
+saves calls.
 """
 
 from __future__ import annotations
