Test the connections of workspaces, and serve proxies below their share

Cause: pools that used more than their share of a full database all the time left no connection to a proxy that had none, and the model database kept a connection whose opening was cancelled.

A pool beyond its share gives up one connection every 2 s while the database is full; the model closes a connection that is no longer wanted.

--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -1,9 +1,9 @@
 """Writes events as JSON lines to standard output, with a rate limit.
 
 Three kinds of events have separate limits: state changes of the process have
-the highest limit, failed and retried requests (and the connections that are
-closed with them) a lower one, and successful requests the lowest. So many
-requests never displace the state changes, and successful requests never
+the highest limit, failed and retried requests (and the connections and
+sessions that are closed) a lower one, and successful requests the lowest. So
+many requests never displace the state changes, and successful requests never
 displace the failed ones.
 Dropped events are counted, and the next line contains the count. Writes don't
 block: a reader that doesn't read never makes the process wait.
@@ -151,6 +151,7 @@
                 platform_events.RequestEnded()
                 | platform_events.RequestRetried()
                 | platform_events.ConnectionUnsettled()
+                | platform_events.SessionRevoked()
             ):
                 return self._failed
         return self._state_changes
--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -317,6 +317,9 @@
             return expression.Error(
                 errors.SessionRefused(self.name, "not opened in time")
             )
+        except asyncio.CancelledError:
+            connection.close()
+            raise
         return expression.Ok(connection)
 
     def forget(self, connection: model_connection.ModelConnection) -> None:
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -253,6 +253,13 @@
             self._idle.restore(pooled_connection)
         else:
             self._idle.add(pooled_connection, self._clock.now())
+        if self._share.yields(self.open_count, self._clock.now()):
+            given_up = self._idle.oldest
+            self._idle.remove(given_up)
+            given_up.connection.close()
+            if given_up is pooled_connection:
+                self._serve_waiting_later()
+                return
         self._serve_next(pooled_connection)
 
     def record_unsettled(
@@ -555,7 +562,7 @@
                 if replaced is not None:
                     self._close_replaced(replaced)
                     self._open_for(waiter, replaces=True)
-                elif self._idle and self._opener.pause() is not None:
+                elif self._opener.pause() is not None:
                     self._serve_waiting_later()
 
     def _connect_failure(self, reason: str) -> errors.ConnectFailed:
--- a/hickorygate/upstreams/connection_share.py
+++ b/hickorygate/upstreams/connection_share.py
@@ -35,7 +35,16 @@
 
 _PAUSE_RESET = datetime.timedelta(seconds=8)
 """Time without a refusal after which the next refusal starts a pause of
-`_FIRST_PAUSE` again."""
+`_FIRST_PAUSE` again, and the database no longer counts as full."""
+
+_YIELD_INTERVAL = datetime.timedelta(seconds=2)
+"""Interval at which a pool beyond its even share gives up one connection, if
+connections belong to workspaces and the database refused one recently. A proxy
+below its share would be refused for as long as others use theirs."""
+
+_YIELD_PAUSE = datetime.timedelta(milliseconds=500)
+"""Time for which the pool doesn't take the place again. A refused proxy tries
+again after 400 ms at the latest."""
 
 ASSUMED_PROXIES = 6
 """Number of proxies assumed before the proxies have been counted."""
@@ -70,6 +79,9 @@
         "_proxies",
         "_serves_workspaces",
         "_slots",
+        "_yield_due",
+        "_yielded",
+        "_yielded_to",
     )
 
     def __init__(self, slots: int, max_connections: int) -> None:
@@ -85,6 +97,9 @@
         self._proxies = ASSUMED_PROXIES
         self._open_when_refused = 0
         self._serves_workspaces = False
+        self._yield_due: datetime.datetime | None = None
+        self._yielded: datetime.datetime | None = None
+        self._yielded_to = 0
         self._pause = _FIRST_PAUSE
         self._last_refusal: datetime.datetime | None = None
 
@@ -133,12 +148,37 @@
             self._last_refusal is not None
             and now - self._last_refusal < self._pause
         ):
+            if self._serves_workspaces:
+                return self.even_share
             return min(self.even_share, max(self._open_when_refused, 1))
+        if self._yielded is not None and now - self._yielded < _YIELD_PAUSE:
+            return max(self.even_share, self._yielded_to)
         wanted = self._slots + _EXTRA_OVER_SLOTS
         if not self._serves_workspaces:
             wanted = min(wanted, self.even_share + _EXTRA_CONNECTIONS)
         return max(self.even_share, min(wanted, self._max_connections))
 
+    def yields(self, held: int, now: datetime.datetime) -> bool:
+        """Returns whether the pool has to give up one of its connections.
+
+        Args:
+          held: number of connections that are open.
+          now: current time.
+        """
+        refusal = self._last_refusal
+        full = refusal is not None and now - refusal <= _PAUSE_RESET
+        scarce = self._serves_workspaces and full
+        if not scarce or held <= self.even_share:
+            self._yield_due = None
+            return False
+        if self._yield_due is None:
+            self._yield_due = now + _YIELD_INTERVAL
+        if now < self._yield_due:
+            return False
+        self._yield_due = now + _YIELD_INTERVAL
+        self._yielded, self._yielded_to = now, held - 1
+        return True
+
     def record_refusal(self, held: int, now: datetime.datetime) -> None:
         """Records that the database refused a connection.
 
