--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -137,6 +137,12 @@
         "Connections opened since the start, by database.",
         _opened(fleet),
     )
+    show(
+        aioprometheus.Counter,
+        "connections_replaced_total",
+        "Connections closed for another workspace, by database.",
+        _replaced(fleet),
+    )
     show(
         aioprometheus.Gauge,
         "database_load",
@@ -186,6 +192,12 @@
             yield {"database": name}, float(pool.opened)
 
 
+def _replaced(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
+    for group in fleet.groups.values():
+        for name, pool in group.pools.items():
+            yield {"database": name}, float(pool.replaced)
+
+
 def _loads(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
     for group in fleet.groups.values():
         for name, pool in group.pools.items():
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -280,15 +280,23 @@
             await proxy.close()
         await self.group.close()
 
-    async def connect(self, name: str, proxy: int = 0) -> LineClient:
+    async def connect(
+        self, name: str, proxy: int = 0, key: str = "someone"
+    ) -> LineClient:
         """Opens a session for a database name at a proxy."""
+        client, received = await self.try_connect(name, proxy, key)
+        assert received == ["READY I -"], received
+        return client
+
+    async def try_connect(
+        self, name: str, proxy: int, key: str
+    ) -> tuple[LineClient, list[str]]:
+        """Asks a proxy for a session; returns the answer, too."""
         port = self.proxies[proxy].server.port
         streams = await asyncio.open_connection("127.0.0.1", port)
         client = LineClient(*streams)
         self._clients.append(client)
-        received = await client.send(f"CONNECT {name} someone")
-        assert received == ["READY I -"], received
-        return client
+        return client, await client.send(f"CONNECT {name} {key}")
 
 
 def assert_no_commit_lost(group: line_group.LineGroup) -> None:
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -84,6 +84,8 @@
       ran: ids and texts of the callers' requests that the database ran.
       values_of_runs: session values with which each of these requests ran, by
         its id.
+      workspaces_of_runs: workspace of the connection on which each of these
+        requests ran, by its id.
       leaving: whether the database is announced as about to stop.
       last_ran: event loop time, in seconds, of the newest request in `ran`;
         None if there is none.
@@ -99,6 +101,7 @@
         self.group = group
         self.ran: list[tuple[str, str]] = []
         self.values_of_runs: dict[str, dict[str, str]] = {}
+        self.workspaces_of_runs: dict[str, str] = {}
         self.leaving = False
         self.last_ran: float | None = None
         self.overlap_started: float | None = None
--- a/hickorygate/testing/line_session.py
+++ b/hickorygate/testing/line_session.py
@@ -22,6 +22,7 @@
     """A server-side session that answers requests one after the other.
 
     Attributes:
+      workspace: workspace that the connection was opened for.
       session_variables: session variables by name.
       names: kind and text of each prepared statement, by name.
     """
@@ -40,6 +41,7 @@
         self._state = "I"
         self._read_only = False
         self._writes: list[tuple[str, str]] = []
+        self.workspace = ""
         self.session_variables: dict[str, str] = {}
         self.names: dict[str, tuple[str, str]] = {}
 
@@ -85,7 +87,7 @@
                 await self._query(request, text)
 
     def _connect(self, arguments: str) -> None:
-        service, _, identity = arguments.split(" ")
+        service, self.workspace, identity = arguments.split(" ")
         is_own_service = service == self._database.group.service
         if is_own_service and identity == self._database.name:
             self._send_ready()
@@ -191,6 +193,7 @@
 
     def _record_run(self, request: str, text: str) -> None:
         self._database.record_run(request, text, self.session_variables)
+        self._database.workspaces_of_runs[request] = self.workspace
 
     async def _write(self, request: str, write: tuple[str, str]) -> None:
         if self._state == "T":
