--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -150,9 +150,7 @@
         name: types.ProxyName,
         beat: int,
         exists: bool,
-        description: registration.ProxyDescription = (
-            registration.ProxyDescription()
-        ),
+        description: registration.ProxyDescription = registration.NOT_SERVING,
     ) -> expression.Result[None, errors.Failure]:
         """Creates or renews the registration of this proxy.
 
--- a/hickorygate/proxies/statement_link.py
+++ b/hickorygate/proxies/statement_link.py
@@ -247,7 +247,7 @@
         if self._closed:
             return
         self._closed = True
-        if reason:
+        if reason and (self._outstanding or not self._state.leaving):
             self._listener.link_lost(
                 self._server, reason, len(self._outstanding)
             )
--- a/hickorygate/proxies/statement_server.py
+++ b/hickorygate/proxies/statement_server.py
@@ -43,6 +43,9 @@
 """Time beyond the idle limit of transactions after which this proxy aborts one.
 The gateway does so at the limit, unless it was suspended or cut off."""
 
+_HELLO_TIMEOUT = datetime.timedelta(seconds=5)
+"""Time after which a link without a first message is closed."""
+
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
@@ -76,6 +79,7 @@
         self._transport: asyncio.Transport | None = None
         self._writer: frame_writer.FrameWriter | None = None
         self._gateway = ""
+        self._opened = server.env.clock.now()
         self._transactions: dict[int, _ServedTransaction] = {}
         self._running = 0
         self._paused = False
@@ -147,7 +151,10 @@
         if self._closed or self._writer is None:
             return
         frame = statement_codec.encode(message)
-        assert frame is not None, f"{message!r} is larger than a frame"
+        if frame is None:
+            # More rows than a caller could get; the statement has run.
+            self.close()
+            return
         self._writer.write(frame)
 
     def close(self) -> None:
@@ -162,6 +169,8 @@
             self.close()
             return
         self._gateway = message.gateway
+        if self._server.leaving:
+            self.send(messages.Leaving())
 
     def run(self, message: messages.RunStatement) -> None:
         """Starts to run a statement."""
@@ -177,7 +186,7 @@
         if served is None and starts:
             self._run_new(message, message.start)
         elif served is None:
-            self._reply_without_run(message, _reply_to_unknown(message))
+            self._send_reply(_reply_to_unknown(message))
         elif starts or served.work is not None:
             self.close()  # A gateway has one statement of it outstanding.
         else:
@@ -201,7 +210,12 @@
                 served.session.abort_open_transaction()
 
     def expire(self, now: datetime.datetime) -> None:
-        """Aborts transactions that are idle for too long."""
+        """Aborts transactions that are idle for too long.
+
+        Also closes a link without a first message.
+        """
+        if not self._gateway and now - self._opened >= _HELLO_TIMEOUT:
+            self.close()
         for served in self._transactions.values():
             if served.work is None:
                 served.session.expire(now - _IDLE_MARGIN)
@@ -214,8 +228,7 @@
         """Runs a single statement or the first one of a transaction."""
         verdict = self._server.refusal(message)
         if verdict is not None:
-            reply = messages.StatementReply(message.number, verdict)
-            self._reply_without_run(message, reply)
+            self._send_reply(messages.StatementReply(message.number, verdict))
             return
         session = self._server.open_session(message, start)
         if start is None or session.state.transaction is None:
@@ -280,11 +293,8 @@
         if not work.cancelled() and work.exception() is not None:
             self.close()
 
-    def _reply_without_run(
-        self,
-        message: messages.RunStatement,
-        reply: messages.StatementReply,
-    ) -> None:
+    def _send_reply(self, reply: messages.StatementReply) -> None:
+        """Replies to a statement that was not run."""
         version = self._server.version
         self.send(dataclasses.replace(reply, version=version))
 
@@ -444,6 +454,11 @@
         """Whether a statement runs or a transaction is open."""
         return any(link.running or link.transactions for link in self._links)
 
+    @property
+    def leaving(self) -> bool:
+        """Whether this proxy stops and accepts no new work."""
+        return self._leaving
+
     @property
     def served(self) -> collections.Counter[str]:
         """Number of statements by outcome."""
@@ -490,7 +505,7 @@
 
     def expire(self, now: datetime.datetime) -> None:
         """Aborts transactions that are idle for too long."""
-        for link in self._links:
+        for link in tuple(self._links):
             link.expire(now)
 
     def close(self) -> None:
--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -18,6 +18,7 @@
 from hickorygate.upstreams import proxy_count
 
 __all__ = [
+    "NOT_SERVING",
     "ProxyDescription",
     "ProxyRegistration",
     "ProxyRegistry",
@@ -52,6 +53,10 @@
     capacity: float = 0.0
 
 
+NOT_SERVING = ProxyDescription()
+"""The description of a proxy that runs no statements of others."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RegisteredProxy(ProxyDescription):
     """A proxy as its object in the store describes it.
@@ -71,7 +76,7 @@
         name: types.ProxyName,
         beat: int,
         exists: bool,
-        description: ProxyDescription = ProxyDescription(),
+        description: ProxyDescription = NOT_SERVING,
     ) -> expression.Result[None, errors.Failure]:
         """Creates or renews a proxy's object.
 
@@ -113,7 +118,7 @@
         clock: clocks.Clock,
         rng: random.Random,
         on_count: Callable[[Mapping[types.ProxyName, RegisteredProxy]], None],
-        description: ProxyDescription = ProxyDescription(),
+        description: ProxyDescription = NOT_SERVING,
     ) -> None:
         """Creates the registration; `run` makes the first call.
 
@@ -138,6 +143,7 @@
         # former process of this name left behind.
         self._beat = rng.getrandbits(40)
         self._early = asyncio.Event()
+        self._counted: frozenset[types.ProxyName] = frozenset()
 
     def __repr__(self) -> str:
         return f"ProxyRegistration({self._name!r}, {self._proxy_counter!r})"
@@ -229,4 +235,8 @@
         found[self._name] = RegisteredProxy(
             own.address, own.zone, own.capacity, self._beat
         )
+        if found.keys() != self._counted:
+            # Others may have started or stopped together with these.
+            self._counted = frozenset(found)
+            self.request_count()
         self._on_count(found)
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -215,6 +215,14 @@
         await self.background.close()
         await self.fleet.close()
 
+    async def kill(self) -> None:
+        """Stops everything that the proxy runs, without any notice."""
+        self.server.stop_listening()
+        self.links.close()
+        self.statements.close()
+        await self.background.close()
+        await self.fleet.close()
+
     def registered(self) -> registration.RegisteredProxy:
         """Returns the proxy as its object in a store would describe it."""
         address = f"127.0.0.1:{self.statements.port}"
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -23,6 +23,11 @@
 _EXPIRY_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which expired entries and unused groups are removed."""
 
+_COUNT_TIMEOUT = datetime.timedelta(milliseconds=500)
+"""Time after the first configuration until which a registry with a plan waits
+for the first count of the proxies. If a whole fleet starts at once and each
+proxy opens all groups meanwhile, the databases run out of connections."""
+
 _DEFAULT_TRANSACTION_IDLE = datetime.timedelta(seconds=3)
 """Idle limit of transactions before a configuration is received."""
 
@@ -67,6 +72,7 @@
         self._clock = clock
         self._journal = journal
         self._catalog: catalogs.Catalog | None = None
+        self._plan_awaited_until: datetime.datetime | None = None
         self._configured = asyncio.Event()
         self._listing = members.Listing()
         self._list_received = False
@@ -102,8 +108,16 @@
         """
         if self._catalog is None or not self._list_received:
             return False
+        if self._awaits_plan:
+            return False
         return all(group.rounds for group in self._groups.values())
 
+    @property
+    def _awaits_plan(self) -> bool:
+        """Whether it is still unknown which groups this proxy serves."""
+        until = self._plan_awaited_until
+        return until is not None and self._clock.now() < until
+
     def __repr__(self) -> str:
         return (
             f"GroupRegistry(version={self.version}, groups={len(self._groups)})"
@@ -163,9 +177,12 @@
         """Activates a configuration if it is newer than the active one."""
         if catalog.version <= self.version:
             return
-        self._catalog = catalog
         if self._plan is not None:
+            if self._catalog is None and self._proxies is None:
+                now = self._clock.now()
+                self._plan_awaited_until = now + _COUNT_TIMEOUT
             self._plan.set_catalog(catalog)
+        self._catalog = catalog
         self._configured.set()
         for name, terms in catalog.services.items():
             if name in self._groups:
@@ -195,6 +212,7 @@
         """Sets the names of the proxies that share the databases."""
         self._lease.set_proxies(live)
         self._proxies = live
+        self._plan_awaited_until = None
         if self._catalog is not None:
             self._apply_plan(self._catalog)
 
@@ -213,6 +231,8 @@
         It isn't if other proxies serve it, or there are too many groups.
         """
         catalog = self._catalog
+        if self._awaits_plan:
+            return False
         if catalog is None or len(catalog.services) > _MAX_MONITORED_GROUPS:
             return False
         return self._plan is None or self._plan.serves(service)
@@ -267,13 +287,25 @@
             now = self._clock.now()
             if not self._store_lost:
                 self._update_groups(self._listing.expire(now))
+            self._end_wait_for_plan(now)
             self._close_unused(now)
 
+    def _end_wait_for_plan(self, now: datetime.datetime) -> None:
+        """Opens all groups if the proxies were not counted in time."""
+        until = self._plan_awaited_until
+        if until is not None and now >= until and self._catalog is not None:
+            self._plan_awaited_until = None
+            self._apply_plan(self._catalog)
+
     def _close_unused(self, now: datetime.datetime) -> None:
-        """Closes groups that no caller used recently."""
+        """Closes groups that no caller used recently.
+
+        One that no caller used is closed at once: another proxy turned out to
+        serve it.
+        """
         for name, group in tuple(self._groups.items()):
-            if self._is_monitored(name):
+            if self._is_monitored(name) or group.busy:
                 continue
-            since = self._last_used.setdefault(name, now)
-            if now - since >= _UNUSED_TIMEOUT and not group.busy:
+            since = self._last_used.get(name)
+            if since is None or now - since >= _UNUSED_TIMEOUT:
                 self._close_group(name)
