Test statements between proxies; greet on a new link

A gateway sends no statement before the serving proxy has accepted the link: a process that listened at another one's former address closed it, which left a write in doubt.

--- a/hickorygate/proxies/statement_codec.py
+++ b/hickorygate/proxies/statement_codec.py
@@ -78,7 +78,7 @@
 _NO_FIELDS = pydantic.TypeAdapter(tuple[()])
 
 _READ, _WRITE, _EXECUTE, _COMMIT, _ROLLBACK = range(5)
-_HELLO, _RUN, _ABORT, _PING, _REPLY, _PONG, _LEAVING = range(7)
+_HELLO, _WELCOME, _RUN, _ABORT, _PING, _REPLY, _PONG, _LEAVING = range(8)
 
 _STATES = tuple(replies.TransactionState)
 _STATE_NUMBERS = {state: number for number, state in enumerate(_STATES)}
@@ -188,6 +188,11 @@
     return [_HELLO, _PROTOCOL_VERSION, *names]
 
 
+@_fields.register
+def _(message: messages.Welcome) -> list[Any]:
+    return [_WELCOME]
+
+
 @_fields.register
 def _(message: messages.RunStatement) -> list[Any]:
     prepared = message.prepared
@@ -305,6 +310,11 @@
     return messages.Hello(_to_text(gateway), _to_text(server))
 
 
+def _decode_welcome(fields: list[Any]) -> messages.Welcome:
+    _NO_FIELDS.validate_python(fields)
+    return messages.Welcome()
+
+
 def _decode_run(fields: list[Any]) -> messages.RunStatement:
     found = _RUN_FIELDS.validate_python(fields)
     operation, prepared = _decode_operation(found[4]), found[5]
@@ -366,6 +376,7 @@
 
 _DECODERS = {
     _HELLO: _decode_hello,
+    _WELCOME: _decode_welcome,
     _RUN: _decode_run,
     _ABORT: _decode_abort,
     _PING: _decode_ping,
--- a/hickorygate/proxies/statement_link.py
+++ b/hickorygate/proxies/statement_link.py
@@ -98,6 +98,7 @@
         self._writer: frame_writer.FrameWriter | None = None
         self._closed = False
         self._used = clock.now()
+        self._welcomed: asyncio.Future[bool] | None = None
 
     @property
     def server(self) -> types.ProxyName:
@@ -157,9 +158,15 @@
         self._numbers += 1
         return self._numbers
 
-    def greet(self, gateway: types.ProxyName) -> None:
-        """Sends the first message."""
+    async def greet(self, gateway: types.ProxyName) -> bool:
+        """Sends the first message and waits for the answer.
+
+        Returns:
+          Whether the proxy accepts the link.
+        """
+        self._welcomed = asyncio.get_running_loop().create_future()
         self._send(messages.Hello(gateway, self._server))
+        return await self._welcomed
 
     def run(
         self,
@@ -210,6 +217,11 @@
         if outstanding is not None:
             outstanding.end(reply)
 
+    def receive_welcome(self) -> None:
+        """Records that the proxy accepts the link."""
+        if self._welcomed is not None and not self._welcomed.done():
+            self._welcomed.set_result(True)
+
     def receive_pong(self, number: int) -> None:
         """Records the answer to a ping."""
         self._state.pong_received(number, self._clock.now())
@@ -247,6 +259,9 @@
         if self._closed:
             return
         self._closed = True
+        if self._welcomed is not None and not self._welcomed.done():
+            self._welcomed.set_result(False)
+            reason = ""  # Reported as a link that could not be opened.
         if reason and (self._outstanding or not self._state.leaving):
             self._listener.link_lost(
                 self._server, reason, len(self._outstanding)
@@ -303,6 +318,11 @@
     connection.receive_reply(message)
 
 
+@_handle.register
+def _(message: messages.Welcome, connection: StatementConnection) -> None:
+    connection.receive_welcome()
+
+
 @_handle.register
 def _(message: messages.Pong, connection: StatementConnection) -> None:
     connection.receive_pong(message.number)
@@ -406,11 +426,14 @@
                 await loop.create_connection(
                     lambda: connection, host, int(port)
                 )
+                accepted = await connection.greet(self._gateway)
         except (OSError, TimeoutError, ValueError):
+            accepted = False
+        if not accepted:
+            connection.close("")
             self._state.opening_failed(self._clock.now())
             self._listener.link_refused(self._server)
             return None
         self._state.opened(self._clock.now())
-        connection.greet(self._gateway)
         self._connection = connection
         return connection
--- a/hickorygate/proxies/statement_messages.py
+++ b/hickorygate/proxies/statement_messages.py
@@ -27,6 +27,7 @@
     "StatementReply",
     "TransactionStart",
     "Verdict",
+    "Welcome",
 ]
 
 SINGLE_STATEMENT = 0
@@ -74,6 +75,15 @@
     server: types.ProxyName
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Welcome(LinkMessage):
+    """The serving proxy accepts a link.
+
+    The gateway sends no statement before, so that none is in doubt because
+    another proxy, or one that hangs, has accepted the connection.
+    """
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunStatement(LinkMessage):
     """A statement that the serving proxy shall run.
--- a/hickorygate/proxies/statement_server.py
+++ b/hickorygate/proxies/statement_server.py
@@ -169,6 +169,7 @@
             self.close()
             return
         self._gateway = message.gateway
+        self.send(messages.Welcome())
         if self._server.leaving:
             self.send(messages.Leaving())
 
--- a/hickorygate/tests/test_statement_codec.py
+++ b/hickorygate/tests/test_statement_codec.py
@@ -58,6 +58,7 @@
     messages.Ping(1),
     messages.Pong(1),
     messages.Leaving(),
+    messages.Welcome(),
     messages.StatementReply(1, messages.Verdict.OUTDATED, version=4),
     messages.StatementReply(
         number=1,
