--- a/hickorygate/callers/forwarded_statements.py
+++ b/hickorygate/callers/forwarded_statements.py
@@ -88,7 +88,11 @@
             call,
             self._route.service,
         )
-        return await connection.run(message, call.deadline, self._writes)
+        call.in_flight = True
+        try:
+            return await connection.run(message, call.deadline, self._writes)
+        finally:
+            call.in_flight = False
 
     def _may_repeat(self) -> bool:
         """Returns whether time and the retry budget allow another attempt."""
--- a/hickorygate/callers/forwarded_transactions.py
+++ b/hickorygate/callers/forwarded_transactions.py
@@ -132,9 +132,13 @@
             remote.number,
             start,
         )
-        return await remote.connection.run(
-            message, call.deadline, waits=self._commits
-        )
+        call.in_flight = True
+        try:
+            return await remote.connection.run(
+                message, call.deadline, waits=self._commits
+            )
+        finally:
+            call.in_flight = False
 
     def _may_repeat(self) -> bool:
         """Returns whether the first statement may be sent to another proxy.
--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -54,7 +54,7 @@
 
 
 NOT_SERVING = ProxyDescription()
-"""The description of a proxy that runs no statements of others."""
+"""Description of a proxy that serves no statements of other proxies."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
