--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -143,6 +143,7 @@
         # former process of this name left behind.
         self._beat = rng.getrandbits(40)
         self._early = asyncio.Event()
+        self._counted: frozenset[types.ProxyName] = frozenset()
 
     def __repr__(self) -> str:
         return f"ProxyRegistration({self._name!r}, {self._proxy_counter!r})"
@@ -234,4 +235,8 @@
         found[self._name] = RegisteredProxy(
             own.address, own.zone, own.capacity, self._beat
         )
+        if found.keys() != self._counted:
+            # Others may have started or stopped together with these.
+            self._counted = frozenset(found)
+            self.request_count()
         self._on_count(found)
