Recall statements of revoked sessions from serving proxies

A statement in the queue of a serving proxy ran although its caller's key had been revoked meanwhile. The gateway now recalls it, and a serving proxy checks the workspace of each session against its own configuration.

--- a/hickorygate/callers/caller_session.py
+++ b/hickorygate/callers/caller_session.py
@@ -136,10 +136,7 @@
         call = caller_session_state.CallerRequest(
             query, now, deadline, workspace=self._state.workspace
         )
-        if self._revoked is None:
-            reply = await self.process(operation, call)
-        else:
-            reply = self.reply(expression.Error(self._revoked))
+        reply = await self.process(operation, call)
         self._record_end(operation, call, reply)
         return reply
 
@@ -157,6 +154,9 @@
           operation: operation to run.
           call: request of the operation; its attributes are updated.
         """
+        self.check_access()
+        if self._revoked is not None:
+            return self.reply(expression.Error(self._revoked))
         reply = await self._run_unless_interrupted(operation, call)
         if self._state.transaction is not None:
             self._state.transaction.last_active = self.now()
@@ -192,7 +192,7 @@
         if self._task is None:
             self.close()
         else:
-            self._interrupt(rejection)
+            self.interrupt(rejection)
 
     def _change_workspace(self, workspace: types.WorkspaceName) -> None:
         """Continues the session for another workspace."""
@@ -202,24 +202,27 @@
         else:
             reason = replies.RejectionReason.BUSY
             detail = "the workspace of the key changed; retry"
-            self._interrupt(replies.Rejection(reason, detail))
+            self.interrupt(replies.Rejection(reason, detail))
 
     def _abort_foreign_transaction(self) -> None:
         """Aborts a transaction on a connection of another workspace."""
         transaction = self._state.transaction
-        held = transaction.pooled_connection if transaction else None
+        held = transaction.holder if transaction else None
         if held is not None and held.workspace != self._state.workspace:
             self.abort_open_transaction()
 
-    def _interrupt(self, rejection: replies.Rejection) -> None:
-        """Ends the running operation unless its statement is in flight."""
-        assert self._task is not None and self._call is not None, (
-            "no operation runs"
-        )
-        if self._call.in_flight or self._interruption is not None:
+    def interrupt(self, rejection: replies.Rejection) -> None:
+        """Ends the running operation unless its statement is in flight.
+
+        A statement at a serving proxy ends there unless it is in flight.
+        """
+        if self._task is None or self._call is None:
             return
-        self._interruption = rejection
-        self._task.cancel()
+        if self._call.recall is not None:
+            self._call.recall(rejection)
+        elif not self._call.in_flight and self._interruption is None:
+            self._interruption = rejection
+            self._task.cancel()
 
     async def _run_unless_interrupted(
         self,
--- a/hickorygate/callers/caller_session_state.py
+++ b/hickorygate/callers/caller_session_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 import datetime
 from typing import Protocol
@@ -9,6 +10,7 @@
 from hickorygate.core import catalog
 from hickorygate.core import operation
 from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
 from hickorygate.core import types
 from hickorygate.core import workspace as workspaces
 from hickorygate.upstreams import group_state
@@ -25,6 +27,10 @@
 class RemoteTransaction(Protocol):
     """A transaction that is open at a serving proxy."""
 
+    @property
+    def workspace(self) -> types.WorkspaceName:
+        """Workspace that the transaction runs for; empty for none."""
+
     def abort(self) -> None:
         """Makes the proxy roll it back, without waiting for that."""
 
@@ -45,6 +51,8 @@
       workspace: workspace of the caller; empty if it has none.
       in_flight: whether the statement was sent to a database and its answer
         isn't decided yet.
+      recall: asks the serving proxy that the statement was sent to not to run
+        it any more; None if there is none.
     """
 
     id: str
@@ -55,6 +63,7 @@
     tries: int = 0
     workspace: types.WorkspaceName = ""
     in_flight: bool = False
+    recall: Callable[[replies.Rejection], None] | None = None
 
 
 @dataclasses.dataclass(slots=True)
@@ -96,7 +105,14 @@
     @property
     def has_started(self) -> bool:
         """Whether it is open at a database, here or at a serving proxy."""
-        return self.pooled_connection is not None or self.remote is not None
+        return self.holder is not None
+
+    @property
+    def holder(
+        self,
+    ) -> pooled_connections.PooledConnection | RemoteTransaction | None:
+        """Connection or transaction at a serving proxy that runs it."""
+        return self.pooled_connection or self.remote
 
 
 @dataclasses.dataclass(slots=True)
--- a/hickorygate/callers/forwarded_statements.py
+++ b/hickorygate/callers/forwarded_statements.py
@@ -88,11 +88,11 @@
             call,
             self._route.service,
         )
-        call.in_flight = True
+        call.recall = functools.partial(connection.recall, message.number)
         try:
             return await connection.run(message, call.deadline, self._writes)
         finally:
-            call.in_flight = False
+            call.recall = None
 
     def _may_repeat(self) -> bool:
         """Returns whether time and the retry budget allow another attempt."""
--- a/hickorygate/callers/forwarded_transactions.py
+++ b/hickorygate/callers/forwarded_transactions.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 from typing import TYPE_CHECKING
 
 import expression
@@ -18,6 +19,7 @@
 from hickorygate.core import errors
 from hickorygate.core import operation as operations
 from hickorygate.core import reply as replies
+from hickorygate.core import types
 from hickorygate.proxies import statement_link
 from hickorygate.proxies import statement_messages as messages
 
@@ -38,10 +40,12 @@
     Attributes:
       connection: connection over which all its statements are sent.
       number: its number on that connection.
+      workspace: workspace that it runs for; empty for none.
     """
 
     connection: statement_link.StatementConnection
     number: int
+    workspace: types.WorkspaceName
 
     def abort(self) -> None:
         """Makes the proxy roll it back, without waiting for that."""
@@ -104,7 +108,9 @@
         )
         connection = await search.next()
         while connection is not None:
-            remote = _RemoteTransaction(connection, connection.next_number())
+            remote = _RemoteTransaction(
+                connection, connection.next_number(), self._call.workspace
+            )
             self._transaction.remote = remote
             answered = await self._send(remote, start)
             if not serving.is_not_run(answered):
@@ -132,13 +138,15 @@
             remote.number,
             start,
         )
-        call.in_flight = True
+        call.recall = functools.partial(
+            remote.connection.recall, message.number
+        )
         try:
             return await remote.connection.run(
                 message, call.deadline, waits=self._commits
             )
         finally:
-            call.in_flight = False
+            call.recall = None
 
     def _may_repeat(self) -> bool:
         """Returns whether the first statement may be sent to another proxy.
--- a/hickorygate/proxies/statement_codec.py
+++ b/hickorygate/proxies/statement_codec.py
@@ -74,11 +74,14 @@
     ]
 )
 _HELLO_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Text, _Text])
+_RECALL_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Number, _Text])
 _NUMBER_FIELDS = pydantic.TypeAdapter(tuple[_Number])
 _NO_FIELDS = pydantic.TypeAdapter(tuple[()])
 
 _READ, _WRITE, _EXECUTE, _COMMIT, _ROLLBACK = range(5)
-_HELLO, _WELCOME, _RUN, _ABORT, _PING, _REPLY, _PONG, _LEAVING = range(8)
+_HELLO, _WELCOME, _RUN, _ABORT, _PING, _REPLY, _PONG, _LEAVING, _RECALL = range(
+    9
+)
 
 _STATES = tuple(replies.TransactionState)
 _STATE_NUMBERS = {state: number for number, state in enumerate(_STATES)}
@@ -219,6 +222,12 @@
     return [_ABORT, message.transaction]
 
 
+@_fields.register
+def _(message: messages.RecallStatement) -> list[Any]:
+    reason = _REASON_NUMBERS[message.reason]
+    return [_RECALL, message.number, reason, _to_bytes(message.detail)]
+
+
 @_fields.register
 def _(message: messages.Ping) -> list[Any]:
     return [_PING, message.number]
@@ -342,6 +351,14 @@
     return messages.AbortTransaction(*_NUMBER_FIELDS.validate_python(fields))
 
 
+def _decode_recall(fields: list[Any]) -> messages.RecallStatement:
+    number, reason, detail = _RECALL_FIELDS.validate_python(fields)
+    found = _REASONS[reason]
+    if found is None:
+        raise ValueError("a rejection needs a reason")
+    return messages.RecallStatement(number, found, _to_text(detail))
+
+
 def _decode_ping(fields: list[Any]) -> messages.Ping:
     return messages.Ping(*_NUMBER_FIELDS.validate_python(fields))
 
@@ -379,6 +396,7 @@
     _WELCOME: _decode_welcome,
     _RUN: _decode_run,
     _ABORT: _decode_abort,
+    _RECALL: _decode_recall,
     _PING: _decode_ping,
     _REPLY: _decode_reply,
     _PONG: _decode_pong,
--- a/hickorygate/proxies/statement_link.py
+++ b/hickorygate/proxies/statement_link.py
@@ -15,6 +15,7 @@
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import reply as replies
 from hickorygate.core import types
 from hickorygate.platform import sockets
 from hickorygate.proxies import frame_writer
@@ -209,6 +210,15 @@
             self._transactions.discard(transaction)
             self._send(messages.AbortTransaction(transaction))
 
+    def recall(self, number: int, rejection: replies.Rejection) -> None:
+        """Makes the proxy reject a statement that it has not sent yet."""
+        if number in self._outstanding:
+            self._send(
+                messages.RecallStatement(
+                    number, rejection.reason, rejection.detail
+                )
+            )
+
     def receive_reply(self, reply: messages.StatementReply) -> None:
         """Passes a reply on; one that nobody waits for is ignored."""
         outstanding = self._outstanding.pop(reply.number, None)
--- a/hickorygate/proxies/statement_messages.py
+++ b/hickorygate/proxies/statement_messages.py
@@ -23,6 +23,7 @@
     "LinkMessage",
     "Ping",
     "Pong",
+    "RecallStatement",
     "RunStatement",
     "StatementReply",
     "TransactionStart",
@@ -130,6 +131,21 @@
     transaction: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RecallStatement(LinkMessage):
+    """Rejects a statement unless it was sent to a database already.
+
+    Attributes:
+      number: number of the statement, which gets a reply in any case.
+      reason: reason of the rejection.
+      detail: explanation of the rejection.
+    """
+
+    number: int
+    reason: replies.RejectionReason
+    detail: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ping(LinkMessage):
     """Asks for a `Pong` with the same number."""
--- a/hickorygate/proxies/statement_server.py
+++ b/hickorygate/proxies/statement_server.py
@@ -81,7 +81,7 @@
         self._gateway = ""
         self._opened = server.env.clock.now()
         self._transactions: dict[int, _ServedTransaction] = {}
-        self._running = 0
+        self._sessions: dict[int, caller_session.CallerSession] = {}
         self._paused = False
         self._unread = False
         self._closed = False
@@ -94,7 +94,7 @@
     @property
     def running(self) -> int:
         """Number of statements in progress."""
-        return self._running
+        return len(self._sessions)
 
     @property
     def transactions(self) -> int:
@@ -102,7 +102,7 @@
         return len(self._transactions)
 
     def __repr__(self) -> str:
-        return f"IncomingLink({self._gateway!r}, running={self._running})"
+        return f"IncomingLink({self._gateway!r}, running={self.running})"
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport; called by the event loop."""
@@ -193,6 +193,22 @@
         else:
             self._run_in(message, served)
 
+    def recall(self, message: messages.RecallStatement) -> None:
+        """Rejects a statement unless it was sent to a database already."""
+        session = self._sessions.get(message.number)
+        if session is not None:
+            # The task of a statement that was just received starts first.
+            asyncio.get_running_loop().call_soon(
+                session.interrupt,
+                replies.Rejection(message.reason, message.detail),
+            )
+
+    def check_access(self) -> None:
+        """Applies the configuration in force to all sessions."""
+        transactions = [t.session for t in self._transactions.values()]
+        for session in {*transactions, *self._sessions.values()}:
+            session.check_access()
+
     def abort_transaction(self, transaction: int) -> None:
         """Rolls a transaction back; a commit that runs is left to its end."""
         served = self._transactions.pop(transaction, None)
@@ -251,15 +267,18 @@
         session: caller_session.CallerSession,
         served: _ServedTransaction | None,
     ) -> None:
-        self._running += 1
-        if self._running >= _MAX_RUNNING:
+        if message.number in self._sessions:
+            self.close()
+            return
+        self._sessions[message.number] = session
+        if len(self._sessions) >= _MAX_RUNNING:
             self._adjust_reading()
         work = self._server.env.background.start(self._serve(message, session))
         if served is not None:
             served.work = work
             served.commits = isinstance(message.operation, operations.Commit)
         work.add_done_callback(
-            functools.partial(self._note_end, message.transaction, served)
+            functools.partial(self._note_end, message, served)
         )
 
     async def _serve(
@@ -274,7 +293,7 @@
 
     def _note_end(
         self,
-        number: int,
+        message: messages.RunStatement,
         served: _ServedTransaction | None,
         work: asyncio.Task[None],
     ) -> None:
@@ -282,7 +301,7 @@
 
         Closes the link after a fault of this proxy, which sent no reply.
         """
-        self._running -= 1
+        del self._sessions[message.number]
         if self._paused:
             self._adjust_reading()
         if served is not None:
@@ -290,7 +309,7 @@
             if served.ended:
                 served.session.close()
             elif served.session.state.transaction is None:
-                self._transactions.pop(number, None)
+                self._transactions.pop(message.transaction, None)
         if not work.cancelled() and work.exception() is not None:
             self.close()
 
@@ -300,7 +319,7 @@
         self.send(dataclasses.replace(reply, version=version))
 
     def _adjust_reading(self) -> None:
-        wanted = self._unread or self._running >= _MAX_RUNNING
+        wanted = self._unread or len(self._sessions) >= _MAX_RUNNING
         transport = self._transport
         if wanted == self._paused or transport is None:
             return
@@ -334,6 +353,11 @@
     link.abort_transaction(message.transaction)
 
 
+@_handle.register
+def _(message: messages.RecallStatement, link: IncomingLink) -> None:
+    link.recall(message)
+
+
 @_handle.register
 def _(message: messages.Ping, link: IncomingLink) -> None:
     link.send(messages.Pong(message.number))
@@ -481,6 +505,7 @@
         Raises:
           OSError: no port is free.
         """
+        self._env.fleet.subscribe(self._check_access)
         loop = asyncio.get_running_loop()
         failure = OSError("no port is configured")
         for port in ports:
@@ -580,6 +605,11 @@
         """Forgets a link."""
         self._links.discard(link)
 
+    def _check_access(self) -> None:
+        """Ends what the configuration in force doesn't allow."""
+        for link in tuple(self._links):
+            link.check_access()
+
     def _accept(self) -> IncomingLink:
         link = IncomingLink(self)
         self._links.add(link)
--- a/hickorygate/tests/test_statement_codec.py
+++ b/hickorygate/tests/test_statement_codec.py
@@ -55,6 +55,9 @@
         operations.PreparedStatement(True, "q1"),
     ),
     messages.AbortTransaction(3),
+    messages.RecallStatement(
+        2, replies.RejectionReason.ACCESS_DENIED, _NOT_UTF_8
+    ),
     messages.Ping(1),
     messages.Pong(1),
     messages.Leaving(),
