--- a/hickorygate/tests/test_serving_proxies.py
+++ b/hickorygate/tests/test_serving_proxies.py
@@ -8,10 +8,12 @@
 
 import asyncio
 import collections
+import dataclasses
 import datetime
 import struct
 
 from hickorygate.core import platform_events
+from hickorygate.core import workspace
 from hickorygate.proxies import statement_server
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
@@ -293,6 +295,77 @@
         self.assertEqual(self.served(), [0, 0])
 
 
+class RevocationTest(virtual_time.VirtualTimeTestCase):
+    """A key that is removed while statements wait at a serving proxy."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        # One slot, so that statements wait in the serving proxy.
+        work = line_group.Capacity(1, datetime.timedelta(milliseconds=200))
+        self.cluster = await self.enterAsyncContext(
+            line_cluster.LineCluster(
+                proxies=4,
+                clock=virtual_time.LoopClock(asyncio.get_running_loop()),
+                work=work,
+            )
+        )
+        self.configure(2, "someone", "other")
+        self.cluster.count_proxies()
+        candidates = self.cluster.proxies[0].plan.candidates(_SERVICE, "w1")
+        names = [proxy.name for proxy in self.cluster.proxies]
+        (self.number,) = set(range(4)) - {names.index(n) for n in candidates}
+        self.server = self.cluster.proxies[names.index(candidates[0])]
+
+    def configure(self, version: int, *keys: str) -> None:
+        """Applies a configuration in which all keys belong to one workspace."""
+        found = workspace.Workspace("w1")
+        catalog = dataclasses.replace(
+            line_cluster.make_catalog(version),
+            workspaces={"w1": found},
+            keys=workspace.KeyRing(
+                {workspace.Credential.of(key): found for key in keys}
+            ),
+        )
+        for proxy in self.cluster.proxies:
+            proxy.fleet.apply(catalog)
+
+    async def test_waiting_statements_are_rejected(self) -> None:
+        clients = [
+            await self.cluster.connect(line_cluster.PRIMARY_DB, self.number)
+            for _ in range(6)
+        ]
+        writing = [
+            asyncio.create_task(client.query(f"WRITE k{number} 1"))
+            for number, client in enumerate(clients)
+        ]
+        await asyncio.sleep(_MIDDLE)
+        self.assertEqual(
+            sum(link.running for link in self.server.statements.links), 6
+        )
+        self.configure(3, "other")
+        codes = collections.Counter(
+            _code(received) for received in await asyncio.gather(*writing)
+        )
+        ran = {
+            text
+            for database in self.cluster.group.databases.values()
+            for _, text in database.ran
+        }
+        self.assertEqual(codes["ok"], len(ran))
+        self.assertGreater(codes["AUTHFAIL"], 0)
+        self.assertEqual(codes["ok"] + codes["AUTHFAIL"], 6)
+
+    async def test_an_open_transaction_is_rolled_back(self) -> None:
+        client = await self.cluster.connect(
+            line_cluster.PRIMARY_DB, self.number
+        )
+        await client.query("BEGIN")
+        await client.query("WRITE x 1")
+        self.assertTrue(self.server.statements.busy)
+        self.configure(3, "other")
+        await asyncio.sleep(1)
+        self.assertFalse(self.server.statements.busy)
+
+
 class LossTest(ServingTestCase):
     """Servers that are lost while a statement is outstanding."""
 
