--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -12,6 +12,9 @@
 
 from hickorygate.core import events
 from hickorygate.core import platform_events
+from hickorygate.operators import serving_metrics
+from hickorygate.proxies import serving_links
+from hickorygate.proxies import statement_server
 from hickorygate.upstreams import group_registry
 
 __all__ = ["EventStatistics", "render"]
@@ -32,6 +35,7 @@
         )
         self._latency: dict[str, histogram.Histogram] = {}
         self._served: collections.Counter[str] = collections.Counter()
+        self._forwarded: collections.Counter[str] = collections.Counter()
         self._events: collections.Counter[str] = collections.Counter()
 
     @property
@@ -49,6 +53,11 @@
         """Number of requests by the database of the last attempt."""
         return self._served
 
+    @property
+    def forwarded(self) -> collections.Counter[str]:
+        """Number of requests sent to serving proxies, by outcome."""
+        return self._forwarded
+
     @property
     def events(self) -> collections.Counter[str]:
         """Number of events by class name."""
@@ -60,6 +69,8 @@
     def record(self, event: events.Event) -> None:
         """Adds an event to the sums."""
         self._events[type(event).__name__] += 1
+        if isinstance(event, platform_events.StatementForwarded):
+            self._forwarded[event.outcome] += 1
         if not isinstance(event, platform_events.RequestEnded):
             return
         self._outcomes[event.kind, event.outcome] += 1
@@ -74,6 +85,8 @@
     fleet: group_registry.GroupRegistry,
     callers: int,
     store_calls: int,
+    links: serving_links.ServingLinks,
+    server: statement_server.StatementServer,
 ) -> bytes:
     """Renders all metrics in Prometheus text format.
 
@@ -82,6 +95,8 @@
       fleet: registry of the databases that this proxy knows.
       callers: number of connected callers.
       store_calls: number of calls to the platform since the start.
+      links: links to serving proxies.
+      server: listener for other proxies.
     """
     registry = aioprometheus.Registry()
 
@@ -170,6 +185,16 @@
         "Calls to the platform since the start.",
         iter([({}, float(store_calls))]),
     )
+    show(
+        aioprometheus.Counter,
+        "statements_forwarded_total",
+        "Requests sent to serving proxies, by outcome.",
+        (
+            ({"outcome": outcome}, float(count))
+            for outcome, count in statistics.forwarded.items()
+        ),
+    )
+    serving_metrics.show(show, links, server)
     content, _ = aioprometheus.render(registry, ())
     return content
 
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -277,6 +277,16 @@
         self._shutdown: shutdowns.ShutdownSchedule | None = None
         self._finished = asyncio.Event()
 
+    @property
+    def plan(self) -> serving_plan.ServingPlan:
+        """Which proxies serve which statements."""
+        return self._plan
+
+    @property
+    def statements(self) -> statement_server.StatementServer:
+        """Listener for the statements of other proxies."""
+        return self._statements
+
     def __repr__(self) -> str:
         return f"Process({self._settings.name!r})"
 
@@ -493,4 +503,6 @@
             self._registry,
             len(self._line_server.callers),
             self._store.calls,
+            self._links,
+            self._statements,
         )
