Decide which share of a rate limit a proxy may use

Each holder lends its shares to the serving proxies as leases; no share is used twice, whatever is delayed.

--- a/hickorygate/callers/error_replies.py
+++ b/hickorygate/callers/error_replies.py
@@ -178,6 +178,7 @@
 
 @error_code.register(errors.DeadlinePassed)
 @error_code.register(errors.Overloaded)
+@error_code.register(errors.RateLimited)
 @error_code.register(pool_errors.ConnectionLimit)
 @error_code.register(pool_errors.DatabaseLeft)
 @error_code.register(pool_errors.TransactionIdle)
--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -8,9 +8,11 @@
 from typing import Protocol
 
 from hickorygate.callers import shutdown
+from hickorygate.callers import workspace_limits
 from hickorygate.core import background
 from hickorygate.core import catalog
 from hickorygate.core import clock as clocks
+from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import retry
 from hickorygate.core import types
@@ -62,6 +64,7 @@
       retries: budget that bounds retries to a share of the requests.
       background: owner of the tasks that outlive a request.
       shutdown: limits that a shutdown of the process sets.
+      limits: rate limits of the workspaces; None if there are none.
     """
 
     fleet: ServiceGroups
@@ -74,3 +77,16 @@
     shutdown: shutdown.ShutdownNotice = dataclasses.field(
         default_factory=shutdown.ShutdownNotice
     )
+    limits: workspace_limits.WorkspaceLimits | None = None
+
+    def admit(
+        self, workspace: types.WorkspaceName, now: datetime.datetime
+    ) -> errors.RateLimited | None:
+        """Counts an operation that needs a database.
+
+        Returns:
+          The failure if its workspace is over its rate limit, otherwise None.
+        """
+        if self.limits is None:
+            return None
+        return self.limits.admit(workspace, now)
--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -328,6 +328,9 @@
     if group is None:
         failure = errors.NoPrimary(route.service)
         return session.reply(expression.Error(failure))
+    refused = session.env.admit(call.workspace, session.now())
+    if refused is not None:
+        return session.reply(expression.Error(refused))
     statement = statement_io.statement(operation, session.state)
     runner = _StatementRunner(session, group, route, call, statement)
     return await (runner.write() if statement.writes else runner.read())
--- a/hickorygate/callers/transaction_opening.py
+++ b/hickorygate/callers/transaction_opening.py
@@ -57,8 +57,12 @@
         """Opens the transaction; retries after a failure.
 
         A read-only transaction is retried at another database if one is
-        usable, any other transaction at the primary.
+        usable, any other transaction at the primary. The transaction counts as
+        one operation of its workspace.
         """
+        refused = self._env.admit(self._call.workspace, self._session.now())
+        if refused is not None:
+            return refused
         excluded: set[member.MemberId] = set()
         number = 1
         while True:
--- a/hickorygate/core/errors.py
+++ b/hickorygate/core/errors.py
@@ -11,6 +11,7 @@
 import dataclasses
 import datetime
 import enum
+import math
 
 from hickorygate.core import types
 
@@ -37,6 +38,7 @@
     "Outcome",
     "Overloaded",
     "FileProblem",
+    "RateLimited",
     "ReplicationUnconfirmed",
     "SheetConflict",
     "SessionRefused",
@@ -49,6 +51,8 @@
     "UpstreamError",
 ]
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+
 
 class Outcome(enum.Enum):
     """Whether a failed request ran."""
@@ -283,6 +287,28 @@
         return f"rank {self.rank!r} is overloaded; retry after {wait:.3f} s"
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RateLimited(Failure):
+    """The caller's workspace has reached its rate limit.
+
+    Attributes:
+      workspace: workspace of the caller.
+      retry_after: time after which a retry is worthwhile.
+    """
+
+    workspace: types.WorkspaceName
+    retry_after: datetime.timedelta
+
+    @property
+    def message(self) -> str:
+        """Human-readable message."""
+        milliseconds = math.ceil(self.retry_after / _MILLISECOND)
+        return (
+            f"workspace {self.workspace!r} is over its rate limit; "
+            f"retry after {milliseconds} ms"
+        )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class DeadlinePassed(Failure):
     """The request waited past its deadline and was never sent.
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -36,6 +36,8 @@
     "TakeoverEnded",
     "TakeoverStarted",
     "WatchFailed",
+    "WorkspaceLimited",
+    "WorkspaceUnlimited",
 ]
 
 
@@ -121,6 +123,32 @@
     unread: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceLimited(events.Event):
+    """This proxy begins to refuse a workspace's operations beyond its limit.
+
+    Attributes:
+      workspace: name of the workspace.
+      share: share of the limit that this proxy may use, 0 to 1.
+    """
+
+    workspace: types.WorkspaceName
+    share: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkspaceUnlimited(events.Event):
+    """This proxy has refused none of a workspace's operations for a while.
+
+    Attributes:
+      workspace: name of the workspace.
+      refused: number of operations refused since `WorkspaceLimited`.
+    """
+
+    workspace: types.WorkspaceName
+    refused: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaderChanged(events.Event):
     """A group has a new primary, or its primary leads a new term.
--- a/hickorygate/core/rendezvous.py
+++ b/hickorygate/core/rendezvous.py
@@ -9,12 +9,17 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 
 import xxhash
 
 from hickorygate.core import types
 
-__all__ = ["owners", "owner_index"]
+__all__ = ["owners", "owner_index", "weighted_owners"]
+
+_HASHES = 2**64
+"""Number of values of a hash."""
 
 
 def owners(
@@ -34,6 +39,29 @@
     return tuple(sorted(candidates, key=weight, reverse=True)[:count])
 
 
+def weighted_owners(
+    key: str, weights: Mapping[types.ProxyName, float], count: int
+) -> tuple[types.ProxyName, ...]:
+    """Returns the owners of a key, best first, by the weight of each proxy.
+
+    A proxy is the first owner of a share of the keys that is proportional to
+    its weight. Proxies without a positive weight own nothing. Source:
+    Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", 2005.
+
+    Args:
+      key: the key.
+      weights: weight of each candidate.
+      count: maximum number of owners.
+    """
+
+    def score(name: types.ProxyName) -> tuple[float, types.ProxyName]:
+        uniform = (_weight(key, name)[0] + 0.5) / _HASHES
+        return -weights[name] / math.log(min(uniform, 1 - 2**-53)), name
+
+    usable = (name for name, weight in weights.items() if weight > 0)
+    return tuple(sorted(usable, key=score, reverse=True)[:count])
+
+
 def owner_index(
     key: str, proxy: types.ProxyName, live: Iterable[types.ProxyName]
 ) -> int:
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -14,12 +14,15 @@
 
 from hickorygate.callers import session_context
 from hickorygate.callers import shutdown as shutdowns
+from hickorygate.callers import workspace_limits
 from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
+from hickorygate.core import fleet_view
 from hickorygate.core import platform_events
 from hickorygate.core import retry
+from hickorygate.core import types
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
 from hickorygate.operators import unexpected_errors
@@ -226,14 +229,23 @@
             database.DatabaseConnector(), self._lease, clock, self._journal
         )
         self._background = background.BackgroundTasks()
+        rng = random.Random()
+        self._limits = workspace_limits.WorkspaceLimits(
+            settings.name,
+            lambda: self._registry.workspaces,
+            self._journal,
+            rng,
+            clock.now(),
+        )
         self._env = session_context.SessionContext(
             fleet=self._registry,
             clock=clock,
             zone=settings.zone,
-            rng=random.Random(),
+            rng=rng,
             journal=self._journal,
             retries=retry.RetryBudget(share=1.0, limit=100.0),
             background=self._background,
+            limits=self._limits,
         )
         self._line_server = line_server.LineServer(self._env)
         self._registration = registration.ProxyRegistration(
@@ -241,7 +253,7 @@
             self._store,
             clock,
             self._env.rng,
-            self._registry.set_proxies,
+            self._set_proxies,
         )
         self._probe = management_server.ManagementServer(
             self.ready, self._render_metrics
@@ -312,6 +324,15 @@
                     platform_events.SettingsReloaded(failure.message)
                 )
 
+    def _set_proxies(self, live: frozenset[types.ProxyName]) -> None:
+        """Applies a new count of the proxies."""
+        self._registry.set_proxies(live)
+        fleet = fleet_view.Fleet(dict.fromkeys(live, 1.0))
+        self._limits.set_view(
+            fleet_view.FleetView(fleet, live - {self._settings.name}),
+            self._clock.now(),
+        )
+
     def _note_era(self, era: int) -> None:
         self._journal.record(platform_events.StoreEraChanged(era))
         self._lease.note_era(era)
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 from collections.abc import Sequence
 import datetime
 
@@ -12,6 +13,7 @@
 from hickorygate.core import events
 from hickorygate.core import platform_events
 from hickorygate.core import types
+from hickorygate.core import workspace as workspaces
 from hickorygate.upstreams import connection_share
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import group_monitor
@@ -76,6 +78,13 @@
             return _DEFAULT_TRANSACTION_IDLE
         return self._catalog.transaction_idle_timeout
 
+    @property
+    def workspaces(
+        self,
+    ) -> Mapping[types.WorkspaceName, workspaces.Workspace]:
+        """The workspaces of the active configuration, by name."""
+        return self._catalog.workspaces if self._catalog else {}
+
     @property
     def groups(self) -> dict[types.ServiceName, group_monitor.GroupMonitor]:
         """The monitored groups, by service."""
