Limit the rate of each workspace's operations

A proxy refuses an operation that needs a database, once its workspace is over the share of its limit that the proxy may use, before anything is sent. Until shares are lent over links, each proxy uses its own share only.

--- a/hickorygate/callers/workspace_limits.py
+++ b/hickorygate/callers/workspace_limits.py
@@ -12,6 +12,7 @@
 from collections.abc import Mapping
 import dataclasses
 import datetime
+import heapq
 import random
 
 from hickorygate.core import errors
@@ -23,7 +24,14 @@
 from hickorygate.core import types
 from hickorygate.core import workspace as workspaces
 
-__all__ = ["Usage", "WorkspaceLimits"]
+__all__ = ["OTHER", "Usage", "WorkspaceLimits"]
+
+OTHER = "other"
+"""Name under which metrics sum up all but the largest workspaces. A workspace
+of that name is summed up there too."""
+
+_NAMED_IN_METRICS = 20
+"""Maximum number of workspaces that metrics name."""
 
 _RESERVE = 4
 """Operations that each candidate for a workspace may run in a window in
@@ -170,6 +178,27 @@
     def __repr__(self) -> str:
         return f"WorkspaceLimits({self._name!r}, {len(self._states)} in use)"
 
+    def largest_usage(self) -> dict[types.WorkspaceName, Usage]:
+        """Returns the use of the largest workspaces, and of the others.
+
+        The largest ones are those with most operations since the start; the
+        sum of all others is named `OTHER`.
+        """
+        usage = self.usage
+        named = heapq.nlargest(
+            _NAMED_IN_METRICS,
+            usage.keys() - {OTHER},
+            key=lambda name: (usage[name].admitted + usage[name].refused, name),
+        )
+        shown = {name: usage.pop(name) for name in sorted(named)}
+        if usage:
+            shown[OTHER] = Usage(
+                0.0,
+                sum(used.admitted for used in usage.values()),
+                sum(used.refused for used in usage.values()),
+            )
+        return shown
+
     def set_view(
         self, view: fleet_view.FleetView, now: datetime.datetime
     ) -> None:
@@ -206,8 +235,13 @@
         self._note_refusal(state, now)
         return errors.RateLimited(workspace, self._retry_delay(state.bucket))
 
-    def report_quiet(self, now: datetime.datetime) -> None:
-        """Reports the workspaces that are no longer limited."""
+    def tick(self, now: datetime.datetime) -> None:
+        """Does the periodic work; its cost doesn't depend on the workspaces.
+
+        This proxy begins to use its own shares, and workspaces that are no
+        longer limited are reported.
+        """
+        self._renew_own(now)
         for name in tuple(self._limited):
             self._note_quiet(self._states[name], now)
 
--- a/hickorygate/core/limit_share.py
+++ b/hickorygate/core/limit_share.py
@@ -26,11 +26,21 @@
 from hickorygate.core import fleet_view
 from hickorygate.core import types
 
-__all__ = ["LEASE", "Lending", "FormerView", "LentRights", "RightsReceived"]
+__all__ = [
+    "LEASE",
+    "REQUEST_INTERVAL",
+    "FormerView",
+    "Lending",
+    "LentRights",
+    "RightsReceived",
+]
 
 LEASE = datetime.timedelta(seconds=1)
 """Time for which a share may be used after the request that asked for it."""
 
+REQUEST_INTERVAL = datetime.timedelta(milliseconds=300)
+"""Time between two requests to a holder; a lease survives the loss of two."""
+
 _MAX_FORMER_VIEWS = 4
 """Maximum number of former views in an answer. A holder whose view changes more
 often lends nothing until the leases under the oldest ones have ended."""
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -5,11 +5,13 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import datetime
 
 import aioprometheus
 from aioprometheus import histogram
 
+from hickorygate.callers import workspace_limits
 from hickorygate.core import events
 from hickorygate.core import platform_events
 from hickorygate.upstreams import group_registry
@@ -74,6 +76,7 @@
     fleet: group_registry.GroupRegistry,
     callers: int,
     store_calls: int,
+    limits: workspace_limits.WorkspaceLimits,
 ) -> bytes:
     """Renders all metrics in Prometheus text format.
 
@@ -82,6 +85,7 @@
       fleet: registry of the databases that this proxy knows.
       callers: number of connected callers.
       store_calls: number of calls to the platform since the start.
+      limits: rate limits of the workspaces.
     """
     registry = aioprometheus.Registry()
 
@@ -170,6 +174,23 @@
         "Calls to the platform since the start.",
         iter([({}, float(store_calls))]),
     )
+    usage = limits.largest_usage()
+    show(
+        aioprometheus.Gauge,
+        "workspace_limit_share",
+        "Share of the workspace's rate limit that this proxy may use.",
+        (
+            ({"workspace": name}, used.share)
+            for name, used in usage.items()
+            if name != workspace_limits.OTHER
+        ),
+    )
+    show(
+        aioprometheus.Counter,
+        "workspace_operations_total",
+        "Operations that a rate limit admitted or refused, by workspace.",
+        _limited(usage),
+    )
     content, _ = aioprometheus.render(registry, ())
     return content
 
@@ -190,3 +211,14 @@
     for group in fleet.groups.values():
         for name, pool in group.pools.items():
             yield {"database": name}, float(pool.load)
+
+
+def _limited(
+    usage: Mapping[str, workspace_limits.Usage],
+) -> Iterator[_Sample]:
+    for name, used in usage.items():
+        for result, count in (
+            ("admitted", used.admitted),
+            ("refused", used.refused),
+        ):
+            yield {"workspace": name, "result": result}, float(count)
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -20,6 +20,7 @@
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import fleet_view
+from hickorygate.core import limit_share
 from hickorygate.core import platform_events
 from hickorygate.core import retry
 from hickorygate.core import types
@@ -376,6 +377,7 @@
         self._background.keep(self._registration.run)
         self._background.keep(self._expire_transactions)
         self._background.keep(self._watch_settings)
+        self._background.keep(self._tick_limits)
 
     async def _watch_settings(self) -> None:
         """Reloads the settings when the file changes without a signal."""
@@ -394,6 +396,11 @@
             for caller in self._line_server.callers:
                 caller.expire(now)
 
+    async def _tick_limits(self) -> None:
+        while True:
+            self._limits.tick(self._clock.now())
+            await self._clock.sleep(limit_share.REQUEST_INTERVAL)
+
     async def _drain(self, shutdown: shutdowns.ShutdownSchedule) -> None:
         """Closes sessions according to the schedule of the shutdown."""
         self._background.start(self._registration.deregister())
@@ -430,4 +437,5 @@
             self._registry,
             len(self._line_server.callers),
             self._store.calls,
+            self._limits,
         )
