--- a/hickorygate/core/rendezvous.py
+++ b/hickorygate/core/rendezvous.py
@@ -18,8 +18,7 @@
 
 __all__ = ["owners", "owner_index", "weighted_owners"]
 
-_HASHES = 2**64
-"""Number of values of a hash."""
+_HASH_RANGE = float(2**64)
 
 
 def owners(
@@ -39,42 +38,44 @@
     return tuple(sorted(candidates, key=weight, reverse=True)[:count])
 
 
+def owner_index(
+    key: str, proxy: types.ProxyName, live: Iterable[types.ProxyName]
+) -> int:
+    """Returns the position of a proxy among the owners of a key, from 0.
+
+    Args:
+      key: the key.
+      proxy: name of the proxy.
+      live: names of the live proxies; the proxy itself may be left out.
+    """
+    own = _weight(key, proxy)
+    return sum(_weight(key, other) > own for other in set(live) - {proxy})
+
+
 def weighted_owners(
     key: str, weights: Mapping[types.ProxyName, float], count: int
 ) -> tuple[types.ProxyName, ...]:
-    """Returns the owners of a key, best first, by the weight of each proxy.
+    """Returns the owners of a key; a proxy owns keys in proportion to weight.
 
-    A proxy is the first owner of a share of the keys that is proportional to
-    its weight. Proxies without a positive weight own nothing. Source:
-    Schindelhauer and Schomaker, "Weighted Distributed Hash Tables", 2005.
+    Source: Schindelhauer and Schomaker, "Weighted Distributed Hash Tables",
+    2005 (logarithmic method).
 
     Args:
       key: the key.
-      weights: weight of each candidate.
+      weights: weight of each candidate; one without a positive weight owns
+        nothing.
       count: maximum number of owners.
     """
 
     def score(name: types.ProxyName) -> tuple[float, types.ProxyName]:
-        uniform = (_weight(key, name)[0] + 0.5) / _HASHES
-        return -weights[name] / math.log(min(uniform, 1 - 2**-53)), name
+        digest, _ = _weight(key, name)
+        # Strictly between 0 and 1, so that the logarithm is negative.
+        uniform = (digest + 0.5) / _HASH_RANGE
+        return -weights[name] / math.log(min(uniform, 1 - 1e-12)), name
 
-    usable = (name for name, weight in weights.items() if weight > 0)
+    usable = [name for name, weight in weights.items() if weight > 0]
     return tuple(sorted(usable, key=score, reverse=True)[:count])
 
 
-def owner_index(
-    key: str, proxy: types.ProxyName, live: Iterable[types.ProxyName]
-) -> int:
-    """Returns the position of a proxy among the owners of a key, from 0.
-
-    Args:
-      key: the key.
-      proxy: name of the proxy.
-      live: names of the live proxies; the proxy itself may be left out.
-    """
-    own = _weight(key, proxy)
-    return sum(_weight(key, other) > own for other in set(live) - {proxy})
-
-
 def _weight(key: str, name: types.ProxyName) -> tuple[int, types.ProxyName]:
     return xxhash.xxh64_intdigest(f"{key}\0{name}".encode()), name
