Lend shares of rate limits over the links between proxies

A proxy uses its shares only once all others are known to count it, so that shares of proxies with different counts never add up to more than a limit.

--- a/hickorygate/callers/workspace_limits.py
+++ b/hickorygate/callers/workspace_limits.py
@@ -152,12 +152,14 @@
         self._known: (
             Mapping[types.WorkspaceName, workspaces.Workspace] | None
         ) = None
+        self._checked: object = None
+        self._any = False
         self._changed: dict[types.WorkspaceName, datetime.datetime] = {}
         self._limited: set[types.WorkspaceName] = set()
         self._states: dict[types.WorkspaceName, _WorkspaceState] = {}
         self._changes = rate_limit.SlidingCount(_EVENTS_PER_WINDOW, _WINDOW)
         self._reserve_from = now + _WINDOW
-        self._lent = limit_share.LentRights(name, now + limit_share.LEASE)
+        self._lent = limit_share.LentRights(name, now)
         self._received = limit_share.RightsReceived(name)
 
     @property
@@ -170,6 +172,20 @@
         """The shares that this proxy may use."""
         return self._received
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether any workspace of the configuration has a rate limit."""
+        listed = self._workspaces()
+        if listed is not self._checked:
+            self._checked = listed
+            self._any = any(_limit(each) for each in listed.values())
+        return self._any
+
+    @property
+    def in_use(self) -> tuple[types.WorkspaceName, ...]:
+        """The workspaces whose limit this proxy has applied."""
+        return tuple(self._states)
+
     @property
     def usage(self) -> dict[types.WorkspaceName, Usage]:
         """Use of the limits, by workspace."""
@@ -200,17 +216,22 @@
         return shown
 
     def set_view(
-        self, view: fleet_view.FleetView, now: datetime.datetime
+        self,
+        view: fleet_view.FleetView,
+        active: bool,
+        now: datetime.datetime,
     ) -> None:
-        """Sets the registered proxies and those that can't be used."""
+        """Sets what this proxy knows of the fleet.
+
+        Args:
+          view: registered proxies and those that can't be used.
+          active: whether this proxy may use and lend its shares.
+          now: current time.
+        """
         self._lent.set_view(view)
+        self._lent.set_active(active)
         self._renew_own(now)
 
-    def postpone(self, starts: datetime.datetime) -> None:
-        """Uses and lends none of this proxy's own shares until a time."""
-        self._lent.postpone(starts)
-        self._reserve_from = max(self._reserve_from, starts)
-
     def admit(
         self, workspace: types.WorkspaceName, now: datetime.datetime
     ) -> errors.RateLimited | None:
@@ -312,7 +333,10 @@
         view = self._lent.view
         if view is None or now < self._reserve_from:
             return False
-        if self._name not in view.fleet.candidates(state.workspace.name):
+        if not self._lent.is_active(now):
+            return False
+        name = state.workspace.name
+        if self._name not in view.fleet.candidates(name, view.absent):
             return False
         return state.reserve.try_take(now)
 
--- a/hickorygate/core/fleet_view.py
+++ b/hickorygate/core/fleet_view.py
@@ -21,8 +21,8 @@
 """Number of proxies that may serve a workspace, by rank."""
 
 MAX_HOLDERS = 32
-"""Maximum number of proxies that hold a share of a workspace's limit. Each of
-them needs a link to the serving proxy, so the number must not grow with the
+"""Maximum number of proxies that hold a share of a workspace's limit. The
+serving proxy needs a link to each of them, so the number must not grow with the
 fleet."""
 
 _CACHED_WORKSPACES = 16_384
@@ -34,18 +34,23 @@
     Fleets with the same content are equal and have the same digest.
     """
 
-    __slots__ = ("_capacities", "_digest", "_ranked")
+    __slots__ = ("_capacities", "_digest", "_find_holders", "_find_servers")
 
     def __init__(self, capacities: Mapping[types.ProxyName, float]) -> None:
         """Creates a fleet.
 
         Args:
-          capacities: capacity of each registered proxy, in cores.
+          capacities: capacity of each registered proxy, in cores; 0 if it
+            can't serve other proxies.
         """
-        self._capacities = dict(sorted(capacities.items()))
+        self._capacities = {
+            name: float(cores) for name, cores in sorted(capacities.items())
+        }
         text = repr(tuple(self._capacities.items()))
         self._digest = xxhash.xxh64_hexdigest(text.encode())
-        self._ranked = functools.lru_cache(_CACHED_WORKSPACES)(self._rank)
+        cache = functools.lru_cache(_CACHED_WORKSPACES)
+        self._find_holders = cache(self._compute_holders)
+        self._find_servers = cache(self._compute_servers)
 
     @property
     def capacities(self) -> Mapping[types.ProxyName, float]:
@@ -57,6 +62,9 @@
         """Hash of the content."""
         return self._digest
 
+    def __len__(self) -> int:
+        return len(self._capacities)
+
     def __eq__(self, other: object) -> bool:
         return isinstance(other, Fleet) and other.digest == self._digest
 
@@ -67,36 +75,67 @@
         return f"Fleet({len(self._capacities)} proxies, {self._digest})"
 
     def candidates(
-        self, workspace: types.WorkspaceName
+        self,
+        workspace: types.WorkspaceName,
+        absent: frozenset[types.ProxyName] = frozenset(),
     ) -> tuple[types.ProxyName, ...]:
-        """Returns the proxies that may serve a workspace, best first."""
-        return self._ranked(workspace)[:CANDIDATES]
+        """Returns the proxies that may serve a workspace, best first.
+
+        Args:
+          workspace: name of the workspace.
+          absent: proxies that no longer renew their registration.
+        """
+        return self._find_servers(workspace, absent)
+
+    def holders(
+        self, workspace: types.WorkspaceName
+    ) -> frozenset[types.ProxyName]:
+        """Returns the proxies that hold a share of a workspace's limit."""
+        return self._find_holders(workspace)
 
     def share(
         self, proxy: types.ProxyName, workspace: types.WorkspaceName
     ) -> float:
         """Returns the share of a workspace's limit that a proxy holds."""
-        holders = self._ranked(workspace)
+        holders = self._find_holders(workspace)
         return 1 / len(holders) if proxy in holders else 0.0
 
-    def _rank(
+    def _compute_holders(
         self, workspace: types.WorkspaceName
+    ) -> frozenset[types.ProxyName]:
+        names = self._capacities
+        if len(names) <= MAX_HOLDERS:
+            return frozenset(names)
+        return frozenset(rendezvous.owners(workspace, names, MAX_HOLDERS))
+
+    def _compute_servers(
+        self,
+        workspace: types.WorkspaceName,
+        absent: frozenset[types.ProxyName],
     ) -> tuple[types.ProxyName, ...]:
-        return rendezvous.weighted_owners(
-            workspace, self._capacities, MAX_HOLDERS
-        )
+        weights = {
+            name: capacity
+            for name, capacity in self._capacities.items()
+            if name not in absent
+        }
+        return rendezvous.weighted_owners(workspace, weights, CANDIDATES)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FleetView:
-    """A fleet and the proxies that one proxy considers unusable.
+    """A fleet and the proxies that one proxy doesn't use at present.
 
     Attributes:
       fleet: the registered proxies.
-      unusable: proxies to which it sends no statements at present.
+      absent: proxies that no longer renew their registration; they are no
+        candidates.
+      slow: proxies that are used only if no other candidate can be.
+      unusable: proxies to which no statement can be sent.
     """
 
     fleet: Fleet
+    absent: frozenset[types.ProxyName] = frozenset()
+    slow: frozenset[types.ProxyName] = frozenset()
     unusable: frozenset[types.ProxyName] = frozenset()
 
     def server(
@@ -109,7 +148,9 @@
             itself if it can use no candidate.
           workspace: name of the workspace.
         """
-        for name in self.fleet.candidates(workspace):
-            if name == gateway or name not in self.unusable:
-                return name
+        candidates = self.fleet.candidates(workspace, self.absent)
+        for avoided in (self.slow | self.unusable, self.unusable):
+            for name in candidates:
+                if name == gateway or name not in avoided:
+                    return name
         return gateway
--- a/hickorygate/core/limit_share.py
+++ b/hickorygate/core/limit_share.py
@@ -96,19 +96,20 @@
 class LentRights:
     """The holder's side: its views and the leases that it has granted."""
 
-    __slots__ = ("_answered", "_former", "_name", "_starts", "_view")
+    __slots__ = ("_active", "_answered", "_former", "_name", "_starts", "_view")
 
     def __init__(
-        self, name: types.ProxyName, starts: datetime.datetime
+        self, name: types.ProxyName, started: datetime.datetime
     ) -> None:
-        """Creates the holder's side.
+        """Creates the holder's side, which lends nothing yet.
 
         Args:
           name: name of this proxy.
-          starts: time from which it lends and uses its shares.
+          started: time at which the process started.
         """
         self._name = name
-        self._starts = starts
+        self._starts = started + LEASE
+        self._active = False
         self._view: fleet_view.FleetView | None = None
         self._answered: dict[types.ProxyName, datetime.datetime] = {}
         self._former: list[
@@ -125,6 +126,14 @@
     def __repr__(self) -> str:
         return f"LentRights({self._name!r}, former={len(self._former)})"
 
+    def set_active(self, active: bool) -> None:
+        """Sets whether this proxy may use and lend its shares."""
+        self._active = active
+
+    def is_active(self, now: datetime.datetime) -> bool:
+        """Returns whether this proxy uses and lends its shares."""
+        return self._active and now >= self._starts and self._view is not None
+
     def set_view(self, view: fleet_view.FleetView) -> None:
         """Replaces the view; leases under the former one continue."""
         if view == self._view:
@@ -134,10 +143,6 @@
         self._answered = {}
         self._view = view
 
-    def postpone(self, starts: datetime.datetime) -> None:
-        """Lends and uses none of its own shares until a time."""
-        self._starts = max(self._starts, starts)
-
     def answer(
         self, server: types.ProxyName, now: datetime.datetime
     ) -> Lending | None:
@@ -150,7 +155,7 @@
         Returns:
           What this proxy lends; None if it lends nothing at present.
         """
-        if self._view is None or now < self._starts:
+        if self._view is None or not self.is_active(now):
             return None
         former = self._running(now)
         if len(former) > _MAX_FORMER_VIEWS:
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -20,7 +20,6 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
-from hickorygate.core import fleet_view
 from hickorygate.core import limit_share
 from hickorygate.core import platform_events
 from hickorygate.core import retry
@@ -35,6 +34,7 @@
 from hickorygate.platform import object_decoding
 from hickorygate.platform import settings as settings_lib
 from hickorygate.platform import store
+from hickorygate.proxies import rights_exchange
 from hickorygate.proxies import serving_links
 from hickorygate.proxies import serving_plan
 from hickorygate.proxies import statement_server
@@ -281,7 +281,16 @@
             clock,
             self._env.rng,
             self._set_proxies,
+            has_limits=lambda: self._limits.has_limits,
         )
+        self._rights = rights_exchange.RightsExchange(
+            settings.name,
+            self._links,
+            self._registration.membership,
+            self._limits,
+            clock,
+        )
+        self._statements.answer_rights_with(self._rights.answer)
         self._probe = management_server.ManagementServer(
             self.ready, self._render_metrics
         )
@@ -363,10 +372,7 @@
         """Applies a count of the proxies."""
         self._plan.set_proxies(proxies)
         self._registry.set_proxies(frozenset(proxies))
-        fleet = fleet_view.Fleet(dict.fromkeys(proxies, 1.0))
-        others = frozenset(proxies) - {self._settings.name}
-        view = fleet_view.FleetView(fleet, others)
-        self._limits.set_view(view, self._clock.now())
+        self._rights.set_live(frozenset(proxies))
 
     def _note_refusal(self) -> None:
         """Counts the proxies early: one of them may have a new address."""
@@ -473,7 +479,7 @@
 
     async def _tick_limits(self) -> None:
         while True:
-            self._limits.tick(self._clock.now())
+            self._rights.tick()
             await self._clock.sleep(limit_share.REQUEST_INTERVAL)
 
     async def _drain(self, shutdown: shutdowns.ShutdownSchedule) -> None:
@@ -481,6 +487,7 @@
         self._background.start(self._registration.deregister())
         notice = self._env.shutdown
         notice.answer_by = shutdown.answer_by
+        self._rights.leave()
         self._statements.leave()
         closed = 0
         while True:
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -53,6 +53,15 @@
     capacity: Annotated[float, pydantic.Field(gt=0, allow_inf_nan=False)]
 
 
+class _StoredMembership(pydantic.BaseModel):
+    """What the stored form says of shares of rate limits."""
+
+    model_config = pydantic.ConfigDict(extra="ignore")
+
+    fleet: str = ""
+    active: bool = False
+
+
 class PlatformStore:
     """The promotion lease, proxy registrations and promotions in the store.
 
@@ -165,6 +174,8 @@
         key = objects.Key(_PROXY_KIND, name)
         expected = None if exists else 0
         value: dict[str, object] = {"beat": beat}
+        if description.fleet:
+            value |= {"fleet": description.fleet, "active": description.active}
         if description.address:
             value |= dataclasses.asdict(description)
         written = await self._api.store(key, value, expected)
@@ -259,10 +270,20 @@
 def _decode_proxy(
     found: list_watch.StoredObject,
 ) -> registration.RegisteredProxy:
+    try:
+        member = _StoredMembership.model_validate(found.value)
+    except pydantic.ValidationError:
+        member = _StoredMembership()
+    decoded = registration.RegisteredProxy(
+        fleet=member.fleet, active=member.active, revision=found.revision
+    )
     try:
         proxy = _StoredProxy.model_validate(found.value)
     except pydantic.ValidationError:
-        return registration.RegisteredProxy(revision=found.revision)
-    return registration.RegisteredProxy(
-        str(proxy.address), proxy.zone, proxy.capacity, found.revision
+        return decoded
+    return dataclasses.replace(
+        decoded,
+        address=str(proxy.address),
+        zone=proxy.zone,
+        capacity=proxy.capacity,
     )
--- a/hickorygate/proxies/serving_links.py
+++ b/hickorygate/proxies/serving_links.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 import datetime
+from typing import Protocol
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
@@ -13,8 +14,9 @@
 from hickorygate.proxies import link_state
 from hickorygate.proxies import serving_plan
 from hickorygate.proxies import statement_link
+from hickorygate.proxies import statement_messages as messages
 
-__all__ = ["ServingLinks"]
+__all__ = ["RightsListener", "ServingLinks"]
 
 _CHECK_INTERVAL = datetime.timedelta(milliseconds=50)
 _IDLE_CHECK_INTERVAL = datetime.timedelta(milliseconds=500)
@@ -30,6 +32,18 @@
     pass
 
 
+class RightsListener(Protocol):
+    """Learns what other proxies say about shares of rate limits."""
+
+    def rights_received(
+        self, server: types.ProxyName, message: messages.Rights
+    ) -> None:
+        """Called with the answer of a proxy to a request."""
+
+    def server_leaving(self, server: types.ProxyName) -> None:
+        """Called when a proxy says that it stops."""
+
+
 class ServingLinks:
     """The links to serving proxies."""
 
@@ -59,6 +73,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._next_check: datetime.datetime | None = None
         self._lost = 0
+        self._rights: RightsListener | None = None
 
     @property
     def links(self) -> dict[types.ProxyName, statement_link.StatementLink]:
@@ -88,11 +103,7 @@
         address = self._plan.address(server)
         if not address:
             return None
-        link = self._links.get(server)
-        if link is None:
-            link = self._links[server] = statement_link.StatementLink(
-                self._plan.name, server, self, self._clock
-            )
+        link = self._link(server)
         quality = link.quality(self._clock.now())
         if quality is link_state.LinkQuality.UNUSABLE:
             link.open_if_due(address)
@@ -103,6 +114,53 @@
             self._watch()
         return connection
 
+    def listen_for_rights(self, listener: RightsListener) -> None:
+        """Sets who learns of shares of rate limits."""
+        self._rights = listener
+
+    def quality(self, server: types.ProxyName) -> link_state.LinkQuality:
+        """Returns how well a proxy can be used now; opens no link."""
+        if not self._plan.address(server):
+            return link_state.LinkQuality.UNUSABLE
+        link = self._links.get(server)
+        if link is None:
+            return link_state.LinkQuality.GOOD
+        return link.quality(self._clock.now())
+
+    def request_rights(
+        self, server: types.ProxyName, message: messages.RightsRequest
+    ) -> bool:
+        """Asks a proxy for its shares; opens its link if needed.
+
+        Returns:
+          Whether the request was sent; it isn't while the link is opened.
+        """
+        address = self._plan.address(server)
+        if not address:
+            return False
+        link = self._link(server)
+        connection = link.connection
+        if connection is None:
+            link.open_if_due(address)
+            return False
+        if connection.is_full:
+            return False
+        connection.request_rights(message)
+        self._watch()
+        return True
+
+    def rights_received(
+        self, server: types.ProxyName, message: messages.Rights
+    ) -> None:
+        """Passes on the answer of a proxy."""
+        if self._rights is not None:
+            self._rights.rights_received(server, message)
+
+    def server_leaving(self, server: types.ProxyName) -> None:
+        """Passes on that a proxy stops."""
+        if self._rights is not None:
+            self._rights.server_leaving(server)
+
     def link_refused(self, server: types.ProxyName) -> None:
         """Reports a link that could not be opened."""
         self._on_refused()
@@ -127,6 +185,15 @@
         for link in self._links.values():
             link.close()
 
+    def _link(self, server: types.ProxyName) -> statement_link.StatementLink:
+        """Returns the link to a proxy; creates it if needed."""
+        link = self._links.get(server)
+        if link is None:
+            link = self._links[server] = statement_link.StatementLink(
+                self._plan.name, server, self, self._clock
+            )
+        return link
+
     def _watch(self) -> None:
         """Starts the timer, or brings its next check forward."""
         due = self._clock.now() + _CHECK_INTERVAL
--- a/hickorygate/proxies/statement_codec.py
+++ b/hickorygate/proxies/statement_codec.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterable
 import functools
 import struct
 from typing import Annotated
@@ -74,11 +75,22 @@
     ]
 )
 _HELLO_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Text, _Text])
+_Names = tuple[_Text, ...]
+_LentView = tuple[_Text, _Names, _Names, _Names, _Names]
+_Cores = Annotated[
+    float, pydantic.Field(strict=True, ge=0, allow_inf_nan=False)
+]
+_KnownFleet = tuple[_Text, dict[_Text, _Cores]]
+_RIGHTS_REQUEST_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Names])
+_RIGHTS_FIELDS = pydantic.TypeAdapter(
+    tuple[_Number, tuple[_LentView, ...], tuple[_KnownFleet, ...]]
+)
 _NUMBER_FIELDS = pydantic.TypeAdapter(tuple[_Number])
 _NO_FIELDS = pydantic.TypeAdapter(tuple[()])
 
 _READ, _WRITE, _EXECUTE, _COMMIT, _ROLLBACK = range(5)
 _HELLO, _RUN, _ABORT, _PING, _REPLY, _PONG, _LEAVING = range(7)
+_RIGHTS_REQUEST, _RIGHTS = 7, 8
 
 _STATES = tuple(replies.TransactionState)
 _STATE_NUMBERS = {state: number for number, state in enumerate(_STATES)}
@@ -246,6 +258,41 @@
     return [_LEAVING]
 
 
+def _encode_names(names: Iterable[str]) -> list[bytes]:
+    return [_to_bytes(name) for name in names]
+
+
+def _decode_names(names: Iterable[bytes]) -> frozenset[str]:
+    return frozenset(_to_text(name) for name in names)
+
+
+@_fields.register
+def _(message: messages.RightsRequest) -> list[Any]:
+    return [_RIGHTS_REQUEST, message.number, _encode_names(message.fleets)]
+
+
+@_fields.register
+def _(message: messages.Rights) -> list[Any]:
+    views = [
+        (
+            _to_bytes(view.fleet),
+            _encode_names(view.absent),
+            _encode_names(view.slow),
+            _encode_names(view.unusable),
+            _encode_names(view.servers),
+        )
+        for view in message.views
+    ]
+    fleets = [
+        (
+            _to_bytes(fleet.digest),
+            {_to_bytes(k): float(v) for k, v in fleet.capacities.items()},
+        )
+        for fleet in message.fleets
+    ]
+    return [_RIGHTS, message.number, views, fleets]
+
+
 @functools.singledispatch
 def _operation_fields(
     operation: operations.Operation,
@@ -364,6 +411,29 @@
     return messages.Leaving()
 
 
+def _decode_rights_request(fields: list[Any]) -> messages.RightsRequest:
+    number, fleets = _RIGHTS_REQUEST_FIELDS.validate_python(fields)
+    return messages.RightsRequest(number, tuple(map(_to_text, fleets)))
+
+
+def _decode_rights(fields: list[Any]) -> messages.Rights:
+    number, views, fleets = _RIGHTS_FIELDS.validate_python(fields)
+    return messages.Rights(
+        number,
+        tuple(
+            messages.LentView(_to_text(digest), *map(_decode_names, names))
+            for digest, *names in views
+        ),
+        tuple(
+            messages.KnownFleet(
+                _to_text(digest),
+                {_to_text(name): cores for name, cores in found.items()},
+            )
+            for digest, found in fleets
+        ),
+    )
+
+
 _DECODERS = {
     _HELLO: _decode_hello,
     _RUN: _decode_run,
@@ -372,4 +442,6 @@
     _REPLY: _decode_reply,
     _PONG: _decode_pong,
     _LEAVING: _decode_leaving,
+    _RIGHTS_REQUEST: _decode_rights_request,
+    _RIGHTS: _decode_rights,
 }
--- a/hickorygate/proxies/statement_link.py
+++ b/hickorygate/proxies/statement_link.py
@@ -50,6 +50,14 @@
     def version_seen(self, version: int) -> None:
         """Called with the version of the configuration in each reply."""
 
+    def rights_received(
+        self, server: types.ProxyName, message: messages.Rights
+    ) -> None:
+        """Called with the answer to a request for shares of rate limits."""
+
+    def server_leaving(self, server: types.ProxyName) -> None:
+        """Called when a proxy says that it stops."""
+
 
 class _Outstanding:
     """A statement without a reply."""
@@ -210,6 +218,20 @@
         if outstanding is not None:
             outstanding.end(reply)
 
+    def request_rights(self, message: messages.RightsRequest) -> None:
+        """Asks the proxy for its shares of rate limits."""
+        self._used = self._clock.now()
+        self._send(message)
+
+    def receive_rights(self, message: messages.Rights) -> None:
+        """Passes on the answer to a request for shares."""
+        self._listener.rights_received(self._server, message)
+
+    def receive_leaving(self) -> None:
+        """Records that the proxy stops."""
+        self._state.announce_leaving()
+        self._listener.server_leaving(self._server)
+
     def receive_pong(self, number: int) -> None:
         """Records the answer to a ping."""
         self._state.pong_received(number, self._clock.now())
@@ -310,7 +332,12 @@
 
 @_handle.register
 def _(message: messages.Leaving, connection: StatementConnection) -> None:
-    connection.state.announce_leaving()
+    connection.receive_leaving()
+
+
+@_handle.register
+def _(message: messages.Rights, connection: StatementConnection) -> None:
+    connection.receive_rights(message)
 
 
 class StatementLink:
--- a/hickorygate/proxies/statement_messages.py
+++ b/hickorygate/proxies/statement_messages.py
@@ -19,10 +19,14 @@
     "SINGLE_STATEMENT",
     "AbortTransaction",
     "Hello",
+    "KnownFleet",
     "Leaving",
+    "LentView",
     "LinkMessage",
     "Ping",
     "Pong",
+    "Rights",
+    "RightsRequest",
     "RunStatement",
     "StatementReply",
     "TransactionStart",
@@ -167,3 +171,64 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class Leaving(LinkMessage):
     """The serving proxy stops soon and accepts no new work."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RightsRequest(LinkMessage):
+    """Asks a proxy for its shares of the rate limits of workspaces.
+
+    Attributes:
+      number: number that the answer repeats.
+      fleets: digests of the fleets that the sender knows.
+    """
+
+    number: int
+    fleets: tuple[str, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KnownFleet:
+    """The content of a fleet.
+
+    Attributes:
+      digest: digest of the fleet.
+      capacities: cores of each proxy.
+    """
+
+    digest: str
+    capacities: Mapping[types.ProxyName, float]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LentView:
+    """A view of the fleet under which a proxy lends its shares.
+
+    Attributes:
+      fleet: digest of the fleet.
+      absent: proxies that no longer renew their registration.
+      slow: proxies that are used only if no other candidate can be.
+      unusable: proxies to which no statement can be sent.
+      servers: for a former view, the proxies that may still use shares under
+        it; empty for the present view.
+    """
+
+    fleet: str
+    absent: frozenset[types.ProxyName]
+    slow: frozenset[types.ProxyName]
+    unusable: frozenset[types.ProxyName]
+    servers: frozenset[types.ProxyName]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rights(LinkMessage):
+    """The answer to a `RightsRequest`.
+
+    Attributes:
+      number: number of the request.
+      views: present view, then former ones; empty if nothing is lent.
+      fleets: fleets of the views that the sender of the request doesn't know.
+    """
+
+    number: int
+    views: tuple[LentView, ...]
+    fleets: tuple[KnownFleet, ...]
--- a/hickorygate/proxies/statement_server.py
+++ b/hickorygate/proxies/statement_server.py
@@ -183,6 +183,13 @@
         else:
             self._run_in(message, served)
 
+    def answer_rights(self, message: messages.RightsRequest) -> None:
+        """Answers a request for shares of rate limits."""
+        if not self._gateway:
+            self.close()
+            return
+        self.send(self._server.rights(self._gateway, message))
+
     def abort_transaction(self, transaction: int) -> None:
         """Rolls a transaction back; a commit that runs is left to its end."""
         served = self._transactions.pop(transaction, None)
@@ -323,6 +330,11 @@
     link.abort_transaction(message.transaction)
 
 
+@_handle.register
+def _(message: messages.RightsRequest, link: IncomingLink) -> None:
+    link.answer_rights(message)
+
+
 @_handle.register
 def _(message: messages.Ping, link: IncomingLink) -> None:
     link.send(messages.Pong(message.number))
@@ -417,6 +429,10 @@
         self._links: set[IncomingLink] = set()
         self._server: asyncio.Server | None = None
         self._leaving = False
+        self._answer_rights: (
+            Callable[[types.ProxyName, messages.RightsRequest], messages.Rights]
+            | None
+        ) = None
         self._served: collections.Counter[str] = collections.Counter()
 
     @property
@@ -552,6 +568,23 @@
             workspace=message.workspace,
         )
 
+    def answer_rights_with(
+        self,
+        answer: Callable[
+            [types.ProxyName, messages.RightsRequest], messages.Rights
+        ],
+    ) -> None:
+        """Sets the function that answers requests for shares."""
+        self._answer_rights = answer
+
+    def rights(
+        self, sender: types.ProxyName, message: messages.RightsRequest
+    ) -> messages.Rights:
+        """Returns the answer to a request for shares of rate limits."""
+        if self._answer_rights is None:
+            return messages.Rights(message.number, (), ())
+        return self._answer_rights(sender, message)
+
     def note_served(self, reply: replies.Reply) -> None:
         """Counts a statement that was served."""
         if reply.result.is_ok():
--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -14,6 +14,7 @@
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import limit_membership
 from hickorygate.core import types
 from hickorygate.upstreams import proxy_count
 
@@ -31,6 +32,10 @@
 _JITTER = 0.2
 """Maximum relative deviation from the time between renewals."""
 
+_SETTLING_INTERVAL = datetime.timedelta(seconds=1)
+"""Time between two counts while this proxy must be counted by all others before
+it may use its shares of rate limits."""
+
 _MIN_EARLY_INTERVAL = datetime.timedelta(seconds=2)
 """Minimum time between a count and an early one."""
 
@@ -45,11 +50,16 @@
       zone: availability zone; empty if unknown.
       capacity: number of cores that it may use, reduced if its network is
         slow; 0 if unknown.
+      fleet: digest of the proxies with shares of rate limits that it counts;
+        empty if it is of a build without rate limits.
+      active: whether it uses or lends such shares.
     """
 
     address: str = ""
     zone: types.ZoneName = ""
     capacity: float = 0.0
+    fleet: str = ""
+    active: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -114,6 +124,7 @@
         rng: random.Random,
         on_count: Callable[[Mapping[types.ProxyName, RegisteredProxy]], None],
         description: ProxyDescription = ProxyDescription(),
+        has_limits: Callable[[], bool] = lambda: False,
     ) -> None:
         """Creates the registration; `run` makes the first call.
 
@@ -125,6 +136,7 @@
           on_count: called with the live proxies after each count, including
             this one.
           description: what other proxies need to know of this one.
+          has_limits: returns whether any workspace has a rate limit.
         """
         self._name = name
         self._store = store
@@ -132,7 +144,11 @@
         self._rng = rng
         self._on_count = on_count
         self._description = description
+        self._has_limits = has_limits
         self._proxy_counter = proxy_count.ProxyCounter()
+        self._membership = limit_membership.LimitMembership(name)
+        self._announced = ("", False)
+        self._left = False
         self._exists = False
         # A random start, so that a new process changes the object that a
         # former process of this name left behind.
@@ -142,6 +158,11 @@
     def __repr__(self) -> str:
         return f"ProxyRegistration({self._name!r}, {self._proxy_counter!r})"
 
+    @property
+    def membership(self) -> limit_membership.LimitMembership:
+        """The proxies that hold shares of rate limits."""
+        return self._membership
+
     async def run(self) -> None:
         """Renews the object and counts until the task is cancelled."""
         await self._count_former_fleet()
@@ -150,6 +171,7 @@
         await self._count(may_be_outdated=False)
         while True:
             for _ in range(proxy_count.COUNTS_PER_RENEWAL):
+                await self._settle()
                 await self._pause()
                 await self._count(may_be_outdated=True)
             await self._renew()
@@ -166,7 +188,8 @@
         self._early.set()
 
     async def deregister(self) -> None:
-        """Removes this proxy's object."""
+        """Removes this proxy's object; it isn't written again."""
+        self._left = True
         await self._store.withdraw(self._name)
 
     async def _pause(self) -> None:
@@ -183,19 +206,56 @@
             pass
         self._early.clear()
 
+    async def _settle(self) -> None:
+        """Tells others at once which proxies this one counts.
+
+        Counts more often until this proxy may use its shares of rate limits.
+        """
+        while self._has_limits():
+            if self._announced != self._membership_fields:
+                await self._renew()
+            if self._membership.active:
+                return
+            await self._clock.sleep(self._settling_interval)
+            await self._count(may_be_outdated=False)
+
+    @property
+    def _settling_interval(self) -> datetime.timedelta:
+        proxies = len(self._membership.fleet)
+        longer = proxy_count.count_interval(proxies)
+        return _SETTLING_INTERVAL * (longer / proxy_count.count_interval(0))
+
+    @property
+    def _membership_fields(self) -> tuple[str, bool]:
+        return self._membership.fleet.digest, self._membership.active
+
     async def _renew(self) -> None:
         """Creates or renews the object; if one fails, tries the other."""
+        if not await self._announce():
+            self._exists = not self._exists
+            await self._announce()
+        else:
+            self._exists = True
+
+    async def _announce(self) -> bool:
+        """Creates or renews the object; returns whether that succeeded."""
+        if self._left:
+            return True
         self._beat += 1
+        fields = self._membership_fields
+        fleet, active = fields
+        description = dataclasses.replace(
+            self._description, fleet=fleet, active=active
+        )
+        began = self._clock.now()
         written = await self._store.announce(
-            self._name, self._beat, self._exists, self._description
+            self._name, self._beat, self._exists, description
         )
         if written.is_error():
-            self._exists = not self._exists
-            await self._store.announce(
-                self._name, self._beat, self._exists, self._description
-            )
-        else:
-            self._exists = True
+            return False
+        self._announced = fields
+        self._membership.record_renewal(began)
+        return True
 
     async def _count_former_fleet(self) -> None:
         """Counts the proxies whose objects exist before this one registers.
@@ -205,21 +265,30 @@
         may be new.
         """
         listed = await self._store.proxies(may_be_outdated=True)
+        if listed.is_ok():
+            self._membership.record_start(_members(listed.ok))
         if listed.is_ok() and listed.ok:
-            self._apply_count(listed.ok)
+            self._apply_count(listed.ok, complete=False)
 
     async def _count(self, may_be_outdated: bool) -> None:
         listed = await self._store.proxies(may_be_outdated)
         if listed.is_error():
             return  # The previous count holds until the store answers.
-        self._apply_count(listed.ok)
-        for name in self._proxy_counter.gone(self._clock.now())[:1]:
+        self._apply_count(listed.ok, not may_be_outdated)
+        # Others may remove it only after it stopped using its shares.
+        gone = self._proxy_counter.gone(
+            self._clock.now(), limit_membership.REMOVAL_AGE
+        )
+        for name in gone[:1]:
             await self._store.withdraw(name)
 
     def _apply_count(
-        self, proxies: Mapping[types.ProxyName, RegisteredProxy]
+        self,
+        proxies: Mapping[types.ProxyName, RegisteredProxy],
+        complete: bool,
     ) -> None:
         now = self._clock.now()
+        self._membership.record_list(_members(proxies), complete, now)
         self._proxy_counter.update(
             {name: proxy.revision for name, proxy in proxies.items()}, now
         )
@@ -230,3 +299,16 @@
             own.address, own.zone, own.capacity, self._beat
         )
         self._on_count(found)
+
+
+def _members(
+    proxies: Mapping[types.ProxyName, RegisteredProxy],
+) -> dict[types.ProxyName, limit_membership.MemberObject]:
+    """Returns the proxies of builds that know shares of rate limits."""
+    return {
+        name: limit_membership.MemberObject(
+            proxy.capacity, proxy.fleet, proxy.active
+        )
+        for name, proxy in proxies.items()
+        if proxy.fleet
+    }
