--- a/hickorygate/core/limit_share.py
+++ b/hickorygate/core/limit_share.py
@@ -28,6 +28,7 @@
 
 __all__ = [
     "LEASE",
+    "LEASE_OF_SERVER",
     "REQUEST_INTERVAL",
     "FormerView",
     "Lending",
@@ -38,6 +39,9 @@
 LEASE = datetime.timedelta(seconds=1)
 """Time for which a share may be used after the request that asked for it."""
 
+LEASE_OF_SERVER = LEASE
+"""Time for which a server uses a share after its request; at most `LEASE`."""
+
 REQUEST_INTERVAL = datetime.timedelta(milliseconds=300)
 """Time between two requests to a holder; a lease survives the loss of two."""
 
@@ -241,7 +245,7 @@
           asked: time at which this proxy sent the request.
           now: current time.
         """
-        ends = asked + LEASE
+        ends = asked + LEASE_OF_SERVER
         if holder == self._name:
             # Nobody else uses this proxy's shares unless its answer changes.
             ends = datetime.datetime.max.replace(tzinfo=now.tzinfo)
