Test which groups a proxy serves, its settings and early counts

An early count no longer brings the next renewal forward: under refused links a proxy renewed its object every 4 s.

--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -176,18 +176,32 @@
         await self._store.withdraw(self._name)
 
     async def _pause(self) -> None:
-        """Waits until the next count is due, or one was requested."""
+        """Waits until the next regular count is due; makes requested ones."""
         live = self._proxy_counter.live(self._clock.now())
         factor = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
-        wait = proxy_count.count_interval(len(live)) * factor
-        shortest = min(_MIN_EARLY_INTERVAL, wait)
-        await self._clock.sleep(shortest)
+        due = self._clock.now() + proxy_count.count_interval(len(live)) * factor
+        while await self._early_count_requested(due):
+            await self._count(may_be_outdated=True)
+
+    async def _early_count_requested(self, due: datetime.datetime) -> bool:
+        """Waits until an early count is requested and allowed.
+
+        Returns:
+          False if the regular count is due before.
+        """
+        await self._clock.sleep(
+            min(_MIN_EARLY_INTERVAL, due - self._clock.now())
+        )
+        left = (due - self._clock.now()).total_seconds()
+        if left <= 0:
+            return False
         try:
-            async with asyncio.timeout((wait - shortest).total_seconds()):
+            async with asyncio.timeout(left):
                 await self._early.wait()
         except TimeoutError:
-            pass
+            return False
         self._early.clear()
+        return True
 
     async def _renew(self) -> None:
         """Creates or renews the object; if one fails, tries the other."""
--- a/hickorygate/tests/test_control_load.py
+++ b/hickorygate/tests/test_control_load.py
@@ -122,6 +122,20 @@
     await _run_for_a_minute(proxy.run())
 
 
+async def _keep_requesting(registry: _Registry) -> None:
+    """Requests a count every 100 ms, as if a link were refused each time."""
+    clock = virtual_time.LoopClock(asyncio.get_running_loop())
+    proxy = registration.ProxyRegistration(
+        "one", registry, clock, random.Random(1), lambda live: None
+    )
+    async with asyncio.TaskGroup() as tasks:
+        running = tasks.create_task(proxy.run())
+        for _ in range(int(_RUN_SECONDS / 0.1)):
+            await asyncio.sleep(0.1)
+            proxy.request_count()
+        running.cancel()
+
+
 async def _run_for_a_minute(work: object) -> None:
     try:
         async with asyncio.timeout(_RUN_SECONDS):
@@ -148,3 +162,14 @@
         self.assertGreaterEqual(registry.cheap_counts, 5)
         rate = registry.renewals / _RUN_SECONDS
         self.assertLess(rate, _MAX_RENEWALS_PER_SECOND)
+
+    def test_refused_links_cause_few_counts(self) -> None:
+        registry = _Registry()
+        virtual_time.run(_keep_requesting(registry))
+        self.assertGreater(registry.cheap_counts, _RUN_SECONDS / 4)
+        # One each 2 s, besides the regular ones, which are 6.4 s apart at
+        # least.
+        allowed = _RUN_SECONDS / 2 + _RUN_SECONDS / 6.4
+        self.assertLessEqual(registry.cheap_counts, allowed)
+        rate = registry.renewals / _RUN_SECONDS
+        self.assertLess(rate, _MAX_RENEWALS_PER_SECOND)
--- a/hickorygate/tests/test_group_registry.py
+++ b/hickorygate/tests/test_group_registry.py
@@ -16,6 +16,8 @@
 from hickorygate.core import catalog
 from hickorygate.core import errors
 from hickorygate.core import events
+from hickorygate.proxies import serving_plan
+from hickorygate.store import registration
 from hickorygate.testing import clock
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
@@ -72,17 +74,19 @@
     return members.Member(**values)  # type: ignore[arg-type]
 
 
-def _catalog(version: int, count: int) -> catalog.Catalog:
+def _catalog(
+    version: int, count: int, connections: int = 20
+) -> catalog.Catalog:
     terms = {
-        _service(n): catalog.ServiceSettings(_service(n), 20, 1)
+        _service(n): catalog.ServiceSettings(_service(n), connections, 1)
         for n in range(count)
     }
     idle = datetime.timedelta(seconds=3)
     return catalog.Catalog(version, {}, terms, idle)
 
 
-class GroupRegistryTest(unittest.IsolatedAsyncioTestCase):
-    """Tests the monitored groups without a network."""
+class _RegistryTestCase(unittest.IsolatedAsyncioTestCase):
+    """Tests a registry without a network."""
 
     async def asyncSetUp(self) -> None:  # noqa: N802
         self.clock = _Clock()
@@ -93,15 +97,25 @@
         lease = promotion_lease.PromotionLease(
             lease_state, store, self.clock, journal
         )
-        self.fleet = group_registry.GroupRegistry(
-            self.connector, lease, self.clock, journal
-        )
+        self.lease = lease
+        self.fleet = self.make_registry(journal)
         self.addAsyncCleanup(self.fleet.close)
         self.fleet.start()
 
+    def make_registry(
+        self, journal: events.Journal
+    ) -> group_registry.GroupRegistry:
+        return group_registry.GroupRegistry(
+            self.connector, self.lease, self.clock, journal
+        )
+
     async def settle(self) -> None:
         await asyncio.sleep(0.05)
 
+
+class GroupRegistryTest(_RegistryTestCase):
+    """Tests the groups of a proxy that serves all services."""
+
     async def test_a_few_groups_are_all_monitored(self) -> None:
         self.fleet.apply(_catalog(1, 4))
         self.clock.advance(_UNUSED)
@@ -172,5 +186,84 @@
         self.assertEqual(updated[3:], [_service(3)])
 
 
+class ServedGroupsTest(_RegistryTestCase):
+    """Tests the groups of a proxy that serves some services only.
+
+    A proxy that monitors a group which others serve takes connections from
+    them.
+    """
+
+    def make_registry(
+        self, journal: events.Journal
+    ) -> group_registry.GroupRegistry:
+        self.plan = serving_plan.ServingPlan("p", "a")
+        return group_registry.GroupRegistry(
+            self.connector, self.lease, self.clock, journal, self.plan
+        )
+
+    def count(self, proxies: int) -> None:
+        """Makes further proxies known, all of the same zone."""
+        names = ["p", *(f"q{number}" for number in range(proxies - 1))]
+        found = {
+            name: registration.RegisteredProxy("h:1", "a", 1.0, 1)
+            for name in names
+        }
+        self.plan.set_proxies(found)
+        self.fleet.set_proxies(frozenset(found))
+
+    async def test_a_few_groups_are_all_monitored(self) -> None:
+        # Before the first count it is unknown which ones this proxy serves.
+        self.fleet.apply(_catalog(1, 4))
+        self.assertEqual(dict(self.fleet.groups), {})
+        self.assertFalse(self.fleet.complete)
+        self.clock.advance(datetime.timedelta(seconds=1))
+        await self.settle()
+        self.assertEqual(len(self.fleet.groups), 4)
+
+    async def test_only_served_groups_are_monitored(self) -> None:
+        self.fleet.apply(_catalog(1, 12, connections=19))
+        self.count(20)
+        served = {n for n in map(_service, range(12)) if self.plan.serves(n)}
+        self.assertLess(len(served), 6)
+        self.assertEqual(set(self.fleet.groups), served)
+
+    async def test_groups_that_others_turn_out_to_serve_are_closed(
+        self,
+    ) -> None:
+        self.fleet.apply(_catalog(1, 12, connections=19))
+        self.count(4)
+        self.assertEqual(len(self.fleet.groups), 12)
+        self.count(20)
+        await self.settle()
+        served = {n for n in map(_service, range(12)) if self.plan.serves(n)}
+        self.assertEqual(set(self.fleet.groups), served)
+
+    async def test_a_group_that_others_serve_is_monitored_on_use(self) -> None:
+        self.fleet.apply(_catalog(1, 12, connections=19))
+        self.count(20)
+        name = next(
+            n for n in map(_service, range(12)) if not self.plan.serves(n)
+        )
+        self.assertIsNotNone(self.fleet.group(name))
+        await self.settle()
+        self.assertIn(name, self.fleet.groups)
+        self.clock.advance(_UNUSED)
+        await self.settle()
+        self.assertNotIn(name, self.fleet.groups)
+
+    async def test_the_order_of_takeovers_is_among_servers(self) -> None:
+        # A proxy whose turn is before the servers' delays a takeover.
+        self.fleet.apply(_catalog(1, 12, connections=19))
+        self.count(20)
+        for name in map(_service, range(12)):
+            order = self.lease.order(name)
+            self.assertEqual(order.is_early, True)
+            place = order.patience.total_seconds() - 1
+            if self.plan.serves(name):
+                self.assertLess(place, 2)
+            else:
+                self.assertEqual(place, 2)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/hickorygate/tests/test_platform_settings.py
+++ b/hickorygate/tests/test_platform_settings.py
@@ -42,3 +42,24 @@
         text = _TEXT.replace("zone=a\n", "")
         failure = settings_lib.parse(text, "boot.conf").error
         self.assertEqual(failure.problems[0].where, "zone")
+
+    def test_the_listener_for_other_proxies_is_optional(self) -> None:
+        settings = settings_lib.parse(_TEXT, "boot.conf").ok
+        self.assertEqual(settings.statements_host, "")
+        text = _TEXT + "ip=10.1.0.8\nport_range=7440,7455\n"
+        settings = settings_lib.parse(text, "boot.conf").ok
+        self.assertEqual(settings.statements_host, "10.1.0.8")
+        self.assertEqual(settings.statements_ports, range(7_440, 7_456))
+        for wrong in ("7440", "7455,7440", "0,5", "1,70000", "a,b", ""):
+            text = _TEXT + f"port_range={wrong}\n"
+            failure = settings_lib.parse(text, "boot.conf").error
+            self.assertEqual(failure.problems[0].where, "port_range", wrong)
+
+    def test_a_slow_network_reduces_the_capacity(self) -> None:
+        # 10 Mbit/s are too few for the replies that half a core can serve.
+        text = _TEXT + "limits.cpu_cores=1\nlimits.cpu_share=0.5\n"
+        settings = settings_lib.parse(text, "boot.conf").ok
+        self.assertEqual(settings.limits.capacity, 0.5)
+        text += "limits.link_mbps=10\n"
+        settings = settings_lib.parse(text, "boot.conf").ok
+        self.assertEqual(settings.limits.capacity, 0.2)
