Ask outdated servers again, recall statements that are given up

A server that had not learned of a configuration yet made gateways run their statements themselves. A server that was suspended ran reads that its gateways had sent elsewhere meanwhile.

--- a/hickorygate/callers/forwarded_statements.py
+++ b/hickorygate/callers/forwarded_statements.py
@@ -67,6 +67,7 @@
             env.retries.deposit()
         while connection is not None:
             answered = await self._send(connection)
+            self._search.note(answered)
             if not serving.is_not_run(answered):
                 if isinstance(answered, messages.StatementReply):
                     return self._to_reply(answered)
--- a/hickorygate/callers/forwarded_transactions.py
+++ b/hickorygate/callers/forwarded_transactions.py
@@ -113,6 +113,7 @@
             )
             self._transaction.remote = remote
             answered = await self._send(remote, start)
+            search.note(answered)
             if not serving.is_not_run(answered):
                 if isinstance(answered, messages.StatementReply):
                     return self._finish(answered, remote)
--- a/hickorygate/callers/serving.py
+++ b/hickorygate/callers/serving.py
@@ -40,6 +40,14 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 
 
+_USABLE = (link_state.LinkQuality.GOOD, link_state.LinkQuality.SLOW)
+_OUTDATED_WAIT = datetime.timedelta(milliseconds=40)
+_MAX_OUTDATED_WAITS = 6
+"""Time after which an outdated proxy is asked again, and how often. It rereads
+the configuration at once, which takes a call to the store; running statements
+at all gateways meanwhile would need more connections than there are."""
+
+
 class ServerChoice(Protocol):
     """The plan which proxies serve which statements."""
 
@@ -65,7 +73,17 @@
 class ServerSearch:
     """The search of one request for a serving proxy."""
 
-    __slots__ = ("_candidates", "_links", "_name", "_request", "_tried")
+    __slots__ = (
+        "_call",
+        "_candidates",
+        "_clock",
+        "_links",
+        "_name",
+        "_outdated",
+        "_sent",
+        "_tried",
+        "_waits",
+    )
 
     def __init__(
         self,
@@ -79,16 +97,15 @@
         if choice is not None:
             self._candidates = choice.candidates(service, call.workspace)
             self._name = choice.name
-        self._request = call.id
-        self._tried: list[types.ProxyName] = []
-
-    @property
-    def tried(self) -> list[types.ProxyName]:
-        """Names of the proxies that the request was sent to, in order."""
-        return self._tried
+        self._call = call
+        self._clock = session.env.clock
+        self._tried: set[types.ProxyName] = set()
+        self._outdated: set[types.ProxyName] = set()
+        self._sent: list[types.ProxyName] = []
+        self._waits = 0
 
     def __repr__(self) -> str:
-        return f"ServerSearch({self._candidates}, tried={self._tried})"
+        return f"ServerSearch({self._candidates}, sent={self._sent})"
 
     async def next(self) -> statement_link.StatementConnection | None:
         """Returns a connection to the best proxy that was not tried.
@@ -98,30 +115,61 @@
         Returns:
           The connection; None if this proxy runs the statement itself.
         """
-        if self._links is None or not self._candidates:
+        while self._links is not None and self._candidates:
+            found = await self._find()
+            if found is not None or not await self._wait_for_outdated():
+                return found
+        return None
+
+    def note(self, reply: statement_link.LinkReply) -> None:
+        """Records the reply of the last proxy."""
+        match reply:
+            case messages.StatementReply(verdict=messages.Verdict.OUTDATED):
+                self._outdated.add(self._sent[-1])
+
+    def event(self, outcome: str) -> platform_events.StatementForwarded | None:
+        """Returns the event that ends the search; None if nothing was sent."""
+        if not self._sent:
             return None
-        for quality in (
-            link_state.LinkQuality.GOOD,
-            link_state.LinkQuality.SLOW,
-        ):
+        return platform_events.StatementForwarded(
+            self._call.id, self._sent[-1], outcome, len(self._sent)
+        )
+
+    async def _find(self) -> statement_link.StatementConnection | None:
+        assert self._links is not None, "next() has checked it"
+        for quality in _USABLE:
             for name in self._candidates:
                 if name == self._name:
+                    # This proxy is the best one that is left.
+                    self._outdated.clear()
                     return None
                 if name in self._tried:
                     continue
                 connection = await self._links.ready(name, quality)
                 if connection is not None:
-                    self._tried.append(name)
+                    self._tried.add(name)
+                    self._sent.append(name)
                     return connection
         return None
 
-    def event(self, outcome: str) -> platform_events.StatementForwarded | None:
-        """Returns the event that ends the search; None if nothing was sent."""
-        if not self._tried:
-            return None
-        return platform_events.StatementForwarded(
-            self._request, self._tried[-1], outcome, len(self._tried)
-        )
+    async def _wait_for_outdated(self) -> bool:
+        """Waits for proxies that reread the configuration.
+
+        Returns:
+          Whether to ask them again.
+        """
+        left = self._call.deadline - self._clock.now()
+        if (
+            not self._outdated
+            or self._waits >= _MAX_OUTDATED_WAITS
+            or left <= 2 * _OUTDATED_WAIT
+        ):
+            return False
+        self._waits += 1
+        await self._clock.sleep(_OUTDATED_WAIT)
+        self._tried -= self._outdated
+        self._outdated.clear()
+        return True
 
 
 def outcome_of(reply: replies.Reply) -> str:
--- a/hickorygate/proxies/statement_link.py
+++ b/hickorygate/proxies/statement_link.py
@@ -32,6 +32,11 @@
 """Numbers of unanswered statements and of unsent bytes from which a link takes
 no more statements; they go to another candidate."""
 
+_GIVEN_UP = replies.Rejection(
+    replies.RejectionReason.TIMED_OUT, "the gateway gave it up"
+)
+"""The answer to a statement for which nobody waits any more."""
+
 LinkReply: TypeAlias = messages.StatementReply | errors.Failure
 """The reply to a statement, or why there is none. Not an `expression.Result`,
 since each forwarded statement makes one."""
@@ -293,18 +298,24 @@
                 statement.end(errors.AnswerLost(self._server, reason))
 
     def _expire(self, now: datetime.datetime) -> None:
-        """Ends the wait for replies that are overdue or not worth it."""
+        """Ends the wait for replies that are overdue or not worth it.
+
+        A proxy that was suspended finds these statements later; they are
+        recalled, so that it doesn't run them for nobody.
+        """
         silent = self._state.silent
         for number, statement in tuple(self._outstanding.items()):
-            if statement.future.done():
-                del self._outstanding[number]
-            elif now >= statement.deadline:
-                del self._outstanding[number]
-                statement.end(errors.AnswerOverdue(self._server, "timed out"))
+            if now >= statement.deadline:
+                reply = errors.AnswerOverdue(self._server, "timed out")
             elif silent and not statement.waits:
-                del self._outstanding[number]
-                reason = "it doesn't answer"
-                statement.end(errors.AnswerLost(self._server, reason))
+                reply = errors.AnswerLost(self._server, "it doesn't answer")
+            elif statement.future.done():
+                reply = errors.AnswerLost(self._server, "nobody waits")
+            else:
+                continue
+            self.recall(number, _GIVEN_UP)
+            del self._outstanding[number]
+            statement.end(reply)
 
     def _send(self, message: messages.LinkMessage) -> None:
         frame = statement_codec.encode(message)
--- a/hickorygate/proxies/statement_server.py
+++ b/hickorygate/proxies/statement_server.py
@@ -70,6 +70,23 @@
     ended: bool = False
 
 
+@dataclasses.dataclass(slots=True)
+class _RunningStatement:
+    """A statement in progress.
+
+    Attributes:
+      session: session that runs it.
+      transaction: number of its transaction, if it has one.
+      served: its transaction; None if it has none.
+      work: task that runs it.
+    """
+
+    session: caller_session.CallerSession
+    transaction: int
+    served: _ServedTransaction | None
+    work: asyncio.Task[None]
+
+
 class IncomingLink(asyncio.Protocol):
     """The link of one gateway."""
 
@@ -81,7 +98,7 @@
         self._gateway = ""
         self._opened = server.env.clock.now()
         self._transactions: dict[int, _ServedTransaction] = {}
-        self._sessions: dict[int, caller_session.CallerSession] = {}
+        self._running: dict[int, _RunningStatement] = {}
         self._paused = False
         self._unread = False
         self._closed = False
@@ -94,7 +111,7 @@
     @property
     def running(self) -> int:
         """Number of statements in progress."""
-        return len(self._sessions)
+        return len(self._running)
 
     @property
     def transactions(self) -> int:
@@ -194,19 +211,39 @@
             self._run_in(message, served)
 
     def recall(self, message: messages.RecallStatement) -> None:
-        """Rejects a statement unless it was sent to a database already."""
-        session = self._sessions.get(message.number)
-        if session is not None:
-            # The task of a statement that was just received starts first.
-            asyncio.get_running_loop().call_soon(
-                session.interrupt,
-                replies.Rejection(message.reason, message.detail),
+        """Rejects a statement unless it was sent to a database already.
+
+        One that has not started yet, as after a suspension of this process,
+        isn't started any more.
+        """
+        running = self._running.get(message.number)
+        if running is None:
+            return
+        rejection = replies.Rejection(message.reason, message.detail)
+        if running.session.is_running:
+            running.session.interrupt(rejection)
+            return
+        running.work.cancel()
+        if running.served is not None:
+            running.served.ended = True
+            self._transactions.pop(running.transaction, None)
+        self._server.note_served(
+            running.session.reply(expression.Error(rejection))
+        )
+        self._send_reply(
+            messages.StatementReply(
+                number=message.number,
+                verdict=messages.Verdict.REJECTED,
+                reason=message.reason,
+                detail=message.detail,
             )
+        )
 
     def check_access(self) -> None:
         """Applies the configuration in force to all sessions."""
         transactions = [t.session for t in self._transactions.values()]
-        for session in {*transactions, *self._sessions.values()}:
+        running = [r.session for r in self._running.values()]
+        for session in {*transactions, *running}:
             session.check_access()
 
     def abort_transaction(self, transaction: int) -> None:
@@ -267,13 +304,15 @@
         session: caller_session.CallerSession,
         served: _ServedTransaction | None,
     ) -> None:
-        if message.number in self._sessions:
+        if message.number in self._running:
             self.close()
             return
-        self._sessions[message.number] = session
-        if len(self._sessions) >= _MAX_RUNNING:
-            self._adjust_reading()
         work = self._server.env.background.start(self._serve(message, session))
+        self._running[message.number] = _RunningStatement(
+            session, message.transaction, served, work
+        )
+        if len(self._running) >= _MAX_RUNNING:
+            self._adjust_reading()
         if served is not None:
             served.work = work
             served.commits = isinstance(message.operation, operations.Commit)
@@ -301,7 +340,7 @@
 
         Closes the link after a fault of this proxy, which sent no reply.
         """
-        del self._sessions[message.number]
+        del self._running[message.number]
         if self._paused:
             self._adjust_reading()
         if served is not None:
@@ -319,7 +358,7 @@
         self.send(dataclasses.replace(reply, version=version))
 
     def _adjust_reading(self) -> None:
-        wanted = self._unread or len(self._sessions) >= _MAX_RUNNING
+        wanted = self._unread or len(self._running) >= _MAX_RUNNING
         transport = self._transport
         if wanted == self._paused or transport is None:
             return
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -39,7 +39,12 @@
 
 _UNUSED_TIMEOUT = datetime.timedelta(seconds=20)
 """Time without use after which a group is no longer monitored, if there are
-more than `_MAX_MONITORED_GROUPS` or other proxies serve it."""
+more than `_MAX_MONITORED_GROUPS`."""
+
+_UNSERVED_TIMEOUT = datetime.timedelta(seconds=3)
+"""Time without use after which a group that other proxies serve is no longer
+monitored. After a restart of the whole fleet, each proxy may have run a few
+statements itself; the connections that it still holds are missing there."""
 
 
 class GroupRegistry:
@@ -326,5 +331,9 @@
             if self._is_monitored(name) or group.busy:
                 continue
             since = self._last_used.get(name)
-            if since is None or now - since >= _UNUSED_TIMEOUT:
+            if since is None or now - since >= self._unused_timeout(name):
                 self._close_group(name)
+
+    def _unused_timeout(self, service: types.ServiceName) -> datetime.timedelta:
+        served = self._plan is None or self._plan.serves(service)
+        return _UNUSED_TIMEOUT if served else _UNSERVED_TIMEOUT
