--- a/hickorygate/tests/test_serving_proxies.py
+++ b/hickorygate/tests/test_serving_proxies.py
@@ -14,7 +14,7 @@
 
 from hickorygate.core import platform_events
 from hickorygate.core import workspace
-from hickorygate.proxies import statement_server
+from hickorygate.proxies import incoming_link
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
 from hickorygate.testing import virtual_time
@@ -96,7 +96,7 @@
             for _, text in database.ran
         )
 
-    def link(self) -> statement_server.IncomingLink:
+    def link(self) -> incoming_link.IncomingLink:
         (link,) = self.servers[0].statements.links
         return link
 
