Let a borrower wait longer if its workspace has connections in use

A forced change of the workspace costs a connection of 12 ms on a slot. Test of openings under saturation is not final.

--- a/hickorygate/tests/test_line_protocol.py
+++ b/hickorygate/tests/test_line_protocol.py
@@ -10,6 +10,7 @@
 from hickorygate.core import operation
 from hickorygate.core import position
 from hickorygate.core import reply as replies
+from hickorygate.core import workspace as workspaces
 from hickorygate.platform import line_protocol
 from hickorygate.upstreams import database_request
 
@@ -37,6 +38,20 @@
         )
         self.assertEqual(_query("COMMIT"), operation.Commit("COMMIT"))
 
+    def test_the_second_field_of_connect_is_the_key(self) -> None:
+        key = workspaces.Credential.of("k1")
+        for line, credential in (
+            (b"CONNECT db", None),
+            (b"CONNECT db ", None),
+            (b"CONNECT db k1", key),
+            (b"CONNECT db k1 more", key),
+        ):
+            with self.subTest(line):
+                self.assertEqual(
+                    line_protocol.parse_message(line),
+                    line_protocol.Connect("db", credential),
+                )
+
     def test_session_statements(self) -> None:
         prepared = operation.PreparedStatement(True, "q2c")
         self.assertEqual(
--- a/hickorygate/upstreams/borrow_queue.py
+++ b/hickorygate/upstreams/borrow_queue.py
@@ -5,6 +5,7 @@
 import asyncio
 import bisect
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
 import datetime
@@ -25,6 +26,10 @@
 use a returned connection as it is. Opening one for another workspace takes 12
 ms and a slot."""
 
+_OWN_OVERTAKE_LIMIT = datetime.timedelta(milliseconds=100)
+"""The same time if connections of the borrower's workspace are in use. It
+probably gets one of them when that is returned."""
+
 
 class BorrowPurpose(enum.Enum):
     """The purpose for which a connection is borrowed."""
@@ -118,16 +123,19 @@
     def next_for(
         self,
         workspace: types.WorkspaceName,
+        in_use: Collection[types.WorkspaceName],
         may_borrow: Callable[[BorrowPurpose], bool],
     ) -> Waiter | None:
         """Returns the borrower to serve next when a connection is idle.
 
         The borrower may be of another workspace; then a connection has to be
         opened for it. That is so if no borrower of its rank can use the idle
-        connection, or it has waited for `_OVERTAKE_LIMIT`.
+        connection, or it has waited for `_OVERTAKE_LIMIT`, or for
+        `_OWN_OVERTAKE_LIMIT`.
 
         Args:
           workspace: workspace of the idle connection.
+          in_use: workspaces of the connections in use.
           may_borrow: returns whether a connection may be lent for a purpose.
         """
         now = self._clock.now()
@@ -139,7 +147,9 @@
                 return waiter
             if waiter.opening:
                 continue
-            if now - waiter.since >= _OVERTAKE_LIMIT:
+            has_own = waiter.workspace in in_use
+            limit = _OWN_OVERTAKE_LIMIT if has_own else _OVERTAKE_LIMIT
+            if now - waiter.since >= limit:
                 return waiter
             first = first or waiter
         return first
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -459,7 +459,11 @@
         """
         workspace = pooled_connection.workspace
         while True:
-            waiter = self._waiting.next_for(workspace, self._may_borrow)
+            waiter = self._waiting.next_for(
+                workspace,
+                {borrowed.workspace for borrowed in self._borrowed},
+                self._may_borrow,
+            )
             if waiter is None:
                 self._open_if_needed()
                 return
