--- a/hickorygate/upstreams/borrow_queue.py
+++ b/hickorygate/upstreams/borrow_queue.py
@@ -5,6 +5,7 @@
 import asyncio
 import bisect
 from collections.abc import Callable
+from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
 import datetime
@@ -18,13 +19,17 @@
 from hickorygate.core import types
 from hickorygate.upstreams import pooled_connection
 
-__all__ = ["BorrowPurpose", "BorrowQueue", "Waiter"]
+__all__ = ["BorrowPurpose", "BorrowQueue", "OVERTAKE_LIMIT", "Waiter"]
 
-_OVERTAKE_LIMIT = datetime.timedelta(milliseconds=25)
+OVERTAKE_LIMIT = datetime.timedelta(milliseconds=25)
 """Time for which a borrower may be overtaken by those of the same rank that can
 use a returned connection as it is. Opening one for another workspace takes 12
 ms and a slot."""
 
+_OWN_OVERTAKE_LIMIT = datetime.timedelta(milliseconds=100)
+"""The same time if connections of the borrower's workspace are in use. It
+probably gets one of them when that is returned."""
+
 
 class BorrowPurpose(enum.Enum):
     """The purpose for which a connection is borrowed."""
@@ -62,6 +67,10 @@
     since: datetime.datetime = dataclasses.field(compare=False)
     opening: bool = dataclasses.field(compare=False, default=False)
 
+    def has_waited(self, now: datetime.datetime) -> bool:
+        """Returns whether the borrower has waited for `OVERTAKE_LIMIT`."""
+        return now - self.since >= OVERTAKE_LIMIT
+
     def accepts(self, workspace: types.WorkspaceName) -> bool:
         """Returns whether a workspace's connection serves the borrower."""
         any_workspace = self.use is BorrowPurpose.STATUS
@@ -118,16 +127,19 @@
     def next_for(
         self,
         workspace: types.WorkspaceName,
+        in_use: Collection[types.WorkspaceName],
         may_borrow: Callable[[BorrowPurpose], bool],
     ) -> Waiter | None:
         """Returns the borrower to serve next when a connection is idle.
 
         The borrower may be of another workspace; then a connection has to be
         opened for it. That is so if no borrower of its rank can use the idle
-        connection, or it has waited for `_OVERTAKE_LIMIT`.
+        connection, or it has waited for `OVERTAKE_LIMIT`, or for
+        `_OWN_OVERTAKE_LIMIT`.
 
         Args:
           workspace: workspace of the idle connection.
+          in_use: workspaces of the connections in use.
           may_borrow: returns whether a connection may be lent for a purpose.
         """
         now = self._clock.now()
@@ -139,9 +151,13 @@
                 return waiter
             if waiter.opening:
                 continue
-            if now - waiter.since >= _OVERTAKE_LIMIT:
+            has_own = waiter.workspace in in_use
+            limit = _OWN_OVERTAKE_LIMIT if has_own else OVERTAKE_LIMIT
+            if now - waiter.since >= limit:
                 return waiter
             first = first or waiter
+        if first is not None and first.workspace in in_use:
+            return first if first.has_waited(now) else None
         return first
 
     def first_accepting(
