Learn how much each database takes well, off by default

A limit on statements in flight that counts slots doesn't fit databases that differ in speed or are slow for a time. Each proxy now learns a limit and the response times of each database from its own statements, compared with the service's other databases. Permits take their limit from it, and reads go where they are expected to end first. GroupRegistry and GroupMonitor take CapacitySettings; without them everything is as before.

--- a/hickorygate/callers/read_placement.py
+++ b/hickorygate/callers/read_placement.py
@@ -42,6 +42,8 @@
       load: number of this proxy's requests that run or wait there.
       in_same_zone: whether the database is in this proxy's availability zone.
       failure_rate: recent share of failed requests, 0 to 1.
+      unit_cost: learned time per request ahead of the read, in usual response
+        times of its class; None if nothing is learned.
     """
 
     member: members.Member
@@ -50,6 +52,7 @@
     load: int
     in_same_zone: bool
     failure_rate: float = 0.0
+    unit_cost: float | None = None
 
     def has_reached(self, floor: positions.Position | None) -> bool:
         """Returns whether the database is known to have reached a position."""
@@ -80,6 +83,8 @@
 
 
 def _cost(candidate: ReadCandidate) -> float:
+    if candidate.unit_cost is not None:
+        return _completion_cost(candidate, candidate.unit_cost)
     cost = candidate.load / candidate.member.slots
     cost += _PRIMARY_COST * candidate.is_primary
     cost += _WARMING_COST * candidate.member.warming
@@ -87,6 +92,18 @@
     return cost + _OTHER_ZONE_COST * (not candidate.in_same_zone)
 
 
+def _completion_cost(candidate: ReadCandidate, unit_cost: float) -> float:
+    """Returns the expected time until the read has ended.
+
+    A read that runs at the primary delays the writes, which can't run
+    elsewhere. It therefore counts as if it waited for one statement more in
+    each slot.
+    """
+    ahead = candidate.load + candidate.member.slots * candidate.is_primary
+    cost = (ahead + 1) * unit_cost
+    return cost + _OTHER_ZONE_COST * (not candidate.in_same_zone)
+
+
 @functools.singledispatch
 def session_floor(
     consistency: catalog.Consistency,
--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -15,10 +15,13 @@
 
 from hickorygate.callers import caller_session_state
 from hickorygate.callers import session_context
+from hickorygate.core import capacity as capacities
 from hickorygate.core import catalog
 from hickorygate.core import errors
+from hickorygate.core import latency_baseline
 from hickorygate.core import operation as operations
 from hickorygate.core import position
+from hickorygate.core import reply as replies
 from hickorygate.core import request_context
 from hickorygate.upstreams import borrow_queue
 from hickorygate.upstreams import connection_pool
@@ -241,6 +244,37 @@
       terms_: rank and deadline of the request.
       commits: whether the statement may commit a write.
     """
+    capacity = pooled_connection.pool.capacity
+    if capacity is None:
+        return await _run_in_time(
+            env, group, pooled_connection, request, terms_, commits
+        )
+    kind = latency_baseline.StatementClass(
+        terms_.rank.name,
+        isinstance(request, database_request.Execute),
+        commits,
+    )
+    number = capacity.sent(kind, env.clock.now())
+    outcome = capacities.StatementOutcome.UNRELATED
+    try:
+        result = await _run_in_time(
+            env, group, pooled_connection, request, terms_, commits
+        )
+        outcome = _outcome(result)
+    finally:
+        capacity.ended(number, outcome, env.clock.now())
+    return result
+
+
+async def _run_in_time(
+    env: session_context.SessionContext,
+    group: group_monitor.GroupMonitor,
+    pooled_connection: pooled_connections.PooledConnection,
+    request: database_request.Request,
+    terms_: request_context.RequestContext,
+    commits: bool,
+) -> database_request.ReplyResult:
+    """Runs a statement until its deadline and records the result."""
     try:
         time_left_s = terms_.time_left(env.clock.now()).total_seconds()
         async with asyncio.timeout(time_left_s):
@@ -268,6 +302,20 @@
     return failure is not None and failure.outcome is not errors.Outcome.NOT_RUN
 
 
+def _outcome(
+    result: database_request.ReplyResult,
+) -> capacities.StatementOutcome:
+    """Returns what a result says about the capacity of the database."""
+    if _is_database_failure(result):
+        return capacities.StatementOutcome.FAILED
+    match database_request.failure_of(result):
+        case None:
+            return capacities.StatementOutcome.SERVED
+        case replies.Rejection(reason=replies.RejectionReason.BUSY):
+            return capacities.StatementOutcome.BUSY
+    return capacities.StatementOutcome.UNRELATED
+
+
 def record_commit(
     group: group_monitor.GroupMonitor, result: database_request.ReplyResult
 ) -> None:
--- a/hickorygate/callers/statement_target.py
+++ b/hickorygate/callers/statement_target.py
@@ -212,6 +212,7 @@
             load=pool.load,
             in_same_zone=pool.member.zone == session.env.zone,
             failure_rate=pool.failure_rate.share(now),
+            unit_cost=pool.capacity and pool.capacity.unit_cost(now),
         )
         for name, pool in group.pools.items()
         if not group.prober.is_lost(name)
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -13,6 +13,7 @@
 from hickorygate.core import types
 
 __all__ = [
+    "CapacityChanged",
     "CatalogApplied",
     "CatalogRejected",
     "ConnectionUnsettled",
@@ -376,3 +377,28 @@
     """
 
     problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapacityChanged(events.Event):
+    """The learned limit of a database changed by more than a quarter.
+
+    Attributes:
+      service: service of the database.
+      database: id of the database.
+      former: number of this proxy's statements that could be in flight before.
+      limit: the same number now.
+      state: "normal", "slow", "saturated" or "failing".
+      ratio: ratio of the recent response times to the usual ones.
+      failing_share: share of the recent statements that failed, 0 to 1.
+      in_flight: number of this proxy's statements that are in flight.
+    """
+
+    service: types.ServiceName
+    database: types.DatabaseName
+    former: int
+    limit: int
+    state: str
+    ratio: float
+    failing_share: float
+    in_flight: int
--- a/hickorygate/testing/model_fleet.py
+++ b/hickorygate/testing/model_fleet.py
@@ -14,6 +14,7 @@
 from hickorygate.callers import caller_session
 from hickorygate.callers import session_context
 from hickorygate.core import background
+from hickorygate.core import capacity as capacities
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import errors
 from hickorygate.core import events
@@ -82,6 +83,7 @@
         group: model_group.ModelGroup,
         store: line_cluster.MemoryStore,
         clock: virtual_time.LoopClock,
+        capacity: capacities.CapacitySettings | None = None,
     ) -> None:
         self.name = name
         self.journal = events.Timeline(name, events.HybridLogicalClock(clock))
@@ -96,6 +98,8 @@
             self._lease,
             clock,
             self.journal,
+            capacity,
+            random.Random(name),
         )
         self._group = group
         self._clock = clock
@@ -192,6 +196,7 @@
         self,
         count: int,
         settings: model_group.ModelSettings | None = None,
+        capacity: capacities.CapacitySettings | None = None,
     ) -> None:
         self.clock = virtual_time.LoopClock(asyncio.get_running_loop())
         self.group = model_group.ModelGroup(
@@ -199,7 +204,9 @@
         )
         self.store = line_cluster.MemoryStore(self.group)
         self.proxies = [
-            ModelProxy(f"proxy-{n}", self.group, self.store, self.clock)
+            ModelProxy(
+                f"proxy-{n}", self.group, self.store, self.clock, capacity
+            )
             for n in range(count)
         ]
 
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -15,6 +15,7 @@
 import expression
 
 from hickorygate.core import background
+from hickorygate.core import capacity as capacities
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
@@ -48,8 +49,10 @@
         connector: database_request.Connector,
         clock: clocks.Clock,
         journal: events.Journal,
+        capacity: capacities.CapacityEstimate | None = None,
     ) -> None:
         self._member = member
+        self._capacity = capacity
         self._share = connection_share.ConnectionShare(
             member.slots, max_connections
         )
@@ -70,7 +73,7 @@
         self._closed = False
         self._background = background.BackgroundTasks()
         self._failure_rate = grades.FailureRate()
-        self._permits = permit_lib.Permits(member.slots, clock)
+        self._permits = permit_lib.Permits(member.slots, clock, capacity)
 
     @property
     def member(self) -> members.Member:
@@ -82,6 +85,11 @@
         """The admission control for requests to the database."""
         return self._permits
 
+    @property
+    def capacity(self) -> capacities.CapacityEstimate | None:
+        """What was learned about the database; None if nothing is learned."""
+        return self._capacity
+
     @property
     def failure_rate(self) -> grades.FailureRate:
         """The recent failure rate of the database."""
@@ -144,6 +152,8 @@
         self._permits.set_limit(
             connection_share.permits_per_proxy(member.slots, proxies)
         )
+        if self._capacity is not None:
+            self._capacity.set_size(member.slots, proxies)
 
     def note_answer(self) -> None:
         """Records that the database, or its host, answered."""
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -9,8 +9,10 @@
 
 import asyncio
 import datetime
+import random
 
 from hickorygate.core import background
+from hickorygate.core import capacity as capacities
 from hickorygate.core import catalog
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
@@ -20,6 +22,7 @@
 from hickorygate.core import reply
 from hickorygate.core import request_context
 from hickorygate.core import types
+from hickorygate.upstreams import capacity_monitor
 from hickorygate.upstreams import connection_pool
 from hickorygate.upstreams import connection_share
 from hickorygate.upstreams import database_request
@@ -75,7 +78,12 @@
         lease: promotion_lease.PromotionLease,
         clock: clocks.Clock,
         journal: events.Journal,
+        capacity: capacities.CapacitySettings | None = None,
+        rng: random.Random | None = None,
     ) -> None:
+        self._capacity = capacity_monitor.CapacityMonitor(
+            terms.name, capacity, clock, journal, rng
+        )
         self._terms = terms
         self._connector = connector
         self._clock = clock
@@ -166,6 +174,8 @@
     def start(self) -> None:
         """Starts the background task that runs the rounds."""
         self._background.keep(self._run)
+        if self._capacity.active:
+            self._background.keep(lambda: self._capacity.run(self._pools))
 
     async def close(self) -> None:
         """Stops all background tasks and closes the connection pools."""
@@ -212,6 +222,7 @@
                 del self._pools[name]
                 pool.retire("it left")
                 self._prober.forget(name)
+                self._capacity.remove(name)
                 self._journal.record(
                     platform_events.MemberUnlisted(self.service, name)
                 )
@@ -423,7 +434,12 @@
         pool = self._pools.get(name)
         if pool is None:
             pool = connection_pool.ConnectionPool(
-                member, limit, self._connector, self._clock, self._journal
+                member,
+                limit,
+                self._connector,
+                self._clock,
+                self._journal,
+                self._capacity.add(member, self._proxies),
             )
             self._pools[name] = pool
             self._journal.record(
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -7,6 +7,7 @@
 import datetime
 
 from hickorygate.core import background
+from hickorygate.core import capacity as capacities
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
@@ -49,7 +50,18 @@
         lease: promotion_lease.PromotionLease,
         clock: clocks.Clock,
         journal: events.Journal,
+        capacity: capacities.CapacitySettings | None = None,
     ) -> None:
+        """Creates the registry; it has no groups before a configuration.
+
+        Args:
+          connector: opens connections to the databases.
+          lease: lease that a takeover needs.
+          clock: source of time.
+          journal: log that events are recorded in.
+          capacity: settings of learned capacity; None if limits are fixed.
+        """
+        self._capacity = capacity
         self._connector = connector
         self._lease = lease
         self._clock = clock
@@ -209,7 +221,12 @@
     ) -> group_monitor.GroupMonitor:
         """Starts monitoring a group."""
         group = group_monitor.GroupMonitor(
-            terms, self._connector, self._lease, self._clock, self._journal
+            terms,
+            self._connector,
+            self._lease,
+            self._clock,
+            self._journal,
+            self._capacity,
         )
         self._groups[terms.name] = group
         group.set_reduced_probing(self._reduced_probing)
--- a/hickorygate/upstreams/permits.py
+++ b/hickorygate/upstreams/permits.py
@@ -12,6 +12,7 @@
 import expression
 
 from hickorygate.core import admission
+from hickorygate.core import capacity as capacities
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import lane
@@ -23,12 +24,21 @@
 
 
 class Permits:
-    """Limits the concurrent requests to the number of slots of the database."""
+    """Limits the concurrent requests to one database.
 
-    __slots__ = ("_clock", "_limit", "_queue", "_waiting")
+    The limit is learned, or else a fixed number.
+    """
 
-    def __init__(self, slots: int, clock: clocks.Clock) -> None:
+    __slots__ = ("_capacity", "_clock", "_limit", "_queue", "_waiting")
+
+    def __init__(
+        self,
+        slots: int,
+        clock: clocks.Clock,
+        capacity: capacities.CapacityEstimate | None = None,
+    ) -> None:
         self._clock = clock
+        self._capacity = capacity
         self._limit = slots
         self._queue = admission.RankQueue(
             admission.QueueSettings(slots=slots, capacity=float(slots))
@@ -46,9 +56,13 @@
         return f"Permits({self._queue!r}, limit={self._limit})"
 
     def set_limit(self, limit: int) -> None:
-        """Sets the maximum number of concurrent requests."""
+        """Sets the maximum number that is in force unless one is learned."""
         self._limit = limit
 
+    def refresh(self) -> None:
+        """Grants what a higher learned limit allows."""
+        self._grant_waiting()
+
     async def acquire(
         self, request: request_context.RequestContext
     ) -> PermitResult:
@@ -62,7 +76,7 @@
           failure.
         """
         now = self._clock.now()
-        free = self._queue.running < self._limit
+        free = self._queue.running < self._allowed(request.rank.order == 0)
         offered = self._queue.offer(request, now, free)
         if offered.is_error():
             return offered
@@ -96,6 +110,14 @@
         for waiter in self._queue.clear():
             self._settle(waiter, expression.Error(failure))
 
+    def _allowed(self, urgent: bool) -> int:
+        """Returns how many requests may run if urgent work waits or not."""
+        if self._capacity is None:
+            return self._limit
+        if urgent:
+            return self._capacity.urgent_limit
+        return self._capacity.limit
+
     def _abandon(
         self,
         waiter: lane.AdmittedRequest,
@@ -114,7 +136,9 @@
         now = self._clock.now()
         for waiter in self._queue.remove_late(now):
             self._refuse(waiter, now)
-        while self._queue.running < self._limit:
+        while self._queue.running < self._allowed(
+            self._queue.has_urgent_work(now)
+        ):
             waiter = self._queue.dequeue(now)
             if waiter is None:
                 return
--- a/hickorygate/upstreams/pooled_connection.py
+++ b/hickorygate/upstreams/pooled_connection.py
@@ -17,6 +17,7 @@
 import expression
 import xxhash
 
+from hickorygate.core import capacity as capacities
 from hickorygate.core import errors
 from hickorygate.core import operation
 from hickorygate.core import reply
@@ -62,6 +63,10 @@
     def permits(self) -> permit_lib.Permits:
         """The admission control for requests to the database."""
 
+    @property
+    def capacity(self) -> capacities.CapacityEstimate | None:
+        """What was learned about the database; None if nothing is learned."""
+
     @property
     def failure_rate(self) -> failure_rates.FailureRate:
         """The recent failure rate of the database."""
