--- a/hickorygate/core/capacity.py
+++ b/hickorygate/core/capacity.py
@@ -106,14 +106,14 @@
 """Time for which a computed deviation is used again, to limit the computing
 time at many statements per second."""
 
-_FAILURE_DECAY = datetime.timedelta(seconds=1)
+_FAILURE_DECAY = datetime.timedelta(seconds=2)
 """Time constant of the exponential decay of past failures."""
 
 _PRIOR_ANSWERS = 3.0
 """Number of successful statements added to the observed ones, so that a single
 failure does not yield an extreme share."""
 
-_FAILING_COST = 10.0
+_FAILING_COST = 20.0
 """Cost of a certain failure, in usual response times."""
 
 _REPORTED_SHARE = 0.25
@@ -366,16 +366,28 @@
         )
 
     def expected_service(
-        self, kind: latency_baseline.StatementClass, now: datetime.datetime
+        self, kind: latency_baseline.StatementClass
     ) -> datetime.timedelta | None:
         """Returns how long a statement takes here, once it was sent.
 
-        None while the class has no baseline.
+        The value is the last computed one; None while the class has no
+        baseline.
         """
         usual = self._service.baseline.seconds(kind)
         if usual is None:
             return None
-        return datetime.timedelta(seconds=usual * math.exp(self.deviation(now)))
+        return datetime.timedelta(seconds=usual * self.response_ratio)
+
+    def service_seconds(
+        self,
+    ) -> dict[latency_baseline.StatementClass, float]:
+        """Returns `expected_service` of each class that has a baseline."""
+        found = {}
+        for kind in self._service.baseline.classes:
+            expected = self.expected_service(kind)
+            if expected is not None:
+                found[kind] = expected.total_seconds()
+        return found
 
     def _learn_time(
         self, statement: _Outstanding, now: datetime.datetime
--- a/hickorygate/core/latency_baseline.py
+++ b/hickorygate/core/latency_baseline.py
@@ -61,6 +61,11 @@
     def __init__(self) -> None:
         self._classes: dict[StatementClass, _ClassBaseline] = {}
 
+    @property
+    def classes(self) -> tuple[StatementClass, ...]:
+        """The classes of which any response time was learned."""
+        return tuple(self._classes)
+
     def __repr__(self) -> str:
         return f"LatencyBaseline({len(self._classes)} classes)"
 
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -10,6 +10,7 @@
 import aioprometheus
 from aioprometheus import histogram
 
+from hickorygate.core import capacity
 from hickorygate.core import events
 from hickorygate.core import platform_events
 from hickorygate.upstreams import group_registry
@@ -143,6 +144,24 @@
         "Running and waiting requests of this proxy, by database.",
         _loads(fleet),
     )
+    show(
+        aioprometheus.Gauge,
+        "database_limit",
+        "Learned limit of this proxy's statements in flight, by database.",
+        _limits(fleet),
+    )
+    show(
+        aioprometheus.Gauge,
+        "database_response_ratio",
+        "Ratio of recent response times to the usual ones, by database.",
+        _response_ratios(fleet),
+    )
+    show(
+        aioprometheus.Gauge,
+        "database_service_seconds",
+        "Learned response time of a statement, by database and rank.",
+        _service_times(fleet),
+    )
     show(
         aioprometheus.Gauge,
         "group_primary",
@@ -190,3 +209,34 @@
     for group in fleet.groups.values():
         for name, pool in group.pools.items():
             yield {"database": name}, float(pool.load)
+
+
+def _learned(
+    fleet: group_registry.GroupRegistry,
+) -> Iterator[tuple[str, capacity.CapacityEstimate]]:
+    for group in fleet.groups.values():
+        for name, pool in group.pools.items():
+            if pool.capacity is not None:
+                yield name, pool.capacity
+
+
+def _limits(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
+    for name, estimate in _learned(fleet):
+        yield {"database": name}, float(estimate.limit)
+
+
+def _response_ratios(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
+    for name, estimate in _learned(fleet):
+        yield {"database": name}, estimate.response_ratio
+
+
+def _service_times(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
+    for name, estimate in _learned(fleet):
+        for kind, seconds in estimate.service_seconds().items():
+            labels = {
+                "database": name,
+                "rank": kind.rank,
+                "prepared": str(kind.prepared).lower(),
+                "commits": str(kind.commits).lower(),
+            }
+            yield labels, seconds
--- a/hickorygate/testing/model_connection.py
+++ b/hickorygate/testing/model_connection.py
@@ -186,6 +186,11 @@
     database: model_group.ModelDatabase,
     connection: ModelConnection,
 ) -> replies.Reply:
+    rejection = database.rejection()
+    if rejection is not None:
+        return replies.Reply(
+            expression.Error(rejection), connection.state, database.position
+        )
     await database.run()
     if request.text.startswith("WRITE"):
         if not database.leads:
--- a/hickorygate/testing/model_group.py
+++ b/hickorygate/testing/model_group.py
@@ -11,12 +11,14 @@
 from collections.abc import Callable
 import dataclasses
 import datetime
+import random
 
 import expression
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import position as positions
+from hickorygate.core import reply as replies
 from hickorygate.core import types
 from hickorygate.testing import model_connection
 from hickorygate.upstreams import database_request
@@ -39,6 +41,8 @@
       opening: time that a new connection occupies a slot.
       work: time that a statement occupies a slot.
       promotion: time until an accepted promotion takes effect.
+      queue: number of statements that wait at a database at most; it rejects
+        further ones as busy. None if it rejects none.
     """
 
     connections: int = 117
@@ -47,6 +51,7 @@
     opening: datetime.timedelta = datetime.timedelta(milliseconds=12)
     work: datetime.timedelta = datetime.timedelta(milliseconds=24)
     promotion: datetime.timedelta = datetime.timedelta(milliseconds=300)
+    queue: int | None = None
 
 
 class ModelGroup:
@@ -184,6 +189,8 @@
       running: number of statements that run or wait for a slot.
       status_requests: number of status requests that were answered.
       most_open: greatest number of connections at the same time.
+      slowdown: factor of the time that statements occupy a slot.
+      failing_share: share of the statements that fail at once, 0 to 1.
     """
 
     def __init__(
@@ -200,6 +207,9 @@
         self.running = 0
         self.status_requests = 0
         self.most_open = 0
+        self.slowdown = 1.0
+        self.failing_share = 0.0
+        self._rng = random.Random(name)
         self._clock = clock
         self._open: set[model_connection.ModelConnection] = set()
         self._slots = asyncio.Semaphore(group.settings.slots)
@@ -336,11 +346,23 @@
         """Runs one statement on a slot."""
         self.running += 1
         try:
-            await self.occupy_slot(self.group.settings.work)
+            await self.occupy_slot(self.slowdown * self.group.settings.work)
         finally:
             self.running -= 1
         self.statements += 1
 
+    def rejection(self) -> replies.Rejection | None:
+        """Returns why a statement isn't run; None if it is."""
+        settings = self.group.settings
+        queue = settings.queue
+        if queue is not None and self.running >= settings.slots + queue:
+            reason = replies.RejectionReason.BUSY
+            return replies.Rejection(reason, self.name)
+        if self._rng.random() < self.failing_share:
+            reason = replies.RejectionReason.FAILED
+            return replies.Rejection(reason, self.name)
+        return None
+
     async def occupy_slot(self, duration: datetime.timedelta) -> None:
         """Waits for a free slot and occupies it for some time."""
         async with self._slots:
