--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -17,6 +17,7 @@
 from hickorygate.callers import shutdown as shutdowns
 from hickorygate.callers import workspace_limits
 from hickorygate.core import background
+from hickorygate.core import capacity
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
@@ -241,6 +242,7 @@
             clock,
             self._journal,
             plan,
+            capacity.CapacitySettings(),
         )
         self._links = serving_links.ServingLinks(
             plan, clock, self._journal, self._note_version, self._note_refusal
--- a/hickorygate/proxies/serving_plan.py
+++ b/hickorygate/proxies/serving_plan.py
@@ -120,6 +120,10 @@
         names = self.server_names(service)
         return self._name in names or not names
 
+    def is_shared(self, service: types.ServiceName) -> bool:
+        """Returns whether proxies run statements of a service for others."""
+        return self._by_workspace or self._is_scarce(service)
+
     def _forget(self) -> None:
         self._cache.clear()
         self._servers.clear()
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -9,6 +9,7 @@
 import datetime
 
 from hickorygate.core import background
+from hickorygate.core import capacity as capacities
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
@@ -63,18 +64,22 @@
         clock: clocks.Clock,
         journal: events.Journal,
         plan: serving_plan.ServingPlan | None = None,
+        capacity: capacities.CapacitySettings | None = None,
     ) -> None:
         """Creates a registry without groups.
 
         Args:
           connector: opens connections to databases.
-          lease: promotion lease of this process.
+          lease: lease that a takeover needs.
           clock: source of time.
           journal: log that events are recorded in.
           plan: which proxies serve which services; the registry keeps its
             configuration up to date. None if all proxies serve all of them.
+          capacity: settings of learned capacity, which takes effect for
+            services that few proxies serve; None if all limits are fixed.
         """
         self._plan = plan
+        self._capacity = capacity
         self._connector = connector
         self._lease = lease
         self._clock = clock
@@ -270,6 +275,13 @@
             return False
         return self._plan is None or self._plan.serves(service)
 
+    def _is_shared(self, service: types.ServiceName) -> bool:
+        """Returns whether this proxy may serve the callers of other proxies.
+
+        Only then does it see enough statements to learn a database's capacity.
+        """
+        return self._plan is None or self._plan.is_shared(service)
+
     def _apply_plan(self, catalog: catalogs.Catalog) -> None:
         """Opens the groups to monitor, and updates who shares each group."""
         for name, terms in catalog.services.items():
@@ -296,7 +308,12 @@
     ) -> group_monitor.GroupMonitor:
         """Starts monitoring a group."""
         group = group_monitor.GroupMonitor(
-            terms, self._connector, self._lease, self._clock, self._journal
+            terms,
+            self._connector,
+            self._lease,
+            self._clock,
+            self._journal,
+            self._capacity if self._is_shared(terms.name) else None,
         )
         self._groups[terms.name] = group
         group.set_reduced_probing(not self._is_monitored(terms.name))
