Order waiting requests fairly between workspaces

Within a rank, start-time fair queueing decides between workspaces; with one workspace the order and the decisions are as before. A request that goes ahead of others' requests may make those late; they are refused at once.

--- a/hickorygate/core/admission.py
+++ b/hickorygate/core/admission.py
@@ -9,7 +9,8 @@
 time of one request (deficit accounting, as in Shreedhar and Varghese,
 "Efficient Fair Queuing using Deficit Round Robin", 1995). A lane without
 waiting requests earns no credit, so the other lanes use its share. Within a
-lane, the earliest deadline goes first.
+lane, workspaces share the service time evenly (`core/fair_order.py`), and the
+earliest deadline of a workspace goes first.
 
 A request is admitted if it can run at once. Otherwise it is admitted only if
 the lane isn't full and the work ahead of the request in its lane leaves time to
@@ -25,7 +26,6 @@
 
 from __future__ import annotations
 
-import bisect
 import dataclasses
 import datetime
 import functools
@@ -152,7 +152,7 @@
         for lane in self._lanes.values():
             if not lane.waiters:
                 continue
-            first = lane.waiters[0].admitted
+            first = lane.waiters.first.admitted
             since = max(first, self._last_dequeue or first)
             if lane.rank.order == 0 or now - since >= _STARVATION_TIMEOUT:
                 return True
@@ -181,19 +181,18 @@
             failure = errors.DeadlinePassed(request.rank.name, waited)
             return expression.Error(failure)
         lane.offered_work += lane.service
-        planned = self._planned_duration(lane, request)
-        waiter = lanes.AdmittedRequest(self._next_number, request, now, planned)
+        waiter = self._plan(lane, request, now)
         late = datetime.timedelta()
         if not (free and self.size == 0):
             late = _expected_lateness(self._settings.policy, self, lane, waiter)
-        full = len(lane.waiters) >= self._settings.max_waiting
-        if full or late > datetime.timedelta():
+        if self._is_full(lane, waiter) or late > datetime.timedelta():
             failure = errors.Overloaded(
                 request.rank.name, max(late, _MIN_RETRY_DELAY)
             )
             return expression.Error(failure)
         self._next_number += 1
-        bisect.insort(lane.waiters, waiter, key=lambda w: w.order)
+        lane.waiters.add(waiter)
+        lane.displaced = lane.waiters.workspaces > 1
         return expression.Ok(waiter)
 
     def dequeue(self, now: datetime.datetime) -> lanes.AdmittedRequest | None:
@@ -205,7 +204,7 @@
         lane = _next_lane(self._settings.policy, self)
         if lane is None:
             return None
-        waiter = lane.waiters.pop(0)
+        waiter = lane.waiters.pop_first(lane.service)
         self._last_dequeue = now
         self._update_credits(lane)
         if now > waiter.admitted:
@@ -229,6 +228,8 @@
         self._advance(now)
         lane = self._lane_of(waiter.request.rank)
         lane.running -= 1
+        used = service.total_seconds() if service is not None else 0.0
+        lane.record_usage(waiter.workspace, used)
         if service is None:
             return
         lane.record_service_time(service.total_seconds())
@@ -252,30 +253,91 @@
         """Removes and returns the requests that can't be answered in time."""
         removed: list[lanes.AdmittedRequest] = []
         for lane in self._lanes.values():
-            while lane.waiters and self._starts_too_late(lane, now):
-                waiter = lane.waiters.pop(0)
-                self._adapt_margin(lane, waiter, waiter.request.deadline)
-                removed.append(waiter)
+            while True:
+                late = [
+                    waiter
+                    for waiter in lane.waiters.heads
+                    if self._starts_too_late(lane, waiter, now)
+                ]
+                if not late:
+                    break
+                for waiter in late:
+                    lane.waiters.remove(waiter)
+                    self._adapt_margin(lane, waiter, waiter.request.deadline)
+                removed.extend(late)
         return tuple(removed)
 
+    def remove_displaced(
+        self, now: datetime.datetime
+    ) -> tuple[lanes.AdmittedRequest, ...]:
+        """Removes and returns requests that others have made late.
+
+        A request goes ahead of those of workspaces that used more. Those that
+        can't be answered in time any more are refused at once, the last ones
+        of the workspace that used most first.
+        """
+        self._advance(now)
+        removed: list[lanes.AdmittedRequest] = []
+        for lane in self._lanes.values():
+            while lane.displaced:
+                waiter = self._displaced(lane, now)
+                if waiter is None:
+                    lane.displaced = False
+                else:
+                    lane.waiters.remove(waiter)
+                    removed.append(waiter)
+        return tuple(removed)
+
+    def _displaced(
+        self, lane: lanes.Lane, now: datetime.datetime
+    ) -> lanes.AdmittedRequest | None:
+        """Returns a request that others have made late; None if none is."""
+        if lane.waiters.workspaces < 2:
+            return None
+        if len(lane.waiters) > self._settings.max_waiting:
+            return lane.waiters.last_of_longest()
+        if isinstance(self._settings.policy, Fifo):
+            return None
+        first = self._first_ends_after(lane)
+
+        def is_late(waiter: lanes.AdmittedRequest) -> bool:
+            ahead = lane.waiters.ahead(waiter, lane.service)
+            left = waiter.request.time_left(now).total_seconds()
+            return first + self._drain_time(lane, ahead) > left
+
+        return lane.waiters.last_where(is_late)
+
+    def _is_full(self, lane: lanes.Lane, waiter: lanes.AdmittedRequest) -> bool:
+        """Returns whether no more requests of a workspace may wait.
+
+        A full lane admits one more of a workspace that doesn't have most of
+        the waiting requests; `remove_displaced` makes room for it.
+        """
+        if len(lane.waiters) < self._settings.max_waiting:
+            return False
+        if not lane.waiters:
+            return True
+        return lane.waiters.last_of_longest().workspace == waiter.workspace
+
     def clear(self) -> tuple[lanes.AdmittedRequest, ...]:
         """Removes and returns all waiting requests."""
         removed: list[lanes.AdmittedRequest] = []
         for lane in self._lanes.values():
-            removed.extend(lane.waiters)
-            lane.waiters.clear()
+            removed.extend(lane.waiters.clear())
         return tuple(removed)
 
     def _starts_too_late(
-        self, lane: lanes.Lane, now: datetime.datetime
+        self,
+        lane: lanes.Lane,
+        waiter: lanes.AdmittedRequest,
+        now: datetime.datetime,
     ) -> bool:
-        """Returns whether the first request of a lane is too late to start.
+        """Returns whether a request of a lane is too late to start.
 
         A request that was admitted with less time left than the measured
         service time may start until its deadline, so that the service time is
         measured again.
         """
-        waiter = lane.waiters[0]
         deadline = waiter.request.deadline
         service = datetime.timedelta(seconds=lane.service)
         never_fitted = waiter.admitted + service > deadline
@@ -351,14 +413,21 @@
             share = 1.0 - sum(other.rank.floor for other in waiting)
         return self._settings.capacity * max(share, _MIN_SHARE)
 
-    def _planned_duration(
-        self, lane: lanes.Lane, request: request_context.RequestContext
-    ) -> datetime.timedelta:
-        """Returns the planned duration of a new request, wait included."""
-        order = (request.deadline, self._next_number)
-        index = bisect.bisect(lane.waiters, order, key=lambda w: w.order)
-        seconds = self._first_ends_after(lane) + self._drain_time(lane, index)
-        return datetime.timedelta(seconds=seconds)
+    def _plan(
+        self,
+        lane: lanes.Lane,
+        request: request_context.RequestContext,
+        now: datetime.datetime,
+    ) -> lanes.AdmittedRequest:
+        """Returns a new request with its planned duration, wait included."""
+        waiter = lanes.AdmittedRequest(
+            self._next_number, request, now, datetime.timedelta()
+        )
+        ahead = lane.waiters.ahead(waiter, lane.service)
+        seconds = self._first_ends_after(lane) + self._drain_time(lane, ahead)
+        return dataclasses.replace(
+            waiter, planned_duration=datetime.timedelta(seconds=seconds)
+        )
 
     def _first_ends_after(self, lane: lanes.Lane) -> float:
         """Returns the seconds until the first request of a lane has ended.
@@ -398,15 +467,17 @@
     ) -> datetime.timedelta:
         """Returns by how much a new request would miss its deadline.
 
-        The result also covers the requests behind the new one: it must not
-        make them late either.
+        The result also covers the requests of its workspace behind the new
+        one: it must not make them late either. Requests of other workspaces
+        are behind it because those used more.
         """
         assert self._last_advance is not None, "_advance must run first"
         first = self._first_ends_after(lane)
-        index = bisect.bisect(lane.waiters, waiter.order, key=lambda w: w.order)
         most_late = -math.inf
-        behind = [waiter, *lane.waiters[index:]]
-        for ahead, other in enumerate(behind, start=index):
+        behind = lane.waiters.behind_in_workspace(waiter)
+        for other in [waiter, *behind]:
+            added = int(other is not waiter)
+            ahead = lane.waiters.ahead(other, lane.service, added)
             left = other.request.time_left(self._last_advance).total_seconds()
             planned = first + self._drain_time(lane, ahead) + lane.margin
             most_late = max(most_late, planned - left)
@@ -422,7 +493,7 @@
 @_next_lane.register
 def _(policy: Fifo, queue: RankQueue) -> lanes.Lane | None:
     lanes = [lane for lane in queue._lanes.values() if lane.waiters]
-    return min(lanes, key=lambda lane: lane.waiters[0].number, default=None)
+    return min(lanes, key=lambda lane: lane.waiters.first.number, default=None)
 
 
 @_next_lane.register
--- a/hickorygate/core/lane.py
+++ b/hickorygate/core/lane.py
@@ -6,8 +6,10 @@
 import datetime
 import math
 
+from hickorygate.core import fair_order
 from hickorygate.core import rank as ranks
 from hickorygate.core import request_context
+from hickorygate.core import types
 
 __all__ = ["Lane", "AdmittedRequest"]
 
@@ -56,6 +58,11 @@
     admitted: datetime.datetime
     planned_duration: datetime.timedelta
 
+    @property
+    def workspace(self) -> types.WorkspaceName:
+        """Workspace of the request; empty if it has none."""
+        return self.request.workspace
+
     @property
     def order(self) -> tuple[datetime.datetime, int]:
         """Sort key: deadline, then order of arrival."""
@@ -81,12 +88,16 @@
       observed_time: time over which the lane was observed.
       service: moving average of the service time of one request.
       backlogged_time: time during which at least one request waited.
-      waiters: waiting requests, the earliest deadline first.
+      waiters: waiting requests in a fair order of their workspaces, the
+        earliest deadline of each first.
+      displaced: whether a request went ahead of those of other workspaces and
+        may have made them late.
     """
 
     __slots__ = (
         "offered_work",
         "credit",
+        "displaced",
         "drained_work",
         "finished",
         "margin",
@@ -102,7 +113,10 @@
         self.rank = rank
         self.running = 0
         self.service = service
-        self.waiters: list[AdmittedRequest] = []
+        self.waiters: fair_order.FairOrder[AdmittedRequest] = (
+            fair_order.FairOrder()
+        )
+        self.displaced = False
         self.credit = 0.0
         self.margin = _INITIAL_MARGIN * rank.target.total_seconds()
         self.offered_work = 0.0
@@ -153,6 +167,15 @@
         )
         return greatest * self.service / (self.observed_time + self.service)
 
+    def record_usage(self, workspace: types.WorkspaceName, used: float) -> None:
+        """Corrects the service time that a workspace was charged.
+
+        Args:
+          workspace: workspace of a request that has ended.
+          used: seconds that it used; `pop_first` charged `service` for it.
+        """
+        self.waiters.charge(workspace, used - self.service)
+
     def record_service_time(self, seconds: float) -> None:
         """Adds a service time to the average; the first ones weigh more."""
         self.finished += 1
--- a/hickorygate/upstreams/permits.py
+++ b/hickorygate/upstreams/permits.py
@@ -21,6 +21,9 @@
 
 PermitResult = expression.Result[lane.AdmittedRequest, errors.Failure]
 
+_DISPLACED_RETRY_DELAY = datetime.timedelta(milliseconds=100)
+"""Retry delay that the refusal of a request suggests that others displaced."""
+
 
 class Permits:
     """Limits the concurrent requests to the number of slots of the database."""
@@ -114,6 +117,11 @@
         now = self._clock.now()
         for waiter in self._queue.remove_late(now):
             self._refuse(waiter, now)
+        for waiter in self._queue.remove_displaced(now):
+            failure = errors.Overloaded(
+                waiter.request.rank.name, _DISPLACED_RETRY_DELAY
+            )
+            self._settle(waiter, expression.Error(failure))
         while self._queue.running < self._limit:
             waiter = self._queue.dequeue(now)
             if waiter is None:
