--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -308,6 +308,11 @@
         """Listener for the statements of other proxies."""
         return self._statements
 
+    @property
+    def limits(self) -> workspace_limits.WorkspaceLimits:
+        """Rate limits of the workspaces."""
+        return self._limits
+
     def __repr__(self) -> str:
         return f"Process({self._settings.name!r})"
 
--- a/hickorygate/tests/test_process_forwarding.py
+++ b/hickorygate/tests/test_process_forwarding.py
@@ -195,6 +195,37 @@
         self.assertEqual((await client.query("READ x"))[0], "ROW 1")
         self.assertNotIn("ERROR", (await client.query("WRITE x 2"))[0])
 
+    async def test_server_gets_the_whole_rate_limit(self) -> None:
+        # Guards against shares that are not lent over the links: the server
+        # would use half of the limit.
+        configuration = _configuration() | {"version": 4}
+        limited = {"rate_per_s": 50, "burst": 100}
+        configuration["tenants"] = [
+            {"name": "w1", "api_keys": ["someone"]} | limited
+        ]
+        self.store.put("config", "main", configuration)
+        limits = {n: p.limits for n, p in self.processes.items()}
+        client = await self.connect(self.gateway)
+        shares: dict[str, float] = {}
+
+        async def shares_settle() -> None:
+            while shares != {self.server: 1.0}:
+                await client.query("READ x")
+                await asyncio.sleep(0.1)
+                shares.update(
+                    {
+                        name: limit.usage["w1"].share
+                        for name, limit in limits.items()
+                        if "w1" in limit.usage
+                    }
+                )
+
+        async with asyncio.timeout(_LIMIT):
+            await shares_settle()
+        received = await client.query("READ x")
+        self.assertTrue(received[-1].startswith("READY I"))
+        self.assertEqual(limits[self.gateway].usage, {})
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/hickorygate/tests/test_statement_codec.py
+++ b/hickorygate/tests/test_statement_codec.py
@@ -55,6 +55,21 @@
         operations.PreparedStatement(True, "q1"),
     ),
     messages.AbortTransaction(3),
+    messages.RightsRequest(4, ("00ff", _NOT_UTF_8)),
+    messages.Rights(5, (), ()),
+    messages.Rights(
+        6,
+        (
+            messages.LentView(
+                "00ff",
+                frozenset({"a"}),
+                frozenset(),
+                frozenset({"b", _NOT_UTF_8}),
+                frozenset({"c"}),
+            ),
+        ),
+        (messages.KnownFleet("00ff", {"a": 0.5, _NOT_UTF_8: 0.0}),),
+    ),
     messages.RecallStatement(
         2, replies.RejectionReason.ACCESS_DENIED, _NOT_UTF_8
     ),
