--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -310,6 +310,11 @@
         """Listener for the statements of other proxies."""
         return self._statements
 
+    @property
+    def limits(self) -> workspace_limits.WorkspaceLimits:
+        """Rate limits of the workspaces."""
+        return self._limits
+
     def __repr__(self) -> str:
         return f"Process({self._settings.name!r})"
 
@@ -492,6 +497,9 @@
     async def _tick_limits(self) -> None:
         while True:
             self._rights.tick()
+            membership = self._registration.membership
+            if self._limits.has_limits and not membership.active:
+                self._registration.request_count()
             await self._clock.sleep(limit_share.REQUEST_INTERVAL)
 
     async def _drain(self, shutdown: shutdowns.ShutdownSchedule) -> None:
--- a/hickorygate/tests/test_workspace_limits.py
+++ b/hickorygate/tests/test_workspace_limits.py
@@ -221,9 +221,18 @@
         caller = next(iter(self.cluster.proxies[0].server.callers))
         assert caller.session is not None
         env = caller.session.env
+        listed = _listed(0.0, 0.0)
+        credential = workspaces.Credential.of("key")
+        self.cluster.proxies[0].fleet.apply(
+            dataclasses.replace(
+                line_cluster.make_catalog(2),
+                workspaces=listed,
+                keys=workspaces.KeyRing({credential: listed["w"]}),
+            )
+        )
         self.limits = workspace_limits.WorkspaceLimits(
             "proxy-0",
-            lambda: _listed(0.0, 0.0),
+            lambda: listed,
             env.journal,
             random.Random(1),
             env.clock.now(),
@@ -232,6 +241,7 @@
             line_cluster.PRIMARY_DB,
             dataclasses.replace(env, limits=self.limits),
             "w",
+            credential,
         )
 
     async def perform(self, operation: operations.Operation) -> replies.Reply:
