--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -10,9 +10,11 @@
 
 from hickorygate.callers import serving
 from hickorygate.callers import shutdown
+from hickorygate.callers import workspace_limits
 from hickorygate.core import background
 from hickorygate.core import catalog
 from hickorygate.core import clock as clocks
+from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import retry
 from hickorygate.core import types
@@ -74,6 +76,7 @@
       serving: which proxies serve which statements; None if this proxy runs
         all statements itself.
       forwarder: links to the serving proxies; None if there are none.
+      limits: rate limits of the workspaces; None if there are none.
     """
 
     fleet: ServiceGroups
@@ -88,3 +91,16 @@
     )
     serving: serving.ServerChoice | None = None
     forwarder: serving.ServerLinks | None = None
+    limits: workspace_limits.WorkspaceLimits | None = None
+
+    def admit(
+        self, workspace: types.WorkspaceName, now: datetime.datetime
+    ) -> errors.RateLimited | None:
+        """Counts an operation that needs a database.
+
+        Returns:
+          The failure if its workspace is over its rate limit, otherwise None.
+        """
+        if self.limits is None:
+            return None
+        return self.limits.admit(workspace, now)
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -15,10 +15,12 @@
 
 from hickorygate.callers import session_context
 from hickorygate.callers import shutdown as shutdowns
+from hickorygate.callers import workspace_limits
 from hickorygate.core import background
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
+from hickorygate.core import limit_share
 from hickorygate.core import platform_events
 from hickorygate.core import retry
 from hickorygate.core import types
@@ -32,6 +34,7 @@
 from hickorygate.platform import object_decoding
 from hickorygate.platform import settings as settings_lib
 from hickorygate.platform import store
+from hickorygate.proxies import rights_exchange
 from hickorygate.proxies import serving_links
 from hickorygate.proxies import serving_plan
 from hickorygate.proxies import statement_server
@@ -243,16 +246,25 @@
             plan, clock, self._journal, self._note_version, self._note_refusal
         )
         self._background = background.BackgroundTasks()
+        rng = random.Random()
+        self._limits = workspace_limits.WorkspaceLimits(
+            settings.name,
+            lambda: self._registry.workspaces,
+            self._journal,
+            rng,
+            clock.now(),
+        )
         self._env = session_context.SessionContext(
             fleet=self._registry,
             clock=clock,
             zone=settings.zone,
-            rng=random.Random(),
+            rng=rng,
             journal=self._journal,
             retries=retry.RetryBudget(share=1.0, limit=100.0),
             background=self._background,
             serving=plan,
             forwarder=self._links,
+            limits=self._limits,
         )
         self._line_server = line_server.LineServer(self._env)
         self._statements = statement_server.StatementServer(
@@ -269,7 +281,16 @@
             clock,
             self._env.rng,
             self._set_proxies,
+            has_limits=lambda: self._limits.has_limits,
         )
+        self._rights = rights_exchange.RightsExchange(
+            settings.name,
+            self._links,
+            self._registration.membership,
+            self._limits,
+            clock,
+        )
+        self._statements.answer_rights_with(self._rights.answer)
         self._probe = management_server.ManagementServer(
             self.ready, self._render_metrics
         )
@@ -361,6 +382,7 @@
         """Applies a count of the proxies."""
         self._plan.set_proxies(proxies)
         self._registry.set_proxies(frozenset(proxies))
+        self._rights.set_live(frozenset(proxies))
 
     def _note_refusal(self) -> None:
         """Counts the proxies early: one of them may have a new address."""
@@ -445,6 +467,7 @@
         self._background.keep(self._registration.run)
         self._background.keep(self._expire_transactions)
         self._background.keep(self._watch_settings)
+        self._background.keep(self._tick_limits)
 
     async def _watch_settings(self) -> None:
         """Reloads the settings when the file changes without a signal."""
@@ -464,11 +487,17 @@
                 caller.expire(now)
             self._statements.expire(now)
 
+    async def _tick_limits(self) -> None:
+        while True:
+            self._rights.tick()
+            await self._clock.sleep(limit_share.REQUEST_INTERVAL)
+
     async def _drain(self, shutdown: shutdowns.ShutdownSchedule) -> None:
         """Closes sessions according to the schedule of the shutdown."""
         self._background.start(self._registration.deregister())
         notice = self._env.shutdown
         notice.answer_by = shutdown.answer_by
+        self._rights.leave()
         self._statements.leave()
         closed = 0
         while True:
@@ -505,4 +534,5 @@
             self._store.calls,
             self._links,
             self._statements,
+            self._limits,
         )
--- a/hickorygate/proxies/incoming_link.py
+++ b/hickorygate/proxies/incoming_link.py
@@ -239,6 +239,13 @@
         for session in {*transactions, *running}:
             session.check_access()
 
+    def answer_rights(self, message: messages.RightsRequest) -> None:
+        """Answers a request for shares of rate limits."""
+        if not self._gateway:
+            self.close()
+            return
+        self.send(self._server.rights(self._gateway, message))
+
     def abort_transaction(self, transaction: int) -> None:
         """Rolls a transaction back; a commit that runs is left to its end."""
         served = self._transactions.pop(transaction, None)
@@ -394,6 +401,11 @@
     link.recall(message)
 
 
+@_handle.register
+def _(message: messages.RightsRequest, link: IncomingLink) -> None:
+    link.answer_rights(message)
+
+
 @_handle.register
 def _(message: messages.Ping, link: IncomingLink) -> None:
     link.send(messages.Pong(message.number))
--- a/hickorygate/proxies/statement_server.py
+++ b/hickorygate/proxies/statement_server.py
@@ -47,6 +47,10 @@
         self._links: set[incoming_link.IncomingLink] = set()
         self._server: asyncio.Server | None = None
         self._leaving = False
+        self._answer_rights: (
+            Callable[[types.ProxyName, messages.RightsRequest], messages.Rights]
+            | None
+        ) = None
         self._served: collections.Counter[str] = collections.Counter()
 
     @property
