--- a/hickorygate/tests/test_read_placement.py
+++ b/hickorygate/tests/test_read_placement.py
@@ -23,11 +23,12 @@
     load: int = 0,
     near: bool = True,
     failing: float = 0.0,
+    unit_cost: float | None = None,
 ) -> read_placement.ReadCandidate:
     member = members.Member(name, 1, "s", "h", 1, "a", 2, False, leads)
     position = positions.Position(1, offset)
     return read_placement.ReadCandidate(
-        member, position, leads, load, near, failing
+        member, position, leads, load, near, failing, unit_cost
     )
 
 
@@ -58,6 +59,28 @@
         failing = _candidate("b", failing=0.2)
         self.assertEqual(self.choose(failing, _candidate("c", load=1)), "c")
 
+    def test_a_learned_slow_database_is_avoided_until_others_are_full(
+        self,
+    ) -> None:
+        # With fixed costs it gets as many reads as the others.
+        slow = _candidate("b", unit_cost=5.0)
+        self.assertEqual(
+            self.choose(slow, _candidate("c", load=3, unit_cost=1.0)), "c"
+        )
+        self.assertEqual(
+            self.choose(slow, _candidate("c", load=5, unit_cost=1.0)), "b"
+        )
+
+    def test_a_slow_primary_is_avoided_more_than_a_slow_replica(self) -> None:
+        # Reads at a slow primary delay the writes, which must go there.
+        primary = _candidate("a", leads=True, unit_cost=1.0)
+        self.assertEqual(
+            self.choose(primary, _candidate("b", unit_cost=2.5)), "b"
+        )
+        self.assertEqual(
+            self.choose(primary, _candidate("b", unit_cost=3.5)), "a"
+        )
+
     def test_only_read_your_writes_has_a_session_floor(self) -> None:
         floors = {"s": _FLOOR}
         second = datetime.timedelta(seconds=1)
