--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import os
 import pathlib
 import signal
@@ -66,6 +67,16 @@
         process = self._process
         return process is not None and process.returncode is None
 
+    @property
+    def front(self) -> tuple[str, int]:
+        """Address that callers connect to, without the relay."""
+        return self.host, _FRONT_PORT
+
+    @property
+    def readiness(self) -> tuple[str, int]:
+        """Address of the readiness check."""
+        return self.host, _READY_PORT
+
     @property
     def pid(self) -> int | None:
         """Process id of the newest process; None before the first start."""
@@ -75,7 +86,11 @@
         return f"Proxy({self.name!r}, {self.incarnation=})"
 
     async def prepare(
-        self, store_port: int, database_ports: list[int], zone: str
+        self,
+        store_port: int,
+        database_ports: list[int],
+        zone: str,
+        options: Mapping[str, str] | None = None,
     ) -> None:
         """Starts the relays and writes the settings file.
 
@@ -83,6 +98,7 @@
           store_port: port of the store.
           database_ports: port of each database.
           zone: availability zone of the proxy.
+          options: further lines of the settings file, by key.
         """
         self.store = relays.FaultRelay("127.0.0.1", store_port)
         self.databases = {
@@ -99,6 +115,7 @@
             "platform.address": f"127.0.0.1:{self.store.port}",
             "cloud_api.address": f"127.0.0.1:{self.store.port}",
             "bounds.grace_s": str(GRACE_SECONDS),
+            **(options or {}),
         }
         lines = [f"{key}={value}\n" for key, value in settings.items()]
         self._path("conf").write_text("".join(lines))
