Bound the memory and connections of callers

A process kept whatever callers sent: decoded messages without a limit of their size, incomplete messages for ever, session values and prepared statements without a limit, and any number of connections.

core/memory_budget.py keeps one account per process and decides when to pause reading, reject connections and close the connection that holds most. Messages stay encoded until they run, and large ones run together only within the total. Connections that make no progress are closed. Sessions keep at most 256 values, 1,024 prepared statements and 1 MiB. The limits come from limits.memory_mb and limits.max_fds of the settings file.

--- a/hickorygate/callers/caller_session.py
+++ b/hickorygate/callers/caller_session.py
@@ -21,6 +21,7 @@
 from hickorygate.core import operation as operations
 from hickorygate.core import platform_events
 from hickorygate.core import reply as replies
+from hickorygate.core import session_limits
 from hickorygate.core import types
 
 __all__ = ["CallerSession"]
@@ -37,19 +38,25 @@
     The front end passes in one operation at a time.
     """
 
-    __slots__ = ("_env", "_state")
+    __slots__ = ("_env", "_state", "_state_size")
 
     def __init__(
         self, database: types.SchemaName, env: session_context.SessionContext
     ) -> None:
         self._env = env
         self._state = caller_session_state.CallerSessionState(database)
+        self._state_size = session_limits.SessionStateSize(env.session_state)
 
     @property
     def state(self) -> caller_session_state.CallerSessionState:
         """State of the session that lasts between operations."""
         return self._state
 
+    @property
+    def state_size(self) -> session_limits.SessionStateSize:
+        """Memory of the values and prepared statements of the session."""
+        return self._state_size
+
     @property
     def env(self) -> session_context.SessionContext:
         """Dependencies that all sessions share."""
@@ -140,6 +147,7 @@
 
     def close(self) -> None:
         """Ends the session and rolls back its open transaction."""
+        self._state_size.clear()
         transaction = self._state.transaction
         self._state.transaction = None
         if (
@@ -199,6 +207,18 @@
     return failure.outcome.value
 
 
+def _too_much_state(session: CallerSession) -> replies.Reply:
+    """Rejects an operation that would make the session keep too much."""
+    transaction = session.state.transaction
+    if transaction is not None:
+        transaction_statements.abort_transaction(session.env, transaction)
+    return session.rejection(
+        replies.RejectionReason.OVERSIZED,
+        "the session keeps too many or too large values and statements; "
+        "replace or deallocate some",
+    )
+
+
 @functools.singledispatch
 def _answer_locally(
     operation: operations.Operation, session: CallerSession
@@ -213,12 +233,22 @@
 
 @_answer_locally.register(operations.SetValue)
 def _(operation: operations.SetValue, session: CallerSession) -> replies.Reply:
+    if not session.state_size.put(
+        session_limits.StateKind.VALUE, operation.name, operation.value
+    ):
+        return _too_much_state(session)
     session.state.values[operation.name] = operation.value
     return session.reply(_EMPTY_ANSWER)
 
 
 @_answer_locally.register(operations.Prepare)
 def _(operation: operations.Prepare, session: CallerSession) -> replies.Reply:
+    if not session.state_size.put(
+        session_limits.StateKind.PREPARED,
+        operation.name,
+        operation.prepared.text,
+    ):
+        return _too_much_state(session)
     session.state.prepared_statements[operation.name] = operation.prepared
     return session.reply(_EMPTY_ANSWER)
 
@@ -228,6 +258,7 @@
     operation: operations.Deallocate, session: CallerSession
 ) -> replies.Reply:
     session.state.prepared_statements.pop(operation.name, None)
+    session.state_size.remove(session_limits.StateKind.PREPARED, operation.name)
     return session.reply(_EMPTY_ANSWER)
 
 
@@ -284,7 +315,7 @@
         transaction_statements.abort_transaction(session.env, transaction)
     return session.rejection(
         replies.RejectionReason.UNKNOWN_STATEMENT,
-        f"{operation.name!r} isn't prepared in this session",
+        f"{replies.shorten(operation.name)!r} isn't prepared in this session",
     )
 
 
--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -13,6 +13,7 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
 from hickorygate.core import retry
+from hickorygate.core import session_limits
 from hickorygate.core import types
 from hickorygate.upstreams import group_monitor
 
@@ -30,6 +31,10 @@
     def transaction_idle(self) -> datetime.timedelta:
         """Time after which an idle transaction may be aborted."""
 
+    @property
+    def message_idle(self) -> datetime.timedelta:
+        """Time without progress after which a message may be given up."""
+
     async def wait_for_configuration(self, limit: datetime.timedelta) -> bool:
         """Waits for the first configuration.
 
@@ -62,6 +67,7 @@
       retries: budget that bounds retries to a share of the requests.
       background: owner of the tasks that outlive a request.
       shutdown: limits that a shutdown of the process sets.
+      session_state: memory of the state of all sessions.
     """
 
     fleet: ServiceGroups
@@ -74,3 +80,6 @@
     shutdown: shutdown.ShutdownNotice = dataclasses.field(
         default_factory=shutdown.ShutdownNotice
     )
+    session_state: session_limits.SessionStateBudget = dataclasses.field(
+        default_factory=session_limits.SessionStateBudget
+    )
--- a/hickorygate/core/catalog.py
+++ b/hickorygate/core/catalog.py
@@ -10,6 +10,7 @@
 from hickorygate.core import types
 
 __all__ = [
+    "MESSAGE_IDLE_TIMEOUT",
     "BoundedStaleness",
     "Catalog",
     "Consistency",
@@ -19,6 +20,10 @@
     "ServiceSettings",
 ]
 
+MESSAGE_IDLE_TIMEOUT = datetime.timedelta(seconds=15)
+"""Time without progress after which an incomplete message is given up if the
+configuration names none."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Consistency:
@@ -88,12 +93,15 @@
       services: settings by name of the service.
       transaction_idle_timeout: idle time after which a transaction may be
         ended.
+      message_idle_timeout: time without progress after which an incomplete
+        message of a caller may be given up.
     """
 
     version: int
     routes: Mapping[types.SchemaName, Route]
     services: Mapping[types.ServiceName, ServiceSettings]
     transaction_idle_timeout: datetime.timedelta
+    message_idle_timeout: datetime.timedelta = MESSAGE_IDLE_TIMEOUT
 
     def __repr__(self) -> str:
         return f"Catalog(version={self.version}, routes={len(self.routes)})"
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -13,6 +13,8 @@
 from hickorygate.core import types
 
 __all__ = [
+    "CallersClosed",
+    "CallersRejected",
     "CatalogApplied",
     "CatalogRejected",
     "ConnectionUnsettled",
@@ -376,3 +378,33 @@
     """
 
     problem: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallersRejected(events.Event):
+    """New connections of callers were rejected.
+
+    The event is recorded for the first one of a cause within 10 s.
+
+    Attributes:
+      cause: why they were rejected.
+      count: number of rejected connections since the last event of this cause.
+    """
+
+    cause: str
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallersClosed(events.Event):
+    """Connections of callers were closed because they exceeded a limit.
+
+    The event is recorded for the first one of a cause within 10 s.
+
+    Attributes:
+      cause: which limit they exceeded.
+      count: number of closed connections since the last event of this cause.
+    """
+
+    cause: str
+    count: int
--- a/hickorygate/core/reply.py
+++ b/hickorygate/core/reply.py
@@ -20,8 +20,19 @@
     "Reply",
     "Result",
     "TransactionState",
+    "shorten",
 ]
 
+_SHOWN_LENGTH = 100
+"""Number of characters of a caller's text that a detail shows."""
+
+
+def shorten(text: str) -> str:
+    """Returns a text of a caller in the length that details show."""
+    if len(text) <= _SHOWN_LENGTH:
+        return text
+    return text[:_SHOWN_LENGTH] + "..."
+
 
 class TransactionState(enum.Enum):
     """Transaction state of a connection after a reply."""
--- a/hickorygate/operators/admin.py
+++ b/hickorygate/operators/admin.py
@@ -2,16 +2,19 @@
 
 from __future__ import annotations
 
+import datetime
+
 from aiohttp import web
 
 from hickorygate.core import settings as settings_lib
 from hickorygate.operators import event_codec
+from hickorygate.operators import http_listener
 from hickorygate.operators import metrics
 from hickorygate.operators import status as statuses
 
 __all__ = ["Admin", "Paths"]
 
-_SHUTDOWN_TIMEOUT_SECONDS = 0.5
+_SHUTDOWN_TIMEOUT = datetime.timedelta(seconds=0.5)
 _JSON = "application/json"
 _JSON_LINES = "application/x-ndjson"
 
@@ -34,7 +37,7 @@
     the timeline of one proxy, and starts a graceful shutdown of it.
     """
 
-    __slots__ = ("_runner", "_settings", "_subject")
+    __slots__ = ("_listener", "_settings", "_subject")
 
     def __init__(
         self,
@@ -50,17 +53,12 @@
         app.router.add_get(Paths.STATUS, self._status)
         app.router.add_get(Paths.TIMELINE, self._timeline)
         app.router.add_post(Paths.DRAIN, self._drain)
-        self._runner = web.AppRunner(
-            app, access_log=None, shutdown_timeout=_SHUTDOWN_TIMEOUT_SECONDS
-        )
+        self._listener = http_listener.HttpListener(app, _SHUTDOWN_TIMEOUT)
 
     @property
     def address(self) -> str:
         """Listening address as `host:port`; empty before `start`."""
-        if not self._runner.addresses:
-            return ""
-        host, port = self._runner.addresses[0][:2]
-        return f"{host}:{port}"
+        return self._listener.address
 
     def __repr__(self) -> str:
         return f"Admin({self.address!r})"
@@ -71,15 +69,11 @@
         Raises:
           OSError: the address can't be bound.
         """
-        await self._runner.setup()
-        site = web.TCPSite(
-            self._runner, self._settings.host, self._settings.port
-        )
-        await site.start()
+        await self._listener.start(self._settings.host, self._settings.port)
 
     async def close(self) -> None:
         """Stops listening and closes all admin connections."""
-        await self._runner.cleanup()
+        await self._listener.close()
 
     async def _live(self, request: web.Request) -> web.Response:
         if self._subject.crashed:
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -32,6 +32,9 @@
 _FAILED_REQUESTS_PER_SECOND = 40.0
 _SERVED_REQUESTS_PER_SECOND = 5.0
 _CHANNEL = "hickorygate"
+_LONGEST_TEXT = 512
+"""Number of characters of a field that are written. Callers choose the request
+ids, which may have the size of a message."""
 
 
 class LineRateLimit:
@@ -180,6 +183,8 @@
 @_to_json.register
 def _(value: str) -> object:
     # Ids and names of callers may contain bytes that aren't UTF-8.
+    if len(value) > _LONGEST_TEXT:
+        value = value[:_LONGEST_TEXT] + "..."
     return value.encode(errors="backslashreplace").decode()
 
 
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -5,12 +5,14 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Iterator
+from collections.abc import Mapping
 import datetime
 
 import aioprometheus
 from aioprometheus import histogram
 
 from hickorygate.core import events
+from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
 from hickorygate.upstreams import group_registry
 
@@ -74,6 +76,7 @@
     fleet: group_registry.GroupRegistry,
     callers: int,
     store_calls: int,
+    usage: memory_budget.BufferUsage | None = None,
 ) -> bytes:
     """Renders all metrics in Prometheus text format.
 
@@ -82,7 +85,9 @@
       fleet: registry of the databases that this proxy knows.
       callers: number of connected callers.
       store_calls: number of calls to the platform since the start.
+      usage: what the callers' connections occupy; None for nothing.
     """
+    usage = usage or memory_budget.BufferUsage()
     registry = aioprometheus.Registry()
 
     def show(
@@ -164,6 +169,30 @@
         "Connected callers.",
         iter([({}, float(callers))]),
     )
+    show(
+        aioprometheus.Gauge,
+        "caller_buffer_bytes",
+        "Bytes of callers' messages and answers that the process holds.",
+        iter([({}, float(usage.total))]),
+    )
+    show(
+        aioprometheus.Gauge,
+        "callers_paused",
+        "Callers from which nothing is read, because of what they hold.",
+        iter([({}, float(usage.paused))]),
+    )
+    show(
+        aioprometheus.Counter,
+        "callers_rejected_total",
+        "Connections that were rejected, by cause.",
+        _by_cause(usage.rejected),
+    )
+    show(
+        aioprometheus.Counter,
+        "callers_closed_total",
+        "Connections that were closed because of a limit, by cause.",
+        _by_cause(usage.closed),
+    )
     show(
         aioprometheus.Counter,
         "store_calls_total",
@@ -174,6 +203,13 @@
     return content
 
 
+def _by_cause(
+    counts: Mapping[memory_budget.Cause, int],
+) -> Iterator[_Sample]:
+    for cause, count in counts.items():
+        yield {"cause": cause.name.lower()}, float(count)
+
+
 def _connections(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
     for group in fleet.groups.values():
         for name, pool in group.pools.items():
--- a/hickorygate/platform/line_protocol.py
+++ b/hickorygate/platform/line_protocol.py
@@ -27,6 +27,7 @@
     "ReplyParser",
     "Terminate",
     "MalformedMessage",
+    "decoding_cost",
     "encode_request",
     "encode_error",
     "parse_message",
@@ -111,33 +112,78 @@
 
 
 class LineBuffer:
-    """Splits a stream of bytes into lines."""
+    """Splits a stream of bytes into lines.
 
-    __slots__ = ("_buffer", "_scanned")
+    Lines stay encoded until they are taken out: small decoded messages occupy
+    many times their bytes.
+    """
+
+    __slots__ = ("_buffer", "_end", "_scanned")
 
     def __init__(self) -> None:
         self._buffer = bytearray()
+        self._end = -1
         self._scanned = 0
 
+    @property
+    def size(self) -> int:
+        """Number of bytes in the buffer."""
+        return len(self._buffer)
+
+    @property
+    def has_line(self) -> bool:
+        """Whether the buffer holds a complete line."""
+        return self._end >= 0
+
     @property
     def oversized(self) -> bool:
         """Whether the incomplete line exceeds the size limit of a message."""
-        return len(self._buffer) > MESSAGE_LIMIT
+        return self._end < 0 and len(self._buffer) > MESSAGE_LIMIT
 
     def __repr__(self) -> str:
         return f"LineBuffer({len(self._buffer)} bytes)"
 
+    def append(self, data: bytes) -> None:
+        """Appends bytes."""
+        self._buffer += data
+        if self._end < 0:
+            self._find_end()
+
+    def pop(self) -> bytes:
+        """Takes out the first line; there must be one."""
+        assert self._end >= 0, "check has_line first"
+        with memoryview(self._buffer) as view:
+            line = bytes(view[: self._end])
+        del self._buffer[: self._end + 1]
+        self._scanned = 0
+        self._find_end()
+        return line.removesuffix(b"\r")
+
+    def clear(self) -> None:
+        """Discards everything."""
+        self._buffer = bytearray()
+        self._end, self._scanned = -1, 0
+
     def feed(self, data: bytes) -> list[bytes]:
         """Appends bytes and returns the lines that are now complete."""
-        self._buffer += data
-        end = self._buffer.rfind(b"\n", self._scanned)
-        self._scanned = len(self._buffer)
-        if end < 0:
-            return []
-        complete = bytes(self._buffer[:end])
-        del self._buffer[: end + 1]
+        self.append(data)
+        lines = []
+        while self.has_line:
+            lines.append(self.pop())
+        return lines
+
+    def _find_end(self) -> None:
+        self._end = self._buffer.find(b"\n", self._scanned)
         self._scanned = len(self._buffer)
-        return [line.removesuffix(b"\r") for line in complete.split(b"\n")]
+
+
+def decoding_cost(line: bytes) -> int:
+    """Returns the bytes that a message occupies while it runs.
+
+    These are its decoded text, with up to four bytes a character if one of them
+    is wide, and its encoded copy on the way to a database.
+    """
+    return len(line) * (2 if line.isascii() else 5)
 
 
 def parse_message(line: bytes) -> Message:
--- a/hickorygate/platform/management_server.py
+++ b/hickorygate/platform/management_server.py
@@ -7,6 +7,7 @@
 
 from aiohttp import web
 
+from hickorygate.operators import http_listener
 from hickorygate.platform import settings
 
 __all__ = ["ManagementServer"]
@@ -28,10 +29,10 @@
     ) -> None:
         self._ready = ready
         self._metrics = metrics
-        self._runners: list[web.AppRunner] = []
+        self._listeners: list[http_listener.HttpListener] = []
 
     def __repr__(self) -> str:
-        return f"ManagementServer(sites={len(self._runners)})"
+        return f"ManagementServer(sites={len(self._listeners)})"
 
     async def serve_readiness(self, address: settings.Address) -> None:
         """Starts to answer readiness checks.
@@ -51,22 +52,17 @@
 
     async def close(self) -> None:
         """Stops the servers."""
-        for runner in self._runners:
-            await runner.cleanup()
+        for listener in self._listeners:
+            await listener.close()
 
     async def _serve(
         self, address: settings.Address, path: str, handler: object
     ) -> None:
         app = web.Application()
         app.router.add_get(path, handler)
-        runner = web.AppRunner(
-            app,
-            access_log=None,
-            shutdown_timeout=_CLOSE_TIMEOUT.total_seconds(),
-        )
-        await runner.setup()
-        self._runners.append(runner)
-        await web.TCPSite(runner, address.host, address.port).start()
+        listener = http_listener.HttpListener(app, _CLOSE_TIMEOUT)
+        self._listeners.append(listener)
+        await listener.start(address.host, address.port)
 
     async def _answer_readiness(self, request: web.Request) -> web.Response:
         return web.Response(status=_READY if self._ready() else _NOT_READY)
--- a/hickorygate/platform/object_decoding.py
+++ b/hickorygate/platform/object_decoding.py
@@ -171,6 +171,7 @@
     model_config = pydantic.ConfigDict(extra="ignore")
 
     tx_idle_ms: _Milliseconds = 3_000
+    idle_timeout_ms: _Milliseconds = 15_000
 
 
 class _Configuration(pydantic.BaseModel):
@@ -188,6 +189,9 @@
             routes={route.host: route.route() for route in self.routes},
             services={s.name: _service_terms(s) for s in self.services},
             transaction_idle_timeout=idle,
+            message_idle_timeout=datetime.timedelta(
+                milliseconds=self.limits.idle_timeout_ms
+            ),
         )
 
 
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -7,6 +7,7 @@
 import datetime
 import pathlib
 import random
+import resource
 from typing import Any
 import uuid
 
@@ -18,8 +19,10 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
+from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
 from hickorygate.core import retry
+from hickorygate.core import session_limits
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
 from hickorygate.operators import unexpected_errors
@@ -49,6 +52,9 @@
 state of some groups is unknown."""
 
 
+_MOST_DESCRIPTORS = 20_000
+"""Number of descriptors that are used if nothing limits them."""
+
 _MIN_WATCH = datetime.timedelta(milliseconds=250)
 _MAX_WATCH = datetime.timedelta(seconds=24)
 """Shortest and longest time for which the store is asked to hold a watch."""
@@ -91,6 +97,14 @@
     )
 
 
+def _descriptors(settings: settings_lib.ProcessSettings) -> int:
+    """Returns the number of descriptors that the process may open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        soft_limit = _MOST_DESCRIPTORS
+    return min(settings.max_descriptors or soft_limit, soft_limit)
+
+
 def _file_version(path: pathlib.Path) -> tuple[int, int] | None:
     """Returns the modification time and size of a file; None if absent."""
     try:
@@ -226,6 +240,9 @@
             database.DatabaseConnector(), self._lease, clock, self._journal
         )
         self._background = background.BackgroundTasks()
+        limits = memory_budget.BufferLimits.of_instance(
+            settings.memory_mb, _descriptors(settings)
+        )
         self._env = session_context.SessionContext(
             fleet=self._registry,
             clock=clock,
@@ -234,8 +251,9 @@
             journal=self._journal,
             retries=retry.RetryBudget(share=1.0, limit=100.0),
             background=self._background,
+            session_state=session_limits.SessionStateBudget(limits.total),
         )
-        self._line_server = line_server.LineServer(self._env)
+        self._line_server = line_server.LineServer(self._env, limits)
         self._registration = registration.ProxyRegistration(
             settings.name,
             self._store,
@@ -353,7 +371,7 @@
             self._background.keep(feed.run)
         self._registry.start()
         self._background.keep(self._registration.run)
-        self._background.keep(self._expire_transactions)
+        self._background.keep(self._expire_callers)
         self._background.keep(self._watch_settings)
 
     async def _watch_settings(self) -> None:
@@ -366,12 +384,10 @@
                 known = found
                 self.reload()
 
-    async def _expire_transactions(self) -> None:
+    async def _expire_callers(self) -> None:
         while True:
             await self._clock.sleep(5 * _TICK)
-            now = self._clock.now()
-            for caller in self._line_server.callers:
-                caller.expire(now)
+            self._line_server.expire()
 
     async def _drain(self, shutdown: shutdowns.ShutdownSchedule) -> None:
         """Closes sessions according to the schedule of the shutdown."""
@@ -409,4 +425,5 @@
             self._registry,
             len(self._line_server.callers),
             self._store.calls,
+            self._line_server.usage,
         )
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -70,6 +70,9 @@
       grace_seconds: time from SIGTERM to SIGKILL.
       configuration_bound: time after which an acknowledged configuration must
         be in force.
+      memory_mb: memory of the instance in MB; None if unknown.
+      max_descriptors: number of descriptors that the process may open; None if
+        unknown.
     """
 
     name: types.ProxyName
@@ -80,6 +83,8 @@
     promotion_api: Address
     grace_seconds: float
     configuration_bound: datetime.timedelta = _CONFIGURATION_BOUND
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
 
 
 class _File(pydantic.BaseModel):
@@ -103,6 +108,11 @@
         le=_MAX_MILLISECONDS,
     )
 
+    memory_mb: float | None = pydantic.Field(
+        None, alias="limits.memory_mb", gt=0, allow_inf_nan=False
+    )
+    max_fds: int | None = pydantic.Field(None, alias="limits.max_fds", gt=0)
+
     def settings(self) -> ProcessSettings:
         """Returns the settings in the form that the proxy uses."""
         return ProcessSettings(
@@ -114,6 +124,8 @@
             promotion_api=self.cloud,
             grace_seconds=self.grace_s,
             configuration_bound=self.config_apply_ms * _MILLISECOND,
+            memory_mb=self.memory_mb,
+            max_descriptors=self.max_fds,
         )
 
 
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -125,6 +125,7 @@
       shutdown: limits that a shutdown of the proxy sets.
       fleet: registry of the databases that the proxy knows.
       background: background tasks of the callers' sessions.
+      context: dependencies of the callers' sessions.
       server: listener for callers.
     """
 
@@ -146,18 +147,17 @@
         )
         self.background = background.BackgroundTasks()
         self.shutdown = shutdown.ShutdownNotice()
-        self.server = line_server.LineServer(
-            session_context.SessionContext(
-                fleet=self.fleet,
-                clock=clock,
-                zone="a",
-                rng=random.Random(1),
-                journal=self.journal,
-                retries=retry.RetryBudget(),
-                background=self.background,
-                shutdown=self.shutdown,
-            )
+        self.context = session_context.SessionContext(
+            fleet=self.fleet,
+            clock=clock,
+            zone="a",
+            rng=random.Random(1),
+            journal=self.journal,
+            retries=retry.RetryBudget(),
+            background=self.background,
+            shutdown=self.shutdown,
         )
+        self.server = line_server.LineServer(self.context)
         self._group = group
 
     def __repr__(self) -> str:
--- a/hickorygate/testing/model_fleet.py
+++ b/hickorygate/testing/model_fleet.py
@@ -115,6 +115,11 @@
         """Version of the configuration in force."""
         return 1
 
+    @property
+    def message_idle(self) -> datetime.timedelta:
+        """Time without progress after which a message may be given up."""
+        return catalogs.MESSAGE_IDLE_TIMEOUT
+
     @property
     def transaction_idle(self) -> datetime.timedelta:
         """Time after which an idle transaction may be aborted."""
--- /dev/null
+++ b/hickorygate/tests/test_caller_connection.py
@@ -0,0 +1,152 @@
+"""Tests the limits of callers' connections with small limits."""
+
+from __future__ import annotations
+
+import asyncio
+import datetime
+
+from hickorygate.core import memory_budget
+from hickorygate.core import platform_events
+from hickorygate.platform import line_server
+from hickorygate.platform import settings
+from hickorygate.testing import line_cluster
+from hickorygate.testing import virtual_time
+
+_CONNECTIONS = 3
+_TOTAL = 2_000_000
+_MIB = 1_048_576
+
+
+class CallerConnectionTest(virtual_time.VirtualTimeTestCase):
+    """A listener with small limits before three stand-in databases."""
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        clock = virtual_time.LoopClock(asyncio.get_running_loop())
+        self.cluster = await self.enterAsyncContext(
+            line_cluster.LineCluster(clock=clock)
+        )
+        self.server = line_server.LineServer(
+            self.cluster.proxies[0].context,
+            memory_budget.BufferLimits(_TOTAL, _CONNECTIONS),
+        )
+        await self.server.start(settings.Address("127.0.0.1", 0))
+        self.addCleanup(self.server.stop_listening)
+
+    def expire_in(self, seconds: float) -> None:
+        """Applies the time limits as of a later time."""
+        now = self.cluster.proxies[0].context.clock.now()
+        for caller in self.server.callers:
+            caller.expire(now + datetime.timedelta(seconds=seconds))
+
+    async def connect(
+        self,
+    ) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        streams = await asyncio.open_connection(
+            "127.0.0.1", self.server.port, limit=4 * _MIB
+        )
+        self.addCleanup(streams[1].close)
+        return streams
+
+    async def open_session(self) -> line_cluster.LineClient:
+        client = line_cluster.LineClient(*await self.connect())
+        self.assertEqual(
+            await client.send(f"CONNECT {line_cluster.PRIMARY_DB} x"),
+            ["READY I -"],
+        )
+        return client
+
+    def causes(self, kind: type) -> list[str]:
+        """Returns the causes that the events of a kind name."""
+        recorded = self.cluster.proxies[0].journal.events
+        return [e.event.cause for e in recorded if isinstance(e.event, kind)]
+
+    async def test_too_many_values_are_refused_and_the_session_goes_on(
+        self,
+    ) -> None:
+        client = await self.open_session()
+        for number in range(256):
+            answer = await client.query(f"SET name{number} x")
+            self.assertTrue(answer[0].startswith("COMPLETE"), answer)
+        answer = await client.query("SET other x")
+        self.assertTrue(answer[0].startswith("ERROR OVERSIZE"), answer)
+        answer = await client.query("READ x")
+        self.assertEqual(answer[0], "ROW -")
+
+    async def test_too_many_prepared_statements_are_refused(self) -> None:
+        client = await self.open_session()
+        for number in range(1_024):
+            await client.query(f"PREPARE p{number} READ READ x")
+        answer = await client.query("PREPARE other READ READ x")
+        self.assertTrue(answer[0].startswith("ERROR OVERSIZE"), answer)
+        await client.query("DEALLOC p1")
+        answer = await client.query("PREPARE other READ READ x")
+        self.assertTrue(answer[0].startswith("COMPLETE"), answer)
+
+    async def test_a_refused_value_aborts_the_transaction(self) -> None:
+        client = await self.open_session()
+        await client.query("BEGIN")
+        answer = await client.query(f"SET name {'x' * (_MIB - 60)}")
+        self.assertTrue(answer[0].startswith("ERROR OVERSIZE"), answer)
+        self.assertTrue(answer[-1].startswith("READY E"), answer)
+
+    async def test_connections_beyond_the_limit_are_told(self) -> None:
+        opened = [await self.open_session() for _ in range(_CONNECTIONS)]
+        reader, _ = await self.connect()
+        self.assertTrue((await reader.read()).startswith(b"ERROR BUSY"))
+        self.assertEqual(
+            self.causes(platform_events.CallersRejected),
+            ["too many connections"],
+        )
+        opened[0].close()
+        await asyncio.sleep(0.1)
+        await self.open_session()
+
+    async def test_an_incomplete_message_is_given_up(self) -> None:
+        reader, writer = await self.connect()
+        writer.write(f"CONNECT {line_cluster.PRIMARY_DB} x\r\n".encode())
+        await reader.readline()
+        writer.write(b"QUERY 1 READ")
+        await asyncio.sleep(0.1)
+        for seconds in (0, 14):
+            self.expire_in(seconds)
+        writer.write(b"x")
+        await asyncio.sleep(0.1)
+        self.assertEqual(len(self.server.callers), 1)
+        self.expire_in(15)
+        self.assertEqual(await reader.read(), b"")
+        self.assertEqual(
+            self.causes(platform_events.CallersClosed),
+            ["a message was not completed in time"],
+        )
+
+    async def test_an_idle_session_stays_open(self) -> None:
+        client = await self.open_session()
+        for seconds in (0, 100):
+            self.expire_in(seconds)
+        self.assertEqual((await client.query("READ x"))[0], "ROW -")
+
+    async def test_a_message_of_the_greatest_size_is_served(self) -> None:
+        client = await self.open_session()
+        item = "i" * (_MIB - 100)
+        self.assertEqual((await client.query(f"READ {item}"))[0], "ROW -")
+        self.assertEqual(self.server.usage.total, 0)
+
+    async def test_pipelined_messages_are_answered_in_order(self) -> None:
+        reader, writer = await self.connect()
+        lines = [f"CONNECT {line_cluster.PRIMARY_DB} x"]
+        lines += [f"QUERY {n} SET n{n % 50} x" for n in range(3_000)]
+        lines += ["QUERY last READ x", "TERMINATE"]
+        data = "".join(line + "\r\n" for line in lines).encode()
+        for start in range(0, len(data), 7_001):
+            writer.write(data[start : start + 7_001])
+        received = (await reader.read()).decode().split("\r\n")
+        self.assertEqual(received.count("COMPLETE -"), 3_000)
+        self.assertEqual(received[-4], "ROW -")
+
+    async def test_large_messages_of_several_callers_are_served(self) -> None:
+        clients = [await self.open_session() for _ in range(_CONNECTIONS)]
+        item = "i" * (_MIB - 100)
+        answers = await asyncio.gather(
+            *(client.query(f"READ {item}") for client in clients)
+        )
+        self.assertEqual([a[0] for a in answers], ["ROW -"] * _CONNECTIONS)
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -76,6 +76,13 @@
             return _DEFAULT_TRANSACTION_IDLE
         return self._catalog.transaction_idle_timeout
 
+    @property
+    def message_idle(self) -> datetime.timedelta:
+        """Time without progress after which a message may be given up."""
+        if self._catalog is None:
+            return catalogs.MESSAGE_IDLE_TIMEOUT
+        return self._catalog.message_idle_timeout
+
     @property
     def groups(self) -> dict[types.ServiceName, group_monitor.GroupMonitor]:
         """The monitored groups, by service."""
