--- a/hickorygate/callers/server.py
+++ b/hickorygate/callers/server.py
@@ -7,7 +7,9 @@
 from collections.abc import Mapping
 import datetime
 import logging
+import resource
 import ssl
+from typing import cast
 
 import logbook
 from mysql_mimic import stream as mimic_stream
@@ -18,6 +20,7 @@
 from hickorygate.callers import stream as streams
 from hickorygate.core import background
 from hickorygate.core import errors
+from hickorygate.core import memory_budget
 from hickorygate.core import types
 
 __all__ = ["Server"]
@@ -33,6 +36,9 @@
 _BACKLOG = 1_024
 """Maximum number of connections that wait to be accepted."""
 
+_TOO_MANY_CONNECTIONS = b"\x17\x00\x00\x00\xff\x10\x04Too many connections"
+"""Error 1040 as the first packet of a connection, before the greeting."""
+
 _log = logbook.Logger(__name__)
 
 # mysql_mimic logs a stack trace for each refused login. The proxy answers
@@ -47,17 +53,27 @@
       handler_factory: creates the handler of a new connection.
       passwords: password of each user; an empty one means no password.
       statement_limit: maximum size of a statement in bytes.
+      connection_limit: maximum number of open connections; None derives it from
+        the number of descriptors that the process may open.
     """
 
-    __slots__ = ("_context", "_handler_factory", "_protocols", "_server")
+    __slots__ = (
+        "_connection_limit",
+        "_context",
+        "_handler_factory",
+        "_protocols",
+        "_server",
+    )
 
     def __init__(
         self,
         handler_factory: Callable[[], handler.Handler],
         passwords: Mapping[types.CallerName, str],
         statement_limit: int,
+        connection_limit: int | None = None,
     ) -> None:
         self._handler_factory = handler_factory
+        self._connection_limit = connection_limit or _default_limit()
         users = login.Users(passwords)
         self._context = connections.ServerContext(users, statement_limit)
         self._server: asyncio.Server | None = None
@@ -74,6 +90,11 @@
         """Number of open connections."""
         return len(self._protocols)
 
+    @property
+    def full(self) -> bool:
+        """Whether no further connection is accepted."""
+        return self.connections >= self._connection_limit
+
     def __repr__(self) -> str:
         return f"Server(connections={self.connections})"
 
@@ -174,6 +195,14 @@
             protocol.close_transport()
 
 
+def _default_limit() -> int:
+    """Returns the number of connections that leaves descriptors for others."""
+    limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if limit == resource.RLIM_INFINITY:
+        return memory_budget.BufferLimits().connections
+    return memory_budget.BufferLimits.of_instance(None, limit).connections
+
+
 class _CallerProtocol(asyncio.StreamReaderProtocol):
     """Protocol of one connection that detects a disconnect of the caller.
 
@@ -193,6 +222,16 @@
         self._connection: connections.Connection | None = None
         self._discard_input = False
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Accepts the connection, or refuses it if there are too many."""
+        if not self._server.full:
+            super().connection_made(transport)
+            return
+        self._discard_input = True
+        refusing = cast(asyncio.Transport, transport)
+        refusing.write(_TOO_MANY_CONNECTIONS)
+        refusing.close()
+
     def data_received(self, data: bytes) -> None:
         """Passes data on, unless the input is discarded during shutdown."""
         if not self._discard_input:
--- a/hickorygate/tests/test_server.py
+++ b/hickorygate/tests/test_server.py
@@ -19,6 +19,7 @@
 from hickorygate.upstreams import answer
 
 _TIMEOUT = datetime.timedelta(seconds=10)
+_CONNECTIONS = 100
 _COLUMN = answer.Column("a", 253, 45)
 _ROW = "x" * 1_000
 _ROWS = 40_000
@@ -106,7 +107,10 @@
         self.waiting = asyncio.Event()
         self.proceed = asyncio.Event()
         self.server = server.Server(
-            lambda: _Handler(self), {"vet": ""}, statement_limit=1_000
+            lambda: _Handler(self),
+            {"vet": ""},
+            statement_limit=1_000,
+            connection_limit=_CONNECTIONS,
         )
         await self.server.start("127.0.0.1", 0)
         self.addAsyncCleanup(self.server.close)
@@ -224,6 +228,17 @@
         async with asyncio.timeout(_TIMEOUT.total_seconds()):
             await self.handlers[0].closed.wait()
 
+    async def test_connections_beyond_the_limit_get_an_error(self) -> None:
+        clients = [await self.log_in() for _ in range(_CONNECTIONS)]
+        reader, writer = await asyncio.open_connection(
+            "127.0.0.1", self.server.port
+        )
+        self.addCleanup(writer.close)
+        refusal = await reader.read()
+        self.assertEqual(refusal[4:7], b"\xff\x10\x04")
+        self.assertEqual(len(refusal), 4 + refusal[0])
+        await self.assert_answers_ping(clients[-1])
+
     async def test_slow_caller_pauses_the_rows(self) -> None:
         client = await self.log_in()
         client.query("rows")
