Close a stalled sender first, and pace pipelined messages

One sender that stops half-way could keep all other large messages waiting while small requests released memory, so the excused connection is judged by its own progress. Messages that are answered locally, or rejected at once, were answered without giving other callers a turn: an ordinary request was not answered for 145 s beside 60 callers with 50,000 pipelined reads each. A pipeline now yields after each message, and after a rejection for overload it waits as long as the rejection says, at most 1 s.

--- a/hickorygate/core/memory_budget.py
+++ b/hickorygate/core/memory_budget.py
@@ -16,6 +16,8 @@
 import datetime
 import enum
 
+from hickorygate.core import progress_watch
+
 __all__ = [
     "SMALL",
     "BufferLimits",
@@ -226,6 +228,7 @@
         self._must_excuse = False
         self._released = 0
         self._last_release: datetime.datetime | None = None
+        self._excused_watch = progress_watch.ProgressWatch(_STUCK_TIMEOUT)
 
     @property
     def limits(self) -> BufferLimits:
@@ -327,10 +330,15 @@
         return self._decide((holding,))
 
     def tick(self, now: datetime.datetime) -> list[Effect]:
-        """Closes the connection that holds most if nothing else helps.
+        """Closes a connection if nothing else helps; to be called regularly.
 
-        To be called regularly.
+        That is the excused connection if it makes no progress, or the one that
+        holds most if no memory is released.
         """
+        excused = self._excused
+        if excused is not None and self._is_stalled(excused, now):
+            self._forget(excused)
+            return [CloseConnection(excused), *self._decide(())]
         if self._level is _Level.NORMAL or self._released >= SMALL:
             self._last_release = None
         self._released = 0
@@ -345,6 +353,10 @@
 
     def _decide(self, changed: Iterable[Holding]) -> list[Effect]:
         effects: list[Effect] = []
+        if self._is_calm():
+            for holding in changed:
+                effects += self._update_reading(holding)
+            return effects
         while self._total - self._large_cost >= _HARD * self._limits.total:
             closed = self._close_largest(self._holdings)
             if not closed:
@@ -361,6 +373,22 @@
             effects += self._update_reading(holding)
         return effects
 
+    def _is_stalled(self, excused: Holding, now: datetime.datetime) -> bool:
+        """Returns whether the excused connection keeps others waiting."""
+        stalled = self._excused_watch.is_stalled(
+            now, id(excused), excused.received
+        )
+        return stalled and excused.size >= SMALL
+
+    def _is_calm(self) -> bool:
+        """Returns whether no measure concerns more than one connection."""
+        return (
+            self._level is _Level.NORMAL
+            and self._total < self._limits.total
+            and not self._waiting
+            and self._excused is None
+        )
+
     def _update_reading(self, holding: Holding) -> list[Effect]:
         paused = self._must_pause(holding)
         if paused is holding.paused or not holding.open:
--- a/hickorygate/platform/caller_connection.py
+++ b/hickorygate/platform/caller_connection.py
@@ -13,6 +13,7 @@
 
 from hickorygate.callers import caller_session
 from hickorygate.callers import session_context
+from hickorygate.core import errors
 from hickorygate.core import memory_budget
 from hickorygate.core import progress_watch
 from hickorygate.core import reply as replies
@@ -34,6 +35,10 @@
 _CLOSE_TIMEOUT = datetime.timedelta(seconds=5)
 """Time in which a closing connection must accept the unsent data."""
 
+_NO_PAUSE = datetime.timedelta()
+_LONGEST_PAUSE = datetime.timedelta(seconds=1)
+"""Longest time between two pipelined messages after a rejection."""
+
 _WRITE_BUFFER = memory_budget.SMALL
 """Number of unsent bytes from which on no further message is answered."""
 
@@ -99,6 +104,7 @@
         self._messages = 0
         self._written = 0
         self._last_answer = 0
+        self._pause = _NO_PAUSE
         self._incomplete_watch = progress_watch.ProgressWatch(
             env.fleet.message_idle
         )
@@ -281,6 +287,8 @@
             self.refuse(replies.RejectionReason.MALFORMED, "connect first")
             return
         reply = await self._session.perform(query.id, query.operation)
+        if reply.result.is_error():
+            self._pause = _pause_after(reply.result.error)
         self._write(line_protocol.encode_reply(reply))
 
     def reject_malformed(self) -> None:
@@ -320,20 +328,37 @@
 
     async def _answer_all(self) -> None:
         while self._buffer.has_line and not self._closing:
-            await self._answer_next(self._buffer.pop())
-            self._owner.apply(self._budget.finish(self._holding))
+            try:
+                await self._answer_next(self._buffer.pop())
+            finally:
+                self._owner.apply(self._budget.finish(self._holding))
             self._update_holding(processing=self._buffer.has_line)
             await self._writable.wait()
+            if self._buffer.has_line:
+                await self._let_others_run()
             if self._closes_when_quiet and self._may_close():
                 self.close()
 
+    async def _let_others_run(self) -> None:
+        """Lets other callers run between two pipelined messages.
+
+        After a rejection for overload the next message waits, since a pipeline
+        of rejected requests would otherwise take every place that becomes free.
+        """
+        pause, self._pause = self._pause, _NO_PAUSE
+        if pause:
+            await self._env.clock.sleep(min(pause, _LONGEST_PAUSE))
+        else:
+            await asyncio.sleep(0)
+
     async def _answer_next(self, line: bytes) -> None:
         """Answers one message, after other large ones if it is large."""
         self._messages += 1
         size, cost = len(line), line_protocol.decoding_cost(line)
         self._turn = asyncio.Event()
         started = self._budget.start(self._holding, size, cost)
-        self._update_holding()
+        if size > memory_budget.SMALL:
+            self._update_holding()
         if not started:
             await self._turn.wait()
         self._turn = None
@@ -393,6 +418,17 @@
         )
 
 
+@functools.singledispatch
+def _pause_after(failure: errors.Failure) -> datetime.timedelta:
+    """Returns how long a pipeline waits after a failed request."""
+    return _NO_PAUSE
+
+
+@_pause_after.register
+def _(failure: errors.Overloaded) -> datetime.timedelta:
+    return failure.retry_after
+
+
 @functools.singledispatch
 async def _handle(
     message: line_protocol.Message, caller: CallerConnection
