Read one message also while answers fill the budget

Above the total, an incomplete message was paused until memory was released if none was being read when the total was reached. The event log and the settings get tests of their limits.

--- a/hickorygate/core/memory_budget.py
+++ b/hickorygate/core/memory_budget.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
@@ -351,7 +352,7 @@
         )
         return effects + self._decide(())
 
-    def _decide(self, changed: Iterable[Holding]) -> list[Effect]:
+    def _decide(self, changed: Collection[Holding]) -> list[Effect]:
         effects: list[Effect] = []
         if self._is_calm():
             for holding in changed:
@@ -366,6 +367,8 @@
             holding = self._waiting.popleft()
             self._run_large(holding)
             effects.append(StartMessage(holding))
+        if self._excused is None and any(h.waits_for_rest for h in changed):
+            self._must_excuse = True
         level_changed = self._update_level()
         if self._update_excused() or level_changed:
             changed = tuple(self._holdings)
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -61,6 +61,12 @@
         (line,) = self.handler.lines
         self.assertEqual(line["request"], "1f\\udcff")
 
+    def test_a_request_id_of_any_length_is_written_in_part(self) -> None:
+        event = dataclasses.replace(_ended("busy"), request="i" * 1_000_000)
+        self.log.record(event)
+        (line,) = self.handler.lines
+        self.assertEqual(line["request"], "i" * 512 + "...")
+
     def test_a_line_names_time_process_and_fields(self) -> None:
         self.log.record(_ended("busy"))
         (line,) = self.handler.lines
--- a/hickorygate/tests/test_memory_budget.py
+++ b/hickorygate/tests/test_memory_budget.py
@@ -73,6 +73,14 @@
         effects = self.budget.close(first)
         self.assertEqual(effects, [memory_budget.ResumeReading(second)])
 
+    def test_a_message_is_read_although_answers_fill_the_total(self) -> None:
+        """Guards against a message that waits until answers are read."""
+        reader = self.budget.open()
+        self.budget.hold(reader, 0, 1_100_000, False)
+        sender, effects = self.incomplete(100_000)
+        self.assertEqual(effects, [])
+        self.assertFalse(sender.paused)
+
     def test_the_next_message_is_read_when_one_is_complete(self) -> None:
         first, _ = self.incomplete(600_000)
         second, _ = self.incomplete(500_000)
--- a/hickorygate/tests/test_platform_settings.py
+++ b/hickorygate/tests/test_platform_settings.py
@@ -15,6 +15,7 @@
 cloud_api.address=10.200.0.160:8783
 bounds.grace_s=6
 limits.max_fds=6300
+limits.memory_mb=552.5
 something.new=1,2
 """
 
@@ -29,6 +30,14 @@
             settings.callers, settings_lib.Address("10.1.0.8", 8784)
         )
         self.assertEqual(settings.grace_seconds, 6)
+        self.assertEqual(settings.max_descriptors, 6_300)
+        self.assertEqual(settings.memory_mb, 552.5)
+
+    def test_the_limits_are_optional(self) -> None:
+        text = _TEXT.replace("limits.", "former.")
+        settings = settings_lib.parse(text, "boot.conf").ok
+        self.assertIsNone(settings.max_descriptors)
+        self.assertIsNone(settings.memory_mb)
 
     def test_an_invalid_value_is_reported_with_its_line(self) -> None:
         text = _TEXT.replace("10.1.0.8:8784", "nowhere")
