--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -17,6 +17,7 @@
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import retry
+from hickorygate.core import session_limits
 from hickorygate.core import types
 from hickorygate.upstreams import group_monitor
 
@@ -41,6 +42,10 @@
     def subscribe(self, on_change: Callable[[], None]) -> None:
         """Registers a function that is called after each configuration."""
 
+    @property
+    def message_idle(self) -> datetime.timedelta:
+        """Time without progress after which a message may be given up."""
+
     async def wait_for_configuration(self, limit: datetime.timedelta) -> bool:
         """Waits for the first configuration.
 
@@ -77,6 +82,7 @@
         all statements itself.
       forwarder: links to the serving proxies; None if there are none.
       limits: rate limits of the workspaces; None if there are none.
+      session_state: memory of the state of all sessions.
     """
 
     fleet: ServiceGroups
@@ -104,3 +110,7 @@
         if self.limits is None:
             return None
         return self.limits.admit(workspace, now)
+
+    session_state: session_limits.SessionStateBudget = dataclasses.field(
+        default_factory=session_limits.SessionStateBudget
+    )
--- a/hickorygate/core/catalog.py
+++ b/hickorygate/core/catalog.py
@@ -11,6 +11,7 @@
 from hickorygate.core import workspace as workspaces
 
 __all__ = [
+    "MESSAGE_IDLE_TIMEOUT",
     "BoundedStaleness",
     "Catalog",
     "Consistency",
@@ -20,6 +21,10 @@
     "ServiceSettings",
 ]
 
+MESSAGE_IDLE_TIMEOUT = datetime.timedelta(seconds=15)
+"""Time without progress after which an incomplete message is given up if the
+configuration names none."""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Consistency:
@@ -97,6 +102,8 @@
         so that any key is accepted.
       workspace_errors: why entries of workspaces are invalid, without keys;
         such entries grant nothing.
+      message_idle_timeout: time without progress after which an incomplete
+        message of a caller may be given up.
     """
 
     version: int
@@ -108,6 +115,7 @@
     )
     keys: workspaces.KeyRing | None = None
     workspace_errors: tuple[str, ...] = ()
+    message_idle_timeout: datetime.timedelta = MESSAGE_IDLE_TIMEOUT
 
     def __repr__(self) -> str:
         return f"Catalog(version={self.version}, routes={len(self.routes)})"
--- a/hickorygate/platform/object_decoding.py
+++ b/hickorygate/platform/object_decoding.py
@@ -179,6 +179,7 @@
     model_config = pydantic.ConfigDict(extra="ignore")
 
     tx_idle_ms: _Milliseconds = 3_000
+    idle_timeout_ms: _Milliseconds = 15_000
 
 
 class _Configuration(pydantic.BaseModel):
@@ -201,6 +202,9 @@
             workspaces=listed.workspaces,
             keys=listed.keys if self.tenants else None,
             workspace_errors=listed.errors,
+            message_idle_timeout=datetime.timedelta(
+                milliseconds=self.limits.idle_timeout_ms
+            ),
         )
 
 
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -112,6 +112,9 @@
         empty for no listener.
       statements_ports: TCP ports to try for that listener, in order.
       limits: resources of the instance.
+      memory_mb: memory of the instance in MB; None if unknown.
+      max_descriptors: number of descriptors that the process may open; None if
+        unknown.
     """
 
     name: types.ProxyName
@@ -125,6 +128,8 @@
     statements_host: str = ""
     statements_ports: range = range(0)
     limits: Limits = Limits()
+    memory_mb: float | None = None
+    max_descriptors: int | None = None
 
 
 class _File(pydantic.BaseModel):
@@ -161,6 +166,10 @@
     link_mbps: float | None = pydantic.Field(
         None, alias="limits.link_mbps", gt=0
     )
+    memory_mb: float | None = pydantic.Field(
+        None, alias="limits.memory_mb", gt=0, allow_inf_nan=False
+    )
+    max_fds: int | None = pydantic.Field(None, alias="limits.max_fds", gt=0)
 
     def settings(self) -> ProcessSettings:
         """Returns the settings in the form that the proxy uses."""
@@ -176,6 +185,8 @@
             statements_host=self.ip,
             statements_ports=self.port_range,
             limits=Limits(self.cpu_share * self.cpu_cores, self.link_mbps),
+            memory_mb=self.memory_mb,
+            max_descriptors=self.max_fds,
         )
 
 
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -120,6 +120,13 @@
         """The workspaces of the active configuration, by name."""
         return self._catalog.workspaces if self._catalog else {}
 
+    @property
+    def message_idle(self) -> datetime.timedelta:
+        """Time without progress after which a message may be given up."""
+        if self._catalog is None:
+            return catalogs.MESSAGE_IDLE_TIMEOUT
+        return self._catalog.message_idle_timeout
+
     @property
     def groups(self) -> dict[types.ServiceName, group_monitor.GroupMonitor]:
         """The monitored groups, by service."""
