Open groups after the count has settled; use all servers before falling back

The first count of a fleet that starts shows a part of it, so proxies opened groups that others serve. A gateway whose first candidates were lost ran its statements itself although further servers were reachable.

--- a/hickorygate/proxies/serving_plan.py
+++ b/hickorygate/proxies/serving_plan.py
@@ -159,7 +159,13 @@
             return ()
         by_zone = self._by_zone(service)
         own = self._own_order(by_zone.pop(self._zone, ()))
-        others = [by_zone[zone][0] for zone in self._zone_order(by_zone)]
+        zones = self._zone_order(by_zone)
+        others = [
+            by_zone[zone][place]
+            for place in range(_SERVERS_PER_ZONE)
+            for zone in zones
+            if place < len(by_zone[zone])
+        ]
         return (*own, *others)
 
     def _compute_servers(
--- a/hickorygate/proxies/statement_server.py
+++ b/hickorygate/proxies/statement_server.py
@@ -51,6 +51,10 @@
             Callable[[types.ProxyName, messages.RightsRequest], messages.Rights]
             | None
         ) = None
+        self._answer_rights: (
+            Callable[[types.ProxyName, messages.RightsRequest], messages.Rights]
+            | None
+        ) = None
         self._served: collections.Counter[str] = collections.Counter()
 
     @property
@@ -155,6 +159,23 @@
             return messages.Verdict.OUTDATED
         return None
 
+    def answer_rights_with(
+        self,
+        answer: Callable[
+            [types.ProxyName, messages.RightsRequest], messages.Rights
+        ],
+    ) -> None:
+        """Sets the function that answers requests for shares."""
+        self._answer_rights = answer
+
+    def rights(
+        self, sender: types.ProxyName, message: messages.RightsRequest
+    ) -> messages.Rights:
+        """Returns the answer to a request for shares of rate limits."""
+        if self._answer_rights is None:
+            return messages.Rights(message.number, (), ())
+        return self._answer_rights(sender, message)
+
     def note_served(self, reply: replies.Reply) -> None:
         """Counts a statement that was served."""
         if reply.result.is_ok():
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -26,10 +26,11 @@
 _EXPIRY_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which expired entries and unused groups are removed."""
 
-_COUNT_TIMEOUT = datetime.timedelta(milliseconds=500)
+_COUNT_TIMEOUT = datetime.timedelta(milliseconds=1_500)
 """Time after the first configuration until which a registry with a plan waits
-for the first count of the proxies. If a whole fleet starts at once and each
-proxy opens all groups meanwhile, the databases run out of connections."""
+for two equal counts of the proxies. When a whole fleet starts, the first count
+shows a part of it, and proxies would open groups that others serve; the
+databases then run out of connections."""
 
 _DEFAULT_TRANSACTION_IDLE = datetime.timedelta(seconds=3)
 """Idle limit of transactions before a configuration is received."""
@@ -86,6 +87,7 @@
         self._listing = members.Listing()
         self._list_received = False
         self._proxies: frozenset[types.ProxyName] | None = None
+        self._count_settled = False
         self._store_lost = False
         self._groups: dict[types.ServiceName, group_monitor.GroupMonitor] = {}
         self._last_used: dict[types.ServiceName, datetime.datetime] = {}
@@ -137,7 +139,9 @@
     def _awaits_plan(self) -> bool:
         """Whether it is still unknown which groups this proxy serves."""
         until = self._plan_awaited_until
-        return until is not None and self._clock.now() < until
+        if until is None or (self._catalog and self._catalog.workspaces):
+            return False
+        return self._clock.now() < until
 
     def __repr__(self) -> str:
         return (
@@ -203,7 +207,7 @@
         if catalog.version <= self.version:
             return
         if self._plan is not None:
-            if self._catalog is None and self._proxies is None:
+            if self._catalog is None and not self._count_settled:
                 now = self._clock.now()
                 self._plan_awaited_until = now + _COUNT_TIMEOUT
             self._plan.set_catalog(catalog)
@@ -244,8 +248,10 @@
     def set_proxies(self, live: frozenset[types.ProxyName]) -> None:
         """Sets the names of the proxies that share the databases."""
         self._lease.set_proxies(live)
+        self._count_settled = self._count_settled or live == self._proxies
         self._proxies = live
-        self._plan_awaited_until = None
+        if self._count_settled:
+            self._plan_awaited_until = None
         if self._catalog is not None:
             self._apply_plan(self._catalog)
 
