--- a/hickorygate/upstreams/borrow_queue.py
+++ b/hickorygate/upstreams/borrow_queue.py
@@ -16,6 +16,7 @@
 from hickorygate.core import errors
 from hickorygate.core import request_context
 from hickorygate.core import types
+from hickorygate.upstreams import lending_rate
 from hickorygate.upstreams import pooled_connection
 
 __all__ = ["BorrowPurpose", "BorrowQueue", "Waiter"]
@@ -45,6 +46,7 @@
       use: purpose of the connection.
       workspace: workspace of the borrower; empty if it has none.
       since: time at which the wait began.
+      rank_name: name of the request's rank.
       future: receives the connection or the failure.
       timer: ends the wait at the deadline.
       opening: whether a connection is being opened for the borrower.
@@ -60,6 +62,7 @@
     timer: asyncio.TimerHandle = dataclasses.field(compare=False)
     workspace: types.WorkspaceName = dataclasses.field(compare=False)
     since: datetime.datetime = dataclasses.field(compare=False)
+    rank_name: types.RankName = dataclasses.field(compare=False)
     opening: bool = dataclasses.field(compare=False, default=False)
 
     def accepts(self, workspace: types.WorkspaceName) -> bool:
@@ -71,12 +74,13 @@
 class BorrowQueue:
     """The waiting borrowers of one pool."""
 
-    __slots__ = ("_clock", "_last_number", "_waiters")
+    __slots__ = ("_clock", "_last_number", "_rate", "_waiters")
 
     def __init__(self, clock: clocks.Clock) -> None:
         self._clock = clock
         self._last_number = 0
         self._waiters: list[Waiter] = []
+        self._rate = lending_rate.LendingRate()
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -87,7 +91,11 @@
     def add(
         self, request: request_context.RequestContext, use: BorrowPurpose
     ) -> Waiter:
-        """Adds a borrower, which waits until the deadline of its request."""
+        """Adds a borrower, which waits until the deadline of its request.
+
+        A transaction that is not going to get a connection by then is refused
+        at once, also if others push it back later.
+        """
         loop = asyncio.get_running_loop()
         future: asyncio.Future[pooled_connection.BorrowResult] = (
             loop.create_future()
@@ -105,15 +113,26 @@
             timer,
             request.workspace,
             now,
+            request.rank.name,
         )
+        self._advance()
         bisect.insort(self._waiters, waiter)
+        if use is BorrowPurpose.LONG:
+            self._refuse_late(now)
         return waiter
 
     def remove(self, waiter: Waiter) -> None:
-        """Removes a borrower if it is still in the queue."""
+        """Removes a borrower if it is still in the queue.
+
+        One that nobody has answered yet gets a connection.
+        """
         waiter.timer.cancel()
-        if waiter in self._waiters:
-            self._waiters.remove(waiter)
+        if waiter not in self._waiters:
+            return
+        self._advance()
+        if waiter.use is BorrowPurpose.LONG and not waiter.future.done():
+            self._rate.record()
+        self._waiters.remove(waiter)
 
     def next_for(
         self,
@@ -176,6 +195,31 @@
             if not waiter.future.done():
                 waiter.future.set_result(expression.Error(failure))
 
+    def _transactions(self) -> list[Waiter]:
+        """Returns the waiting transactions, the next one first."""
+        return [
+            waiter
+            for waiter in self._waiters
+            if waiter.use is BorrowPurpose.LONG and not waiter.future.done()
+        ]
+
+    def _advance(self) -> None:
+        self._rate.advance(len(self._transactions()), self._clock.now())
+
+    def _refuse_late(self, now: datetime.datetime) -> None:
+        """Refuses the transactions that would wait beyond their deadline."""
+        ahead = 0
+        for waiter in self._transactions():
+            expected = now + self._rate.expected_wait(ahead)
+            if expected <= waiter.deadline:
+                ahead += 1
+                continue
+            failure = errors.Overloaded(
+                waiter.rank_name, expected - waiter.deadline
+            )
+            waiter.timer.cancel()
+            waiter.future.set_result(expression.Error(failure))
+
     def _eligible(
         self, may_borrow: Callable[[BorrowPurpose], bool]
     ) -> Iterator[Waiter]:
