Count operations of limited workspaces again when they are sent

Operations that waited, as for a silent database, ran all at once and could exceed the bound on those that run in a window. A second bucket holds them up.

--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -16,12 +16,16 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
+from hickorygate.core import request_context
 from hickorygate.core import retry
 from hickorygate.core import types
 from hickorygate.upstreams import group_monitor
 
 __all__ = ["ServiceGroups", "SessionContext"]
 
+_LATE_RETRY_DELAY = datetime.timedelta(seconds=1)
+"""Retry delay that is suggested if an admitted operation can't run in time."""
+
 
 class ServiceGroups(Protocol):
     """The configuration in force and the databases of its services."""
@@ -104,3 +108,23 @@
         if self.limits is None:
             return None
         return self.limits.admit(workspace, now)
+
+    def time_to_run(
+        self, request: request_context.RequestContext
+    ) -> datetime.timedelta | None:
+        """Counts an operation that is about to be sent to a database.
+
+        Returns:
+          Time to wait before it is sent; None if that would be too late.
+        """
+        if self.limits is None:
+            return datetime.timedelta()
+        return self.limits.time_to_run(
+            request.workspace, self.clock.now(), request.deadline
+        )
+
+    def refusal(
+        self, request: request_context.RequestContext
+    ) -> errors.RateLimited:
+        """Returns the failure of an operation that waited for too long."""
+        return errors.RateLimited(request.workspace, _LATE_RETRY_DELAY)
--- a/hickorygate/callers/single_statements.py
+++ b/hickorygate/callers/single_statements.py
@@ -27,6 +27,7 @@
 from hickorygate.upstreams import group_monitor
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member
+from hickorygate.upstreams import permits
 from hickorygate.upstreams import pooled_connection as pooled_connections
 from hickorygate.upstreams import silence_watch
 
@@ -74,6 +75,7 @@
         self._terms = statement_io.request_terms(call, route)
         self._excluded: set[member.MemberId] = set()
         self._has_place = False
+        self._counted = False
 
     async def read(self) -> replies.Reply:
         """Runs a read; retries at another database if one fails."""
@@ -152,8 +154,8 @@
     async def _attempt_at(
         self, place: statement_target.StatementTarget, reads: bool
     ) -> replies.Reply:
-        permits = place.pool.permits
-        entered = await permits.acquire(self._terms)
+        queue = place.pool.permits
+        entered = await self._enter(queue)
         if entered.is_error():
             return self._session.reply(expression.Error(entered.error))
         started = self._session.now()
@@ -163,13 +165,28 @@
             if exchange.answered:
                 service = self._session.now() - started
         finally:
-            permits.release(entered.ok, service)
+            queue.release(entered.ok, service)
         if exchange.confirming is None:
             return exchange.reply
         return await self._deliver_if_confirmed(
             place, exchange.reply, exchange.confirming
         )
 
+    async def _enter(self, queue: permits.Permits) -> permits.PermitResult:
+        """Waits for a permit; counts the operation when it is first sent."""
+        entered = await queue.acquire(self._terms)
+        if entered.is_error() or self._counted:
+            return entered
+        wait = self._env.time_to_run(self._terms)
+        self._counted = True
+        if not wait and wait is not None:
+            return entered
+        queue.release(entered.ok, None)
+        if wait is None:
+            return expression.Error(self._env.refusal(self._terms))
+        await self._env.clock.sleep(wait)
+        return await queue.acquire(self._terms)
+
     async def _exchange(
         self, place: statement_target.StatementTarget, reads: bool
     ) -> _Exchange:
--- a/hickorygate/callers/transaction_opening.py
+++ b/hickorygate/callers/transaction_opening.py
@@ -47,6 +47,7 @@
         self._group = group
         self._call = call
         self._terms = terms
+        self._counted = False
 
     def __repr__(self) -> str:
         return f"TransactionOpening({self._transaction!r})"
@@ -115,6 +116,16 @@
         if borrowed.is_error():
             return borrowed.error
         pooled_connection = borrowed.ok
+        if not self._counted:
+            self._counted = True
+            wait = self._env.time_to_run(self._terms)
+            if wait or wait is None:
+                pooled_connection.give_back()
+            if wait is None:
+                return self._env.refusal(self._terms)
+            if wait:
+                await self._env.clock.sleep(wait)
+                return await self._begin_at(place, prepared)
         try:
             failure = await self._send_begin(pooled_connection, place)
         except BaseException:
--- a/hickorygate/callers/workspace_limits.py
+++ b/hickorygate/callers/workspace_limits.py
@@ -42,6 +42,10 @@
 _WINDOW = datetime.timedelta(seconds=5)
 """Window in which the operations of a workspace are bounded."""
 
+_EXCESS = 0.1
+"""`bounds.quota_excess`: how much more operations may run in a window than the
+limit says. It is left to operations that waited after their admission."""
+
 _RETRY_WITHOUT_SHARE = datetime.timedelta(seconds=1)
 """Retry delay that a refusal suggests while this proxy has no share."""
 
@@ -81,6 +85,9 @@
       workspace: the workspace as of the last operation.
       bucket: tokens of the share that this proxy may use.
       reserve: operations beyond the share.
+      runs: tokens for sending admitted operations; it has room for those that
+        waited a little.
+      run_reserve: operations beyond the share that were sent.
       refilled: time up to which the bucket was refilled.
       usage: counts for the metrics.
       refused_at: time of the last refusal; None if the workspace isn't limited.
@@ -95,6 +102,8 @@
         "refused_before",
         "reported",
         "reserve",
+        "run_reserve",
+        "runs",
         "usage",
         "workspace",
     )
@@ -108,6 +117,8 @@
         self.workspace = workspace
         self.bucket = rate_limit.TokenBucket(limit)
         self.reserve = rate_limit.SlidingCount(_RESERVE, _WINDOW)
+        self.runs = rate_limit.TokenBucket(_run_limit(limit))
+        self.run_reserve = rate_limit.SlidingCount(_RESERVE, _WINDOW)
         self.refilled = since
         self.usage = Usage()
         self.refused_at: datetime.datetime | None = None
@@ -122,6 +133,12 @@
     return rate_limit.RateLimit(workspace.rate, workspace.burst)
 
 
+def _run_limit(limit: rate_limit.RateLimit) -> rate_limit.RateLimit:
+    """Returns the limit of the operations that are sent to databases."""
+    window = limit.rate * _WINDOW.total_seconds() + limit.burst
+    return rate_limit.RateLimit(limit.rate, limit.burst + _EXCESS * window)
+
+
 class WorkspaceLimits:
     """The rate limits of all workspaces at one proxy."""
 
@@ -256,6 +273,34 @@
         self._note_refusal(state, now)
         return errors.RateLimited(workspace, self._retry_delay(state.bucket))
 
+    def time_to_run(
+        self,
+        workspace: types.WorkspaceName,
+        now: datetime.datetime,
+        deadline: datetime.datetime,
+    ) -> datetime.timedelta | None:
+        """Counts an admitted operation that is about to be sent.
+
+        Operations that waited for a database may otherwise run all at once
+        and exceed the bound on those that run in a window.
+
+        Args:
+          workspace: workspace of the caller.
+          now: current time.
+          deadline: time after which the operation is no longer sent.
+
+        Returns:
+          Time to wait before it may be sent; None if that would be too late.
+        """
+        state = self._state_of(workspace, now)
+        if state is None:
+            return datetime.timedelta()
+        self._refill(state, now)
+        reserved = state.runs.tokens < 1 and self._is_reserved(state, now)
+        if reserved and state.run_reserve.try_take(now):
+            return datetime.timedelta()
+        return state.runs.reserve(deadline - now)
+
     def tick(self, now: datetime.datetime) -> None:
         """Does the periodic work; its cost doesn't depend on the workspaces.
 
@@ -287,6 +332,7 @@
             self._refill(state, now)
             state.workspace = workspace
             state.bucket.set_limit(limit)
+            state.runs.set_limit(_run_limit(limit))
         return state
 
     def _apply(
@@ -319,6 +365,7 @@
             state.workspace.name, state.refilled, now
         )
         state.bucket.refill(share, seconds)
+        state.runs.refill(share, seconds)
         state.refilled = now
         state.usage.share = share
 
@@ -330,15 +377,19 @@
     def _take_reserve(
         self, state: _WorkspaceState, now: datetime.datetime
     ) -> bool:
+        return self._is_reserved(state, now) and state.reserve.try_take(now)
+
+    def _is_reserved(
+        self, state: _WorkspaceState, now: datetime.datetime
+    ) -> bool:
+        """Returns whether this proxy may run operations beyond its share."""
         view = self._lent.view
         if view is None or now < self._reserve_from:
             return False
         if not self._lent.is_active(now):
             return False
         name = state.workspace.name
-        if self._name not in view.fleet.candidates(name, view.absent):
-            return False
-        return state.reserve.try_take(now)
+        return self._name in view.fleet.candidates(name, view.absent)
 
     def _retry_delay(
         self, bucket: rate_limit.TokenBucket
--- a/hickorygate/core/rate_limit.py
+++ b/hickorygate/core/rate_limit.py
@@ -86,6 +86,26 @@
         self._tokens = max(0.0, self._tokens - 1)
         return True
 
+    def reserve(self, longest: datetime.timedelta) -> datetime.timedelta | None:
+        """Takes one token, perhaps before there is one.
+
+        Args:
+          longest: longest time to wait for the token.
+
+        Returns:
+          Time to wait before the token may be used; None if that would take
+          too long, and no token was taken.
+        """
+        missing = 1 - self._tokens
+        if missing <= _ROUNDING:
+            self._tokens -= 1
+            return datetime.timedelta()
+        rate = self._limit.rate * self._share
+        if rate <= 0 or missing / rate >= longest.total_seconds():
+            return None
+        self._tokens -= 1
+        return datetime.timedelta(seconds=missing / rate)
+
     def time_to_token(self) -> datetime.timedelta | None:
         """Returns the time until there is a token; None if there will be none.
 
--- a/hickorygate/tests/test_workspace_limits.py
+++ b/hickorygate/tests/test_workspace_limits.py
@@ -163,6 +163,29 @@
         self.limits.admit("v", self.clock.now())
         self.assertEqual(self.limits.usage, {})
 
+    def test_operations_that_waited_do_not_run_all_at_once(self) -> None:
+        # A database was silent for 8 s, and 80 admitted operations wait for it.
+        self.advance(10)
+        for _ in range(80):
+            self.limits.admit("w", self.clock.now())
+            self.advance(0.1)
+        now = self.clock.now()
+        deadline = now + _seconds(20)
+        waits = [self.limits.time_to_run("w", now, deadline) for _ in range(80)]
+        at_once = [wait for wait in waits if wait is not None and not wait]
+        soon = [wait for wait in waits if wait and wait < _seconds(5)]
+        self.assertNotIn(None, waits)
+        bound = (10.0 * 5 + 6) * 1.1 + 20
+        self.assertLessEqual(len(at_once) + len(soon), bound)
+        self.assertLessEqual(len(at_once), 0.1 * 56 + 6 + 8)
+
+    def test_operation_that_would_run_too_late_is_refused(self) -> None:
+        self.advance(10)
+        now = self.clock.now()
+        deadline = now + _seconds(0.5)
+        waits = [self.limits.time_to_run("w", now, deadline) for _ in range(40)]
+        self.assertIsNone(waits[-1])
+
     def test_unknown_workspace_has_no_limit(self) -> None:
         for _ in range(100):
             self.assertIsNone(self.limits.admit("v", self.clock.now()))
