--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -16,6 +16,7 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
+from hickorygate.core import request_context
 from hickorygate.core import retry
 from hickorygate.core import session_limits
 from hickorygate.core import types
@@ -23,6 +24,9 @@
 
 __all__ = ["ServiceGroups", "SessionContext"]
 
+_LATE_RETRY_DELAY = datetime.timedelta(seconds=1)
+"""Retry delay that is suggested if an admitted operation can't run in time."""
+
 
 class ServiceGroups(Protocol):
     """The configuration in force and the databases of its services."""
@@ -98,6 +102,9 @@
     serving: serving.ServerChoice | None = None
     forwarder: serving.ServerLinks | None = None
     limits: workspace_limits.WorkspaceLimits | None = None
+    session_state: session_limits.SessionStateBudget = dataclasses.field(
+        default_factory=session_limits.SessionStateBudget
+    )
 
     def admit(
         self, workspace: types.WorkspaceName, now: datetime.datetime
@@ -111,6 +118,22 @@
             return None
         return self.limits.admit(workspace, now)
 
-    session_state: session_limits.SessionStateBudget = dataclasses.field(
-        default_factory=session_limits.SessionStateBudget
-    )
+    def time_to_run(
+        self, request: request_context.RequestContext
+    ) -> datetime.timedelta | None:
+        """Counts an operation that is about to be sent to a database.
+
+        Returns:
+          Time to wait before it is sent; None if that would be too late.
+        """
+        if self.limits is None:
+            return datetime.timedelta()
+        return self.limits.time_to_run(
+            request.workspace, self.clock.now(), request.deadline
+        )
+
+    def refusal(
+        self, request: request_context.RequestContext
+    ) -> errors.RateLimited:
+        """Returns the failure of an operation that waited for too long."""
+        return errors.RateLimited(request.workspace, _LATE_RETRY_DELAY)
