Notice a slow database with few statements per second

A median with an assumed value of full weight hid slowdowns from a proxy that sends two or three statements per second.

--- a/hickorygate/core/capacity.py
+++ b/hickorygate/core/capacity.py
@@ -98,10 +98,16 @@
 
 _STALE_HALF_LIFE = datetime.timedelta(milliseconds=400)
 
-_PRIOR_WEIGHT = 1.0
+_PRIOR_WEIGHT = 0.4
 """Weight of an assumed response time equal to the baseline, relative to a
 statement that ended just now. It prevails where there are only old ones."""
 
+_SPARSE_PRIOR_WEIGHT = 1.0
+"""The same while fewer than `_MIN_SAMPLES` statements are known, so that a
+single one that takes long doesn't count as a slow database."""
+
+_MIN_SAMPLES = 3
+
 _REFRESH = datetime.timedelta(milliseconds=10)
 """Time for which a computed deviation is used again, to limit the computing
 time at many statements per second."""
@@ -405,7 +411,8 @@
 
     def _evaluate(self, now: datetime.datetime) -> float:
         decay = self._settings.decay_time
-        weighted = [(0.0, _PRIOR_WEIGHT)]
+        sparse = len(self._samples) < _MIN_SAMPLES
+        weighted = [(0.0, _SPARSE_PRIOR_WEIGHT if sparse else _PRIOR_WEIGHT)]
         weighted += [
             (s.deviation, math.exp(-((now - s.at) / decay)))
             for s in self._samples
