--- a/hickorygate/tests/test_caller_connection.py
+++ b/hickorygate/tests/test_caller_connection.py
@@ -10,6 +10,7 @@
 from hickorygate.platform import line_server
 from hickorygate.platform import settings
 from hickorygate.testing import line_cluster
+from hickorygate.testing import line_group
 from hickorygate.testing import virtual_time
 
 _CONNECTIONS = 3
@@ -17,17 +18,20 @@
 _MIB = 1_048_576
 
 
-class CallerConnectionTest(virtual_time.VirtualTimeTestCase):
+class _ListenerTestCase(virtual_time.VirtualTimeTestCase):
     """A listener with small limits before three stand-in databases."""
 
+    work = line_group.Capacity()
+    connections = _CONNECTIONS
+
     async def asyncSetUp(self) -> None:  # noqa: N802
         clock = virtual_time.LoopClock(asyncio.get_running_loop())
         self.cluster = await self.enterAsyncContext(
-            line_cluster.LineCluster(clock=clock)
+            line_cluster.LineCluster(clock=clock, work=self.work)
         )
         self.server = line_server.LineServer(
             self.cluster.proxies[0].context,
-            memory_budget.BufferLimits(_TOTAL, _CONNECTIONS),
+            memory_budget.BufferLimits(_TOTAL, self.connections),
         )
         await self.server.start(settings.Address("127.0.0.1", 0))
         self.addCleanup(self.server.stop_listening)
@@ -60,6 +64,10 @@
         recorded = self.cluster.proxies[0].journal.events
         return [e.event.cause for e in recorded if isinstance(e.event, kind)]
 
+
+class CallerConnectionTest(_ListenerTestCase):
+    """Limits of messages, answers, connections and sessions."""
+
     async def test_too_many_values_are_refused_and_the_session_goes_on(
         self,
     ) -> None:
@@ -143,6 +151,17 @@
         self.assertEqual(received.count("COMPLETE -"), 3_000)
         self.assertEqual(received[-4], "ROW -")
 
+    async def test_a_pipeline_lets_other_callers_run(self) -> None:
+        """Guards against a pipeline that keeps the event loop to itself."""
+        other = await self.open_session()
+        reader, writer = await self.connect()
+        lines = [f"CONNECT {line_cluster.PRIMARY_DB} x"]
+        lines += [f"QUERY {n} SET name x" for n in range(3_000)]
+        writer.write("".join(line + "\r\n" for line in lines).encode())
+        await reader.readline()
+        await other.query("SET name x")
+        self.assertTrue(any(c.is_processing for c in self.server.callers))
+
     async def test_large_messages_of_several_callers_are_served(self) -> None:
         clients = [await self.open_session() for _ in range(_CONNECTIONS)]
         item = "i" * (_MIB - 100)
@@ -150,3 +169,27 @@
             *(client.query(f"READ {item}") for client in clients)
         )
         self.assertEqual([a[0] for a in answers], ["ROW -"] * _CONNECTIONS)
+
+
+class OverloadTest(_ListenerTestCase):
+    """Databases that run one statement at a time."""
+
+    work = line_group.Capacity(1, datetime.timedelta(milliseconds=900))
+    connections = 12
+
+    async def test_a_rejected_pipeline_waits(self) -> None:
+        """Guards against rejected requests that take every free place."""
+        requests = [f"QUERY {n} READ x" for n in range(2_000)]
+        lines = [f"CONNECT {line_cluster.PRIMARY_DB} x", *requests]
+        data = "".join(line + "\r\n" for line in lines).encode()
+        for _ in range(self.connections):
+            _, writer = await self.connect()
+            writer.write(data)
+        await asyncio.sleep(4)
+        details = [
+            recorded.event.detail
+            for recorded in self.cluster.proxies[0].journal.events
+            if isinstance(recorded.event, platform_events.RequestEnded)
+        ]
+        self.assertIn("overloaded", " ".join(details))
+        self.assertLess(len(details), 100)
