Keep candidates for a workspace in each part of a partitioned fleet

Change: 16 candidates; the reserve stays with the first three. Measured: the new test fails with three candidates and passes with 16; test_limit_share, test_workspace_limits, test_serving_plan and properties.test_rate_limits pass.

--- a/hickorygate/callers/workspace_limits.py
+++ b/hickorygate/callers/workspace_limits.py
@@ -389,7 +389,8 @@
         if not self._lent.is_active(now):
             return False
         name = state.workspace.name
-        return self._name in view.fleet.candidates(name, view.absent)
+        candidates = view.fleet.candidates(name, view.absent)
+        return self._name in candidates[: fleet_view.RESERVED]
 
     def _retry_delay(
         self, bucket: rate_limit.TokenBucket
--- a/hickorygate/core/fleet_view.py
+++ b/hickorygate/core/fleet_view.py
@@ -15,10 +15,15 @@
 from hickorygate.core import rendezvous
 from hickorygate.core import types
 
-__all__ = ["CANDIDATES", "Fleet", "FleetView", "MAX_HOLDERS"]
+__all__ = ["CANDIDATES", "Fleet", "FleetView", "MAX_HOLDERS", "RESERVED"]
 
-CANDIDATES = 3
-"""Number of proxies that may serve a workspace, by rank."""
+CANDIDATES = 16
+"""Number of proxies that may serve a workspace, by rank. If the fleet is
+partitioned, each part must hold one of them: a workspace without a candidate is
+served by each gateway with that gateway's share alone."""
+
+RESERVED = 3
+"""Number of candidates, by rank, that may run operations beyond their share."""
 
 MAX_HOLDERS = 32
 """Maximum number of proxies that hold a share of a workspace's limit. The
--- a/hickorygate/proxies/serving_plan.py
+++ b/hickorygate/proxies/serving_plan.py
@@ -12,13 +12,13 @@
 import xxhash
 
 from hickorygate.core import catalog as catalogs
+from hickorygate.core import fleet_view
 from hickorygate.core import rendezvous
 from hickorygate.core import types
 from hickorygate.store import registration
 
 __all__ = ["ServingPlan"]
 
-_WORKSPACE_CANDIDATES = 3
 _SERVERS_PER_ZONE = 2
 """Number of serving proxies of a service in each zone. With one, the loss of a
 proxy would send all statements of the zone to another zone."""
@@ -157,7 +157,7 @@
     ) -> tuple[types.ProxyName, ...]:
         if self._by_workspace:
             return rendezvous.weighted_owners(
-                workspace or service, self._weights(), _WORKSPACE_CANDIDATES
+                workspace or service, self._weights(), fleet_view.CANDIDATES
             )
         if not self._is_scarce(service):
             return ()
--- a/hickorygate/tests/test_limit_share.py
+++ b/hickorygate/tests/test_limit_share.py
@@ -14,9 +14,11 @@
 
 _START = clock.at(0)
 _NAMES = ("a", "b", "c", "d")
-_FLEET = fleet_view.Fleet(dict.fromkeys(_NAMES, 1.0))
+_GATEWAY = "d"
+"""A proxy that can't serve others, so it is no candidate."""
+
+_FLEET = fleet_view.Fleet({"a": 1.0, "b": 1.0, "c": 1.0, _GATEWAY: 0.0})
 _FIRST, _SECOND, _THIRD = _FLEET.candidates("w")
-_GATEWAY = next(iter(set(_NAMES) - {_FIRST, _SECOND, _THIRD}))
 _ALL_USABLE = fleet_view.FleetView(_FLEET)
 _FIRST_LOST = fleet_view.FleetView(_FLEET, unusable=frozenset({_FIRST}))
 
--- a/hickorygate/tests/test_serving_plan.py
+++ b/hickorygate/tests/test_serving_plan.py
@@ -11,6 +11,7 @@
 import unittest
 
 from hickorygate.core import catalog
+from hickorygate.core import fleet_view
 from hickorygate.core import workspace
 from hickorygate.proxies import serving_plan
 from hickorygate.store import registration
@@ -59,7 +60,16 @@
         for name in settings.workspaces:
             orders = {p.candidates(_SERVICE, name) for p in plans}
             self.assertEqual(len(orders), 1)
-            self.assertEqual(len(set(orders.pop())), 3)
+            self.assertEqual(len(set(orders.pop())), fleet_view.CANDIDATES)
+
+    def test_each_part_of_a_partitioned_fleet_holds_a_candidate(self) -> None:
+        # A workspace without a candidate in its part was served by each gateway
+        # with 1/25 of the limit, so nearly all its operations were rejected.
+        fleet, settings = _fleet(25), _catalog(71, 200)
+        plan = _plan("proxy-1", fleet, settings)
+        part = {f"proxy-{number}" for number in range(1, 10)}
+        for name in settings.workspaces:
+            self.assertTrue(part & set(plan.candidates(_SERVICE, name)), name)
 
     def test_a_new_proxy_moves_few_workspaces(self) -> None:
         settings = _catalog(71, 600)
--- a/hickorygate/tests/test_workspace_limits.py
+++ b/hickorygate/tests/test_workspace_limits.py
@@ -137,7 +137,8 @@
 
     def test_other_proxies_have_no_reserve(self) -> None:
         other = fleet_view.Fleet(dict.fromkeys(_NAMES, 1.0))
-        name = next(n for n in _NAMES if n not in other.candidates("w"))
+        reserved = other.candidates("w")[: fleet_view.RESERVED]
+        name = next(n for n in _NAMES if n not in reserved)
         self.limits = self.make_limits(name, _NAMES)
         self.advance(20)
         self.assertEqual(self.admitted(), 1)
