--- a/hickorygate/core/limit_share.py
+++ b/hickorygate/core/limit_share.py
@@ -100,7 +100,15 @@
 class LentRights:
     """The holder's side: its views and the leases that it has granted."""
 
-    __slots__ = ("_active", "_answered", "_former", "_name", "_starts", "_view")
+    __slots__ = (
+        "_active",
+        "_answered",
+        "_first",
+        "_former",
+        "_name",
+        "_starts",
+        "_view",
+    )
 
     def __init__(
         self, name: types.ProxyName, started: datetime.datetime
@@ -116,6 +124,7 @@
         self._active = False
         self._view: fleet_view.FleetView | None = None
         self._answered: dict[types.ProxyName, datetime.datetime] = {}
+        self._first: dict[types.ProxyName, int] = {}
         self._former: list[
             tuple[
                 fleet_view.FleetView, dict[types.ProxyName, datetime.datetime]
@@ -145,16 +154,34 @@
         if self._view is not None and self._answered:
             self._former.append((self._view, self._answered))
         self._answered = {}
+        self._first = {}
         self._view = view
 
+    def note_received(self, server: types.ProxyName, number: int) -> None:
+        """Records which answer a server has received last.
+
+        A server that has received an answer under the present view no longer
+        uses a former one.
+
+        Args:
+          server: proxy that tells it.
+          number: number of the request that was answered.
+        """
+        first = self._first.get(server)
+        if first is not None and number >= first:
+            for _, answered in self._former:
+                answered.pop(server, None)
+
     def answer(
-        self, server: types.ProxyName, now: datetime.datetime
+        self, server: types.ProxyName, now: datetime.datetime, number: int = 0
     ) -> Lending | None:
         """Answers the request of a server.
 
         Args:
           server: proxy that asks; this proxy itself asks here too.
           now: current time.
+          number: number of the request; later ones of a proxy are higher, also
+            after it was restarted.
 
         Returns:
           What this proxy lends; None if it lends nothing at present.
@@ -166,6 +193,7 @@
             return None
         if server != self._name:
             self._answered[server] = now
+            self._first.setdefault(server, number)
         return Lending(self._view, former)
 
     def take_back(self, server: types.ProxyName) -> None:
--- a/hickorygate/proxies/rights_exchange.py
+++ b/hickorygate/proxies/rights_exchange.py
@@ -21,6 +21,9 @@
 
 __all__ = ["Limits", "RightsExchange"]
 
+_SECONDS_PER_NUMBER = 0.000_1
+"""Least mean time between two requests of a proxy."""
+
 _MAX_FLEETS = 32
 """Number of fleets of other proxies that are remembered."""
 
@@ -84,7 +87,9 @@
         self._live: frozenset[types.ProxyName] = frozenset()
         self._fleets: dict[str, fleet_view.Fleet] = {}
         self._asked: dict[int, tuple[types.ProxyName, datetime.datetime]] = {}
-        self._number = 0
+        # A restarted process continues above the numbers of its former one.
+        self._number = int(clock.now().timestamp() / _SECONDS_PER_NUMBER)
+        self._received: dict[types.ProxyName, int] = {}
         self._leaving = False
         links.listen_for_rights(self)
 
@@ -125,7 +130,8 @@
         """Returns the answer to a request of another proxy."""
         now = self._clock.now()
         self._refresh(now)
-        lending = self._limits.lent.answer(sender, now)
+        self._limits.lent.note_received(sender, message.received)
+        lending = self._limits.lent.answer(sender, now, message.number)
         if lending is None:
             return messages.Rights(message.number, (), ())
         views = [
@@ -147,8 +153,11 @@
         asked = self._asked.pop(message.number, None)
         if asked is None or asked[0] != server or self._leaving:
             return
+        if message.number <= self._received.get(server, 0):
+            return  # A newer answer was applied, and the holder may know.
         for known in message.fleets:
             self._remember(fleet_view.Fleet(known.capacities))
+        self._received[server] = message.number
         self._limits.received.record(
             server, self._lending(message), asked[1], self._clock.now()
         )
@@ -188,7 +197,9 @@
 
     def _ask(self, server: types.ProxyName, now: datetime.datetime) -> None:
         self._number += 1
-        request = messages.RightsRequest(self._number, tuple(self._fleets))
+        request = messages.RightsRequest(
+            self._number, self._received.get(server, 0), tuple(self._fleets)
+        )
         if self._links.request_rights(server, request):
             self._asked[self._number] = (server, now)
 
--- a/hickorygate/proxies/statement_codec.py
+++ b/hickorygate/proxies/statement_codec.py
@@ -81,7 +81,7 @@
     float, pydantic.Field(strict=True, ge=0, allow_inf_nan=False)
 ]
 _KnownFleet = tuple[_Text, dict[_Text, _Cores]]
-_RIGHTS_REQUEST_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Names])
+_RIGHTS_REQUEST_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Number, _Names])
 _RIGHTS_FIELDS = pydantic.TypeAdapter(
     tuple[_Number, tuple[_LentView, ...], tuple[_KnownFleet, ...]]
 )
@@ -282,7 +282,8 @@
 
 @_fields.register
 def _(message: messages.RightsRequest) -> list[Any]:
-    return [_RIGHTS_REQUEST, message.number, _encode_names(message.fleets)]
+    fleets = _encode_names(message.fleets)
+    return [_RIGHTS_REQUEST, message.number, message.received, fleets]
 
 
 @_fields.register
@@ -439,8 +440,10 @@
 
 
 def _decode_rights_request(fields: list[Any]) -> messages.RightsRequest:
-    number, fleets = _RIGHTS_REQUEST_FIELDS.validate_python(fields)
-    return messages.RightsRequest(number, tuple(map(_to_text, fleets)))
+    number, received, fleets = _RIGHTS_REQUEST_FIELDS.validate_python(fields)
+    return messages.RightsRequest(
+        number, received, tuple(map(_to_text, fleets))
+    )
 
 
 def _decode_rights(fields: list[Any]) -> messages.Rights:
--- a/hickorygate/proxies/statement_messages.py
+++ b/hickorygate/proxies/statement_messages.py
@@ -205,10 +205,13 @@
 
     Attributes:
       number: number that the answer repeats.
+      received: number of the last request whose answer the sender applied; 0
+        if there is none.
       fleets: digests of the fleets that the sender knows.
     """
 
     number: int
+    received: int
     fleets: tuple[str, ...]
 
 
--- a/hickorygate/tests/test_limit_share.py
+++ b/hickorygate/tests/test_limit_share.py
@@ -61,6 +61,15 @@
         self.rights.set_view(_FIRST_LOST)
         self.assertEqual(self.lent_to(_SECOND, 0.6), 0.25)
 
+    def test_share_moves_once_the_server_knows_the_new_view(self) -> None:
+        self.rights.answer(_FIRST, clock.at(0.5), 10)
+        self.rights.set_view(_FIRST_LOST)
+        self.rights.note_received(_FIRST, 10)
+        self.assertEqual(self.lent_to(_SECOND, 0.6), 0)
+        self.rights.answer(_FIRST, clock.at(0.7), 11)
+        self.rights.note_received(_FIRST, 11)
+        self.assertEqual(self.lent_to(_SECOND, 0.8), 0.25)
+
     def test_share_waits_for_all_former_servers(self) -> None:
         self.lent_to(_FIRST, 0.0)
         self.rights.set_view(_FIRST_LOST)
--- a/hickorygate/tests/test_statement_codec.py
+++ b/hickorygate/tests/test_statement_codec.py
@@ -55,7 +55,7 @@
         operations.PreparedStatement(True, "q1"),
     ),
     messages.AbortTransaction(3),
-    messages.RightsRequest(4, ("00ff", _NOT_UTF_8)),
+    messages.RightsRequest(4, 3, ("00ff", _NOT_UTF_8)),
     messages.Rights(5, (), ()),
     messages.Rights(
         6,
