Share databases by capacity where workspaces are placed by capacity

Cause: with workspaces each of 25 proxies had one statement in flight at a database of five slots, also the few that serve most workspaces. Change: the share of connections and of statements in flight follows the proxy's capacity, and is never below the even one.

--- a/hickorygate/proxies/serving_plan.py
+++ b/hickorygate/proxies/serving_plan.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import math
 
 import xxhash
 
@@ -120,6 +121,22 @@
         names = self.server_names(service)
         return self._name in names or not names
 
+    def sharers(self, service: types.ServiceName) -> int:
+        """Returns among how many proxies of this one's size to share databases.
+
+        Workspaces are placed by capacity, so a proxy with twice the capacity
+        needs twice the share. A small proxy keeps the even share: it may serve
+        a workspace that sends much.
+        """
+        if not self._by_workspace:
+            return self.servers(service)
+        count = max(1, len(self._proxies))
+        weights = self._weights()
+        own = weights.get(self._name, 0.0)
+        if own <= 0:
+            return count
+        return min(count, math.ceil(sum(weights.values()) / own))
+
     def is_shared(self, service: types.ServiceName) -> bool:
         """Returns whether proxies run statements of a service for others."""
         return self._by_workspace or self._is_scarce(service)
--- a/hickorygate/tests/test_serving_plan.py
+++ b/hickorygate/tests/test_serving_plan.py
@@ -94,6 +94,15 @@
         # Two proxies with twice the capacity of the ten others.
         self.assertAlmostEqual(large / 3_000, 4 / 14, delta=0.04)
 
+    def test_a_larger_proxy_has_a_larger_share_of_the_databases(self) -> None:
+        # With an even share, a proxy that served a seventh of the statements
+        # had one of them in flight at a database of five slots.
+        settings = _catalog(71, 20)
+        small = _plan("proxy-1", _fleet(12), settings)
+        large = _plan("proxy-0", _fleet(12), settings)
+        self.assertEqual(small.sharers(_SERVICE), 12)
+        self.assertEqual(large.sharers(_SERVICE), 7)
+
     def test_all_proxies_monitor_the_groups(self) -> None:
         plan = _plan("proxy-0", _fleet(25), _catalog(71, 20))
         self.assertEqual(plan.servers(_SERVICE), 25)
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -309,12 +309,13 @@
         """Tells a group which proxies share its databases."""
         if self._proxies is None:
             return
-        names = self._proxies
-        if self._plan is not None:
-            names = self._plan.server_names(group.service) or names
-            self._lease.set_monitors(group.service, names)
-            names |= {self._plan.name}
-        group.set_proxies(len(names))
+        if self._plan is None:
+            group.set_proxies(len(self._proxies))
+            return
+        names = self._plan.server_names(group.service) or self._proxies
+        self._lease.set_monitors(group.service, names)
+        serves = self._plan.name in names
+        group.set_proxies(self._plan.sharers(group.service) + (not serves))
 
     def _open_group(
         self, terms: catalogs.ServiceSettings
