Report the cause of a changed limit, and test metrics and events

CapacityChanged showed the state at the time of the report, which could be normal again; it now has the state and ratio that changed the limit.

--- a/benchmarks/capacity_rules.py
+++ b/benchmarks/capacity_rules.py
@@ -21,6 +21,7 @@
 from benchmarks import capacity_model as model
 from hickorygate.core import capacity
 from hickorygate.core import latency_baseline
+from hickorygate.core import loop_delay
 from hickorygate.upstreams import connection_share
 from hickorygate.upstreams import failure_rate
 
@@ -139,7 +140,7 @@
     def __init__(self, proxies: int, seed: int) -> None:
         super().__init__(proxies, seed)
         settings = capacity.CapacitySettings()
-        loop = capacity.LoopDelay(
+        loop = loop_delay.LoopDelay(
             datetime.timedelta(seconds=model.TICK), settings.loop_delay
         )
         service = capacity.ServiceCapacity(settings, random.Random(seed), loop)
--- a/hickorygate/core/capacity.py
+++ b/hickorygate/core/capacity.py
@@ -21,6 +21,7 @@
 import statistics
 
 from hickorygate.core import latency_baseline
+from hickorygate.core import loop_delay
 from hickorygate.core import types
 
 __all__ = [
@@ -28,7 +29,6 @@
     "CapacityEstimate",
     "CapacitySettings",
     "CapacityState",
-    "LoopDelay",
     "ServiceCapacity",
     "StatementOutcome",
 ]
@@ -142,7 +142,7 @@
       former: limit before.
       limit: limit now.
       state: why it has that value.
-      ratio: ratio of the response times to the baseline.
+      ratio: ratio of the response times to the baseline at that time.
       failing_share: share of recent statements that failed, 0 to 1.
       in_flight: number of this proxy's statements in flight.
     """
@@ -173,38 +173,6 @@
     in_flight: int
 
 
-class LoopDelay:
-    """Detects that this proxy's event loop runs late, by a periodic call."""
-
-    __slots__ = ("_due", "_interval", "_late_until", "_tolerance")
-
-    def __init__(
-        self, interval: datetime.timedelta, tolerance: datetime.timedelta
-    ) -> None:
-        self._interval = interval
-        self._tolerance = tolerance
-        self._due: datetime.datetime | None = None
-        self._late_until: datetime.datetime | None = None
-
-    def __repr__(self) -> str:
-        return f"LoopDelay(due={self._due})"
-
-    def tick(self, now: datetime.datetime) -> None:
-        """Records the periodic call; it is expected every `interval`."""
-        if self._overdue(now):
-            self._late_until = now
-        self._due = now + self._interval
-
-    def affects(self, sent: datetime.datetime, now: datetime.datetime) -> bool:
-        """Returns whether the loop was late between two times."""
-        if self._overdue(now):
-            return True
-        return self._late_until is not None and sent <= self._late_until
-
-    def _overdue(self, now: datetime.datetime) -> bool:
-        return self._due is not None and now - self._due > self._tolerance
-
-
 class CapacityEstimate:
     """What one database can handle, as one proxy sees it."""
 
@@ -221,6 +189,7 @@
         self._greatest = 1
         self._limit = 0.0
         self._state = CapacityState.NORMAL
+        self._cause = (CapacityState.NORMAL, 0.0)
         self._samples: collections.deque[_Sample] = collections.deque(
             maxlen=self._settings.max_samples
         )
@@ -316,9 +285,11 @@
             target = self._target(ratio, now)
         if target < self._limit:
             self._limit = target
+            self._note_cause()
             self._delay_step(now)
         elif target > self._limit and now >= self._next_step:
             self._raise(target)
+            self._note_cause()
             self._delay_step(now)
 
     def deviation(self, now: datetime.datetime) -> float:
@@ -365,8 +336,8 @@
         return CapacityChange(
             former=former,
             limit=self.limit,
-            state=self._state,
-            ratio=math.exp(self.deviation(now)),
+            state=self._cause[0],
+            ratio=math.exp(self._cause[1]),
             failing_share=self.failing_share(now),
             in_flight=self.in_flight,
         )
@@ -410,36 +381,39 @@
         self._samples.append(_Sample(now, deviation, statement.in_flight))
 
     def _evaluate(self, now: datetime.datetime) -> float:
-        decay = self._settings.decay_time
         sparse = len(self._samples) < _MIN_SAMPLES
         weighted = [(0.0, _SPARSE_PRIOR_WEIGHT if sparse else _PRIOR_WEIGHT)]
-        weighted += [
-            (s.deviation, math.exp(-((now - s.at) / decay)))
-            for s in self._samples
-        ]
-        overdue = self._overdue_deviations(now)
-        weighted += [(deviation, 1.0) for deviation in overdue]
+        weighted += [self._weighted(s, now) for s in self._samples]
+        overdue = self._overdue(now)
+        weighted += [(s.deviation, 1.0) for s in overdue]
         median = _weighted_median(weighted)
         if overdue or not self._samples:
             return median
         stale = max(self._idle_time(now) - _STALE_AFTER, datetime.timedelta())
         return median * 0.5 ** (stale / _STALE_HALF_LIFE)
 
+    def _weighted(
+        self, sample: _Sample, now: datetime.datetime
+    ) -> tuple[float, float]:
+        """Returns a deviation and its weight, which decays with its age."""
+        age = (now - sample.at) / self._settings.decay_time
+        return sample.deviation, math.exp(-age)
+
     def _idle_time(self, now: datetime.datetime) -> datetime.timedelta:
         return now - self._samples[-1].at
 
-    def _overdue_deviations(self, now: datetime.datetime) -> list[float]:
-        """Returns the deviations of statements that take too long already."""
+    def _overdue(self, now: datetime.datetime) -> list[_Sample]:
+        """Returns the statements that take too long already."""
+        slow = math.log(self._settings.slow_ratio)
         overdue = []
         for statement in self._outstanding.values():
             if self._service.loop.affects(statement.sent, now):
                 continue
             age = (now - statement.sent).total_seconds()
             deviation = self._service.baseline.deviation(statement.kind, age)
-            if deviation is not None and deviation > math.log(
-                self._settings.slow_ratio
-            ):
-                overdue.append(deviation)
+            if deviation is not None and deviation > slow:
+                sample = _Sample(now, deviation, statement.in_flight)
+                overdue.append(sample)
         return overdue
 
     def _target(self, ratio: float, now: datetime.datetime) -> float:
@@ -459,14 +433,11 @@
 
     def _slow_state(self, now: datetime.datetime) -> CapacityState:
         """Returns whether a slow database is slow with few in flight too."""
-        few = self.limit / 2
-        values = [
-            s.deviation
-            for s in self._samples
-            if s.in_flight <= few and now - s.at <= _STALE_AFTER
-        ]
+        few = max(self.limit / 2, 1)
+        known = [*self._samples, *self._overdue(now)]
+        weighted = [self._weighted(s, now) for s in known if s.in_flight <= few]
         slow = math.log(self._settings.slow_ratio)
-        if values and statistics.median(values) < slow:
+        if weighted and _weighted_median(weighted) < slow:
             return CapacityState.SATURATED
         return CapacityState.SLOW
 
@@ -488,8 +459,13 @@
         self._reduced_at = now
         self._limit = max(self._limit * _BUSY_FACTOR, 1.0)
         self._state = CapacityState.SATURATED
+        self._note_cause()
         self._delay_step(now)
 
+    def _note_cause(self) -> None:
+        """Keeps the state and the deviation that changed the limit."""
+        self._cause = (self._state, self._deviation)
+
     def _delay_step(self, now: datetime.datetime) -> None:
         delay = self._service.rng.uniform(0.5, 1.5)
         if self._limit >= self._initial:
@@ -522,7 +498,7 @@
         self,
         settings: CapacitySettings,
         rng: random.Random,
-        loop: LoopDelay,
+        loop: loop_delay.LoopDelay,
     ) -> None:
         self.settings = settings
         self.rng = rng
--- a/hickorygate/tests/test_capacity.py
+++ b/hickorygate/tests/test_capacity.py
@@ -15,6 +15,7 @@
 
 from hickorygate.core import capacity
 from hickorygate.core import latency_baseline
+from hickorygate.core import loop_delay
 from hickorygate.testing import clock as clocks
 
 _SLOTS = 5
@@ -45,7 +46,7 @@
 
     def __init__(self, rate: float, seed: int = 1) -> None:
         settings = capacity.CapacitySettings()
-        self.loop = capacity.LoopDelay(
+        self.loop = loop_delay.LoopDelay(
             datetime.timedelta(seconds=_TICK_SECONDS), settings.loop_delay
         )
         self.service = capacity.ServiceCapacity(
--- a/hickorygate/tests/test_capacity_load.py
+++ b/hickorygate/tests/test_capacity_load.py
@@ -11,10 +11,12 @@
 from collections.abc import Coroutine
 import datetime
 import random
+import types
 
 from hickorygate.core import capacity
 from hickorygate.core import operation as operations
 from hickorygate.core import platform_events
+from hickorygate.operators import proxy_metrics
 from hickorygate.testing import model_fleet
 from hickorygate.testing import model_group
 from hickorygate.testing import virtual_time
@@ -152,6 +154,42 @@
         self.assertGreaterEqual(learned.in_time, fixed.in_time)
         self.assertLess(learned.p99, fixed.p99)
 
+    async def test_operators_see_what_was_learned(self) -> None:
+        # Without the inputs nobody could tell why a database gets less.
+        fleet = model_fleet.ModelFleet(
+            _PROXIES, _SETTINGS, capacity.CapacitySettings()
+        )
+        self.addAsyncCleanup(fleet.close)
+        await fleet.start(random.Random(1), _SPREAD)
+        await asyncio.sleep(1)
+        proxy = fleet.proxies[0]
+        calls: list[tuple[str, model_fleet.CallOutcome]] = []
+        caller = asyncio.create_task(self._call_often(proxy, calls))
+        await asyncio.sleep(_WARM_UP_SECONDS)
+        await _slow(fleet)
+        await asyncio.sleep(2)
+        caller.cancel()
+        await asyncio.gather(caller, return_exceptions=True)
+        changes = [
+            entry.event
+            for entry in proxy.journal.events
+            if isinstance(entry.event, platform_events.CapacityChanged)
+        ]
+        self.assertEqual({change.database for change in changes}, {"b"})
+        causes = {c.state: c.ratio for c in changes if c.limit < c.former}
+        self.assertGreaterEqual(causes["slow"], 2.0)
+        learned = proxy.monitor.pools["b"].capacity.service_seconds()
+        self.assertGreater(max(learned.values()), 0.1)
+        registry = types.SimpleNamespace(groups={"s": proxy.monitor}, version=1)
+        statistics = proxy_metrics.EventStatistics()
+        text = proxy_metrics.render(statistics, registry, 0, 0).decode()
+        limit = proxy.monitor.pools["b"].capacity.limit
+        self.assertIn(
+            f'hickorygate_database_limit{{database="b"}} {limit}', text
+        )
+        self.assertIn("hickorygate_database_response_ratio{", text)
+        self.assertIn("hickorygate_database_service_seconds{", text)
+
     async def test_a_plain_day_does_not_get_worse(self) -> None:
         fixed, learned = await self.compare(_none)
         self.assertGreaterEqual(learned.in_time, fixed.in_time)
--- a/hickorygate/tests/test_permits.py
+++ b/hickorygate/tests/test_permits.py
@@ -8,6 +8,7 @@
 
 from hickorygate.core import capacity as capacities
 from hickorygate.core import latency_baseline
+from hickorygate.core import loop_delay
 from hickorygate.core import rank as ranks
 from hickorygate.core import request_context
 from hickorygate.testing import virtual_time
@@ -25,7 +26,7 @@
     async def asyncSetUp(self) -> None:  # noqa: N802
         self.clock = virtual_time.LoopClock(asyncio.get_running_loop())
         settings = capacities.CapacitySettings()
-        loop = capacities.LoopDelay(_TICK, settings.loop_delay)
+        loop = loop_delay.LoopDelay(_TICK, settings.loop_delay)
         self.service = capacities.ServiceCapacity(
             settings, random.Random(1), loop
         )
--- a/hickorygate/upstreams/capacity_monitor.py
+++ b/hickorygate/upstreams/capacity_monitor.py
@@ -13,6 +13,7 @@
 from hickorygate.core import capacity as capacities
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
+from hickorygate.core import loop_delay
 from hickorygate.core import platform_events
 from hickorygate.core import types
 from hickorygate.upstreams import connection_pool
@@ -43,7 +44,7 @@
             self._capacity = capacities.ServiceCapacity(
                 settings,
                 rng or random.Random(),
-                capacities.LoopDelay(_INTERVAL, settings.loop_delay),
+                loop_delay.LoopDelay(_INTERVAL, settings.loop_delay),
             )
 
     @property
