--- a/hickorygate/proxies/rights_exchange.py
+++ b/hickorygate/proxies/rights_exchange.py
@@ -114,7 +114,7 @@
         if self._leaving or not self._limits.has_limits:
             return
         self._remember(self._membership.fleet)
-        for server in self._holders():
+        for server in sorted(self._holders()):
             self._ask(server, now)
 
     def leave(self) -> None:
