--- a/hickorygate/callers/caller_session.py
+++ b/hickorygate/callers/caller_session.py
@@ -25,6 +25,7 @@
 from hickorygate.core import operation as operations
 from hickorygate.core import platform_events
 from hickorygate.core import reply as replies
+from hickorygate.core import session_limits
 from hickorygate.core import types
 from hickorygate.core import workspace as workspaces
 
@@ -49,6 +50,7 @@
         "_interruption",
         "_revoked",
         "_state",
+        "_state_size",
         "_task",
     )
 
@@ -76,12 +78,18 @@
         self._call: caller_session_state.CallerRequest | None = None
         self._task: asyncio.Task[object] | None = None
         self._interruption: replies.Rejection | None = None
+        self._state_size = session_limits.SessionStateSize(env.session_state)
 
     @property
     def state(self) -> caller_session_state.CallerSessionState:
         """State of the session that lasts between operations."""
         return self._state
 
+    @property
+    def state_size(self) -> session_limits.SessionStateSize:
+        """Memory of the values and prepared statements of the session."""
+        return self._state_size
+
     @property
     def env(self) -> session_context.SessionContext:
         """Dependencies that all sessions share."""
@@ -311,6 +319,7 @@
 
     def close(self) -> None:
         """Ends the session and rolls back its open transaction."""
+        self._state_size.clear()
         transaction = self._state.transaction
         self._state.transaction = None
         if transaction is not None and transaction.has_started:
@@ -367,6 +376,18 @@
     return failure.outcome.value
 
 
+def _too_much_state(session: CallerSession) -> replies.Reply:
+    """Rejects an operation that would make the session keep too much."""
+    transaction = session.state.transaction
+    if transaction is not None:
+        transaction_statements.abort_transaction(session.env, transaction)
+    return session.rejection(
+        replies.RejectionReason.OVERSIZED,
+        "the session keeps too many or too large values and statements; "
+        "replace or deallocate some",
+    )
+
+
 @functools.singledispatch
 def _answer_locally(
     operation: operations.Operation, session: CallerSession
@@ -381,12 +402,22 @@
 
 @_answer_locally.register(operations.SetValue)
 def _(operation: operations.SetValue, session: CallerSession) -> replies.Reply:
+    if not session.state_size.put(
+        session_limits.StateKind.VALUE, operation.name, operation.value
+    ):
+        return _too_much_state(session)
     session.state.values[operation.name] = operation.value
     return session.reply(_EMPTY_ANSWER)
 
 
 @_answer_locally.register(operations.Prepare)
 def _(operation: operations.Prepare, session: CallerSession) -> replies.Reply:
+    if not session.state_size.put(
+        session_limits.StateKind.PREPARED,
+        operation.name,
+        operation.prepared.text,
+    ):
+        return _too_much_state(session)
     session.state.prepared_statements[operation.name] = operation.prepared
     return session.reply(_EMPTY_ANSWER)
 
@@ -396,6 +427,7 @@
     operation: operations.Deallocate, session: CallerSession
 ) -> replies.Reply:
     session.state.prepared_statements.pop(operation.name, None)
+    session.state_size.remove(session_limits.StateKind.PREPARED, operation.name)
     return session.reply(_EMPTY_ANSWER)
 
 
@@ -452,7 +484,7 @@
         transaction_statements.abort_transaction(session.env, transaction)
     return session.rejection(
         replies.RejectionReason.UNKNOWN_STATEMENT,
-        f"{operation.name!r} isn't prepared in this session",
+        f"{replies.shorten(operation.name)!r} isn't prepared in this session",
     )
 
 
--- a/hickorygate/callers/session_context.py
+++ b/hickorygate/callers/session_context.py
@@ -18,6 +18,7 @@
 from hickorygate.core import events
 from hickorygate.core import request_context
 from hickorygate.core import retry
+from hickorygate.core import session_limits
 from hickorygate.core import types
 from hickorygate.upstreams import group_monitor
 
@@ -45,6 +46,10 @@
     def subscribe(self, on_change: Callable[[], None]) -> None:
         """Registers a function that is called after each configuration."""
 
+    @property
+    def message_idle(self) -> datetime.timedelta:
+        """Time without progress after which a message may be given up."""
+
     async def wait_for_configuration(self, limit: datetime.timedelta) -> bool:
         """Waits for the first configuration.
 
@@ -81,6 +86,7 @@
         all statements itself.
       forwarder: links to the serving proxies; None if there are none.
       limits: rate limits of the workspaces; None if there are none.
+      session_state: memory of the state of all sessions.
     """
 
     fleet: ServiceGroups
@@ -96,6 +102,9 @@
     serving: serving.ServerChoice | None = None
     forwarder: serving.ServerLinks | None = None
     limits: workspace_limits.WorkspaceLimits | None = None
+    session_state: session_limits.SessionStateBudget = dataclasses.field(
+        default_factory=session_limits.SessionStateBudget
+    )
 
     def admit(
         self, workspace: types.WorkspaceName, now: datetime.datetime
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -13,6 +13,9 @@
 from hickorygate.core import types
 
 __all__ = [
+    "CapacityChanged",
+    "CallersClosed",
+    "CallersRejected",
     "CatalogApplied",
     "CatalogRejected",
     "ConnectionUnsettled",
@@ -39,9 +42,9 @@
     "TakeoverEnded",
     "TakeoverStarted",
     "WatchFailed",
+    "WorkspacesIgnored",
     "WorkspaceLimited",
     "WorkspaceUnlimited",
-    "WorkspacesIgnored",
 ]
 
 
@@ -469,3 +472,58 @@
     server: types.ProxyName
     outcome: str
     tries: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapacityChanged(events.Event):
+    """The learned limit of a database changed by more than a quarter.
+
+    Attributes:
+      service: service of the database.
+      database: id of the database.
+      former: number of this proxy's statements that could be in flight before.
+      limit: the same number now.
+      state: "normal", "slow", "saturated" or "failing".
+      ratio: ratio of the recent response times to the usual ones.
+      failing_share: share of the recent statements that failed, 0 to 1.
+      in_flight: number of this proxy's statements that are in flight.
+    """
+
+    service: types.ServiceName
+    database: types.DatabaseName
+    former: int
+    limit: int
+    state: str
+    ratio: float
+    failing_share: float
+    in_flight: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallersRejected(events.Event):
+    """New connections of callers were rejected.
+
+    The event is recorded for the first one of a cause within 10 s.
+
+    Attributes:
+      cause: why they were rejected.
+      count: number of rejected connections since the last event of this cause.
+    """
+
+    cause: str
+    count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallersClosed(events.Event):
+    """Connections of callers were closed because they exceeded a limit.
+
+    The event is recorded for the first one of a cause within 10 s.
+
+    Attributes:
+      cause: which limit they exceeded.
+      count: number of closed connections since the last event of this cause.
+    """
+
+    cause: str
+    count: int
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -12,7 +12,9 @@
 from aioprometheus import histogram
 
 from hickorygate.callers import workspace_limits
+from hickorygate.core import capacity
 from hickorygate.core import events
+from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
 from hickorygate.operators import serving_metrics
 from hickorygate.proxies import serving_links
@@ -90,6 +92,7 @@
     links: serving_links.ServingLinks,
     server: statement_server.StatementServer,
     limits: workspace_limits.WorkspaceLimits,
+    usage: memory_budget.BufferUsage | None = None,
 ) -> bytes:
     """Renders all metrics in Prometheus text format.
 
@@ -101,7 +104,9 @@
       links: links to serving proxies.
       server: listener for other proxies.
       limits: rate limits of the workspaces.
+      usage: what the callers' connections occupy; None for nothing.
     """
+    usage = usage or memory_budget.BufferUsage()
     registry = aioprometheus.Registry()
 
     def show(
@@ -168,6 +173,24 @@
         "Running and waiting requests of this proxy, by database.",
         _loads(fleet),
     )
+    show(
+        aioprometheus.Gauge,
+        "database_limit",
+        "Learned limit of this proxy's statements in flight, by database.",
+        _limits(fleet),
+    )
+    show(
+        aioprometheus.Gauge,
+        "database_response_ratio",
+        "Ratio of recent response times to the usual ones, by database.",
+        _response_ratios(fleet),
+    )
+    show(
+        aioprometheus.Gauge,
+        "database_service_seconds",
+        "Learned response time of a statement, by database and rank.",
+        _service_times(fleet),
+    )
     show(
         aioprometheus.Gauge,
         "group_primary",
@@ -189,6 +212,30 @@
         "Connected callers.",
         iter([({}, float(callers))]),
     )
+    show(
+        aioprometheus.Gauge,
+        "caller_buffer_bytes",
+        "Bytes of callers' messages and answers that the process holds.",
+        iter([({}, float(usage.total))]),
+    )
+    show(
+        aioprometheus.Gauge,
+        "callers_paused",
+        "Callers from which nothing is read, because of what they hold.",
+        iter([({}, float(usage.paused))]),
+    )
+    show(
+        aioprometheus.Counter,
+        "callers_rejected_total",
+        "Connections that were rejected, by cause.",
+        _by_cause(usage.rejected),
+    )
+    show(
+        aioprometheus.Counter,
+        "callers_closed_total",
+        "Connections that were closed because of a limit, by cause.",
+        _by_cause(usage.closed),
+    )
     show(
         aioprometheus.Counter,
         "store_calls_total",
@@ -226,6 +273,13 @@
     return content
 
 
+def _by_cause(
+    counts: Mapping[memory_budget.Cause, int],
+) -> Iterator[_Sample]:
+    for cause, count in counts.items():
+        yield {"cause": cause.name.lower()}, float(count)
+
+
 def _connections(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
     for group in fleet.groups.values():
         for name, pool in group.pools.items():
@@ -259,3 +313,34 @@
             ("refused", used.refused),
         ):
             yield {"workspace": name, "result": result}, float(count)
+
+
+def _learned(
+    fleet: group_registry.GroupRegistry,
+) -> Iterator[tuple[str, capacity.CapacityEstimate]]:
+    for group in fleet.groups.values():
+        for name, pool in group.pools.items():
+            if pool.capacity is not None:
+                yield name, pool.capacity
+
+
+def _limits(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
+    for name, estimate in _learned(fleet):
+        yield {"database": name}, float(estimate.limit)
+
+
+def _response_ratios(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
+    for name, estimate in _learned(fleet):
+        yield {"database": name}, estimate.response_ratio
+
+
+def _service_times(fleet: group_registry.GroupRegistry) -> Iterator[_Sample]:
+    for name, estimate in _learned(fleet):
+        for kind, seconds in estimate.service_seconds().items():
+            labels = {
+                "database": name,
+                "rank": kind.rank,
+                "prepared": str(kind.prepared).lower(),
+                "commits": str(kind.commits).lower(),
+            }
+            yield labels, seconds
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -8,6 +8,7 @@
 import datetime
 import pathlib
 import random
+import resource
 from typing import Any
 import uuid
 
@@ -17,12 +18,15 @@
 from hickorygate.callers import shutdown as shutdowns
 from hickorygate.callers import workspace_limits
 from hickorygate.core import background
+from hickorygate.core import capacity
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import limit_share
+from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
 from hickorygate.core import retry
+from hickorygate.core import session_limits
 from hickorygate.core import types
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
@@ -60,6 +64,8 @@
 _REREAD_ATTEMPTS = 5
 """Number of times that the configuration is read again, until it is as new as
 another proxy's."""
+_MOST_DESCRIPTORS = 20_000
+"""Number of descriptors that are used if nothing limits them."""
 
 _MIN_WATCH = datetime.timedelta(milliseconds=250)
 _MAX_WATCH = datetime.timedelta(seconds=24)
@@ -103,6 +109,14 @@
     )
 
 
+def _descriptors(settings: settings_lib.ProcessSettings) -> int:
+    """Returns the number of descriptors that the process may open."""
+    soft_limit, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if soft_limit == resource.RLIM_INFINITY:
+        soft_limit = _MOST_DESCRIPTORS
+    return min(settings.max_descriptors or soft_limit, soft_limit)
+
+
 def _file_version(path: pathlib.Path) -> tuple[int, int] | None:
     """Returns the modification time and size of a file; None if absent."""
     try:
@@ -241,6 +255,7 @@
             clock,
             self._journal,
             plan,
+            capacity.CapacitySettings(),
         )
         self._links = serving_links.ServingLinks(
             plan, clock, self._journal, self._note_version, self._note_refusal
@@ -254,6 +269,9 @@
             rng,
             clock.now(),
         )
+        buffers = memory_budget.BufferLimits.of_instance(
+            settings.memory_mb, _descriptors(settings)
+        )
         self._env = session_context.SessionContext(
             fleet=self._registry,
             clock=clock,
@@ -265,8 +283,9 @@
             serving=plan,
             forwarder=self._links,
             limits=self._limits,
+            session_state=session_limits.SessionStateBudget(buffers.total),
         )
-        self._line_server = line_server.LineServer(self._env)
+        self._line_server = line_server.LineServer(self._env, buffers)
         self._statements = statement_server.StatementServer(
             settings.name, self._env, self._note_version
         )
@@ -470,7 +489,7 @@
             self._background.keep(feed.run)
         self._registry.start()
         self._background.keep(self._registration.run)
-        self._background.keep(self._expire_transactions)
+        self._background.keep(self._expire_callers)
         self._background.keep(self._watch_settings)
         self._background.keep(self._tick_limits)
 
@@ -484,13 +503,11 @@
                 known = found
                 self.reload()
 
-    async def _expire_transactions(self) -> None:
+    async def _expire_callers(self) -> None:
         while True:
             await self._clock.sleep(5 * _TICK)
-            now = self._clock.now()
-            for caller in self._line_server.callers:
-                caller.expire(now)
-            self._statements.expire(now)
+            self._line_server.expire()
+            self._statements.expire(self._clock.now())
 
     async def _tick_limits(self) -> None:
         while True:
@@ -543,4 +560,5 @@
             self._links,
             self._statements,
             self._limits,
+            self._line_server.usage,
         )
--- a/hickorygate/proxies/serving_plan.py
+++ b/hickorygate/proxies/serving_plan.py
@@ -8,17 +8,18 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
+import math
 
 import xxhash
 
 from hickorygate.core import catalog as catalogs
+from hickorygate.core import fleet_view
 from hickorygate.core import rendezvous
 from hickorygate.core import types
 from hickorygate.store import registration
 
 __all__ = ["ServingPlan"]
 
-_WORKSPACE_CANDIDATES = 3
 _SERVERS_PER_ZONE = 2
 """Number of serving proxies of a service in each zone. With one, the loss of a
 proxy would send all statements of the zone to another zone."""
@@ -120,6 +121,26 @@
         names = self.server_names(service)
         return self._name in names or not names
 
+    def sharers(self, service: types.ServiceName) -> int:
+        """Returns among how many proxies of this one's size to share databases.
+
+        Workspaces are placed by capacity, so a proxy with twice the capacity
+        needs twice the share. A small proxy keeps the even share: it may serve
+        a workspace that sends much.
+        """
+        if not self._by_workspace:
+            return self.servers(service)
+        count = max(1, len(self._proxies))
+        weights = self._weights()
+        own = weights.get(self._name, 0.0)
+        if own <= 0:
+            return count
+        return min(count, math.ceil(sum(weights.values()) / own))
+
+    def is_shared(self, service: types.ServiceName) -> bool:
+        """Returns whether proxies run statements of a service for others."""
+        return self._by_workspace or self._is_scarce(service)
+
     def _forget(self) -> None:
         self._cache.clear()
         self._servers.clear()
@@ -153,13 +174,19 @@
     ) -> tuple[types.ProxyName, ...]:
         if self._by_workspace:
             return rendezvous.weighted_owners(
-                workspace or service, self._weights(), _WORKSPACE_CANDIDATES
+                workspace or service, self._weights(), fleet_view.CANDIDATES
             )
         if not self._is_scarce(service):
             return ()
         by_zone = self._by_zone(service)
         own = self._own_order(by_zone.pop(self._zone, ()))
-        others = [by_zone[zone][0] for zone in self._zone_order(by_zone)]
+        zones = self._zone_order(by_zone)
+        others = [
+            by_zone[zone][place]
+            for place in range(_SERVERS_PER_ZONE)
+            for zone in zones
+            if place < len(by_zone[zone])
+        ]
         return (*own, *others)
 
     def _compute_servers(
--- a/hickorygate/proxies/statement_codec.py
+++ b/hickorygate/proxies/statement_codec.py
@@ -75,6 +75,7 @@
     ]
 )
 _HELLO_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Text, _Text])
+_RECALL_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Number, _Text])
 _Names = tuple[_Text, ...]
 _LentView = tuple[_Text, _Names, _Names, _Names, _Names]
 _Cores = Annotated[
@@ -85,7 +86,6 @@
 _RIGHTS_FIELDS = pydantic.TypeAdapter(
     tuple[_Number, tuple[_LentView, ...], tuple[_KnownFleet, ...]]
 )
-_RECALL_FIELDS = pydantic.TypeAdapter(tuple[_Number, _Number, _Text])
 _NUMBER_FIELDS = pydantic.TypeAdapter(tuple[_Number])
 _NO_FIELDS = pydantic.TypeAdapter(tuple[()])
 
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -137,6 +137,7 @@
       shutdown: limits that a shutdown of the proxy sets.
       fleet: registry of the databases that the proxy knows.
       background: background tasks of the callers' sessions.
+      context: dependencies of the callers' sessions.
       server: listener for callers.
       zone: availability zone of the proxy.
       plan: which proxies serve which statements.
@@ -170,7 +171,7 @@
         )
         self.background = background.BackgroundTasks()
         self.shutdown = shutdown.ShutdownNotice()
-        env = session_context.SessionContext(
+        self.context = session_context.SessionContext(
             fleet=self.fleet,
             clock=clock,
             zone=zone,
@@ -182,8 +183,8 @@
             serving=self.plan,
             forwarder=self.links,
         )
-        self.server = line_server.LineServer(env)
-        self.statements = statement_server.StatementServer(name, env)
+        self.server = line_server.LineServer(self.context)
+        self.statements = statement_server.StatementServer(name, self.context)
         self._group = group
 
     def __repr__(self) -> str:
--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -16,6 +16,7 @@
 import expression
 
 from hickorygate.core import background
+from hickorygate.core import capacity as capacities
 from hickorygate.core import clock as clocks
 from hickorygate.core import errors
 from hickorygate.core import events
@@ -49,8 +50,10 @@
         connector: database_request.Connector,
         clock: clocks.Clock,
         journal: events.Journal,
+        capacity: capacities.CapacityEstimate | None = None,
     ) -> None:
         self._member = member
+        self._capacity = capacity
         self._share = connection_share.ConnectionShare(
             member.slots, max_connections
         )
@@ -67,7 +70,7 @@
         self._closed = False
         self._background = background.BackgroundTasks()
         self._failure_rate = grades.FailureRate()
-        self._permits = permit_lib.Permits(member.slots, clock)
+        self._permits = permit_lib.Permits(member.slots, clock, capacity)
 
     @property
     def member(self) -> members.Member:
@@ -79,6 +82,11 @@
         """The admission control for requests to the database."""
         return self._permits
 
+    @property
+    def capacity(self) -> capacities.CapacityEstimate | None:
+        """What was learned about the database; None if nothing is learned."""
+        return self._capacity
+
     @property
     def failure_rate(self) -> grades.FailureRate:
         """The recent failure rate of the database."""
@@ -145,6 +153,8 @@
         self._permits.set_limit(
             connection_share.permits_per_proxy(member.slots, proxies)
         )
+        if self._capacity is not None:
+            self._capacity.set_size(member.slots, proxies)
 
     def note_answer(self) -> None:
         """Records that the database, or its host, answered."""
@@ -200,7 +210,7 @@
             if opened.is_ok() or not self.open_count:
                 return opened
         replaced = self._replaceable(workspace, use)
-        if replaced is not None:
+        if replaced is not None and workspace not in self._soon_returned():
             self._close_replaced(replaced)
             opened = await self._open(workspace, use, replaces=True)
             if opened.is_ok() or not self.open_count:
@@ -378,6 +388,14 @@
             return None
         return self._idle.oldest_of_others(workspace)
 
+    def _soon_returned(self) -> set[types.WorkspaceName]:
+        """Returns the workspaces of connections that run single statements.
+
+        A borrower of such a workspace first waits for one of them, since
+        opening one takes longer than most statements.
+        """
+        return {c.workspace for c in self._borrowed - self._long_term}
+
     def _close_replaced(
         self, pooled_connection: pooled_connections.PooledConnection
     ) -> None:
@@ -459,7 +477,11 @@
         """
         workspace = pooled_connection.workspace
         while True:
-            waiter = self._waiting.next_for(workspace, self._may_borrow)
+            waiter = self._waiting.next_for(
+                workspace,
+                self._soon_returned(),
+                self._may_borrow,
+            )
             if waiter is None:
                 self._open_if_needed()
                 return
@@ -542,7 +564,7 @@
         """
         if not self._share.serves_workspaces or self._retry_timer is not None:
             return
-        delay = self._opener.pause() or datetime.timedelta()
+        delay = self._opener.pause() or borrow_queue.OVERTAKE_LIMIT
         self._retry_timer = asyncio.get_running_loop().call_later(
             delay.total_seconds(), self._serve_waiting
         )
@@ -551,6 +573,7 @@
         """Serves the waiting borrowers that need no returned connection."""
         self._retry_timer = None
         self._idle.drop_closed()
+        now = self._clock.now()
         for waiter in self._waiting.unserved():
             found = self._find_idle({}, waiter.workspace, waiter.use)
             if found is not None:
@@ -559,10 +582,10 @@
                 self._open_for(waiter)
             else:
                 replaced = self._replaceable(waiter.workspace, waiter.use)
-                if replaced is not None:
+                if replaced is not None and waiter.has_waited(now):
                     self._close_replaced(replaced)
                     self._open_for(waiter, replaces=True)
-                elif self._opener.pause() is not None:
+                elif replaced is not None or self._opener.pause() is not None:
                     self._serve_waiting_later()
 
     def _connect_failure(self, reason: str) -> errors.ConnectFailed:
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -9,6 +9,7 @@
 import datetime
 
 from hickorygate.core import background
+from hickorygate.core import capacity as capacities
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
@@ -26,10 +27,11 @@
 _EXPIRY_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which expired entries and unused groups are removed."""
 
-_COUNT_TIMEOUT = datetime.timedelta(milliseconds=500)
+_COUNT_TIMEOUT = datetime.timedelta(milliseconds=1_500)
 """Time after the first configuration until which a registry with a plan waits
-for the first count of the proxies. If a whole fleet starts at once and each
-proxy opens all groups meanwhile, the databases run out of connections."""
+for two equal counts of the proxies. When a whole fleet starts, the first count
+shows a part of it, and proxies would open groups that others serve; the
+databases then run out of connections."""
 
 _DEFAULT_TRANSACTION_IDLE = datetime.timedelta(seconds=3)
 """Idle limit of transactions before a configuration is received."""
@@ -41,7 +43,12 @@
 
 _UNUSED_TIMEOUT = datetime.timedelta(seconds=20)
 """Time without use after which a group is no longer monitored, if there are
-more than `_MAX_MONITORED_GROUPS` or other proxies serve it."""
+more than `_MAX_MONITORED_GROUPS`."""
+
+_UNSERVED_TIMEOUT = datetime.timedelta(seconds=3)
+"""Time without use after which a group that other proxies serve is no longer
+monitored. After a restart of the whole fleet, each proxy may have run a few
+statements itself; the connections that it still holds are missing there."""
 
 
 class GroupRegistry:
@@ -58,18 +65,22 @@
         clock: clocks.Clock,
         journal: events.Journal,
         plan: serving_plan.ServingPlan | None = None,
+        capacity: capacities.CapacitySettings | None = None,
     ) -> None:
         """Creates a registry without groups.
 
         Args:
           connector: opens connections to databases.
-          lease: promotion lease of this process.
+          lease: lease that a takeover needs.
           clock: source of time.
           journal: log that events are recorded in.
           plan: which proxies serve which services; the registry keeps its
             configuration up to date. None if all proxies serve all of them.
+          capacity: settings of learned capacity, which takes effect for
+            services that few proxies serve; None if all limits are fixed.
         """
         self._plan = plan
+        self._capacity = capacity
         self._connector = connector
         self._lease = lease
         self._clock = clock
@@ -81,6 +92,7 @@
         self._listing = members.Listing()
         self._list_received = False
         self._proxies: frozenset[types.ProxyName] | None = None
+        self._count_settled = False
         self._store_lost = False
         self._groups: dict[types.ServiceName, group_monitor.GroupMonitor] = {}
         self._last_used: dict[types.ServiceName, datetime.datetime] = {}
@@ -110,6 +122,13 @@
         """The workspaces of the active configuration, by name."""
         return self._catalog.workspaces if self._catalog else {}
 
+    @property
+    def message_idle(self) -> datetime.timedelta:
+        """Time without progress after which a message may be given up."""
+        if self._catalog is None:
+            return catalogs.MESSAGE_IDLE_TIMEOUT
+        return self._catalog.message_idle_timeout
+
     @property
     def groups(self) -> dict[types.ServiceName, group_monitor.GroupMonitor]:
         """The monitored groups, by service."""
@@ -132,7 +151,9 @@
     def _awaits_plan(self) -> bool:
         """Whether it is still unknown which groups this proxy serves."""
         until = self._plan_awaited_until
-        return until is not None and self._clock.now() < until
+        if until is None or (self._catalog and self._catalog.workspaces):
+            return False
+        return self._clock.now() < until
 
     def __repr__(self) -> str:
         return (
@@ -198,7 +219,7 @@
         if catalog.version <= self.version:
             return
         if self._plan is not None:
-            if self._catalog is None and self._proxies is None:
+            if self._catalog is None and not self._count_settled:
                 now = self._clock.now()
                 self._plan_awaited_until = now + _COUNT_TIMEOUT
             self._plan.set_catalog(catalog)
@@ -239,8 +260,10 @@
     def set_proxies(self, live: frozenset[types.ProxyName]) -> None:
         """Sets the names of the proxies that share the databases."""
         self._lease.set_proxies(live)
+        self._count_settled = self._count_settled or live == self._proxies
         self._proxies = live
-        self._plan_awaited_until = None
+        if self._count_settled:
+            self._plan_awaited_until = None
         if self._catalog is not None:
             self._apply_plan(self._catalog)
 
@@ -265,6 +288,13 @@
             return False
         return self._plan is None or self._plan.serves(service)
 
+    def _is_shared(self, service: types.ServiceName) -> bool:
+        """Returns whether this proxy may serve the callers of other proxies.
+
+        Only then does it see enough statements to learn a database's capacity.
+        """
+        return self._plan is None or self._plan.is_shared(service)
+
     def _apply_plan(self, catalog: catalogs.Catalog) -> None:
         """Opens the groups to monitor, and updates who shares each group."""
         for name, terms in catalog.services.items():
@@ -279,19 +309,25 @@
         """Tells a group which proxies share its databases."""
         if self._proxies is None:
             return
-        names = self._proxies
-        if self._plan is not None:
-            names = self._plan.server_names(group.service) or names
-            self._lease.set_monitors(group.service, names)
-            names |= {self._plan.name}
-        group.set_proxies(len(names))
+        if self._plan is None:
+            group.set_proxies(len(self._proxies))
+            return
+        names = self._plan.server_names(group.service) or self._proxies
+        self._lease.set_monitors(group.service, names)
+        serves = self._plan.name in names
+        group.set_proxies(self._plan.sharers(group.service) + (not serves))
 
     def _open_group(
         self, terms: catalogs.ServiceSettings
     ) -> group_monitor.GroupMonitor:
         """Starts monitoring a group."""
         group = group_monitor.GroupMonitor(
-            terms, self._connector, self._lease, self._clock, self._journal
+            terms,
+            self._connector,
+            self._lease,
+            self._clock,
+            self._journal,
+            self._capacity if self._is_shared(terms.name) else None,
         )
         self._groups[terms.name] = group
         group.set_reduced_probing(not self._is_monitored(terms.name))
@@ -335,5 +371,9 @@
             if self._is_monitored(name) or group.busy:
                 continue
             since = self._last_used.get(name)
-            if since is None or now - since >= _UNUSED_TIMEOUT:
+            if since is None or now - since >= self._unused_timeout(name):
                 self._close_group(name)
+
+    def _unused_timeout(self, service: types.ServiceName) -> datetime.timedelta:
+        served = self._plan is None or self._plan.serves(service)
+        return _UNUSED_TIMEOUT if served else _UNSERVED_TIMEOUT
