Probe a group that is used before the plan is known as often as others

A silent primary was lost a second late right after a start, because the group counted as served by others until the proxies were counted.

--- a/hickorygate/tests/test_group_registry.py
+++ b/hickorygate/tests/test_group_registry.py
@@ -224,6 +224,20 @@
         served = {n for n in map(_service, range(12)) if self.plan.serves(n)}
         self.assertEqual(set(self.fleet.groups), served)
 
+    async def test_a_group_in_use_is_probed_fully_before_the_count(
+        self,
+    ) -> None:
+        # A silent primary was lost a second late: the group counted as served
+        # by others until the proxies were counted.
+        self.fleet.replace_members([_member(0)])
+        self.fleet.apply(_catalog(1, 4))
+        group = self.fleet.group(_service(0))
+        self.clock.advance(datetime.timedelta(milliseconds=1_200))
+        await self.settle()
+        before = group.rounds
+        await asyncio.sleep(0.3)
+        self.assertGreater(group.rounds - before, 2)
+
     async def test_a_few_groups_are_all_monitored(self) -> None:
         # Before the first count it is unknown which ones this proxy serves.
         self.fleet.apply(_catalog(1, 4))
--- a/hickorygate/tests/test_lending_rate.py
+++ b/hickorygate/tests/test_lending_rate.py
@@ -76,7 +76,7 @@
     async def lend(self, count: int) -> None:
         for _ in range(count):
             await asyncio.sleep(0.1)
-            waiter = self.queue.next_for("", lambda use: True)
+            waiter = self.queue.next_for("", (), lambda use: True)
             self.queue.remove(waiter)
             waiter.future.set_result(None)
 
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -295,12 +295,20 @@
         """
         return self._plan is None or self._plan.is_shared(service)
 
+    def _is_spare(self, service: types.ServiceName) -> bool:
+        """Returns whether a group is monitored only while it is used.
+
+        While the plan is not known, no group is: one that is used may turn out
+        to be served here.
+        """
+        return not (self._awaits_plan or self._is_monitored(service))
+
     def _apply_plan(self, catalog: catalogs.Catalog) -> None:
         """Opens the groups to monitor, and updates who shares each group."""
         for name, terms in catalog.services.items():
             monitored = self._is_monitored(name)
             if name in self._groups:
-                self._groups[name].set_reduced_probing(not monitored)
+                self._groups[name].set_reduced_probing(self._is_spare(name))
                 self._share_group(self._groups[name])
             elif monitored:
                 self._open_group(terms)
@@ -329,7 +337,7 @@
             self._capacity if self._is_shared(terms.name) else None,
         )
         self._groups[terms.name] = group
-        group.set_reduced_probing(not self._is_monitored(terms.name))
+        group.set_reduced_probing(self._is_spare(terms.name))
         self._share_group(group)
         group.set_members(self._listing.of(terms.name))
         group.start()
@@ -367,7 +375,7 @@
         serve it.
         """
         for name, group in tuple(self._groups.items()):
-            if self._is_monitored(name) or group.busy:
+            if not self._is_spare(name) or group.busy:
                 continue
             since = self._last_used.get(name)
             if since is None or now - since >= self._unused_timeout(name):
