Open groups with the first count of the proxies after a restart

Cause: after a power loss of all, each proxy waited for two equal counts before it opened its groups and reported ready, also where connections suffice. Change: only at the first start of a fleet (setting bootstrap) two counts are needed; else the first one, or 500 ms.

--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -256,6 +256,7 @@
             self._journal,
             plan,
             capacity.CapacitySettings(),
+            settings.first_start,
         )
         self._links = serving_links.ServingLinks(
             plan, clock, self._journal, self._note_version, self._note_refusal
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -112,6 +112,7 @@
         empty for no listener.
       statements_ports: TCP ports to try for that listener, in order.
       limits: resources of the instance.
+      first_start: whether the whole fleet starts for the first time.
       memory_mb: memory of the instance in MB; None if unknown.
       max_descriptors: number of descriptors that the process may open; None if
         unknown.
@@ -128,6 +129,7 @@
     statements_host: str = ""
     statements_ports: range = range(0)
     limits: Limits = Limits()
+    first_start: bool = False
     memory_mb: float | None = None
     max_descriptors: int | None = None
 
@@ -154,6 +156,7 @@
     )
 
     ip: str = ""
+    bootstrap: bool = False
     port_range: Annotated[range, pydantic.PlainValidator(parse_ports)] = range(
         0
     )
@@ -183,6 +186,7 @@
             grace_seconds=self.grace_s,
             configuration_bound=self.config_apply_ms * _MILLISECOND,
             statements_host=self.ip,
+            first_start=self.bootstrap,
             statements_ports=self.port_range,
             limits=Limits(self.cpu_share * self.cpu_cores, self.link_mbps),
             memory_mb=self.memory_mb,
--- a/hickorygate/tests/test_group_registry.py
+++ b/hickorygate/tests/test_group_registry.py
@@ -194,11 +194,16 @@
     """
 
     def make_registry(
-        self, journal: events.Journal
+        self, journal: events.Journal, first_start: bool = False
     ) -> group_registry.GroupRegistry:
         self.plan = serving_plan.ServingPlan("p", "a")
         return group_registry.GroupRegistry(
-            self.connector, self.lease, self.clock, journal, self.plan
+            self.connector,
+            self.lease,
+            self.clock,
+            journal,
+            self.plan,
+            first_start=first_start,
         )
 
     def count(self, proxies: int) -> None:
@@ -214,6 +219,12 @@
 
     async def test_a_count_that_grows_opens_no_groups(self) -> None:
         # The first count of a fleet that starts shows a part of it.
+        await self.fleet.close()
+        self.fleet = self.make_registry(
+            events.Timeline("p", events.HybridLogicalClock(self.clock)),
+            first_start=True,
+        )
+        self.fleet.start()
         self.fleet.apply(_catalog(1, 12, connections=19))
         for count in (2, 7, 15):
             names = frozenset(f"q{number}" for number in range(count))
@@ -224,6 +235,16 @@
         served = {n for n in map(_service, range(12)) if self.plan.serves(n)}
         self.assertEqual(set(self.fleet.groups), served)
 
+    async def test_a_restarted_proxy_opens_groups_with_its_first_count(
+        self,
+    ) -> None:
+        # Waiting for a second count made all proxies ready later after a power
+        # loss, also where the databases have enough connections.
+        self.fleet.apply(_catalog(1, 4))
+        self.assertEqual(dict(self.fleet.groups), {})
+        self.fleet.set_proxies(frozenset({"p", "q0", "q1"}))
+        self.assertEqual(len(self.fleet.groups), 4)
+
     async def test_a_group_in_use_is_probed_fully_before_the_count(
         self,
     ) -> None:
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -27,11 +27,14 @@
 _EXPIRY_INTERVAL = datetime.timedelta(milliseconds=100)
 """Interval at which expired entries and unused groups are removed."""
 
-_COUNT_TIMEOUT = datetime.timedelta(milliseconds=1_500)
+_COUNT_TIMEOUT = datetime.timedelta(milliseconds=500)
 """Time after the first configuration until which a registry with a plan waits
-for two equal counts of the proxies. When a whole fleet starts, the first count
-shows a part of it, and proxies would open groups that others serve; the
-databases then run out of connections."""
+for a count of the proxies. Otherwise all proxies of a fleet that restarts would
+open groups that others serve, and the databases run out of connections."""
+
+_FIRST_COUNT_TIMEOUT = datetime.timedelta(milliseconds=1_500)
+"""Such a time at the first start of a fleet, for two equal counts: the first
+count shows a part of the fleet then. Callers don't come yet."""
 
 _DEFAULT_TRANSACTION_IDLE = datetime.timedelta(seconds=3)
 """Idle limit of transactions before a configuration is received."""
@@ -66,6 +69,7 @@
         journal: events.Journal,
         plan: serving_plan.ServingPlan | None = None,
         capacity: capacities.CapacitySettings | None = None,
+        first_start: bool = False,
     ) -> None:
         """Creates a registry without groups.
 
@@ -78,7 +82,9 @@
             configuration up to date. None if all proxies serve all of them.
           capacity: settings of learned capacity, which takes effect for
             services that few proxies serve; None if all limits are fixed.
+          first_start: whether the whole fleet starts for the first time.
         """
+        self._first_start = first_start
         self._plan = plan
         self._capacity = capacity
         self._connector = connector
@@ -221,7 +227,11 @@
         if self._plan is not None:
             if self._catalog is None and not self._count_settled:
                 now = self._clock.now()
-                self._plan_awaited_until = now + _COUNT_TIMEOUT
+                self._plan_awaited_until = now + (
+                    _FIRST_COUNT_TIMEOUT
+                    if self._first_start
+                    else _COUNT_TIMEOUT
+                )
             self._plan.set_catalog(catalog)
         self._catalog = catalog
         self._configured.set()
@@ -260,7 +270,11 @@
     def set_proxies(self, live: frozenset[types.ProxyName]) -> None:
         """Sets the names of the proxies that share the databases."""
         self._lease.set_proxies(live)
-        self._count_settled = self._count_settled or live == self._proxies
+        self._count_settled = (
+            self._count_settled
+            or not self._first_start
+            or live == self._proxies
+        )
         self._proxies = live
         if self._count_settled:
             self._plan_awaited_until = None
