--- a/hickorygate/tests/test_capacity_load.py
+++ b/hickorygate/tests/test_capacity_load.py
@@ -182,7 +182,15 @@
         self.assertGreater(max(learned.values()), 0.1)
         registry = types.SimpleNamespace(groups={"s": proxy.monitor}, version=1)
         statistics = proxy_metrics.EventStatistics()
-        text = proxy_metrics.render(statistics, registry, 0, 0).decode()
+        text = proxy_metrics.render(
+            statistics,
+            registry,
+            0,
+            0,
+            types.SimpleNamespace(links={}, lost=0),
+            types.SimpleNamespace(served={}, links=()),
+            types.SimpleNamespace(largest_usage=dict),
+        ).decode()
         limit = proxy.monitor.pools["b"].capacity.limit
         self.assertIn(
             f'hickorygate_database_limit{{database="b"}} {limit}', text
