--- a/review/standins2/system.py
+++ b/review/standins2/system.py
@@ -126,6 +126,23 @@
         self.births[successor] += 1
         self._watch(self.databases[successor])
 
+    async def add(self, name: str) -> line_group.LineDatabase:
+        """Starts a new replica with the log that the primary has now."""
+        primary = self.primary
+        database = line_group.LineDatabase(name, self, line_log.Role.REPLICA)
+        database.log.commits = list(primary.log.commits)
+        database.log.term = primary.log.term
+        database.log.apply()
+        await database.start()
+        self.births[name] += 1
+        self._watch(database)
+        self.databases[name] = database
+        return database
+
+    def leave(self, name: str) -> None:
+        """Ends a database; its log is gone with it."""
+        self.databases.pop(name).crash()
+
     def _watch(self, database: line_group.LineDatabase) -> None:
         """Notes when the database runs a request of a caller."""
         record_run = database.record_run
@@ -177,24 +194,37 @@
         """Starts the relays and the process."""
         self.store_port = store_port
         for port in ports:
-            relay = relays.FaultRelay("127.0.0.1", port)
-            await relay.start()
-            self.databases[port] = relay
+            await self.reach(port)
+        self._write_settings(first_start=True)
+        await self.launch()
+
+    def _write_settings(self, first_start: bool) -> None:
         settings = {
             "node_name": self.name,
             "zone": self._zone,
             "listen.front": f"127.0.0.1:{self.front}",
             "listen.ready": f"127.0.0.1:{self.ready}",
-            "platform.address": f"127.0.0.1:{store_port}",
-            "cloud_api.address": f"127.0.0.1:{store_port}",
-            "bootstrap": "true",
+            "platform.address": f"127.0.0.1:{self.store_port}",
+            "cloud_api.address": f"127.0.0.1:{self.store_port}",
+            "bootstrap": "true" if first_start else "false",
             "bounds.grace_s": "6",
             "bounds.config_apply_ms": "3000",
             "limits.memory_mb": "430",
             "limits.max_fds": "6300",
         }
-        path = self._folder / f"{self.name}.conf"
-        path.write_text("".join(f"{k}={v}\n" for k, v in settings.items()))
+        lines = [f"{key}={value}\n" for key, value in settings.items()]
+        self._path("conf").write_text("".join(lines))
+
+    def _path(self, ending: str) -> pathlib.Path:
+        return self._folder / f"{self.name}.{ending}"
+
+    async def restart(self) -> None:
+        """Starts a new process after the former one was killed."""
+        self._write_settings(first_start=False)
+        await self.launch()
+
+    async def launch(self) -> None:
+        """Starts a process with the settings file as it is."""
         with (self._folder / f"{self.name}.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
@@ -205,12 +235,24 @@
                 env={
                     "PATH": os.environ.get("PATH", ""),
                     "PYTHONPATH": str(ROOT / "target" / "deps"),
-                    "HICKORYGATE_CONFIG": str(path),
+                    "HICKORYGATE_CONFIG": str(self._path("conf")),
                 },
                 stdout=log,
                 stderr=log,
             )
 
+    async def reach(self, port: int) -> None:
+        """Starts the relay to a database."""
+        relay = relays.FaultRelay("127.0.0.1", port)
+        await relay.start()
+        self.databases[port] = relay
+
+    async def kill(self) -> None:
+        """Kills the process."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.send_signal(signal.SIGKILL)
+            await self._process.wait()
+
     @property
     def running(self) -> bool:
         """Whether the process runs."""
@@ -231,9 +273,7 @@
 
     async def close(self) -> None:
         """Kills the process and stops the relays."""
-        if self._process is not None and self._process.returncode is None:
-            self._process.send_signal(signal.SIGKILL)
-            await self._process.wait()
+        await self.kill()
         for relay in self.databases.values():
             await relay.stop()
 
@@ -301,6 +341,13 @@
         await self.store.close()
         await self.group.close()
 
+    async def add_database(self, name: str) -> None:
+        """Starts a new replica that all proxies can reach."""
+        database = await self.group.add(name)
+        for proxy in self.proxies:
+            await proxy.reach(database.port)
+        self.report_now()
+
     def report_now(self) -> None:
         """Lets the databases write their entries at once."""
         self._report_once(asyncio.get_running_loop().time())
@@ -394,9 +441,19 @@
     A message is the word, the fields and CR LF. It's written in one piece.
     """
 
-    def __init__(self, record: Record, name: str) -> None:
+    def __init__(
+        self, record: Record, name: str, recorded: bool = True
+    ) -> None:
+        """Creates a client.
+
+        Args:
+          record: where to write what is sent and answered.
+          name: name of the client in the record.
+          recorded: whether to write that at all.
+        """
         self._record = record
         self._name = name
+        self._recorded = recorded
         self._reader: asyncio.StreamReader | None = None
         self._writer: asyncio.StreamWriter | None = None
 
@@ -451,4 +508,5 @@
         return line[:-2].decode()
 
     def _note(self, text: str) -> None:
-        self._record.write(f"client {self._name} {text}")
+        if self._recorded:
+            self._record.write(f"client {self._name} {text}")
