Review: a second planned takeover acts from a stale view

A proxy that waited for the lease takes it after another one's handover, with the new term and the former leader, and pauses all replicas of the new primary.

--- a/review/10/run.sh
+++ b/review/6/run.sh
@@ -5,4 +5,4 @@
 export TROUBLE="${TROUBLE:-1}"
 export PYTHONPATH="target/deps:review/standins2:."
 python3 -c "import system" || exit 2
-exec python3 review/10/case.py
+exec python3 review/6/case.py
