--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A replica that restarted with an empty log is promoted for its former log."""
+"""An entry that can't be read keeps the primary from being replaced."""
 
 from __future__ import annotations
 
@@ -8,6 +8,7 @@
 import pathlib
 import sys
 import tempfile
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path[:0] = [str(FOLDER.parent / "standins2"), str(FOLDER.parents[1])]
@@ -18,106 +19,63 @@
 
 PROXIES = 3
 PROMOTION_SECONDS = 0.6
-OUTAGE_SECONDS = 1.5
-"""Time for which the promotion call answers 503, from the first order on."""
+DRAIN_SECONDS = 7.0
+"""`drain_ms`: longest time after the ack that a database may get requests."""
 
-RESTART_SECONDS = 0.3
-"""Time from the end of the database's process to its next start."""
+EXIT_SECONDS = 12.0
+"""Time after the ack at which the database exits: `drain_ms` and a little."""
 
-_BUSY = 503
+AFTERWARDS_SECONDS = 15.0
 _ANSWER_SECONDS = 3
 
+UNREADABLE_ENTRY = (
+    r'{"service": "ledger", "address": "\ud8f7\ud8f7:8080", '
+    r'"zone": "zone-0", "version": "v1", "slots": 3, "state": "ready", '
+    r'"cold_left_ms": 0, "db_role": "replica", "seq_no": 1, '
+    r'"born": 1700000000000}'
+)
+"""An entry whose address isn't text: two halves of characters."""
 
-class _Writer:
-    """A caller that writes one item after the other.
+
+class _Caller:
+    """A caller that writes and reads one item after the other.
 
     Attributes:
-      acknowledged: data of each acknowledged write, by its item.
+      outcomes: time of each answer, and its first word or code.
     """
 
     def __init__(self, record: system.Record, name: str, port: int) -> None:
-        self.acknowledged: dict[str, str] = {}
+        self.outcomes: list[tuple[float, str]] = []
         self._record = record
         self._name = name
         self._port = port
 
     async def run(self) -> None:
-        """Writes until cancelled; reconnects after a lost connection."""
+        """Sends requests until cancelled; reconnects after a lost session."""
         number = 0
         client: system.Client | None = None
         while True:
             number += 1
-            await asyncio.sleep(0.04)
+            await asyncio.sleep(0.1)
             try:
                 if client is None:
                     client = system.Client(self._record, self._name)
                     await client.connect(self._port, "strong")
                 item = f"{self._name}{number}"
-                await self._write(client, item)
-            except (OSError, TimeoutError, ConnectionError):
+                text = f"WRITE {item} v" if number % 2 else f"READ {item}"
+                async with asyncio.timeout(_ANSWER_SECONDS):
+                    lines = await client.query(f"id{item}", text)
+                if not lines:
+                    raise ConnectionError(item)
+                self.outcomes.append((time.monotonic(), _outcome(lines)))
+            except (OSError, TimeoutError, ConnectionError) as error:
+                self.outcomes.append((time.monotonic(), type(error).__name__))
                 client = None
 
-    async def _write(self, client: system.Client, item: str) -> None:
-        async with asyncio.timeout(_ANSWER_SECONDS):
-            lines = await client.query(f"id{item}", f"WRITE {item} v{item}")
-        if not lines:
-            raise ConnectionError(item)
-        if lines[0].startswith("COMPLETE"):
-            self.acknowledged[item] = f"v{item}"
 
-
-class _PromotionCall:
-    """Passes promotion orders on, or answers 503 for a while.
-
-    Attributes:
-      ordered: database of the first order.
-    """
-
-    def __init__(self, deployment: system.System, record: system.Record):
-        self.ordered: asyncio.Future[str] = asyncio.Future()
-        self.promoted: list[str] = []
-        self._deployment = deployment
-        self._record = record
-        self._down = False
-        deployment.store.promote = self._promote
-
-    def begin_outage(self) -> None:
-        """Lets the platform do nothing and answer 503."""
-        self._down = True
-        self._deployment.store.promotion_status = _BUSY
-
-    def end_outage(self) -> None:
-        """Lets the platform promote again."""
-        self._down = False
-        self._deployment.store.promotion_status = 200
-        self._record.write("platform: the promotion call works again")
-
-    def _promote(self, service: str, name: str) -> bool:
-        answer = "503" if self._down else "accepted"
-        self._record.write(f"platform: order to promote {name}: {answer}")
-        if not self.ordered.done():
-            self.ordered.set_result(name)
-        if self._down:
-            return True
-        self.promoted.append(name)
-        return self._deployment.group.promote(name)
-
-
-async def _disturb(
-    deployment: system.System, call: _PromotionCall, record: system.Record
-) -> None:
-    """Restarts the chosen replica while its promotion can't be ordered."""
-    call.begin_outage()
-    name = await asyncio.wait_for(call.ordered, 15)
-    database = deployment.group.databases[name]
-    await asyncio.sleep(RESTART_SECONDS)
-    record.write(f"{name} ends at {database.log.received}")
-    database.crash()
-    await asyncio.sleep(RESTART_SECONDS)
-    await deployment.group.restart(name, keeps_log=False)
-    record.write(f"{name} runs again under its id, at {database.log.received}")
-    await asyncio.sleep(OUTAGE_SECONDS - 2 * RESTART_SECONDS)
-    call.end_outage()
+def _outcome(lines: list[str]) -> str:
+    errors = [line for line in lines if line.startswith("ERROR")]
+    return " ".join(errors[0].split(" ")[:2]) if errors else "ok"
 
 
 async def _play(record: system.Record, folder: str, trouble: bool) -> int:
@@ -125,21 +83,29 @@
     tasks: list[asyncio.Task[None]] = []
     try:
         await deployment.start()
-        call = _PromotionCall(deployment, record)
-        writers = [
-            _Writer(record, f"c{n}x", proxy.front)
+        callers = [
+            _Caller(record, f"c{n}x", proxy.front)
             for n, proxy in enumerate(deployment.proxies)
         ]
-        tasks = [asyncio.create_task(writer.run()) for writer in writers]
-        await asyncio.sleep(3)
-        primary = deployment.group.primary
-        record.write(f"{primary.name} crashes at {primary.log.received}")
-        primary.crash()
+        tasks = [asyncio.create_task(caller.run()) for caller in callers]
+        await asyncio.sleep(2)
         if trouble:
-            await _disturb(deployment, call, record)
-        await asyncio.sleep(6)
-        _note_events(record, deployment)
-        return _judge(record, deployment, call, writers)
+            record.write(f"store: servers/i-odd {UNREADABLE_ENTRY}")
+            deployment.store.put_text("servers", "i-odd", UNREADABLE_ENTRY)
+        await asyncio.sleep(2)
+        leaving = deployment.group.primary
+        leaving.leaving = True
+        deployment.report_now()
+        acknowledged = time.monotonic()
+        record.write(f"store: {leaving.name} is draining, acknowledged")
+        await asyncio.sleep(EXIT_SECONDS)
+        record.write(f"{leaving.name} exits; db-d starts with its log")
+        await deployment.group.replace(leaving.name, "db-d")
+        deployment.withdraw(leaving.name)
+        exited = time.monotonic()
+        await asyncio.sleep(AFTERWARDS_SECONDS)
+        _note_outcomes(record, callers, exited)
+        return _judge(record, deployment, leaving.name, acknowledged)
     finally:
         for task in tasks:
             task.cancel()
@@ -148,41 +114,38 @@
         await deployment.close()
 
 
-def _note_events(record: system.Record, deployment: system.System) -> None:
-    """Records what the proxies logged about the takeover."""
-    kinds = ("MemberListed", "MemberUnlisted", "TakeoverStarted")
-    kinds += ("PromotionOrdered", "TakeoverEnded", "LeaderChanged")
-    for proxy in deployment.proxies:
-        for event in proxy.events():
-            if event.get("event") in kinds:
-                record.write(f"{proxy.name} logged {event}")
+def _note_outcomes(
+    record: system.Record, callers: list[_Caller], exited: float
+) -> None:
+    """Records how requests ended after the former primary has exited."""
+    counts: dict[str, int] = {}
+    for caller in callers:
+        for at, outcome in caller.outcomes:
+            if at > exited + 1:
+                counts[outcome] = counts.get(outcome, 0) + 1
+    record.write(f"answers later than 1 s after the exit: {counts}")
 
 
 def _judge(
     record: system.Record,
     deployment: system.System,
-    call: _PromotionCall,
-    writers: list[_Writer],
+    name: str,
+    acknowledged: float,
 ) -> int:
-    """Compares the log of the promoted database with the acknowledgments."""
-    promotions = deployment.group.promotions
-    record.write(f"promoted: {promotions}")
-    if not promotions:
+    """Looks for requests that reached the database too late."""
+    record.write(f"promoted: {deployment.group.promotions}")
+    runs = [run for run in deployment.group.runs if run.database == name]
+    if not runs:
         return FAILED_TO_RUN
-    lost = {commit.writes[0] for commit in deployment.group.lost}
-    told = [
-        (item, data)
-        for writer in writers
-        for item, data in writer.acknowledged.items()
-    ]
-    missing = [write for write in told if write in lost]
-    record.write(
-        f"{len(told)} writes were acknowledged to callers; {len(missing)} of "
-        f"them weren't in the log of the promoted database"
-    )
-    for item, data in missing:
-        record.write(f"LOST: WRITE {item} {data}")
-    return BROKEN if missing else HELD
+    late = [run for run in runs if run.at - acknowledged > DRAIN_SECONDS]
+    for run in late:
+        after = run.at - acknowledged
+        record.write(
+            f"DRAIN: {name} ran {run.request} {run.text!r} "
+            f"{after * 1_000:.0f} ms after the ack"
+        )
+    record.write(f"{len(late)} requests reached {name} too late")
+    return BROKEN if late else HELD
 
 
 def main() -> int:
