Give each line of the log a level, and lines of takeovers no limit

The lines of the others have dropped_before from 1 to 5, which doesn't say what was dropped.

Cause: lines of takeovers shared a limit of 100 lines a second with ReadDiscarded and CommitWithheld, which are recorded for each request. And no line had a severity, so a reader of warnings and changes couldn't tell them from others.

Change: classes of lines, each with a limit of its own; lines of single requests are in the class of failed requests, those of takeovers have no limit. Each line has a level. dropped_before stays the count of dropped lines, and dropped_classes has it by class.

--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -1,17 +1,16 @@
 """Writes events as JSON lines to standard output, with a rate limit.
 
-Three kinds of events have separate limits: state changes of the process have
-the highest limit, failed and retried requests (and the connections and
-sessions that are closed) a lower one, and successful requests the lowest. So
-many requests never displace the state changes, and successful requests never
-displace the failed ones.
-Dropped events are counted, and the next line contains the count. Writes don't
+Each class of lines (`line_class`) has a limit of its own, so that many requests
+never displace the changes, and successful requests never displace the failed
+ones. The lines that explain a takeover have no limit: they are few.
+Dropped events are counted, and the next line contains the counts. Writes don't
 block: a reader that doesn't read never makes the process wait.
 """
 
 from __future__ import annotations
 
 import collections
+from collections.abc import Mapping
 import dataclasses
 import datetime
 import functools
@@ -22,15 +21,19 @@
 
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
-from hickorygate.core import platform_events
 from hickorygate.core import position
 from hickorygate.core import types
+from hickorygate.operators import line_class
+from hickorygate.operators import severity
 
 __all__ = ["LineRateLimit", "EventLog", "NonBlockingHandler"]
 
-_STATE_CHANGES_PER_SECOND = 100.0
-_FAILED_REQUESTS_PER_SECOND = 40.0
-_SERVED_REQUESTS_PER_SECOND = 5.0
+_LINES_PER_SECOND: Mapping[line_class.LineClass, float] = {
+    line_class.LineClass.SERVED: 5.0,
+    line_class.LineClass.FAILED: 40.0,
+    line_class.LineClass.CHANGE: 100.0,
+}
+"""Limit of each class; a class without a limit is missing."""
 _CHANNEL = "hickorygate"
 _LONGEST_TEXT = 512
 """Number of characters of a field that are written. Callers choose the request
@@ -121,10 +124,13 @@
         self._logger = logbook.Logger(_CHANNEL)
         self._logger.handlers.append(handler)
         self._counts: collections.Counter[str] = collections.Counter()
-        self._dropped = 0
-        self._state_changes = LineRateLimit(_STATE_CHANGES_PER_SECOND)
-        self._failed = LineRateLimit(_FAILED_REQUESTS_PER_SECOND)
-        self._served = LineRateLimit(_SERVED_REQUESTS_PER_SECOND)
+        self._dropped: collections.Counter[line_class.LineClass] = (
+            collections.Counter()
+        )
+        self._limits = {
+            kind: LineRateLimit(rate)
+            for kind, rate in _LINES_PER_SECOND.items()
+        }
 
     @property
     def counts(self) -> collections.Counter[str]:
@@ -132,7 +138,7 @@
         return self._counts
 
     def __repr__(self) -> str:
-        return f"EventLog({self._process!r}, dropped={self._dropped})"
+        return f"EventLog({self._process!r}, dropped={self._dropped.total()})"
 
     def record(self, event: events.Event) -> None:
         """Counts an event, and writes it unless its rate limit is exceeded."""
@@ -140,40 +146,28 @@
         if self._next_journal is not None:
             self._next_journal.record(event)
         now = self._clock.now()
-        if self.rate_limit_for(event).try_consume(now):
+        kind = line_class.line_class(event)
+        limit = self._limits.get(kind)
+        if limit is None or limit.try_consume(now):
             self._write(event, now)
         else:
-            self._dropped += 1
-
-    def rate_limit_for(self, event: events.Event) -> LineRateLimit:
-        """Returns the rate limit that applies to an event."""
-        match event:
-            case (
-                platform_events.RequestEnded(outcome="ok")
-                | platform_events.StatementForwarded(outcome="ok")
-            ):
-                return self._served
-            case (
-                platform_events.RequestEnded()
-                | platform_events.RequestRetried()
-                | platform_events.StatementForwarded()
-                | platform_events.ConnectionUnsettled()
-                | platform_events.SessionRevoked()
-            ):
-                return self._failed
-        return self._state_changes
+            self._dropped[kind] += 1
 
     def _write(self, event: events.Event, now: datetime.datetime) -> None:
         line: dict[str, object] = {
             "time": now.isoformat(timespec="milliseconds"),
             "process": self._process,
             "event": type(event).__name__,
+            "level": severity.severity(event).value,
         }
         for field in dataclasses.fields(event):
             line[field.name] = _to_json(getattr(event, field.name))
         if self._dropped:
-            line["dropped_before"] = self._dropped
-            self._dropped = 0
+            line["dropped_before"] = self._dropped.total()
+            line["dropped_classes"] = {
+                kind.value: count for kind, count in self._dropped.items()
+            }
+            self._dropped.clear()
         self._logger.info(
             "{}", orjson.dumps(line, option=orjson.OPT_NON_STR_KEYS).decode()
         )
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import datetime
 import os
@@ -44,6 +45,24 @@
     )
 
 
+_MILLISECOND = datetime.timedelta(milliseconds=1)
+_DISCARDED = platform_events.ReadDiscarded("1f", "i-1", "")
+_WITHHELD = platform_events.CommitWithheld("1f", "i-1", None)
+_TAKEOVER: tuple[events.Event, ...] = (
+    platform_events.MemberListed("s", "i-1"),
+    platform_events.MemberLeaving("s", "i-1"),
+    platform_events.MemberUnlisted("s", "i-1"),
+    platform_events.LeaderLost("s", "i-1", "it doesn't answer"),
+    platform_events.DutyLost("the store doesn't answer"),
+    platform_events.DutyWon(3),
+    platform_events.TakeoverStarted("s", 8, "lost", 3, "i-1", 7, None),
+    platform_events.PauseLost("s", "i-2", 8, False),
+    platform_events.PromotionOrdered("s", "i-2", 3, None, True),
+    platform_events.LeaderChanged("s", "i-2", 8, None),
+    platform_events.TakeoverEnded("s", 8, "i-2 is the primary"),
+)
+
+
 class EventLogTest(unittest.TestCase):
     """Which events are written, and that all events are counted."""
 
@@ -93,6 +112,64 @@
         kinds = [line["event"] for line in self.handler.lines[-2:]]
         self.assertEqual(kinds, ["RequestEnded", "ProcessDraining"])
 
+    def test_a_line_says_which_classes_of_lines_were_dropped(self) -> None:
+        for outcome, burst in (("ok", 10), ("busy", 80)):
+            for _ in range(burst):
+                self.log.record(_ended(outcome))
+        for outcome in ("ok", "busy", "ok", "busy", "ok"):
+            self.log.record(_ended(outcome))
+        self.log.record(events.ProcessDraining())
+        line = self.handler.lines[-1]
+        self.assertEqual(line["dropped_before"], 5)
+        self.assertEqual(line["dropped_classes"], {"served": 3, "failed": 2})
+        self.log.record(events.ProcessDraining())
+        self.assertNotIn("dropped_classes", self.handler.lines[-1])
+
+    def test_a_flood_of_requests_costs_no_line_of_a_takeover(self) -> None:
+        # Guards against a takeover without a trace: discarded reads took the
+        # limit that the lines of the takeover shared with them.
+        for _ in range(5_000):
+            self.clock.advance(_MILLISECOND)
+            self.log.record(_DISCARDED)
+            self.log.record(_WITHHELD)
+            self.log.record(_ended("busy"))
+            self.log.record(_ended("ok"))
+            for event in _TAKEOVER:
+                self.log.record(event)
+        counts = collections.Counter(
+            line["event"] for line in self.handler.lines
+        )
+        for event in _TAKEOVER:
+            self.assertEqual(counts[type(event).__name__], 5_000, event)
+        self.assertLess(counts["ReadDiscarded"], 5_000)
+
+    def test_a_flood_of_changes_costs_no_line_of_a_takeover(self) -> None:
+        for _ in range(5_000):
+            self.clock.advance(_MILLISECOND)
+            self.log.record(platform_events.StoreRegained("leases"))
+            self.log.record(_TAKEOVER[0])
+        counts = collections.Counter(
+            line["event"] for line in self.handler.lines
+        )
+        self.assertEqual(counts[type(_TAKEOVER[0]).__name__], 5_000)
+
+    def test_lines_of_a_takeover_are_notices_or_warnings(self) -> None:
+        for event in _TAKEOVER:
+            self.log.record(event)
+        levels = {line["event"]: line["level"] for line in self.handler.lines}
+        warnings = {name for name, level in levels.items() if level != "notice"}
+        self.assertEqual(
+            warnings, {"DutyLost", "LeaderLost", "PauseLost"}, levels
+        )
+
+    def test_requests_are_warnings_if_their_outcome_is_unknown(self) -> None:
+        for outcome in ("ok", "busy", "unknown"):
+            self.log.record(_ended(outcome))
+        self.assertEqual(
+            [line["level"] for line in self.handler.lines],
+            ["info", "info", "warning"],
+        )
+
     def test_metrics_count_events_that_are_not_written(self) -> None:
         for _ in range(1_000):
             self.log.record(_ended("ok"))
