Record whom a takeover asks, what each answers and who is silent

What was seen: from the lines of a process that took over nobody could tell which replicas were asked, what each answered and when, who was silent, and what was ordered if no answer to the order followed.

Change: ReplicaAnswered for each answer that differs from the previous one, with role, term, log end, pause and the time that it took; ReplicaSilent for the first query without an answer and for the last; CandidateCompared for a planned takeover; PromotionSent before an order, so that it is in the log if the process or the answer is lost. TakeoverStarted names the list, who is leaving, unreachable, departed or asked, and how many may be silent. Each of these lines, PauseLost and TakeoverEnded too, has the fencing token. Their classes are in a module of their own.

--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -30,7 +30,6 @@
     "MemberListed",
     "MemberUnlisted",
     "ObjectsListed",
-    "PauseLost",
     "PromotionOrdered",
     "ReadDiscarded",
     "RequestEnded",
@@ -41,8 +40,6 @@
     "StoreEraChanged",
     "StatementForwarded",
     "StoreRegained",
-    "TakeoverEnded",
-    "TakeoverStarted",
     "WatchFailed",
     "WorkspacesIgnored",
     "WorkspaceLimited",
@@ -208,47 +205,6 @@
     reason: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TakeoverStarted(events.Event):
-    """This process started to replace a primary.
-
-    Attributes:
-      service: name of the service.
-      term: term of the attempt.
-      reason: why the primary is replaced.
-      number: fencing token of the promotion lease.
-      leader: id of the primary to replace; empty if none is known.
-      leader_term: term that this primary leads; 0 if none is known.
-      view_age: time since the queries were sent on whose answers the attempt
-        rests; None if there were none.
-    """
-
-    service: types.ServiceName
-    term: types.Term
-    reason: str
-    number: int
-    leader: str
-    leader_term: types.Term
-    view_age: datetime.timedelta | None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class PauseLost(events.Event):
-    """A replica that a takeover had paused isn't paused any more.
-
-    Attributes:
-      service: name of the service.
-      member: id of the replica.
-      term: term of the takeover.
-      ordered: whether the promotion was ordered already.
-    """
-
-    service: types.ServiceName
-    member: str
-    term: types.Term
-    ordered: bool
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromotionOrdered(events.Event):
     """The platform was asked to promote a database.
@@ -268,21 +224,6 @@
     accepted: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TakeoverEnded(events.Event):
-    """An attempt to replace a primary ended.
-
-    Attributes:
-      service: name of the service.
-      term: term of the attempt.
-      outcome: how the attempt ended.
-    """
-
-    service: types.ServiceName
-    term: types.Term
-    outcome: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class DutyWon(events.Event):
     """This process acquired the promotion lease and may order promotions.
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -187,6 +187,11 @@
     return value.encode(errors="backslashreplace").decode()
 
 
+@_to_json.register
+def _(value: tuple) -> object:
+    return [_to_json(item) for item in value]
+
+
 @_to_json.register
 def _(value: datetime.timedelta) -> object:
     return f"{value.total_seconds() * 1_000:.1f} ms"
--- a/hickorygate/operators/line_class.py
+++ b/hickorygate/operators/line_class.py
@@ -7,6 +7,7 @@
 
 from hickorygate.core import events
 from hickorygate.core import platform_events
+from hickorygate.core import takeover_steps
 
 __all__ = ["LineClass", "line_class"]
 
@@ -47,6 +48,7 @@
     return LineClass.FAILED
 
 
+@line_class.register(takeover_steps.CandidateCompared)
 @line_class.register(platform_events.DutyLost)
 @line_class.register(platform_events.DutyWon)
 @line_class.register(platform_events.LeaderChanged)
@@ -54,9 +56,12 @@
 @line_class.register(platform_events.MemberLeaving)
 @line_class.register(platform_events.MemberListed)
 @line_class.register(platform_events.MemberUnlisted)
-@line_class.register(platform_events.PauseLost)
+@line_class.register(takeover_steps.PauseLost)
 @line_class.register(platform_events.PromotionOrdered)
-@line_class.register(platform_events.TakeoverEnded)
-@line_class.register(platform_events.TakeoverStarted)
+@line_class.register(takeover_steps.PromotionSent)
+@line_class.register(takeover_steps.ReplicaAnswered)
+@line_class.register(takeover_steps.ReplicaSilent)
+@line_class.register(takeover_steps.TakeoverEnded)
+@line_class.register(takeover_steps.TakeoverStarted)
 def _(event: events.Event) -> LineClass:
     return LineClass.TAKEOVER
--- a/hickorygate/operators/severity.py
+++ b/hickorygate/operators/severity.py
@@ -7,6 +7,7 @@
 
 from hickorygate.core import events
 from hickorygate.core import platform_events
+from hickorygate.core import takeover_steps
 
 __all__ = ["Severity", "severity"]
 
@@ -57,8 +58,9 @@
 @severity.register(platform_events.EntryIgnored)
 @severity.register(platform_events.LeaderLost)
 @severity.register(platform_events.LinkLost)
-@severity.register(platform_events.PauseLost)
+@severity.register(takeover_steps.PauseLost)
 @severity.register(platform_events.ReadDiscarded)
+@severity.register(takeover_steps.ReplicaSilent)
 @severity.register(platform_events.StoreLost)
 @severity.register(platform_events.WatchFailed)
 @severity.register(platform_events.WorkspacesIgnored)
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -13,6 +13,8 @@
 
 from hickorygate.core import events
 from hickorygate.core import platform_events
+from hickorygate.core import position
+from hickorygate.core import takeover_steps
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
 from hickorygate.testing import clock
@@ -48,6 +50,7 @@
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _DISCARDED = platform_events.ReadDiscarded("1f", "i-1", "")
 _WITHHELD = platform_events.CommitWithheld("1f", "i-1", None)
+_END = position.Position(7, 120)
 _TAKEOVER: tuple[events.Event, ...] = (
     platform_events.MemberListed("s", "i-1"),
     platform_events.MemberLeaving("s", "i-1"),
@@ -55,11 +58,40 @@
     platform_events.LeaderLost("s", "i-1", "it doesn't answer"),
     platform_events.DutyLost("the store doesn't answer"),
     platform_events.DutyWon(3),
-    platform_events.TakeoverStarted("s", 8, "lost", 3, "i-1", 7, None),
-    platform_events.PauseLost("s", "i-2", 8, False),
+    takeover_steps.TakeoverStarted(
+        service="s",
+        term=8,
+        reason="the primary is unreachable",
+        number=3,
+        leader="i-1",
+        leader_term=7,
+        view_age=None,
+        listed=("i-1", "i-2", "i-3"),
+        leaving=(),
+        unreachable=("i-1",),
+        departed=(),
+        asked=("i-2", "i-3"),
+        max_silent=1,
+    ),
+    takeover_steps.ReplicaAnswered(
+        service="s",
+        term=8,
+        number=3,
+        stage="pausing",
+        member="i-2",
+        is_primary=False,
+        member_term=7,
+        received=_END,
+        paused_for=8,
+        took=_MILLISECOND,
+    ),
+    takeover_steps.ReplicaSilent("s", 8, 3, "pausing", "i-3", 1, _MILLISECOND),
+    takeover_steps.CandidateCompared("s", 8, 3, "i-1", _END, "i-2", _END),
+    takeover_steps.PauseLost("s", "i-2", 8, 3, False),
+    takeover_steps.PromotionSent("s", 8, 3, "i-2", _END),
     platform_events.PromotionOrdered("s", "i-2", 3, None, True),
     platform_events.LeaderChanged("s", "i-2", 8, None),
-    platform_events.TakeoverEnded("s", 8, "i-2 is the primary"),
+    takeover_steps.TakeoverEnded("s", 8, 3, "i-2 is the primary"),
 )
 
 
@@ -153,13 +185,24 @@
         )
         self.assertEqual(counts[type(_TAKEOVER[0]).__name__], 5_000)
 
+    def test_ids_that_are_not_utf_8_are_written(self) -> None:
+        name = b"i\xff".decode(errors="surrogateescape")
+        (started,) = (
+            event
+            for event in _TAKEOVER
+            if isinstance(event, takeover_steps.TakeoverStarted)
+        )
+        self.log.record(dataclasses.replace(started, listed=(name, "i-2")))
+        (line,) = self.handler.lines
+        self.assertEqual(line["listed"], ["i\\udcff", "i-2"])
+
     def test_lines_of_a_takeover_are_notices_or_warnings(self) -> None:
         for event in _TAKEOVER:
             self.log.record(event)
         levels = {line["event"]: line["level"] for line in self.handler.lines}
         warnings = {name for name, level in levels.items() if level != "notice"}
         self.assertEqual(
-            warnings, {"DutyLost", "LeaderLost", "PauseLost"}, levels
+            warnings, {"DutyLost", "LeaderLost", "PauseLost", "ReplicaSilent"}
         )
 
     def test_requests_are_warnings_if_their_outcome_is_unknown(self) -> None:
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -13,11 +13,11 @@
 from hickorygate.core import platform_events
 from hickorygate.core import reply
 from hickorygate.upstreams import database_request
-from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member
 from hickorygate.upstreams import promotion_lease
 from hickorygate.upstreams import takeover as takeovers
 from hickorygate.upstreams import takeover_events
+from hickorygate.upstreams import takeover_log
 from hickorygate.upstreams import takeover_plan
 from hickorygate.upstreams import takeover_trigger
 
@@ -46,6 +46,7 @@
         self._journal = journal
         self._background = background.BackgroundTasks()
         self._takeover: takeovers.Takeover | None = None
+        self._log = takeover_log.TakeoverLog(group.service, clock, journal)
         self._calls = background.BackgroundTasks()
         self._trigger = takeover_trigger.TakeoverTrigger()
 
@@ -126,7 +127,9 @@
         if plan is None:
             return
         self._takeover = takeovers.Takeover(plan, self._clock.now())
-        self._record_start(plan, situation.leader or situation.lost)
+        self._log.record_start(
+            plan, situation, self._lease.number, self._group.view_age
+        )
         while self._takeover is not None:
             takeover = self._takeover
             takeover.add_replicas(
@@ -137,21 +140,6 @@
                 self._group.schedule_round()
             await self._clock.sleep(_ADVANCE_INTERVAL)
 
-    def _record_start(
-        self, plan: takeover_plan.Plan, leader: group_state.Leader | None
-    ) -> None:
-        self._journal.record(
-            platform_events.TakeoverStarted(
-                plan.service,
-                plan.term,
-                plan.reason,
-                self._lease.number,
-                leader.member if leader else "",
-                leader.term if leader else 0,
-                self._group.view_age,
-            )
-        )
-
     def _perform(
         self,
         effects: list[takeover_events.Effect],
@@ -198,27 +186,42 @@
         self._perform(takeovers.handle(event, takeover, now), takeover)
 
     async def pause(
-        self, effect: takeover_events.PauseReplica
+        self,
+        effect: takeover_events.PauseReplica,
+        stage: takeovers.Stage,
     ) -> takeover_events.ReplicaPaused:
         """Pauses replication on a replica and returns the result."""
-        results = await self._group.prober.ask(
-            effect.member, database_request.Pause(effect.term)
+        status = await self._ask(
+            effect.member, database_request.Pause(effect.term), stage
         )
-        status = results[0].ok.group if results else None
         return takeover_events.ReplicaPaused(effect.member, status)
 
     async def inspect(
-        self, effect: takeover_events.InspectReplica
+        self,
+        effect: takeover_events.InspectReplica,
+        stage: takeovers.Stage,
     ) -> takeover_events.ReplicaInspected:
         """Reads the status of a replica and returns the result."""
-        results = await self._group.prober.ask(
-            effect.member, database_request.ReadStatus()
+        status = await self._ask(
+            effect.member, database_request.ReadStatus(), stage
         )
-        status = results[0].ok.group if results else None
         return takeover_events.ReplicaInspected(
             effect.member, status, effect.number
         )
 
+    async def _ask(
+        self,
+        name: member.MemberId,
+        request: database_request.Request,
+        stage: takeovers.Stage,
+    ) -> reply.ReplicationStatus | None:
+        """Returns the status with which a database answers a request."""
+        query = self._log.open_query(name, stage)
+        results = await self._group.prober.ask(name, request)
+        status = results[0].ok.group if results else None
+        self._log.record_result(query, status)
+        return status
+
     async def compare(
         self, effect: takeover_events.CompareCandidate
     ) -> takeover_events.Event:
@@ -241,6 +244,7 @@
             return takeover_events.LeaderReplaced(reason)
         leader = first[0].ok.position if first else None
         status = second[0].ok.group if second else None
+        self._log.record_comparison(effect, leader, status)
         if leader is None or status is None:
             return takeover_events.PromotionEnded(False)
         if status.is_primary:
@@ -269,19 +273,23 @@
         )
         return takeover_events.PromotionEnded(accepted)
 
-    def record_lost_pause(
+    def record_order(
         self,
-        effect: takeover_events.RecordLostPause,
+        effect: takeover_events.OrderPromotion,
         takeover: takeovers.Takeover,
     ) -> None:
-        """Records that a replica isn't paused any more."""
-        plan = takeover.plan
-        self._journal.record(
-            platform_events.PauseLost(
-                plan.service, effect.member, plan.term, effect.ordered
-            )
+        """Records the order before it is sent, in case no answer follows."""
+        status = takeover.statuses.get(effect.member)
+        self._log.record_order(
+            effect.member, status.received if status else None
         )
 
+    def record_lost_pause(
+        self, effect: takeover_events.RecordLostPause
+    ) -> None:
+        """Records that a replica isn't paused any more."""
+        self._log.record_lost_pause(effect.member, effect.ordered)
+
     def finish(
         self, effect: takeover_events.Finish, takeover: takeovers.Takeover
     ) -> None:
@@ -292,11 +300,7 @@
         """
         self._takeover = None
         plan = takeover.plan
-        self._journal.record(
-            platform_events.TakeoverEnded(
-                plan.service, plan.term, effect.outcome
-            )
-        )
+        self._log.record_end(effect.outcome)
         if not effect.succeeded:
             self._trigger.pause(self._clock.now())
         if effect.demote is not None:
@@ -333,7 +337,7 @@
     promoter: Promoter,
     takeover: takeovers.Takeover,
 ) -> None:
-    promoter.call(promoter.pause(effect), takeover)
+    promoter.call(promoter.pause(effect, takeover.stage), takeover)
 
 
 @_perform.register(takeover_events.InspectReplica)
@@ -342,7 +346,7 @@
     promoter: Promoter,
     takeover: takeovers.Takeover,
 ) -> None:
-    promoter.call(promoter.inspect(effect), takeover)
+    promoter.call(promoter.inspect(effect, takeover.stage), takeover)
 
 
 @_perform.register(takeover_events.CompareCandidate)
@@ -360,6 +364,7 @@
     promoter: Promoter,
     takeover: takeovers.Takeover,
 ) -> None:
+    promoter.record_order(effect, takeover)
     promoter.call(promoter.order(effect, takeover), takeover)
 
 
@@ -369,7 +374,7 @@
     promoter: Promoter,
     takeover: takeovers.Takeover,
 ) -> None:
-    promoter.record_lost_pause(effect, takeover)
+    promoter.record_lost_pause(effect)
 
 
 @_perform.register(takeover_events.Finish)
