Keep notices for a reader of the log that doesn't read for a while

What was seen: with a full pipe, all four lines of a takeover were lost (a trial on the former code), and the next line said nothing of it: dropped_before counts only what the limits leave out.

Cause: the handler gave up each line that the reader didn't accept at once.

Change: up to 1,000 notices and warnings wait for the reader and are written, in their order and complete, before the next line. lost_before has the number of lines that were lost.

--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -4,7 +4,8 @@
 never displace the changes, and successful requests never displace the failed
 ones. The lines that explain a takeover have no limit: they are few.
 Dropped events are counted, and the next line contains the counts. Writes don't
-block: a reader that doesn't read never makes the process wait.
+block: a reader that doesn't read never makes the process wait. Notices and
+warnings are held until the reader accepts them, other lines are lost meanwhile.
 """
 
 from __future__ import annotations
@@ -39,6 +40,15 @@
 """Number of characters of a field that are written. Callers choose the request
 ids, which may have the size of a message."""
 
+_HELD_LINES = 1_000
+"""Maximum number of lines that are held for a reader that doesn't read."""
+
+_LOG_LEVELS: Mapping[severity.Severity, int] = {
+    severity.Severity.INFO: logbook.INFO,
+    severity.Severity.NOTICE: logbook.NOTICE,
+    severity.Severity.WARNING: logbook.WARNING,
+}
+
 
 class LineRateLimit:
     """A token bucket that limits the lines per second.
@@ -71,14 +81,15 @@
 class NonBlockingHandler(logbook.Handler):
     """A log handler that writes lines to a file descriptor without blocking.
 
-    Data that the reader doesn't accept at once is lost.
+    Lines that the reader doesn't accept at once are lost, except notices and
+    more severe ones: these are held, and written before the next line.
     """
 
     def __init__(self, descriptor: int) -> None:
         super().__init__()
         self._descriptor = descriptor
         self._lost = 0
-        self._incomplete = False
+        self._held: collections.deque[bytes] = collections.deque()
         os.set_blocking(descriptor, False)
 
     @property
@@ -88,16 +99,33 @@
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Writes one line; logbook calls this method for each record."""
-        data = record.message.encode() + b"\n"
-        if self._incomplete:
-            data = b"\n" + data
+        line = record.message.encode() + b"\n"
+        rest = self._write(line) if self._write_held() else line
+        if not rest:
+            return
+        if record.level >= logbook.NOTICE and len(self._held) < _HELD_LINES:
+            self._held.append(rest)
+            return
+        self._lost += 1
+        if len(rest) < len(line):
+            self._held.append(b"\n")
+
+    def _write_held(self) -> bool:
+        """Writes what is held; returns whether nothing is left of it."""
+        while self._held:
+            rest = self._write(self._held[0])
+            if rest:
+                self._held[0] = rest
+                return False
+            self._held.popleft()
+        return True
+
+    def _write(self, data: bytes) -> bytes:
+        """Writes what the reader accepts and returns the rest."""
         try:
-            written = os.write(self._descriptor, data)
+            return data[os.write(self._descriptor, data) :]
         except OSError:
-            written = 0
-        self._lost += written < len(data)
-        if written:
-            self._incomplete = written < len(data)
+            return data
 
 
 class EventLog:
@@ -121,6 +149,8 @@
         self._process = process
         self._clock = clock
         self._next_journal = next_journal
+        self._handler = handler
+        self._lost = 0
         self._logger = logbook.Logger(_CHANNEL)
         self._logger.handlers.append(handler)
         self._counts: collections.Counter[str] = collections.Counter()
@@ -154,23 +184,49 @@
             self._dropped[kind] += 1
 
     def _write(self, event: events.Event, now: datetime.datetime) -> None:
+        level = severity.severity(event)
         line: dict[str, object] = {
             "time": now.isoformat(timespec="milliseconds"),
             "process": self._process,
             "event": type(event).__name__,
-            "level": severity.severity(event).value,
+            "level": level.value,
         }
         for field in dataclasses.fields(event):
             line[field.name] = _to_json(getattr(event, field.name))
+        line.update(self._gaps())
+        lost = _lost_lines(self._handler)
+        self._logger.log(
+            _LOG_LEVELS[level],
+            "{}",
+            orjson.dumps(line, option=orjson.OPT_NON_STR_KEYS).decode(),
+        )
+        if _lost_lines(self._handler) == lost:
+            self._lost = lost
+            self._dropped.clear()
+
+    def _gaps(self) -> dict[str, object]:
+        """Returns the fields that tell which lines are missing before one."""
+        fields: dict[str, object] = {}
         if self._dropped:
-            line["dropped_before"] = self._dropped.total()
-            line["dropped_classes"] = {
+            fields["dropped_before"] = self._dropped.total()
+            fields["dropped_classes"] = {
                 kind.value: count for kind, count in self._dropped.items()
             }
-            self._dropped.clear()
-        self._logger.info(
-            "{}", orjson.dumps(line, option=orjson.OPT_NON_STR_KEYS).decode()
-        )
+        lost = _lost_lines(self._handler) - self._lost
+        if lost:
+            fields["lost_before"] = lost
+        return fields
+
+
+@functools.singledispatch
+def _lost_lines(handler: logbook.Handler) -> int:
+    """Returns the number of lines that a handler could not write."""
+    return 0
+
+
+@_lost_lines.register
+def _(handler: NonBlockingHandler) -> int:
+    return handler.lost
 
 
 @functools.singledispatch
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -47,6 +47,8 @@
     )
 
 
+_SECOND = datetime.timedelta(seconds=1)
+_PIPE_BYTES = 1_000_000
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _DISCARDED = platform_events.ReadDiscarded("1f", "i-1", "")
 _WITHHELD = platform_events.CommitWithheld("1f", "i-1", None)
@@ -239,3 +241,70 @@
         self.assertEqual(set(written), {ord("x")})
         handler.emit(logbook.LogRecord("c", logbook.INFO, "next"))
         self.assertEqual(os.read(reader, 100), b"\nnext\n")
+
+
+class StalledReaderTest(unittest.TestCase):
+    """What a reader finds that didn't read for a while."""
+
+    def setUp(self) -> None:
+        self.reader, writer = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+        self.clock = clock.FakeClock()
+        self.handler = event_log.NonBlockingHandler(writer)
+        self.log = event_log.EventLog("proxy-1", self.clock, self.handler)
+
+    def flood(self) -> None:
+        """Records requests until lines are lost."""
+        lost = self.handler.lost
+        while self.handler.lost < lost + 5:
+            self.clock.advance(_SECOND)
+            for _ in range(40):
+                self.log.record(_ended("busy"))
+
+    def read(self) -> list[dict[str, object]]:
+        data = os.read(self.reader, _PIPE_BYTES)
+        return [orjson.loads(line) for line in data.splitlines()]
+
+    def test_the_lines_of_a_takeover_are_read_later(self) -> None:
+        # Guards against a takeover without a trace: its lines were lost while
+        # the pipe was full.
+        self.flood()
+        for event in _TAKEOVER:
+            self.log.record(event)
+        self.flood()
+        lines = self.read()
+        self.log.record(_ended("busy"))
+        lines += self.read()
+        names = [line["event"] for line in lines]
+        self.assertEqual(
+            [name for name in names if name != "RequestEnded"],
+            [type(event).__name__ for event in _TAKEOVER],
+        )
+
+    def test_the_next_line_has_the_number_of_lost_ones(self) -> None:
+        self.flood()
+        self.read()
+        self.log.record(_ended("busy"))
+        (line,) = self.read()
+        self.assertEqual(line["lost_before"], self.handler.lost)
+        self.log.record(_ended("busy"))
+        (line,) = self.read()
+        self.assertNotIn("lost_before", line)
+
+    def test_lines_are_held_up_to_a_limit(self) -> None:
+        self.flood()
+        for _ in range(10_000):
+            self.log.record(_TAKEOVER[0])
+        self.assertGreaterEqual(self.handler.lost, 9_000)
+
+    def test_a_held_line_that_was_written_in_part_is_completed(self) -> None:
+        text = "x" * 1_000_000
+        self.handler.emit(logbook.LogRecord("c", logbook.NOTICE, text))
+        self.handler.emit(logbook.LogRecord("c", logbook.NOTICE, "next"))
+        expected = text.encode() + b"\nnext\n"
+        data = b""
+        while len(data) < len(expected):
+            data += os.read(self.reader, _PIPE_BYTES)
+            self.handler.emit(logbook.LogRecord("c", logbook.INFO, "lost"))
+        self.assertEqual(data[: len(expected)], expected)
