Ask the replicas that proved the last commit first

Cause: each commit asked all replicas for their status, which the platform's databases serve in a slot of theirs. Change: a commit asks the replicas that proved the last one, and the others only if that isn't enough; answers to earlier questions count as far as they go.

--- a/hickorygate/upstreams/commit_check.py
+++ b/hickorygate/upstreams/commit_check.py
@@ -1,7 +1,8 @@
 """Checks acknowledged commits of one group before callers learn of them.
 
 `commit_guard` decides; this module asks the replicas for what it needs to know.
-Commits that wait at the same time share the answers.
+Commits that wait at the same time share the answers. The replicas that proved
+the last commit are asked first, the others only if that isn't enough.
 """
 
 from __future__ import annotations
@@ -56,6 +57,7 @@
         self._answers: dict[members.MemberId, _Answer] = {}
         self._asked: dict[members.MemberId, datetime.datetime] = {}
         self._asking: set[members.MemberId] = set()
+        self._provers: frozenset[members.MemberId] = frozenset()
         self._answered = asyncio.Event()
         self._background = background.BackgroundTasks()
 
@@ -130,13 +132,17 @@
         if position is None:
             return False
         answered = self._clock.now()
+        first = self._provers & self._replicas(leader)
         while self._group.state.term <= leader.term:
             view = self._view(leader, answered)
-            if self._guard.is_safe(position, view, self._clock.now()):
+            now = self._clock.now()
+            if self._guard.is_safe(position, view, now):
+                self._provers = self._guard.provers(position, view, now)
                 return True
             if not view.silent:
-                self._guard.observe(view, self._clock.now())
-            self._ask_replicas(leader, answered)
+                self._guard.observe(view, now)
+            self._ask_replicas(first or self._replicas(leader), answered)
+            first = frozenset()
             if not await self._wait_for_answer(deadline):
                 return False
         return False
@@ -144,30 +150,33 @@
     def _view(
         self, leader: group_state.Leader, since: datetime.datetime
     ) -> commit_guard.View:
-        """Returns what the replicas answered; earlier answers count as silence.
+        """Returns what the replicas answered last.
 
         Args:
           leader: the primary.
-          since: earliest time at which they were asked.
+          since: replicas that have answered no later question count as silent.
         """
         names = self._replicas(leader)
-        replicas = {
-            name: answer.replica
-            for name, answer in self._answers.items()
-            if name in names and answer.asked >= since
-        }
-        silent = len(replicas) < len(names)
-        return commit_guard.View(since, leader.term, replicas, silent)
-
-    def _replicas(self, leader: group_state.Leader) -> set[members.MemberId]:
-        return self._group.state.members.keys() - {leader.member}
+        answers = {n: a for n, a in self._answers.items() if n in names}
+        recent = [a for a in answers.values() if a.asked >= since]
+        return commit_guard.View(
+            since,
+            leader.term,
+            {name: answer.replica for name, answer in answers.items()},
+            silent=len(recent) < len(names),
+        )
+
+    def _replicas(
+        self, leader: group_state.Leader
+    ) -> frozenset[members.MemberId]:
+        return frozenset(self._group.state.members) - {leader.member}
 
     def _ask_replicas(
-        self, leader: group_state.Leader, since: datetime.datetime
+        self, names: frozenset[members.MemberId], since: datetime.datetime
     ) -> None:
-        """Asks the replicas that weren't asked since a time, or a while ago."""
+        """Asks replicas, unless they were asked since a time, or just now."""
         now = self._clock.now()
-        for name in sorted(self._replicas(leader) - self._asking):
+        for name in sorted(names - self._asking):
             last = self._asked.get(name)
             if last is None or last < since or now - last >= _RETRY_INTERVAL:
                 self._asked[name] = now
--- a/hickorygate/upstreams/commit_guard.py
+++ b/hickorygate/upstreams/commit_guard.py
@@ -66,10 +66,10 @@
     """What the replicas of a primary answered.
 
     Attributes:
-      asked: time after which they were asked.
+      asked: time after which they were asked, but for those that are silent.
       term: term of the primary.
-      replicas: the answers; replicas without an answer are missing.
-      silent: whether a replica didn't answer.
+      replicas: the latest answers.
+      silent: whether a replica hasn't answered since.
     """
 
     asked: datetime.datetime
@@ -169,19 +169,31 @@
 
         Args:
           position: position of the commit in the primary's log, or a later one.
-          view: answers to queries that were sent after the commit was
-            acknowledged.
+          view: latest answers; `silent` tells if one is older than the
+            acknowledgment.
           now: current time.
         """
-        holders = view.holders(position)
-        if self._enough(self._established(holders, view, now)):
+        if self._enough(self.provers(position, view, now)):
             return True
         if view.silent or view.held_back:
             return False
         if self._enough(self._established(view.replicas, view, now)):
             return False
+        holders = view.holders(position)
         return self._enough(self._listed(holders, view.asked, LIST_DELAY))
 
+    def provers(
+        self,
+        position: positions.Position,
+        view: View,
+        now: datetime.datetime,
+    ) -> frozenset[members.MemberId]:
+        """Returns the replicas that prove by themselves that a commit is kept.
+
+        Arguments are as for `is_safe`, but for the answers: older ones will do.
+        """
+        return self._established(view.holders(position), view, now)
+
     def _established(
         self,
         names: Iterable[members.MemberId],
