Move the proof of a process's age to its own module

Change: process_age chooses the connection to ask, and notes what an answer proves of others; the pool only tells which of them can be shared.

--- a/hickorygate/upstreams/connection_pool.py
+++ b/hickorygate/upstreams/connection_pool.py
@@ -219,71 +219,28 @@
             return expression.Error(self._last_connect_failure())
         return await self._wait(request, use)
 
-    def busy_connection(self) -> database_request.Connection | None:
-        """Returns a connection in use that also takes a status query.
+    def shareable_connections(
+        self,
+    ) -> list[pooled_connections.PooledConnection]:
+        """Returns the connections that also take a status query, idle first.
 
         The query is answered once the statement on the connection has ended.
         Connections of transactions, and those on which a commit waits for
-        replicas, aren't considered.
-
-        Returns:
-          The connection; None if another one is idle or none is suitable.
-        """
-        if self._idle:
-            return None
-        for pooled_connection in self._borrowed - self._long_term:
-            connection = pooled_connection.connection
-            if not (pooled_connection.committing or connection.closed):
-                return connection
-        return None
-
-    def proving_connection(
-        self, long_enough: datetime.datetime
-    ) -> pooled_connections.PooledConnection | None:
-        """Returns a connection whose process is known to run for long.
-
-        Another borrower may use it too, but no transaction does. Among those
-        that are known to run since `long_enough`, idle ones are preferred.
-
-        Args:
-          long_enough: latest start of the process that is of interest.
-
-        Returns:
-          The connection; None if there is none.
+        replicas, aren't among them.
         """
         self._idle.drop_closed()
-        short_term = self._borrowed - self._long_term
-        open_ones = [
+        return [
             c
-            for c in (*self._idle, *short_term)
+            for c in (*self._idle, *(self._borrowed - self._long_term))
             if not (c.committing or c.connection.closed)
         ]
-        return min(
-            open_ones,
-            key=lambda c: (
-                max(c.running_since, long_enough),
-                c in short_term,
-            ),
-            default=None,
-        )
-
-    def note_running(
-        self,
-        answering: pooled_connections.PooledConnection,
-        asked: datetime.datetime,
-    ) -> None:
-        """Notes that a process answered on a connection.
-
-        Connections that were opened after that one, and before the process was
-        asked, lead to the same process.
 
-        Args:
-          answering: the connection.
-          asked: time at which the process was asked.
-        """
-        for other in (*self._idle, *self._borrowed):
-            if answering.opened <= other.opened <= asked:
-                other.share_process(answering)
+    def busy_connection(self) -> database_request.Connection | None:
+        """Returns a shareable connection in use; None if one is idle."""
+        if self._idle:
+            return None
+        shareable = self.shareable_connections()
+        return shareable[0].connection if shareable else None
 
     def accept_return(
         self, pooled_connection: pooled_connections.PooledConnection
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -21,6 +21,7 @@
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import health as vitals
 from hickorygate.upstreams import member
+from hickorygate.upstreams import process_age
 
 if TYPE_CHECKING:
     from hickorygate.upstreams import connection_pool
@@ -186,7 +187,9 @@
         pool = self._pools.get(name)
         if pool is None:
             return None
-        proving = pool.proving_connection(long_enough)
+        proving = process_age.longest_running(
+            pool.shareable_connections(), long_enough
+        )
         if proving is None:
             # The connection that this opens proves something later.
             await self.ask(name, database_request.ReadStatus())
@@ -202,7 +205,7 @@
         status = results[0].ok.group if _is_clean(results) else None
         if status is None:
             return None
-        pool.note_running(proving, asked)
+        process_age.note_answer(pool.shareable_connections(), proving, asked)
         return commit_guard.Replica(status, proving.running_since)
 
     async def _ask(
