Count only takeovers of the present term against a commit

Cause: a replica counted only once it had run for longer than any takeover, although a takeover that began before the primary's term can't replace it. Change: a round notes which databases answered as replicas; the term of a new primary began after its last such answer. Replicas that were known and have run since then count.

--- a/hickorygate/tests/test_commit_guard.py
+++ b/hickorygate/tests/test_commit_guard.py
@@ -113,6 +113,27 @@
         self.guard.record_join("d", clock.at(_NOW - 10))
         self.assertFalse(self.is_safe(silent=True, d=_replica()))
 
+    def test_only_takeovers_of_the_present_term_matter(self) -> None:
+        # A takeover that began before the term can't replace its primary. So
+        # writes are served soon after a takeover by young processes, too.
+        self.guard.record_leader(clock.at(_NOW - 2))
+        running = datetime.timedelta(seconds=3)
+        self.assertTrue(self.is_safe(silent=True, b=_replica(running=running)))
+        running = datetime.timedelta(seconds=1)
+        self.assertFalse(self.is_safe(silent=True, b=_replica(running=running)))
+
+    def test_a_replica_that_joined_before_the_term_may_be_unknown(self) -> None:
+        self.guard.record_join("d", clock.at(_NOW - 2.5))
+        self.guard.record_leader(clock.at(_NOW - 2))
+        self.assertFalse(self.is_safe(silent=True, d=_replica()))
+        self.guard.record_leader(clock.at(_NOW - 1))
+        self.assertTrue(self.is_safe(silent=True, d=_replica()))
+
+    def test_a_term_that_began_long_ago_does_not_matter(self) -> None:
+        self.guard.record_leader(clock.at(_NOW - 20))
+        running = datetime.timedelta(seconds=11)
+        self.assertTrue(self.is_safe(silent=True, b=_replica(running=running)))
+
     def test_new_replicas_that_all_receive_are_enough(self) -> None:
         # No takeover relies on a pause. This is so after a start, too.
         new = _replica(running=_RESTARTED)
@@ -142,7 +163,7 @@
         paused = _replica(paused_for=2)
         self.observe(b=paused, c=paused)
         self.assertTrue(self.guard.under_way)
-        self.guard.record_leader()
+        self.guard.record_leader(None)
         self.assertFalse(self.guard.under_way)
 
     def test_a_planned_takeover_does_not_hold_writes_back(self) -> None:
--- a/hickorygate/upstreams/commit_check.py
+++ b/hickorygate/upstreams/commit_check.py
@@ -58,6 +58,7 @@
         self._asked: dict[members.MemberId, datetime.datetime] = {}
         self._asking: set[members.MemberId] = set()
         self._provers: frozenset[members.MemberId] = frozenset()
+        self._followed: dict[members.MemberId, datetime.datetime] = {}
         self._answered = asyncio.Event()
         self._background = background.BackgroundTasks()
 
@@ -92,15 +93,17 @@
         for name in known:
             self._guard.forget(name)
             self._answers.pop(name, None)
+            self._followed.pop(name, None)
 
-    def note_leader(self) -> None:
+    def note_leader(self, leader: group_state.Leader) -> None:
         """Notes that a primary was found, another one or the former again."""
-        self._guard.record_leader()
+        self._guard.record_leader(self._followed.get(leader.member))
 
     def note_round(
         self, finding: group_state.RoundResult, sent: datetime.datetime
     ) -> None:
         """Notes the conclusions of a round that was sent at a time."""
+        self._followed.update(dict.fromkeys(finding.followers, sent))
         leader = self._group.leader
         if leader is None or not finding.has_statuses:
             return
@@ -187,7 +190,7 @@
         self, name: members.MemberId, now: datetime.datetime
     ) -> None:
         """Asks one replica, and wakes the commits that wait."""
-        long_enough = now - commit_guard.TAKEOVER_SPAN
+        long_enough = self._guard.takeovers_since(now)
         try:
             replica = await self._group.prober.ask_running(name, long_enough)
         finally:
--- a/hickorygate/upstreams/commit_guard.py
+++ b/hickorygate/upstreams/commit_guard.py
@@ -6,14 +6,15 @@
 enough replicas are proved to hold it that every takeover takes into account.
 Such a replica is established:
 
-- It has been listed for longer than a takeover takes, so every takeover that
-  could still promote a database knew of it from the beginning.
-- It has run without a break for as long, as one connection to it shows. So a
+- It was listed before any takeover began that could still replace the primary.
+  So every such takeover knew of it from the beginning.
+- It has run without a break since then, as one connection to it shows. So a
   pause by such a takeover is still in force, and what the replica holds now it
   held when the takeover compared the log ends.
 
-Whatever is promoted then has the commit as well. This doesn't depend on whether
-this proxy has heard of the takeover.
+Such a takeover began no longer ago than a takeover takes, and after the term of
+the primary, which it replaces by the next one. Whatever it promotes has the
+commit as well, also if this proxy has never heard of the takeover.
 
 While too few replicas are established (they are new, or this process is), the
 replicas are asked after the acknowledgment. If all of them answer and none is
@@ -104,12 +105,19 @@
 class CommitGuard:
     """Decides for the commits of one group."""
 
-    __slots__ = ("_joined", "_running", "_synchronous_replicas", "_under_way")
+    __slots__ = (
+        "_before_term",
+        "_joined",
+        "_running",
+        "_synchronous_replicas",
+        "_under_way",
+    )
 
     def __init__(self, synchronous_replicas: int) -> None:
         self._synchronous_replicas = synchronous_replicas
         self._joined: dict[members.MemberId, datetime.datetime] = {}
         self._running: dict[members.MemberId, datetime.datetime] = {}
+        self._before_term: datetime.datetime | None = None
         self._under_way = False
 
     @property
@@ -136,10 +144,23 @@
         self._joined[name] = now
         self._running.pop(name, None)
 
-    def record_leader(self) -> None:
-        """Records that a primary was found, a new one or the known one."""
+    def record_leader(self, followed: datetime.datetime | None) -> None:
+        """Records that a primary was found, a new one or the known one.
+
+        Args:
+          followed: latest time at which it was asked and answered as a replica;
+            None if that is unknown. Its term began later.
+        """
+        self._before_term = followed
         self._under_way = False
 
+    def takeovers_since(self, now: datetime.datetime) -> datetime.datetime:
+        """Returns a time before all takeovers that may replace the primary."""
+        earliest = now - TAKEOVER_SPAN
+        if self._before_term is None:
+            return earliest
+        return max(earliest, self._before_term)
+
     def forget(self, name: members.MemberId) -> None:
         """Forgets a replica that left."""
         self._joined.pop(name, None)
@@ -153,10 +174,11 @@
         steady = [
             name
             for name in view.following()
-            if name not in self._running or self._is_steady(name, now)
+            if name not in self._running
+            or _has_run(self._running[name], self.takeovers_since(now))
         ]
         self._under_way = view.held_back and not self._enough(
-            self._listed(steady, view.asked, LIST_DELAY)
+            self._listed(steady, view.asked)
         )
 
     def is_safe(
@@ -180,7 +202,7 @@
         if self._enough(self._established(view.replicas, view, now)):
             return False
         holders = view.holders(position)
-        return self._enough(self._listed(holders, view.asked, LIST_DELAY))
+        return self._enough(self._listed(holders, view.asked))
 
     def provers(
         self,
@@ -201,35 +223,27 @@
         now: datetime.datetime,
     ) -> frozenset[members.MemberId]:
         """Returns the replicas that every takeover takes into account."""
-        listed = self._listed(names, now, TAKEOVER_SPAN + LIST_DELAY)
+        began = self.takeovers_since(now)
         return frozenset(
             name
-            for name in listed
-            if _has_run(view.replicas[name].running_since, now)
+            for name in self._listed(names, began)
+            if _has_run(view.replicas[name].running_since, began)
         )
 
     def _listed(
-        self,
-        names: Iterable[members.MemberId],
-        at: datetime.datetime,
-        duration: datetime.timedelta,
+        self, names: Iterable[members.MemberId], at: datetime.datetime
     ) -> frozenset[members.MemberId]:
-        """Returns the replicas that have been listed for some time."""
+        """Returns the replicas that all proxies knew at a time."""
         return frozenset(
             name
             for name in names
-            if name not in self._joined or at - self._joined[name] >= duration
+            if name not in self._joined or self._joined[name] + LIST_DELAY <= at
         )
 
-    def _is_steady(
-        self, name: members.MemberId, now: datetime.datetime
-    ) -> bool:
-        return _has_run(self._running[name], now)
-
     def _enough(self, names: frozenset[members.MemberId]) -> bool:
         return len(names) >= max(self._synchronous_replicas, 1)
 
 
-def _has_run(since: datetime.datetime | None, now: datetime.datetime) -> bool:
-    """Returns whether a process ran throughout the longest takeover."""
-    return since is not None and now - since >= TAKEOVER_SPAN
+def _has_run(since: datetime.datetime | None, start: datetime.datetime) -> bool:
+    """Returns whether a process is known to run since a time or longer."""
+    return since is not None and since <= start
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -513,7 +513,7 @@
         self.found(finding, sent)
         if self._former.note_leader(before) and self.leader is not None:
             self._stall = stalls.StallDetector()
-            self._commits.note_leader()
+            self._commits.note_leader(self.leader)
         self._commits.note_round(finding, sent)
         if self._former.interrupt_lost():
             self._lose_leader("it doesn't answer")
--- a/hickorygate/upstreams/group_state.py
+++ b/hickorygate/upstreams/group_state.py
@@ -143,6 +143,7 @@
       has_statuses: whether the round requested the statuses.
       statuses: the statuses, by database.
       silent: databases that returned no status.
+      followers: databases that answered as replicas.
     """
 
     leader: Leader | None
@@ -154,6 +155,7 @@
         dataclasses.field(default_factory=dict)
     )
     silent: frozenset[members.MemberId] = frozenset()
+    followers: frozenset[members.MemberId] = frozenset()
 
 
 class GroupState:
@@ -299,6 +301,7 @@
             probe_round.with_status,
             statuses,
             probe_round.asked - statuses.keys(),
+            frozenset(probe_round.answers.keys() - probe_round.leading),
         )
 
     def floor(
