--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -43,6 +43,7 @@
 
 from hickorygate.core import position
 from hickorygate.core import reply
+from hickorygate.upstreams import call_pacing
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
@@ -64,7 +65,7 @@
 """Maximum time for an accepted promotion to take effect."""
 
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=150)
-"""Minimum time between two calls of a stage to the same database."""
+"""Minimum time between a refused order and the next one."""
 
 
 class Stage(enum.Enum):
@@ -84,9 +85,8 @@
     __slots__ = (
         "_chosen",
         "_inspected",
-        "_last_calls",
         "_log_ends",
-        "_outstanding",
+        "_pacing",
         "_plan",
         "_refused_at",
         "_stage",
@@ -110,8 +110,7 @@
         self._verified: set[members.MemberId] = set()
         self._log_ends: dict[members.MemberId, position.Position] = {}
         self._refused_at: datetime.datetime | None = None
-        self._outstanding: set[members.MemberId] = set()
-        self._last_calls: dict[members.MemberId, datetime.datetime] = {}
+        self._pacing = call_pacing.CallPacing()
         self._chosen = plan.candidate
 
     @property
@@ -194,7 +193,7 @@
         """Handles a status that a replica returned."""
         if event.number != self._stage_number:
             return []
-        self._outstanding.discard(event.member)
+        self._pacing.end_call(event.member)
         if event.status is None:
             return []
         match self._stage:
@@ -253,7 +252,7 @@
         self, event: takeover_events.ReplicaPaused
     ) -> list[takeover_events.Effect]:
         """Handles the response to a pause request."""
-        self._outstanding.discard(event.member)
+        self._pacing.end_call(event.member)
         status = event.status
         if status is None or self._stage is Stage.AWAITING:
             return []
@@ -270,7 +269,7 @@
         self, event: takeover_events.CandidateSeen, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
         """Verifies the pauses once the candidate has caught up."""
-        self._outstanding.clear()
+        self._pacing.end_all_calls()
         if self._stage is Stage.CATCHING_UP and event.candidate >= event.leader:
             self._enter_stage(Stage.VERIFYING, now)
         return []
@@ -287,7 +286,7 @@
         self, event: takeover_events.PromotionEnded, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
         """Handles the response to a promotion order."""
-        self._outstanding.clear()
+        self._pacing.end_all_calls()
         if self._stage is not Stage.PROMOTING:
             return []
         if event.accepted:
@@ -368,8 +367,7 @@
         self._stage = stage
         self._stage_number += 1
         self._stage_started = now
-        self._outstanding.clear()
-        self._last_calls.clear()
+        self._pacing.reset()
         self._verified.clear()
         self._refused_at = None
 
@@ -384,7 +382,7 @@
         return [
             takeover_events.InspectReplica(name, self._stage_number)
             for name in sorted(names)
-            if self._start_call(name, now)
+            if self._pacing.start_call(name, now)
         ]
 
     def _pause_effects(
@@ -394,7 +392,7 @@
         return [
             takeover_events.PauseReplica(name, self._plan.term)
             for name in sorted(unpaused)
-            if self._start_call(name, now)
+            if self._pacing.start_call(name, now)
         ]
 
     def _compare_effects(
@@ -402,7 +400,7 @@
     ) -> list[takeover_events.Effect]:
         leader, candidate = self._plan.leader, self._chosen
         assert leader and candidate, "no primary or no candidate"
-        due = self._start_call(candidate, now)
+        due = self._pacing.start_call(candidate, now)
         return (
             [takeover_events.CompareCandidate(leader, candidate)] if due else []
         )
@@ -413,26 +411,9 @@
         assert self._chosen is not None, "no replica selected for promotion"
         if self._refused_at is not None:
             return []
-        due = self._start_call(self._chosen, now)
+        due = self._pacing.start_call(self._chosen, now)
         return [takeover_events.OrderPromotion(self._chosen)] if due else []
 
-    def _start_call(
-        self, name: members.MemberId, now: datetime.datetime
-    ) -> bool:
-        """Returns whether to call a database now, and records the call.
-
-        No call is made while one to the database is outstanding or within
-        `_RETRY_INTERVAL` after the last one.
-        """
-        last_call = self._last_calls.get(name)
-        if name in self._outstanding:
-            return False
-        if last_call is not None and now - last_call < _RETRY_INTERVAL:
-            return False
-        self._outstanding.add(name)
-        self._last_calls[name] = now
-        return True
-
     def _abort(self, outcome: str) -> takeover_events.Finish:
         return takeover_events.Finish(False, None, f"aborted: {outcome}")
 
