Tell a refused promotion from one whose answer was lost

PromotionLease.promote returned a bool, which said of both that the order wasn't accepted, though the second one may take effect. It returns an OrderOutcome now, and a comparison that failed has an event of its own.

The tests and models that took the bool take the outcome; where they took False for a lost answer, it is UNKNOWN now.

--- a/hickorygate/tests/test_promotion_lease.py
+++ b/hickorygate/tests/test_promotion_lease.py
@@ -13,6 +13,7 @@
 from hickorygate.testing import line_group
 from hickorygate.upstreams import lease_record
 from hickorygate.upstreams import promotion_lease
+from hickorygate.upstreams import promotion_order
 
 
 class _Store(line_cluster.MemoryStore):
@@ -44,11 +45,13 @@
             lease_state, self.store, self.clock, journal
         )
 
-    async def order(self, lease: promotion_lease.PromotionLease) -> bool:
+    async def order(
+        self, lease: promotion_lease.PromotionLease
+    ) -> promotion_order.OrderOutcome:
         self.assertTrue(await lease.acquire(lambda: True))
-        accepted = await lease.promote("ledger", "b")
+        outcome = await lease.promote("ledger", "b")
         await lease.release()
-        return accepted
+        return outcome
 
     async def acquire_time(
         self, lease: promotion_lease.PromotionLease
@@ -66,7 +69,8 @@
         self,
     ) -> None:
         self.store.dropping = True
-        self.assertFalse(await self.order(self.one))
+        outcome = await self.order(self.one)
+        self.assertIs(outcome, promotion_order.OrderOutcome.UNKNOWN)
         self.assertGreater(
             await self.acquire_time(self.two),
             lease_record.LEASE_DURATION.total_seconds(),
--- a/hickorygate/tests/test_restored_store.py
+++ b/hickorygate/tests/test_restored_store.py
@@ -24,7 +24,10 @@
 from hickorygate.testing import sheets
 from hickorygate.upstreams import lease_record
 from hickorygate.upstreams import promotion_lease
+from hickorygate.upstreams import promotion_order
 
+_ACCEPTED = promotion_order.OrderOutcome.ACCEPTED
+_REFUSED = promotion_order.OrderOutcome.REFUSED
 _TIMEOUT_SECONDS = 3
 _LONGEST_WAIT_SECONDS = 3.0
 _WATCH = list_watch.WatchSettings(
@@ -80,7 +83,7 @@
 
     async def order(self, lease: promotion_lease.PromotionLease) -> None:
         await self.acquire(lease)
-        self.assertTrue(await lease.promote("ledger", "b"))
+        self.assertIs(await lease.promote("ledger", "b"), _ACCEPTED)
         await lease.release()
 
     def numbers(self) -> list[int]:
@@ -106,7 +109,7 @@
         await self.acquire(self.one)
         self.server.restore()
         await self.acquire(self.two)
-        self.assertFalse(await self.one.promote("ledger", "b"))
+        self.assertIs(await self.one.promote("ledger", "b"), _REFUSED)
 
     # Guards against a takeover that waits for the end of a lease that the copy
     # shows as held.
@@ -155,7 +158,7 @@
         began = self.clock.now()
         self.assertTrue(await self.one.renew())
         self.assertEqual(self.clock.now(), began)
-        self.assertTrue(await self.one.promote("ledger", "b"))
+        self.assertIs(await self.one.promote("ledger", "b"), _ACCEPTED)
 
 
 class _Sink:
--- a/hickorygate/tests/test_takeover.py
+++ b/hickorygate/tests/test_takeover.py
@@ -8,10 +8,15 @@
 from hickorygate.core import position as positions
 from hickorygate.core import reply
 from hickorygate.testing import clock
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
 
+_ACCEPTED = promotion_order.OrderOutcome.ACCEPTED
+_REFUSED = promotion_order.OrderOutcome.REFUSED
+_UNKNOWN = promotion_order.OrderOutcome.UNKNOWN
+
 
 def _plan(
     candidate: str | None = None,
@@ -269,7 +274,7 @@
         # What is known of the pauses is as old as the order, so they are
         # verified again first.
         self.order()
-        refused = takeover_events.PromotionEnded(False)
+        refused = takeover_events.PromotionEnded(_REFUSED)
         self.assertEqual(self.feed(refused, 0.15), [])
         effects = self.takeover.advance(clock.at(0.4))
         self.assertEqual(
@@ -313,7 +318,7 @@
         self,
     ) -> None:
         self.order()
-        watched = self.feed(takeover_events.PromotionEnded(True), 0.2)
+        watched = self.feed(takeover_events.PromotionEnded(_ACCEPTED), 0.2)
         effects = self.restart("b", 9, watched)
         self.assertEqual(
             effects[:2],
@@ -326,7 +331,7 @@
     def test_a_replica_that_lost_its_log_ends_the_takeover(self) -> None:
         # It may have had the only copy of an acknowledged commit.
         self.order()
-        self.feed(takeover_events.PromotionEnded(False), 0.15)
+        self.feed(takeover_events.PromotionEnded(_REFUSED), 0.15)
         self.restart("c", 0, self.takeover.advance(clock.at(0.5)))
         (end,) = takeover.handle(
             takeover_events.ReplicaPaused("c", _status(0)),
@@ -343,11 +348,13 @@
         self.assertEqual(self.verify(asked[0], b=5, at=0.2)[0].member, "d")
         self.assertEqual(self.takeover.stage, takeover.Stage.PAUSING)
 
-    def join_after_order(self, accepted: bool) -> list[takeover_events.Effect]:
+    def join_after_order(
+        self, outcome: promotion_order.OrderOutcome
+    ) -> list[takeover_events.Effect]:
         """Lets d join while the order of c is unanswered."""
         self.order()
         self.takeover.add_replicas(frozenset("abcd"), clock.at(0.15))
-        self.feed(takeover_events.PromotionEnded(accepted), 0.2)
+        self.feed(takeover_events.PromotionEnded(outcome), 0.2)
         for name, received in (("b", 5), ("c", 6)):
             self.pause(name, received)
         return self.verify(*self.pause("d", 6), b=5, c=6, d=6)
@@ -355,12 +362,12 @@
     def test_an_accepted_order_is_followed_by_no_other(self) -> None:
         # Guards against two promotions: the second database may lack what the
         # first one acknowledged.
-        following = self.join_after_order(accepted=True)
+        following = self.join_after_order(_ACCEPTED)
         self.assertNotIn(takeover_events.OrderPromotion("d"), following)
 
     def test_an_order_without_an_answer_is_followed_by_no_other(self) -> None:
         # It may take effect.
-        following = self.join_after_order(accepted=False)
+        following = self.join_after_order(_UNKNOWN)
         self.assertNotIn(takeover_events.OrderPromotion("d"), following)
 
     def test_a_new_primary_ends_the_takeover_and_the_former_is_demoted(
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -16,6 +16,7 @@
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member
 from hickorygate.upstreams import promotion_lease
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover as takeovers
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
@@ -225,9 +226,8 @@
         """Reads the primary's position, then the candidate's log end.
 
         Returns:
-          Both positions. If either could not be read, PromotionEnded(False),
-          so that the comparison is repeated. LeaderReplaced if the roles have
-          changed.
+          Both positions. ComparisonFailed if either could not be read, so that
+          the comparison is repeated. LeaderReplaced if the roles have changed.
         """
         prober = self._group.prober
         first = await prober.ask(
@@ -242,7 +242,7 @@
         leader = first[0].ok.position if first else None
         status = second[0].ok.group if second else None
         if leader is None or status is None:
-            return takeover_events.PromotionEnded(False)
+            return takeover_events.ComparisonFailed()
         if status.is_primary:
             reason = f"{effect.candidate} is the primary already"
             return takeover_events.LeaderReplaced(reason)
@@ -254,9 +254,11 @@
         takeover: takeovers.Takeover,
     ) -> takeover_events.PromotionEnded:
         """Renews the promotion lease and orders the promotion."""
-        accepted = await self._lease.renew() and await self._lease.promote(
-            self._group.service, effect.member
-        )
+        outcome = promotion_order.OrderOutcome.REFUSED
+        if await self._lease.renew():
+            outcome = await self._lease.promote(
+                self._group.service, effect.member
+            )
         status = takeover.statuses.get(effect.member)
         self._journal.record(
             platform_events.PromotionOrdered(
@@ -264,10 +266,10 @@
                 effect.member,
                 self._lease.number,
                 status.received if status else None,
-                accepted,
+                outcome is promotion_order.OrderOutcome.ACCEPTED,
             )
         )
-        return takeover_events.PromotionEnded(accepted)
+        return takeover_events.PromotionEnded(outcome)
 
     def record_lost_pause(
         self,
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -17,6 +17,7 @@
 from hickorygate.core import types
 from hickorygate.upstreams import lease_record
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover_order
 
 __all__ = ["LeaseStore", "PromotionLease"]
@@ -177,24 +178,20 @@
 
     async def promote(
         self, service: types.ServiceName, member: members.MemberId
-    ) -> bool:
-        """Orders a promotion under the fencing token of the lease.
-
-        Returns:
-          Whether the order was accepted.
-        """
+    ) -> promotion_order.OrderOutcome:
+        """Orders a promotion under the fencing token of the lease."""
         record = self._lease_state.record
         if record is None or not self._may_order():
-            return False
+            return promotion_order.OrderOutcome.REFUSED
         # The store checks the lease again after connecting, because this
         # process may have been suspended in the meantime.
         ordered = await self._store.promote(
             service, member, record, self._may_order
         )
-        self._order_unanswered = self._order_unanswered or _may_take_effect(
-            ordered
-        )
-        return ordered.is_ok()
+        outcome = _outcome(ordered)
+        if outcome is promotion_order.OrderOutcome.UNKNOWN:
+            self._order_unanswered = True
+        return outcome
 
     def _may_order(self) -> bool:
         return self._lease_state.may_order(self._clock.now())
@@ -253,10 +250,11 @@
         self._journal.record(platform_events.DutyLost(written.error.message))
 
 
-def _may_take_effect(
+def _outcome(
     ordered: expression.Result[None, errors.Failure],
-) -> bool:
-    """Returns whether an order without a response may have taken effect."""
-    return (
-        ordered.is_error() and ordered.error.outcome is errors.Outcome.UNKNOWN
-    )
+) -> promotion_order.OrderOutcome:
+    if ordered.is_ok():
+        return promotion_order.OrderOutcome.ACCEPTED
+    if ordered.error.outcome is errors.Outcome.NOT_RUN:
+        return promotion_order.OrderOutcome.REFUSED
+    return promotion_order.OrderOutcome.UNKNOWN
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -45,6 +45,7 @@
 from hickorygate.core import reply
 from hickorygate.upstreams import call_pacing
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
 
@@ -274,6 +275,11 @@
             self._enter_stage(Stage.VERIFYING, now)
         return []
 
+    def take_failed_comparison(self) -> list[takeover_events.Effect]:
+        """Lets the comparison be repeated."""
+        self._pacing.end_all_calls()
+        return []
+
     def take_replacement(
         self, event: takeover_events.LeaderReplaced
     ) -> list[takeover_events.Effect]:
@@ -289,7 +295,7 @@
         self._pacing.end_all_calls()
         if self._stage is not Stage.PROMOTING:
             return []
-        if event.accepted:
+        if event.outcome is promotion_order.OrderOutcome.ACCEPTED:
             self._enter_stage(Stage.AWAITING, now)
         else:
             self._refused_at = now
@@ -453,6 +459,15 @@
     return takeover.take_candidate(event, now)
 
 
+@handle.register
+def _(
+    event: takeover_events.ComparisonFailed,
+    takeover: Takeover,
+    now: datetime.datetime,
+) -> list[takeover_events.Effect]:
+    return takeover.take_failed_comparison()
+
+
 @handle.register
 def _(
     event: takeover_events.LeaderReplaced,
--- a/hickorygate/upstreams/takeover_events.py
+++ b/hickorygate/upstreams/takeover_events.py
@@ -8,10 +8,12 @@
 from hickorygate.core import reply
 from hickorygate.core import types
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promotion_order
 
 __all__ = [
     "CandidateSeen",
     "CompareCandidate",
+    "ComparisonFailed",
     "Effect",
     "Event",
     "Finish",
@@ -85,15 +87,15 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class PromotionEnded(Event):
-    """The result of a promotion order, or of a comparison that failed.
+class ComparisonFailed(Event):
+    """A position could not be read, so that the comparison is repeated."""
 
-    Attributes:
-      accepted: whether the platform accepted the order; False if the
-        positions could not be read, so that the comparison is repeated.
-    """
 
-    accepted: bool
+@dataclasses.dataclass(frozen=True, slots=True)
+class PromotionEnded(Event):
+    """The result of a promotion order."""
+
+    outcome: promotion_order.OrderOutcome
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,8 +150,8 @@
 class CompareCandidate(Effect):
     """Read the primary's position, then the candidate's log end.
 
-    The result arrives as `CandidateSeen`, or as `PromotionEnded(False)` if a
-    position could not be read.
+    The result arrives as `CandidateSeen`, as `ComparisonFailed` if a position
+    could not be read, or as `LeaderReplaced` if the roles have changed.
     """
 
     leader: members.MemberId
--- a/properties/platform_simulation.py
+++ b/properties/platform_simulation.py
@@ -16,6 +16,7 @@
 from hickorygate.testing import line_log
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover as takeovers
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
@@ -274,5 +275,7 @@
                 )
             case takeover_events.OrderPromotion(name):
                 self.orders.append(name)
-                return takeover_events.PromotionEnded(True)
+                return takeover_events.PromotionEnded(
+                    promotion_order.OrderOutcome.ACCEPTED
+                )
         return None
--- a/properties/takeover_model.py
+++ b/properties/takeover_model.py
@@ -22,6 +22,7 @@
 from hickorygate.upstreams import commit_guard
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover as takeovers
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
@@ -525,17 +526,21 @@
             self.databases.get(candidate),
         )
         if first is None or second is None:
-            return takeover_events.PromotionEnded(False)
+            return takeover_events.ComparisonFailed()
         return takeover_events.CandidateSeen(
             first.log.visible, second.log.received
         )
 
     def _order(self, name: str) -> takeover_events.Event:
         if name not in self.databases:
-            return takeover_events.PromotionEnded(False)
+            return takeover_events.PromotionEnded(
+                promotion_order.OrderOutcome.REFUSED
+            )
         self.orders.append(name)
         self._ordered_at.append(self.now)
-        return takeover_events.PromotionEnded(True)
+        return takeover_events.PromotionEnded(
+            promotion_order.OrderOutcome.ACCEPTED
+        )
 
 
 def _handle(
@@ -557,4 +562,7 @@
             return takeover_events.ReplicaPaused(name, None)
         case takeover_events.ReplicaInspected(name, _, number):
             return takeover_events.ReplicaInspected(name, None, number)
-    return takeover_events.PromotionEnded(False)
+        case takeover_events.PromotionEnded():
+            unknown = promotion_order.OrderOutcome.UNKNOWN
+            return takeover_events.PromotionEnded(unknown)
+    return takeover_events.ComparisonFailed()
