--- a/hickorygate/upstreams/commit_check.py
+++ b/hickorygate/upstreams/commit_check.py
@@ -18,6 +18,7 @@
 from hickorygate.upstreams import commit_guard
 from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import takeover_timing
 
 if TYPE_CHECKING:
     from hickorygate.upstreams import group_monitor
@@ -178,7 +179,7 @@
         self, name: members.MemberId, now: datetime.datetime
     ) -> None:
         """Asks one replica, and wakes the commits that wait."""
-        long_enough = now - commit_guard.TAKEOVER_SPAN
+        long_enough = now - takeover_timing.TAKEOVER_SPAN
         try:
             replica = await self._group.prober.ask_running(name, long_enough)
         finally:
--- a/hickorygate/upstreams/commit_guard.py
+++ b/hickorygate/upstreams/commit_guard.py
@@ -31,12 +31,9 @@
 from hickorygate.core import reply
 from hickorygate.core import types
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import takeover_timing
 
-__all__ = ["LIST_DELAY", "TAKEOVER_SPAN", "CommitGuard", "Replica", "View"]
-
-TAKEOVER_SPAN = datetime.timedelta(seconds=10)
-"""Time after the beginning of a takeover within which its order takes effect,
-if ever: the longest takeover, the longest wait for the effect, and a margin."""
+__all__ = ["LIST_DELAY", "CommitGuard", "Replica", "View"]
 
 LIST_DELAY = datetime.timedelta(seconds=1)
 """Time after which all proxies know that a replica has joined."""
@@ -189,7 +186,9 @@
         now: datetime.datetime,
     ) -> frozenset[members.MemberId]:
         """Returns the replicas that every takeover takes into account."""
-        listed = self._listed(names, now, TAKEOVER_SPAN + LIST_DELAY)
+        listed = self._listed(
+            names, now, takeover_timing.TAKEOVER_SPAN + LIST_DELAY
+        )
         return frozenset(
             name
             for name in listed
@@ -220,4 +219,4 @@
 
 def _has_run(since: datetime.datetime | None, now: datetime.datetime) -> bool:
     """Returns whether a process ran throughout the longest takeover."""
-    return since is not None and now - since >= TAKEOVER_SPAN
+    return since is not None and now - since >= takeover_timing.TAKEOVER_SPAN
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -48,6 +48,7 @@
 from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
+from hickorygate.upstreams import takeover_timing
 
 __all__ = [
     "Stage",
@@ -62,9 +63,6 @@
 """Maximum time for enough replicas to answer. The lease is then free for
 another proxy, which may reach them."""
 
-_EFFECT_TIMEOUT = datetime.timedelta(seconds=3)
-"""Maximum time for an accepted promotion to take effect."""
-
 _RETRY_INTERVAL = datetime.timedelta(milliseconds=150)
 """Minimum time between a refused order and the next one."""
 
@@ -170,7 +168,7 @@
             case Stage.PROMOTING:
                 return self._promotion_effects(now)
             case Stage.AWAITING:
-                if now - self._stage_started >= _EFFECT_TIMEOUT:
+                if now - self._stage_started >= takeover_timing.EFFECT_SPAN:
                     return [self._abort("the promotion had no effect")]
                 return self._status_effects(self._plan.pause, now)
         return []
