Let a takeover order no second database while an order may take effect

Callers could lose acknowledged commits: two databases were promoted one after the other, and the second one lacked what the first acknowledged.

Cause: a database that joined while an order was unanswered sent the takeover back to pausing. The answer that accepted the order was then dropped, and the choice was made anew. An order whose answer was lost was taken for a refused one, and the choice was made anew as well.

Once an order was made that may take effect, the takeover stays with its database: PromotionAttempt repeats only that order while it has no answer, and replicas that join or restart are paused without leaving the stage. Only a refusal leads back, over new pauses of the replicas that lost theirs. The takeover ends when its last order is overdue, at the latest after the span that commit_guard counts on, and requests no order in the last 4 s of it. Before, it ended 6 s after its beginning even if an order had been accepted a moment ago.

--- a/hickorygate/tests/test_takeover.py
+++ b/hickorygate/tests/test_takeover.py
@@ -370,6 +370,85 @@
         following = self.join_after_order(_UNKNOWN)
         self.assertNotIn(takeover_events.OrderPromotion("d"), following)
 
+    def test_a_refused_order_lets_another_database_be_chosen(self) -> None:
+        self.order()
+        self.takeover.add_replicas(frozenset("abcd"), clock.at(0.15))
+        self.feed(takeover_events.PromotionEnded(_REFUSED), 0.2)
+        effects = self.takeover.advance(clock.at(0.4))
+        self.assertEqual(effects, [takeover_events.PauseReplica("d", 2)])
+        paused = takeover_events.ReplicaPaused("d", _status(7))
+        asked = self.feed(paused, 0.4)
+        effects = self.verify(*asked, at=0.4, b=5, c=6, d=7)
+        self.assertEqual(effects, [takeover_events.OrderPromotion("d")])
+
+    def test_an_order_without_an_answer_is_repeated(self) -> None:
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_UNKNOWN), 1.1)
+        again = self.takeover.advance(clock.at(1.3))
+        self.assertIn(takeover_events.OrderPromotion("c"), again)
+
+    def test_a_refusal_after_an_order_without_an_answer_decides_nothing(
+        self,
+    ) -> None:
+        # The first order may take effect.
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_UNKNOWN), 1.1)
+        self.takeover.advance(clock.at(1.3))
+        self.feed(takeover_events.PromotionEnded(_REFUSED), 1.4)
+        self.assertEqual(self.takeover.stage, takeover.Stage.AWAITING)
+        again = self.takeover.advance(clock.at(1.6))
+        self.assertIn(takeover_events.OrderPromotion("c"), again)
+
+    def test_a_replica_that_joins_after_the_order_is_paused(self) -> None:
+        self.order()
+        self.takeover.add_replicas(frozenset("abcd"), clock.at(0.15))
+        asked = self.takeover.advance(clock.at(0.15))
+        effects = self.restart("d", 6, asked)
+        self.assertIn(takeover_events.PauseReplica("d", 2), effects)
+        self.assertEqual(self.takeover.stage, takeover.Stage.PROMOTING)
+
+    def test_a_replica_that_restarted_during_a_refused_order_is_paused_again(
+        self,
+    ) -> None:
+        # The log end that was compared before the order is outdated.
+        self.order()
+        self.restart("b", 9, self.takeover.advance(clock.at(0.3)))
+        self.feed(takeover_events.PromotionEnded(_REFUSED), 0.6)
+        effects = self.takeover.advance(clock.at(0.8))
+        self.assertEqual(effects, [takeover_events.PauseReplica("b", 2)])
+        paused = takeover_events.ReplicaPaused("b", _status(9))
+        asked = self.feed(paused, 0.8)
+        effects = self.verify(*asked, at=0.8, b=9, c=6)
+        self.assertEqual(effects, [takeover_events.OrderPromotion("b")])
+
+    def test_the_takeover_lasts_until_its_order_is_overdue(self) -> None:
+        # Guards against another takeover beside an order that takes effect.
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_ACCEPTED), 5.9)
+        self.assertEqual(self.finished(8.8), [])
+        (end,) = self.finished(8.9)
+        self.assertFalse(end.succeeded)
+
+    def test_no_order_is_requested_late(self) -> None:
+        # An order must not take effect after the span of a takeover.
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_UNKNOWN), 5.9)
+        late = self.takeover.advance(clock.at(6.1))
+        self.assertNotIn(takeover_events.OrderPromotion("c"), late)
+
+    def test_an_order_that_is_never_answered_ends_the_takeover(self) -> None:
+        self.order()
+        self.assertEqual(self.finished(9.9), [])
+        self.assertEqual(len(self.finished(10)), 1)
+
+    def finished(self, at: float) -> list[takeover_events.Effect]:
+        """Returns the end of the takeover if it ends now."""
+        return [
+            effect
+            for effect in self.takeover.advance(clock.at(at))
+            if isinstance(effect, takeover_events.Finish)
+        ]
+
     def test_a_new_primary_ends_the_takeover_and_the_former_is_demoted(
         self,
     ) -> None:
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -21,9 +21,10 @@
 A pause ends when its replica restarts, and the replica then receives from the
 former primary again. So the order follows only after all paused replicas were
 asked once more, when the last of them had confirmed its pause: what they hold
-then is all that was acknowledged. After an order, which can't be taken back,
-replicas that restart are paused again, and `commit_guard` withholds what was
-acknowledged meanwhile. Replicas that join are paused like the others.
+then is all that was acknowledged. An order can't be taken back: once one may
+take effect, no other database is ordered (`promotion_attempt`). Replicas that
+join or restart from then on are paused without another choice, and
+`commit_guard` withholds what was acknowledged meanwhile.
 
 A pause is never revoked. A promotion that this proxy or another one ordered
 can still take effect; a replica that resumed replication from the former
@@ -45,7 +46,7 @@
 from hickorygate.core import reply
 from hickorygate.upstreams import call_pacing
 from hickorygate.upstreams import member as members
-from hickorygate.upstreams import promotion_order
+from hickorygate.upstreams import promotion_attempt
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
 from hickorygate.upstreams import takeover_timing
@@ -57,15 +58,13 @@
 ]
 
 _TAKEOVER_TIMEOUT = datetime.timedelta(seconds=6)
-"""Maximum duration of a takeover."""
+"""Time after which a takeover requests no order any more. It ends then unless
+an order may still take effect."""
 
 _INSPECTION_TIMEOUT = datetime.timedelta(seconds=1.5)
 """Maximum time for enough replicas to answer. The lease is then free for
 another proxy, which may reach them."""
 
-_RETRY_INTERVAL = datetime.timedelta(milliseconds=150)
-"""Minimum time between a refused order and the next one."""
-
 
 class Stage(enum.Enum):
     """The stage of a takeover."""
@@ -82,12 +81,12 @@
     """One attempt to replace a primary."""
 
     __slots__ = (
+        "_attempt",
         "_chosen",
         "_inspected",
         "_log_ends",
         "_pacing",
         "_plan",
-        "_refused_at",
         "_stage",
         "_stage_number",
         "_stage_started",
@@ -108,7 +107,7 @@
         self._inspected: set[members.MemberId] = set()
         self._verified: set[members.MemberId] = set()
         self._log_ends: dict[members.MemberId, position.Position] = {}
-        self._refused_at: datetime.datetime | None = None
+        self._attempt = promotion_attempt.PromotionAttempt()
         self._pacing = call_pacing.CallPacing()
         self._chosen = plan.candidate
 
@@ -140,18 +139,20 @@
 
         Must be called after each event and periodically.
         """
-        if now - self._started >= _TAKEOVER_TIMEOUT:
+        if now >= self._ends_at:
             return [self._abort("timed out")]
         if self._stage is Stage.INSPECTING and self._enough_inspected():
             self._enter_stage(Stage.PAUSING, now)
+        if self._stage is Stage.PROMOTING and self._attempt.may_choose_anew(
+            now
+        ):
+            self._resume_after_refusal(now)
         if self._stage is Stage.PAUSING and self._enough(self._statuses):
             planned = self._plan.candidate is not None
             following = Stage.CATCHING_UP if planned else Stage.VERIFYING
             self._enter_stage(following, now)
         if self._stage is Stage.VERIFYING and self._enough(self._verified):
             self._finish_verifying(now)
-        if self._stage is Stage.PROMOTING and self._retry_is_due(now):
-            self._enter_stage(Stage.VERIFYING, now)
         match self._stage:
             case Stage.INSPECTING:
                 if now - self._stage_started >= _INSPECTION_TIMEOUT:
@@ -168,9 +169,9 @@
             case Stage.PROMOTING:
                 return self._promotion_effects(now)
             case Stage.AWAITING:
-                if now - self._stage_started >= takeover_timing.EFFECT_SPAN:
+                if self._attempt.overdue(now):
                     return [self._abort("the promotion had no effect")]
-                return self._status_effects(self._plan.pause, now)
+                return self._promotion_effects(now)
         return []
 
     def add_replicas(
@@ -183,7 +184,7 @@
         self._plan = dataclasses.replace(
             self._plan, pause=self._plan.pause | joined
         )
-        if self._stage not in (Stage.INSPECTING, Stage.AWAITING):
+        if self._stage is not Stage.INSPECTING and not self._attempt.binding:
             self._enter_stage(Stage.PAUSING, now)
 
     def take_inspection(
@@ -200,7 +201,7 @@
                 return self._inspect(event.member, event.status)
             case Stage.VERIFYING:
                 return self._verify(event.member, event.status, now)
-            case Stage.AWAITING:
+            case Stage.PROMOTING | Stage.AWAITING:
                 return self._watch(event.member, event.status)
         return []
 
@@ -237,11 +238,16 @@
     def _watch(
         self, name: members.MemberId, status: reply.ReplicationStatus
     ) -> list[takeover_events.Effect]:
-        """Handles the status of a replica after the order."""
+        """Handles the status of a replica after the order.
+
+        A replica whose pause has ended must be paused and verified again before
+        another order, if this one is refused.
+        """
         if status.is_primary or status.term >= self._plan.term:
             return []
         if status.paused_for >= self._plan.term:
             return []
+        self._statuses.pop(name, None)
         return [
             takeover_events.RecordLostPause(name, ordered=True),
             takeover_events.PauseReplica(name, self._plan.term),
@@ -253,7 +259,7 @@
         """Handles the response to a pause request."""
         self._pacing.end_call(event.member)
         status = event.status
-        if status is None or self._stage is Stage.AWAITING:
+        if status is None or self._attempt.binding:
             return []
         if status.term >= self._plan.term:
             return [self._abort("another database leads a newer term")]
@@ -290,13 +296,9 @@
         self, event: takeover_events.PromotionEnded, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
         """Handles the response to a promotion order."""
-        self._pacing.end_all_calls()
-        if self._stage is not Stage.PROMOTING:
-            return []
-        if event.outcome is promotion_order.OrderOutcome.ACCEPTED:
+        self._attempt.end_order(event.outcome, now)
+        if self._stage is Stage.PROMOTING and self._attempt.binding:
             self._enter_stage(Stage.AWAITING, now)
-        else:
-            self._refused_at = now
         return []
 
     def handle_leader(
@@ -320,6 +322,16 @@
             )
         ]
 
+    @property
+    def _ends_at(self) -> datetime.datetime:
+        """Time after which nothing of the takeover can take effect."""
+        limit = (
+            takeover_timing.TAKEOVER_SPAN
+            if self._attempt.binding
+            else _TAKEOVER_TIMEOUT
+        )
+        return self._started + limit
+
     @property
     def _replicas(self) -> frozenset[members.MemberId]:
         """The databases that must not be the primary when replicas pause."""
@@ -347,14 +359,14 @@
             self._chosen = max(self._verified, key=self._promotion_key)
         self._enter_stage(Stage.PROMOTING, now)
 
-    def _retry_is_due(self, now: datetime.datetime) -> bool:
-        """Returns whether to repeat an order that was refused.
+    def _resume_after_refusal(self, now: datetime.datetime) -> None:
+        """Prepares another order.
 
         The pauses are verified again first: what is known of them may be as old
         as the refused order.
         """
-        refused = self._refused_at
-        return refused is not None and now - refused >= _RETRY_INTERVAL
+        unpaused = self._plan.pause - self._statuses.keys()
+        self._enter_stage(Stage.PAUSING if unpaused else Stage.VERIFYING, now)
 
     def _promotion_key(
         self, name: members.MemberId
@@ -371,9 +383,12 @@
         self._stage = stage
         self._stage_number += 1
         self._stage_started = now
-        self._pacing.reset()
         self._verified.clear()
-        self._refused_at = None
+        if stage is Stage.PROMOTING:
+            # The replicas were asked a moment ago.
+            self._pacing.end_all_calls()
+        else:
+            self._pacing.reset()
 
     def _inspection_effects(
         self, now: datetime.datetime
@@ -412,11 +427,15 @@
     def _promotion_effects(
         self, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
+        """Returns the order if it is due, and asks for the pauses after it."""
         assert self._chosen is not None, "no replica selected for promotion"
-        if self._refused_at is not None:
-            return []
-        due = self._pacing.start_call(self._chosen, now)
-        return [takeover_events.OrderPromotion(self._chosen)] if due else []
+        effects: list[takeover_events.Effect] = []
+        in_time = now - self._started < _TAKEOVER_TIMEOUT
+        if in_time and self._attempt.start_order(now):
+            effects.append(takeover_events.OrderPromotion(self._chosen))
+        if self._attempt.binding:
+            effects += self._status_effects(self._plan.pause, now)
+        return effects
 
     def _abort(self, outcome: str) -> takeover_events.Finish:
         return takeover_events.Finish(False, None, f"aborted: {outcome}")
