--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -36,16 +36,17 @@
 from __future__ import annotations
 
 from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Set
 import dataclasses
 import datetime
 import enum
 import functools
 
-from hickorygate.core import position
 from hickorygate.core import reply
 from hickorygate.upstreams import call_pacing
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import paused_replicas
 from hickorygate.upstreams import promotion_attempt
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
@@ -84,15 +85,13 @@
         "_attempt",
         "_chosen",
         "_inspected",
-        "_log_ends",
         "_pacing",
+        "_paused",
         "_plan",
         "_stage",
         "_stage_number",
         "_stage_started",
         "_started",
-        "_statuses",
-        "_verified",
     )
 
     def __init__(
@@ -103,10 +102,8 @@
         self._stage_number = 0
         self._started = now
         self._stage_started = now
-        self._statuses: dict[members.MemberId, reply.ReplicationStatus] = {}
+        self._paused = paused_replicas.PausedReplicas()
         self._inspected: set[members.MemberId] = set()
-        self._verified: set[members.MemberId] = set()
-        self._log_ends: dict[members.MemberId, position.Position] = {}
         self._attempt = promotion_attempt.PromotionAttempt()
         self._pacing = call_pacing.CallPacing()
         self._chosen = plan.candidate
@@ -127,9 +124,9 @@
         return self._chosen
 
     @property
-    def statuses(self) -> dict[members.MemberId, reply.ReplicationStatus]:
+    def statuses(self) -> Mapping[members.MemberId, reply.ReplicationStatus]:
         """The statuses of the paused replicas, by database."""
-        return self._statuses
+        return self._paused.statuses
 
     def __repr__(self) -> str:
         return f"Takeover({self._plan.service!r}, {self._stage.value})"
@@ -147,11 +144,13 @@
             now
         ):
             self._resume_after_refusal(now)
-        if self._stage is Stage.PAUSING and self._enough(self._statuses):
+        if self._stage is Stage.PAUSING and self._enough(self.statuses):
             planned = self._plan.candidate is not None
             following = Stage.CATCHING_UP if planned else Stage.VERIFYING
             self._enter_stage(following, now)
-        if self._stage is Stage.VERIFYING and self._enough(self._verified):
+        if self._stage is Stage.VERIFYING and self._enough(
+            self._paused.verified
+        ):
             self._finish_verifying(now)
         match self._stage:
             case Stage.INSPECTING:
@@ -161,9 +160,7 @@
             case Stage.PAUSING:
                 return self._pause_effects(now)
             case Stage.VERIFYING:
-                return self._status_effects(
-                    frozenset(self._statuses) - self._verified, now
-                )
+                return self._status_effects(self._paused.unverified, now)
             case Stage.CATCHING_UP:
                 return self._compare_effects(now)
             case Stage.PROMOTING:
@@ -226,13 +223,13 @@
         """Handles the status of a replica that had confirmed its pause."""
         if status.is_primary or status.term >= self._plan.term:
             return [self._abort("another database leads a newer term")]
-        if name not in self._statuses:
+        if name not in self.statuses:
             return []
         if status.paused_for < self._plan.term:
-            del self._statuses[name]
+            self._paused.record_lost_pause(name)
             self._enter_stage(Stage.PAUSING, now)
             return [takeover_events.RecordLostPause(name, ordered=False)]
-        self._verified.add(name)
+        self._paused.record_verification(name)
         return []
 
     def _watch(
@@ -247,7 +244,7 @@
             return []
         if status.paused_for >= self._plan.term:
             return []
-        self._statuses.pop(name, None)
+        self._paused.record_lost_pause(name)
         return [
             takeover_events.RecordLostPause(name, ordered=True),
             takeover_events.PauseReplica(name, self._plan.term),
@@ -263,11 +260,10 @@
             return []
         if status.term >= self._plan.term:
             return [self._abort("another database leads a newer term")]
-        if status.received < self._log_ends.get(event.member, status.received):
+        if self._paused.has_lost_log(event.member, status):
             return [self._abort(f"{event.member} has lost its log")]
         if status.paused_for >= self._plan.term:
-            self._statuses[event.member] = status
-            self._log_ends[event.member] = status.received
+            self._paused.record_pause(event.member, status)
         return []
 
     def take_candidate(
@@ -356,7 +352,7 @@
 
     def _finish_verifying(self, now: datetime.datetime) -> None:
         if self._plan.candidate is None:
-            self._chosen = max(self._verified, key=self._promotion_key)
+            self._chosen = self._paused.most_advanced(self._plan.leaving)
         self._enter_stage(Stage.PROMOTING, now)
 
     def _resume_after_refusal(self, now: datetime.datetime) -> None:
@@ -365,25 +361,14 @@
         The pauses are verified again first: what is known of them may be as old
         as the refused order.
         """
-        unpaused = self._plan.pause - self._statuses.keys()
+        unpaused = self._plan.pause - self.statuses.keys()
         self._enter_stage(Stage.PAUSING if unpaused else Stage.VERIFYING, now)
 
-    def _promotion_key(
-        self, name: members.MemberId
-    ) -> tuple[position.Position, bool, str]:
-        """Returns the sort key for the selection of the replica to promote.
-
-        The greatest log end wins; among equals, a database that is not about
-        to stop is preferred.
-        """
-        stays = name not in self._plan.leaving
-        return (self._statuses[name].received, stays, name)
-
     def _enter_stage(self, stage: Stage, now: datetime.datetime) -> None:
         self._stage = stage
         self._stage_number += 1
         self._stage_started = now
-        self._verified.clear()
+        self._paused.reset_verification()
         if stage is Stage.PROMOTING:
             # The replicas were asked a moment ago.
             self._pacing.end_all_calls()
@@ -407,7 +392,7 @@
     def _pause_effects(
         self, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
-        unpaused = self._plan.pause - self._statuses.keys()
+        unpaused = self._plan.pause - self.statuses.keys()
         return [
             takeover_events.PauseReplica(name, self._plan.term)
             for name in sorted(unpaused)
