Hold the promotion lease until no order can take effect

Callers could lose acknowledged commits: another proxy, or the same one in its next takeover, ordered a database while an earlier order could still take effect.

Cause: the lease knew one flag, set by an order whose answer was lost. It was not set by an accepted order whose takeover ended before it took effect, nor while an order was under way; and acquiring the lease for another group cleared it. The process itself didn't wait for its own orders at all.

PendingOrders lists every order from the moment it is sent until it was refused, has taken effect, or can't any more (takeover_timing.EFFECT_SPAN). While there is one, the lease is left to expire, and this process begins no other takeover of the same group. After a takeover whose only order took effect the lease is released at once, also if the answer was lost.

--- a/hickorygate/tests/test_lease_record.py
+++ b/hickorygate/tests/test_lease_record.py
@@ -6,6 +6,7 @@
 
 from hickorygate.testing import clock
 from hickorygate.upstreams import lease_record
+from hickorygate.upstreams import takeover_timing
 
 
 class LeaseStateTest(unittest.TestCase):
@@ -71,6 +72,17 @@
         self.assertEqual(action.record.number, 2)
         self.assertFalse(self.one.may_call(clock.at(4.7)))
 
+    def test_no_order_takes_effect_under_the_next_lease(self) -> None:
+        self.claim(self.one, 0)
+        last_order = max(
+            at / 100
+            for at in range(400)
+            if self.one.may_order(clock.at(at / 100))
+        )
+        effect = last_order + takeover_timing.EFFECT_SPAN.total_seconds()
+        self.claim(self.two, 0)
+        self.assertIsInstance(self.claim(self.two, effect), lease_record.Wait)
+
     def test_a_renewal_restarts_the_wait(self) -> None:
         self.claim(self.one, 0)
         self.claim(self.two, 0.1)
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -301,6 +301,9 @@
         )
         if not effect.succeeded:
             self._trigger.pause(self._clock.now())
+        elif self._group.leader is not None:
+            leader = self._group.leader.member
+            self._lease.note_primary(plan.service, leader)
         if effect.demote is not None:
             demote = database_request.Demote(plan.term)
             self._calls.start(self._send(effect.demote, demote))
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -87,7 +87,7 @@
         self._order = takeover_order.TakeoverOrder(lease_state.name)
         self._orders: dict[types.ServiceName, takeover_order.TakeoverOrder] = {}
         self._use_count = 0
-        self._order_unanswered = False
+        self._pending = promotion_order.PendingOrders()
         self._retry_delay = _RETRY_DELAY
         self._lock = asyncio.Lock()
 
@@ -142,8 +142,11 @@
 
         Returns:
           Whether the lease is held; if so, `release` must be called later.
+          False while an order for the service may still take effect.
         """
         await self._wait_for_turn(needed, self.order(service).delay)
+        if not await self._wait_for_effect(needed, service):
+            return False
         async with self._lock:
             held = self.held or await self._acquire(needed)
         if held:
@@ -153,15 +156,14 @@
     async def release(self) -> None:
         """Ends one use of the lease and releases it after the last one.
 
-        After an order whose response was lost the lease is left to expire
-        instead. That order can still take effect, and no higher fencing token
-        may be issued before it does.
+        While an order can still take effect, the lease is left to expire
+        instead: no higher fencing token may be issued before it does.
         """
         self._use_count -= 1
-        if self._use_count or self._order_unanswered:
-            return
         async with self._lock:
-            write = None if self._use_count else self._lease_state.release()
+            if self._use_count or self._pending.any_pending(self._clock.now()):
+                return
+            write = self._lease_state.release()
             if write is not None:
                 await self._write(write)
 
@@ -183,16 +185,30 @@
         record = self._lease_state.record
         if record is None or not self._may_order():
             return promotion_order.OrderOutcome.REFUSED
-        # The store checks the lease again after connecting, because this
-        # process may have been suspended in the meantime.
-        ordered = await self._store.promote(
-            service, member, record, self._may_order
-        )
+        sent: list[promotion_order.PendingOrder] = []
+
+        def may_send() -> bool:
+            # The store checks the lease again after connecting, because this
+            # process may have been suspended in the meantime.
+            if not self._may_order():
+                return False
+            now = self._clock.now()
+            sent.append(self._pending.record_sent(service, member, now))
+            return True
+
+        ordered = await self._store.promote(service, member, record, may_send)
         outcome = _outcome(ordered)
-        if outcome is promotion_order.OrderOutcome.UNKNOWN:
-            self._order_unanswered = True
+        if outcome is promotion_order.OrderOutcome.REFUSED:
+            for order in sent:
+                self._pending.record_refused(order)
         return outcome
 
+    def note_primary(
+        self, service: types.ServiceName, member: members.MemberId
+    ) -> None:
+        """Notes that a database leads that was to be promoted."""
+        self._pending.record_primary(service, member)
+
     def _may_order(self) -> bool:
         return self._lease_state.may_order(self._clock.now())
 
@@ -207,12 +223,25 @@
                 return
             await self._clock.sleep(min(left, _TURN_CHECK_INTERVAL))
 
+    async def _wait_for_effect(
+        self, needed: Callable[[], bool], service: types.ServiceName
+    ) -> bool:
+        """Waits until no order of this process for a service takes effect.
+
+        Returns:
+          Whether none does; False if the caller doesn't need to know any more.
+        """
+        while left := self._pending.remaining(service, self._clock.now()):
+            if not needed():
+                return False
+            await self._clock.sleep(min(left, _TURN_CHECK_INTERVAL))
+        return True
+
     async def _acquire(self, needed: Callable[[], bool]) -> bool:
         give_up_at = self._clock.now() + _ACQUIRE_TIMEOUT
         while needed() and self._clock.now() < give_up_at:
             wait = await self._attempt()
             if wait is None:
-                self._order_unanswered = False
                 self._journal.record(platform_events.DutyWon(self.number))
                 return True
             await self._clock.sleep(wait)
