Send an order only while the takeover that requested it may still order

Callers could lose acknowledged commits: an order was sent on the strength of pauses that another takeover had made obsolete.

Cause: between its request and its sending an order waits, for the lock of the lease, for its renewal and for a connection, for many seconds if the store is slow. Only the lease was checked right before sending. So the order was also sent if its takeover had ended meanwhile, if it would take effect after the span on which commit_guard relies, or if the lease had been lost to another proxy, which had promoted a database, and was acquired again by the renewal; with the former number even, where the record was read before.

The order is now checked right before it is sent: its takeover still runs, its time isn't up (takeover_timing.ORDER_WINDOW), the number is the present one, and the tenure of the lease is that of the takeover's beginning. LeaseState counts a new tenure whenever another process may have held the lease. A takeover whose tenure has passed ends at once instead of verifying anew. A lease that no takeover uses any more isn't renewed.

--- a/hickorygate/tests/test_lease_record.py
+++ b/hickorygate/tests/test_lease_record.py
@@ -83,6 +83,41 @@
         self.claim(self.two, 0)
         self.assertIsInstance(self.claim(self.two, effect), lease_record.Wait)
 
+    def test_a_renewed_lease_keeps_its_tenure(self) -> None:
+        self.claim(self.one, 0)
+        tenure = self.one.tenure
+        self.claim(self.one, 5)
+        self.assertEqual(self.one.tenure, tenure)
+
+    def test_the_tenure_changes_after_another_holder(self) -> None:
+        self.claim(self.one, 0)
+        tenure = self.one.tenure
+        self.claim(self.two, 0)
+        self.claim(self.two, 5)
+        self.store(self.two, self.two.release(), 5)
+        self.claim(self.one, 5)
+        self.assertTrue(self.one.may_order(clock.at(5)))
+        self.assertNotEqual(self.one.tenure, tenure)
+
+    def test_the_tenure_outlasts_a_restore_at_which_the_holder_goes_on(
+        self,
+    ) -> None:
+        self.claim(self.one, 0)
+        tenure = self.one.tenure
+        self.era, self.stored = 1, None
+        self.claim(self.one, 0.5)
+        self.assertTrue(self.one.may_order(clock.at(0.5)))
+        self.assertEqual(self.one.tenure, tenure)
+
+    def test_a_restore_some_time_ago_begins_another_tenure(self) -> None:
+        self.claim(self.one, 0)
+        tenure = self.one.tenure
+        self.era, self.stored = 1, None
+        self.claim(self.one, 5)
+        self.claim(self.one, 8)
+        self.assertTrue(self.one.may_order(clock.at(8)))
+        self.assertNotEqual(self.one.tenure, tenure)
+
     def test_a_renewal_restarts_the_wait(self) -> None:
         self.claim(self.one, 0)
         self.claim(self.two, 0.1)
--- a/hickorygate/tests/test_promotion_lease.py
+++ b/hickorygate/tests/test_promotion_lease.py
@@ -22,17 +22,20 @@
 class _Store(line_cluster.MemoryStore):
     """A store that drops the responses to promotions while `dropping`.
 
-    It refuses promotions unless `accepting`, and answers after `delaying` if
-    that is set.
+    It refuses promotions unless `accepting`. It receives them after
+    `connecting`, and answers after `delaying`, if these are set.
     """
 
     dropping = False
     accepting = False
+    connecting: asyncio.Event | None = None
     delaying: asyncio.Event | None = None
 
     async def promote(
         self, *args: object
     ) -> expression.Result[None, errors.Failure]:
+        if self.connecting is not None:
+            await self.connecting.wait()
         ordered = await super().promote(*args)  # type: ignore[arg-type]
         if self.delaying is not None:
             await self.delaying.wait()
@@ -195,6 +198,39 @@
         await self.order(self.one)
         self.assertEqual(await self.acquire_time(self.one, "ledger"), 0)
 
+    async def test_an_order_that_is_not_wanted_any_more_is_not_sent(
+        self,
+    ) -> None:
+        self.assertTrue(await self.one.acquire(lambda: True))
+        outcome = await self.one.promote("ledger", "b", lambda: False)
+        self.assertIs(outcome, promotion_order.OrderOutcome.REFUSED)
+        self.assertEqual(self.store.promotion_calls, [])
+        await self.one.release()
+        self.assertEqual(await self.acquire_time(self.two), 0)
+
+    async def test_no_order_is_sent_with_the_number_of_a_former_lease(
+        self,
+    ) -> None:
+        self.store.connecting = asyncio.Event()
+        self.assertTrue(await self.one.acquire(lambda: True))
+        ordering = asyncio.create_task(self.one.promote("ledger", "b"))
+        await asyncio.sleep(0.01)
+        tenure = self.one.tenure
+        await self.acquire_time(self.two)
+        await self.two.release()
+        self.assertTrue(await self.one.acquire(lambda: True))
+        self.assertNotEqual(self.one.tenure, tenure)
+        self.store.connecting.set()
+        outcome = await ordering
+        self.assertIs(outcome, promotion_order.OrderOutcome.REFUSED)
+        self.assertEqual(self.store.promotion_calls, [])
+
+    async def test_a_lease_that_nobody_uses_is_not_renewed(self) -> None:
+        self.assertTrue(await self.one.acquire(lambda: True))
+        await self.one.release()
+        self.assertFalse(await self.one.renew())
+        self.assertEqual(await self.acquire_time(self.two), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/hickorygate/tests/test_takeover.py
+++ b/hickorygate/tests/test_takeover.py
@@ -12,6 +12,7 @@
 from hickorygate.upstreams import takeover
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
+from hickorygate.upstreams import takeover_timing
 
 _ACCEPTED = promotion_order.OrderOutcome.ACCEPTED
 _REFUSED = promotion_order.OrderOutcome.REFUSED
@@ -449,6 +450,34 @@
             if isinstance(effect, takeover_events.Finish)
         ]
 
+    def test_no_order_is_sent_after_another_holder_of_the_lease(self) -> None:
+        # The other one may have promoted a database meanwhile.
+        self.order()
+        lost = takeover_events.LeaseLost()
+        (end,) = takeover.handle(lost, self.takeover, clock.at(0.2))
+        self.assertFalse(end.succeeded)
+
+    def test_an_order_without_an_answer_outlasts_the_lease(self) -> None:
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_UNKNOWN), 1.1)
+        self.takeover.advance(clock.at(1.3))
+        lost = takeover_events.LeaseLost()
+        effects = takeover.handle(lost, self.takeover, clock.at(1.4))
+        self.assertEqual(effects, [])
+        self.assertEqual(self.takeover.stage, takeover.Stage.AWAITING)
+
+    def test_an_order_takes_effect_within_the_span_of_the_takeover(
+        self,
+    ) -> None:
+        self.order()
+        latest = max(
+            at / 10
+            for at in range(200)
+            if self.takeover.may_order(clock.at(at / 10))
+        )
+        effect = latest + takeover_timing.EFFECT_SPAN.total_seconds()
+        self.assertLess(effect, takeover_timing.TAKEOVER_SPAN.total_seconds())
+
     def test_a_new_primary_ends_the_takeover_and_the_former_is_demoted(
         self,
     ) -> None:
--- a/hickorygate/upstreams/lease_record.py
+++ b/hickorygate/upstreams/lease_record.py
@@ -170,6 +170,7 @@
         "_name",
         "_number",
         "_stored",
+        "_tenure",
         "_unchanged_since",
     )
 
@@ -183,6 +184,7 @@
         self._era = 0
         self._era_since: datetime.datetime | None = None
         self._number = 0
+        self._tenure = 0
 
     @property
     def name(self) -> types.ProxyName:
@@ -194,6 +196,14 @@
         """The record as last read; None if there was none."""
         return self._stored.record if self._stored else None
 
+    @property
+    def tenure(self) -> int:
+        """A number that rises if another process may have held the lease.
+
+        What this process learned under one tenure may be outdated in the next.
+        """
+        return self._tenure
+
     def __repr__(self) -> str:
         return f"LeaseState({self._name!r}, {self.record!r})"
 
@@ -289,10 +299,13 @@
           reading: record, revision and era that the store returned.
           sent: time at which the call was started.
         """
+        continued = self._owns(self._stored) or self._may_resume(sent)
         if not self.record_read(reading, sent) or reading.stored is None:
             return
         if not self._owns(reading.stored):
             return
+        if not continued:
+            self._tenure += 1
         if reading.stored.record.released:
             self._held_until = None
         else:
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -49,6 +49,7 @@
         self._takeover: takeovers.Takeover | None = None
         self._calls = background.BackgroundTasks()
         self._trigger = takeover_trigger.TakeoverTrigger()
+        self._tenure = 0
 
     @property
     def active(self) -> bool:
@@ -127,6 +128,7 @@
         if plan is None:
             return
         self._takeover = takeovers.Takeover(plan, self._clock.now())
+        self._tenure = self._lease.tenure
         self._record_start(plan, situation.leader or situation.lost)
         while self._takeover is not None:
             takeover = self._takeover
@@ -252,12 +254,14 @@
         self,
         effect: takeover_events.OrderPromotion,
         takeover: takeovers.Takeover,
-    ) -> takeover_events.PromotionEnded:
+    ) -> takeover_events.Event:
         """Renews the promotion lease and orders the promotion."""
         outcome = promotion_order.OrderOutcome.REFUSED
         if await self._lease.renew():
             outcome = await self._lease.promote(
-                self._group.service, effect.member
+                self._group.service,
+                effect.member,
+                lambda: self._may_order(takeover),
             )
         status = takeover.statuses.get(effect.member)
         self._journal.record(
@@ -269,8 +273,19 @@
                 outcome is promotion_order.OrderOutcome.ACCEPTED,
             )
         )
+        refused = outcome is promotion_order.OrderOutcome.REFUSED
+        if refused and self._lease.tenure != self._tenure:
+            return takeover_events.LeaseLost()
         return takeover_events.PromotionEnded(outcome)
 
+    def _may_order(self, takeover: takeovers.Takeover) -> bool:
+        """Returns whether a takeover may still send an order."""
+        return (
+            self._takeover is takeover
+            and self._lease.tenure == self._tenure
+            and takeover.may_order(self._clock.now())
+        )
+
     def record_lost_pause(
         self,
         effect: takeover_events.RecordLostPause,
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -70,6 +70,10 @@
         """
 
 
+def _always() -> bool:
+    return True
+
+
 class PromotionLease:
     """The promotion lease of this process, shared by all its takeovers."""
 
@@ -102,6 +106,11 @@
         record = self._lease_state.record
         return record.number if record else 0
 
+    @property
+    def tenure(self) -> int:
+        """A number that rises if another process may have held the lease."""
+        return self._lease_state.tenure
+
     def __repr__(self) -> str:
         return f"PromotionLease({self._lease_state!r})"
 
@@ -170,18 +179,32 @@
     async def renew(self) -> bool:
         """Renews the lease unless the store confirmed it a moment ago.
 
+        A lease that nobody uses any more isn't renewed.
+
         Returns:
           Whether an order may be sent.
         """
         if self._may_order():
             return True
         async with self._lock:
+            if self._use_count == 0:
+                return False
             return self._may_order() or await self._attempt() is None
 
     async def promote(
-        self, service: types.ServiceName, member: members.MemberId
+        self,
+        service: types.ServiceName,
+        member: members.MemberId,
+        wanted: Callable[[], bool] = _always,
     ) -> promotion_order.OrderOutcome:
-        """Orders a promotion under the fencing token of the lease."""
+        """Orders a promotion under the fencing token of the lease.
+
+        Args:
+          service: service whose primary is replaced.
+          member: database to promote.
+          wanted: checked right before the order is sent; returns whether it is
+            still wanted.
+        """
         record = self._lease_state.record
         if record is None or not self._may_order():
             return promotion_order.OrderOutcome.REFUSED
@@ -190,7 +213,7 @@
         def may_send() -> bool:
             # The store checks the lease again after connecting, because this
             # process may have been suspended in the meantime.
-            if not self._may_order():
+            if not self._may_order_as(record) or not wanted():
                 return False
             now = self._clock.now()
             sent.append(self._pending.record_sent(service, member, now))
@@ -212,6 +235,10 @@
     def _may_order(self) -> bool:
         return self._lease_state.may_order(self._clock.now())
 
+    def _may_order_as(self, record: lease_record.LeaseRecord) -> bool:
+        """Returns whether an order may be sent with a record's number."""
+        return self.number == record.number and self._may_order()
+
     async def _wait_for_turn(
         self, needed: Callable[[], bool], delay: datetime.timedelta
     ) -> None:
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -48,6 +48,7 @@
 from hickorygate.upstreams import member as members
 from hickorygate.upstreams import paused_replicas
 from hickorygate.upstreams import promotion_attempt
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
 from hickorygate.upstreams import takeover_timing
@@ -128,6 +129,10 @@
         """The statuses of the paused replicas, by database."""
         return self._paused.statuses
 
+    def may_order(self, now: datetime.datetime) -> bool:
+        """Returns whether an order that is sent now takes effect in time."""
+        return now - self._started < takeover_timing.ORDER_WINDOW
+
     def __repr__(self) -> str:
         return f"Takeover({self._plan.service!r}, {self._stage.value})"
 
@@ -297,6 +302,18 @@
             self._enter_stage(Stage.AWAITING, now)
         return []
 
+    def take_lost_lease(
+        self, now: datetime.datetime
+    ) -> list[takeover_events.Effect]:
+        """Ends the takeover unless an earlier order may take effect.
+
+        What it knows of the pauses may be older than another proxy's takeover.
+        """
+        self._attempt.end_order(promotion_order.OrderOutcome.REFUSED, now)
+        if self._attempt.binding:
+            return []
+        return [self._abort("another proxy may have held the lease")]
+
     def handle_leader(
         self, event: takeover_events.LeaderFound
     ) -> list[takeover_events.Effect]:
@@ -488,6 +505,15 @@
     return takeover.take_promotion(event, now)
 
 
+@handle.register
+def _(
+    event: takeover_events.LeaseLost,
+    takeover: Takeover,
+    now: datetime.datetime,
+) -> list[takeover_events.Effect]:
+    return takeover.take_lost_lease(now)
+
+
 @handle.register
 def _(
     event: takeover_events.LeaderFound,
--- a/hickorygate/upstreams/takeover_events.py
+++ b/hickorygate/upstreams/takeover_events.py
@@ -20,6 +20,7 @@
     "InspectReplica",
     "LeaderFound",
     "LeaderReplaced",
+    "LeaseLost",
     "OrderPromotion",
     "PauseReplica",
     "PromotionEnded",
@@ -98,6 +99,11 @@
     outcome: promotion_order.OrderOutcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseLost(Event):
+    """An order wasn't sent, since another proxy may have ordered before it."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaderFound(Event):
     """A database was found to be the primary of a term."""
@@ -160,7 +166,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderPromotion(Effect):
-    """Order the promotion; the result arrives as PromotionEnded."""
+    """Order the promotion.
+
+    The result arrives as `PromotionEnded`, or as `LeaseLost` if the order
+    wasn't sent for that reason.
+    """
 
     member: members.MemberId
 
