--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -35,7 +35,6 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
 from collections.abc import Mapping
 from collections.abc import Set
 import dataclasses
@@ -149,11 +148,11 @@
             now
         ):
             self._resume_after_refusal(now)
-        if self._stage is Stage.PAUSING and self._enough(self.statuses):
+        if self._stage is Stage.PAUSING and self._plan.suffices(self.statuses):
             planned = self._plan.candidate is not None
             following = Stage.CATCHING_UP if planned else Stage.VERIFYING
             self._enter_stage(following, now)
-        if self._stage is Stage.VERIFYING and self._enough(
+        if self._stage is Stage.VERIFYING and self._plan.suffices(
             self._paused.verified
         ):
             self._finish_verifying(now)
@@ -180,7 +179,7 @@
         self, names: Set[members.MemberId], now: datetime.datetime
     ) -> None:
         """Adds the databases that joined the group meanwhile."""
-        joined = names - self._replicas - {self._plan.leader}
+        joined = names - self._plan.replicas - {self._plan.leader}
         if not joined:
             return
         self._plan = dataclasses.replace(
@@ -345,27 +344,10 @@
         )
         return self._started + limit
 
-    @property
-    def _replicas(self) -> frozenset[members.MemberId]:
-        """The databases that must not be the primary when replicas pause."""
-        candidate = self._plan.candidate
-        return self._plan.pause | ({candidate} if candidate else frozenset())
-
     def _enough_inspected(self) -> bool:
         if self._plan.candidate is not None:
-            return self._inspected >= self._replicas
-        return self._enough(self._inspected)
-
-    def _enough(self, answered: Collection[members.MemberId]) -> bool:
-        """Returns whether enough replicas answered to promote one of them.
-
-        In a planned takeover, which doesn't stop the primary, all must have.
-        """
-        missing = self._plan.pause.difference(answered)
-        if self._plan.candidate is not None:
-            return not missing
-        silent = len(missing) + self._plan.unreachable_count
-        return bool(answered) and silent <= self._plan.max_silent
+            return self._inspected >= self._plan.replicas
+        return self._plan.suffices(self._inspected)
 
     def _finish_verifying(self, now: datetime.datetime) -> None:
         if self._plan.candidate is None:
@@ -395,7 +377,7 @@
     def _inspection_effects(
         self, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
-        return self._status_effects(self._replicas - self._inspected, now)
+        return self._status_effects(self._plan.replicas - self._inspected, now)
 
     def _status_effects(
         self, names: Set[members.MemberId], now: datetime.datetime
--- a/hickorygate/upstreams/takeover_plan.py
+++ b/hickorygate/upstreams/takeover_plan.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Collection
 import dataclasses
 import functools
 
@@ -46,6 +47,23 @@
     leaving: frozenset[members.MemberId]
     leader_answers: bool = False
 
+    @property
+    def replicas(self) -> frozenset[members.MemberId]:
+        """The databases that must not be the primary when replicas pause."""
+        candidate = self.candidate
+        return self.pause | ({candidate} if candidate else frozenset())
+
+    def suffices(self, answered: Collection[members.MemberId]) -> bool:
+        """Returns whether enough replicas answered to promote one of them.
+
+        In a planned takeover, which doesn't stop the primary, all must have.
+        """
+        missing = self.pause.difference(answered)
+        if self.candidate is not None:
+            return not missing
+        silent = len(missing) + self.unreachable_count
+        return bool(answered) and silent <= self.max_silent
+
 
 def plan(
     service: types.ServiceName,
