Count the lost primary as silent even if it is unknown

Callers could lose acknowledged commits: a takeover promoted a replica while another one was silent, which alone held what the primary had acknowledged beside it.

Cause: the primary counted as silent only while it was listed or remembered as departed. A process that started after the primary's entry was gone knows of neither, so one silent replica was allowed in addition. The primary counts always now.

If the primary is unknown and a listed database is silent, that one may be the primary or not; the takeover waits until it answers or its entry lapses.

--- a/hickorygate/upstreams/takeover_plan.py
+++ b/hickorygate/upstreams/takeover_plan.py
@@ -28,8 +28,8 @@
       max_silent: maximum number of databases that may fail to respond,
         including the lost primary.
       unreachable_count: number of databases that are counted as not responding
-        although they are not asked to pause: departed databases and, while it
-        is listed, the lost primary; 0 in a planned takeover.
+        although they are not asked to pause: departed databases and the lost
+        primary, known or not; 0 in a planned takeover.
       leaving: databases that are about to stop and are promoted only if no
         other database has as much of the log.
       leader_answers: whether the primary to replace answered when the plan was
@@ -148,7 +148,9 @@
         # The lost primary isn't asked to pause and counts as one database
         # without a response, so at least one such database must be allowed.
         max_silent=max(situation.synchronous_replicas, 1),
-        unreachable_count=len(situation.departed) + int(listed),
+        # A primary that isn't listed is one of the departed databases, or left
+        # before this process could learn of it.
+        unreachable_count=max(len(situation.departed) + int(listed), 1),
         leaving=_leaving_members(situation),
         leader_answers=situation.leader is not None,
     )
