Compare the log ends of paused replicas anew if one has changed

Callers could lose acknowledged commits: a takeover promoted a database that lacked what another one held.

Cause: the pauses are verified before the order, but the choice rested on the log ends of the first pauses. A replica that restarted, received, and was paused again by another takeover of the same term passed the verification with a log end that had become too low. A changed log end now counts as a lost pause: the replica is paused and all are verified again.

The new test of TakeoverTest failed before. test_takeover, test_platform_group, test_takeover_model pass.

--- a/hickorygate/tests/test_takeover.py
+++ b/hickorygate/tests/test_takeover.py
@@ -304,6 +304,23 @@
         effects = self.verify(*self.pause("b", 9), b=9, c=6)
         self.assertEqual(effects, [takeover_events.OrderPromotion("b")])
 
+    def test_a_replica_that_was_paused_twice_is_compared_anew(self) -> None:
+        # Guards against the choice of a database that lacks commits: this one
+        # restarted, received more, and was paused again by another takeover.
+        self.begin(_plan())
+        self.pause("b", 5)
+        asked = self.pause("c", 6)
+        effects = self.verify(asked[0], b=9)
+        self.assertEqual(
+            effects,
+            [
+                takeover_events.RecordLostPause("b", ordered=False),
+                takeover_events.PauseReplica("b", 2),
+            ],
+        )
+        effects = self.verify(*self.pause("b", 9), b=9, c=6)
+        self.assertEqual(effects, [takeover_events.OrderPromotion("b")])
+
     def test_an_answer_from_before_the_pause_verifies_nothing(self) -> None:
         self.begin(_plan())
         self.pause("b", 5)
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -227,9 +227,12 @@
         """Handles the status of a replica that had confirmed its pause."""
         if status.is_primary or status.term >= self._plan.term:
             return [self._abort("another database leads a newer term")]
-        if name not in self.statuses:
+        paused = self.statuses.get(name)
+        if paused is None:
             return []
-        if status.paused_for < self._plan.term:
+        # A paused replica receives nothing; one that did was paused again.
+        received = status.received != paused.received
+        if received or status.paused_for < self._plan.term:
             self._paused.record_lost_pause(name)
             self._enter_stage(Stage.PAUSING, now)
             return [takeover_events.RecordLostPause(name, ordered=False)]
