--- a/hickorygate/tests/test_takeover.py
+++ b/hickorygate/tests/test_takeover.py
@@ -8,9 +8,15 @@
 from hickorygate.core import position as positions
 from hickorygate.core import reply
 from hickorygate.testing import clock
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
+from hickorygate.upstreams import takeover_timing
+
+_ACCEPTED = promotion_order.OrderOutcome.ACCEPTED
+_REFUSED = promotion_order.OrderOutcome.REFUSED
+_UNKNOWN = promotion_order.OrderOutcome.UNKNOWN
 
 
 def _plan(
@@ -269,7 +275,7 @@
         # What is known of the pauses is as old as the order, so they are
         # verified again first.
         self.order()
-        refused = takeover_events.PromotionEnded(False)
+        refused = takeover_events.PromotionEnded(_REFUSED)
         self.assertEqual(self.feed(refused, 0.15), [])
         effects = self.takeover.advance(clock.at(0.4))
         self.assertEqual(
@@ -298,6 +304,23 @@
         effects = self.verify(*self.pause("b", 9), b=9, c=6)
         self.assertEqual(effects, [takeover_events.OrderPromotion("b")])
 
+    def test_a_replica_that_was_paused_twice_is_compared_anew(self) -> None:
+        # Guards against the choice of a database that lacks commits: this one
+        # restarted, received more, and was paused again by another takeover.
+        self.begin(_plan())
+        self.pause("b", 5)
+        asked = self.pause("c", 6)
+        effects = self.verify(asked[0], b=9)
+        self.assertEqual(
+            effects,
+            [
+                takeover_events.RecordLostPause("b", ordered=False),
+                takeover_events.PauseReplica("b", 2),
+            ],
+        )
+        effects = self.verify(*self.pause("b", 9), b=9, c=6)
+        self.assertEqual(effects, [takeover_events.OrderPromotion("b")])
+
     def test_an_answer_from_before_the_pause_verifies_nothing(self) -> None:
         self.begin(_plan())
         self.pause("b", 5)
@@ -313,7 +336,7 @@
         self,
     ) -> None:
         self.order()
-        watched = self.feed(takeover_events.PromotionEnded(True), 0.2)
+        watched = self.feed(takeover_events.PromotionEnded(_ACCEPTED), 0.2)
         effects = self.restart("b", 9, watched)
         self.assertEqual(
             effects[:2],
@@ -326,7 +349,7 @@
     def test_a_replica_that_lost_its_log_ends_the_takeover(self) -> None:
         # It may have had the only copy of an acknowledged commit.
         self.order()
-        self.feed(takeover_events.PromotionEnded(False), 0.15)
+        self.feed(takeover_events.PromotionEnded(_REFUSED), 0.15)
         self.restart("c", 0, self.takeover.advance(clock.at(0.5)))
         (end,) = takeover.handle(
             takeover_events.ReplicaPaused("c", _status(0)),
@@ -343,11 +366,13 @@
         self.assertEqual(self.verify(asked[0], b=5, at=0.2)[0].member, "d")
         self.assertEqual(self.takeover.stage, takeover.Stage.PAUSING)
 
-    def join_after_order(self, accepted: bool) -> list[takeover_events.Effect]:
+    def join_after_order(
+        self, outcome: promotion_order.OrderOutcome
+    ) -> list[takeover_events.Effect]:
         """Lets d join while the order of c is unanswered."""
         self.order()
         self.takeover.add_replicas(frozenset("abcd"), clock.at(0.15))
-        self.feed(takeover_events.PromotionEnded(accepted), 0.2)
+        self.feed(takeover_events.PromotionEnded(outcome), 0.2)
         for name, received in (("b", 5), ("c", 6)):
             self.pause(name, received)
         return self.verify(*self.pause("d", 6), b=5, c=6, d=6)
@@ -355,14 +380,121 @@
     def test_an_accepted_order_is_followed_by_no_other(self) -> None:
         # Guards against two promotions: the second database may lack what the
         # first one acknowledged.
-        following = self.join_after_order(accepted=True)
+        following = self.join_after_order(_ACCEPTED)
         self.assertNotIn(takeover_events.OrderPromotion("d"), following)
 
     def test_an_order_without_an_answer_is_followed_by_no_other(self) -> None:
         # It may take effect.
-        following = self.join_after_order(accepted=False)
+        following = self.join_after_order(_UNKNOWN)
         self.assertNotIn(takeover_events.OrderPromotion("d"), following)
 
+    def test_a_refused_order_lets_another_database_be_chosen(self) -> None:
+        self.order()
+        self.takeover.add_replicas(frozenset("abcd"), clock.at(0.15))
+        self.feed(takeover_events.PromotionEnded(_REFUSED), 0.2)
+        effects = self.takeover.advance(clock.at(0.4))
+        self.assertEqual(effects, [takeover_events.PauseReplica("d", 2)])
+        paused = takeover_events.ReplicaPaused("d", _status(7))
+        asked = self.feed(paused, 0.4)
+        effects = self.verify(*asked, at=0.4, b=5, c=6, d=7)
+        self.assertEqual(effects, [takeover_events.OrderPromotion("d")])
+
+    def test_an_order_without_an_answer_is_repeated(self) -> None:
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_UNKNOWN), 1.1)
+        again = self.takeover.advance(clock.at(1.3))
+        self.assertIn(takeover_events.OrderPromotion("c"), again)
+
+    def test_a_refusal_after_an_order_without_an_answer_decides_nothing(
+        self,
+    ) -> None:
+        # The first order may take effect.
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_UNKNOWN), 1.1)
+        self.takeover.advance(clock.at(1.3))
+        self.feed(takeover_events.PromotionEnded(_REFUSED), 1.4)
+        self.assertEqual(self.takeover.stage, takeover.Stage.AWAITING)
+        again = self.takeover.advance(clock.at(1.6))
+        self.assertIn(takeover_events.OrderPromotion("c"), again)
+
+    def test_a_replica_that_joins_after_the_order_is_paused(self) -> None:
+        self.order()
+        self.takeover.add_replicas(frozenset("abcd"), clock.at(0.15))
+        asked = self.takeover.advance(clock.at(0.15))
+        effects = self.restart("d", 6, asked)
+        self.assertIn(takeover_events.PauseReplica("d", 2), effects)
+        self.assertEqual(self.takeover.stage, takeover.Stage.PROMOTING)
+
+    def test_a_replica_that_restarted_during_a_refused_order_is_paused_again(
+        self,
+    ) -> None:
+        # The log end that was compared before the order is outdated.
+        self.order()
+        self.restart("b", 9, self.takeover.advance(clock.at(0.3)))
+        self.feed(takeover_events.PromotionEnded(_REFUSED), 0.6)
+        effects = self.takeover.advance(clock.at(0.8))
+        self.assertEqual(effects, [takeover_events.PauseReplica("b", 2)])
+        paused = takeover_events.ReplicaPaused("b", _status(9))
+        asked = self.feed(paused, 0.8)
+        effects = self.verify(*asked, at=0.8, b=9, c=6)
+        self.assertEqual(effects, [takeover_events.OrderPromotion("b")])
+
+    def test_the_takeover_lasts_until_its_order_is_overdue(self) -> None:
+        # Guards against another takeover beside an order that takes effect.
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_ACCEPTED), 5.9)
+        self.assertEqual(self.finished(8.8), [])
+        (end,) = self.finished(8.9)
+        self.assertFalse(end.succeeded)
+
+    def test_no_order_is_requested_late(self) -> None:
+        # An order must not take effect after the span of a takeover.
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_UNKNOWN), 5.9)
+        late = self.takeover.advance(clock.at(6.1))
+        self.assertNotIn(takeover_events.OrderPromotion("c"), late)
+
+    def test_an_order_that_is_never_answered_ends_the_takeover(self) -> None:
+        self.order()
+        self.assertEqual(self.finished(9.9), [])
+        self.assertEqual(len(self.finished(10)), 1)
+
+    def finished(self, at: float) -> list[takeover_events.Effect]:
+        """Returns the end of the takeover if it ends now."""
+        return [
+            effect
+            for effect in self.takeover.advance(clock.at(at))
+            if isinstance(effect, takeover_events.Finish)
+        ]
+
+    def test_no_order_is_sent_after_another_holder_of_the_lease(self) -> None:
+        # The other one may have promoted a database meanwhile.
+        self.order()
+        lost = takeover_events.LeaseLost()
+        (end,) = takeover.handle(lost, self.takeover, clock.at(0.2))
+        self.assertFalse(end.succeeded)
+
+    def test_an_order_without_an_answer_outlasts_the_lease(self) -> None:
+        self.order()
+        self.feed(takeover_events.PromotionEnded(_UNKNOWN), 1.1)
+        self.takeover.advance(clock.at(1.3))
+        lost = takeover_events.LeaseLost()
+        effects = takeover.handle(lost, self.takeover, clock.at(1.4))
+        self.assertEqual(effects, [])
+        self.assertEqual(self.takeover.stage, takeover.Stage.AWAITING)
+
+    def test_an_order_takes_effect_within_the_span_of_the_takeover(
+        self,
+    ) -> None:
+        self.order()
+        latest = max(
+            at / 10
+            for at in range(200)
+            if self.takeover.may_order(clock.at(at / 10))
+        )
+        effect = latest + takeover_timing.EFFECT_SPAN.total_seconds()
+        self.assertLess(effect, takeover_timing.TAKEOVER_SPAN.total_seconds())
+
     def test_a_new_primary_ends_the_takeover_and_the_former_is_demoted(
         self,
     ) -> None:
--- a/hickorygate/upstreams/commit_guard.py
+++ b/hickorygate/upstreams/commit_guard.py
@@ -32,12 +32,9 @@
 from hickorygate.core import reply
 from hickorygate.core import types
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import takeover_timing
 
-__all__ = ["LIST_DELAY", "TAKEOVER_SPAN", "CommitGuard", "Replica", "View"]
-
-TAKEOVER_SPAN = datetime.timedelta(seconds=10)
-"""Time after the beginning of a takeover within which its order takes effect,
-if ever: the longest takeover, the longest wait for the effect, and a margin."""
+__all__ = ["LIST_DELAY", "CommitGuard", "Replica", "View"]
 
 LIST_DELAY = datetime.timedelta(seconds=1)
 """Time after which all proxies know that a replica has joined."""
@@ -156,7 +153,7 @@
 
     def takeovers_since(self, now: datetime.datetime) -> datetime.datetime:
         """Returns a time before all takeovers that may replace the primary."""
-        earliest = now - TAKEOVER_SPAN
+        earliest = now - takeover_timing.TAKEOVER_SPAN
         if self._before_term is None:
             return earliest
         return max(earliest, self._before_term)
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -15,6 +15,7 @@
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import member
 from hickorygate.upstreams import promotion_lease
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover as takeovers
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_log
@@ -49,6 +50,7 @@
         self._log = takeover_log.TakeoverLog(group.service, clock, journal)
         self._calls = background.BackgroundTasks()
         self._trigger = takeover_trigger.TakeoverTrigger()
+        self._tenure = 0
 
     @property
     def active(self) -> bool:
@@ -130,6 +132,7 @@
         self._log.record_start(
             plan, situation, self._lease.number, self._group.view_age
         )
+        self._tenure = self._lease.tenure
         while self._takeover is not None:
             takeover = self._takeover
             takeover.add_replicas(
@@ -228,9 +231,8 @@
         """Reads the primary's position, then the candidate's log end.
 
         Returns:
-          Both positions. If either could not be read, PromotionEnded(False),
-          so that the comparison is repeated. LeaderReplaced if the roles have
-          changed.
+          Both positions. ComparisonFailed if either could not be read, so that
+          the comparison is repeated. LeaderReplaced if the roles have changed.
         """
         prober = self._group.prober
         first = await prober.ask(
@@ -246,7 +248,7 @@
         status = second[0].ok.group if second else None
         self._log.record_comparison(effect, leader, status)
         if leader is None or status is None:
-            return takeover_events.PromotionEnded(False)
+            return takeover_events.ComparisonFailed()
         if status.is_primary:
             reason = f"{effect.candidate} is the primary already"
             return takeover_events.LeaderReplaced(reason)
@@ -256,11 +258,15 @@
         self,
         effect: takeover_events.OrderPromotion,
         takeover: takeovers.Takeover,
-    ) -> takeover_events.PromotionEnded:
+    ) -> takeover_events.Event:
         """Renews the promotion lease and orders the promotion."""
-        accepted = await self._lease.renew() and await self._lease.promote(
-            self._group.service, effect.member
-        )
+        outcome = promotion_order.OrderOutcome.REFUSED
+        if await self._lease.renew():
+            outcome = await self._lease.promote(
+                self._group.service,
+                effect.member,
+                lambda: self._may_order(takeover),
+            )
         status = takeover.statuses.get(effect.member)
         self._journal.record(
             platform_events.PromotionOrdered(
@@ -268,10 +274,21 @@
                 effect.member,
                 self._lease.number,
                 status.received if status else None,
-                accepted,
+                outcome is promotion_order.OrderOutcome.ACCEPTED,
             )
         )
-        return takeover_events.PromotionEnded(accepted)
+        refused = outcome is promotion_order.OrderOutcome.REFUSED
+        if refused and self._lease.tenure != self._tenure:
+            return takeover_events.LeaseLost()
+        return takeover_events.PromotionEnded(outcome)
+
+    def _may_order(self, takeover: takeovers.Takeover) -> bool:
+        """Returns whether a takeover may still send an order."""
+        return (
+            self._takeover is takeover
+            and self._lease.tenure == self._tenure
+            and takeover.may_order(self._clock.now())
+        )
 
     def record_order(
         self,
@@ -303,6 +320,9 @@
         self._log.record_end(effect.outcome)
         if not effect.succeeded:
             self._trigger.pause(self._clock.now())
+        elif self._group.leader is not None:
+            leader = self._group.leader.member
+            self._lease.note_primary(plan.service, leader)
         if effect.demote is not None:
             demote = database_request.Demote(plan.term)
             self._calls.start(self._send(effect.demote, demote))
--- a/hickorygate/upstreams/promotion_lease.py
+++ b/hickorygate/upstreams/promotion_lease.py
@@ -17,6 +17,7 @@
 from hickorygate.core import types
 from hickorygate.upstreams import lease_record
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover_order
 
 __all__ = ["LeaseStore", "PromotionLease"]
@@ -69,6 +70,10 @@
         """
 
 
+def _always() -> bool:
+    return True
+
+
 class PromotionLease:
     """The promotion lease of this process, shared by all its takeovers."""
 
@@ -86,7 +91,7 @@
         self._order = takeover_order.TakeoverOrder(lease_state.name)
         self._orders: dict[types.ServiceName, takeover_order.TakeoverOrder] = {}
         self._use_count = 0
-        self._order_unanswered = False
+        self._pending = promotion_order.PendingOrders()
         self._retry_delay = _RETRY_DELAY
         self._lock = asyncio.Lock()
 
@@ -101,6 +106,11 @@
         record = self._lease_state.record
         return record.number if record else 0
 
+    @property
+    def tenure(self) -> int:
+        """A number that rises if another process may have held the lease."""
+        return self._lease_state.tenure
+
     def __repr__(self) -> str:
         return f"PromotionLease({self._lease_state!r})"
 
@@ -141,8 +151,11 @@
 
         Returns:
           Whether the lease is held; if so, `release` must be called later.
+          False while an order for the service may still take effect.
         """
         await self._wait_for_turn(needed, self.order(service).delay)
+        if not await self._wait_for_effect(needed, service):
+            return False
         async with self._lock:
             held = self.held or await self._acquire(needed)
         if held:
@@ -152,53 +165,80 @@
     async def release(self) -> None:
         """Ends one use of the lease and releases it after the last one.
 
-        After an order whose response was lost the lease is left to expire
-        instead. That order can still take effect, and no higher fencing token
-        may be issued before it does.
+        While an order can still take effect, the lease is left to expire
+        instead: no higher fencing token may be issued before it does.
         """
         self._use_count -= 1
-        if self._use_count or self._order_unanswered:
-            return
         async with self._lock:
-            write = None if self._use_count else self._lease_state.release()
+            if self._use_count or self._pending.any_pending(self._clock.now()):
+                return
+            write = self._lease_state.release()
             if write is not None:
                 await self._write(write)
 
     async def renew(self) -> bool:
         """Renews the lease unless the store confirmed it a moment ago.
 
+        A lease that nobody uses any more isn't renewed.
+
         Returns:
           Whether an order may be sent.
         """
         if self._may_order():
             return True
         async with self._lock:
+            if self._use_count == 0:
+                return False
             return self._may_order() or await self._attempt() is None
 
     async def promote(
-        self, service: types.ServiceName, member: members.MemberId
-    ) -> bool:
+        self,
+        service: types.ServiceName,
+        member: members.MemberId,
+        wanted: Callable[[], bool] = _always,
+    ) -> promotion_order.OrderOutcome:
         """Orders a promotion under the fencing token of the lease.
 
-        Returns:
-          Whether the order was accepted.
+        Args:
+          service: service whose primary is replaced.
+          member: database to promote.
+          wanted: checked right before the order is sent; returns whether it is
+            still wanted.
         """
         record = self._lease_state.record
         if record is None or not self._may_order():
-            return False
-        # The store checks the lease again after connecting, because this
-        # process may have been suspended in the meantime.
-        ordered = await self._store.promote(
-            service, member, record, self._may_order
-        )
-        self._order_unanswered = self._order_unanswered or _may_take_effect(
-            ordered
-        )
-        return ordered.is_ok()
+            return promotion_order.OrderOutcome.REFUSED
+        sent: list[promotion_order.PendingOrder] = []
+
+        def may_send() -> bool:
+            # The store checks the lease again after connecting, because this
+            # process may have been suspended in the meantime.
+            if not self._may_order_as(record) or not wanted():
+                return False
+            now = self._clock.now()
+            sent.append(self._pending.record_sent(service, member, now))
+            return True
+
+        ordered = await self._store.promote(service, member, record, may_send)
+        outcome = _outcome(ordered)
+        if outcome is promotion_order.OrderOutcome.REFUSED:
+            for order in sent:
+                self._pending.record_refused(order)
+        return outcome
+
+    def note_primary(
+        self, service: types.ServiceName, member: members.MemberId
+    ) -> None:
+        """Notes that a database leads that was to be promoted."""
+        self._pending.record_primary(service, member)
 
     def _may_order(self) -> bool:
         return self._lease_state.may_order(self._clock.now())
 
+    def _may_order_as(self, record: lease_record.LeaseRecord) -> bool:
+        """Returns whether an order may be sent with a record's number."""
+        return self.number == record.number and self._may_order()
+
     async def _wait_for_turn(
         self, needed: Callable[[], bool], delay: datetime.timedelta
     ) -> None:
@@ -210,12 +250,25 @@
                 return
             await self._clock.sleep(min(left, _TURN_CHECK_INTERVAL))
 
+    async def _wait_for_effect(
+        self, needed: Callable[[], bool], service: types.ServiceName
+    ) -> bool:
+        """Waits until no order of this process for a service takes effect.
+
+        Returns:
+          Whether none does; False if the caller doesn't need to know any more.
+        """
+        while left := self._pending.remaining(service, self._clock.now()):
+            if not needed():
+                return False
+            await self._clock.sleep(min(left, _TURN_CHECK_INTERVAL))
+        return True
+
     async def _acquire(self, needed: Callable[[], bool]) -> bool:
         give_up_at = self._clock.now() + _ACQUIRE_TIMEOUT
         while needed() and self._clock.now() < give_up_at:
             wait = await self._attempt()
             if wait is None:
-                self._order_unanswered = False
                 self._journal.record(platform_events.DutyWon(self.number))
                 return True
             await self._clock.sleep(wait)
@@ -253,10 +306,11 @@
         self._journal.record(platform_events.DutyLost(written.error.message))
 
 
-def _may_take_effect(
+def _outcome(
     ordered: expression.Result[None, errors.Failure],
-) -> bool:
-    """Returns whether an order without a response may have taken effect."""
-    return (
-        ordered.is_error() and ordered.error.outcome is errors.Outcome.UNKNOWN
-    )
+) -> promotion_order.OrderOutcome:
+    if ordered.is_ok():
+        return promotion_order.OrderOutcome.ACCEPTED
+    if ordered.error.outcome is errors.Outcome.NOT_RUN:
+        return promotion_order.OrderOutcome.REFUSED
+    return promotion_order.OrderOutcome.UNKNOWN
--- a/hickorygate/upstreams/takeover.py
+++ b/hickorygate/upstreams/takeover.py
@@ -21,9 +21,10 @@
 A pause ends when its replica restarts, and the replica then receives from the
 former primary again. So the order follows only after all paused replicas were
 asked once more, when the last of them had confirmed its pause: what they hold
-then is all that was acknowledged. After an order, which can't be taken back,
-replicas that restart are paused again, and `commit_guard` withholds what was
-acknowledged meanwhile. Replicas that join are paused like the others.
+then is all that was acknowledged. An order can't be taken back: once one may
+take effect, no other database is ordered (`promotion_attempt`). Replicas that
+join or restart from then on are paused without another choice, and
+`commit_guard` withholds what was acknowledged meanwhile.
 
 A pause is never revoked. A promotion that this proxy or another one ordered
 can still take effect; a replica that resumed replication from the former
@@ -34,18 +35,22 @@
 
 from __future__ import annotations
 
-from collections.abc import Collection
+from collections.abc import Mapping
 from collections.abc import Set
 import dataclasses
 import datetime
 import enum
 import functools
 
-from hickorygate.core import position
 from hickorygate.core import reply
+from hickorygate.upstreams import call_pacing
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import paused_replicas
+from hickorygate.upstreams import promotion_attempt
+from hickorygate.upstreams import promotion_order
 from hickorygate.upstreams import takeover_events
 from hickorygate.upstreams import takeover_plan
+from hickorygate.upstreams import takeover_timing
 
 __all__ = [
     "Stage",
@@ -54,18 +59,13 @@
 ]
 
 _TAKEOVER_TIMEOUT = datetime.timedelta(seconds=6)
-"""Maximum duration of a takeover."""
+"""Time after which a takeover requests no order any more. It ends then unless
+an order may still take effect."""
 
 _INSPECTION_TIMEOUT = datetime.timedelta(seconds=1.5)
 """Maximum time for enough replicas to answer. The lease is then free for
 another proxy, which may reach them."""
 
-_EFFECT_TIMEOUT = datetime.timedelta(seconds=3)
-"""Maximum time for an accepted promotion to take effect."""
-
-_RETRY_INTERVAL = datetime.timedelta(milliseconds=150)
-"""Minimum time between two calls of a stage to the same database."""
-
 
 class Stage(enum.Enum):
     """The stage of a takeover."""
@@ -82,19 +82,16 @@
     """One attempt to replace a primary."""
 
     __slots__ = (
+        "_attempt",
         "_chosen",
         "_inspected",
-        "_last_calls",
-        "_log_ends",
-        "_outstanding",
+        "_pacing",
+        "_paused",
         "_plan",
-        "_refused_at",
         "_stage",
         "_stage_number",
         "_stage_started",
         "_started",
-        "_statuses",
-        "_verified",
     )
 
     def __init__(
@@ -105,13 +102,10 @@
         self._stage_number = 0
         self._started = now
         self._stage_started = now
-        self._statuses: dict[members.MemberId, reply.ReplicationStatus] = {}
+        self._paused = paused_replicas.PausedReplicas()
         self._inspected: set[members.MemberId] = set()
-        self._verified: set[members.MemberId] = set()
-        self._log_ends: dict[members.MemberId, position.Position] = {}
-        self._refused_at: datetime.datetime | None = None
-        self._outstanding: set[members.MemberId] = set()
-        self._last_calls: dict[members.MemberId, datetime.datetime] = {}
+        self._attempt = promotion_attempt.PromotionAttempt()
+        self._pacing = call_pacing.CallPacing()
         self._chosen = plan.candidate
 
     @property
@@ -130,9 +124,13 @@
         return self._chosen
 
     @property
-    def statuses(self) -> dict[members.MemberId, reply.ReplicationStatus]:
+    def statuses(self) -> Mapping[members.MemberId, reply.ReplicationStatus]:
         """The statuses of the paused replicas, by database."""
-        return self._statuses
+        return self._paused.statuses
+
+    def may_order(self, now: datetime.datetime) -> bool:
+        """Returns whether an order that is sent now takes effect in time."""
+        return now - self._started < takeover_timing.ORDER_WINDOW
 
     def __repr__(self) -> str:
         return f"Takeover({self._plan.service!r}, {self._stage.value})"
@@ -142,18 +140,22 @@
 
         Must be called after each event and periodically.
         """
-        if now - self._started >= _TAKEOVER_TIMEOUT:
+        if now >= self._ends_at:
             return [self._abort("timed out")]
         if self._stage is Stage.INSPECTING and self._enough_inspected():
             self._enter_stage(Stage.PAUSING, now)
-        if self._stage is Stage.PAUSING and self._enough(self._statuses):
+        if self._stage is Stage.PROMOTING and self._attempt.may_choose_anew(
+            now
+        ):
+            self._resume_after_refusal(now)
+        if self._stage is Stage.PAUSING and self._plan.suffices(self.statuses):
             planned = self._plan.candidate is not None
             following = Stage.CATCHING_UP if planned else Stage.VERIFYING
             self._enter_stage(following, now)
-        if self._stage is Stage.VERIFYING and self._enough(self._verified):
+        if self._stage is Stage.VERIFYING and self._plan.suffices(
+            self._paused.verified
+        ):
             self._finish_verifying(now)
-        if self._stage is Stage.PROMOTING and self._retry_is_due(now):
-            self._enter_stage(Stage.VERIFYING, now)
         match self._stage:
             case Stage.INSPECTING:
                 if now - self._stage_started >= _INSPECTION_TIMEOUT:
@@ -162,30 +164,28 @@
             case Stage.PAUSING:
                 return self._pause_effects(now)
             case Stage.VERIFYING:
-                return self._status_effects(
-                    frozenset(self._statuses) - self._verified, now
-                )
+                return self._status_effects(self._paused.unverified, now)
             case Stage.CATCHING_UP:
                 return self._compare_effects(now)
             case Stage.PROMOTING:
                 return self._promotion_effects(now)
             case Stage.AWAITING:
-                if now - self._stage_started >= _EFFECT_TIMEOUT:
+                if self._attempt.overdue(now):
                     return [self._abort("the promotion had no effect")]
-                return self._status_effects(self._plan.pause, now)
+                return self._promotion_effects(now)
         return []
 
     def add_replicas(
         self, names: Set[members.MemberId], now: datetime.datetime
     ) -> None:
         """Adds the databases that joined the group meanwhile."""
-        joined = names - self._replicas - {self._plan.leader}
+        joined = names - self._plan.replicas - {self._plan.leader}
         if not joined:
             return
         self._plan = dataclasses.replace(
             self._plan, pause=self._plan.pause | joined
         )
-        if self._stage not in (Stage.INSPECTING, Stage.AWAITING):
+        if self._stage is not Stage.INSPECTING and not self._attempt.binding:
             self._enter_stage(Stage.PAUSING, now)
 
     def take_inspection(
@@ -194,7 +194,7 @@
         """Handles a status that a replica returned."""
         if event.number != self._stage_number:
             return []
-        self._outstanding.discard(event.member)
+        self._pacing.end_call(event.member)
         if event.status is None:
             return []
         match self._stage:
@@ -202,7 +202,7 @@
                 return self._inspect(event.member, event.status)
             case Stage.VERIFYING:
                 return self._verify(event.member, event.status, now)
-            case Stage.AWAITING:
+            case Stage.PROMOTING | Stage.AWAITING:
                 return self._watch(event.member, event.status)
         return []
 
@@ -227,23 +227,31 @@
         """Handles the status of a replica that had confirmed its pause."""
         if status.is_primary or status.term >= self._plan.term:
             return [self._abort("another database leads a newer term")]
-        if name not in self._statuses:
+        paused = self.statuses.get(name)
+        if paused is None:
             return []
-        if status.paused_for < self._plan.term:
-            del self._statuses[name]
+        # A paused replica receives nothing; one that did was paused again.
+        received = status.received != paused.received
+        if received or status.paused_for < self._plan.term:
+            self._paused.record_lost_pause(name)
             self._enter_stage(Stage.PAUSING, now)
             return [takeover_events.RecordLostPause(name, ordered=False)]
-        self._verified.add(name)
+        self._paused.record_verification(name)
         return []
 
     def _watch(
         self, name: members.MemberId, status: reply.ReplicationStatus
     ) -> list[takeover_events.Effect]:
-        """Handles the status of a replica after the order."""
+        """Handles the status of a replica after the order.
+
+        A replica whose pause has ended must be paused and verified again before
+        another order, if this one is refused.
+        """
         if status.is_primary or status.term >= self._plan.term:
             return []
         if status.paused_for >= self._plan.term:
             return []
+        self._paused.record_lost_pause(name)
         return [
             takeover_events.RecordLostPause(name, ordered=True),
             takeover_events.PauseReplica(name, self._plan.term),
@@ -253,28 +261,32 @@
         self, event: takeover_events.ReplicaPaused
     ) -> list[takeover_events.Effect]:
         """Handles the response to a pause request."""
-        self._outstanding.discard(event.member)
+        self._pacing.end_call(event.member)
         status = event.status
-        if status is None or self._stage is Stage.AWAITING:
+        if status is None or self._attempt.binding:
             return []
         if status.term >= self._plan.term:
             return [self._abort("another database leads a newer term")]
-        if status.received < self._log_ends.get(event.member, status.received):
+        if self._paused.has_lost_log(event.member, status):
             return [self._abort(f"{event.member} has lost its log")]
         if status.paused_for >= self._plan.term:
-            self._statuses[event.member] = status
-            self._log_ends[event.member] = status.received
+            self._paused.record_pause(event.member, status)
         return []
 
     def take_candidate(
         self, event: takeover_events.CandidateSeen, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
         """Verifies the pauses once the candidate has caught up."""
-        self._outstanding.clear()
+        self._pacing.end_all_calls()
         if self._stage is Stage.CATCHING_UP and event.candidate >= event.leader:
             self._enter_stage(Stage.VERIFYING, now)
         return []
 
+    def take_failed_comparison(self) -> list[takeover_events.Effect]:
+        """Lets the comparison be repeated."""
+        self._pacing.end_all_calls()
+        return []
+
     def take_replacement(
         self, event: takeover_events.LeaderReplaced
     ) -> list[takeover_events.Effect]:
@@ -287,15 +299,23 @@
         self, event: takeover_events.PromotionEnded, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
         """Handles the response to a promotion order."""
-        self._outstanding.clear()
-        if self._stage is not Stage.PROMOTING:
-            return []
-        if event.accepted:
+        self._attempt.end_order(event.outcome, now)
+        if self._stage is Stage.PROMOTING and self._attempt.binding:
             self._enter_stage(Stage.AWAITING, now)
-        else:
-            self._refused_at = now
         return []
 
+    def take_lost_lease(
+        self, now: datetime.datetime
+    ) -> list[takeover_events.Effect]:
+        """Ends the takeover unless an earlier order may take effect.
+
+        What it knows of the pauses may be older than another proxy's takeover.
+        """
+        self._attempt.end_order(promotion_order.OrderOutcome.REFUSED, now)
+        if self._attempt.binding:
+            return []
+        return [self._abort("another proxy may have held the lease")]
+
     def handle_leader(
         self, event: takeover_events.LeaderFound
     ) -> list[takeover_events.Effect]:
@@ -318,65 +338,49 @@
         ]
 
     @property
-    def _replicas(self) -> frozenset[members.MemberId]:
-        """The databases that must not be the primary when replicas pause."""
-        candidate = self._plan.candidate
-        return self._plan.pause | ({candidate} if candidate else frozenset())
+    def _ends_at(self) -> datetime.datetime:
+        """Time after which nothing of the takeover can take effect."""
+        limit = (
+            takeover_timing.TAKEOVER_SPAN
+            if self._attempt.binding
+            else _TAKEOVER_TIMEOUT
+        )
+        return self._started + limit
 
     def _enough_inspected(self) -> bool:
         if self._plan.candidate is not None:
-            return self._inspected >= self._replicas
-        return self._enough(self._inspected)
-
-    def _enough(self, answered: Collection[members.MemberId]) -> bool:
-        """Returns whether enough replicas answered to promote one of them.
-
-        In a planned takeover, which doesn't stop the primary, all must have.
-        """
-        missing = self._plan.pause.difference(answered)
-        if self._plan.candidate is not None:
-            return not missing
-        silent = len(missing) + self._plan.unreachable_count
-        return bool(answered) and silent <= self._plan.max_silent
+            return self._inspected >= self._plan.replicas
+        return self._plan.suffices(self._inspected)
 
     def _finish_verifying(self, now: datetime.datetime) -> None:
         if self._plan.candidate is None:
-            self._chosen = max(self._verified, key=self._promotion_key)
+            self._chosen = self._paused.most_advanced(self._plan.leaving)
         self._enter_stage(Stage.PROMOTING, now)
 
-    def _retry_is_due(self, now: datetime.datetime) -> bool:
-        """Returns whether to repeat an order that was refused.
+    def _resume_after_refusal(self, now: datetime.datetime) -> None:
+        """Prepares another order.
 
         The pauses are verified again first: what is known of them may be as old
         as the refused order.
         """
-        refused = self._refused_at
-        return refused is not None and now - refused >= _RETRY_INTERVAL
-
-    def _promotion_key(
-        self, name: members.MemberId
-    ) -> tuple[position.Position, bool, str]:
-        """Returns the sort key for the selection of the replica to promote.
-
-        The greatest log end wins; among equals, a database that is not about
-        to stop is preferred.
-        """
-        stays = name not in self._plan.leaving
-        return (self._statuses[name].received, stays, name)
+        unpaused = self._plan.pause - self.statuses.keys()
+        self._enter_stage(Stage.PAUSING if unpaused else Stage.VERIFYING, now)
 
     def _enter_stage(self, stage: Stage, now: datetime.datetime) -> None:
         self._stage = stage
         self._stage_number += 1
         self._stage_started = now
-        self._outstanding.clear()
-        self._last_calls.clear()
-        self._verified.clear()
-        self._refused_at = None
+        self._paused.reset_verification()
+        if stage is Stage.PROMOTING:
+            # The replicas were asked a moment ago.
+            self._pacing.end_all_calls()
+        else:
+            self._pacing.reset()
 
     def _inspection_effects(
         self, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
-        return self._status_effects(self._replicas - self._inspected, now)
+        return self._status_effects(self._plan.replicas - self._inspected, now)
 
     def _status_effects(
         self, names: Set[members.MemberId], now: datetime.datetime
@@ -384,17 +388,17 @@
         return [
             takeover_events.InspectReplica(name, self._stage_number)
             for name in sorted(names)
-            if self._start_call(name, now)
+            if self._pacing.start_call(name, now)
         ]
 
     def _pause_effects(
         self, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
-        unpaused = self._plan.pause - self._statuses.keys()
+        unpaused = self._plan.pause - self.statuses.keys()
         return [
             takeover_events.PauseReplica(name, self._plan.term)
             for name in sorted(unpaused)
-            if self._start_call(name, now)
+            if self._pacing.start_call(name, now)
         ]
 
     def _compare_effects(
@@ -402,7 +406,7 @@
     ) -> list[takeover_events.Effect]:
         leader, candidate = self._plan.leader, self._chosen
         assert leader and candidate, "no primary or no candidate"
-        due = self._start_call(candidate, now)
+        due = self._pacing.start_call(candidate, now)
         return (
             [takeover_events.CompareCandidate(leader, candidate)] if due else []
         )
@@ -410,28 +414,15 @@
     def _promotion_effects(
         self, now: datetime.datetime
     ) -> list[takeover_events.Effect]:
+        """Returns the order if it is due, and asks for the pauses after it."""
         assert self._chosen is not None, "no replica selected for promotion"
-        if self._refused_at is not None:
-            return []
-        due = self._start_call(self._chosen, now)
-        return [takeover_events.OrderPromotion(self._chosen)] if due else []
-
-    def _start_call(
-        self, name: members.MemberId, now: datetime.datetime
-    ) -> bool:
-        """Returns whether to call a database now, and records the call.
-
-        No call is made while one to the database is outstanding or within
-        `_RETRY_INTERVAL` after the last one.
-        """
-        last_call = self._last_calls.get(name)
-        if name in self._outstanding:
-            return False
-        if last_call is not None and now - last_call < _RETRY_INTERVAL:
-            return False
-        self._outstanding.add(name)
-        self._last_calls[name] = now
-        return True
+        effects: list[takeover_events.Effect] = []
+        in_time = now - self._started < _TAKEOVER_TIMEOUT
+        if in_time and self._attempt.start_order(now):
+            effects.append(takeover_events.OrderPromotion(self._chosen))
+        if self._attempt.binding:
+            effects += self._status_effects(self._plan.pause, now)
+        return effects
 
     def _abort(self, outcome: str) -> takeover_events.Finish:
         return takeover_events.Finish(False, None, f"aborted: {outcome}")
@@ -472,6 +463,15 @@
     return takeover.take_candidate(event, now)
 
 
+@handle.register
+def _(
+    event: takeover_events.ComparisonFailed,
+    takeover: Takeover,
+    now: datetime.datetime,
+) -> list[takeover_events.Effect]:
+    return takeover.take_failed_comparison()
+
+
 @handle.register
 def _(
     event: takeover_events.LeaderReplaced,
@@ -490,6 +490,15 @@
     return takeover.take_promotion(event, now)
 
 
+@handle.register
+def _(
+    event: takeover_events.LeaseLost,
+    takeover: Takeover,
+    now: datetime.datetime,
+) -> list[takeover_events.Effect]:
+    return takeover.take_lost_lease(now)
+
+
 @handle.register
 def _(
     event: takeover_events.LeaderFound,
--- a/hickorygate/upstreams/takeover_events.py
+++ b/hickorygate/upstreams/takeover_events.py
@@ -8,16 +8,19 @@
 from hickorygate.core import reply
 from hickorygate.core import types
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import promotion_order
 
 __all__ = [
     "CandidateSeen",
     "CompareCandidate",
+    "ComparisonFailed",
     "Effect",
     "Event",
     "Finish",
     "InspectReplica",
     "LeaderFound",
     "LeaderReplaced",
+    "LeaseLost",
     "OrderPromotion",
     "PauseReplica",
     "PromotionEnded",
@@ -84,16 +87,21 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ComparisonFailed(Event):
+    """A position could not be read, so that the comparison is repeated."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromotionEnded(Event):
-    """The result of a promotion order, or of a comparison that failed.
+    """The result of a promotion order."""
 
-    Attributes:
-      accepted: whether the platform accepted the order; False if the
-        positions could not be read, so that the comparison is repeated.
-    """
+    outcome: promotion_order.OrderOutcome
 
-    accepted: bool
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LeaseLost(Event):
+    """An order wasn't sent, since another proxy may have ordered before it."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -148,8 +156,8 @@
 class CompareCandidate(Effect):
     """Read the primary's position, then the candidate's log end.
 
-    The result arrives as `CandidateSeen`, or as `PromotionEnded(False)` if a
-    position could not be read.
+    The result arrives as `CandidateSeen`, as `ComparisonFailed` if a position
+    could not be read, or as `LeaderReplaced` if the roles have changed.
     """
 
     leader: members.MemberId
@@ -158,7 +166,11 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class OrderPromotion(Effect):
-    """Order the promotion; the result arrives as PromotionEnded."""
+    """Order the promotion.
+
+    The result arrives as `PromotionEnded`, or as `LeaseLost` if the order
+    wasn't sent for that reason.
+    """
 
     member: members.MemberId
 
