--- a/hickorygate/upstreams/failover.py
+++ b/hickorygate/upstreams/failover.py
@@ -11,7 +11,6 @@
 from __future__ import annotations
 
 import datetime
-import functools
 import random
 
 from hickorygate.core import events
@@ -24,7 +23,7 @@
 from hickorygate.upstreams import primary_failure
 from hickorygate.upstreams import switchover
 
-__all__ = ["Failover", "handle"]
+__all__ = ["Failover"]
 
 _Effects = list[failover_events.Effect]
 
@@ -471,130 +470,3 @@
                 and watched.status.fenced <= term
             ]
         )
-
-
-@functools.singledispatch
-def handle(
-    event: failover_events.Event, failover: Failover, now: datetime.datetime
-) -> _Effects:
-    """Handles an event and returns the effects to apply."""
-    raise TypeError(f"no handler for {event!r}; register one")
-
-
-@handle.register
-def _(
-    event: failover_events.StatusSeen,
-    failover: Failover,
-    now: datetime.datetime,
-) -> _Effects:
-    failover.record_status(event.status, now)
-    return failover.tick(now)
-
-
-@handle.register
-def _(
-    event: failover_events.ProbeFailed,
-    failover: Failover,
-    now: datetime.datetime,
-) -> _Effects:
-    failover.record_probe_failure(event.database)
-    return failover.tick(now)
-
-
-@handle.register
-def _(
-    event: failover_events.Tick, failover: Failover, now: datetime.datetime
-) -> _Effects:
-    return failover.tick(now)
-
-
-@handle.register
-def _(
-    event: failover_events.LeavingChanged,
-    failover: Failover,
-    now: datetime.datetime,
-) -> _Effects:
-    failover.set_leaving(event.databases)
-    return failover.tick(now)
-
-
-@handle.register
-def _(
-    event: failover_events.RankChanged,
-    failover: Failover,
-    now: datetime.datetime,
-) -> _Effects:
-    failover.set_rank(event.rank)
-    return []
-
-
-@handle.register
-def _(
-    event: failover_events.CallSucceeded,
-    failover: Failover,
-    now: datetime.datetime,
-) -> _Effects:
-    own = failover.complete_call(event.call)
-    failover.record_status(event.status, now)
-    return (
-        _handle_answer(event.call, failover, event.status, now) if own else []
-    )
-
-
-@handle.register
-def _(
-    event: failover_events.CallRefused,
-    failover: Failover,
-    now: datetime.datetime,
-) -> _Effects:
-    if failover.complete_call(event.call):
-        return failover.handle_refusal(event.call.database, now)
-    return []
-
-
-@handle.register
-def _(
-    event: failover_events.CallLost, failover: Failover, now: datetime.datetime
-) -> _Effects:
-    failover.complete_call(event.call)
-    return []
-
-
-@functools.singledispatch
-def _handle_answer(
-    call: failover_events.Call,
-    failover: Failover,
-    status: positions.DatabaseStatus,
-    now: datetime.datetime,
-) -> _Effects:
-    raise TypeError(f"no handler for an answer to {call!r}; register one")
-
-
-@_handle_answer.register
-def _(
-    call: failover_events.Fence,
-    failover: Failover,
-    status: positions.DatabaseStatus,
-    now: datetime.datetime,
-) -> _Effects:
-    return failover.handle_fenced(status, now)
-
-
-@_handle_answer.register
-def _(
-    call: failover_events.Promote,
-    failover: Failover,
-    status: positions.DatabaseStatus,
-    now: datetime.datetime,
-) -> _Effects:
-    return failover.handle_promoted(status, now)
-
-
-@_handle_answer.register
-def _(
-    call: failover_events.Follow,
-    failover: Failover,
-    status: positions.DatabaseStatus,
-    now: datetime.datetime,
-) -> _Effects:
-    return failover.handle_following(call.database, now)
--- a/hickorygate/upstreams/failover_runner.py
+++ b/hickorygate/upstreams/failover_runner.py
@@ -21,6 +21,7 @@
 from hickorygate.core import types
 from hickorygate.upstreams import control_link
 from hickorygate.upstreams import failover
+from hickorygate.upstreams import failover_dispatch
 from hickorygate.upstreams import failover_events
 from hickorygate.upstreams import failover_timing
 from hickorygate.upstreams import group_procedures
@@ -119,7 +120,7 @@
 
     def _handle_event(self, event: failover_events.Event) -> None:
         now = self._clock.now()
-        for effect in failover.handle(event, self._failover, now):
+        for effect in failover_dispatch.handle(event, self._failover, now):
             _apply_effect(effect, self)
 
     async def _run_call(self, call: failover_events.Call) -> None:
--- a/properties/group_simulation.py
+++ b/properties/group_simulation.py
@@ -19,6 +19,7 @@
 from hickorygate.core import types
 from hickorygate.testing import replication
 from hickorygate.upstreams import failover
+from hickorygate.upstreams import failover_dispatch
 from hickorygate.upstreams import failover_events
 from hickorygate.upstreams import failover_timing
 from hickorygate.upstreams import write_confirmation
@@ -163,7 +164,9 @@
 
     def handle(self, event: failover_events.Event) -> None:
         """Passes an event to the failover logic and sends its calls."""
-        effects = failover.handle(event, self.failover, self.simulation.now)
+        effects = failover_dispatch.handle(
+            event, self.failover, self.simulation.now
+        )
         for effect in effects:
             if isinstance(effect, failover_events.Call):
                 self.send(effect.database, effect)
