Move the choice of a failover's calls to a module of its own

Which calls a run's stage needs depends only on the run, the group and what was observed, so these are functions in failover_calls.py; the state machine keeps the pending calls. No change of behaviour.

properties.test_failover (2) and tests.test_runner (5) pass.

--- a/hickorygate/upstreams/failover.py
+++ b/hickorygate/upstreams/failover.py
@@ -17,6 +17,7 @@
 from hickorygate.core import position as positions
 from hickorygate.core import sheet
 from hickorygate.core import types
+from hickorygate.upstreams import failover_calls
 from hickorygate.upstreams import failover_events
 from hickorygate.upstreams import failover_run
 from hickorygate.upstreams import failover_timing
@@ -128,7 +129,7 @@
         if self._run is not None:
             return self._advance(self._run, now)
         effects = self._start_if_needed(now)
-        return effects if effects else self._redirect_outdated_databases()
+        return effects if effects else self._redirect_outdated()
 
     def handle_fenced(
         self, status: positions.DatabaseStatus, now: datetime.datetime
@@ -272,7 +273,9 @@
             and self._majority_follows(run)
         ):
             return self._complete_run(run)
-        return self._issue_calls(self._calls_for_stage(run))
+        return self._issue_calls(
+            failover_calls.calls_for_stage(run, self._group, self._detector)
+        )
 
     def _superseded(self, run: failover_run.FailoverRun) -> bool:
         """Returns whether another run has promoted a primary.
@@ -345,62 +348,6 @@
     def _majority_follows(self, run: failover_run.FailoverRun) -> bool:
         return 1 + len(run.followers) >= self._group.majority
 
-    def _calls_for_stage(
-        self, run: failover_run.FailoverRun
-    ) -> list[failover_events.Call]:
-        names = [database.name for database in self._group.databases]
-        match run.stage:
-            case failover_run.FailoverStage.QUIESCING:
-                wanted = (
-                    [run.old_primary]
-                    if run.old_primary not in run.fences
-                    else []
-                )
-                return [
-                    failover_events.Fence(name, run.term)
-                    for name in wanted
-                    if name
-                ]
-            case failover_run.FailoverStage.FENCING:
-                wanted = [
-                    name
-                    for name in names
-                    if name not in run.fences and name not in run.refusals
-                ]
-                return [
-                    failover_events.Fence(name, run.term) for name in wanted
-                ]
-            case failover_run.FailoverStage.PROMOTING:
-                assert run.promoted is not None, "no database was chosen"
-                return [failover_events.Promote(run.promoted, run.term)]
-            case failover_run.FailoverStage.POINTING:
-                return self._follow_calls(run, names)
-
-    def _follow_calls(
-        self, run: failover_run.FailoverRun, names: list[types.DatabaseName]
-    ) -> list[failover_events.Call]:
-        assert run.promoted is not None, "no database was chosen"
-        done = run.followers | run.refusals | {run.promoted}
-        return [
-            failover_events.Follow(name, run.term, run.promoted)
-            for name in names
-            if name not in done and self._may_follow(name, run)
-        ]
-
-    def _may_follow(
-        self, name: types.DatabaseName, run: failover_run.FailoverRun
-    ) -> bool:
-        """Returns whether a database may follow the new primary.
-
-        A database without a log may join only a term at which it was fenced.
-        """
-        watched = self._detector.get(name)
-        if watched is None:
-            return False
-        fenced = run.fences.get(name)
-        fenced_blank = fenced is not None and fenced.log_term == 0
-        return fenced_blank or not watched.has_lost_log
-
     def _issue_calls(self, calls: list[failover_events.Call]) -> _Effects:
         """Marks and returns the calls whose databases have no pending call."""
         busy = {call.database for call in self._pending_calls}
@@ -418,7 +365,7 @@
         event = events.FailoverEnded(self._group.name, run.term, outcome)
         return [
             failover_events.RecordEvent(event),
-            *self._redirect_outdated_databases(),
+            *self._redirect_outdated(),
         ]
 
     def _abort_run(
@@ -448,25 +395,5 @@
             if watched is not primary
         ]
 
-    def _redirect_outdated_databases(self) -> _Effects:
-        """Makes databases of an older term follow the primary."""
-        primary = self._detector.primary
-        if (
-            primary is None
-            or not primary.answers
-            or primary.is_fenced_above_term
-        ):
-            return []
-        term = primary.status.term
-        return self._issue_calls(
-            [
-                failover_events.Follow(
-                    watched.status.database, term, primary.status.database
-                )
-                for watched in self._detector.observed_databases
-                if watched.answers
-                and not watched.has_lost_log
-                and watched.status.term < term
-                and watched.status.fenced <= term
-            ]
-        )
+    def _redirect_outdated(self) -> _Effects:
+        return self._issue_calls(failover_calls.redirects(self._detector))
