Split the channels and the settings from the slot allocator

The state of one channel and of all channels of a database is now slot_channel.py (Channel, ChannelTable), the time limits are slot_settings.py. Whether a channel is closed is asked in one place (_may_open) instead of before each call. No change of behaviour.

tests.test_slots (4), properties.test_slots (1), tests.test_pool_load (3), tests.test_leased_rows (4) and tests.test_slot_pool (11) pass.

--- a/hickorygate/tests/test_slots.py
+++ b/hickorygate/tests/test_slots.py
@@ -8,6 +8,7 @@
 
 from hickorygate.testing import clock
 from hickorygate.upstreams import slot_events
+from hickorygate.upstreams import slot_settings
 from hickorygate.upstreams import slots
 
 _MILLISECOND = datetime.timedelta(milliseconds=1)
@@ -25,7 +26,7 @@
         self.allocator = slots.SlotAllocator(
             slots=3,
             share=slots.SharedConnections(limit=10, proxies=5),
-            settings=slots.SlotSettings(),
+            settings=slot_settings.SlotSettings(),
             generator=random.Random(1),
         )
         self.handle(slot_events.Demand(waiting=1, urgent=False))
--- a/hickorygate/upstreams/slot_pool.py
+++ b/hickorygate/upstreams/slot_pool.py
@@ -33,6 +33,7 @@
 from hickorygate.upstreams import keepalive
 from hickorygate.upstreams import slot_events
 from hickorygate.upstreams import slot_locks
+from hickorygate.upstreams import slot_settings
 from hickorygate.upstreams import slots
 
 __all__ = ["LeaseResult", "SlotPool"]
@@ -107,7 +108,7 @@
             )
         )
         self._allocator = slots.SlotAllocator(
-            database.slots, share, slots.SlotSettings(), random.Random()
+            database.slots, share, slot_settings.SlotSettings(), random.Random()
         )
         self._futures: dict[
             lane.AdmittedRequest, asyncio.Future[LeaseResult]
--- a/properties/test_slots.py
+++ b/properties/test_slots.py
@@ -21,6 +21,7 @@
 
 from hickorygate.core import pool_errors
 from hickorygate.upstreams import slot_events
+from hickorygate.upstreams import slot_settings
 from hickorygate.upstreams import slots
 import properties
 
@@ -140,7 +141,7 @@
     def allocator(self, proxy: int) -> slots.SlotAllocator:
         """Returns a proxy's decisions as after its start."""
         return slots.SlotAllocator(
-            _SLOTS, _SHARE, slots.SlotSettings(), random.Random(proxy)
+            _SLOTS, _SHARE, slot_settings.SlotSettings(), random.Random(proxy)
         )
 
     def note(self, proxy: int, event: slot_events.Event) -> None:
