Move the pool's waiting requests to a class of their own

The rank queue and the futures of its requests form one concept, waiting_requests.py; the pool keeps the connections, and releases a connection that a withdrawn request got. The late requests are refused in the same places as before. No change of behaviour.

--- a/hickorygate/testing/pool_load.py
+++ b/hickorygate/testing/pool_load.py
@@ -29,6 +29,7 @@
 from hickorygate.upstreams import connection as connections
 from hickorygate.upstreams import slot_pool
 from hickorygate.upstreams import slots
+from hickorygate.upstreams import waiting_requests
 
 __all__ = [
     "Plain",
@@ -172,7 +173,7 @@
 
     async def acquire(
         self, request: request_context.RequestContext
-    ) -> slot_pool.LeaseResult:
+    ) -> waiting_requests.LeaseResult:
         """Waits for a connection and returns it or a failure."""
 
     def release(self, connection: connections.Connection) -> None:
@@ -195,7 +196,7 @@
 
     async def acquire(
         self, request: request_context.RequestContext
-    ) -> slot_pool.LeaseResult:
+    ) -> waiting_requests.LeaseResult:
         """Waits for a connection until the deadline."""
         remaining = request.time_left(self._clock.now()).total_seconds()
         try:
--- a/hickorygate/upstreams/slot_pool.py
+++ b/hickorygate/upstreams/slot_pool.py
@@ -35,16 +35,15 @@
 from hickorygate.upstreams import slot_locks
 from hickorygate.upstreams import slot_settings
 from hickorygate.upstreams import slots
+from hickorygate.upstreams import waiting_requests
 
-__all__ = ["LeaseResult", "SlotPool"]
+__all__ = ["SlotPool"]
 
 SlotRequest = Callable[
     [connections.Connection], Coroutine[None, None, slot_locks.SlotResult]
 ]
 """Requests a slot on a connection."""
 
-LeaseResult = expression.Result[connections.Connection, errors.Failure]
-
 _QUEUE_WAIT = datetime.timedelta(milliseconds=500)
 """Time that one statement queues for a slot. It also bounds the time for which
 a queueing connection that stopped responding goes undetected."""
@@ -69,7 +68,6 @@
     """A pool of connections to one database for callers' statements."""
 
     __slots__ = (
-        "_futures",
         "_background",
         "_clock",
         "_connections",
@@ -81,11 +79,11 @@
         "_leases",
         "_leaving",
         "_opened",
-        "_queue",
         "_refused",
         "_settings",
         "_share",
         "_timer",
+        "_waiting",
     )
 
     def __init__(
@@ -100,19 +98,17 @@
         self._database = database
         self._settings = settings
         self._share = share
-        self._queue = admission.RankQueue(
+        self._waiting = waiting_requests.WaitingRequests(
             admission.QueueSettings(
                 policy=policy or admission.Floors(),
                 slots=database.slots,
                 capacity=database.slots / share.proxies,
-            )
+            ),
+            clock,
         )
         self._allocator = slots.SlotAllocator(
             database.slots, share, slot_settings.SlotSettings(), random.Random()
         )
-        self._futures: dict[
-            lane.AdmittedRequest, asyncio.Future[LeaseResult]
-        ] = {}
         self._connections: dict[int, connections.Connection] = {}
         self._leases: dict[connections.Connection, _Lease] = {}
         self._events: collections.deque[slot_events.Event] = collections.deque()
@@ -152,7 +148,7 @@
     @property
     def waiting(self) -> dict[types.RankName, int]:
         """Number of waiting requests by rank."""
-        return self._queue.waiting
+        return self._waiting.by_rank
 
     @property
     def opened(self) -> int:
@@ -162,7 +158,7 @@
     @property
     def busy(self) -> int:
         """Number of requests that run or wait."""
-        return self.leased + self._queue.size
+        return self.leased + self._waiting.size
 
     @property
     def refused(self) -> int:
@@ -172,12 +168,12 @@
     def __repr__(self) -> str:
         return (
             f"SlotPool({self._database.name!r}, idle={self.idle}, "
-            f"leased={self.leased}, waiting={self._queue.size})"
+            f"leased={self.leased}, waiting={self._waiting.size})"
         )
 
     async def acquire(
         self, request: request_context.RequestContext
-    ) -> LeaseResult:
+    ) -> waiting_requests.LeaseResult:
         """Waits for a connection that holds a slot.
 
         Args:
@@ -199,7 +195,7 @@
         if lease is None:
             return
         now = self._clock.now()
-        self._queue.finish(lease.waiter, now - lease.started, now)
+        self._waiting.finish(lease.waiter, now - lease.started, now)
         if not connection.reusable:
             connection.close()
         if self._connections.get(lease.channel) is not connection:
@@ -218,7 +214,7 @@
         """
         self._leaving = True
         failure = pool_errors.DatabaseLeft(self._database.name)
-        self._refuse(self._queue.clear(), failure)
+        self._waiting.refuse_all(failure)
         self.handle_event(slot_events.DatabaseLeaving())
 
     def drop_connections(self) -> None:
@@ -269,96 +265,59 @@
 
     async def _acquire(
         self, request: request_context.RequestContext
-    ) -> LeaseResult:
+    ) -> waiting_requests.LeaseResult:
         if self._leaving:
             return expression.Error(
                 pool_errors.DatabaseLeft(self._database.name)
             )
-        self._refuse_late()
-        busy = self._queue.running >= self._database.slots
+        self._waiting.refuse_late()
+        busy = self._waiting.running >= self._database.slots
         free = not busy and not self._allocator.contended
-        offered = self._queue.offer(request, self._clock.now(), free)
-        if offered.is_error():
-            return expression.Error(offered.error)
-        waiter = offered.ok
-        future = asyncio.get_running_loop().create_future()
-        self._futures[waiter] = future
+        added = self._waiting.add(request, free)
+        if added.is_error():
+            return expression.Error(added.error)
         self._keepalive.start()
         self._report_demand()
+        return await self._wait_for_result(added.ok)
+
+    async def _wait_for_result(
+        self, waiter: waiting_requests.Waiter
+    ) -> waiting_requests.LeaseResult:
         try:
-            return await self._wait_for_result(waiter, future)
+            result = await self._waiting.wait(waiter)
         except asyncio.CancelledError:
-            self._abandon(waiter, future)
+            self._abandon(waiter)
             raise
-
-    async def _wait_for_result(
-        self, waiter: lane.AdmittedRequest, future: asyncio.Future[LeaseResult]
-    ) -> LeaseResult:
-        left = waiter.request.time_left(self._clock.now())
-        await asyncio.wait((future,), timeout=left.total_seconds())
-        if future.done():
-            return future.result()
-        self._abandon(waiter, future)
-        return expression.Error(self._deadline_passed(waiter))
-
-    def _abandon(
-        self, waiter: lane.AdmittedRequest, future: asyncio.Future[LeaseResult]
-    ) -> None:
-        """Withdraws a request that is no longer waited for.
-
-        If the request got a connection in the meantime, the connection is
-        released.
-        """
-        self._futures.pop(waiter, None)
-        self._queue.withdraw(waiter, self._clock.now())
-        if future.done() and future.result().is_ok():
-            self.release(future.result().ok)
+        if result is not None:
+            return result
+        self._abandon(waiter)
+        failure = self._waiting.deadline_passed(waiter.admitted)
+        return expression.Error(failure)
+
+    def _abandon(self, waiter: waiting_requests.Waiter) -> None:
+        """Withdraws a request; releases the connection that it got, if any."""
+        connection = self._waiting.withdraw(waiter)
+        if connection is not None:
+            self.release(connection)
         else:
             self._report_demand()
 
-    def _deadline_passed(
-        self, waiter: lane.AdmittedRequest
-    ) -> errors.DeadlinePassed:
-        waited = self._clock.now() - waiter.request.arrived
-        return errors.DeadlinePassed(waiter.request.rank.name, waited)
-
-    def _refuse(
-        self,
-        waiters: tuple[lane.AdmittedRequest, ...],
-        failure: errors.Failure,
-    ) -> None:
-        for waiter in waiters:
-            self._settle(waiter, expression.Error(failure))
-
-    def _settle(
-        self, waiter: lane.AdmittedRequest, result: LeaseResult
-    ) -> None:
-        future = self._futures.pop(waiter, None)
-        if future is not None:
-            future.set_result(result)
-
-    def _refuse_late(self) -> None:
-        for waiter in self._queue.remove_late(self._clock.now()):
-            self._settle(
-                waiter, expression.Error(self._deadline_passed(waiter))
-            )
-
     def _report_demand(self) -> None:
-        urgent = self._queue.has_urgent_work(self._clock.now())
-        self.handle_event(slot_events.Demand(self._queue.size, urgent))
+        urgent = self._waiting.has_urgent_work()
+        self.handle_event(slot_events.Demand(self._waiting.size, urgent))
 
     def _lease_next(self, channel: int) -> None:
         """Leases a ready connection to the next request."""
-        self._refuse_late()
+        self._waiting.refuse_late()
         now = self._clock.now()
-        waiter = self._queue.dequeue(now)
+        waiter = self._waiting.dequeue(now)
         if waiter is None:
             self._report_demand()
             self.handle_event(slot_events.ConnectionReturned(channel))
             return
         connection = self._connections[channel]
         self._leases[connection] = _Lease(channel, waiter, now)
-        self._settle(waiter, expression.Ok(connection))
+        self._waiting.settle(waiter, expression.Ok(connection))
 
     async def _open(self, channel: int) -> None:
         opened = await connections.open_connection(
@@ -375,7 +334,7 @@
 
     async def _register(
         self, connection: connections.Connection
-    ) -> LeaseResult:
+    ) -> waiting_requests.LeaseResult:
         entered = await slot_locks.register_connection(
             connection, self._share.limit, self._settings.connect_timeout
         )
@@ -517,7 +476,7 @@
 
 @_perform.register
 def _(effect: slot_events.RefuseWaiting, pool: SlotPool) -> None:
-    pool._refuse(pool._queue.clear(), effect.failure)
+    pool._waiting.refuse_all(effect.failure)
 
 
 @_perform.register
