Move the opening of a pool's connection to a module of its own

Opening a connection and registering it in the database's limit needs nothing of the pool, so it is a function in slot_connection.py. No change of behaviour.

--- a/hickorygate/upstreams/slot_pool.py
+++ b/hickorygate/upstreams/slot_pool.py
@@ -22,7 +22,6 @@
 from hickorygate.core import admission
 from hickorygate.core import background
 from hickorygate.core import clock as clocks
-from hickorygate.core import errors
 from hickorygate.core import lane
 from hickorygate.core import pool_errors
 from hickorygate.core import request_context
@@ -31,6 +30,7 @@
 from hickorygate.core import types
 from hickorygate.upstreams import connection as connections
 from hickorygate.upstreams import keepalive
+from hickorygate.upstreams import slot_connection
 from hickorygate.upstreams import slot_events
 from hickorygate.upstreams import slot_locks
 from hickorygate.upstreams import slot_settings
@@ -320,11 +320,9 @@
         self._waiting.settle(waiter, expression.Ok(connection))
 
     async def _open(self, channel: int) -> None:
-        opened = await connections.open_connection(
-            self._database, self._settings
+        opened = await slot_connection.open_registered(
+            self._database, self._share.limit, self._settings
         )
-        if opened.is_ok():
-            opened = await self._register(opened.ok)
         if opened.is_error():
             self.handle_event(slot_events.OpenFailed(channel, opened.error))
             return
@@ -332,17 +330,6 @@
         self._connections[channel] = opened.ok
         self.handle_event(slot_events.Opened(channel))
 
-    async def _register(
-        self, connection: connections.Connection
-    ) -> waiting_requests.LeaseResult:
-        entered = await slot_locks.register_connection(
-            connection, self._share.limit, self._settings.connect_timeout
-        )
-        if entered.is_error():
-            connection.close()
-            return expression.Error(_as_connect_failure(entered.error))
-        return expression.Ok(connection)
-
     def _request_slot(self, channel: int, request_slot: SlotRequest) -> None:
         """Requests a slot on a channel's connection, if it is still open.
 
@@ -403,17 +390,6 @@
         )
 
 
-def _as_connect_failure(failure: errors.Failure) -> errors.Failure:
-    """Replaces `AnswerLost` by `ConnectFailed`.
-
-    No caller's request was sent on the connection yet, so the outcome of the
-    request is known: it did not run.
-    """
-    if isinstance(failure, errors.AnswerLost):
-        return errors.ConnectFailed(failure.database, failure.reason)
-    return failure
-
-
 @functools.singledispatch
 def _perform(effect: slot_events.Effect, pool: SlotPool) -> None:
     raise TypeError(f"no handler for effect {effect!r}; register one")
