Move the sending of slot requests to a module of its own

No change of behaviour.

tests.test_slots (4), tests.test_pool_load (3), tests.test_leased_rows (4), tests.test_slot_pool (11) and tools.test_style (6) pass.

--- a/hickorygate/upstreams/slot_pool.py
+++ b/hickorygate/upstreams/slot_pool.py
@@ -10,8 +10,6 @@
 
 import asyncio
 import collections
-from collections.abc import Callable
-from collections.abc import Coroutine
 import dataclasses
 import datetime
 import functools
@@ -33,21 +31,13 @@
 from hickorygate.upstreams import slot_connection
 from hickorygate.upstreams import slot_events
 from hickorygate.upstreams import slot_locks
+from hickorygate.upstreams import slot_request
 from hickorygate.upstreams import slot_settings
 from hickorygate.upstreams import slots
 from hickorygate.upstreams import waiting_requests
 
 __all__ = ["SlotPool"]
 
-SlotRequest = Callable[
-    [connections.Connection], Coroutine[None, None, slot_locks.SlotResult]
-]
-"""Requests a slot on a connection."""
-
-_QUEUE_WAIT = datetime.timedelta(milliseconds=500)
-"""Time that one statement queues for a slot. It also bounds the time for which
-a queueing connection that stopped responding goes undetected."""
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Lease:
@@ -330,30 +320,30 @@
         self._connections[channel] = opened.ok
         self.handle_event(slot_events.Opened(channel))
 
-    def _request_slot(self, channel: int, request_slot: SlotRequest) -> None:
+    def _request_slot(self, request: slot_request.SlotRequest) -> None:
         """Requests a slot on a channel's connection, if it is still open.
 
         If the connection was just lost, nothing is done: the allocator is
         about to get a `ConnectionLost` event for the channel.
         """
-        connection = self._connections.get(channel)
+        connection = self._connections.get(request.channel)
         if connection is not None:
-            work = self._complete_slot_request(
-                channel, connection, request_slot(connection)
-            )
+            work = self._complete_slot_request(request, connection)
             self._background.start(work)
 
     async def _complete_slot_request(
         self,
-        channel: int,
+        request: slot_request.SlotRequest,
         connection: connections.Connection,
-        work: Coroutine[None, None, slot_locks.SlotResult],
     ) -> None:
         """Awaits a slot request and reports its result to the slot allocator.
 
         The result is ignored if the channel has another connection by then.
         """
-        result = await work
+        channel = request.channel
+        result = await slot_request.send(
+            request, connection, self._settings.probe_timeout
+        )
         if self._connections.get(channel) is not connection:
             return
         match result:
@@ -401,33 +391,8 @@
 
 
 @_perform.register
-def _(effect: slot_events.TryAcquire, pool: SlotPool) -> None:
-    pool._request_slot(
-        effect.channel,
-        lambda connection: slot_locks.acquire_free_slot(
-            connection, effect.slots, pool._settings.probe_timeout
-        ),
-    )
-
-
-@_perform.register
-def _(effect: slot_events.QueueForSlot, pool: SlotPool) -> None:
-    pool._request_slot(
-        effect.channel,
-        lambda connection: slot_locks.queue_for_slot(
-            connection, effect, _QUEUE_WAIT, pool._settings.probe_timeout
-        ),
-    )
-
-
-@_perform.register
-def _(effect: slot_events.YieldSlot, pool: SlotPool) -> None:
-    pool._request_slot(
-        effect.channel,
-        lambda connection: slot_locks.yield_slot(
-            connection, effect.slot, pool._settings.probe_timeout
-        ),
-    )
+def _(effect: slot_request.SlotRequest, pool: SlotPool) -> None:
+    pool._request_slot(effect)
 
 
 @_perform.register
