Write the newest reported commits when their primary is replaced

What was seen: for a lost commit nobody could tell which proxy had reported it to its caller, when and on what proof.

Change: CommitReported isn't written but kept, the newest 500 of each primary.

--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -18,6 +18,7 @@
     "CallersRejected",
     "CatalogApplied",
     "CatalogRejected",
+    "CommitReported",
     "CommitWithheld",
     "ConnectionUnsettled",
     "DutyLost",
@@ -113,6 +114,28 @@
     leader: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitReported(events.Event):
+    """A commit is about to be reported to its caller as successful.
+
+    Attributes:
+      request: request id, chosen by the caller.
+      service: name of the service.
+      database: id of the primary that acknowledged the commit.
+      term: term that the primary leads.
+      position: position of the commit in its log; None if unknown.
+      holders: ids of the replicas that are proved to hold the commit; none if
+        the primary's word was enough.
+    """
+
+    request: str
+    service: types.ServiceName
+    database: str
+    term: types.Term
+    position: positions.Position | None
+    holders: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CommitWithheld(events.Event):
     """A commit was reported as in doubt although the primary acknowledged it.
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -25,6 +25,7 @@
 from hickorygate.core import position
 from hickorygate.core import types
 from hickorygate.operators import line_class
+from hickorygate.operators import recent_commits
 from hickorygate.operators import severity
 
 __all__ = ["LineRateLimit", "EventLog", "NonBlockingHandler"]
@@ -151,6 +152,7 @@
         self._next_journal = next_journal
         self._handler = handler
         self._lost = 0
+        self._recent = recent_commits.RecentCommits()
         self._logger = logbook.Logger(_CHANNEL)
         self._logger.handlers.append(handler)
         self._counts: collections.Counter[str] = collections.Counter()
@@ -176,6 +178,12 @@
         if self._next_journal is not None:
             self._next_journal.record(event)
         now = self._clock.now()
+        for line in recent_commits.lines(event, self._recent, now):
+            self._write_if_allowed(line, now)
+
+    def _write_if_allowed(
+        self, event: events.Event, now: datetime.datetime
+    ) -> None:
         kind = line_class.line_class(event)
         limit = self._limits.get(kind)
         if limit is None or limit.try_consume(now):
@@ -186,7 +194,7 @@
     def _write(self, event: events.Event, now: datetime.datetime) -> None:
         level = severity.severity(event)
         line: dict[str, object] = {
-            "time": now.isoformat(timespec="milliseconds"),
+            "time": _to_json(now),
             "process": self._process,
             "event": type(event).__name__,
             "level": level.value,
@@ -248,6 +256,19 @@
     return [_to_json(item) for item in value]
 
 
+@_to_json.register
+def _(value: recent_commits.ReportedCommit) -> object:
+    return {
+        field.name: _to_json(getattr(value, field.name))
+        for field in dataclasses.fields(value)
+    }
+
+
+@_to_json.register
+def _(value: datetime.datetime) -> object:
+    return value.isoformat(timespec="milliseconds")
+
+
 @_to_json.register
 def _(value: datetime.timedelta) -> object:
     return f"{value.total_seconds() * 1_000:.1f} ms"
--- a/hickorygate/operators/line_class.py
+++ b/hickorygate/operators/line_class.py
@@ -8,6 +8,7 @@
 from hickorygate.core import events
 from hickorygate.core import platform_events
 from hickorygate.core import takeover_steps
+from hickorygate.operators import recent_commits
 
 __all__ = ["LineClass", "line_class"]
 
@@ -49,6 +50,7 @@
 
 
 @line_class.register(takeover_steps.CandidateCompared)
+@line_class.register(recent_commits.CommitsReported)
 @line_class.register(platform_events.DutyLost)
 @line_class.register(platform_events.DutyWon)
 @line_class.register(platform_events.LeaderChanged)
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -49,6 +49,9 @@
 
 _SECOND = datetime.timedelta(seconds=1)
 _PIPE_BYTES = 1_000_000
+_ATOMIC_BYTES = 4_096
+"""Length up to which a pipe takes a line whole or not at all."""
+
 _MILLISECOND = datetime.timedelta(milliseconds=1)
 _DISCARDED = platform_events.ReadDiscarded("1f", "i-1", "")
 _WITHHELD = platform_events.CommitWithheld("1f", "i-1", None)
@@ -243,6 +246,65 @@
         self.assertEqual(os.read(reader, 100), b"\nnext\n")
 
 
+class RecentCommitsTest(unittest.TestCase):
+    """Which commits are written when a primary is replaced."""
+
+    def setUp(self) -> None:
+        self.clock = clock.FakeClock()
+        self.handler = _LineCollector()
+        self.log = event_log.EventLog("proxy-1", self.clock, self.handler)
+
+    def commit(self, offset: int, service: str = "s") -> None:
+        self.clock.advance(_MILLISECOND)
+        self.log.record(
+            platform_events.CommitReported(
+                request=f"r{offset}",
+                service=service,
+                database="i-1",
+                term=7,
+                position=position.Position(7, offset),
+                holders=("i-3",),
+            )
+        )
+
+    def change_leader(self, term: int) -> list[dict[str, object]]:
+        """Returns the lines of commits when a primary is found."""
+        before = len(self.handler.lines)
+        self.log.record(platform_events.LeaderChanged("s", "i-2", term, None))
+        *commits, changed = self.handler.lines[before:]
+        self.assertEqual(changed["event"], "LeaderChanged")
+        return commits
+
+    def test_commits_are_written_when_their_primary_is_replaced(self) -> None:
+        for offset in (11, 12):
+            self.commit(offset)
+        self.commit(13, service="other")
+        self.assertEqual(self.handler.lines, [])
+        (line,) = self.change_leader(term=8)
+        self.assertEqual(line["event"], "CommitsReported")
+        self.assertEqual((line["database"], line["term"]), ("i-1", 7))
+        self.assertEqual(
+            [(c["request"], c["position"]) for c in line["commits"]],
+            [("r11", "7.11"), ("r12", "7.12")],
+        )
+        self.assertEqual(line["commits"][0]["holders"], ["i-3"])
+        self.assertEqual(self.change_leader(term=9), [])
+
+    def test_commits_are_kept_while_their_primary_leads(self) -> None:
+        self.commit(11)
+        self.assertEqual(self.change_leader(term=7), [])
+        self.assertEqual(len(self.change_leader(term=8)), 1)
+
+    def test_the_newest_commits_are_kept(self) -> None:
+        for offset in range(5_000):
+            self.commit(offset)
+        lines = self.change_leader(term=8)
+        offsets = [c["request"] for line in lines for c in line["commits"]]
+        self.assertEqual(offsets, [f"r{n}" for n in range(4_500, 5_000)])
+        for line in lines:
+            self.assertLess(len(orjson.dumps(line)), _ATOMIC_BYTES)
+
+
 class StalledReaderTest(unittest.TestCase):
     """What a reader finds that didn't read for a while."""
 
