--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -124,8 +124,8 @@
       database: id of the primary that acknowledged the commit.
       term: term that the primary leads.
       position: position of the commit in its log; None if unknown.
-      holders: ids of the replicas that are proved to hold the commit; none if
-        the primary's word was enough.
+      provers: ids of the replicas that prove by themselves that the commit is
+        kept; none if it took the answers of all replicas, or none is needed.
     """
 
     request: str
@@ -133,7 +133,7 @@
     database: str
     term: types.Term
     position: positions.Position | None
-    holders: tuple[str, ...]
+    provers: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/operators/recent_commits.py
+++ b/hickorygate/operators/recent_commits.py
@@ -35,13 +35,13 @@
       time: time of the report.
       request: request id, chosen by the caller.
       position: position of the commit in the primary's log; None if unknown.
-      holders: ids of the replicas that were proved to hold it.
+      provers: ids of the replicas that proved that it is kept.
     """
 
     time: datetime.datetime
     request: str
     position: position.Position | None
-    holders: tuple[str, ...]
+    provers: tuple[str, ...]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -82,7 +82,7 @@
     ) -> None:
         """Keeps a commit in place of the oldest one of its primary."""
         self._commits[event.service, event.database, event.term].append(
-            ReportedCommit(now, event.request, event.position, event.holders)
+            ReportedCommit(now, event.request, event.position, event.provers)
         )
 
     def take(
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -263,7 +263,7 @@
                 database="i-1",
                 term=7,
                 position=position.Position(7, offset),
-                holders=("i-3",),
+                provers=("i-3",),
             )
         )
 
@@ -287,7 +287,7 @@
             [(c["request"], c["position"]) for c in line["commits"]],
             [("r11", "7.11"), ("r12", "7.12")],
         )
-        self.assertEqual(line["commits"][0]["holders"], ["i-3"])
+        self.assertEqual(line["commits"][0]["provers"], ["i-3"])
         self.assertEqual(self.change_leader(term=9), [])
 
     def test_commits_are_kept_while_their_primary_leads(self) -> None:
