--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -18,6 +18,7 @@
     "CallersRejected",
     "CatalogApplied",
     "CatalogRejected",
+    "CommitReported",
     "CommitWithheld",
     "ConnectionUnsettled",
     "DutyLost",
@@ -113,6 +114,28 @@
     leader: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitReported(events.Event):
+    """A commit is about to be reported to its caller as successful.
+
+    Attributes:
+      request: request id, chosen by the caller.
+      service: name of the service.
+      database: id of the primary that acknowledged the commit.
+      term: term that the primary leads.
+      position: position of the commit in its log; None if unknown.
+      provers: ids of the replicas that prove by themselves that the commit is
+        kept; none if it took the answers of all replicas, or none is needed.
+    """
+
+    request: str
+    service: types.ServiceName
+    database: str
+    term: types.Term
+    position: positions.Position | None
+    provers: tuple[str, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CommitWithheld(events.Event):
     """A commit was reported as in doubt although the primary acknowledged it.
