Tell a refused order from one without an answer in the log

PromotionOrdered said only that an order wasn't accepted. Whether it may still take effect decides what a lost commit is due to, so the line has the outcome: accepted, refused or unknown. This replaces the field accepted.

--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -237,14 +237,14 @@
       member: id of the database.
       number: fencing token of the promotion lease.
       received: end of the database's log; None if unknown.
-      accepted: whether the platform accepted the promotion.
+      outcome: "accepted", "refused", or "unknown" if the answer was lost.
     """
 
     service: types.ServiceName
     member: str
     number: int
     received: positions.Position | None
-    accepted: bool
+    outcome: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/tests/test_event_log.py
+++ b/hickorygate/tests/test_event_log.py
@@ -94,7 +94,7 @@
     takeover_steps.CandidateCompared("s", 8, 3, "i-1", _END, "i-2", _END),
     takeover_steps.PauseLost("s", "i-2", 8, 3, False),
     takeover_steps.PromotionSent("s", 8, 3, "i-2", _END),
-    platform_events.PromotionOrdered("s", "i-2", 3, None, True),
+    platform_events.PromotionOrdered("s", "i-2", 3, None, "accepted"),
     platform_events.LeaderChanged("s", "i-2", 8, None),
     takeover_steps.TakeoverEnded("s", 8, 3, "i-2 is the primary"),
 )
--- a/hickorygate/tests/test_takeover_log.py
+++ b/hickorygate/tests/test_takeover_log.py
@@ -86,7 +86,9 @@
             self.assertIn((stage, "c"), answers)
         names = [type(line).__name__ for line in lines]
         sent = names.index("PromotionSent")
-        self.assertLess(sent, names.index("PromotionOrdered"))
+        ordered = names.index("PromotionOrdered")
+        self.assertLess(sent, ordered)
+        self.assertEqual(lines[ordered].outcome, "accepted")
         self.assertEqual(lines[sent].member, fleet.group.leader)
         self.assertEqual({line.number for line in lines}, {started.number})
         self.assertLessEqual(len(lines), _MOST_LINES)
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -274,7 +274,7 @@
                 effect.member,
                 self._lease.number,
                 status.received if status else None,
-                outcome is promotion_order.OrderOutcome.ACCEPTED,
+                outcome.value,
             )
         )
         refused = outcome is promotion_order.OrderOutcome.REFUSED
