Judge a proof by what its answer shows, not by the time it is read

The list now tells since when this process knows each database, also for groups that are opened later. - A replica was judged by its age when the answer was read, which may be long after it was asked; a suspended process counted its own absence. - A takeover that had ended unseen, with its replicas cut off, no longer counted after 10 s. It counts until all databases have answered again. - A commit without a position was checked by an older position; it is in doubt. Two needless doubts are mended with it: a lone replica that was listed a moment ago counts once all proxies know it, and a proxy that can't prove any commit yet holds writes back before it sends them. Cause: each rested on a fact that had stopped being true, or wasn't yet.

--- a/hickorygate/testing/model_fleet.py
+++ b/hickorygate/testing/model_fleet.py
@@ -28,10 +28,14 @@
 from hickorygate.testing import virtual_time
 from hickorygate.upstreams import group_monitor
 from hickorygate.upstreams import lease_record
+from hickorygate.upstreams import member as members
 from hickorygate.upstreams import promotion_lease
 
 __all__ = ["CallOutcome", "ModelFleet", "ModelProxy"]
 
+_LISTED_BEFORE = datetime.timedelta(minutes=1)
+"""Time for which a proxy knows the first databases when it begins."""
+
 _STALENESS = datetime.timedelta(milliseconds=1_500)
 _ROUTES = {
     "strong": (0, 200, 1_000, catalogs.StrongConsistency()),
@@ -104,6 +108,7 @@
             random.Random(name),
         )
         self._group = group
+        self._known_since: dict[members.MemberId, datetime.datetime] = {}
         self._clock = clock
         self._background = background.BackgroundTasks()
         self.catalog: catalogs.Catalog | None = None
@@ -143,9 +148,19 @@
         live = frozenset(names)
         self._lease.set_proxies(live)
         self.monitor.set_proxies(len(live))
-        self.monitor.set_members(self._group.members())
+        known = self._clock.now() - _LISTED_BEFORE
+        for member in self._group.members():
+            self._known_since[member.id] = known
+        self.reload_members()
         self.monitor.start()
 
+    def reload_members(self) -> None:
+        """Tells the proxy the present entries of the databases."""
+        listed = self._group.members()
+        for member in listed:
+            self._known_since.setdefault(member.id, self._clock.now())
+        self.monitor.set_members(listed, self._known_since)
+
     async def close(self) -> None:
         """Stops the proxy."""
         await self._background.close()
@@ -239,7 +254,7 @@
     def reload_members(self) -> None:
         """Tells all proxies the present entries of the databases."""
         for proxy in self.proxies:
-            proxy.monitor.set_members(self.group.members())
+            proxy.reload_members()
 
     def count(self, kind: type[events.Event]) -> int:
         """Returns how often the proxies recorded a kind of event."""
--- a/hickorygate/tests/test_commit_guard.py
+++ b/hickorygate/tests/test_commit_guard.py
@@ -24,7 +24,7 @@
     position = positions.Position(term, received)
     status = reply.ReplicationStatus(False, term, position, paused_for)
     since = None if running is None else clock.at(_NOW) - running
-    return commit_guard.Replica(status, since)
+    return commit_guard.Replica(status, clock.at(_NOW), since)
 
 
 _RESTARTED = datetime.timedelta(seconds=9)
@@ -171,8 +171,8 @@
         self.assertFalse(self.guard.under_way)
 
     def test_a_restarted_replica_does_not_hide_a_takeover(self) -> None:
-        b = _replica(running=_RESTARTED)
-        self.observe(b=b, c=_replica(paused_for=2))
+        self.guard.record_running("b", clock.at(_NOW) - _RESTARTED)
+        self.observe(b=_replica(), c=_replica(paused_for=2))
         self.assertTrue(self.guard.under_way)
         # A status of a later round doesn't say how long b has run.
         self.observe(b=_replica(running=None), c=_replica(paused_for=2))
--- a/hickorygate/tests/test_line_path.py
+++ b/hickorygate/tests/test_line_path.py
@@ -323,7 +323,8 @@
         for proxy in self.cluster.proxies:
             listed = [m for m in self.group.members() if m.id != "a"]
             group = proxy.fleet.group("ledger")
-            group.set_members(tuple(listed))
+            known = dict.fromkeys("bc", clock.SystemClock().now())
+            group.set_members(tuple(listed), known)
         await self.until_promoted(1.5)
         line_cluster.assert_no_commit_lost(self.group)
 
--- a/hickorygate/tests/test_listing.py
+++ b/hickorygate/tests/test_listing.py
@@ -36,11 +36,11 @@
 
     def test_an_entry_that_returns_does_not_expire(self) -> None:
         self.listing.remove("b", clock.at(1))
-        self.listing.put(_member("b"))
+        self.listing.put(_member("b"), clock.at(1))
         self.assertFalse(self.listing.expire(clock.at(9)))
 
     def test_a_leaving_database_is_removed_at_once(self) -> None:
-        self.listing.put(_member("b", leaving=True))
+        self.listing.put(_member("b", leaving=True), clock.at(1))
         self.listing.remove("b", clock.at(1))
         self.assertEqual(self.names(), ["a"])
 
@@ -59,8 +59,8 @@
         self.listing = members.Listing()
         self.early = _member("a")
         self.late = dataclasses.replace(self.early, leaving=True, sequence=9)
-        self.listing.put(self.early)
-        self.listing.put(self.late)
+        self.listing.put(self.early, clock.at(1))
+        self.listing.put(self.late, clock.at(1))
 
     # Guards against a database that gets work again although it announced its
     # shutdown, because the store went back to an earlier entry.
@@ -73,13 +73,13 @@
     def test_a_database_that_left_does_not_return(self) -> None:
         self.listing.remove("a", clock.at(1))
         self.listing.replace([self.early], clock.at(2))
-        self.listing.put(self.late)
+        self.listing.put(self.late, clock.at(1))
         self.assertEqual(self.listing.members, ())
 
     def test_a_database_that_starts_again_is_listed(self) -> None:
         self.listing.remove("a", clock.at(1))
         again = dataclasses.replace(self.early, born=0)
-        self.listing.put(again)
+        self.listing.put(again, clock.at(1))
         self.assertEqual(self.listing.members, (again,))
 
     def test_a_later_entry_of_a_database_that_was_dropped_is_listed(
@@ -87,7 +87,7 @@
     ) -> None:
         self.listing.remove("a", clock.at(1))
         alive = dataclasses.replace(self.late, sequence=10)
-        self.listing.put(alive)
+        self.listing.put(alive, clock.at(1))
         self.assertEqual(self.listing.members, (alive,))
 
 
--- a/hickorygate/upstreams/commit_check.py
+++ b/hickorygate/upstreams/commit_check.py
@@ -9,7 +9,7 @@
 
 import asyncio
 from collections.abc import Iterable
-import dataclasses
+from collections.abc import Mapping
 import datetime
 from typing import TYPE_CHECKING
 
@@ -29,19 +29,6 @@
 """Minimum time between two questions to a replica for the same commit."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Answer:
-    """An answer of a replica.
-
-    Attributes:
-      asked: time at which it was asked.
-      replica: what it answered.
-    """
-
-    asked: datetime.datetime
-    replica: commit_guard.Replica
-
-
 class CommitCheck:
     """The checks of one group's commits."""
 
@@ -54,11 +41,13 @@
         self._group = group
         self._clock = clock
         self._guard = commit_guard.CommitGuard(synchronous_replicas)
-        self._answers: dict[members.MemberId, _Answer] = {}
+        self._answers: dict[members.MemberId, commit_guard.Replica] = {}
         self._asked: dict[members.MemberId, datetime.datetime] = {}
         self._asking: set[members.MemberId] = set()
         self._provers: frozenset[members.MemberId] = frozenset()
         self._followed: dict[members.MemberId, datetime.datetime] = {}
+        self._answering: frozenset[members.MemberId] = frozenset()
+        self._silent = False
         self._answered = asyncio.Event()
         self._background = background.BackgroundTasks()
 
@@ -67,6 +56,13 @@
         """Whether another proxy seems to be replacing the primary."""
         return self._guard.under_way
 
+    @property
+    def may_succeed(self) -> bool:
+        """Whether a commit that is sent now may be reported."""
+        return not self._guard.needs_proof or self._guard.can_prove(
+            self._answering, self._silent, self._clock.now()
+        )
+
     def __repr__(self) -> str:
         return f"CommitCheck({self._guard!r})"
 
@@ -79,16 +75,23 @@
         self._guard.set_synchronous_replicas(synchronous_replicas)
 
     def note_members(
-        self, before: Iterable[members.Member], listed: Iterable[members.Member]
+        self,
+        before: Iterable[members.Member],
+        listed: Iterable[members.Member],
+        known_since: Mapping[members.MemberId, datetime.datetime],
     ) -> None:
-        """Notes which databases joined, restarted or left."""
+        """Notes which databases joined, restarted or left.
+
+        Args:
+          before: databases that were listed before.
+          listed: databases that are listed now.
+          known_since: time since when this proxy knows each of these.
+        """
         known = {member.id: member.born for member in before}
-        is_first = not known
-        now = self._clock.now()
         for member in listed:
             born = known.pop(member.id, None)
-            if born != member.born and not is_first:
-                self._guard.record_join(member.id, now)
+            if born != member.born:
+                self._guard.record_join(member.id, known_since[member.id])
                 self._answers.pop(member.id, None)
         for name in known:
             self._guard.forget(name)
@@ -105,10 +108,16 @@
         """Notes the conclusions of a round that was sent at a time."""
         self._followed.update(dict.fromkeys(finding.followers, sent))
         leader = self._group.leader
-        if leader is None or not finding.has_statuses:
+        if leader is None:
+            return
+        self._answering = finding.followers
+        self._silent = not finding.followers >= self._replicas(leader)
+        if not self._silent:
+            self._guard.record_complete_round(sent)
+        if not finding.has_statuses:
             return
         replicas = {
-            name: commit_guard.Replica(status)
+            name: commit_guard.Replica(status, sent)
             for name, status in finding.statuses.items()
             if name != leader.member
         }
@@ -131,7 +140,6 @@
         """
         if not self._guard.needs_proof:
             return True
-        position = position or self._group.state.position(leader.member)
         if position is None:
             return False
         answered = self._clock.now()
@@ -161,11 +169,11 @@
         """
         names = self._replicas(leader)
         answers = {n: a for n, a in self._answers.items() if n in names}
-        recent = [a for a in answers.values() if a.asked >= since]
+        recent = [a.asked for a in answers.values() if a.asked >= since]
         return commit_guard.View(
-            since,
+            min(recent, default=since),
             leader.term,
-            {name: answer.replica for name, answer in answers.items()},
+            answers,
             silent=len(recent) < len(names),
         )
 
@@ -196,7 +204,9 @@
         finally:
             self._asking.discard(name)
         if replica is not None:
-            self._answers[name] = _Answer(now, replica)
+            self._answers[name] = replica
+            if replica.running_since is not None:
+                self._guard.record_running(name, replica.running_since)
         answered, self._answered = self._answered, asyncio.Event()
         answered.set()
 
--- a/hickorygate/upstreams/commit_guard.py
+++ b/hickorygate/upstreams/commit_guard.py
@@ -6,15 +6,16 @@
 enough replicas are proved to hold it that every takeover takes into account.
 Such a replica is established:
 
-- It was listed before any takeover began that could still replace the primary.
-  So every such takeover knew of it from the beginning.
+- It was listed before any takeover began that could have replaced the primary,
+  or still can. So every such takeover knew of it from the beginning.
 - It has run without a break since then, as one connection to it shows. So a
   pause by such a takeover is still in force, and what the replica holds now it
   held when the takeover compared the log ends.
 
-Such a takeover began no longer ago than a takeover takes, and after the term of
-the primary, which it replaces by the next one. Whatever it promotes has the
-commit as well, also if this proxy has never heard of the takeover.
+Such a takeover has not ended before all databases last answered, with no newer
+primary among them. It takes no longer than takeovers do, and it began after the
+term of the primary, which it replaces by the next one. Whatever it promotes has
+the commit as well, also if this proxy has never heard of the takeover.
 
 While too few replicas are established (they are new, or this process is), the
 replicas are asked after the acknowledgment. If all of them answer and none is
@@ -46,11 +47,13 @@
 
     Attributes:
       status: its status.
+      asked: time at which it was asked.
       running_since: earliest time since when it is known to have run without a
         break; None if unknown.
     """
 
     status: reply.ReplicationStatus
+    asked: datetime.datetime
     running_since: datetime.datetime | None = None
 
     def holds(self, position: positions.Position, term: types.Term) -> bool:
@@ -104,6 +107,7 @@
 
     __slots__ = (
         "_before_term",
+        "_complete_round",
         "_joined",
         "_running",
         "_synchronous_replicas",
@@ -115,6 +119,7 @@
         self._joined: dict[members.MemberId, datetime.datetime] = {}
         self._running: dict[members.MemberId, datetime.datetime] = {}
         self._before_term: datetime.datetime | None = None
+        self._complete_round: datetime.datetime | None = None
         self._under_way = False
 
     @property
@@ -151,9 +156,21 @@
         self._before_term = followed
         self._under_way = False
 
+    def record_complete_round(self, sent: datetime.datetime) -> None:
+        """Records that one database led, and all others answered as replicas.
+
+        Args:
+          sent: time at which they were asked.
+        """
+        self._complete_round = sent
+
     def takeovers_since(self, now: datetime.datetime) -> datetime.datetime:
-        """Returns a time before all takeovers that may replace the primary."""
-        earliest = now - takeover_timing.TAKEOVER_SPAN
+        """Returns a time before all takeovers that may replace the primary.
+
+        Those that have replaced it unseen by this proxy are among them.
+        """
+        last_seen = min(self._complete_round or now, now)
+        earliest = last_seen - takeover_timing.TAKEOVER_SPAN
         if self._before_term is None:
             return earliest
         return max(earliest, self._before_term)
@@ -163,11 +180,38 @@
         self._joined.pop(name, None)
         self._running.pop(name, None)
 
+    def record_running(
+        self, name: members.MemberId, since: datetime.datetime
+    ) -> None:
+        """Records since when the process of a replica is known to run."""
+        self._running[name] = since
+
+    def can_prove(
+        self,
+        answering: frozenset[members.MemberId],
+        silent: bool,
+        now: datetime.datetime,
+    ) -> bool:
+        """Returns whether a commit that is sent now may be proved.
+
+        Args:
+          answering: replicas that answered lately.
+          silent: whether other replicas didn't.
+          now: current time.
+        """
+        if not silent or answering - self._running.keys():
+            return True
+        began = self.takeovers_since(now)
+        return self._enough(
+            frozenset(
+                name
+                for name in self._listed(answering, began)
+                if _has_run(self._running[name], began)
+            )
+        )
+
     def observe(self, view: View, now: datetime.datetime) -> None:
         """Records the present state of the replicas."""
-        for name, replica in view.replicas.items():
-            if replica.running_since is not None:
-                self._running[name] = replica.running_since
         steady = [
             name
             for name in view.following()
@@ -220,13 +264,23 @@
         now: datetime.datetime,
     ) -> frozenset[members.MemberId]:
         """Returns the replicas that every takeover takes into account."""
-        began = self.takeovers_since(now)
         return frozenset(
             name
-            for name in self._listed(names, began)
-            if _has_run(view.replicas[name].running_since, began)
+            for name in names
+            if self._is_established(name, view.replicas[name], now)
         )
 
+    def _is_established(
+        self,
+        name: members.MemberId,
+        replica: Replica,
+        now: datetime.datetime,
+    ) -> bool:
+        # The answer may be old, or have waited to be read.
+        began = self.takeovers_since(min(replica.asked, now))
+        listed = bool(self._listed([name], began))
+        return listed and _has_run(replica.running_since, began)
+
     def _listed(
         self, names: Iterable[members.MemberId], at: datetime.datetime
     ) -> frozenset[members.MemberId]:
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Mapping
 import datetime
 import random
 
@@ -209,8 +210,17 @@
         for pool in self._pools.values():
             pool.update(pool.member, self._terms.connections, count)
 
-    def set_members(self, listed: tuple[members.Member, ...]) -> None:
-        """Replaces the set of databases of the group."""
+    def set_members(
+        self,
+        listed: tuple[members.Member, ...],
+        known_since: Mapping[members.MemberId, datetime.datetime],
+    ) -> None:
+        """Replaces the set of databases of the group.
+
+        Args:
+          listed: databases of the group.
+          known_since: time since when this proxy knows each of them.
+        """
         new = {member.id: member for member in listed}
         if self.leader is not None and self.leader.member not in new:
             self._lose_leader("it is no longer listed")
@@ -226,7 +236,9 @@
                 )
         for name, member in new.items():
             self._update_member(name, member)
-        self._commits.note_members(self._state.members.values(), listed)
+        self._commits.note_members(
+            self._state.members.values(), listed, known_since
+        )
         self._state.set_members(listed)
         self._round_requested.set()
 
@@ -366,6 +378,8 @@
         """Whether the primary is known and seems to acknowledge commits."""
         if self.leader is None or self._commits.takeover_seen:
             return False
+        if not self._commits.may_succeed:
+            return False
         return not self._stall.stalled(self._clock.now())
 
     def wait_deadline(
--- a/hickorygate/upstreams/group_prober.py
+++ b/hickorygate/upstreams/group_prober.py
@@ -206,7 +206,7 @@
         if status is None:
             return None
         process_age.note_answer(pool.shareable_connections(), proving, asked)
-        return commit_guard.Replica(status, proving.running_since)
+        return commit_guard.Replica(status, asked, proving.running_since)
 
     async def _ask(
         self,
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -261,7 +261,7 @@
 
     def put_member(self, member: members.Member) -> None:
         """Adds or updates a database."""
-        self._update_groups(self._listing.put(member))
+        self._update_groups(self._listing.put(member, self._clock.now()))
 
     def remove_member(self, name: members.MemberId) -> None:
         """Records that the entry of a database was removed."""
@@ -354,7 +354,9 @@
         self._groups[terms.name] = group
         group.set_reduced_probing(self._is_spare(terms.name))
         self._share_group(group)
-        group.set_members(self._listing.of(terms.name))
+        group.set_members(
+            self._listing.of(terms.name), self._listing.known_since
+        )
         group.start()
         return group
 
@@ -365,7 +367,9 @@
     def _update_groups(self, services: frozenset[types.ServiceName]) -> None:
         """Updates the databases of the groups of these services."""
         for name in services & self._groups.keys():
-            self._groups[name].set_members(self._listing.of(name))
+            self._groups[name].set_members(
+                self._listing.of(name), self._listing.known_since
+            )
 
     async def _run_expiry(self) -> None:
         while True:
--- a/hickorygate/upstreams/member.py
+++ b/hickorygate/upstreams/member.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterable
+from collections.abc import Mapping
 import dataclasses
 import datetime
 
@@ -68,9 +69,16 @@
     replaces no later one.
     """
 
-    __slots__ = ("_departed", "_members", "_missing", "_services")
+    __slots__ = (
+        "_departed",
+        "_known_since",
+        "_members",
+        "_missing",
+        "_services",
+    )
 
     def __init__(self) -> None:
+        self._known_since: dict[MemberId, datetime.datetime] = {}
         self._members: dict[MemberId, Member] = {}
         self._missing: dict[MemberId, datetime.datetime] = {}
         self._departed: dict[MemberId, Member] = {}
@@ -81,6 +89,11 @@
         """All databases, including those whose entries are missing."""
         return tuple(self._members.values())
 
+    @property
+    def known_since(self) -> Mapping[MemberId, datetime.datetime]:
+        """The time since when the process of each database is listed here."""
+        return self._known_since
+
     def __repr__(self) -> str:
         return f"Listing({len(self._members)}, missing={len(self._missing)})"
 
@@ -101,10 +114,12 @@
         listed = {member.id: member for member in members}
         for name in self._members.keys() - listed.keys():
             self._missing.setdefault(name, now)
-        changed = [self.put(member) for member in listed.values()]
+        changed = [self.put(member, now) for member in listed.values()]
         return frozenset().union(*changed)
 
-    def put(self, member: Member) -> frozenset[types.ServiceName]:
+    def put(
+        self, member: Member, now: datetime.datetime
+    ) -> frozenset[types.ServiceName]:
         """Adds or updates an entry; returns the services that changed.
 
         An entry that its database wrote before the known one is ignored, and so
@@ -121,6 +136,8 @@
             self._members[member.id] = member
             self._services[member.service][member.id] = member
             return frozenset()
+        if former is None or former.born != member.born:
+            self._known_since[member.id] = now
         self._members[member.id] = member
         changed = {member.service}
         if former is not None and former.service != member.service:
@@ -181,6 +198,7 @@
 
     def _drop(self, name: MemberId) -> frozenset[types.ServiceName]:
         self._missing.pop(name, None)
+        self._known_since.pop(name, None)
         member = self._members.pop(name, None)
         if member is None:
             return frozenset()
--- a/properties/takeover_model.py
+++ b/properties/takeover_model.py
@@ -174,7 +174,7 @@
             commit.position.term,
             {
                 name: commit_guard.Replica(
-                    database.status(), database.running_since
+                    database.status(), self._model.now, database.running_since
                 )
                 for name, database in self._model.databases.items()
                 if name != leader and name in self.state.members
