Let three processes share the test modules of make test

Each finds all tests, and runs those of the modules that it claims by a file (tools/sharing.py); a module is never split. Each leaves its outcomes (run_report.py), and merge_reports.py prints the known-red tests and the one summary line. nose2 by hand, and the known-red list, work as before.

tools.test_sharing and runs of unit.sh by hand show that a failing test, a failed import, a process that is killed or exits with 0 inside a test, an exit code that isn't in the report, and a run without tests fail the whole run.

--- a/Makefile
+++ b/Makefile
@@ -3,6 +3,8 @@
 VENV := .venv
 BIN := $(VENV)/bin
 ARGS ?=
+# Number of processes that share the test modules.
+TEST_PROCESSES ?= 3
 
 $(VENV)/ready: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
@@ -26,7 +28,7 @@
 	tools/clients.sh $(BIN)/python
 
 unit: $(VENV)/ready
-	$(BIN)/nose2
+	tools/unit.sh $(BIN) $(TEST_PROCESSES)
 
 reference: $(VENV)/ready
 	$(BIN)/python -m tools.reference
--- a/tools/summary.py
+++ b/tools/summary.py
@@ -12,6 +12,8 @@
 from nose2 import events
 from nose2 import result
 
+from tools import run_report
+
 KNOWN_RED = pathlib.Path(__file__).parent.parent / "KNOWN-RED.txt"
 _ENTRY = "test:"
 
@@ -51,38 +53,45 @@
 
     def __init__(self) -> None:
         self._known_red = known_red_tests()
-        self._passed: set[str] = set()
-        self._failed: set[str] = set()
-        self._skipped: set[str] = set()
-        self._known_red_failures: set[str] = set()
+        self._outcomes = run_report.RunReport()
+        self._report: pathlib.Path | None = None
+        self.addArgument(
+            self._set_report, None, "report", "File for the outcomes"
+        )
 
     def setTestOutcome(self, event: events.TestOutcomeEvent) -> None:  # noqa: N802
         """Records the outcome of a test or a subtest."""
         name = _identifier(event.test.id())
         if event.outcome == "skipped":
-            self._skipped.add(name)
+            self._outcomes.skipped.add(name)
         elif event.expected or _passed_subtest(event):
-            self._passed.add(name)
+            self._outcomes.passed.add(name)
         elif name in self._known_red:
-            self._known_red_failures.add(name)
+            self._outcomes.known_red.add(name)
         else:
-            self._failed.add(name)
+            self._outcomes.failed.add(name)
 
     def wasSuccessful(self, event: events.ResultSuccessEvent) -> None:  # noqa: N802
         """Fails the run on a failure outside the known-red list.
 
-        A run in which no test passed fails too.
+        A run in which no test passed fails too. If several processes share a
+        run, this is for the reader of their reports to decide, since a process
+        may find that the others have claimed everything.
         """
-        event.success = bool(self._passed) and not self._failed
+        event.success = (
+            self._outcomes.successful
+            if self._report is None
+            else not self._outcomes.failed
+        )
         event.handled = True
 
     def afterSummaryReport(self, event: events.ReportSummaryEvent) -> None:  # noqa: N802
-        """Prints the known-red tests that failed, then the summary line."""
-        for name in sorted(self._known_red_failures):
-            event.stream.writeln(f"known red: {name}")
-        passed = self._passed - self._failed - self._known_red_failures
-        skipped = len(self._skipped) + len(self._known_red_failures)
-        event.stream.writeln(
-            f"{len(passed)} passed, {len(self._failed)} failed, "
-            f"{skipped} skipped"
-        )
+        """Prints the summary, or writes the outcomes to the report's file."""
+        if self._report is not None:
+            self._report.write_text(self._outcomes.model_dump_json())
+            return
+        for line in self._outcomes.lines():
+            event.stream.writeln(line)
+
+    def _set_report(self, values: list[str]) -> None:
+        self._report = pathlib.Path(values[0])
