Record each reported commit with the replicas that proved it

Cause: from a lost commit nobody could tell which proxy had reported it, and on which proof. Measured: test_a_reported_commit_is_recorded, and the module's other tests, pass.

--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -359,6 +359,16 @@
       Why that isn't known; None if the commit is kept.
     """
     if await group.commits.confirm(leader, position_, call.deadline):
+        env.journal.record(
+            platform_events.CommitReported(
+                call.id,
+                group.service,
+                leader.member,
+                leader.term,
+                position_,
+                tuple(sorted(group.commits.provers)),
+            )
+        )
         return None
     env.journal.record(
         platform_events.CommitWithheld(call.id, leader.member, position_)
--- a/hickorygate/tests/test_withheld_commit.py
+++ b/hickorygate/tests/test_withheld_commit.py
@@ -15,6 +15,7 @@
 import datetime
 import unittest
 
+from hickorygate.core import platform_events
 from hickorygate.testing import line_cluster
 
 _PROMOTION = datetime.timedelta(seconds=0.6)
@@ -107,3 +108,17 @@
         lines = await client.query("WRITE second x")
         self.assertTrue(lines[0].startswith("COMPLETE"), lines)
         self.assertLess(loop.time() - began, 1.0)
+
+    async def test_a_reported_commit_is_recorded(self) -> None:
+        client = await self.cluster.connect(line_cluster.PRIMARY_DB)
+        lines = await client.query("WRITE first x")
+        self.assertTrue(lines[0].startswith("COMPLETE"), lines)
+        (commit,) = (
+            entry.event
+            for entry in self.cluster.proxies[0].journal.events
+            if isinstance(entry.event, platform_events.CommitReported)
+        )
+        self.assertEqual((commit.database, commit.term), ("a", 1))
+        self.assertEqual(
+            commit.position, self.group.databases["a"].log.received
+        )
--- a/hickorygate/upstreams/commit_check.py
+++ b/hickorygate/upstreams/commit_check.py
@@ -51,6 +51,11 @@
         self._answered = asyncio.Event()
         self._background = background.BackgroundTasks()
 
+    @property
+    def provers(self) -> frozenset[members.MemberId]:
+        """The replicas that proved the last commit by themselves."""
+        return self._provers
+
     @property
     def takeover_seen(self) -> bool:
         """Whether another proxy seems to be replacing the primary."""
