Ask as many replicas first as a commit needs

Cause: both replicas that answered the first commit counted as its provers, so both were asked for each later one. Change: as many as must hold a commit are remembered, and kept while they prove.

--- a/hickorygate/upstreams/commit_check.py
+++ b/hickorygate/upstreams/commit_check.py
@@ -153,7 +153,7 @@
             view = self._view(leader, answered)
             now = self._clock.now()
             if self._guard.is_safe(position, view, now):
-                self._provers = self._guard.provers(position, view, now)
+                self._note_provers(self._guard.provers(position, view, now))
                 return True
             if not view.silent:
                 self._guard.observe(view, now)
@@ -163,6 +163,12 @@
                 return False
         return False
 
+    def _note_provers(self, provers: frozenset[members.MemberId]) -> None:
+        """Notes which replicas to ask first for the next commit."""
+        if not self._provers or not self._provers <= provers:
+            needed = self._guard.synchronous_replicas
+            self._provers = frozenset(sorted(provers)[:needed])
+
     def _view(
         self, leader: group_state.Leader, since: datetime.datetime
     ) -> commit_guard.View:
--- a/hickorygate/upstreams/commit_guard.py
+++ b/hickorygate/upstreams/commit_guard.py
@@ -135,6 +135,11 @@
     def __repr__(self) -> str:
         return f"CommitGuard(joined={self._joined}, {self._under_way})"
 
+    @property
+    def synchronous_replicas(self) -> int:
+        """The number of replicas that must hold a commit."""
+        return self._synchronous_replicas
+
     def set_synchronous_replicas(self, synchronous_replicas: int) -> None:
         """Sets the number of replicas that must hold a commit."""
         self._synchronous_replicas = synchronous_replicas
