Play the takeover model with the production lease and unanswered orders

The model assumed that no proxy orders before another one's order has taken effect. Now each proxy uses PromotionLease and LeaseState, whose record the model stores, and an order can be refused, can get lost, or can be accepted while its answer is late or missing. Its effect comes within 3 s, whatever its proxy knows. A proxy's answers to commits that wait are kept as CommitCheck does. The clocks differ by an hour but don't step (core/clock.py counts from the start of the process, on a clock that never goes back). Decider moves to its own module.

--- a/properties/takeover_model.py
+++ b/properties/takeover_model.py
@@ -1,15 +1,14 @@
 """A model of one group whose primary two proxies replace, without a network.
 
-Databases, proxies, the promotion lease and the platform's promotion call are
-plain objects. Every action is a method, so a test decides in which order they
-happen: when a proxy hears of something, which answers are lost, when an order
-takes effect, which database restarts. The proxies decide with the production
-code.
-
-The lease is exclusive: a proxy that ends with an order under way gives it up
-only when the order has taken effect, as an expiring lease does. Nobody is told
-that a replica restarted. All proxies know a database that joined within
-`_LIST_DELAY`, each at another time.
+Databases, proxies, the store and the platform's promotion call are plain
+objects. Every action is a method, so a test decides in which order they happen:
+when a proxy hears of something, which answers are lost, when an order takes
+effect, which database restarts. The proxies decide with the production code,
+that of the promotion lease included.
+
+An order takes effect within `_EFFECT`, whatever its proxy knows of it. Nobody
+is told that a replica restarted. Each proxy that reaches the store knows within
+`_LIST_DELAY` that a database joined, and that an entry is missing.
 """
 
 from __future__ import annotations
@@ -19,15 +18,12 @@
 
 from hickorygate.core import reply
 from hickorygate.testing import line_log
-from hickorygate.upstreams import commit_guard
-from hickorygate.upstreams import group_state
 from hickorygate.upstreams import member as members
-from hickorygate.upstreams import takeover as takeovers
 from hickorygate.upstreams import takeover_events
-from hickorygate.upstreams import takeover_plan
-from hickorygate.upstreams import takeover_trigger
+from properties import takeover_decider
+from properties import takeover_lease
 
-__all__ = ["Database", "Decider", "TakeoverModel"]
+__all__ = ["Database", "TakeoverModel"]
 
 _START = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 _STEP = datetime.timedelta(milliseconds=20)
@@ -36,7 +32,10 @@
 """Number of steps within which a takeover must have ended, 24 s in all."""
 
 _LIST_DELAY = datetime.timedelta(seconds=1)
-"""Time within which all proxies have read that a database joined."""
+"""Time within which all proxies have read a change of the list."""
+
+_CLOCK_DIFFERENCE = datetime.timedelta(hours=1)
+"""Difference between the clocks of two proxies; clocks don't step."""
 
 _EFFECT = datetime.timedelta(seconds=3)
 """Longest time until an accepted order takes effect."""
@@ -44,8 +43,6 @@
 _LONG = datetime.timedelta(minutes=1)
 """Time for which the first databases have run at the beginning."""
 
-_SYNCHRONOUS_REPLICAS = 1
-
 
 @dataclasses.dataclass(slots=True)
 class Database:
@@ -56,12 +53,14 @@
       running_since: start of its process.
       born: number of its process.
       leaving: whether it has announced its shutdown.
+      listed: whether it has an entry.
     """
 
     log: line_log.LineLog
     running_since: datetime.datetime
     born: int = 1
     leaving: bool = False
+    listed: bool = True
 
     def member(self) -> members.Member:
         """Returns its entry in service discovery."""
@@ -85,187 +84,13 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Acknowledged:
-    """A commit that was acknowledged to a caller.
-
-    Attributes:
-      commit: the commit.
-      leader: name of the primary that acknowledged it.
-    """
-
-    commit: line_log.Commit
-    leader: str
-
-
-class Decider:
-    """The takeover decisions of one proxy.
-
-    Attributes:
-      name: name of the proxy.
-      state: what it knows of the group.
-      guard: what it knows of commits that it may report.
-      takeover: takeover that it carries out; None if there is none.
-      calls: calls that the takeover requested and that weren't made yet.
-    """
-
-    def __init__(self, name: str, model: TakeoverModel) -> None:
-        self.name = name
-        self.state = group_state.GroupState(_SYNCHRONOUS_REPLICAS)
-        self.guard = commit_guard.CommitGuard(_SYNCHRONOUS_REPLICAS)
-        self.takeover: takeovers.Takeover | None = None
-        self.calls: list[takeover_events.Effect] = []
-        self._model = model
-        self._trigger = takeover_trigger.TakeoverTrigger()
-        self._lost: group_state.Leader | None = None
-        self._unreachable: frozenset[str] = frozenset()
-        self._stalled = False
-        self.learn_members()
-        self.run_round(frozenset(model.databases))
-
-    def learn_members(self) -> None:
-        """Reads the present list of databases."""
-        before = self.state.leader
-        listed = tuple(d.member() for d in self._model.databases.values())
-        for member in listed:
-            if self.state.members and member.id not in self.state.members:
-                self.guard.record_join(member.id, self._model.now)
-        self.state.set_members(listed)
-        if before is not None and self.state.leader is None:
-            self._lost = before
-
-    def hear(self, name: str) -> None:
-        """Gets a caller's answer from a database, which shows its position."""
-        database = self._model.databases.get(name)
-        if database is not None:
-            self.state.record_position(name, database.log.visible)
-
-    def run_round(self, answering: frozenset[str]) -> None:
-        """Asks all databases for their status; some of them answer."""
-        probe_round = self.state.open_round(self._model.now)
-        for name in probe_round.asked & answering:
-            database = self._model.databases.get(name)
-            if database is not None:
-                probe_round.answers[name] = group_state.ProbeAnswer(
-                    database.log.leads, database.log.visible, database.status()
-                )
-        self._unreachable = probe_round.silent
-        self.state.evaluate(probe_round)
-        leader = self.state.leader
-        if leader is not None and leader.member in self._unreachable:
-            self._lost = leader
-            self.state.lose_leader()
-        elif leader is not None:
-            self._lost = None
-
-    def note_stall(self, stalled: bool) -> None:
-        """Notes whether commits stay without an answer."""
-        self._stalled = stalled
-
-    def reports(self, commit: line_log.Commit, leader: str) -> bool:
-        """Returns whether it tells a caller that a commit is kept.
-
-        The primary has acknowledged the commit a moment ago. The proxy asks the
-        replicas if it has to.
-        """
-        view = commit_guard.View(
-            self._model.now,
-            commit.position.term,
-            {
-                name: commit_guard.Replica(
-                    database.status(), database.running_since
-                )
-                for name, database in self._model.databases.items()
-                if name != leader and name in self.state.members
-            },
-            silent=False,
-        )
-        self.guard.observe(view, self._model.now)
-        return self.guard.is_safe(commit.position, view, self._model.now)
-
-    def think(self) -> None:
-        """Begins a takeover if one is needed, or informs the running one."""
-        if self.takeover is not None:
-            self._advance()
-            return
-        if self._reason() is None or not self._model.acquire_lease(self):
-            return
-        reason = self._reason()
-        plan = None
-        if reason is not None:
-            plan = takeover_plan.plan("s", reason, self._situation())
-        if plan is None:
-            self._model.release_lease(self)
-            return
-        self.takeover = takeovers.Takeover(plan, self._model.now)
-        self.calls = []
-        self._advance()
-
-    def call(self, index: int, lost: bool) -> None:
-        """Makes one of the requested calls; its answer may be lost."""
-        if self.takeover is None or not self.calls:
-            return
-        effect = self.calls.pop(index % len(self.calls))
-        event = self._model.perform(effect)
-        if lost:
-            event = _without_answer(event)
-        self._queue(_handle(event, self.takeover, self._model.now))
-
-    def _advance(self) -> None:
-        takeover = self.takeover
-        assert takeover is not None, "no takeover runs"
-        takeover.add_replicas(self.state.members.keys(), self._model.now)
-        leader = self.state.leader
-        if leader is not None:
-            found = takeover_events.LeaderFound(leader.member, leader.term)
-            self._queue(_handle(found, takeover, self._model.now))
-        if self.takeover is takeover:
-            self._queue(takeover.advance(self._model.now))
-
-    def _queue(self, effects: list[takeover_events.Effect]) -> None:
-        for effect in effects:
-            if isinstance(effect, takeover_events.Finish):
-                self._finish(effect)
-                return
-            if not isinstance(effect, takeover_events.RecordLostPause):
-                self.calls.append(effect)
-
-    def _finish(self, effect: takeover_events.Finish) -> None:
-        takeover, self.takeover = self.takeover, None
-        assert takeover is not None, "no takeover runs"
-        self.calls = []
-        if not effect.succeeded:
-            self._trigger.pause(self._model.now)
-        if effect.demote is not None:
-            self._model.demote(effect.demote, takeover.plan.term)
-        self._model.release_lease(self)
-
-    def _reason(self) -> takeover_trigger.Reason | None:
-        return self._trigger.reason(self._situation(), self._model.now)
-
-    def _situation(self) -> takeover_trigger.GroupSnapshot:
-        state = self.state
-        return takeover_trigger.GroupSnapshot(
-            leader=state.leader,
-            lost=self._lost,
-            members=state.members,
-            departed=state.departed,
-            positions={name: state.position(name) for name in state.members},
-            unreachable=self._unreachable,
-            stalled=self._stalled,
-            progressing=False,
-            patience=datetime.timedelta(),
-            term=state.term,
-            synchronous_replicas=_SYNCHRONOUS_REPLICAS,
-        )
-
-
 class TakeoverModel:
     """The group, its proxies, the lease and the orders under way.
 
     Attributes:
       now: simulated time.
       databases: running databases by name.
+      lease: the store's record of the promotion lease.
       deciders: the proxies.
       acknowledged: commits that were acknowledged to callers.
       orders: databases whose promotion was accepted and hasn't taken effect.
@@ -279,17 +104,18 @@
             name: Database(line_log.LineLog(name, role), _START - _LONG)
             for name, role in zip("abc", roles, strict=True)
         }
-        self.acknowledged: list[Acknowledged] = []
+        self.acknowledged: list[line_log.Commit] = []
         self.orders: list[str] = []
         self.promoted: list[str] = []
-        self._holder: Decider | None = None
-        self._waits_for_effect = False
+        self.lease = takeover_lease.LeaseTable()
         self._joined = 0
+        self._started = 0
         self._ordered_at: list[datetime.datetime] = []
-        self._unlearned: list[datetime.datetime] = []
         self._unacknowledged: dict[line_log.Commit, datetime.datetime] = {}
         self._gone: list[line_log.LineLog] = []
-        self.deciders = [Decider(name, self) for name in ("p", "q")]
+        self.deciders = [self._start_decider(index) for index in range(2)]
+        for decider in self.deciders:
+            decider.connect_early(decider.now - _LONG)
 
     @property
     def leaders(self) -> list[Database]:
@@ -302,10 +128,22 @@
         self.now += duration
         while self._ordered_at and self.now >= self._ordered_at[0] + _EFFECT:
             self.take_effect()
-        if any(self.now >= until for until in self._unlearned):
-            self._unlearned.clear()
-            for decider in self.deciders:
-                decider.learn_members()
+        for decider in self.deciders:
+            decider.advance_clock()
+
+    def listed(self) -> tuple[members.Member, ...]:
+        """Returns the entries of the databases."""
+        return tuple(d.member() for d in self.databases.values() if d.listed)
+
+    def _start_decider(self, index: int) -> takeover_decider.Decider:
+        self._started += 1
+        return takeover_decider.Decider(
+            "pq"[index], self._started, self, index * _CLOCK_DIFFERENCE
+        )
+
+    def _change_list(self) -> None:
+        for decider in self.deciders:
+            decider.expect_list(_LIST_DELAY)
 
     def commit(self, name: str) -> None:
         """Appends a commit at a primary; nobody has acknowledged it yet."""
@@ -314,7 +152,13 @@
             commit = database.log.append("w", (("x", "1"),))
             self._unacknowledged[commit] = self.now
 
-    def replicate(self, leader: str, replica: str, reporter: int = 0) -> None:
+    def replicate(
+        self,
+        leader: str,
+        replica: str,
+        reporter: int = 0,
+        answering: frozenset[str] | None = None,
+    ) -> None:
         """Sends a primary's log to a replica.
 
         Commits of the primary's term that the replica holds then are
@@ -324,6 +168,7 @@
           leader: name of the primary.
           replica: name of the replica.
           reporter: index of the proxy.
+          answering: databases that answer the proxy; None if all do.
         """
         source, target = self.databases.get(leader), self.databases.get(replica)
         if source is None or target is None or source is target:
@@ -335,18 +180,22 @@
         target.log.receive(source.log)
         if target.log.paused_for or target.log.term != source.log.term:
             return
+        decider = self.deciders[reporter]
         for commit in source.log.commits:
-            if commit.position.term == source.log.term:
-                self._acknowledge(commit, leader, self.deciders[reporter])
-
-    def _acknowledge(
-        self, commit: line_log.Commit, leader: str, reporter: Decider
-    ) -> None:
-        """Tells a proxy that a commit is kept, once."""
-        if self._unacknowledged.pop(commit, None) is None:
-            return
-        if reporter.reports(commit, leader):
-            self.acknowledged.append(Acknowledged(commit, leader))
+            if self._unacknowledged.pop(commit, None) is not None:
+                decider.acknowledge(commit, leader)
+        if answering is None:
+            answering = frozenset(self.databases)
+        decider.report(answering)
+
+    def report(self, commit: line_log.Commit) -> None:
+        """Tells a caller that a commit is kept, and checks that it is."""
+        self.acknowledged.append(commit)
+        newest = max(self.databases.values(), key=lambda d: d.log.term).log
+        if newest.leads and newest.term > commit.position.term:
+            assert newest.contains(commit), (
+                f"LOST: {commit} was reported, {newest} leads without it"
+            )
 
     def apply(self, name: str) -> None:
         """Makes what a database has received visible to reads."""
@@ -364,7 +213,7 @@
         log.commits = list(source.commits)
         log.apply()
         self.databases[name] = Database(log, self.now)
-        self._unlearned.append(self.now + _LIST_DELAY)
+        self._change_list()
 
     def restart(self, name: str) -> None:
         """Restarts a replica, which keeps its log and ends its pause.
@@ -398,26 +247,12 @@
         if name not in self.orders:
             self._gone.append(self.databases.pop(name).log)
 
-    def acquire_lease(self, decider: Decider) -> bool:
-        """Returns whether a proxy now holds the lease."""
-        if self._holder is None and not self._waits_for_effect:
-            self._holder = decider
-        return self._holder is decider
-
-    def release_lease(self, decider: Decider) -> None:
-        """Gives up the lease; it is free once no order is under way."""
-        if self._holder is decider:
-            self._holder = None
-            self._waits_for_effect = bool(self.orders)
-
     def take_effect(self) -> None:
         """Lets the oldest order take effect, and checks LOST and ONE."""
         if not self.orders:
             return
         name = self.orders.pop(0)
         self._ordered_at.pop(0)
-        if not self.orders:
-            self._waits_for_effect = False
         database = self.databases.get(name)
         if database is None or database.log.leads:
             return
@@ -426,7 +261,7 @@
         database.log.promote(newest + 1)
         self.promoted.append(name)
         held = set(database.log.commits)
-        lost = [a for a in self.acknowledged if a.commit not in held]
+        lost = [commit for commit in self.acknowledged if commit not in held]
         assert not lost, f"LOST: {name} was promoted without {lost}"
 
     def demote(self, name: str, term: int) -> None:
@@ -451,8 +286,6 @@
                 return takeover_events.ReplicaInspected(name, status, number)
             case takeover_events.CompareCandidate(leader, candidate):
                 return self._compare(leader, candidate)
-            case takeover_events.OrderPromotion(name):
-                return self._order(name)
         raise TypeError(f"no call for {effect!r}")
 
     def settle(self) -> None:
@@ -481,6 +314,7 @@
             for name in names:
                 self.replicate(leader.log.name, name)
         for decider in self.deciders:
+            decider.end_order()
             decider.learn_members()
             decider.run_round(names)
             decider.note_stall(not self._acknowledges())
@@ -510,6 +344,7 @@
         return (
             not self.orders
             and all(d.takeover is None for d in self.deciders)
+            and not any(d.waits_for_order for d in self.deciders)
             and self._acknowledges()
             and not self.leaders[-1].leaving
         )
@@ -525,31 +360,10 @@
             first.log.visible, second.log.received
         )
 
-    def _order(self, name: str) -> takeover_events.Event:
+    def accept_order(self, name: str) -> bool:
+        """Returns whether the platform accepts to promote a database."""
         if name not in self.databases:
-            return takeover_events.PromotionEnded(False)
+            return False
         self.orders.append(name)
         self._ordered_at.append(self.now)
-        return takeover_events.PromotionEnded(True)
-
-
-def _handle(
-    event: takeover_events.Event,
-    takeover: takeovers.Takeover,
-    now: datetime.datetime,
-) -> list[takeover_events.Effect]:
-    """Passes an event to a takeover, then advances it."""
-    effects = takeovers.handle(event, takeover, now)
-    if any(isinstance(e, takeover_events.Finish) for e in effects):
-        return effects
-    return effects + takeover.advance(now)
-
-
-def _without_answer(event: takeover_events.Event) -> takeover_events.Event:
-    """Returns the event of a call whose answer was lost."""
-    match event:
-        case takeover_events.ReplicaPaused(name, _):
-            return takeover_events.ReplicaPaused(name, None)
-        case takeover_events.ReplicaInspected(name, _, number):
-            return takeover_events.ReplicaInspected(name, None, number)
-    return takeover_events.PromotionEnded(False)
+        return True
--- a/properties/test_takeover_model.py
+++ b/properties/test_takeover_model.py
@@ -13,10 +13,12 @@
 from hypothesis import stateful
 from hypothesis import strategies
 
+from properties import takeover_lease
 from properties import takeover_model
 
 _NAMES = strategies.sampled_from(("a", "b", "c", "n1", "n2"))
 _PROXIES = strategies.integers(0, 1)
+_FATES = strategies.sampled_from(takeover_lease.OrderFate)
 
 
 class TakeoverMachine(stateful.RuleBasedStateMachine):
@@ -59,10 +61,21 @@
         proxy=_PROXIES,
         index=strategies.integers(0, 3),
         lost=strategies.booleans(),
+        fate=_FATES,
     )
-    def call(self, proxy: int, index: int, lost: bool) -> None:
+    def call(
+        self,
+        proxy: int,
+        index: int,
+        lost: bool,
+        fate: takeover_lease.OrderFate,
+    ) -> None:
         self.model.tick()
-        self.model.deciders[proxy].call(index, lost)
+        self.model.deciders[proxy].call(index, lost, fate)
+
+    @stateful.rule(proxy=_PROXIES)
+    def end_order(self, proxy: int) -> None:
+        self.model.deciders[proxy].end_order()
 
     @stateful.rule(proxy=_PROXIES)
     def carry_on(self, proxy: int) -> None:
