--- a/properties/takeover_lease.py
+++ b/properties/takeover_lease.py
@@ -39,6 +39,7 @@
     LOST = "doesn't arrive, and there is no answer"
     UNANSWERED = "accepted, but there is no answer"
     SLOW = "accepted, but the answer is slow"
+    LATE = "accepted, but the connection to the platform is slow"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +73,7 @@
     OrderFate.LOST: expression.Error(_NoAnswer()),
     OrderFate.UNANSWERED: expression.Error(_NoAnswer()),
     OrderFate.SLOW: expression.Ok(None),
+    OrderFate.LATE: expression.Ok(None),
 }
 
 
@@ -235,14 +237,16 @@
     ) -> expression.Result[None, errors.Failure]:
         """Orders a promotion; `fate` tells what happens."""
         fate = self.fate
-        if fate in (OrderFate.LOST, OrderFate.REFUSED):
-            arrived = False
-        else:
-            arrived = self._target.accept_order(member)
-        if fate not in (OrderFate.ACCEPTED, OrderFate.REFUSED):
+        if fate is OrderFate.LATE:
             await _Suspension()
-        if not arrived and fate in (OrderFate.ACCEPTED, OrderFate.SLOW):
-            return _ANSWERS[OrderFate.REFUSED]
+        if not may_send():
+            return expression.Error(_Refused())
+        arrives = fate not in (OrderFate.LOST, OrderFate.REFUSED)
+        accepted = arrives and self._target.accept_order(member)
+        if fate in (OrderFate.LOST, OrderFate.UNANSWERED, OrderFate.SLOW):
+            await _Suspension()
+        if arrives and not accepted and fate is not OrderFate.UNANSWERED:
+            return expression.Error(_Refused())
         return _ANSWERS[fate]
 
 
