Let the soak restart all replicas, lose an order's answer and join a database

Its takeovers met one restart of one replica. Now a replica restarts twice, all restart at once, the platform's answer to an accepted order doesn't tell that it was accepted, and a database joins in the place of one that announced its shutdown, each while some proxies lack the primary. They are drawn apart, so the other faults of a seed stay.

--- a/soak/inject.py
+++ b/soak/inject.py
@@ -26,6 +26,13 @@
 """Times from an order to promote a replica to the crash of another one, and
 from there to its restart; together shorter than a promotion takes."""
 
+_JOIN_DELAY_SECONDS = 0.5
+"""Time from the loss of a primary until a database joins: while a takeover of
+it is likely to run."""
+
+_UNKNOWN_OUTCOME = 500
+"""HTTP status that doesn't tell whether a call took effect."""
+
 _NOTICE_SECONDS = 3.0
 """Time after which a leaving database must get no new statements.
 
@@ -35,6 +42,8 @@
 
 _DISRUPTIONS = (
     plan.HarmLinks,
+    plan.JoinDuringTakeover,
+    plan.LoseOrderAnswers,
     plan.RestartDuringTakeover,
     plan.StoreFails,
     plan.ForgetHistory,
@@ -55,6 +64,8 @@
       consistency_checker: record of broken guarantees.
       rng: source of the random choices of databases, connections and error
         codes.
+      starting: held while a database starts, since two faults may restart or
+        replace the same one.
     """
 
     def __init__(
@@ -67,6 +78,7 @@
         self.tested_system = tested_system
         self.consistency_checker = consistency_checker
         self.rng = rng
+        self.starting = asyncio.Lock()
         self._faults = faults
 
     def __repr__(self) -> str:
@@ -191,11 +203,8 @@
     database = _database(injector, fault.service, fault.primary)
     database.crash()
     await asyncio.sleep(fault.lasts.total_seconds())
-    if (
-        database
-        in injector.tested_system.groups[fault.service].databases.values()
-    ):
-        await database.start()
+    group = injector.tested_system.groups[fault.service]
+    await _start_database(injector, group, database)
 
 
 @_inject.register
@@ -221,19 +230,14 @@
 @_inject.register
 async def _(fault: plan.IsolatePrimary, injector: Injector) -> None:
     group = injector.tested_system.groups[fault.service]
-    port, replicas = group.primary.port, group.replicas
-    cut = [
-        injector.tested_system.proxies[n].databases[port] for n in fault.proxies
-    ]
-    for relay in cut:
-        relay.cut(relays.Direction.BOTH)
+    replicas = group.replicas
+    cut = _cut_from(injector, fault.proxies, group.primary)
     for database in replicas:
         database.faults.replication_blocked = True
     await asyncio.sleep(fault.lasts.total_seconds())
     for database in replicas:
         database.faults.replication_blocked = False
-    for relay in cut:
-        relay.heal()
+    _heal(cut)
 
 
 @_inject.register
@@ -241,11 +245,7 @@
     tested_system = injector.tested_system
     group = tested_system.groups[fault.service]
     former = group.primary
-    cut = [
-        tested_system.proxies[n].databases[former.port] for n in fault.proxies
-    ]
-    for relay in cut:
-        relay.cut(relays.Direction.BOTH)
+    cut = _cut_from(injector, fault.proxies, former)
     limit = fault.lasts.total_seconds()
     chosen = await tested_system.wait_for_order(group.service, limit)
     if chosen is not None:
@@ -254,14 +254,38 @@
             for name, database in group.databases.items()
             if database.running and name not in (chosen, former.name)
         ]
-        await asyncio.sleep(_RESTART_DELAY_SECONDS)
-        for database in others[:1]:
-            database.crash()
-            await asyncio.sleep(_DOWN_SECONDS)
-            if database in group.databases.values():
-                await database.start()
-    for relay in cut:
-        relay.heal()
+        affected = group.replicas if fault.all_replicas else others[:1]
+        for _ in range(fault.restarts):
+            await asyncio.sleep(_RESTART_DELAY_SECONDS)
+            await _restart_databases(injector, group, affected)
+    _heal(cut)
+
+
+@_inject.register
+async def _(fault: plan.LoseOrderAnswers, injector: Injector) -> None:
+    group = injector.tested_system.groups[fault.service]
+    store = injector.tested_system.store
+    cut = _cut_from(injector, fault.proxies, group.primary)
+    answer, store.promotion_status = store.promotion_status, _UNKNOWN_OUTCOME
+    await asyncio.sleep(fault.lasts.total_seconds())
+    store.promotion_status = answer
+    _heal(cut)
+
+
+@_inject.register
+async def _(fault: plan.JoinDuringTakeover, injector: Injector) -> None:
+    group = injector.tested_system.groups[fault.service]
+    if not _is_sound(group):
+        return
+    database = injector.rng.choice(group.replicas)
+    database.leaving = True
+    await asyncio.sleep(fault.drain.total_seconds())
+    cut = _cut_from(injector, fault.proxies, group.primary)
+    await asyncio.sleep(_JOIN_DELAY_SECONDS)
+    await _replace(injector, fault.service, database)
+    rest = (fault.lasts - fault.drain).total_seconds() - _JOIN_DELAY_SECONDS
+    await asyncio.sleep(rest)
+    _heal(cut)
 
 
 @_inject.register
@@ -304,9 +328,7 @@
             checker.Guarantee.LEAVING,
             f"{database.name} ran a statement {late:.1f} s too late",
         )
-    successor = injector.tested_system.new_database_name()
-    injector.tested_system.signers[fault.service].add(successor)
-    await group.replace(database.name, successor)
+    await _replace(injector, fault.service, database)
 
 
 @_inject.register
@@ -326,6 +348,65 @@
     injector.tested_system.change_configuration()
 
 
+def _cut_from(
+    injector: Injector,
+    numbers: tuple[int, ...],
+    database: line_group.LineDatabase,
+) -> list[relays.FaultRelay]:
+    """Cuts proxies from a database; returns the relays to heal later."""
+    cut = [
+        injector.tested_system.proxies[number].databases[database.port]
+        for number in numbers
+    ]
+    for relay in cut:
+        relay.cut(relays.Direction.BOTH)
+    return cut
+
+
+def _heal(cut: list[relays.FaultRelay]) -> None:
+    for relay in cut:
+        relay.heal()
+
+
+async def _start_database(
+    injector: Injector,
+    group: line_group.LineGroup,
+    database: line_group.LineDatabase,
+) -> None:
+    """Starts a database, unless it runs or was replaced."""
+    async with injector.starting:
+        if database in group.databases.values():
+            await database.start()
+
+
+async def _restart_databases(
+    injector: Injector,
+    group: line_group.LineGroup,
+    affected: list[line_group.LineDatabase],
+) -> None:
+    """Crashes databases together and starts them again with their logs."""
+    for database in affected:
+        database.crash()
+    await asyncio.sleep(_DOWN_SECONDS)
+    for database in affected:
+        await _start_database(injector, group, database)
+
+
+async def _replace(
+    injector: Injector, service: int, database: line_group.LineDatabase
+) -> None:
+    """Replaces a database by a new one, which gets its log and address.
+
+    Does nothing if another fault has replaced it already.
+    """
+    successor = injector.tested_system.new_database_name()
+    injector.tested_system.signers[service].add(successor)
+    group = injector.tested_system.groups[service]
+    async with injector.starting:
+        if database in group.databases.values():
+            await group.replace(database.name, successor)
+
+
 async def _restart(proxy: proxies.Proxy) -> None:
     """Starts a proxy again, unless its former process still runs."""
     if await proxy.wait_ended(0.01):
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -19,8 +19,10 @@
     "LinkFault",
     "HarmLinks",
     "IsolatePrimary",
+    "JoinDuringTakeover",
     "KillProxies",
     "LoseAnswers",
+    "LoseOrderAnswers",
     "MuteDatabase",
     "PauseProxy",
     "OddEntry",
@@ -49,6 +51,9 @@
 """Fraction of the faults that are injected three times in a row."""
 
 _SERIES_LENGTH = 3
+_DRAIN_SECONDS = 5.0
+"""Time from the announcement that a database leaves until it is replaced."""
+
 _SILENCE_GAP_SECONDS = 1.5
 """Mean time between short silences of a primary."""
 
@@ -263,10 +268,47 @@
     Attributes:
       service: index of the service.
       proxies: indexes of the proxies that can't reach the primary.
+      restarts: number of restarts, one after the other.
+      all_replicas: whether all replicas restart at once, the chosen one too.
+    """
+
+    service: int
+    proxies: tuple[int, ...]
+    restarts: int = 1
+    all_replicas: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoseOrderAnswers(Fault):
+    """Some proxies lose the primary, and orders to promote seem to fail.
+
+    The platform accepts the orders, which take effect, and answers with an
+    error of its own.
+
+    Attributes:
+      service: index of the service.
+      proxies: indexes of the proxies that can't reach the primary.
+    """
+
+    service: int
+    proxies: tuple[int, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JoinDuringTakeover(Fault):
+    """Some proxies lose the primary, and a database joins meanwhile.
+
+    It replaces a replica that announced its shutdown when the fault began.
+
+    Attributes:
+      service: index of the service.
+      proxies: indexes of the proxies that can't reach the primary.
+      drain: time from the announcement to the loss of the primary.
     """
 
     service: int
     proxies: tuple[int, ...]
+    drain: datetime.timedelta
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -354,6 +396,7 @@
         at += rng.expovariate(1 / _MEAN_GAP_SECONDS)
     faults += _draw_silences(seed, size)
     faults += _draw_takeover_faults(seed, size)
+    faults += _draw_order_faults(seed, size)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -392,6 +435,30 @@
     return [*faults, RestartDuringTakeover(at, lasts, other, cut)]
 
 
+def _draw_order_faults(seed: int, size: RunSize) -> list[Fault]:
+    """Returns further faults around takeovers, drawn apart from the others.
+
+    A replica restarts twice, all replicas restart at once, an order's answer is
+    lost, and a database joins, each while some proxies lack the primary.
+    """
+    rng = random.Random(f"orders of {seed}")
+
+    def draw() -> tuple[datetime.timedelta, int, tuple[int, ...]]:
+        at = _seconds(rng.uniform(0, size.seconds))
+        cut = _some_proxies(rng, size)[: max(1, size.proxies // 2)]
+        return at, _service(rng, size), cut
+
+    lasts = _seconds(rng.uniform(2.0, 5.0))
+    twice, every, unanswered, joined = draw(), draw(), draw(), draw()
+    drain = _seconds(_DRAIN_SECONDS)
+    return [
+        RestartDuringTakeover(twice[0], lasts, *twice[1:], restarts=2),
+        RestartDuringTakeover(every[0], lasts, *every[1:], all_replicas=True),
+        LoseOrderAnswers(unanswered[0], lasts, *unanswered[1:]),
+        JoinDuringTakeover(joined[0], drain + lasts, *joined[1:], drain),
+    ]
+
+
 def _repeat(fault: Fault, rng: random.Random) -> list[Fault]:
     pause = _seconds(rng.uniform(0.1, 1.5))
     return [
