--- a/properties/takeover_decider.py
+++ b/properties/takeover_decider.py
@@ -201,7 +201,7 @@
 
     def run_round(self, answering: frozenset[str]) -> None:
         """Asks all databases for their status; some of them answer."""
-        probe_round = self.state.open_round(self.now)
+        probe_round = self.state.open_round(self.now, with_status=True)
         for name in probe_round.asked & answering:
             database = self._model.databases.get(name)
             if database is not None:
@@ -209,14 +209,30 @@
                     database.log.leads, database.log.visible, database.status()
                 )
         self._unreachable = probe_round.silent
-        self.state.evaluate(probe_round)
+        finding = self.state.evaluate(probe_round)
         leader = self.state.leader
-        if leader is not None and leader.member in self._unreachable:
+        if leader is None:
+            return
+        self._observe(finding, leader)
+        if leader.member in self._unreachable:
             self._lost = leader
             self.state.lose_leader()
-        elif leader is not None:
+        else:
             self._lost = None
 
+    def _observe(
+        self, finding: group_state.RoundResult, leader: group_state.Leader
+    ) -> None:
+        """Passes a round's conclusions on, as `CommitCheck` does."""
+        replicas = {
+            name: commit_guard.Replica(status)
+            for name, status in finding.statuses.items()
+            if name != leader.member
+        }
+        silent = bool(finding.silent - {leader.member})
+        view = commit_guard.View(self.now, leader.term, replicas, silent)
+        self.guard.observe(view, self.now)
+
     def note_stall(self, stalled: bool) -> None:
         """Notes whether commits stay without an answer."""
         self._stalled = stalled
