Show that an old answer of a replica counts as a proof for the present

CommitGuard compares since when a replica runs with the present time, not with the time at which it answered. A commit that waits while the replica is silent is reported in the end, though the replica may have restarted, or another database leads by then. It takes a caller that waits for 10 s.

--- a/properties/test_takeover_model.py
+++ b/properties/test_takeover_model.py
@@ -276,6 +276,15 @@
         self._wait(12, seen=frozenset("ab"))
         self._write("b", reporter=0)
 
+    def test_an_answer_proves_nothing_about_the_time_after_it(self) -> None:
+        """Guards against LOST: a replica's run is taken to go on in silence."""
+        self._order(self.taker)
+        self.model.restart("b")
+        self._wait(0.1, seen=frozenset("ab"))
+        self._write("b", reporter=0)
+        self._wait(10, seen=frozenset("a"))
+        self.proxy.report(frozenset())
+
     def test_a_former_primary_with_a_replica_that_joined(self) -> None:
         """Guards against LOST: the takeover didn't know the replica."""
         self.model.join()
@@ -300,12 +309,16 @@
 
     def _take_over(self, taker: takeover_decider.Decider) -> None:
         """Lets a proxy that doesn't reach the primary replace it."""
+        self._order(taker)
+        self.model.take_effect()
+
+    def _order(self, taker: takeover_decider.Decider) -> None:
+        """Lets a proxy that doesn't reach the primary order a promotion."""
         taker.run_round(frozenset(self.model.databases) - {"a"})
         for _ in range(20):
             self.model.tick()
             taker.think()
             taker.call(0, lost=False)
-        self.model.take_effect()
 
 
 class TakeoverModelTest(unittest.TestCase):
