Read the list of databases anew before a takeover

Callers could still have lost a confirmed write to a proxy that was cut from the store while a database joined, and that got the lease before the list. Cause: a takeover must ask every database that others count on; its list may be seconds old, since the watch takes outdated answers. Change: with the lease, and before the plan, all entries are read once; without an answer there is no takeover, and the next attempt follows after a second.

--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -492,12 +492,21 @@
                 settings, self._store, sink, self._clock, self._env.rng
             )
             self._background.keep(feed.run)
+        self._registry.set_list_reader(self._renew_databases)
         self._registry.start()
         self._background.keep(self._registration.run)
         self._background.keep(self._expire_callers)
         self._background.keep(self._watch_settings)
         self._background.keep(self._tick_limits)
 
+    async def _renew_databases(self) -> bool:
+        """Reads the databases' entries; returns whether the store answered."""
+        listed = await self._store.list(object_decoding.SERVERS)
+        if listed.is_error():
+            return False
+        _DatabaseSink(self._registry, self._journal).replace(listed.ok.objects)
+        return True
+
     async def _watch_settings(self) -> None:
         """Reloads the settings when the file changes without a signal."""
         known = _file_version(self._path)
--- a/hickorygate/upstreams/group_monitor.py
+++ b/hickorygate/upstreams/group_monitor.py
@@ -8,6 +8,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
 from collections.abc import Mapping
 import datetime
 import random
@@ -52,6 +54,10 @@
 doesn't answer to count as working for others."""
 
 
+ListReader = Callable[[], Awaitable[bool]]
+"""Reads the list of databases; returns whether the store answered."""
+
+
 class GroupMonitor:
     """Monitors the databases of one service and replaces their primary."""
 
@@ -64,6 +70,7 @@
         journal: events.Journal,
         capacity: capacities.CapacitySettings | None = None,
         rng: random.Random | None = None,
+        renew_list: ListReader | None = None,
     ) -> None:
         self._capacity = capacity_monitor.CapacityMonitor(
             terms.name, capacity, clock, journal, rng
@@ -96,6 +103,7 @@
             terms.name, self._state, self._pools, self._prober, journal
         )
         self._schedule = round_schedule.RoundSchedule(clock.now())
+        self._renew_list = renew_list
 
     @property
     def service(self) -> types.ServiceName:
@@ -304,6 +312,14 @@
             if not await self.next_round(deadline, immediately):
                 return None
 
+    async def renew_list(self) -> bool:
+        """Reads the list of databases anew, since the known one may be old.
+
+        Returns:
+          Whether the list is as new as this call.
+        """
+        return self._renew_list is None or await self._renew_list()
+
     async def renew_view(self) -> bool:
         """Waits for the conclusions of a round that begins now.
 
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -100,6 +100,7 @@
         self._proxies: frozenset[types.ProxyName] | None = None
         self._count_settled = False
         self._store_lost = False
+        self._renew_list: group_monitor.ListReader | None = None
         self._groups: dict[types.ServiceName, group_monitor.GroupMonitor] = {}
         self._last_used: dict[types.ServiceName, datetime.datetime] = {}
         self._background = background.BackgroundTasks()
@@ -253,6 +254,14 @@
         for on_change in self._on_change:
             on_change()
 
+    def set_list_reader(self, renew_list: group_monitor.ListReader) -> None:
+        """Sets how a takeover reads the list of databases anew.
+
+        Args:
+          renew_list: calls `replace_members` with all present entries.
+        """
+        self._renew_list = renew_list
+
     def replace_members(self, listed: Sequence[members.Member]) -> None:
         """Replaces the list of databases."""
         changed = self._listing.replace(listed, self._clock.now())
@@ -350,6 +359,7 @@
             self._clock,
             self._journal,
             self._capacity if self._is_shared(terms.name) else None,
+            renew_list=self._renew_list,
         )
         self._groups[terms.name] = group
         group.set_reduced_probing(self._is_spare(terms.name))
--- a/hickorygate/upstreams/promoter.py
+++ b/hickorygate/upstreams/promoter.py
@@ -107,6 +107,9 @@
         if not await self._lease.acquire(self._still_needed, service):
             return
         try:
+            if not await self._group.renew_list():
+                self._trigger.pause(self._clock.now())
+                return
             # The former holder of the lease may have replaced the primary, and
             # this proxy may not have heard of it. A takeover without a known
             # primary looks for one itself.
--- a/properties/takeover_decider.py
+++ b/properties/takeover_decider.py
@@ -303,6 +303,7 @@
             return
         if self._reason() is None or not self.lease.acquire(self._is_needed):
             return
+        self.learn_members()
         reason = self._reason()
         plan = None
         if reason is not None:
