Let a replica count that was listed before a takeover began

Cause: a replica had to be listed a second before a takeover began, though a takeover now reads the list when it begins. Change: listed before it began is enough; the second remains where a takeover may have begun already.

--- a/hickorygate/upstreams/commit_guard.py
+++ b/hickorygate/upstreams/commit_guard.py
@@ -210,8 +210,9 @@
         return self._enough(
             frozenset(
                 name
-                for name in self._listed(answering, began)
-                if _has_run(self._running[name], began)
+                for name in answering
+                if self._joined.get(name, began) <= began
+                and _has_run(self._running[name], began)
             )
         )
 
@@ -283,7 +284,8 @@
     ) -> bool:
         # The answer may be old, or have waited to be read.
         began = self.takeovers_since(min(replica.asked, now))
-        listed = bool(self._listed([name], began))
+        # A takeover reads the list anew when it begins.
+        listed = self._joined.get(name, began) <= began
         return listed and _has_run(replica.running_since, began)
 
     def _listed(
