Hold no writes back because one round had no answers

Cause: replicas that only were slow counted as ones that can prove nothing. Change: writes are held back only if a replica answers that is known to be young.

--- a/hickorygate/upstreams/commit_guard.py
+++ b/hickorygate/upstreams/commit_guard.py
@@ -132,14 +132,14 @@
         """Whether a commit may be reported only after `is_safe` says so."""
         return self._synchronous_replicas > 0
 
-    def __repr__(self) -> str:
-        return f"CommitGuard(joined={self._joined}, {self._under_way})"
-
     @property
     def synchronous_replicas(self) -> int:
         """The number of replicas that must hold a commit."""
         return self._synchronous_replicas
 
+    def __repr__(self) -> str:
+        return f"CommitGuard(joined={self._joined}, {self._under_way})"
+
     def set_synchronous_replicas(self, synchronous_replicas: int) -> None:
         """Sets the number of replicas that must hold a commit."""
         self._synchronous_replicas = synchronous_replicas
@@ -204,7 +204,8 @@
           silent: whether other replicas didn't.
           now: current time.
         """
-        if not silent or answering - self._running.keys():
+        if not silent or not answering or answering - self._running.keys():
+            # All may prove it, or it isn't known who can.
             return True
         began = self.takeovers_since(now)
         return self._enough(
