Log an answer that fits no open request

Change: AnswerDiscarded has the database, what was wrong and the open requests; warning, class failed. No change of logic.

--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -13,6 +13,7 @@
 from hickorygate.core import types
 
 __all__ = [
+    "AnswerDiscarded",
     "CapacityChanged",
     "CallersClosed",
     "CallersRejected",
@@ -114,6 +115,23 @@
     leader: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerDiscarded(events.Event):
+    """A database sent something that isn't the answer to any open request.
+
+    The connection was closed; its open requests failed.
+
+    Attributes:
+      database: id of the database.
+      reason: what is wrong with the answer.
+      requests: class names of the open requests, oldest first.
+    """
+
+    database: str
+    reason: str
+    requests: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CommitReported(events.Event):
     """A commit is about to be reported to its caller as successful.
--- a/hickorygate/operators/line_class.py
+++ b/hickorygate/operators/line_class.py
@@ -40,6 +40,7 @@
     return LineClass.SERVED if event.outcome == "ok" else LineClass.FAILED
 
 
+@line_class.register(platform_events.AnswerDiscarded)
 @line_class.register(platform_events.CommitWithheld)
 @line_class.register(platform_events.ConnectionUnsettled)
 @line_class.register(platform_events.ReadDiscarded)
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import datetime
 from typing import cast
@@ -12,6 +13,8 @@
 import expression
 
 from hickorygate.core import errors
+from hickorygate.core import events
+from hickorygate.core import platform_events
 from hickorygate.core import reply as replies
 from hickorygate.core import types
 from hickorygate.platform import line_protocol
@@ -36,16 +39,23 @@
 """Requests whose reply holds the status of the database in its group."""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Outstanding:
+    """A request without an answer; None opens the session."""
+
+    request: database_request.Request | None
+    future: asyncio.Future[database_request.ReplyResult]
+
+
 class DatabaseConnection(asyncio.Protocol):
     """A connection to a database; replies arrive in request order."""
 
-    def __init__(self, member: members.Member) -> None:
+    def __init__(self, member: members.Member, journal: events.Journal) -> None:
         self._member = member
         self._buffer = line_protocol.LineBuffer()
         self._parser = line_protocol.ReplyParser()
-        self._outstanding: collections.deque[
-            tuple[asyncio.Future[database_request.ReplyResult], bool]
-        ] = collections.deque()
+        self._journal = journal
+        self._outstanding: collections.deque[_Outstanding] = collections.deque()
         self._transport: asyncio.Transport | None = None
         self._closed = False
 
@@ -78,9 +88,9 @@
                 if reply is not None:
                     self._resolve_next(reply)
         except ValueError as error:
-            self._close_with_reason(f"broken answer: {error}")
+            self._discard(f"broken answer: {error}")
         if self._buffer.oversized:
-            self._close_with_reason("an answer is longer than a message")
+            self._discard("an answer is longer than a message")
 
     async def open_session(
         self, workspace: types.WorkspaceName
@@ -91,43 +101,60 @@
         """
         user = workspace or _NO_WORKSPACE
         line = f"CONNECT {self._member.service} {user} {self._member.id}\r\n"
-        return (await self._send([line.encode()], [False]))[0]
+        return (await self._send([line.encode()], [None]))[0]
 
     async def ask(
         self, *batch: database_request.Request
     ) -> list[database_request.ReplyResult]:
         """Sends a batch of requests at once and returns their replies."""
         encoded = [line_protocol.encode_request(request) for request in batch]
-        return await self._send(
-            encoded,
-            [isinstance(request, _STATUS_REQUESTS) for request in batch],
-        )
+        return await self._send(encoded, batch)
 
     def close(self) -> None:
         """Closes the connection; its open requests fail with `AnswerLost`."""
         self._close_with_reason("closed here")
 
     async def _send(
-        self, encoded: list[bytes], statuses: list[bool]
+        self,
+        encoded: list[bytes],
+        batch: Sequence[database_request.Request | None],
     ) -> list[database_request.ReplyResult]:
         if self._closed or self._transport is None:
             failure = errors.ConnectFailed(self._member.id, "closed before")
             return [expression.Error(failure) for _ in encoded]
         loop = asyncio.get_running_loop()
         futures = [loop.create_future() for _ in encoded]
-        self._outstanding.extend(zip(futures, statuses, strict=True))
+        self._outstanding.extend(
+            _Outstanding(request, future)
+            for request, future in zip(batch, futures, strict=True)
+        )
         self._transport.write(b"".join(encoded))
         return [await future for future in futures]
 
     def _resolve_next(self, reply: replies.Reply) -> None:
         if not self._outstanding:
             raise ValueError("an answer to nothing")
-        future, has_status = self._outstanding.popleft()
-        if has_status:
+        answered = self._outstanding.popleft()
+        if isinstance(answered.request, _STATUS_REQUESTS):
             status = line_protocol.parse_status(reply)
             reply = dataclasses.replace(reply, group=status)
-        if not future.done():
-            future.set_result(expression.Ok(reply))
+        if not answered.future.done():
+            answered.future.set_result(expression.Ok(reply))
+
+    def _discard(self, reason: str) -> None:
+        """Closes the connection because of what the database sent."""
+        if self._closed:
+            return
+        self._journal.record(
+            platform_events.AnswerDiscarded(
+                database=self._member.id,
+                reason=reason,
+                requests=" ".join(
+                    type(sent.request).__name__ for sent in self._outstanding
+                ),
+            )
+        )
+        self._close_with_reason(reason)
 
     def _close_with_reason(self, reason: str) -> None:
         """Closes the connection and fails its outstanding requests.
@@ -144,13 +171,20 @@
             self._transport.abort()
         failure = errors.AnswerLost(self._member.id, reason)
         while self._outstanding:
-            future, _ = self._outstanding.popleft()
+            future = self._outstanding.popleft().future
             if not future.done():
                 future.set_result(expression.Error(failure))
 
 
 class DatabaseConnector:
-    """Opens connections to databases."""
+    """Opens connections to databases.
+
+    Args:
+      journal: records what databases send that isn't an answer.
+    """
+
+    def __init__(self, journal: events.Journal) -> None:
+        self._journal = journal
 
     async def open(
         self,
@@ -159,7 +193,7 @@
         workspace: types.WorkspaceName = "",
     ) -> expression.Result[database_request.Connection, errors.Failure]:
         """Connects to a database and verifies its service and id."""
-        connection = DatabaseConnection(member)
+        connection = DatabaseConnection(member, self._journal)
         try:
             connected = await _connect(connection, member)
             if connected.is_error():
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -254,7 +254,7 @@
         )
         plan = serving_plan.ServingPlan(settings.name, settings.zone)
         self._registry = group_registry.GroupRegistry(
-            database.DatabaseConnector(),
+            database.DatabaseConnector(self._journal),
             self._lease,
             clock,
             self._journal,
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -164,7 +164,11 @@
         self.plan = serving_plan.ServingPlan(name, zone)
         self.seen_versions: list[int] = []
         self.fleet = group_registry.GroupRegistry(
-            database.DatabaseConnector(), lease, clock, self.journal, self.plan
+            database.DatabaseConnector(self.journal),
+            lease,
+            clock,
+            self.journal,
+            self.plan,
         )
         self.links = serving_links.ServingLinks(
             self.plan, clock, self.journal, self.seen_versions.append
--- a/hickorygate/tests/test_odd_entry.py
+++ b/hickorygate/tests/test_odd_entry.py
@@ -15,7 +15,9 @@
 
 import expression
 
+from hickorygate.core import clock as clocks
 from hickorygate.core import errors
+from hickorygate.core import events
 from hickorygate.platform import database
 from hickorygate.testing import model_fleet
 from hickorygate.testing import model_group
@@ -80,7 +82,10 @@
     async def test_an_unusable_address_is_a_failed_connection(self) -> None:
         # Guards against review/9: the error of such an address ended the task
         # that connected.
-        connector = database.DatabaseConnector()
+        journal = events.Timeline(
+            "p", events.HybridLogicalClock(clocks.SystemClock())
+        )
+        connector = database.DatabaseConnector(journal)
         for host, port in (("\ufffd.example", 80), ("a" * 70, 80)):
             with self.subTest(host):
                 odd = members.Member(
--- a/properties/test_malformed_input.py
+++ b/properties/test_malformed_input.py
@@ -16,6 +16,8 @@
 import msgpack
 import orjson
 
+from hickorygate.core import clock as clocks
+from hickorygate.core import events
 from hickorygate.core import reply as replies
 from hickorygate.platform import database
 from hickorygate.platform import line_protocol
@@ -143,7 +145,12 @@
         self.runner.run(self.exchange(data, cut, statuses))
 
     async def exchange(self, data: bytes, cut: int, statuses: bool) -> None:
-        connection = database.DatabaseConnection(_MEMBER)
+        connection = database.DatabaseConnection(
+            _MEMBER,
+            events.Timeline(
+                "p", events.HybridLogicalClock(clocks.SystemClock())
+            ),
+        )
         transport = _Transport()
         connection.connection_made(transport)
         batch: list[database_request.Request] = [
