Count messages of callers that aren't understood

Change: MessagesRejected reports the first of 10 s with a count, by whether the caller had a session; warning, class failed. hickorygate_messages_rejected_total counts all. No change of answers.

--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -31,6 +31,7 @@
     "MemberLeaving",
     "MemberListed",
     "MemberUnlisted",
+    "MessagesRejected",
     "ObjectsListed",
     "PromotionOrdered",
     "ReadDiscarded",
@@ -555,3 +556,19 @@
 
     cause: str
     count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MessagesRejected(events.Event):
+    """Messages of callers were not understood and answered with an error.
+
+    The event is recorded for the first one of a cause within 10 s. In a session
+    it may be the rest of a message that ended too early.
+
+    Attributes:
+      cause: whether the caller had a session.
+      count: number of rejected messages since the last event of this cause.
+    """
+
+    cause: str
+    count: int
--- a/hickorygate/operators/line_class.py
+++ b/hickorygate/operators/line_class.py
@@ -43,6 +43,7 @@
 @line_class.register(platform_events.AnswerDiscarded)
 @line_class.register(platform_events.CommitWithheld)
 @line_class.register(platform_events.ConnectionUnsettled)
+@line_class.register(platform_events.MessagesRejected)
 @line_class.register(platform_events.ReadDiscarded)
 @line_class.register(platform_events.RequestRetried)
 @line_class.register(platform_events.SessionRevoked)
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import datetime
+from typing import TypeVar
 
 import aioprometheus
 from aioprometheus import histogram
@@ -16,6 +17,7 @@
 from hickorygate.core import events
 from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
+from hickorygate.operators import caller_usage
 from hickorygate.operators import serving_metrics
 from hickorygate.proxies import serving_links
 from hickorygate.proxies import statement_server
@@ -28,6 +30,7 @@
 
 _SECOND = datetime.timedelta(seconds=1)
 _Sample = tuple[dict[str, str], float | histogram.Histogram]
+_Cause = TypeVar("_Cause", memory_budget.Cause, caller_usage.MessageCause)
 
 
 class EventStatistics:
@@ -92,7 +95,7 @@
     links: serving_links.ServingLinks,
     server: statement_server.StatementServer,
     limits: workspace_limits.WorkspaceLimits,
-    usage: memory_budget.BufferUsage | None = None,
+    usage: caller_usage.CallerUsage | None = None,
 ) -> bytes:
     """Renders all metrics in Prometheus text format.
 
@@ -104,9 +107,10 @@
       links: links to serving proxies.
       server: listener for other proxies.
       limits: rate limits of the workspaces.
-      usage: what the callers' connections occupy; None for nothing.
+      usage: what the callers occupy, and their rejected messages; None for
+        nothing.
     """
-    usage = usage or memory_budget.BufferUsage()
+    usage = usage or caller_usage.CallerUsage()
     registry = aioprometheus.Registry()
 
     def show(
@@ -236,6 +240,12 @@
         "Connections that were closed because of a limit, by cause.",
         _by_cause(usage.closed),
     )
+    show(
+        aioprometheus.Counter,
+        "messages_rejected_total",
+        "Messages of callers that were not understood, by cause.",
+        _by_cause(usage.messages),
+    )
     show(
         aioprometheus.Counter,
         "store_calls_total",
@@ -274,7 +284,7 @@
 
 
 def _by_cause(
-    counts: Mapping[memory_budget.Cause, int],
+    counts: Mapping[_Cause, int],
 ) -> Iterator[_Sample]:
     for cause, count in counts.items():
         yield {"cause": cause.name.lower()}, float(count)
--- a/hickorygate/operators/severity.py
+++ b/hickorygate/operators/severity.py
@@ -59,6 +59,7 @@
 @severity.register(platform_events.EntryIgnored)
 @severity.register(platform_events.LeaderLost)
 @severity.register(platform_events.LinkLost)
+@severity.register(platform_events.MessagesRejected)
 @severity.register(takeover_steps.PauseLost)
 @severity.register(platform_events.ReadDiscarded)
 @severity.register(takeover_steps.ReplicaSilent)
--- a/hickorygate/platform/caller_connection.py
+++ b/hickorygate/platform/caller_connection.py
@@ -58,6 +58,9 @@
     def record_closed(self, cause: memory_budget.Cause) -> None:
         """Counts a connection that is closed because of a limit."""
 
+    def record_malformed(self, in_session: bool) -> None:
+        """Counts a message that was not understood."""
+
     def forget(self, caller: CallerConnection) -> None:
         """Forgets a connection that has ended."""
 
@@ -324,6 +327,7 @@
 
     def reject_malformed(self) -> None:
         """Answers a malformed line; an open session continues."""
+        self._owner.record_malformed(self._session is not None)
         failure = replies.Rejection(
             replies.RejectionReason.MALFORMED, "not a message"
         )
--- a/hickorygate/platform/line_server.py
+++ b/hickorygate/platform/line_server.py
@@ -10,6 +10,7 @@
 from hickorygate.core import counted_notices
 from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
+from hickorygate.operators import caller_usage
 from hickorygate.platform import caller_connection
 from hickorygate.platform import settings
 
@@ -40,6 +41,9 @@
         ] = {}
         self._rejected = counted_notices.CountedNotices()
         self._closed = counted_notices.CountedNotices()
+        self._malformed: counted_notices.CountedNotices[
+            caller_usage.MessageCause
+        ] = counted_notices.CountedNotices()
         self._server: asyncio.Server | None = None
 
     @property
@@ -53,13 +57,14 @@
         return self._budget
 
     @property
-    def usage(self) -> memory_budget.BufferUsage:
+    def usage(self) -> caller_usage.CallerUsage:
         """What callers occupy, and what was done about it."""
-        return memory_budget.BufferUsage(
+        return caller_usage.CallerUsage(
             self._budget.total,
             self._budget.paused,
             dict(self._rejected.totals),
             dict(self._closed.totals),
+            dict(self._malformed.totals),
         )
 
     @property
@@ -119,6 +124,23 @@
                 platform_events.CallersClosed(cause.value, count)
             )
 
+    def record_malformed(self, in_session: bool) -> None:
+        """Counts a message that was not understood.
+
+        Args:
+          in_session: whether the caller has opened a session.
+        """
+        cause = (
+            caller_usage.MessageCause.SESSION
+            if in_session
+            else caller_usage.MessageCause.NO_SESSION
+        )
+        count = self._malformed.add(cause, self._env.clock.now())
+        if count:
+            self._env.journal.record(
+                platform_events.MessagesRejected(cause.value, count)
+            )
+
     def forget(self, caller: caller_connection.CallerConnection) -> None:
         """Forgets a connection that has ended."""
         self._callers.pop(caller.holding, None)
