Escape odd texts in the metrics and on the timeline

Cause: label values were written as they are. The id of a database may hold a quote or a backslash, and a scraper then read none of the metrics; a byte that isn't UTF-8 in a label, or in an event of the admin port, failed the whole page; a line feed or an escape sequence reached the operator's terminal. Change: label values and timeline lines are escaped (operators/escapes.py).

--- a/hickorygate/operators/event_codec.py
+++ b/hickorygate/operators/event_codec.py
@@ -17,6 +17,7 @@
 from hickorygate.core import events
 from hickorygate.core import position
 from hickorygate.core import types
+from hickorygate.operators import escapes
 from hickorygate.operators import failures
 
 __all__ = ["UnknownEvent", "encode_json", "format_text", "decode_json"]
@@ -66,7 +67,10 @@
         count=recorded.stamp.count,
         process=recorded.process,
         kind=_kind(recorded.event),
-        fields=_fields(recorded.event),
+        fields={
+            name: _encodable(value)
+            for name, value in _fields(recorded.event).items()
+        },
     )
     return line.model_dump_json()
 
@@ -97,7 +101,7 @@
     values = _values(recorded.event)
     shown = " ".join(f"{name}={_format(v)}" for name, v in values.items())
     kind = _kind(recorded.event)
-    return (
+    return escapes.printable(
         f"{time}+{recorded.stamp.count:<3} {recorded.process:<12} "
         f"{kind:<16} {shown}"
     ).rstrip()
@@ -131,6 +135,30 @@
     return event.fields
 
 
+@functools.singledispatch
+def _encodable(value: pydantic.JsonValue) -> pydantic.JsonValue:
+    """Returns a value without texts that JSON can't represent."""
+    return value
+
+
+@_encodable.register
+def _(value: str) -> pydantic.JsonValue:
+    return escapes.encodable(value)
+
+
+@_encodable.register
+def _(value: list) -> pydantic.JsonValue:
+    return [_encodable(item) for item in value]
+
+
+@_encodable.register
+def _(value: dict) -> pydantic.JsonValue:
+    return {
+        escapes.encodable(name): _encodable(item)
+        for name, item in value.items()
+    }
+
+
 @functools.singledispatch
 def _values(event: events.Event) -> Mapping[str, object]:
     """Returns the fields of an event as Python values, not encoded as JSON."""
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -24,6 +24,7 @@
 from hickorygate.core import events
 from hickorygate.core import position
 from hickorygate.core import types
+from hickorygate.operators import escapes
 from hickorygate.operators import line_class
 from hickorygate.operators import recent_commits
 from hickorygate.operators import severity
@@ -248,7 +249,7 @@
     # Ids and names of callers may contain bytes that aren't UTF-8.
     if len(value) > _LONGEST_TEXT:
         value = value[:_LONGEST_TEXT] + "..."
-    return value.encode(errors="backslashreplace").decode()
+    return escapes.encodable(value)
 
 
 @_to_json.register
--- a/hickorygate/operators/metrics.py
+++ b/hickorygate/operators/metrics.py
@@ -15,6 +15,7 @@
 import aioprometheus
 from aioprometheus import histogram
 
+from hickorygate.operators import escapes
 from hickorygate.operators import status
 
 __all__ = ["CATALOGUE", "Metric", "Sample", "render"]
@@ -283,5 +284,6 @@
             metric.full_name, metric.help, registry=registry
         )
         for sample in metric.samples(subject):
-            collector.set_value(sample.labels, sample.value)
+            labels = escapes.label_values(sample.labels)
+            collector.set_value(labels, sample.value)
     return aioprometheus.render(registry, accepts)
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -18,6 +18,7 @@
 from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
 from hickorygate.operators import caller_usage
+from hickorygate.operators import escapes
 from hickorygate.operators import serving_metrics
 from hickorygate.proxies import serving_links
 from hickorygate.proxies import statement_server
@@ -121,7 +122,7 @@
     ) -> None:
         collector = kind(f"hickorygate_{name}", text, registry=registry)
         for labels, value in samples:
-            collector.set_value(labels, value)
+            collector.set_value(escapes.label_values(labels), value)
 
     show(
         aioprometheus.Counter,
