Count discarded answers of databases by reason

Cause: AnswerDiscarded was counted by event alone; its reason may quote bytes of a database, so it can't be a label. Change: the reason is sorted into order, malformed, length and other, and hickorygate_answers_discarded_total shows the counts. EventStatistics adds events by singledispatch.

--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -7,6 +7,7 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import datetime
+import functools
 from typing import TypeVar
 
 import aioprometheus
@@ -17,6 +18,7 @@
 from hickorygate.core import events
 from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
+from hickorygate.operators import answer_faults
 from hickorygate.operators import caller_usage
 from hickorygate.operators import escapes
 from hickorygate.operators import serving_metrics
@@ -45,6 +47,9 @@
         self._served: collections.Counter[str] = collections.Counter()
         self._forwarded: collections.Counter[str] = collections.Counter()
         self._events: collections.Counter[str] = collections.Counter()
+        self._discarded: collections.Counter[answer_faults.AnswerFault] = (
+            collections.Counter()
+        )
 
     @property
     def outcomes(self) -> collections.Counter[tuple[str, str]]:
@@ -71,21 +76,46 @@
         """Number of events by class name."""
         return self._events
 
+    @property
+    def discarded(self) -> collections.Counter[answer_faults.AnswerFault]:
+        """Number of discarded answers of databases, by fault."""
+        return self._discarded
+
     def __repr__(self) -> str:
         return f"EventStatistics(requests={self._outcomes.total()})"
 
     def record(self, event: events.Event) -> None:
         """Adds an event to the sums."""
         self._events[type(event).__name__] += 1
-        if isinstance(event, platform_events.StatementForwarded):
-            self._forwarded[event.outcome] += 1
-        if not isinstance(event, platform_events.RequestEnded):
-            return
-        self._outcomes[event.kind, event.outcome] += 1
-        self._served[event.served_by] += 1
-        if event.kind not in self._latency:
-            self._latency[event.kind] = histogram.Histogram(*_BUCKETS)
-        self._latency[event.kind].observe(event.took / _SECOND)
+        _add(event, self)
+
+
+@functools.singledispatch
+def _add(event: events.Event, statistics: EventStatistics) -> None:
+    """Adds what an event says beyond its kind to the sums."""
+
+
+@_add.register
+def _(
+    event: platform_events.AnswerDiscarded, statistics: EventStatistics
+) -> None:
+    statistics.discarded[answer_faults.classify(event.reason)] += 1
+
+
+@_add.register
+def _(
+    event: platform_events.StatementForwarded, statistics: EventStatistics
+) -> None:
+    statistics.forwarded[event.outcome] += 1
+
+
+@_add.register
+def _(event: platform_events.RequestEnded, statistics: EventStatistics) -> None:
+    statistics.outcomes[event.kind, event.outcome] += 1
+    statistics.served[event.served_by] += 1
+    if event.kind not in statistics.latency:
+        statistics.latency[event.kind] = histogram.Histogram(*_BUCKETS)
+    statistics.latency[event.kind].observe(event.took / _SECOND)
 
 
 def render(
@@ -154,6 +184,15 @@
         "Events by kind.",
         (({"kind": k}, float(count)) for k, count in statistics.events.items()),
     )
+    show(
+        aioprometheus.Counter,
+        "answers_discarded_total",
+        "Answers of databases that fit no open request, by what was wrong.",
+        (
+            ({"reason": fault.value}, float(count))
+            for fault, count in statistics.discarded.items()
+        ),
+    )
     show(
         aioprometheus.Gauge,
         "connections",
