Log the signature of the answer that a request got

Cause: RequestEnded named the database and the outcome, but nothing that identifies the answer, so no log could show that a caller had got the answer to another request. Change: RequestEnded has the signature, as bytes that only a written line decodes. The line classes and their limits stay.

--- a/hickorygate/callers/caller_session.py
+++ b/hickorygate/callers/caller_session.py
@@ -364,6 +364,7 @@
                 floor_age=now - call.floor.since if call.floor else None,
                 tries=call.tries,
                 took=now - call.arrived,
+                signature=b"" if failure else reply.result.ok.signature,
             )
         )
 
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -69,6 +69,8 @@
       floor_age: age of the floor when the answer was sent.
       tries: number of attempts that were made at a database.
       took: time from the arrival of the request to its answer.
+      signature: signature of the answer that was passed on; empty if it has
+        none.
     """
 
     request: str
@@ -82,6 +84,7 @@
     floor_age: datetime.timedelta | None
     tries: int
     took: datetime.timedelta
+    signature: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/operators/event_log.py
+++ b/hickorygate/operators/event_log.py
@@ -252,6 +252,11 @@
     return escapes.encodable(value)
 
 
+@_to_json.register
+def _(value: bytes) -> object:
+    return _to_json(value.decode(errors="backslashreplace"))
+
+
 @_to_json.register
 def _(value: tuple) -> object:
     return [_to_json(item) for item in value]
--- a/properties/test_odd_texts.py
+++ b/properties/test_odd_texts.py
@@ -65,6 +65,8 @@
         return strategies.timedeltas(
             datetime.timedelta(), datetime.timedelta(days=1)
         )
+    if annotation is bytes:
+        return strategies.binary(max_size=12)
     if annotation is int:
         return strategies.integers(0, 2**53)
     if annotation is float:
