Let stand-in databases answer twice, and end lines at CR LF only

No stand-in could show either: none answered twice, the test client split at every line feed, and both encoded text strictly.

A database of a `LineGroup` now repeats answers of chosen kinds, a share or a count of them, each with a delay that is drawn from given ones; the copy has the same bytes and comes while later requests are served. Stand-ins and `LineClient` end lines at CR LF only and pass on any bytes. The stand-in records the shape that each EXECUTE ran.

--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -42,6 +42,9 @@
 PRIMARY_DB, BOUNDED_DB, OWN_WRITES_DB = "primary-db", "bounded-db", "own-db"
 _STALENESS = datetime.timedelta(milliseconds=1_500)
 _TIMEOUT = datetime.timedelta(seconds=3)
+_LINE_END = b"\r\n"
+_DECODE_ERRORS = "surrogateescape"
+"""Decoding error handler; bytes that are not UTF-8 pass through unchanged."""
 
 
 def make_catalog(
@@ -253,19 +256,29 @@
 
     async def send(self, line: str) -> list[str]:
         """Sends a line and returns the lines of the answer."""
-        self._writer.write(line.encode() + b"\r\n")
+        self._writer.write(line.encode(errors=_DECODE_ERRORS) + _LINE_END)
         return await self.receive()
 
     async def receive(self) -> list[str]:
         """Returns the lines up to READY or the end of the connection."""
         received: list[str] = []
         while not received or not received[-1].startswith("READY"):
-            line = await self._reader.readline()
-            if not line:
+            line = await self._receive_line()
+            if line is None:
                 break
-            received.append(line.decode().rstrip("\r\n"))
+            received.append(line)
         return received
 
+    async def _receive_line(self) -> str | None:
+        """Returns the next line; None at the end of the connection."""
+        try:
+            data = await self._reader.readuntil(_LINE_END)
+        except asyncio.IncompleteReadError as error:
+            if not error.partial:
+                return None
+            data = error.partial
+        return data.removesuffix(_LINE_END).decode(errors=_DECODE_ERRORS)
+
     async def query(self, text: str) -> list[str]:
         """Sends a statement with a new request id and returns the answer."""
         self._number += 1
--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -18,6 +18,7 @@
 from hickorygate.core import position
 from hickorygate.testing import line_log
 from hickorygate.testing import line_session
+from hickorygate.testing import repeated_answers
 from hickorygate.upstreams import member as members
 
 __all__ = [
@@ -34,7 +35,7 @@
 
 def execution_digest(database: str, request: str) -> str:
     """Returns a digest which shows that the named database ran a request."""
-    text = f"{database} {request}".encode()
+    text = f"{database} {request}".encode(errors="surrogateescape")
     return hashlib.blake2b(text, digest_size=8).hexdigest()
 
 
@@ -49,6 +50,7 @@
       lose_answers: number of answers that are replaced by a closed connection.
       refuse: error code with which the next statements are refused.
       refusals: number of statements that are refused with this code.
+      repeated_answers: answers that are sent twice; None for no answer.
     """
 
     unresponsive: bool = False
@@ -56,6 +58,7 @@
     lose_answers: int = 0
     refuse: str = ""
     refusals: int = 0
+    repeated_answers: repeated_answers.RepeatedAnswers | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -86,6 +89,8 @@
         its id.
       workspaces_of_runs: workspace of the connection on which each of these
         requests ran, by its id.
+      prepared_of_runs: kind and shape of the prepared statement that each
+        `EXECUTE` of these requests ran, by its id.
       leaving: whether the database is announced as about to stop.
       last_ran: event loop time, in seconds, of the newest request in `ran`;
         None if there is none.
@@ -102,6 +107,7 @@
         self.ran: list[tuple[str, str]] = []
         self.values_of_runs: dict[str, dict[str, str]] = {}
         self.workspaces_of_runs: dict[str, str] = {}
+        self.prepared_of_runs: dict[str, tuple[str, str]] = {}
         self.leaving = False
         self.last_ran: float | None = None
         self.overlap_started: float | None = None
--- a/hickorygate/testing/line_session.py
+++ b/hickorygate/testing/line_session.py
@@ -9,13 +9,17 @@
 from typing import cast
 
 from hickorygate.core import position as positions
+from hickorygate.testing import repeated_answers
 
 if TYPE_CHECKING:
     from hickorygate.testing import line_group
 
 __all__ = ["LineSession"]
 
-_FLOOR = re.compile(r"WAITPOS (\d+)\.(\d+) (.*)\Z")
+_FLOOR = re.compile(r"WAITPOS (\d+)\.(\d+) (.*)\Z", re.DOTALL)
+_LINE_END = b"\r\n"
+_DECODE_ERRORS = "surrogateescape"
+"""Decoding error handler; bytes that are not UTF-8 pass through unchanged."""
 
 
 class LineSession(asyncio.Protocol):
@@ -37,6 +41,7 @@
         self._transport: asyncio.Transport | None = None
         self._queue: asyncio.Queue[str] = asyncio.Queue()
         self._buffer = b""
+        self._answer = b""
         self._task: asyncio.Task[None] | None = None
         self._state = "I"
         self._read_only = False
@@ -61,9 +66,9 @@
 
     def data_received(self, data: bytes) -> None:
         """Queues the complete lines; called by the event loop."""
-        *whole, self._buffer = (self._buffer + data).split(b"\r\n")
+        *whole, self._buffer = (self._buffer + data).split(_LINE_END)
         for line in whole:
-            self._queue.put_nowait(line.decode(errors="surrogateescape"))
+            self._queue.put_nowait(line.decode(errors=_DECODE_ERRORS))
 
     def abort(self) -> None:
         """Closes the connection without sending buffered data."""
@@ -79,12 +84,28 @@
             line = await self._queue.get()
             while self._database.faults.unresponsive:
                 await asyncio.sleep(0.001)
+            self._answer = b""
             command, _, arguments = line.partition(" ")
+            text = ""
             if command == "CONNECT":
                 self._connect(arguments)
             elif command == "QUERY":
                 request, _, text = arguments.partition(" ")
-                await self._query(request, text)
+                floor, text = _split_floor(text)
+                await self._query(request, floor, text)
+            self._repeat_answer(text)
+
+    def _repeat_answer(self, text: str) -> None:
+        """Sends the last answer once more if the faults ask for it."""
+        repeated = self._database.faults.repeated_answers
+        if repeated is None or not self._answer:
+            return
+        kind = repeated_answers.kind_of(text, self._answer)
+        delay = repeated.draw_delay(kind)
+        if delay is not None:
+            asyncio.get_running_loop().call_later(
+                delay.total_seconds(), self._write_bytes, self._answer
+            )
 
     def _connect(self, arguments: str) -> None:
         service, self.workspace, identity = arguments.split(" ")
@@ -96,14 +117,12 @@
         if self._transport is not None:
             self._transport.close()
 
-    async def _query(self, request: str, text: str) -> None:
-        found = _FLOOR.match(text)
-        if found is not None:
-            floor = positions.Position(int(found[1]), int(found[2]))
-            if not self._database.log.is_visible(floor):
-                self._send_error("LAGGING")
-                return
-            text = found[3]
+    async def _query(
+        self, request: str, floor: positions.Position | None, text: str
+    ) -> None:
+        if floor is not None and not self._database.log.is_visible(floor):
+            self._send_error("LAGGING")
+            return
         if request != "-" and self._injects_refusal():
             return
         await self._run(request, text)
@@ -175,7 +194,9 @@
             if words[1] not in self.names:
                 self._send_error("UNKNSTMT")
                 return
-            writes = self.names[words[1]][0] == "WRITE"
+            prepared = self.names[words[1]]
+            self._database.prepared_of_runs[request] = prepared
+            writes = prepared[0] == "WRITE"
             del words[0]
         plain = self._state == "T" and not self._read_only
         if (writes or plain) and not self._database.log.leads:
@@ -263,5 +284,18 @@
         self._send(f"READY {self._state} {position.term}.{position.offset}")
 
     def _send(self, line: str) -> None:
+        data = line.encode(errors=_DECODE_ERRORS) + _LINE_END
+        self._answer += data
+        self._write_bytes(data)
+
+    def _write_bytes(self, data: bytes) -> None:
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.write(line.encode() + b"\r\n")
+            self._transport.write(data)
+
+
+def _split_floor(text: str) -> tuple[positions.Position | None, str]:
+    """Splits a statement into the position that it needs and the rest."""
+    found = _FLOOR.match(text)
+    if found is None:
+        return None, text
+    return positions.Position(int(found[1]), int(found[2])), found[3]
