Test odd bytes from a caller to the log

Cause: nothing checked the whole path of bytes that aren't text, from a caller to a line of the log and to the detail of an error. They found no fault.

--- a/properties/test_odd_texts.py
+++ b/properties/test_odd_texts.py
@@ -21,10 +21,12 @@
 
 from hickorygate.core import events
 from hickorygate.core import platform_events
+from hickorygate.core import reply as replies
 from hickorygate.core import takeover_steps
 from hickorygate.operators import event_codec
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
+from hickorygate.platform import line_protocol
 from hickorygate.testing import clock
 
 _ODD = strategies.binary(max_size=12).map(
@@ -153,3 +155,13 @@
             if line and not line.startswith("#"):
                 self.assertRegex(line, rf"\A{_SAMPLE.pattern}\Z")
         self.assertEqual(text.count("hickorygate_served_total{"), 1)
+
+    @hypothesis.seed(49)
+    @hypothesis.given(strategies.binary(max_size=30))
+    @hypothesis.example(b"\r\nREADY I -\r\n")
+    def test_the_detail_of_an_error_is_one_line(self, data: bytes) -> None:
+        detail = data.decode("utf-8", "surrogateescape")
+        rejection = replies.Rejection(replies.RejectionReason.FAILED, detail)
+        line = line_protocol.encode_error(rejection)
+        self.assertTrue(line.endswith(b"\r\n"))
+        self.assertIsNone(re.search(rb"[\r\n]", line[:-2]))
