End a message at CR LF only

LineBuffer took a line feed for the end of a message and dropped a CR before it; the protocol says CR LF.

Now CR LF alone ends a message, from callers and from databases, also if it arrives in two pieces. Replies to callers are built by encode_line, which raises ValueError for a field with CR LF. Of an error's text only CR LF is replaced; a lone LF or CR of a database's text passes.

A caller that ends its lines with LF alone now never completes a message, and the time limits closed its connection without a word. One that has sent a part of a message gets ERROR MALFORMED before it is closed; docs/CALLERS.md says what a caller must send.

--- a/hickorygate/platform/caller_connection.py
+++ b/hickorygate/platform/caller_connection.py
@@ -154,13 +154,14 @@
         elif self._session is None and (
             now - self._connected_at >= _SESSION_TIMEOUT
         ):
-            self._close_for(memory_budget.Cause.NO_SESSION)
+            self._give_up_message(memory_budget.Cause.NO_SESSION)
         elif self._unread_watch.is_stalled(now, *self._unread_answers()):
-            self._close_for(memory_budget.Cause.UNREAD)
+            self._owner.record_closed(memory_budget.Cause.UNREAD)
+            self.abort()
         elif self._incomplete_watch.is_stalled(
             now, self._incomplete_message(), self._received
         ):
-            self._close_for(memory_budget.Cause.INCOMPLETE)
+            self._give_up_message(memory_budget.Cause.INCOMPLETE)
         elif self._session is not None and not self.is_processing:
             self._session.expire(now)
 
@@ -342,13 +343,21 @@
         if not work.cancelled() and work.exception() is not None:
             self.close()
 
-    def _close_for(self, cause: memory_budget.Cause) -> None:
-        """Closes a connection that exceeds a time limit.
+    def _give_up_message(self, cause: memory_budget.Cause) -> None:
+        """Closes a connection that has completed no message in time.
 
-        Nothing is sent: the caller didn't read, or has sent no whole message.
+        A caller that has sent a part is told why: it may end its messages in
+        another way than with CR LF. To one that has sent nothing, nothing is
+        sent.
         """
         self._owner.record_closed(cause)
-        self.abort()
+        if self._holding.waits_for_rest:
+            self.refuse(
+                replies.RejectionReason.MALFORMED,
+                f"{cause.value}; CR LF ends a message",
+            )
+        else:
+            self.abort()
 
     def _expire_closing(self, now: datetime.datetime) -> None:
         """Aborts a closing connection that doesn't accept the unsent data."""
--- a/hickorygate/platform/line_protocol.py
+++ b/hickorygate/platform/line_protocol.py
@@ -1,7 +1,8 @@
 """Encodes and decodes the line protocol that callers and databases use.
 
 A message is one line that ends in CR LF: a keyword, followed by fields
-separated by spaces. The last field extends to the end of the line.
+separated by spaces. The last field extends to the end of the line; any other
+character, also a CR or an LF alone, belongs to a field.
 """
 
 from __future__ import annotations
@@ -48,7 +49,6 @@
 _NO_POSITION = "-"
 _NO_SIGNATURE = b"-"
 _STATUS_FIELDS = 7
-_LINE_END = b"\r\n"
 
 _REASONS = {
     "BUSY": replies.RejectionReason.BUSY,
@@ -75,7 +75,7 @@
 _STATE_WORDS = {state: word for word, state in _STATES.items()}
 _WRITES_BY_KIND = {"READ": False, "WRITE": True}
 _POSITION = re.compile(r"(\d+)\.(\d+)\Z", re.ASCII)
-_LINE_BREAKS = re.compile(r"[\r\n]+")
+_LINE_END = "\r\n"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -191,14 +191,17 @@
 
 
 def encode_reply(reply: replies.Reply) -> bytes:
-    """Encodes a complete reply to a caller."""
+    """Encodes a complete reply to a caller.
+
+    Raises:
+      ValueError: a row or the signature holds CR LF.
+    """
     parts = []
     match reply.result:
         case expression.Result(tag="ok", ok=answer):
-            parts += [b"ROW " + row + _LINE_END for row in answer.rows]
-            parts.append(
-                b"COMPLETE " + (answer.signature or _NO_SIGNATURE) + _LINE_END
-            )
+            lines = [b"ROW " + row for row in answer.rows]
+            lines.append(b"COMPLETE " + (answer.signature or _NO_SIGNATURE))
+            parts += [line_buffer.encode_line(line) for line in lines]
         case expression.Result(tag="error", error=failure):
             parts.append(encode_error(failure))
     state = _STATE_WORDS[reply.state]
@@ -213,9 +216,9 @@
     ran, unknown) determines the code.
     """
     rejection = replies.as_rejection(failure)
-    detail = _LINE_BREAKS.sub(" ", rejection.detail) or "-"
+    detail = rejection.detail.replace(_LINE_END, " ") or "-"
     line = f"ERROR {_CODES[rejection.reason]} {detail}"
-    return line.encode(_ENCODING, _DECODE_ERRORS) + _LINE_END
+    return line_buffer.encode_line(line.encode(_ENCODING, _DECODE_ERRORS))
 
 
 def encode_request(request: database_request.Request) -> bytes:
--- a/hickorygate/tests/test_input_limits.py
+++ b/hickorygate/tests/test_input_limits.py
@@ -383,6 +383,19 @@
         self.crowd_of(140, caller)
         await self.check()
 
+    # Guards against lines without CR LF that are kept for ever.
+    async def test_senders_that_end_their_lines_with_lf_alone(self) -> None:
+        lines = b"QUERY q READ small\n" * 3_000
+
+        async def caller(number: int) -> None:
+            sock = await self.crowd.open_session()
+            self.crowd.start(self.crowd.discard_all(sock))
+            for _ in range(30):
+                await self.crowd.send(sock, lines)
+
+        self.crowd_of(140, caller)
+        await self.check()
+
     async def test_idle_connections_without_a_session(self) -> None:
         """Guards against connections that use up all descriptors."""
 
