Split the settings file at line feeds only

A value with another character that Unicode counts as a line break (U+2028, U+0085, FF, VT, a CR alone) ended its line: its rest was dropped, or set another key, and later lines were reported under wrong numbers. str.splitlines splits there, str.strip removes such characters, and Path.read_text turns a CR into a line break. Ports in digits other than ASCII were accepted, since isdecimal knows them all.

Now LF alone ends a line, also with a CR before it, and only blanks, tabs and that CR around a key or a value are removed; ports are ASCII digits.

--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -1,4 +1,8 @@
-"""Reads the platform's settings file of `a.b=value` lines."""
+"""Reads the platform's settings file of `a.b=value` lines.
+
+LF ends a line, also with a CR before it. Other characters that Unicode counts
+as line breaks or blanks belong to the value.
+"""
 
 from __future__ import annotations
 
@@ -52,6 +56,12 @@
 )
 """An IPv4 address or a host name, and a port."""
 
+_PORTS = re.compile(r"(\d{1,5}),(\d{1,5})", re.ASCII)
+
+_LINE_END = "\n"
+_BLANKS = " \t\r"
+"""Characters around a key or a value that don't belong to it."""
+
 
 def parse_address(text: object) -> Address:
     """Parses `HOST:PORT`.
@@ -72,12 +82,13 @@
     Raises:
       ValueError: the text does not have this form.
     """
-    first, _, last = str(text).partition(",")
-    if not (first.isdecimal() and last.isdecimal()):
+    found = _PORTS.fullmatch(str(text))
+    if found is None:
         raise ValueError(f"{text!r} is not FIRST,LAST; example: 7440,7455")
-    if not 0 < int(first) <= int(last) < 65_536:
+    first, last = int(found[1]), int(found[2])
+    if not 0 < first <= last < 65_536:
         raise ValueError(f"{text!r} is not a range of TCP ports")
-    return range(int(first), int(last) + 1)
+    return range(first, last + 1)
 
 
 AddressField = Annotated[Address, pydantic.BeforeValidator(parse_address)]
@@ -209,7 +220,8 @@
 def load(path: pathlib.Path) -> SettingsResult:
     """Reads a settings file."""
     try:
-        text = path.read_text(encoding="utf-8")
+        # Without `read_text`, which takes a CR alone for a line break.
+        text = path.read_bytes().decode("utf-8")
     except (OSError, UnicodeError) as error:
         problem = errors.FileProblem(None, "file", str(error))
         return expression.Error(errors.FileInvalid(str(path), (problem,)))
@@ -225,11 +237,12 @@
     """
     values: dict[str, str] = {}
     numbers: dict[str, int] = {}
-    for number, line in enumerate(text.splitlines(), start=1):
+    for number, line in enumerate(text.split(_LINE_END), start=1):
         key, equals, value = line.partition("=")
         if equals:
-            values[key.strip()] = value.strip()
-            numbers[key.strip()] = number
+            name = key.strip(_BLANKS)
+            values[name] = value.strip(_BLANKS)
+            numbers[name] = number
     try:
         return expression.Ok(_File.model_validate(values).settings())
     except pydantic.ValidationError as error:
--- a/hickorygate/tests/test_platform_settings.py
+++ b/hickorygate/tests/test_platform_settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pathlib
+import tempfile
 import unittest
 
 from hickorygate.platform import settings as settings_lib
@@ -47,6 +49,38 @@
         self.assertIn("'nowhere'", problem.reason)
         self.assertIn("HOST:PORT", problem.reason)
 
+    # Guards against a value that ends where the file's line doesn't.
+    def test_only_a_line_feed_ends_a_line(self) -> None:
+        for separator in "\u2028\u2029\x85\x0b\x0c\x1c\x1d\x1e\r":
+            for value in (
+                f"a{separator}zone=b",
+                f"{separator}a",
+                f"a{separator}",
+            ):
+                if value.strip("\r") != value:
+                    continue  # A CR at an end belongs to the line's end.
+                with self.subTest(value=value):
+                    text = _TEXT.replace("zone=a\n", f"zone={value}\n")
+                    settings = settings_lib.parse(text, "boot.conf").ok
+                    self.assertEqual(settings.zone, value)
+                    text = text.replace("10.1.0.8:8784", "nowhere")
+                    failure = settings_lib.parse(text, "boot.conf").error
+                    self.assertEqual(failure.problems[0].line, 3)
+
+    # Guards against a file that is read in another way than its text.
+    def test_a_loaded_file_has_the_same_lines(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "boot.conf"
+            for end in ("\n", "\r\n"):
+                text = _TEXT.replace("zone=a\n", "zone=a\rb\n")
+                path.write_bytes(text.replace("\n", end).encode())
+                settings = settings_lib.load(path).ok
+                self.assertEqual(settings.zone, "a\rb")
+                self.assertEqual(settings.name, "front-a-1")
+            path.write_bytes(b"zone=\xff\n")
+            failure = settings_lib.load(path).error
+            self.assertEqual(failure.problems[0].where, "file")
+
     def test_a_missing_key_is_reported(self) -> None:
         text = _TEXT.replace("zone=a\n", "")
         failure = settings_lib.parse(text, "boot.conf").error
@@ -59,7 +93,15 @@
         settings = settings_lib.parse(text, "boot.conf").ok
         self.assertEqual(settings.statements_host, "10.1.0.8")
         self.assertEqual(settings.statements_ports, range(7_440, 7_456))
-        for wrong in ("7440", "7455,7440", "0,5", "1,70000", "a,b", ""):
+        for wrong in (
+            "7440",
+            "7455,7440",
+            "0,5",
+            "1,70000",
+            "a,b",
+            "",
+            "\u0667,\u0668",
+        ):
             text = _TEXT + f"port_range={wrong}\n"
             failure = settings_lib.parse(text, "boot.conf").error
             self.assertEqual(failure.problems[0].where, "port_range", wrong)
