Test that stored names hold no end of a message

Service, id and workspace are fields of CONNECT to a database. Their decoders refuse CR LF and all blanks; no test of the workspace said so. Test only; it passes on the former code, too.

--- a/hickorygate/tests/test_line_buffer.py
+++ b/hickorygate/tests/test_line_buffer.py
@@ -5,6 +5,8 @@
 import unittest
 
 from hickorygate.platform import line_buffer
+from hickorygate.platform import object_decoding
+from hickorygate.platform import workspace_decoding
 
 _LIMIT = line_buffer.MESSAGE_LIMIT
 
@@ -92,3 +94,31 @@
         for line in (b"", b"a\nb", b"a\r", b"\n", b"\xff\0"):
             with self.subTest(line):
                 self.assertEqual(line_buffer.encode_line(line), line + b"\r\n")
+
+
+class StoredNamesTest(unittest.TestCase):
+    """Names of the store that become fields of `CONNECT` to a database."""
+
+    # Guards against a stored name that smuggles a second message (issue 49).
+    def test_a_name_that_ends_or_splits_a_field_is_refused(self) -> None:
+        for end in ("\r\n", "\n", "\r", " ", "\u2028", "\x85", "\0"):
+            for name in (f"a{end}QUERY", f"a{end}", f"{end}a"):
+                with self.subTest(name=name):
+                    entry = {
+                        "service": name,
+                        "address": "10.0.0.1:80",
+                        "zone": "a",
+                        "slots": 4,
+                        "state": "ready",
+                        "db_role": "replica",
+                    }
+                    found = object_decoding.decode_member("i-1", entry)
+                    self.assertTrue(found.is_error())
+                    found = object_decoding.decode_member(
+                        name, {**entry, "service": "s"}
+                    )
+                    self.assertTrue(found.is_error())
+                    listed = workspace_decoding.decode_workspaces(
+                        [{"name": name, "api_keys": ["k"]}]
+                    )
+                    self.assertEqual(len(listed.workspaces), 0)
