--- a/hickorygate/platform/line_protocol.py
+++ b/hickorygate/platform/line_protocol.py
@@ -1,7 +1,8 @@
 """Encodes and decodes the line protocol that callers and databases use.
 
 A message is one line that ends in CR LF: a keyword, followed by fields
-separated by spaces. The last field extends to the end of the line.
+separated by spaces. The last field extends to the end of the line; any other
+character, also a CR or an LF alone, belongs to a field.
 """
 
 from __future__ import annotations
@@ -17,6 +18,7 @@
 from hickorygate.core import position as positions
 from hickorygate.core import reply as replies
 from hickorygate.core import workspace as workspaces
+from hickorygate.platform import line_buffer
 from hickorygate.upstreams import database_request
 
 __all__ = [
@@ -36,8 +38,8 @@
     "encode_reply",
 ]
 
-MESSAGE_LIMIT = 1_048_576
-"""Size of the longest message in bytes, as the protocol specifies."""
+MESSAGE_LIMIT = line_buffer.MESSAGE_LIMIT
+LineBuffer = line_buffer.LineBuffer
 
 _ENCODING = "utf-8"
 _DECODE_ERRORS = "surrogateescape"
@@ -47,7 +49,6 @@
 _NO_POSITION = "-"
 _NO_SIGNATURE = b"-"
 _STATUS_FIELDS = 7
-_LINE_END = b"\r\n"
 
 _REASONS = {
     "BUSY": replies.RejectionReason.BUSY,
@@ -74,7 +75,7 @@
 _STATE_WORDS = {state: word for word, state in _STATES.items()}
 _WRITES_BY_KIND = {"READ": False, "WRITE": True}
 _POSITION = re.compile(r"(\d+)\.(\d+)\Z", re.ASCII)
-_LINE_BREAKS = re.compile(r"[\r\n]+")
+_LINE_END = "\r\n"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -118,72 +119,6 @@
     """A line that is not a valid message."""
 
 
-class LineBuffer:
-    """Splits a stream of bytes into lines.
-
-    Lines stay encoded until they are taken out: small decoded messages occupy
-    many times their bytes.
-    """
-
-    __slots__ = ("_buffer", "_end", "_scanned")
-
-    def __init__(self) -> None:
-        self._buffer = bytearray()
-        self._end = -1
-        self._scanned = 0
-
-    @property
-    def size(self) -> int:
-        """Number of bytes in the buffer."""
-        return len(self._buffer)
-
-    @property
-    def has_line(self) -> bool:
-        """Whether the buffer holds a complete line."""
-        return self._end >= 0
-
-    @property
-    def oversized(self) -> bool:
-        """Whether the incomplete line exceeds the size limit of a message."""
-        return self._end < 0 and len(self._buffer) > MESSAGE_LIMIT
-
-    def __repr__(self) -> str:
-        return f"LineBuffer({len(self._buffer)} bytes)"
-
-    def append(self, data: bytes) -> None:
-        """Appends bytes."""
-        self._buffer += data
-        if self._end < 0:
-            self._find_end()
-
-    def pop(self) -> bytes:
-        """Takes out the first line; there must be one."""
-        assert self._end >= 0, "check has_line first"
-        with memoryview(self._buffer) as view:
-            line = bytes(view[: self._end])
-        del self._buffer[: self._end + 1]
-        self._scanned = 0
-        self._find_end()
-        return line.removesuffix(b"\r")
-
-    def clear(self) -> None:
-        """Discards everything."""
-        self._buffer = bytearray()
-        self._end, self._scanned = -1, 0
-
-    def feed(self, data: bytes) -> list[bytes]:
-        """Appends bytes and returns the lines that are now complete."""
-        self.append(data)
-        lines = []
-        while self.has_line:
-            lines.append(self.pop())
-        return lines
-
-    def _find_end(self) -> None:
-        self._end = self._buffer.find(b"\n", self._scanned)
-        self._scanned = len(self._buffer)
-
-
 def decoding_cost(line: bytes) -> int:
     """Returns the bytes that a message occupies while it runs.
 
@@ -256,14 +191,17 @@
 
 
 def encode_reply(reply: replies.Reply) -> bytes:
-    """Encodes a complete reply to a caller."""
+    """Encodes a complete reply to a caller.
+
+    Raises:
+      ValueError: a row or the signature holds CR LF.
+    """
     parts = []
     match reply.result:
         case expression.Result(tag="ok", ok=answer):
-            parts += [b"ROW " + row + _LINE_END for row in answer.rows]
-            parts.append(
-                b"COMPLETE " + (answer.signature or _NO_SIGNATURE) + _LINE_END
-            )
+            lines = [b"ROW " + row for row in answer.rows]
+            lines.append(b"COMPLETE " + (answer.signature or _NO_SIGNATURE))
+            parts += [line_buffer.encode_line(line) for line in lines]
         case expression.Result(tag="error", error=failure):
             parts.append(encode_error(failure))
     state = _STATE_WORDS[reply.state]
@@ -278,9 +216,9 @@
     ran, unknown) determines the code.
     """
     rejection = replies.as_rejection(failure)
-    detail = _LINE_BREAKS.sub(" ", rejection.detail) or "-"
+    detail = rejection.detail.replace(_LINE_END, " ") or "-"
     line = f"ERROR {_CODES[rejection.reason]} {detail}"
-    return line.encode(_ENCODING, _DECODE_ERRORS) + _LINE_END
+    return line_buffer.encode_line(line.encode(_ENCODING, _DECODE_ERRORS))
 
 
 def encode_request(request: database_request.Request) -> bytes:
