Show the detail of an error on one line, as before

The detail is a text for people, so its line breaks stay replaced by a blank; the property that expected it unchanged expects exactly that now.

--- a/hickorygate/platform/line_protocol.py
+++ b/hickorygate/platform/line_protocol.py
@@ -75,7 +75,7 @@
 _STATE_WORDS = {state: word for word, state in _STATES.items()}
 _WRITES_BY_KIND = {"READ": False, "WRITE": True}
 _POSITION = re.compile(r"(\d+)\.(\d+)\Z", re.ASCII)
-_LINE_END = "\r\n"
+_LINE_BREAKS = re.compile(r"[\r\n]+")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -216,7 +216,7 @@
     ran, unknown) determines the code.
     """
     rejection = replies.as_rejection(failure)
-    detail = rejection.detail.replace(_LINE_END, " ") or "-"
+    detail = _LINE_BREAKS.sub(" ", rejection.detail) or "-"
     line = f"ERROR {_CODES[rejection.reason]} {detail}"
     return line_buffer.encode_line(line.encode(_ENCODING, _DECODE_ERRORS))
 
