Pass no answer on that may be another request's

Callers got successes with another request's rows and signature (MIXED), and refusals of writes that had run; a status or the opening of a transaction could be a former one. Cause: replies were assigned to requests by their order alone, so that a database that answers a request twice shifted every later answer on the connection, until a quiet moment showed one too many.

Change: reply_order (a decision without I/O) checks each reply's place. A signature that came before is a second copy and is dropped; other replies must fit their request (reply_shape); errors, statuses and openings are withheld until the reply to a rollback or a CheckOrder confirms the order. A reply that doesn't fit closes the connection, and its requests are in doubt. Messages to databases are built by encode_line, so that no field can end one. The fault of a discarded answer is a field of its event and no longer read from its wording.

--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -8,12 +8,14 @@
 import dataclasses
 import datetime
 
+from hickorygate.core import answer_fault
 from hickorygate.core import events
 from hickorygate.core import position as positions
 from hickorygate.core import types
 
 __all__ = [
     "AnswerDiscarded",
+    "AnswerRepeated",
     "CapacityChanged",
     "CallersClosed",
     "CallersRejected",
@@ -127,15 +129,28 @@
 
     Attributes:
       database: id of the database.
-      reason: what is wrong with the answer.
+      fault: what is wrong with the answer.
+      reason: the same in detail; it may quote the answer.
       requests: class names of the open requests, oldest first.
     """
 
     database: str
+    fault: answer_fault.AnswerFault
     reason: str
     requests: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerRepeated(events.Event):
+    """A database sent an answer a second time; the copy was dropped.
+
+    Attributes:
+      database: id of the database.
+    """
+
+    database: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CommitReported(events.Event):
     """A commit is about to be reported to its caller as successful.
--- a/hickorygate/core/reply.py
+++ b/hickorygate/core/reply.py
@@ -150,12 +150,14 @@
         None if the database didn't report it.
       group: replication status of the database; None if the request didn't
         ask for it.
+      is_greeting: whether the reply only says that the session is open.
     """
 
     result: Result
     state: TransactionState
     position: positions.Position | None = None
     group: ReplicationStatus | None = None
+    is_greeting: bool = False
 
 
 @functools.singledispatch
--- a/hickorygate/operators/line_class.py
+++ b/hickorygate/operators/line_class.py
@@ -41,6 +41,7 @@
 
 
 @line_class.register(platform_events.AnswerDiscarded)
+@line_class.register(platform_events.AnswerRepeated)
 @line_class.register(platform_events.CommitWithheld)
 @line_class.register(platform_events.ConnectionUnsettled)
 @line_class.register(platform_events.MessagesRejected)
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -14,11 +14,11 @@
 from aioprometheus import histogram
 
 from hickorygate.callers import workspace_limits
+from hickorygate.core import answer_fault
 from hickorygate.core import capacity
 from hickorygate.core import events
 from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
-from hickorygate.operators import answer_faults
 from hickorygate.operators import caller_usage
 from hickorygate.operators import escapes
 from hickorygate.operators import serving_metrics
@@ -47,7 +47,7 @@
         self._served: collections.Counter[str] = collections.Counter()
         self._forwarded: collections.Counter[str] = collections.Counter()
         self._events: collections.Counter[str] = collections.Counter()
-        self._discarded: collections.Counter[answer_faults.AnswerFault] = (
+        self._discarded: collections.Counter[answer_fault.AnswerFault] = (
             collections.Counter()
         )
 
@@ -77,7 +77,7 @@
         return self._events
 
     @property
-    def discarded(self) -> collections.Counter[answer_faults.AnswerFault]:
+    def discarded(self) -> collections.Counter[answer_fault.AnswerFault]:
         """Number of discarded answers of databases, by fault."""
         return self._discarded
 
@@ -99,7 +99,7 @@
 def _(
     event: platform_events.AnswerDiscarded, statistics: EventStatistics
 ) -> None:
-    statistics.discarded[answer_faults.classify(event.reason)] += 1
+    statistics.discarded[event.fault] += 1
 
 
 @_add.register
--- a/hickorygate/operators/severity.py
+++ b/hickorygate/operators/severity.py
@@ -50,6 +50,7 @@
 
 @severity.register(events.TaskFailed)
 @severity.register(platform_events.AnswerDiscarded)
+@severity.register(platform_events.AnswerRepeated)
 @severity.register(platform_events.CallersClosed)
 @severity.register(platform_events.CallersRejected)
 @severity.register(platform_events.CatalogRejected)
--- a/hickorygate/platform/database.py
+++ b/hickorygate/platform/database.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 from collections.abc import Callable
-from collections.abc import Sequence
 import dataclasses
 import datetime
+from typing import TypeAlias
 from typing import cast
 
 import expression
 
+from hickorygate.core import answer_fault
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import platform_events
@@ -21,6 +21,7 @@
 from hickorygate.platform import sockets
 from hickorygate.upstreams import database_request
 from hickorygate.upstreams import member as members
+from hickorygate.upstreams import reply_order
 
 __all__ = ["DatabaseConnection", "DatabaseConnector"]
 
@@ -28,23 +29,8 @@
 _SESSION_TIMEOUT = datetime.timedelta(seconds=1)
 """Time for the database to open the session, which needs a free slot."""
 
-_NO_WORKSPACE = "hickorygate"
-"""Name that databases are told for callers without a workspace."""
-
-_STATUS_REQUESTS = (
-    database_request.ReadStatus,
-    database_request.Pause,
-    database_request.Demote,
-)
-"""Requests whose reply holds the status of the database in its group."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Outstanding:
-    """A request without an answer; None opens the session."""
-
-    request: database_request.Request | None
-    future: asyncio.Future[database_request.ReplyResult]
+_Receiver: TypeAlias = "asyncio.Future[database_request.ReplyResult] | None"
+"""Who gets a reply; None if only its place in the order matters."""
 
 
 class DatabaseConnection(asyncio.Protocol):
@@ -55,7 +41,9 @@
         self._buffer = line_protocol.LineBuffer()
         self._parser = line_protocol.ReplyParser()
         self._journal = journal
-        self._outstanding: collections.deque[_Outstanding] = collections.deque()
+        self._order: reply_order.ReplyOrder[_Receiver] = (
+            reply_order.ReplyOrder()
+        )
         self._transport: asyncio.Transport | None = None
         self._closed = False
 
@@ -85,12 +73,15 @@
         try:
             for line in self._buffer.feed(data):
                 reply = self._parser.parse_line(line)
-                if reply is not None:
-                    self._resolve_next(reply)
+                if reply is not None and not self._closed:
+                    self._accept(reply)
         except ValueError as error:
-            self._discard(f"broken answer: {error}")
+            self._discard(answer_fault.AnswerFault.MALFORMED, str(error))
         if self._buffer.oversized:
-            self._discard("an answer is longer than a message")
+            self._discard(
+                answer_fault.AnswerFault.LENGTH,
+                "an answer is longer than a message",
+            )
 
     async def open_session(
         self, workspace: types.WorkspaceName
@@ -99,62 +90,84 @@
 
         The database checks that its service and id are the expected ones.
         """
-        user = workspace or _NO_WORKSPACE
-        line = f"CONNECT {self._member.service} {user} {self._member.id}\r\n"
-        return (await self._send([line.encode()], [None]))[0]
+        member = self._member
+        return (
+            await self.ask(
+                database_request.OpenSession(
+                    member.service, workspace, member.id
+                )
+            )
+        )[0]
 
     async def ask(
         self, *batch: database_request.Request
     ) -> list[database_request.ReplyResult]:
-        """Sends a batch of requests at once and returns their replies."""
-        encoded = [line_protocol.encode_request(request) for request in batch]
-        return await self._send(encoded, batch)
+        """Sends a batch of requests at once and returns their replies.
+
+        A batch with a request that no message can hold isn't sent.
+        """
+        if self._closed or self._transport is None:
+            failure = errors.ConnectFailed(self._member.id, "closed before")
+            return [expression.Error(failure) for _ in batch]
+        loop = asyncio.get_running_loop()
+        futures = [loop.create_future() for _ in batch]
+        try:
+            self._send(reply_order.with_checks(batch, futures))
+        except ValueError as error:
+            rejection = replies.Rejection(
+                replies.RejectionReason.MALFORMED, str(error)
+            )
+            return [expression.Error(rejection) for _ in batch]
+        return [await future for future in futures]
 
     def close(self) -> None:
         """Closes the connection; its open requests fail with `AnswerLost`."""
         self._close_with_reason("closed here")
 
-    async def _send(
-        self,
-        encoded: list[bytes],
-        batch: Sequence[database_request.Request | None],
-    ) -> list[database_request.ReplyResult]:
-        if self._closed or self._transport is None:
-            failure = errors.ConnectFailed(self._member.id, "closed before")
-            return [expression.Error(failure) for _ in encoded]
-        loop = asyncio.get_running_loop()
-        futures = [loop.create_future() for _ in encoded]
-        self._outstanding.extend(
-            _Outstanding(request, future)
-            for request, future in zip(batch, futures, strict=True)
-        )
+    def _send(
+        self, sent: list[tuple[database_request.Request, _Receiver]]
+    ) -> None:
+        assert self._transport is not None, "not connected"
+        encoded = [line_protocol.encode_request(request) for request, _ in sent]
+        for request, receiver in sent:
+            self._order.send(request, receiver)
         self._transport.write(b"".join(encoded))
-        return [await future for future in futures]
 
-    def _resolve_next(self, reply: replies.Reply) -> None:
-        if not self._outstanding:
-            raise ValueError("an answer to nothing")
-        answered = self._outstanding.popleft()
-        if isinstance(answered.request, _STATUS_REQUESTS):
+    def _accept(self, reply: replies.Reply) -> None:
+        """Passes on the replies that are known to be in order."""
+        request = self._order.next_request
+        if isinstance(request, database_request.StatusRequest):
             status = line_protocol.parse_status(reply)
             reply = dataclasses.replace(reply, group=status)
-        if not answered.future.done():
-            answered.future.set_result(expression.Ok(reply))
-
-    def _discard(self, reason: str) -> None:
+        match self._order.receive(reply):
+            case reply_order.Misfit(reason=reason):
+                self._discard(answer_fault.AnswerFault.ORDER, reason)
+            case received:
+                if received.repeated:
+                    self._journal.record(
+                        platform_events.AnswerRepeated(self._member.id)
+                    )
+                for settled in received.settled:
+                    _resolve(settled.receiver, expression.Ok(settled.reply))
+                if received.check is not None:
+                    self._send([(received.check, None)])
+
+    def _discard(self, fault: answer_fault.AnswerFault, reason: str) -> None:
         """Closes the connection because of what the database sent."""
         if self._closed:
             return
         self._journal.record(
             platform_events.AnswerDiscarded(
                 database=self._member.id,
+                fault=fault,
                 reason=reason,
                 requests=" ".join(
-                    type(sent.request).__name__ for sent in self._outstanding
+                    type(request).__name__
+                    for request in self._order.outstanding
                 ),
             )
         )
-        self._close_with_reason(reason)
+        self._close_with_reason(f"{fault.value}: {reason}")
 
     def _close_with_reason(self, reason: str) -> None:
         """Closes the connection and fails its outstanding requests.
@@ -165,15 +178,18 @@
             return
         self._closed = True
         if self._transport is not None:
-            if self._outstanding:
+            if self._order.receivers:
                 # Unsent requests that failed here must not arrive later.
                 sockets.reset_on_close(self._transport.get_extra_info("socket"))
             self._transport.abort()
         failure = errors.AnswerLost(self._member.id, reason)
-        while self._outstanding:
-            future = self._outstanding.popleft().future
-            if not future.done():
-                future.set_result(expression.Error(failure))
+        for receiver in self._order.receivers:
+            _resolve(receiver, expression.Error(failure))
+
+
+def _resolve(receiver: _Receiver, result: database_request.ReplyResult) -> None:
+    if receiver is not None and not receiver.done():
+        receiver.set_result(result)
 
 
 class DatabaseConnector:
--- a/hickorygate/platform/line_protocol.py
+++ b/hickorygate/platform/line_protocol.py
@@ -46,7 +46,11 @@
 """Decoding error handler; bytes that are not UTF-8 pass through unchanged."""
 
 _PROXY_REQUEST_ID = "-"
+_CHECK_STATEMENT = "PREPARE hickorygate READ -"
+"""Statement without a slot and without an effect on any caller's session."""
 _NO_POSITION = "-"
+_NO_WORKSPACE = "hickorygate"
+"""Name that databases are told for callers without a workspace."""
 _NO_SIGNATURE = b"-"
 _STATUS_FIELDS = 7
 
@@ -222,15 +226,32 @@
 
 
 def encode_request(request: database_request.Request) -> bytes:
-    """Encodes a request to a database."""
-    name, text = _request_text(request)
-    return f"QUERY {name} {text}\r\n".encode(_ENCODING, _DECODE_ERRORS)
+    """Encodes a request to a database.
+
+    Raises:
+      ValueError: a field holds CR LF.
+    """
+    line = _request_line(request).encode(_ENCODING, _DECODE_ERRORS)
+    return line_buffer.encode_line(line)
 
 
 def _floor_prefix(floor: positions.Position | None) -> str:
     return "" if floor is None else f"WAITPOS {_position_text(floor)} "
 
 
+@functools.singledispatch
+def _request_line(request: database_request.Request) -> str:
+    """Returns the line of a request, without its end."""
+    name, text = _request_text(request)
+    return f"QUERY {name} {text}"
+
+
+@_request_line.register
+def _(request: database_request.OpenSession) -> str:
+    user = request.workspace or _NO_WORKSPACE
+    return f"CONNECT {request.service} {user} {request.member}"
+
+
 @functools.singledispatch
 def _request_text(request: database_request.Request) -> tuple[str, str]:
     """Returns the request id and the statement text of a request."""
@@ -264,6 +285,11 @@
     return _PROXY_REQUEST_ID, "RESET"
 
 
+@_request_text.register
+def _(request: database_request.CheckOrder) -> tuple[str, str]:
+    return _PROXY_REQUEST_ID, _CHECK_STATEMENT
+
+
 @_request_text.register
 def _(request: database_request.SetValue) -> tuple[str, str]:
     return _PROXY_REQUEST_ID, f"SET {request.name} {request.value}"
@@ -316,6 +342,10 @@
           ValueError: the line violates the protocol.
         """
         word, _, rest = line.partition(b" ")
+        if word == b"READY":
+            return self._finish_reply(rest)
+        if self._result is not None:
+            raise ValueError(f"{word[:20]!r} after the end of an answer")
         match word:
             case b"ROW":
                 self._size += len(rest)
@@ -328,8 +358,6 @@
                 self._result = expression.Ok(answer)
             case b"ERROR":
                 self._result = expression.Error(_parse_rejection(rest))
-            case b"READY":
-                return self._finish_reply(rest)
             case _:
                 raise ValueError(f"unknown word {word[:20]!r}")
         return None
@@ -338,10 +366,14 @@
         state, _, position = rest.decode("ascii", "replace").partition(" ")
         if state not in _STATES:
             raise ValueError(f"unknown state {state[:20]!r}")
-        if self._result is None:
-            self._result = expression.Ok(replies.Answer(tuple(self._rows)))
+        is_greeting = self._result is None
+        if is_greeting and self._rows:
+            raise ValueError("rows without an end")
         reply = replies.Reply(
-            self._result, _STATES[state], _parse_position(position)
+            self._result or expression.Ok(replies.Answer()),
+            _STATES[state],
+            _parse_position(position),
+            is_greeting=is_greeting,
         )
         self._rows, self._result, self._size = [], None, 0
         return reply
--- a/hickorygate/tests/test_answer_faults.py
+++ b/hickorygate/tests/test_answer_faults.py
@@ -6,12 +6,12 @@
 import unittest
 
 from hickorygate.core import clock as clocks
+from hickorygate.core import errors
 from hickorygate.core import events
-from hickorygate.core import platform_events
-from hickorygate.operators import answer_faults
 from hickorygate.operators import proxy_metrics
 from hickorygate.platform import database
 from hickorygate.platform import line_protocol
+from hickorygate.upstreams import database_request
 from hickorygate.upstreams import member as members
 
 _MEMBER = members.Member("a", 1, "s", "127.0.0.1", 1, "a", 2, False, True)
@@ -57,7 +57,7 @@
         ).decode()
 
     def test_reasons_of_a_connection_have_labels(self) -> None:
-        # Guards against a reworded reason that is counted as "other".
+        # Guards against a fault that is counted as another one.
         cases = {
             b"COMPLETE 1.2\r\nREADY I 3.1\r\n": "order",
             b"HTTP/1.1 400 \xff\x00\r\n": "malformed",
@@ -72,20 +72,24 @@
 
     def test_no_text_of_a_database_becomes_a_label(self) -> None:
         # Guards against one series for each text that a database sends.
-        statistics = proxy_metrics.EventStatistics()
-        for text in ("x", "an answer to nothing", "a in answer to Begin"):
-            statistics.record(
-                platform_events.AnswerDiscarded(
-                    "a", f"broken answer: unknown word {text.encode()!r}", ""
-                )
-            )
-            statistics.record(
-                platform_events.AnswerDiscarded("a", f"{text!r} came", "")
-            )
-        self.assertEqual(
-            statistics.discarded,
-            {
-                answer_faults.AnswerFault.MALFORMED: 3,
-                answer_faults.AnswerFault.OTHER: 3,
-            },
+        for text in (b"x", b"an answer to nothing", b'"} 1'):
+            with self.subTest(text):
+                shown = self.discard(text + b"\r\n")
+                self.assertIn(f'{_NAME}{{reason="malformed"}} 1', shown)
+                self.assertEqual(shown.count(f"{_NAME}{{"), 1)
+
+
+class UnsendableRequestTest(unittest.IsolatedAsyncioTestCase):
+    """A request whose fields no message can hold."""
+
+    async def test_a_field_with_the_end_of_a_message_is_not_sent(self) -> None:
+        # Guards against issue 49: the rest of a field ran as a statement.
+        journal = events.Timeline(
+            "p", events.HybridLogicalClock(clocks.SystemClock())
         )
+        connection = database.DatabaseConnection(_MEMBER, journal)
+        connection.connection_made(_Transport())
+        request = database_request.RunStatement("1", "WRITE x \r\nQUERY 2 y")
+        (result,) = await connection.ask(request)
+        self.assertIs(result.error.outcome, errors.Outcome.NOT_RUN)
+        self.assertFalse(connection.closed)
--- a/hickorygate/upstreams/database_request.py
+++ b/hickorygate/upstreams/database_request.py
@@ -4,6 +4,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 from typing import Protocol
 from typing import TypeAlias
 
@@ -18,11 +19,13 @@
 
 __all__ = [
     "Begin",
+    "CheckOrder",
     "ConnectResult",
     "Connection",
     "Connector",
     "Demote",
     "Execute",
+    "OpenSession",
     "Pause",
     "Prepare",
     "ReadStatus",
@@ -32,7 +35,9 @@
     "Rollback",
     "RunStatement",
     "SetValue",
+    "StatusRequest",
     "failure_of",
+    "id_of",
 ]
 
 ReplyResult: TypeAlias = expression.Result[reply.Reply, errors.Failure]
@@ -125,12 +130,42 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class ReadStatus(Request):
+class OpenSession(Request):
+    """Opens the session; the first request of each connection.
+
+    The database refuses a session that was meant for another database.
+
+    Attributes:
+      service: service that the database belongs to.
+      workspace: workspace that the connection serves; empty for none.
+      member: id of the database.
+    """
+
+    service: types.ServiceName
+    workspace: types.WorkspaceName
+    member: members.MemberId
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CheckOrder(Request):
+    """Changes nothing; its reply confirms that those before it were in order.
+
+    It takes no slot of the database.
+    """
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StatusRequest(Request):
+    """Base class of the requests that are answered with a status."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReadStatus(StatusRequest):
     """Requests the replication status; uses a slot of the database."""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Pause(Request):
+class Pause(StatusRequest):
     """Pauses replication on a replica until a primary of `term` leads.
 
     Attributes:
@@ -141,7 +176,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Demote(Request):
+class Demote(StatusRequest):
     """Makes a primary of a lower term a replica.
 
     Attributes:
@@ -151,6 +186,18 @@
     term: types.Term
 
 
+@functools.singledispatch
+def id_of(request: Request) -> str:
+    """Returns the id that a caller gave to a request; empty if none did."""
+    return ""
+
+
+@id_of.register(RunStatement)
+@id_of.register(Execute)
+def _(request: RunStatement | Execute) -> str:
+    return request.id
+
+
 class Connection(Protocol):
     """A connection to one database; replies arrive in request order."""
 
--- /dev/null
+++ b/hickorygate/upstreams/reply_shape.py
@@ -0,0 +1,199 @@
+"""Decides whether a reply can be the answer to a request, without I/O.
+
+A reply doesn't name the request that it answers. What it holds (a signature,
+rows, the transaction state) still excludes most requests.
+"""
+
+from __future__ import annotations
+
+import functools
+
+from hickorygate.core import reply as replies
+from hickorygate.upstreams import database_request
+
+__all__ = ["confirms_order", "misfit", "needs_confirmation"]
+
+_IDLE = replies.TransactionState.IDLE
+_IN_TRANSACTION = replies.TransactionState.IN_TRANSACTION
+_FAILED = replies.TransactionState.FAILED
+_BUSY = replies.RejectionReason.BUSY
+_MALFORMED = replies.RejectionReason.MALFORMED
+
+
+def misfit(
+    request: database_request.Request,
+    reply: replies.Reply,
+    before: replies.TransactionState,
+) -> str | None:
+    """Returns why a reply can't be the answer to a request; None if it can.
+
+    Args:
+      request: oldest request without an answer.
+      reply: next reply on the connection.
+      before: transaction state before the request.
+    """
+    opens_session = isinstance(request, database_request.OpenSession)
+    if reply.result.is_ok():
+        if reply.is_greeting != opens_session:
+            return "a greeting" if reply.is_greeting else "no greeting"
+        return _answer_misfit(request, reply.result.ok, reply.state, before)
+    if before is _IDLE and reply.state is not _IDLE:
+        return "the error of a transaction"
+    if before is _FAILED and _reason(reply) is _MALFORMED:
+        # So is every request in a failed transaction but its end.
+        return None
+    return _error_misfit(request, reply)
+
+
+@functools.singledispatch
+def _answer_misfit(
+    request: database_request.Request,
+    answer: replies.Answer,
+    state: replies.TransactionState,
+    before: replies.TransactionState,
+) -> str | None:
+    """Returns why an answer isn't one to a request; None if it may be.
+
+    The default is for requests that change session state only.
+    """
+    return _unsigned_misfit(answer, state, before)
+
+
+@_answer_misfit.register(database_request.RunStatement)
+@_answer_misfit.register(database_request.Execute)
+def _(
+    request: database_request.Request,
+    answer: replies.Answer,
+    state: replies.TransactionState,
+    before: replies.TransactionState,
+) -> str | None:
+    return None if answer.signature else "no signature"
+
+
+@_answer_misfit.register(database_request.Begin)
+def _(
+    request: database_request.Request,
+    answer: replies.Answer,
+    state: replies.TransactionState,
+    before: replies.TransactionState,
+) -> str | None:
+    return _unsigned_misfit(answer, state, _IN_TRANSACTION)
+
+
+@_answer_misfit.register(database_request.Rollback)
+@_answer_misfit.register(database_request.OpenSession)
+def _(
+    request: database_request.Request,
+    answer: replies.Answer,
+    state: replies.TransactionState,
+    before: replies.TransactionState,
+) -> str | None:
+    return _unsigned_misfit(answer, state, _IDLE)
+
+
+@_answer_misfit.register(database_request.StatusRequest)
+def _(
+    request: database_request.Request,
+    answer: replies.Answer,
+    state: replies.TransactionState,
+    before: replies.TransactionState,
+) -> str | None:
+    if not answer.rows:
+        return "no status"
+    if answer.signature:
+        return "a signature"
+    return None if state is before else "another transaction state"
+
+
+def _unsigned_misfit(
+    answer: replies.Answer,
+    state: replies.TransactionState,
+    expected: replies.TransactionState,
+) -> str | None:
+    """Returns why an answer isn't one without rows and without a signature."""
+    if answer.signature:
+        return "a signature"
+    if answer.rows:
+        return "rows"
+    return None if state is expected else "another transaction state"
+
+
+@functools.singledispatch
+def _error_misfit(
+    request: database_request.Request, reply: replies.Reply
+) -> str | None:
+    """Returns why an error isn't the answer to a request; None if it may be."""
+    return None
+
+
+@_error_misfit.register(database_request.CheckOrder)
+@_error_misfit.register(database_request.Rollback)
+@_error_misfit.register(database_request.Reset)
+@_error_misfit.register(database_request.SetValue)
+@_error_misfit.register(database_request.Prepare)
+def _(request: database_request.Request, reply: replies.Reply) -> str | None:
+    return "an error"
+
+
+@_error_misfit.register
+def _(
+    request: database_request.StatusRequest, reply: replies.Reply
+) -> str | None:
+    return None if _reason(reply) is _BUSY else "an error"
+
+
+def _reason(reply: replies.Reply) -> replies.RejectionReason | None:
+    """Returns why an error rejects its request; None if it doesn't."""
+    match reply.result.error:
+        case replies.Rejection(reason=reason):
+            return reason
+    return None
+
+
+@functools.singledispatch
+def needs_confirmation(
+    request: database_request.Request, reply: replies.Reply
+) -> bool:
+    """Returns whether a fitting reply may still be that of another request.
+
+    An error may be the answer to any request. A success that isn't signed may
+    be an earlier one of the same kind.
+    """
+    return reply.result.is_error()
+
+
+@needs_confirmation.register
+def _(request: database_request.OpenSession, reply: replies.Reply) -> bool:
+    return False
+
+
+@needs_confirmation.register(database_request.Begin)
+@needs_confirmation.register(database_request.StatusRequest)
+def _(request: database_request.Request, reply: replies.Reply) -> bool:
+    return True
+
+
+@functools.singledispatch
+def confirms_order(
+    request: database_request.Request, reply: replies.Reply
+) -> bool:
+    """Returns whether a fitting reply shows that those before it were right.
+
+    Had one of them been out of place, then the reply to a statement, to a
+    status request or to the opening of a transaction would have come instead.
+    """
+    return reply.result.is_ok()
+
+
+@confirms_order.register(database_request.OpenSession)
+@confirms_order.register(database_request.Begin)
+@confirms_order.register(database_request.RunStatement)
+@confirms_order.register(database_request.Execute)
+@confirms_order.register(database_request.StatusRequest)
+def _(request: database_request.Request, reply: replies.Reply) -> bool:
+    return False
+
+
+@confirms_order.register
+def _(request: database_request.CheckOrder, reply: replies.Reply) -> bool:
+    return True
