Send no store call on a connection with unread data

A store response that came a second time on an idle connection was taken for the answer to the next call: a read got another object, a promotion that was refused counted as accepted, and each later call got its predecessor's answer until a call failed. aiohttp keeps such data and doesn't look at it when it reuses a connection.

Right before a request is sent, a connection with data, or with the end of the stream, to read is closed and another one is used; after 8 the call fails as not sent.

hickorygate.tests.test_store_answers: 4 of 15 tests failed before, 0 of 15 after. The other 11 held before.

--- a/hickorygate/platform/http_connections.py
+++ b/hickorygate/platform/http_connections.py
@@ -4,17 +4,66 @@
 
 from collections.abc import AsyncIterator
 import contextlib
+import select
+import socket
 
 import aiohttp
+from aiohttp import connector as connectors
 
 from hickorygate.platform import sockets
 
-__all__ = ["HttpConnections"]
+__all__ = ["HttpConnections", "UnaskedData"]
 
 _KEEPALIVE_SECONDS = 15
 """Longest idle time of a connection that is reused. A connection that was idle
 for longer may have been cut without notice."""
 
+_REPLACEMENTS = 8
+"""Number of unusable connections after which a call is given up. A server that
+sends on each new connection at once must not keep the call busy."""
+
+
+class UnaskedData(aiohttp.ClientError):
+    """Raised before a request is sent on a connection that has data to read."""
+
+
+class _CheckedRequest(aiohttp.ClientRequest):
+    """A request that isn't sent on a connection with data to read.
+
+    Such data answers an earlier request, for example a second time, and would
+    be taken for the answer to this one.
+    """
+
+    async def send(self, conn: connectors.Connection) -> aiohttp.ClientResponse:
+        """Sends the request.
+
+        Raises:
+          UnaskedData: the connection can't be used; nothing was sent.
+        """
+        protocol, transport = conn.protocol, conn.transport
+        assert protocol is not None and transport is not None
+        sock = transport.get_extra_info("socket")
+        if protocol.should_close or _has_input(sock):
+            raise UnaskedData
+        return await super().send(conn)
+
+
+async def _use_clean_connection(
+    request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Sends a request on the first connection that has no data to read."""
+    for _ in range(_REPLACEMENTS):
+        with contextlib.suppress(UnaskedData):  # The connection is closed.
+            return await send(request)
+    return await send(request)
+
+
+def _has_input(sock: socket.socket) -> bool:
+    """Returns whether data, or the end of the stream, waits to be read."""
+    poll = select.poll()
+    poll.register(sock.fileno(), select.POLLIN)
+    return bool(poll.poll(0))
+
 
 class _Generation:
     """Connections that were opened between two time-outs.
@@ -33,7 +82,11 @@
             keepalive_timeout=_KEEPALIVE_SECONDS,
             socket_factory=sockets.open_reset_on_close,
         )
-        self.session = aiohttp.ClientSession(connector=connector)
+        self.session = aiohttp.ClientSession(
+            connector=connector,
+            request_class=_CheckedRequest,
+            middlewares=(_use_clean_connection,),
+        )
         self.calls = 0
         self.retired = False
 
--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -447,7 +447,10 @@
                 return expression.Ok(
                     HttpResponse(response.status, content, era)
                 )
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            http_connections.UnaskedData,
+        ) as error:
             return expression.Error(errors.StoreUnavailable(str(error), False))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
