Share no store connection between kinds or promotions

All calls of a client shared one pool of connections. A store response that came twice or late, while the next call on its connection waited, was taken for that call's: the list of one kind for that of another, which has no field that tells them apart, or the end of one promotion for that of the next.

The calls on each kind of object have connections of their own, and each promotion has one that serves nothing else. A time-out still retires all.

--- a/hickorygate/platform/http_connections.py
+++ b/hickorygate/platform/http_connections.py
@@ -65,40 +65,64 @@
     return bool(poll.poll(0))
 
 
+def _open_session(reuses: bool) -> aiohttp.ClientSession:
+    """Returns a session with connections of its own.
+
+    Args:
+      reuses: whether a connection serves more than one call.
+    """
+    connector = aiohttp.TCPConnector(
+        limit=0,
+        keepalive_timeout=_KEEPALIVE_SECONDS if reuses else None,
+        force_close=not reuses,
+        socket_factory=sockets.open_reset_on_close,
+    )
+    return aiohttp.ClientSession(
+        connector=connector,
+        request_class=_CheckedRequest,
+        middlewares=(_use_clean_connection,),
+    )
+
+
 class _Generation:
     """Connections that were opened between two time-outs.
 
     Attributes:
-      session: HTTP session with these connections.
       calls: number of calls in progress.
       retired: whether no further call may use the connections.
     """
 
-    __slots__ = ("calls", "retired", "session")
+    __slots__ = ("_sessions", "calls", "retired")
 
     def __init__(self) -> None:
-        connector = aiohttp.TCPConnector(
-            limit=0,
-            keepalive_timeout=_KEEPALIVE_SECONDS,
-            socket_factory=sockets.open_reset_on_close,
-        )
-        self.session = aiohttp.ClientSession(
-            connector=connector,
-            request_class=_CheckedRequest,
-            middlewares=(_use_clean_connection,),
-        )
+        self._sessions: dict[str, aiohttp.ClientSession] = {}
         self.calls = 0
         self.retired = False
 
     def __repr__(self) -> str:
         return f"_Generation(calls={self.calls}, retired={self.retired})"
 
+    def session(self, subject: str) -> aiohttp.ClientSession:
+        """Returns the HTTP session of the calls on one subject."""
+        if subject not in self._sessions:
+            self._sessions[subject] = _open_session(bool(subject))
+        return self._sessions[subject]
+
+    async def close(self) -> None:
+        """Closes the connections."""
+        for session in tuple(self._sessions.values()):
+            await session.close()
+
 
 class HttpConnections:
     """Lends HTTP sessions to calls.
 
     All connections to one address can go silent together. So after a call
     timed out, later calls use none of the connections that existed by then.
+
+    A response doesn't say which call it answers. So calls on different subjects
+    share no connection, and a response that comes late or twice can't be taken
+    for one on another subject.
     """
 
     __slots__ = ("_generations",)
@@ -110,12 +134,19 @@
         return f"HttpConnections({self._generations!r})"
 
     @contextlib.asynccontextmanager
-    async def session(self) -> AsyncIterator[aiohttp.ClientSession]:
-        """Lends a session for one call; a `TimeoutError` retires it."""
+    async def session(
+        self, subject: str
+    ) -> AsyncIterator[aiohttp.ClientSession]:
+        """Lends a session for one call; a `TimeoutError` retires it.
+
+        Args:
+          subject: what the call is about; empty for a call whose connection
+            serves no other call.
+        """
         generation = self._current()
         generation.calls += 1
         try:
-            yield generation.session
+            yield generation.session(subject)
         except TimeoutError:
             generation.retired = True
             raise
@@ -137,4 +168,4 @@
     async def _close(self, generation: _Generation) -> None:
         if generation in self._generations:
             self._generations.remove(generation)
-        await generation.session.close()
+        await generation.close()
--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -258,7 +258,7 @@
         every_page = _OUTDATED_QUERY if may_be_outdated else {}
         query = dict(every_page)
         while True:
-            answered = await self._get(f"/-/objects/{kind}", query)
+            answered = await self._get(kind, f"/-/objects/{kind}", query)
             page = answered.bind(HttpResponse.success_body).bind(_decode_page)
             if page.is_error():
                 return expression.Error(page.error)
@@ -295,7 +295,7 @@
         milliseconds = int(wait.total_seconds() * 1_000)
         query = {"watch": str(revision), "wait_ms": str(milliseconds)}
         query |= _OUTDATED_QUERY if may_be_outdated else {}
-        answered = await self._get(f"/-/objects/{kind}", query, wait)
+        answered = await self._get(kind, f"/-/objects/{kind}", query, wait)
         if answered.is_ok() and answered.ok.status == _Status.GONE:
             return expression.Error(list_watch.HistoryLost(revision))
         decoded = answered.bind(HttpResponse.success_body).bind(_decode_events)
@@ -322,7 +322,7 @@
         self, key: objects.Key
     ) -> expression.Result[ObjectReading, errors.Failure]:
         """Returns an object, if it exists, and the era of the response."""
-        answered = await self._get(_path(key), {})
+        answered = await self._get(key.kind, _path(key), {})
         if answered.is_ok() and answered.ok.status == _Status.NOT_FOUND:
             return expression.Ok(ObjectReading(None, answered.ok.era))
         return answered.bind(_decode_reading)
@@ -358,6 +358,7 @@
             if creates
             else self._object_url(key),
             {"meta": meta, "spec": value},
+            subject=key.kind,
         )
         if answered.is_error():
             return expression.Error(answered.error)
@@ -373,7 +374,9 @@
         self, key: objects.Key
     ) -> expression.Result[None, errors.Failure]:
         """Deletes an object."""
-        answered = await self.call("DELETE", self._object_url(key), None)
+        answered = await self.call(
+            "DELETE", self._object_url(key), None, subject=key.kind
+        )
         return answered.bind(HttpResponse.success_body).map(lambda _: None)
 
     async def list_instances(
@@ -408,6 +411,7 @@
         query: dict[str, str] | None = None,
         wait: datetime.timedelta = datetime.timedelta(),
         may_send: Callable[[], bool] = _always,
+        subject: str = "",
     ) -> HttpResult:
         """Makes one call; a time-out aborts its connection.
 
@@ -421,6 +425,8 @@
             time-out.
           may_send: checked after connecting, right before the body is sent;
             False withholds the body.
+          subject: what the call is about; a connection serves the calls on one
+            subject. Empty for a connection that serves this call alone.
         """
         self._calls += 1
         limit = (self._timeout + wait).total_seconds()
@@ -431,7 +437,7 @@
             fields["Content-Length"] = str(request_body.size)
         try:
             async with (
-                self._connections.session() as session,
+                self._connections.session(subject) as session,
                 asyncio.timeout(limit),
                 session.request(
                     method,
@@ -459,11 +465,19 @@
 
     async def _get(
         self,
+        kind: str,
         path: str,
         query: dict[str, str],
         wait: datetime.timedelta = datetime.timedelta(),
     ) -> HttpResult:
-        return await self.call("GET", self._url + path, None, {}, query, wait)
+        return await self.call(
+            "GET",
+            self._url + path,
+            None,
+            query=query,
+            wait=wait,
+            subject=kind,
+        )
 
     def _note_era(self, era: int) -> None:
         if era > self._era:
--- a/hickorygate/tests/test_store_answers.py
+++ b/hickorygate/tests/test_store_answers.py
@@ -24,6 +24,7 @@
 _ARRIVAL = 0.05
 """Seconds in which bytes on the loopback device arrive and are read."""
 
+_EMPTY_PAGE = b'{"items": [], "current_rev": 4}'
 _OLD = objects.Key("sheets", "old")
 _NEW = objects.Key("sheets", "new")
 
@@ -195,6 +196,27 @@
         self.assertLess(len(self.server.writers), 20)
 
 
+class AnswerOfOtherRequestTest(_ScriptedTestCase):
+    """An answer that arrives while another call waits."""
+
+    # Guards against the list of one kind that is taken for that of another.
+    async def test_calls_on_different_kinds_share_no_connection(self) -> None:
+        self.server.answer = lambda request: _response(_EMPTY_PAGE)
+        for kind in ("servers", "proxies", "servers"):
+            self.assertTrue((await self.api.list(kind)).is_ok())
+        used = [request.connection for request in self.server.requests]
+        self.assertEqual(used, [0, 1, 0])
+
+    # Guards against an order that an earlier order's late answer decides.
+    async def test_each_promotion_has_a_connection_of_its_own(self) -> None:
+        self.server.answer = lambda request: _response(_EMPTY_PAGE)
+        for _ in range(3):
+            self.assertIsNone(await self.promote())
+        self.assertTrue((await self.store.list("servers")).is_ok())
+        used = [request.connection for request in self.server.requests]
+        self.assertEqual(used, [0, 1, 2, 3])
+
+
 class LateAnswerTest(_ScriptedTestCase):
     """Answers after the time-out, and answers that are cut off."""
 
