Take no store answer that is about another object

A read, an update and a conflict took whatever object the store's response held. A response that came late or twice, while the next call on the connection waited, gave a caller another object; the late response to an earlier renewal of the lease confirmed a renewal that had not been answered.

A response whose object has another name, or a stored lease that isn't the record that was sent, is an unanswered call whose outcome is unknown.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -325,7 +325,7 @@
         answered = await self._get(key.kind, _path(key), {})
         if answered.is_ok() and answered.ok.status == _Status.NOT_FOUND:
             return expression.Ok(ObjectReading(None, answered.ok.era))
-        return answered.bind(_decode_reading)
+        return answered.bind(lambda found: _decode_reading(found, key))
 
     async def store(
         self, key: objects.Key, value: object, expected: int | None
@@ -364,11 +364,11 @@
             return expression.Error(answered.error)
         match answered.ok.status:
             case _Status.CONFLICT:
-                found = _decode_object(answered.ok.body)
+                found = _decode_object(answered.ok.body, key)
                 return found.bind(lambda other: _conflict(key, expected, other))
             case _Status.NOT_FOUND:
                 return _conflict(key, expected, None)
-        return _decode_reading(answered.ok)
+        return _decode_reading(answered.ok, key)
 
     async def delete(
         self, key: objects.Key
@@ -516,15 +516,29 @@
 
 
 def _decode_object(
-    body: bytes,
+    body: bytes, key: objects.Key
 ) -> expression.Result[list_watch.StoredObject, errors.Failure]:
-    return _decode(_Object, body).map(lambda found: found.stored())
+    """Returns the object in a body; fails if it isn't the one of the call."""
+    return _decode(_Object, body).bind(
+        lambda found: _named(key, found.stored())
+    )
+
+
+def _named(
+    key: objects.Key, found: list_watch.StoredObject
+) -> expression.Result[list_watch.StoredObject, errors.Failure]:
+    if found.name == key.name:
+        return expression.Ok(found)
+    reason = f"the answer is about {found.name!r}, not {key.name!r}"
+    return expression.Error(errors.StoreUnavailable(reason, True))
 
 
 def _decode_reading(
-    answered: HttpResponse,
+    answered: HttpResponse, key: objects.Key
 ) -> expression.Result[ObjectReading, errors.Failure]:
-    decoded = answered.success_body().bind(_decode_object)
+    decoded = answered.success_body().bind(
+        lambda body: _decode_object(body, key)
+    )
     return decoded.map(lambda found: ObjectReading(found, answered.era))
 
 
--- a/hickorygate/platform/store.py
+++ b/hickorygate/platform/store.py
@@ -152,7 +152,9 @@
                 tag="error", error=failures.ObjectConflict()
             ):
                 return expression.Error(lease_record.LeaseConflict())
-        return written.map(_decode_reading)
+        return written.map(_decode_reading).bind(
+            lambda reading: _confirm(record, reading)
+        )
 
     async def announce(
         self,
@@ -243,6 +245,19 @@
     return lease_record.LeaseReading(stored, found.era)
 
 
+def _confirm(
+    record: lease_record.LeaseRecord, reading: lease_record.LeaseReading
+) -> expression.Result[lease_record.LeaseReading, errors.Failure]:
+    """Returns what an update stored; fails if that isn't the record sent.
+
+    The response then belongs to another update, such as an earlier renewal.
+    """
+    if reading.stored is not None and reading.stored.record == record:
+        return expression.Ok(reading)
+    reason = "the answer is about another update of the lease"
+    return expression.Error(errors.StoreUnavailable(reason, True))
+
+
 def _decode_lease(
     found: list_watch.StoredObject,
 ) -> lease_record.StoredLeaseRecord:
--- a/hickorygate/tests/test_store_answers.py
+++ b/hickorygate/tests/test_store_answers.py
@@ -216,6 +216,37 @@
         used = [request.connection for request in self.server.requests]
         self.assertEqual(used, [0, 1, 2, 3])
 
+    # Guards against a second answer that arrives after the next request left.
+    async def test_an_object_of_another_name_is_not_the_answer(self) -> None:
+        self.server.answer = lambda request: _response(_object("old"))
+        found = await self.api.read(_NEW)
+        self.assertTrue(found.is_error())
+
+    async def test_a_conflict_of_another_name_is_not_the_answer(self) -> None:
+        self.server.answer = lambda request: _response(
+            _object("old"), "409 Conflict"
+        )
+        found = await self.api.store(_NEW, {}, 3)
+        self.assertIsInstance(found.error, errors.StoreUnavailable)
+
+    # Guards against a renewal of the lease that an older one's answer confirms.
+    async def test_a_lease_with_other_content_is_not_the_answer(self) -> None:
+        record = lease_record.LeaseRecord("proxy-1", "x", 1, False, 4)
+        older = {
+            "holder": "proxy-1",
+            "incarnation": "x",
+            "number": 1,
+            "released": False,
+            "renewals": 3,
+            "era": 0,
+        }
+        self.server.answer = lambda request: _response(
+            _object("promotion", 8, older)
+        )
+        written = await self.store.write_lease(record, 7)
+        self.assertTrue(written.is_error())
+        self.assertIs(written.error.outcome, errors.Outcome.UNKNOWN)
+
 
 class LateAnswerTest(_ScriptedTestCase):
     """Answers after the time-out, and answers that are cut off."""
