Follow no redirection of the store

aiohttp follows redirections: a call was made again, with its headers, at the address that a response named, and the answer from there counted as the store's. A read got another object; a promotion's POST became a GET.

A redirection is an answer like any other that isn't documented: a failure.

hickorygate.tests.test_store_answers: the new test failed before, 21 of 21 pass after.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -445,6 +445,7 @@
                     params=query,
                     data=None if request_body is None else request_body.once(),
                     headers=fields,
+                    allow_redirects=False,
                 ) as response,
             ):
                 content = await response.read()
--- a/hickorygate/tests/test_store_answers.py
+++ b/hickorygate/tests/test_store_answers.py
@@ -322,6 +322,20 @@
     async def test_a_body_up_to_the_end_of_the_connection(self) -> None:
         await self.check(b"HTTP/1.1 200 OK\r\n\r\n" + _object("old"))
 
+    # Guards against a call that is made again at another address.
+    async def test_a_redirection_is_not_followed(self) -> None:
+        for status in ("301 Moved", "303 See Other", "307 Temporary Redirect"):
+            with self.subTest(status):
+                seen = len(self.server.requests)
+                self.server.answer = lambda request, s=status: (
+                    _response(b"", s, "Location: /-/objects/sheets/old\r\n")
+                    if request.name != "old"
+                    else _response(_object("old"))
+                )
+                self.assertTrue((await self.api.read(_NEW)).is_error())
+                self.assertIsNotNone(await self.promote())
+                self.assertEqual(len(self.server.requests) - seen, 2)
+
 
 def _unquoted(part: str) -> bytes:
     """Returns the bytes of a part of a path."""
