Send no cookies to the store

Where the store's address is a host name, aiohttp kept the cookies of a response and sent them with all later calls, so text of one response became part of other requests. The client keeps none.

hickorygate.tests.test_store_answers: the test failed before (with a host name; with a number it held), 22 of 22 pass after.

--- a/hickorygate/platform/http_connections.py
+++ b/hickorygate/platform/http_connections.py
@@ -79,6 +79,7 @@
     )
     return aiohttp.ClientSession(
         connector=connector,
+        cookie_jar=aiohttp.DummyCookieJar(),
         request_class=_CheckedRequest,
         middlewares=(_use_clean_connection,),
     )
--- a/hickorygate/tests/test_store_answers.py
+++ b/hickorygate/tests/test_store_answers.py
@@ -336,6 +336,17 @@
                 self.assertIsNotNone(await self.promote())
                 self.assertEqual(len(self.server.requests) - seen, 2)
 
+    # Guards against text of one response in the head of later requests.
+    async def test_no_cookie_is_sent_back(self) -> None:
+        self.server.answer = lambda request: _response(
+            _object(request.name), more="Set-Cookie: a=b; Path=/\r\n"
+        )
+        # Cookies of a numeric address would be ignored anyway.
+        self.api.set_url(f"http://localhost:{self.server.port}")
+        await self.read_name(_OLD)
+        await self.read_name(_NEW)
+        self.assertNotIn("Cookie", self.server.requests[-1].headers)
+
 
 def _unquoted(part: str) -> bytes:
     """Returns the bytes of a part of a path."""
