Send the deletion of an object once

aiohttp repeats a DELETE whose connection was lost before the response: the store may run it twice, and the second deletes what another process has created under the name in between, or reports that there is nothing. A lost connection of a change is now a failure with an unknown outcome, as the client promises; reads are still repeated.

--- a/hickorygate/platform/http_connections.py
+++ b/hickorygate/platform/http_connections.py
@@ -18,6 +18,7 @@
 """Longest idle time of a connection that is reused. A connection that was idle
 for longer may have been cut without notice."""
 
+_READ_METHOD = "GET"
 _REPLACEMENTS = 8
 """Number of unusable connections after which a call is given up. A server that
 sends on each new connection at once must not keep the call busy."""
@@ -48,6 +49,27 @@
         return await super().send(conn)
 
 
+class _ConnectionLost(aiohttp.ClientError):
+    """Raised when the connection of a change was lost before its response."""
+
+
+async def _send_change_once(
+    request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    """Sends a request; hides lost connections on which aiohttp repeats it.
+
+    A repeated change could undo what others have done in between.
+    """
+    try:
+        return await send(request)
+    except aiohttp.ClientConnectorError:
+        raise
+    except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError) as error:
+        if request.method == _READ_METHOD:
+            raise
+        raise _ConnectionLost(str(error)) from error
+
+
 async def _use_clean_connection(
     request: aiohttp.ClientRequest, send: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -81,7 +103,7 @@
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
         request_class=_CheckedRequest,
-        middlewares=(_use_clean_connection,),
+        middlewares=(_send_change_once, _use_clean_connection),
     )
 
 
--- a/hickorygate/tests/test_store_answers.py
+++ b/hickorygate/tests/test_store_answers.py
@@ -281,6 +281,26 @@
         await self.send_unasked(_response(_object("old")))
         self.assertEqual(await self.read_name(_NEW), "new")
 
+    # Guards against a change that is made twice after a broken connection.
+    async def test_no_change_is_sent_twice(self) -> None:
+        await self.read_name(_OLD)
+
+        def cut(request: _Request) -> bytes:
+            self.server.writers[request.connection].close()
+            return b""
+
+        self.server.answer = cut
+        seen = len(self.server.requests)
+        for change in (
+            self.api.store(_NEW, {}, 3),
+            self.api.store(_NEW, {}, 0),
+            self.api.delete(_NEW),
+            self.promote(),
+        ):
+            await change
+        methods = [r.line.split(" ")[0] for r in self.server.requests[seen:]]
+        self.assertEqual(methods, ["PUT", "POST", "DELETE", "POST"])
+
 
 class FramingTest(_ScriptedTestCase):
     """Answers whose end isn't plain."""
