Keep an object's name one part of the path

The name of an object, which for a registration is the process's name of the settings file, went into the URL as it was: a slash, a question mark or a number sign made the call one on another path or with a query, so a withdrawal could delete another object. An escaped slash counted as a slash.

A name is escaped; one that is empty or names a directory can't be, and its call fails without being sent.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -10,6 +10,7 @@
 import enum
 import re
 from typing import Any
+import urllib.parse
 
 import aiohttp
 import expression
@@ -42,6 +43,9 @@
 
 _SERVER_ERRORS = 500
 
+_DIRECTORIES = ("", ".", "..")
+"""Names that no path can contain: each form of them changes the path."""
+
 _OUTDATED_QUERY = {"serializable": "1"}
 """Query parameter of a read that may miss the changes of the last seconds."""
 
@@ -322,6 +326,8 @@
         self, key: objects.Key
     ) -> expression.Result[ObjectReading, errors.Failure]:
         """Returns an object, if it exists, and the era of the response."""
+        if key.name in _DIRECTORIES:
+            return expression.Error(_unusable(key))
         answered = await self._get(key.kind, _path(key), {})
         if answered.is_ok() and answered.ok.status == _Status.NOT_FOUND:
             return expression.Ok(ObjectReading(None, answered.ok.era))
@@ -348,6 +354,8 @@
         self, key: objects.Key, value: object, expected: int | None
     ) -> expression.Result[ObjectReading, errors.Failure]:
         """Does what `store` does, and also returns the era of the response."""
+        if key.name in _DIRECTORIES:
+            return expression.Error(_unusable(key))
         meta: dict[str, object] = {"name": key.name}
         if expected:
             meta["revision"] = expected
@@ -374,6 +382,8 @@
         self, key: objects.Key
     ) -> expression.Result[None, errors.Failure]:
         """Deletes an object."""
+        if key.name in _DIRECTORIES:
+            return expression.Error(_unusable(key))
         answered = await self.call(
             "DELETE", self._object_url(key), None, subject=key.kind
         )
@@ -490,7 +500,15 @@
 
 
 def _path(key: objects.Key) -> str:
-    return f"/-/objects/{key.kind}/{key.name}"
+    """Returns the path of an object, whose name is one part of it."""
+    name = urllib.parse.quote(key.name, safe="", errors="surrogatepass")
+    return f"/-/objects/{key.kind}/{name}"
+
+
+def _unusable(key: objects.Key) -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(
+        f"no object can be named {key.name!r}", False
+    )
 
 
 def _decode_era(text: str) -> int:
--- a/hickorygate/tests/test_store_answers.py
+++ b/hickorygate/tests/test_store_answers.py
@@ -368,6 +368,48 @@
         self.assertNotIn("Cookie", self.server.requests[-1].headers)
 
 
+class NamesTest(_ScriptedTestCase):
+    """Names with characters that mean something in a request."""
+
+    # Guards against a name that becomes another path, query or request.
+    async def test_a_name_is_one_part_of_the_path(self) -> None:
+        for name in (
+            "a/b",
+            "../b",
+            "a?watch=1",
+            "a#b",
+            "a%2fb",
+            "a%",
+            "a b",
+            "a\r\nX: 1",
+            "a\x00",
+            "\xe4\u20ac",
+            "a;b",
+            "a+b",
+        ):
+            with self.subTest(name):
+                await self.api.delete(objects.Key("sheets", name))
+                path = self.server.requests[-1].line.split(" ")[1]
+                part = path.removeprefix("/-/objects/sheets/")
+                self.assertEqual(_unquoted(part), name.encode())
+                self.assertNotIn("/", part)
+                self.assertNotIn("?", part)
+
+    # Guards against a change to all objects of a kind, or to another path.
+    async def test_a_name_that_leads_elsewhere_is_not_sent(self) -> None:
+        for name in ("", ".", ".."):
+            key = objects.Key("sheets", name)
+            for call in (
+                self.api.delete(key),
+                self.api.read(key),
+                self.api.store(key, {}, 0),
+                self.api.store(key, {}, 3),
+            ):
+                failed = await call
+                self.assertIs(failed.error.outcome, errors.Outcome.NOT_RUN)
+        self.assertEqual(self.server.requests, [])
+
+
 def _unquoted(part: str) -> bytes:
     """Returns the bytes of a part of a path."""
     first, *rest = part.split("%")
