Refuse a header field with control characters as not sent

A holder's name with a line feed, a carriage return or a zero byte in the settings file made a promotion raise ValueError out of the store client instead of returning a failure. aiohttp sends nothing then; no field was smuggled in. The call now fails as not sent.

--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -43,6 +43,7 @@
 
 _SERVER_ERRORS = 500
 
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
 _DIRECTORIES = ("", ".", "..")
 """Names that no path can contain: each form of them changes the path."""
 
@@ -441,6 +442,9 @@
         self._calls += 1
         limit = (self._timeout + wait).total_seconds()
         fields = dict(headers or {})
+        if any(map(_CONTROL.search, fields.values())):
+            failed = errors.StoreUnavailable("a header isn't one line", False)
+            return expression.Error(failed)
         request_body = None if body is None else _Body(body, may_send)
         if request_body is not None:
             fields["Content-Type"] = "application/json"
--- a/hickorygate/tests/test_store_answers.py
+++ b/hickorygate/tests/test_store_answers.py
@@ -409,6 +409,19 @@
                 self.assertIs(failed.error.outcome, errors.Outcome.NOT_RUN)
         self.assertEqual(self.server.requests, [])
 
+    # Guards against a header field that a name smuggles into a promotion.
+    async def test_a_holder_adds_no_header_field(self) -> None:
+        for holder in ("a\r\nX-Fencing-Token: 9", "a\nb", "a\x00b", "\xe4 b"):
+            with self.subTest(holder):
+                record = lease_record.LeaseRecord(holder, "x", 7, False)
+                ordered = await self.store.promote(
+                    "ledger", "i-1", record, lambda: True
+                )
+                for request in self.server.requests:
+                    self.assertEqual(request.headers["X-Fencing-Token"], "7")
+                if ordered.is_error():
+                    self.assertIs(ordered.error.outcome, errors.Outcome.NOT_RUN)
+
 
 def _unquoted(part: str) -> bytes:
     """Returns the bytes of a part of a path."""
