Run no statement whose number has come before on its link

A serving proxy refused a statement's number only while that statement ran. A message that came again after its reply ran again: a write took effect twice, and the first statement of a transaction that had ended opened it anew. A gateway numbers statements in the order in which it sends them, so a server now closes a link on which a number doesn't rise.

hickorygate.tests.test_peer_answers: 3 of 15 tests failed before, 15 of 15 pass after; test_serving_proxies, test_statement_codec, test_link_state pass.

--- a/hickorygate/proxies/incoming_link.py
+++ b/hickorygate/proxies/incoming_link.py
@@ -92,6 +92,7 @@
         self._opened = server.env.clock.now()
         self._transactions: dict[int, _ServedTransaction] = {}
         self._running: dict[int, _RunningStatement] = {}
+        self._newest = 0
         self._paused = False
         self._unread = False
         self._closed = False
@@ -184,10 +185,15 @@
             self.send(messages.Leaving())
 
     def run(self, message: messages.RunStatement) -> None:
-        """Starts to run a statement."""
-        if not self._gateway:
+        """Starts to run a statement.
+
+        A gateway numbers its statements in the order in which it sends them.
+        One with an older number has come before, and may have run.
+        """
+        if not self._gateway or message.number <= self._newest:
             self.close()
             return
+        self._newest = message.number
         transaction = message.transaction
         if not transaction:
             self._run_new(message, None)
@@ -304,9 +310,6 @@
         session: caller_session.CallerSession,
         served: _ServedTransaction | None,
     ) -> None:
-        if message.number in self._running:
-            self.close()
-            return
         work = self._server.env.background.start(self._serve(message, session))
         self._running[message.number] = _RunningStatement(
             session, message.transaction, served, work
