Send no statement to an upstream with unasked data

A MySQL upstream's answer that came a second time on an idle connection was taken for the answer to the next statement, ping or borrowing session: its packet has the sequence id that each answer begins with. A caller got the success, or the error, of another caller's statement, and each later one its predecessor's.

A connection with data that nobody asked for isn't lent; a statement or ping on it closes it and fails as not run. The rest of a result isn't such data.

--- a/hickorygate/tests/test_peer_answers.py
+++ b/hickorygate/tests/test_peer_answers.py
@@ -1,20 +1,24 @@
-"""Tests that a message between proxies counts once, for its own statement.
+"""Tests that a message of a peer counts once, for its own request.
 
-A scripted proxy, at either end of a link, repeats, delays and reorders its
-messages. Time is virtual.
+Scripted peers repeat, delay and reorder their messages: a proxy at either end
+of a link, on virtual time, and a MySQL upstream.
 """
 
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import dataclasses
 import datetime
 import random
 import unittest
 
+from hickorygate.core import errors
 from hickorygate.core import operation as operations
 from hickorygate.core import position
 from hickorygate.core import reply as replies
+from hickorygate.core import settings as core_settings
+from hickorygate.core import sheet
 from hickorygate.proxies import link_state
 from hickorygate.proxies import statement_codec
 from hickorygate.proxies import statement_link
@@ -22,6 +26,7 @@
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
 from hickorygate.testing import virtual_time
+from hickorygate.upstreams import connection as connections
 
 _SERVICE = "ledger"
 _START = messages.TransactionStart
@@ -30,6 +35,7 @@
 _SETTLED = 3.0
 """Seconds after which a statement that was sent has been answered."""
 
+_LIMIT = datetime.timedelta(seconds=1)
 _ODD = (
     "a\r\nQUERY 1 COMMIT",
     "a\nb",
@@ -63,6 +69,24 @@
     )
 
 
+def _packet(sequence: int, payload: bytes) -> bytes:
+    """Returns a packet of a MySQL server."""
+    return len(payload).to_bytes(3, "little") + bytes((sequence,)) + payload
+
+
+def _ok(sequence: int, rows: int) -> bytes:
+    """Returns a packet for a statement that changed a number of rows."""
+    return _packet(sequence, b"\x00" + bytes((rows, 0)) + b"\x02\x00\x00\x00")
+
+
+def _greeting() -> bytes:
+    version = b"\x0a8.0.0\x00" + (1).to_bytes(4, "little")
+    capabilities = b"\xff\xf7\x21\x02\x00\xff\x81\x15"
+    salt = b"12345678\x00", bytes(10) + b"123456789012\x00"
+    plugin = b"mysql_native_password\x00"
+    return _packet(0, version + salt[0] + capabilities + salt[1] + plugin)
+
+
 class _Gateway:
     """A scripted gateway at the other end of a server's link."""
 
@@ -391,3 +415,92 @@
             self.check(
                 messages.Rights(1, (), (messages.KnownFleet(odd, {odd: 1.0}),))
             )
+
+
+class UpstreamTest(unittest.IsolatedAsyncioTestCase):
+    """A MySQL upstream that sends answers nobody asked for.
+
+    Its answer to a statement says as many changed rows as the statement has
+    characters.
+    """
+
+    async def asyncSetUp(self) -> None:  # noqa: N802
+        self.writers: list[asyncio.StreamWriter] = []
+        self.addAsyncCleanup(asyncio.sleep, 0.01)  # Ends the handlers.
+        self.server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
+        self.addCleanup(self.server.close)
+        self.connection = await self.open()
+
+    async def open(self) -> connections.Connection:
+        database = sheet.Database(
+            name="a",
+            host="127.0.0.1",
+            port=self.server.sockets[0].getsockname()[1],
+            zone="a",
+            connections=1,
+            slots=1,
+        )
+        opened = await connections.open_connection(
+            database, core_settings.UpstreamSettings()
+        )
+        self.addCleanup(opened.ok.close)
+        return opened.ok
+
+    async def serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        self.writers.append(writer)
+        self.addCleanup(writer.close)
+        writer.write(_greeting())
+        with contextlib.suppress(asyncio.IncompleteReadError, OSError):
+            head = await reader.readexactly(4)
+            await reader.readexactly(int.from_bytes(head[:3], "little"))
+            writer.write(_ok(2, 0))
+            while True:
+                head = await reader.readexactly(4)
+                size = int.from_bytes(head[:3], "little")
+                await reader.readexactly(size)
+                writer.write(_ok(1, size - 1))
+
+    async def changed(self, sql: str) -> int | None:
+        """Runs a statement; returns its changed rows, None for a failure."""
+        ran = await self.connection.execute(sql, _LIMIT)
+        return ran.ok.affected_rows if ran.is_ok() else None
+
+    async def send_unasked(self, data: bytes) -> None:
+        self.writers[-1].write(data)
+        await asyncio.sleep(0.05)
+
+    # Guards against a statement that gets an earlier statement's answer.
+    async def test_a_second_answer_is_not_the_next_statements(self) -> None:
+        self.assertEqual(await self.changed("long statement"), 14)
+        await self.send_unasked(_ok(1, 14))
+        for _ in range(2):
+            self.assertIn(await self.changed("short"), (5, None))
+
+    async def test_a_failure_that_comes_late_is_not_the_next_statements(
+        self,
+    ) -> None:
+        self.assertEqual(await self.changed("long statement"), 14)
+        await self.send_unasked(_packet(1, b"\xff\x48\x04#HY000late"))
+        ran = await self.connection.execute("short", _LIMIT)
+        self.assertTrue(ran.is_error())
+        self.assertIs(ran.error.outcome, errors.Outcome.NOT_RUN)
+        self.assertTrue(self.connection.closed)
+
+    async def test_a_ping_takes_no_earlier_answer(self) -> None:
+        await self.changed("long statement")
+        await self.send_unasked(_ok(1, 14))
+        self.assertTrue((await self.connection.ping(_LIMIT)).is_error())
+
+    # Guards against the lending of a connection on which answers are shifted.
+    async def test_a_connection_with_unread_data_is_not_reusable(self) -> None:
+        await self.changed("long statement")
+        self.assertTrue(self.connection.reusable)
+        await self.send_unasked(_ok(1, 14))
+        self.assertFalse(self.connection.reusable)
+
+    async def test_an_answer_with_another_sequence_id_is_none(self) -> None:
+        await self.changed("long statement")
+        await self.send_unasked(_ok(2, 14))
+        self.assertIn(await self.changed("short"), (5, None))
--- a/hickorygate/upstreams/connection.py
+++ b/hickorygate/upstreams/connection.py
@@ -121,10 +121,12 @@
         """Whether another session may use the connection.
 
         The connection must be open, run no statement, and have neither
-        session state nor an open transaction.
+        session state, nor an open transaction, nor data that nobody asked for.
         """
         if self.closed or self._busy or self._has_session_state:
             return False
+        if self._has_unasked_data():
+            return False
         return not self._raw.get_transaction_status()
 
     @property
@@ -180,6 +182,7 @@
           timeout: time after which the answer counts as lost.
         """
         async with self._lock:
+            self._close_if_unasked()
             if self.closed:
                 return expression.Error(self._closed_failure())
             return await self._run(sql, timeout)
@@ -189,6 +192,7 @@
     ) -> expression.Result[None, errors.Failure]:
         """Checks that the database answers; closes the connection if not."""
         async with self._lock:
+            self._close_if_unasked()
             if self.closed:
                 return expression.Error(self._closed_failure())
             try:
@@ -259,6 +263,23 @@
         self._close_cause = self._close_cause or cause
         self._raw.close()
 
+    def _close_if_unasked(self) -> None:
+        """Closes the connection if it has data that nobody asked for."""
+        if not self.closed and self._has_unasked_data():
+            name = self._database.name
+            self.close(errors.ConnectFailed(name, "sent an unasked answer"))
+
+    def _has_unasked_data(self) -> bool:
+        """Returns whether the database has sent more than was asked for.
+
+        The library would take it for the answer to the next statement.
+        """
+        result = self._raw._result  # noqa: SLF001 - no public API
+        if result is not None and (result.unbuffered_active or result.has_next):
+            return False  # The rest of the last answer.
+        buffered = self._raw._proto  # noqa: SLF001 - no public API
+        return buffered.length > buffered.pos
+
     def _closed_failure(self) -> errors.Failure:
         name = self._database.name
         return self._close_cause or errors.ConnectFailed(name, "closed")
