--- a/hickorygate/tests/test_server.py
+++ b/hickorygate/tests/test_server.py
@@ -140,6 +140,38 @@
         self.assertTrue(handler.in_transaction)
 
 
+class PipelinedCommandsTest(_ServerCase):
+    """Commands that are sent before the earlier ones are answered."""
+
+    # Guards against an answer that goes to another command of the caller.
+    async def test_answers_come_in_the_order_of_the_commands(self) -> None:
+        client = await self.log_in()
+        client.query("wait")
+        await self.waiting.wait()
+        client.send(b"\x99")
+        client.query("begin")
+        client.query("x" * 2_000)
+        client.send(b"\x0e")
+        self.proceed.set()
+        heads = [(await client.read())[:1] for _ in range(5)]
+        self.assertEqual(heads, [b"\x00", b"\xff", b"\x00", b"\xff", b"\x00"])
+        (handler,) = self.handlers
+        self.assertTrue(handler.in_transaction)
+
+    # Guards against a command that is made of the rest of another one.
+    async def test_a_command_in_pieces_is_one_command(self) -> None:
+        client = await self.log_in()
+        statement = b"\x03begin"
+        packet = len(statement).to_bytes(3, "little") + b"\x00" + statement
+        for number in range(len(packet)):
+            client.send_bytes(packet[number : number + 1])
+            await asyncio.sleep(0)
+        self.assertEqual((await client.read())[:1], b"\x00")
+        await self.assert_answers_ping(client)
+        (handler,) = self.handlers
+        self.assertTrue(handler.in_transaction)
+
+
 class BadInputTest(_ServerCase):
     """Malformed packets, unsupported commands and oversized statements."""
 
