Take no peer's state from a packet older than the last

A packet between proxies that came a second time, or after a newer one, set the sender's reported sheet version back, which operators see, and made the store count as reached at its arrival. Of each sender, only a packet of a newer incarnation or timestamp now says these two things; the member table had held already.

hickorygate.tests.test_mesh: the new test failed before (version 3 instead of 7); 27 tests of test_mesh, test_admin and properties.test_membership pass.

--- a/hickorygate/proxies/mesh.py
+++ b/hickorygate/proxies/mesh.py
@@ -12,6 +12,7 @@
 import functools
 import random
 from typing import Protocol
+from typing import TypeAlias
 import zlib
 
 import expression
@@ -53,6 +54,9 @@
 other proxies.
 """
 
+_Order: TypeAlias = tuple[int, datetime.datetime, int]
+"""What orders the packets of a sender: its incarnation and timestamp."""
+
 _log = logbook.Logger(__name__)
 
 
@@ -111,6 +115,7 @@
         self._counts: collections.Counter[str] = collections.Counter()
         self._store_reached_at: datetime.datetime | None = None
         self._sheet_versions: dict[types.ProxyName, types.SheetVersion] = {}
+        self._newest: dict[types.ProxyName, _Order] = {}
         self._background = background.BackgroundTasks()
         self._create_membership("unbound:0", "unbound:0")
 
@@ -245,6 +250,7 @@
         """Closes the link to a lost proxy and records the loss."""
         self._sockets.close_connection(member.address)
         self._sheet_versions.pop(member.name, None)
+        self._newest.pop(member.name, None)
         self._timeline.record(events.PeerLost(member.name))
 
     def send_document(
@@ -358,10 +364,14 @@
         header = packet.header
         now = self._clock.now()
         self._stamps.observe(events.Timestamp(header.wall, header.count))
-        self._update_store_reached(header, now)
+        known = self._newest.get(header.sender.name)
+        is_newest = known is None or _order(header) > known
+        if is_newest:
+            self._update_store_reached(header, now)
         event = memberships.Received(packet)
         self._perform_all(self._membership.handle(event, now))
-        if self._membership.is_live(header.sender.name):
+        if is_newest and self._membership.is_live(header.sender.name):
+            self._newest[header.sender.name] = _order(header)
             self._sheet_versions[header.sender.name] = header.versions.sheet
         self._perform_all(self._documents.request_newer(header, now))
         await _handle_message(packet.message, self, header.sender)
@@ -385,6 +395,10 @@
             _perform(effect, self)
 
 
+def _order(header: messages.Header) -> _Order:
+    return header.sender.incarnation, header.wall, header.count
+
+
 def _decompress(
     data: bytes,
 ) -> expression.Result[str, errors.BadPeerMessage]:
--- a/hickorygate/tests/test_mesh.py
+++ b/hickorygate/tests/test_mesh.py
@@ -202,6 +202,35 @@
         self.assertEqual(plane.mesh.membership.names, ("p1",))
         self.assertEqual(plane.mesh.sheet_version_of("p-0"), 0)
 
+    # Guards against an old or repeated packet that counts as the newest.
+    async def test_an_old_packet_changes_nothing(self) -> None:
+        plane = await self.start("p1")
+        context = zmq.Context()
+        socket = context.socket(zmq.PUSH)
+        self.addCleanup(context.destroy, linger=0)
+        socket.connect(f"tcp://{plane.mesh.address}")
+        now = clock.SystemClock().now()
+        earlier = now - datetime.timedelta(seconds=5)
+        packets = []
+        for incarnation, wall, version in ((1, earlier, 3), (2, now, 7)):
+            sender = members.Member(
+                "p-9", f"127.0.0.1:{incarnation}", "x:1", "a", incarnation
+            )
+            header = messages.Header(
+                sender, wall, 0, messages.Versions(sheet=version), 0, 0
+            )
+            packet = codec.Packet(header, messages.Announce())
+            packets.append(codec.pack(packet))
+        old, new = packets
+        for packet in (old, new, new, old):
+            socket.send(packet)
+        received = plane.mesh.counts
+        await self.wait_for(lambda: received["packets_received"] == 4)
+        self.assertEqual(plane.mesh.membership.names, ("p-9", "p1"))
+        (other,) = plane.mesh.membership.members
+        self.assertEqual(other.address, "127.0.0.1:2")
+        self.assertEqual(plane.mesh.sheet_version_of("p-9"), 7)
+
     async def test_unknown_key_is_refused(self) -> None:
         pairs = {name: zmq.curve_keypair() for name in ("p1", "p2", "p3")}
         public = {name: pair[0].decode() for name, pair in pairs.items()}
