Move the sinks and watches of the store out of process.py

test_list_watch (which names the new module), test_platform_process, test_process_forwarding, test_process_age, test_platform_settings, test_restart_load and the tests of tools: 43 pass.

--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 from collections.abc import Mapping
-from collections.abc import Sequence
 import datetime
 import pathlib
 import random
@@ -34,10 +33,11 @@
 from hickorygate.platform import database
 from hickorygate.platform import line_server
 from hickorygate.platform import management_server
-from hickorygate.platform import object_client
 from hickorygate.platform import object_decoding
 from hickorygate.platform import settings as settings_lib
 from hickorygate.platform import store
+from hickorygate.platform import store_sinks
+from hickorygate.platform import store_watches
 from hickorygate.proxies import rights_exchange
 from hickorygate.proxies import serving_links
 from hickorygate.proxies import serving_plan
@@ -46,10 +46,9 @@
 from hickorygate.store import registration
 from hickorygate.upstreams import group_registry
 from hickorygate.upstreams import lease_record
-from hickorygate.upstreams import member as members
 from hickorygate.upstreams import promotion_lease
 
-__all__ = ["Process", "configuration_watch", "databases_watch"]
+__all__ = ["Process"]
 
 _VERSION = "0.2.0"
 _TICK = datetime.timedelta(milliseconds=100)
@@ -67,47 +66,6 @@
 _MOST_DESCRIPTORS = 20_000
 """Number of descriptors that are used if nothing limits them."""
 
-_MIN_WATCH = datetime.timedelta(milliseconds=250)
-_MAX_WATCH = datetime.timedelta(seconds=24)
-"""Shortest and longest time for which the store is asked to hold a watch."""
-
-_RECONNECT_MARGIN = datetime.timedelta(milliseconds=250)
-"""Time to connect to the store anew and ask again after a call timed out."""
-
-
-def configuration_watch(
-    settings: settings_lib.ProcessSettings,
-) -> list_watch.WatchSettings:
-    """Returns how to follow the configuration.
-
-    Its list and its watch are never outdated. A watch whose answer gets lost
-    has timed out and has been repeated by the time that the change must be in
-    force.
-    """
-    return list_watch.WatchSettings(
-        object_decoding.CONFIGURATION, _watch_hold(settings)
-    )
-
-
-def databases_watch(
-    settings: settings_lib.ProcessSettings,
-) -> list_watch.WatchSettings:
-    """Returns how to follow the entries of the databases.
-
-    They may be outdated: a database announces its shutdown long before, and a
-    lost one is noticed by probes.
-    """
-    return list_watch.WatchSettings(
-        object_decoding.SERVERS, _watch_hold(settings), may_be_outdated=True
-    )
-
-
-def _watch_hold(settings: settings_lib.ProcessSettings) -> datetime.timedelta:
-    delay = object_client.CALL_TIMEOUT + _RECONNECT_MARGIN
-    return min(
-        max(settings.configuration_bound - delay, _MIN_WATCH), _MAX_WATCH
-    )
-
 
 def _descriptors(settings: settings_lib.ProcessSettings) -> int:
     """Returns the number of descriptors that the process may open."""
@@ -126,108 +84,6 @@
     return (found.st_mtime_ns, found.st_size)
 
 
-class _RegistrySink:
-    """Base class of sinks for store objects; records lists and failures."""
-
-    _kind: str
-
-    def __init__(
-        self, registry: group_registry.GroupRegistry, journal: events.Journal
-    ) -> None:
-        self._registry = registry
-        self._journal = journal
-
-    def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
-        """Records that all objects were listed."""
-        self._journal.record(
-            platform_events.ObjectsListed(self._kind, len(objects))
-        )
-
-    def failed(self, failure: errors.Failure, took: datetime.timedelta) -> None:
-        """Records a call without a usable answer."""
-        self._journal.record(
-            platform_events.WatchFailed(self._kind, failure.message, took)
-        )
-
-    def lost(self, failure: errors.Failure) -> None:
-        """Records that the store is unreachable."""
-        self._journal.record(
-            platform_events.StoreLost(self._kind, failure.message)
-        )
-
-    def regained(self) -> None:
-        """Records that the store is reachable again."""
-        self._journal.record(platform_events.StoreRegained(self._kind))
-
-
-class _DatabaseSink(_RegistrySink):
-    """Applies the databases' service discovery entries to the registry."""
-
-    _kind = object_decoding.SERVERS
-
-    def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
-        """Replaces all databases with those of a complete list."""
-        super().replace(objects)
-        found = [self._decode(stored) for stored in objects]
-        self._registry.replace_members([m for m in found if m is not None])
-
-    def change(self, change: list_watch.Change) -> None:
-        """Applies one changed entry; an invalid entry removes its database."""
-        member = None if change.deleted else self._decode(change.stored)
-        if member is None:
-            self._registry.remove_member(change.stored.name)
-        else:
-            self._registry.put_member(member)
-
-    def lost(self, failure: errors.Failure) -> None:
-        """Suspends the expiry of databases and records the outage."""
-        self._registry.suspend_expiry()
-        super().lost(failure)
-
-    def regained(self) -> None:
-        """Resumes the expiry of databases and records the recovery."""
-        self._registry.resume_expiry()
-        super().regained()
-
-    def _decode(self, stored: list_watch.StoredObject) -> members.Member | None:
-        match object_decoding.decode_member(stored.name, stored.value):
-            case expression.Result(tag="ok", ok=member):
-                return member
-            case expression.Result(tag="error", error=failure):
-                self._journal.record(
-                    platform_events.EntryIgnored(stored.name, failure.message)
-                )
-        return None
-
-
-class _ConfigurationSink(_RegistrySink):
-    """Applies the configuration object to the group registry."""
-
-    _kind = object_decoding.CONFIGURATION
-
-    def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
-        """Applies the configuration from a complete list of objects."""
-        super().replace(objects)
-        for stored in objects:
-            self._apply(stored)
-
-    def change(self, change: list_watch.Change) -> None:
-        """Applies a change; a deletion leaves the configuration in force."""
-        if not change.deleted:
-            self._apply(change.stored)
-
-    def _apply(self, stored: list_watch.StoredObject) -> None:
-        if stored.name != object_decoding.CONFIGURATION_NAME:
-            return
-        match object_decoding.decode_catalog(stored.value):
-            case expression.Result(tag="ok", ok=catalog):
-                self._registry.apply(catalog)
-            case expression.Result(tag="error", error=failure):
-                self._journal.record(
-                    platform_events.CatalogRejected(failure.message)
-                )
-
-
 class Process:
     """A proxy process: its listeners, database pools and store client."""
 
@@ -294,7 +150,7 @@
         self._statements = statement_server.StatementServer(
             settings.name, self._env, self._note_version
         )
-        self._configuration_sink = _ConfigurationSink(
+        self._configuration_sink = store_sinks.ConfigurationSink(
             self._registry, self._journal
         )
         self._rereading: asyncio.Task[None] | None = None
@@ -479,12 +335,12 @@
     def _start_tasks(self) -> None:
         sinks = (
             (
-                configuration_watch(self._settings),
+                store_watches.configuration_watch(self._settings),
                 self._configuration_sink,
             ),
             (
-                databases_watch(self._settings),
-                _DatabaseSink(self._registry, self._journal),
+                store_watches.databases_watch(self._settings),
+                store_sinks.DatabaseSink(self._registry, self._journal),
             ),
         )
         for settings, sink in sinks:
@@ -504,7 +360,9 @@
         listed = await self._store.list(object_decoding.SERVERS)
         if listed.is_error():
             return False
-        _DatabaseSink(self._registry, self._journal).replace(listed.ok.objects)
+        store_sinks.DatabaseSink(self._registry, self._journal).replace(
+            listed.ok.objects
+        )
         return True
 
     async def _watch_settings(self) -> None:
--- a/hickorygate/tests/test_list_watch.py
+++ b/hickorygate/tests/test_list_watch.py
@@ -10,8 +10,8 @@
 import expression
 
 from hickorygate.core import errors
-from hickorygate.platform import process
 from hickorygate.platform import settings as settings_lib
+from hickorygate.platform import store_watches
 from hickorygate.store import list_watch
 from hickorygate.testing import virtual_time
 
@@ -235,7 +235,7 @@
         sink.lost = lambda failure: None  # type: ignore[method-assign]
         sink.regained = lambda: None  # type: ignore[method-assign]
         feed = list_watch.ListWatch(
-            process.configuration_watch(_process_settings()),
+            store_watches.configuration_watch(_process_settings()),
             source,
             sink,
             virtual_time.LoopClock(asyncio.get_running_loop()),
@@ -285,7 +285,7 @@
         sink.lost = lambda failure: None  # type: ignore[method-assign]
         sink.regained = lambda: None  # type: ignore[method-assign]
         feed = list_watch.ListWatch(
-            process.configuration_watch(_process_settings()),
+            store_watches.configuration_watch(_process_settings()),
             source,
             sink,
             virtual_time.LoopClock(loop),
