--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -31,10 +31,12 @@
 from hickorygate.operators import proxy_metrics
 from hickorygate.operators import unexpected_errors
 from hickorygate.platform import database
+from hickorygate.platform import draining
 from hickorygate.platform import line_server
 from hickorygate.platform import management_server
 from hickorygate.platform import object_decoding
 from hickorygate.platform import settings as settings_lib
+from hickorygate.platform import settings_file
 from hickorygate.platform import store
 from hickorygate.platform import store_sinks
 from hickorygate.platform import store_watches
@@ -52,14 +54,11 @@
 
 _VERSION = "0.2.0"
 _TICK = datetime.timedelta(milliseconds=100)
-_SETTINGS_INTERVAL = datetime.timedelta(seconds=1)
-"""Time between two checks whether the settings file has changed."""
 
 _READY_TIMEOUT = datetime.timedelta(seconds=3)
 """Time after which a process with a configuration reports ready, even if the
 state of some groups is unknown."""
 
-
 _REREAD_ATTEMPTS = 5
 """Number of times that the configuration is read again, until it is as new as
 another proxy's."""
@@ -75,15 +74,6 @@
     return min(settings.max_descriptors or soft_limit, soft_limit)
 
 
-def _file_version(path: pathlib.Path) -> tuple[int, int] | None:
-    """Returns the modification time and size of a file; None if absent."""
-    try:
-        found = path.stat()
-    except OSError:
-        return None
-    return (found.st_mtime_ns, found.st_size)
-
-
 class Process:
     """A proxy process: its listeners, database pools and store client."""
 
@@ -150,6 +140,9 @@
         self._statements = statement_server.StatementServer(
             settings.name, self._env, self._note_version
         )
+        self._draining = draining.Draining(
+            self._env, self._line_server, self._statements
+        )
         self._configuration_sink = store_sinks.ConfigurationSink(
             self._registry, self._journal
         )
@@ -352,7 +345,9 @@
         self._registry.start()
         self._background.keep(self._registration.run)
         self._background.keep(self._expire_callers)
-        self._background.keep(self._watch_settings)
+        self._background.keep(
+            lambda: settings_file.watch(self._path, self._clock, self.reload)
+        )
         self._background.keep(self._tick_limits)
 
     async def _renew_databases(self) -> bool:
@@ -365,16 +360,6 @@
         )
         return True
 
-    async def _watch_settings(self) -> None:
-        """Reloads the settings when the file changes without a signal."""
-        known = _file_version(self._path)
-        while True:
-            await self._clock.sleep(_SETTINGS_INTERVAL)
-            found = _file_version(self._path)
-            if found != known:
-                known = found
-                self.reload()
-
     async def _expire_callers(self) -> None:
         while True:
             await self._clock.sleep(5 * _TICK)
@@ -392,36 +377,9 @@
     async def _drain(self, shutdown: shutdowns.ShutdownSchedule) -> None:
         """Closes sessions according to the schedule of the shutdown."""
         self._background.start(self._registration.deregister())
-        notice = self._env.shutdown
-        notice.answer_by = shutdown.answer_by
         self._rights.leave()
-        self._statements.leave()
-        closed = 0
-        while True:
-            ending = shutdown.at(self._clock.now())
-            notice.refuses_sessions = ending.refuse_sessions
-            quiet = [c for c in self._line_server.callers if c.is_idle]
-            if ending.close_share > 0:
-                self._line_server.close_when_idle()
-            due = int(ending.close_share * (closed + len(quiet))) - closed
-            for caller in quiet[: max(due, 0)]:
-                caller.close()
-                closed += 1
-            if ending.abort_transactions:
-                self._drop_transactions()
-            idle = not (self._line_server.callers or self._statements.busy)
-            drained = ending.close_share >= 1 and idle
-            if ending.exit or drained:
-                self._line_server.stop_listening()
-                self._finished.set()
-                return
-            await self._clock.sleep(_TICK / 2)
-
-    def _drop_transactions(self) -> None:
-        self._statements.abort_idle_transactions()
-        for caller in self._line_server.callers:
-            if caller.session is not None and not caller.is_processing:
-                caller.session.abort_open_transaction()
+        await self._draining.run(shutdown)
+        self._finished.set()
 
     def _render_metrics(self) -> bytes:
         return proxy_metrics.render(
