--- a/hickorygate/platform/object_client.py
+++ b/hickorygate/platform/object_client.py
@@ -10,6 +10,7 @@
 import enum
 import re
 from typing import Any
+import urllib.parse
 
 import aiohttp
 import expression
@@ -42,6 +43,10 @@
 
 _SERVER_ERRORS = 500
 
+_CONTROL = re.compile(r"[\x00-\x1f\x7f]")
+_DIRECTORIES = ("", ".", "..")
+"""Names that no path can contain: each form of them changes the path."""
+
 _OUTDATED_QUERY = {"serializable": "1"}
 """Query parameter of a read that may miss the changes of the last seconds."""
 
@@ -258,7 +263,7 @@
         every_page = _OUTDATED_QUERY if may_be_outdated else {}
         query = dict(every_page)
         while True:
-            answered = await self._get(f"/-/objects/{kind}", query)
+            answered = await self._get(kind, f"/-/objects/{kind}", query)
             page = answered.bind(HttpResponse.success_body).bind(_decode_page)
             if page.is_error():
                 return expression.Error(page.error)
@@ -295,7 +300,7 @@
         milliseconds = int(wait.total_seconds() * 1_000)
         query = {"watch": str(revision), "wait_ms": str(milliseconds)}
         query |= _OUTDATED_QUERY if may_be_outdated else {}
-        answered = await self._get(f"/-/objects/{kind}", query, wait)
+        answered = await self._get(kind, f"/-/objects/{kind}", query, wait)
         if answered.is_ok() and answered.ok.status == _Status.GONE:
             return expression.Error(list_watch.HistoryLost(revision))
         decoded = answered.bind(HttpResponse.success_body).bind(_decode_events)
@@ -322,10 +327,12 @@
         self, key: objects.Key
     ) -> expression.Result[ObjectReading, errors.Failure]:
         """Returns an object, if it exists, and the era of the response."""
-        answered = await self._get(_path(key), {})
+        if key.name in _DIRECTORIES:
+            return expression.Error(_unusable(key))
+        answered = await self._get(key.kind, _path(key), {})
         if answered.is_ok() and answered.ok.status == _Status.NOT_FOUND:
             return expression.Ok(ObjectReading(None, answered.ok.era))
-        return answered.bind(_decode_reading)
+        return answered.bind(lambda found: _decode_reading(found, key))
 
     async def store(
         self, key: objects.Key, value: object, expected: int | None
@@ -348,6 +355,8 @@
         self, key: objects.Key, value: object, expected: int | None
     ) -> expression.Result[ObjectReading, errors.Failure]:
         """Does what `store` does, and also returns the era of the response."""
+        if key.name in _DIRECTORIES:
+            return expression.Error(_unusable(key))
         meta: dict[str, object] = {"name": key.name}
         if expected:
             meta["revision"] = expected
@@ -358,22 +367,27 @@
             if creates
             else self._object_url(key),
             {"meta": meta, "spec": value},
+            subject=key.kind,
         )
         if answered.is_error():
             return expression.Error(answered.error)
         match answered.ok.status:
             case _Status.CONFLICT:
-                found = _decode_object(answered.ok.body)
+                found = _decode_object(answered.ok.body, key)
                 return found.bind(lambda other: _conflict(key, expected, other))
             case _Status.NOT_FOUND:
                 return _conflict(key, expected, None)
-        return _decode_reading(answered.ok)
+        return _decode_reading(answered.ok, key)
 
     async def delete(
         self, key: objects.Key
     ) -> expression.Result[None, errors.Failure]:
         """Deletes an object."""
-        answered = await self.call("DELETE", self._object_url(key), None)
+        if key.name in _DIRECTORIES:
+            return expression.Error(_unusable(key))
+        answered = await self.call(
+            "DELETE", self._object_url(key), None, subject=key.kind
+        )
         return answered.bind(HttpResponse.success_body).map(lambda _: None)
 
     async def list_instances(
@@ -408,6 +422,7 @@
         query: dict[str, str] | None = None,
         wait: datetime.timedelta = datetime.timedelta(),
         may_send: Callable[[], bool] = _always,
+        subject: str = "",
     ) -> HttpResult:
         """Makes one call; a time-out aborts its connection.
 
@@ -421,17 +436,22 @@
             time-out.
           may_send: checked after connecting, right before the body is sent;
             False withholds the body.
+          subject: what the call is about; a connection serves the calls on one
+            subject. Empty for a connection that serves this call alone.
         """
         self._calls += 1
         limit = (self._timeout + wait).total_seconds()
         fields = dict(headers or {})
+        if any(map(_CONTROL.search, fields.values())):
+            failed = errors.StoreUnavailable("a header isn't one line", False)
+            return expression.Error(failed)
         request_body = None if body is None else _Body(body, may_send)
         if request_body is not None:
             fields["Content-Type"] = "application/json"
             fields["Content-Length"] = str(request_body.size)
         try:
             async with (
-                self._connections.session() as session,
+                self._connections.session(subject) as session,
                 asyncio.timeout(limit),
                 session.request(
                     method,
@@ -439,6 +459,7 @@
                     params=query,
                     data=None if request_body is None else request_body.once(),
                     headers=fields,
+                    allow_redirects=False,
                 ) as response,
             ):
                 content = await response.read()
@@ -447,7 +468,10 @@
                 return expression.Ok(
                     HttpResponse(response.status, content, era)
                 )
-        except aiohttp.ClientConnectorError as error:
+        except (
+            aiohttp.ClientConnectorError,
+            http_connections.UnaskedData,
+        ) as error:
             return expression.Error(errors.StoreUnavailable(str(error), False))
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             reason = str(error) or type(error).__name__
@@ -456,11 +480,19 @@
 
     async def _get(
         self,
+        kind: str,
         path: str,
         query: dict[str, str],
         wait: datetime.timedelta = datetime.timedelta(),
     ) -> HttpResult:
-        return await self.call("GET", self._url + path, None, {}, query, wait)
+        return await self.call(
+            "GET",
+            self._url + path,
+            None,
+            query=query,
+            wait=wait,
+            subject=kind,
+        )
 
     def _note_era(self, era: int) -> None:
         if era > self._era:
@@ -472,7 +504,15 @@
 
 
 def _path(key: objects.Key) -> str:
-    return f"/-/objects/{key.kind}/{key.name}"
+    """Returns the path of an object, whose name is one part of it."""
+    name = urllib.parse.quote(key.name, safe="", errors="surrogatepass")
+    return f"/-/objects/{key.kind}/{name}"
+
+
+def _unusable(key: objects.Key) -> errors.StoreUnavailable:
+    return errors.StoreUnavailable(
+        f"no object can be named {key.name!r}", False
+    )
 
 
 def _decode_era(text: str) -> int:
@@ -499,15 +539,29 @@
 
 
 def _decode_object(
-    body: bytes,
+    body: bytes, key: objects.Key
+) -> expression.Result[list_watch.StoredObject, errors.Failure]:
+    """Returns the object in a body; fails if it isn't the one of the call."""
+    return _decode(_Object, body).bind(
+        lambda found: _named(key, found.stored())
+    )
+
+
+def _named(
+    key: objects.Key, found: list_watch.StoredObject
 ) -> expression.Result[list_watch.StoredObject, errors.Failure]:
-    return _decode(_Object, body).map(lambda found: found.stored())
+    if found.name == key.name:
+        return expression.Ok(found)
+    reason = f"the answer is about {found.name!r}, not {key.name!r}"
+    return expression.Error(errors.StoreUnavailable(reason, True))
 
 
 def _decode_reading(
-    answered: HttpResponse,
+    answered: HttpResponse, key: objects.Key
 ) -> expression.Result[ObjectReading, errors.Failure]:
-    decoded = answered.success_body().bind(_decode_object)
+    decoded = answered.success_body().bind(
+        lambda body: _decode_object(body, key)
+    )
     return decoded.map(lambda found: ObjectReading(found, answered.era))
 
 
