Move the sending side of a caller's connection out

CallerConnection mixed what it answers with the account of what isn't sent. The account, the pause of the transport and the write are AnswerWriter now.

--- a/hickorygate/platform/caller_connection.py
+++ b/hickorygate/platform/caller_connection.py
@@ -19,6 +19,7 @@
 from hickorygate.core import progress_watch
 from hickorygate.core import reply as replies
 from hickorygate.core import workspace as workspaces
+from hickorygate.platform import answer_writer
 from hickorygate.platform import line_protocol
 from hickorygate.platform import sockets
 
@@ -41,9 +42,6 @@
 _LONGEST_PAUSE = datetime.timedelta(seconds=1)
 """Longest time between two pipelined messages after a rejection."""
 
-_WRITE_BUFFER = memory_budget.SMALL
-"""Number of unsent bytes from which on no further message is answered."""
-
 
 class ConnectionOwner(Protocol):
     """The listener that a connection belongs to."""
@@ -95,8 +93,7 @@
         self._work: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
         self._session: caller_session.CallerSession | None = None
-        self._writable = asyncio.Event()
-        self._writable.set()
+        self._writer = answer_writer.AnswerWriter()
         self._turn: asyncio.Event | None = None
         self._closing = False
         self._closes_when_quiet = False
@@ -104,8 +101,6 @@
         self._closing_since: datetime.datetime | None = None
         self._received = 0
         self._messages = 0
-        self._written = 0
-        self._last_answer = 0
         self._pause = _NO_PAUSE
         self._incomplete_watch = progress_watch.ProgressWatch(
             env.fleet.message_idle
@@ -155,7 +150,7 @@
             now - self._connected_at >= _SESSION_TIMEOUT
         ):
             self._give_up_message(memory_budget.Cause.NO_SESSION)
-        elif self._unread_watch.is_stalled(now, *self._unread_answers()):
+        elif self._unread_watch.is_stalled(now, *self._writer.progress):
             self._owner.record_closed(memory_budget.Cause.UNREAD)
             self.abort()
         elif self._incomplete_watch.is_stalled(
@@ -168,13 +163,13 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Stores the transport; called by the event loop."""
         self._transport = cast(asyncio.Transport, transport)
-        self._transport.set_write_buffer_limits(high=_WRITE_BUFFER)
+        self._writer.attach(self._transport)
         sockets.enable_dead_peer_detection(transport.get_extra_info("socket"))
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancels the work and ends the session; called by the event loop."""
         self._closing = True
-        self._writable.set()
+        self._writer.resume()
         self._buffer.clear()
         if self.is_processing:
             assert self._work is not None, (
@@ -188,11 +183,11 @@
 
     def pause_writing(self) -> None:
         """Pauses replies; called by the event loop on backpressure."""
-        self._writable.clear()
+        self._writer.pause()
 
     def resume_writing(self) -> None:
         """Resumes replies; called by the event loop."""
-        self._writable.set()
+        self._writer.resume()
         self._update_holding()
 
     def data_received(self, data: bytes) -> None:
@@ -290,11 +285,11 @@
         self._session = caller_session.CallerSession(
             name, self._env, admitted.ok, credential
         )
-        self._write(b"READY I -\r\n")
+        self._writer.write(b"READY I -\r\n")
 
     def refuse(self, reason: replies.RejectionReason, detail: str) -> None:
         """Sends an error and closes the connection."""
-        self._write(
+        self._writer.write(
             line_protocol.encode_error(replies.Rejection(reason, detail))
         )
         self.close()
@@ -317,7 +312,7 @@
         reply = await self._session.perform(query.id, query.operation)
         if reply.result.is_error():
             self._pause = _pause_after(reply.result.error)
-        self._write(line_protocol.encode_reply(reply))
+        self._writer.write(line_protocol.encode_reply(reply))
         if self._session.is_revoked and (
             was_revoked or not self._buffer.has_line
         ):
@@ -332,7 +327,7 @@
             self.refuse(failure.reason, failure.detail)
             return
         reply = self._session.reply(expression.Error(failure))
-        self._write(line_protocol.encode_reply(reply))
+        self._writer.write(line_protocol.encode_reply(reply))
 
     def _close_on_error(self, work: asyncio.Task[None]) -> None:
         """Closes the connection if its task raised an exception.
@@ -373,7 +368,7 @@
             finally:
                 self._owner.apply(self._budget.finish(self._holding))
             self._update_holding(processing=self._buffer.has_line)
-            await self._writable.wait()
+            await self._writer.wait()
             if self._buffer.has_line:
                 await self._let_others_run()
             if self._closes_when_quiet and self._may_close():
@@ -412,31 +407,6 @@
             self._session.idle and not self._buffer.has_line
         )
 
-    def _write(self, data: bytes) -> None:
-        if self._transport is not None and not self._transport.is_closing():
-            self._written += len(data)
-            self._last_answer = len(data)
-            self._transport.write(data)
-
-    def _unsent(self) -> int:
-        """Returns the number of bytes that unsent answers occupy.
-
-        The transport keeps an answer until all of it is sent.
-        """
-        left = self._write_buffer()
-        return max(left, self._last_answer) if left else 0
-
-    def _write_buffer(self) -> int:
-        """Returns the number of written bytes that aren't sent."""
-        if self._transport is None:
-            return 0
-        return self._transport.get_write_buffer_size()
-
-    def _unread_answers(self) -> tuple[int, int]:
-        """Returns 0 if answers are unsent, else -1, and the bytes sent."""
-        left = self._write_buffer()
-        return (0 if left else -1), self._written - left
-
     def _incomplete_message(self) -> int:
         """Returns the number of the incomplete message; -1 for none.
 
@@ -452,7 +422,7 @@
             self._budget.hold(
                 self._holding,
                 self._buffer.size,
-                self._unsent(),
+                self._writer.unsent,
                 processing or self._buffer.has_line,
             )
         )
