Let two tests of callers fail fast instead of waiting for ever

On the former framing they waited for the end of a connection that stayed open, so a module with the fault gave no verdict. They read the first line, compare it as before, then expect the end of the connection, as before.

--- a/hickorygate/tests/test_caller_connection.py
+++ b/hickorygate/tests/test_caller_connection.py
@@ -141,10 +141,11 @@
         self.assertEqual(len(self.server.callers), 1)
         self.expire_in(5)
         self.assertEqual(
-            await reader.read(),
+            await reader.readuntil(b"\r\n"),
             b"ERROR MALFORMED no session was opened in time; "
             b"CR LF ends a message\r\n",
         )
+        self.assertEqual(await reader.read(), b"")
         self.assertEqual(
             self.causes(platform_events.CallersClosed),
             ["no session was opened in time"],
@@ -159,8 +160,10 @@
         await reader.readuntil(b"\r\n")
         writer.write(b"QUERY 1 WRITE x y\n" * (_MIB // 18 + 1))
         self.assertEqual(
-            await reader.read(), b"ERROR OVERSIZE a message may have 1 MiB\r\n"
+            await reader.readuntil(b"\r\n"),
+            b"ERROR OVERSIZE a message may have 1 MiB\r\n",
         )
+        self.assertEqual(await reader.read(), b"")
         self.assertEqual(self.cluster.group.primary.ran, [])
 
     # Guards against a limit that depends on how the bytes arrive.
