--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -31,6 +31,7 @@
     "MemberLeaving",
     "MemberListed",
     "MemberUnlisted",
+    "MessagesRejected",
     "ObjectsListed",
     "PromotionOrdered",
     "ReadDiscarded",
@@ -68,6 +69,8 @@
       floor_age: age of the floor when the answer was sent.
       tries: number of attempts that were made at a database.
       took: time from the arrival of the request to its answer.
+      signature: signature of the answer that was passed on; empty if it has
+        none.
     """
 
     request: str
@@ -81,6 +84,7 @@
     floor_age: datetime.timedelta | None
     tries: int
     took: datetime.timedelta
+    signature: bytes = b""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -555,3 +559,19 @@
 
     cause: str
     count: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MessagesRejected(events.Event):
+    """Messages of callers were not understood and answered with an error.
+
+    The event is recorded for the first one of a cause within 10 s. In a session
+    it may be the rest of a message that ended too early.
+
+    Attributes:
+      cause: whether the caller had a session.
+      count: number of rejected messages since the last event of this cause.
+    """
+
+    cause: str
+    count: int
--- a/hickorygate/operators/proxy_metrics.py
+++ b/hickorygate/operators/proxy_metrics.py
@@ -7,6 +7,8 @@
 from collections.abc import Iterator
 from collections.abc import Mapping
 import datetime
+import functools
+from typing import TypeVar
 
 import aioprometheus
 from aioprometheus import histogram
@@ -16,6 +18,9 @@
 from hickorygate.core import events
 from hickorygate.core import memory_budget
 from hickorygate.core import platform_events
+from hickorygate.operators import answer_faults
+from hickorygate.operators import caller_usage
+from hickorygate.operators import escapes
 from hickorygate.operators import serving_metrics
 from hickorygate.proxies import serving_links
 from hickorygate.proxies import statement_server
@@ -28,6 +33,7 @@
 
 _SECOND = datetime.timedelta(seconds=1)
 _Sample = tuple[dict[str, str], float | histogram.Histogram]
+_Cause = TypeVar("_Cause", memory_budget.Cause, caller_usage.MessageCause)
 
 
 class EventStatistics:
@@ -41,6 +47,9 @@
         self._served: collections.Counter[str] = collections.Counter()
         self._forwarded: collections.Counter[str] = collections.Counter()
         self._events: collections.Counter[str] = collections.Counter()
+        self._discarded: collections.Counter[answer_faults.AnswerFault] = (
+            collections.Counter()
+        )
 
     @property
     def outcomes(self) -> collections.Counter[tuple[str, str]]:
@@ -67,21 +76,46 @@
         """Number of events by class name."""
         return self._events
 
+    @property
+    def discarded(self) -> collections.Counter[answer_faults.AnswerFault]:
+        """Number of discarded answers of databases, by fault."""
+        return self._discarded
+
     def __repr__(self) -> str:
         return f"EventStatistics(requests={self._outcomes.total()})"
 
     def record(self, event: events.Event) -> None:
         """Adds an event to the sums."""
         self._events[type(event).__name__] += 1
-        if isinstance(event, platform_events.StatementForwarded):
-            self._forwarded[event.outcome] += 1
-        if not isinstance(event, platform_events.RequestEnded):
-            return
-        self._outcomes[event.kind, event.outcome] += 1
-        self._served[event.served_by] += 1
-        if event.kind not in self._latency:
-            self._latency[event.kind] = histogram.Histogram(*_BUCKETS)
-        self._latency[event.kind].observe(event.took / _SECOND)
+        _add(event, self)
+
+
+@functools.singledispatch
+def _add(event: events.Event, statistics: EventStatistics) -> None:
+    """Adds what an event says beyond its kind to the sums."""
+
+
+@_add.register
+def _(
+    event: platform_events.AnswerDiscarded, statistics: EventStatistics
+) -> None:
+    statistics.discarded[answer_faults.classify(event.reason)] += 1
+
+
+@_add.register
+def _(
+    event: platform_events.StatementForwarded, statistics: EventStatistics
+) -> None:
+    statistics.forwarded[event.outcome] += 1
+
+
+@_add.register
+def _(event: platform_events.RequestEnded, statistics: EventStatistics) -> None:
+    statistics.outcomes[event.kind, event.outcome] += 1
+    statistics.served[event.served_by] += 1
+    if event.kind not in statistics.latency:
+        statistics.latency[event.kind] = histogram.Histogram(*_BUCKETS)
+    statistics.latency[event.kind].observe(event.took / _SECOND)
 
 
 def render(
@@ -92,7 +126,7 @@
     links: serving_links.ServingLinks,
     server: statement_server.StatementServer,
     limits: workspace_limits.WorkspaceLimits,
-    usage: memory_budget.BufferUsage | None = None,
+    usage: caller_usage.CallerUsage | None = None,
 ) -> bytes:
     """Renders all metrics in Prometheus text format.
 
@@ -104,9 +138,10 @@
       links: links to serving proxies.
       server: listener for other proxies.
       limits: rate limits of the workspaces.
-      usage: what the callers' connections occupy; None for nothing.
+      usage: what the callers occupy, and their rejected messages; None for
+        nothing.
     """
-    usage = usage or memory_budget.BufferUsage()
+    usage = usage or caller_usage.CallerUsage()
     registry = aioprometheus.Registry()
 
     def show(
@@ -117,7 +152,7 @@
     ) -> None:
         collector = kind(f"hickorygate_{name}", text, registry=registry)
         for labels, value in samples:
-            collector.set_value(labels, value)
+            collector.set_value(escapes.label_values(labels), value)
 
     show(
         aioprometheus.Counter,
@@ -149,6 +184,15 @@
         "Events by kind.",
         (({"kind": k}, float(count)) for k, count in statistics.events.items()),
     )
+    show(
+        aioprometheus.Counter,
+        "answers_discarded_total",
+        "Answers of databases that fit no open request, by what was wrong.",
+        (
+            ({"reason": fault.value}, float(count))
+            for fault, count in statistics.discarded.items()
+        ),
+    )
     show(
         aioprometheus.Gauge,
         "connections",
@@ -236,6 +280,12 @@
         "Connections that were closed because of a limit, by cause.",
         _by_cause(usage.closed),
     )
+    show(
+        aioprometheus.Counter,
+        "messages_rejected_total",
+        "Messages of callers that were not understood, by cause.",
+        _by_cause(usage.messages),
+    )
     show(
         aioprometheus.Counter,
         "store_calls_total",
@@ -274,7 +324,7 @@
 
 
 def _by_cause(
-    counts: Mapping[memory_budget.Cause, int],
+    counts: Mapping[_Cause, int],
 ) -> Iterator[_Sample]:
     for cause, count in counts.items():
         yield {"cause": cause.name.lower()}, float(count)
