Let the soak send odd bytes, and its databases answer twice

Each seed now draws a time in which callers put line feeds and other odd bytes into fields of all kinds, and one in which a service's databases send 5% of their answers twice, late. Callers check the signature and the rows of each answer against what the database sent, and that nothing arrives between an answer and the next request; the audit compares what databases ran with what was sent. `--only` restricts a run to some kinds of faults.

--- a/hickorygate/testing/line_group.py
+++ b/hickorygate/testing/line_group.py
@@ -91,6 +91,8 @@
         requests ran, by its id.
       prepared_of_runs: kind and shape of the prepared statement that each
         `EXECUTE` of these requests ran, by its id.
+      rows_of_runs: row with which each of these requests was answered, by its
+        id, if there was one.
       leaving: whether the database is announced as about to stop.
       last_ran: event loop time, in seconds, of the newest request in `ran`;
         None if there is none.
@@ -108,6 +110,7 @@
         self.values_of_runs: dict[str, dict[str, str]] = {}
         self.workspaces_of_runs: dict[str, str] = {}
         self.prepared_of_runs: dict[str, tuple[str, str]] = {}
+        self.rows_of_runs: dict[str, str] = {}
         self.leaving = False
         self.last_ran: float | None = None
         self.overlap_started: float | None = None
--- a/hickorygate/testing/line_session.py
+++ b/hickorygate/testing/line_session.py
@@ -209,7 +209,9 @@
         if writes:
             await self._write(request, (words[1], " ".join(words[2:])))
         else:
-            self._send(f"ROW {self._value_of(words[1])}")
+            row = self._value_of(words[1])
+            self._database.rows_of_runs[request] = row
+            self._send(f"ROW {row}")
             self._send_complete(request)
 
     def _record_run(self, request: str, text: str) -> None:
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -43,6 +43,9 @@
 _FOLDER = flags.DEFINE_string(
     "folder", "", "Folder for the logs of failed runs."
 )
+_ONLY = flags.DEFINE_list(
+    "only", [], "Kinds of the faults that are injected; all if empty."
+)
 _ONE = flags.DEFINE_boolean("one", False, "Runs the seeds in this process.")
 
 
@@ -75,7 +78,7 @@
       Whether no guarantee was broken.
     """
     folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
-    report = uvloop.run(run.run(seed, _size(), folder))
+    report = uvloop.run(run.run(seed, _size(), folder, frozenset(_ONLY.value)))
     print(orjson.dumps(dataclasses.asdict(report), default=str).decode())
     if report.violations and _FOLDER.value:
         shutil.copytree(folder, pathlib.Path(_FOLDER.value) / folder.name)
--- a/soak/caller.py
+++ b/soak/caller.py
@@ -6,8 +6,8 @@
 import collections
 import random
 
-from hickorygate.testing import line_group
 from soak import checker
+from soak import odd_text
 from soak import proxy as proxies
 from soak import session as sessions
 from soak import system
@@ -24,6 +24,12 @@
 """Number of items that a caller writes to at a time."""
 
 _VALUES = ("plain", "audit", "night")
+_FORWARDED = ("READ", "WRITE", "EXECUTE", "COMMIT")
+"""Statements that a database must answer."""
+
+_ODD_SHARE = 0.3
+"""Share of the fields with odd bytes while callers send any."""
+
 _CHANGE_SHARE = 0.3
 """Share of the statements before which a session value is set."""
 
@@ -54,6 +60,7 @@
         # Of its own, so that the other choices are those of a seed's runs
         # before session values were played.
         self._value_rng = random.Random(f"values of caller {number}")
+        self._text_rng = random.Random(f"odd texts of caller {number}")
         self._service = number % len(tested_system.groups)
         self._items = [self._new_item() for _ in range(_ITEMS)]
         self._versions: collections.Counter[str] = collections.Counter()
@@ -69,6 +76,12 @@
             proxy = self._rng.choice(self._tested_system.proxies)
             try:
                 await self._run_session(proxy, kind)
+            except sessions.UnaskedAnswer as error:
+                self.outcomes["unasked answer"] += 1
+                self._consistency_checker.record_violation(
+                    checker.Guarantee.MATCHED_ANSWER,
+                    f"{error} came while no request was outstanding",
+                )
             except sessions.SessionEnded:
                 self.outcomes["connection ended"] += 1
             except _SessionAbandoned:
@@ -102,7 +115,10 @@
         """Opens a session and clears the record of its own commits."""
         self._own = {}
         return await sessions.Session.open(
-            proxy.host, proxy.callers.port, f"{kind}-{self._service}"
+            proxy.host,
+            proxy.callers.port,
+            f"{kind}-{self._service}",
+            self._odd_field("soak"),
         )
 
     async def _run_session(self, proxy: proxies.Proxy, kind: str) -> None:
@@ -138,16 +154,16 @@
         """
         if self._value_rng.random() >= _CHANGE_SHARE:
             return
-        value = self._value_rng.choice(_VALUES)
-        if not (await session.set_value("mode", value)).succeeded:
+        value = self._odd_rest(self._value_rng.choice(_VALUES))
+        name = self._odd_field("mode")
+        if not (await session.set_value(name, value)).succeeded:
             raise _SessionAbandoned
 
     async def _read(
         self, session: sessions.Session, kind: str, item: str
     ) -> bool:
         sent = self._now()
-        answer = await session.query(f"READ {item}")
-        self._check_answer(session, answer)
+        answer = await self._query(session, f"READ {item}")
         self._check_read(answer, kind, item, sent)
         return answer.succeeded
 
@@ -159,29 +175,29 @@
         The other callers prepare other statements under the same name.
         """
         item = self._any_item()
-        self._check_answer(
-            session,
-            await session.query(f"PREPARE s1 READ shape{self._number}"),
-        )
+        name = self._odd_field("s1")
+        shape = self._odd_rest(f"shape{self._number}")
+        prepared = await self._query(session, f"PREPARE {name} READ {shape}")
         sent = self._now()
-        answer = await session.query(f"EXECUTE s1 {item}")
-        self._check_answer(session, answer)
+        answer = await self._query(session, f"EXECUTE {name} {item}")
         self._check_read(answer, kind, item, sent)
+        if prepared.succeeded and answer.succeeded:
+            self._check_shape(answer.request, shape)
 
     async def _write(self, session: sessions.Session, item: str) -> bool:
         write = self._new_write(item)
-        text = f"WRITE {item} {write.versions[item]}"
+        text = f"WRITE {item} {self._odd_rest(str(write.versions[item]))}"
         answer = await self._commit(session, write, text)
         return answer.succeeded
 
     async def _transact(self, session: sessions.Session) -> None:
         """Writes two items in a transaction, which may be abandoned."""
-        self._check_answer(session, await session.query("BEGIN"))
+        await self._query(session, "BEGIN")
         write = self._new_write(*self._rng.sample(self._items, 2))
         for item, version in write.versions.items():
             await self._vary_value(session)
-            answer = await session.query(f"WRITE {item} {version}")
-            self._check_answer(session, answer)
+            data = self._odd_rest(str(version))
+            answer = await self._query(session, f"WRITE {item} {data}")
             if not answer.succeeded:
                 await session.query("ROLLBACK")
                 return
@@ -189,7 +205,7 @@
         if self._rng.random() < 0.1:
             raise _SessionAbandoned
         if self._rng.random() < 0.2:
-            self._check_answer(session, await session.query("ROLLBACK"))
+            await self._query(session, "ROLLBACK")
             return
         await self._commit(session, write, "COMMIT")
 
@@ -202,11 +218,10 @@
         """Sends the statement that commits a write and records the outcome."""
         self._consistency_checker.record_sent(write)
         try:
-            answer = await session.query(text, write.request)
+            answer = await self._query(session, text, write.request)
         except sessions.SessionEnded:
             self._replace_items(write)
             raise
-        self._check_answer(session, answer)
         if answer.succeeded:
             self._consistency_checker.record_acknowledged(write, self._now())
             self._own.update(write.versions)
@@ -220,12 +235,14 @@
     ) -> None:
         if not answer.succeeded:
             return
+        if len(answer.rows) != 1:
+            return
         (row,) = answer.rows
         self._consistency_checker.read(
             checker.ObservedRead(
                 request=answer.request,
                 item=item,
-                version=0 if row == "-" else int(row),
+                version=0 if row == "-" else checker.version_of(row),
                 sent=sent,
                 staleness=(
                     0.0 if kind == "primary" else system.STALENESS_SECONDS
@@ -234,27 +251,61 @@
             )
         )
 
-    def _check_answer(
-        self, session: sessions.Session, answer: sessions.Answer
-    ) -> None:
-        """Counts the outcome and checks the signature of a successful answer.
+    async def _query(
+        self, session: sessions.Session, text: str, request: str = ""
+    ) -> sessions.Answer:
+        """Sends a statement and checks its answer.
 
-        The session values with which the request ran are checked too, whatever
-        the answer.
+        Raises:
+          SessionEnded: the connection ends before the answer is complete.
+        """
+        name = request or self._next_request()
+        self._consistency_checker.record_text(name, text)
+        answer = await session.query(text, name)
+        self.outcomes[answer.code or "done"] += 1
+        if answer.succeeded:
+            self._check_success(text, answer)
+        self._check_values(session, answer)
+        return answer
+
+    def _check_success(self, text: str, answer: sessions.Answer) -> None:
+        """Checks the signature and the rows of an answer.
 
         The signature proves that a database of the service ran this request.
         Answers of the proxy itself carry none.
         """
-        self.outcomes[answer.code or "done"] += 1
-        signers = self._tested_system.signers[self._service]
-        proofs = {
-            line_group.execution_digest(s, answer.request) for s in signers
-        }
-        if answer.succeeded and answer.signature not in {"-", *proofs}:
+        expected = [("-", ())]
+        if text.partition(" ")[0] in _FORWARDED:
+            expected = [
+                (
+                    database.execution_digest(answer.request),
+                    _rows(database.rows_of_runs.get(answer.request)),
+                )
+                for database in self._tested_system.databases_ever(
+                    self._service
+                )
+            ]
+        if (answer.signature, answer.rows) not in expected:
             self._consistency_checker.record_violation(
                 checker.Guarantee.MATCHED_ANSWER,
-                f"{answer.request} was answered with {answer.signature}",
+                f"{answer.request!r} ({text!r}) was answered with "
+                f"{answer.signature!r} and {answer.rows!r}",
             )
+
+    def _check_shape(self, request: str, shape: str) -> None:
+        """Checks the shape that databases ran under a prepared name."""
+        for database in self._tested_system.databases_ever(self._service):
+            ran = database.prepared_of_runs.get(request, ("READ", shape))
+            if ran != ("READ", shape):
+                self._consistency_checker.record_violation(
+                    checker.Guarantee.UNCHANGED,
+                    f"{request!r} ran {ran!r}, prepared as {shape!r}",
+                )
+
+    def _check_values(
+        self, session: sessions.Session, answer: sessions.Answer
+    ) -> None:
+        """Checks the session values with which a request ran."""
         group = self._tested_system.groups[self._service]
         for database in group.databases.values():
             ran_with = database.values_of_runs.get(answer.request)
@@ -267,7 +318,7 @@
         for item in items:
             self._versions[item] += 1
         versions = {item: self._versions[item] for item in items}
-        return checker.SentWrite(sessions.Session.next_request(), versions)
+        return checker.SentWrite(self._next_request(), versions)
 
     def _replace_items(self, write: checker.SentWrite) -> None:
         """Replaces the items of a failed write by new ones.
@@ -281,10 +332,27 @@
         ]
 
     def _new_item(self) -> str:
-        name = f"{self._number}.{sessions.Session.next_request()}"
+        name = self._odd_field(
+            f"{self._number}.{sessions.Session.next_request()}"
+        )
         self._tested_system.items[self._service].append(name)
         return name
 
+    def _next_request(self) -> str:
+        return self._odd_field(sessions.Session.next_request())
+
+    def _odd_field(self, text: str) -> str:
+        """Adds odd bytes to some fields while the fault is active."""
+        return odd_text.field(text, self._text_rng) if self._is_odd() else text
+
+    def _odd_rest(self, text: str) -> str:
+        """Adds odd bytes to some last fields while the fault is active."""
+        return odd_text.rest(text, self._text_rng) if self._is_odd() else text
+
+    def _is_odd(self) -> bool:
+        active = self._tested_system.odd_texts > 0
+        return active and self._text_rng.random() < _ODD_SHARE
+
     def _any_item(self) -> str:
         """Returns a random item of the service, of any caller.
 
@@ -302,6 +370,10 @@
         await asyncio.sleep(limit * self._rng.random())
 
 
+def _rows(row: str | None) -> tuple[str, ...]:
+    return () if row is None else (row,)
+
+
 class ConfigurationChecker:
     """A caller that checks that proxies keep the newest configuration.
 
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -11,8 +11,10 @@
 from collections.abc import Mapping
 import dataclasses
 import enum
+import re
 
 from hickorygate.testing import line_log
+from soak import odd_text
 
 __all__ = [
     "Guarantee",
@@ -20,6 +22,7 @@
     "ConsistencyChecker",
     "Violation",
     "SentWrite",
+    "version_of",
 ]
 
 NOT_RUN_CODES = frozenset(
@@ -28,6 +31,17 @@
 """Error codes that guarantee that an attempt had no effect."""
 
 
+_NO_VERSION = -1
+_OWN_NAMES = re.compile(r"EXECUTE [^ ]+ ")
+"""The part of a statement that a proxy may change."""
+
+
+def version_of(data: str) -> int:
+    """Returns the version in an item's data; -1 if no caller wrote it."""
+    version = odd_text.plain(data)
+    return int(version) if version.isdecimal() else _NO_VERSION
+
+
 class Guarantee(enum.Enum):
     """A guarantee that each run must meet."""
 
@@ -35,6 +49,7 @@
     DURABLE = "no acknowledged commit is lost"
     AT_MOST_ONCE = "no write takes effect twice"
     NOT_RUN = "what was refused as not run did not run"
+    UNCHANGED = "databases run what callers sent, and nothing else"
     ATOMIC = "a transaction takes effect whole or not at all"
     MATCHED_ANSWER = "each answer is that to its own request"
     OWN_SESSION = "a statement runs with the values of its own session"
@@ -100,6 +115,7 @@
 
     def __init__(self) -> None:
         self._sent: dict[str, SentWrite] = {}
+        self._texts: dict[str, str] = {}
         self._acknowledged: dict[str, tuple[str, ...]] = {}
         self._refused: dict[str, str] = {}
         self._versions: dict[str, list[tuple[float, int]]] = {}
@@ -119,8 +135,9 @@
         return f"ConsistencyChecker(acknowledged={self.acknowledged})"
 
     def record_violation(self, promise: Guarantee, detail: str) -> None:
-        """Records a broken guarantee."""
-        self._violations.append(Violation(promise, detail))
+        """Records a broken guarantee; the detail may hold odd bytes."""
+        readable = detail.encode("ascii", "backslashreplace").decode()
+        self._violations.append(Violation(promise, readable))
 
     def check_values(
         self,
@@ -141,6 +158,20 @@
                 f"{request} ran with {ran_with} instead of {values}",
             )
 
+    def record_text(self, request: str, text: str) -> None:
+        """Records the text of a statement before it is sent."""
+        self._texts[request] = _OWN_NAMES.sub("EXECUTE ", text)
+
+    def audit_runs(self, runs: Iterable[tuple[str, str]]) -> None:
+        """Checks the ids and texts of the statements that a database ran."""
+        for request, text in runs:
+            sent = self._texts.get(request)
+            if _OWN_NAMES.sub("EXECUTE ", text) != sent:
+                self.record_violation(
+                    Guarantee.UNCHANGED,
+                    f"{request!r} ran as {text!r}, sent as {sent!r}",
+                )
+
     def record_sent(self, write: SentWrite) -> None:
         """Records a write before it is sent."""
         self._sent[write.request] = write
@@ -250,7 +281,7 @@
     def _audit_commit(self, commit: line_log.Commit) -> None:
         sent = self._sent.get(commit.request)
         expected = dict(sent.versions) if sent else {}
-        found = {item: int(data) for item, data in commit.writes}
+        found = {item: version_of(data) for item, data in commit.writes}
         if found != expected:
             self.record_violation(
                 Guarantee.ATOMIC,
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -10,6 +10,7 @@
 
 from hickorygate.testing import line_group
 from hickorygate.testing import relay as relays
+from hickorygate.testing import repeated_answers
 from soak import checker
 from soak import plan
 from soak import proxy as proxies
@@ -293,6 +294,27 @@
     injector.tested_system.put_odd_entry(fault.service)
 
 
+@_inject.register
+async def _(fault: plan.OddText, injector: Injector) -> None:
+    injector.tested_system.odd_texts += 1
+    await asyncio.sleep(fault.lasts.total_seconds())
+    injector.tested_system.odd_texts -= 1
+
+
+@_inject.register
+async def _(fault: plan.RepeatAnswers, injector: Injector) -> None:
+    group = injector.tested_system.groups[fault.service]
+    affected = tuple(group.databases.values())
+    for number, database in enumerate(affected):
+        rng = random.Random(f"copies of {number}")
+        database.faults.repeated_answers = repeated_answers.RepeatedAnswers(
+            share=fault.share, delays=fault.delays, rng=rng
+        )
+    await asyncio.sleep(fault.lasts.total_seconds())
+    for database in affected:
+        database.faults.repeated_answers = None
+
+
 @_inject.register
 async def _(fault: plan.LoseAnswers, injector: Injector) -> None:
     database = _database(injector, fault.service, True)
@@ -400,10 +422,10 @@
     Does nothing if another fault has replaced it already.
     """
     successor = injector.tested_system.new_database_name()
-    injector.tested_system.signers[service].add(successor)
     group = injector.tested_system.groups[service]
     async with injector.starting:
         if database in group.databases.values():
+            injector.tested_system.replaced.append((service, database))
             await group.replace(database.name, successor)
 
 
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -26,10 +26,12 @@
     "MuteDatabase",
     "PauseProxy",
     "OddEntry",
+    "OddText",
     "Peer",
     "RefuseStatements",
     "ReleaseDatabase",
     "ReloadProxy",
+    "RepeatAnswers",
     "ReplacePrimaries",
     "RestartDuringTakeover",
     "RunSize",
@@ -61,6 +63,12 @@
 """Lengths of a short silence: longer than a proxy waits for an answer that
 takes no slot, shorter than it takes for a database to count as lost."""
 
+_REPEATED_SHARE = 0.05
+_REPEAT_DELAYS = tuple(
+    datetime.timedelta(milliseconds=delay) for delay in (0, 5, 20, 100)
+)
+"""Share of the answers that are sent twice, and how late the copies are."""
+
 _STORE_KINDS = (
     object_store.StoreFault.BUSY,
     object_store.StoreFault.TOO_MANY,
@@ -322,6 +330,26 @@
     service: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class OddText(Fault):
+    """Callers send odd bytes in every field of their messages."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RepeatAnswers(Fault):
+    """The databases of a service send some answers a second time, late.
+
+    Attributes:
+      service: index of the service.
+      share: fraction of the answers, 0 to 1.
+      delays: times from an answer to its copy, of which each copy has one.
+    """
+
+    service: int
+    share: float
+    delays: tuple[datetime.timedelta, ...]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LoseAnswers(Fault):
     """A primary runs statements and closes the connection unanswered.
@@ -397,6 +425,7 @@
     faults += _draw_silences(seed, size)
     faults += _draw_takeover_faults(seed, size)
     faults += _draw_order_faults(seed, size)
+    faults += _draw_message_faults(seed, size)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -459,6 +488,22 @@
     ]
 
 
+def _draw_message_faults(seed: int, size: RunSize) -> list[Fault]:
+    """Returns faults of messages and answers, drawn apart from the others."""
+    rng = random.Random(f"messages of {seed}")
+
+    def draw() -> tuple[datetime.timedelta, datetime.timedelta]:
+        at = rng.uniform(0, size.seconds / 2)
+        return _seconds(at), _seconds(rng.uniform(0.3, 0.5) * size.seconds)
+
+    delays = (rng.choice(_REPEAT_DELAYS), rng.choice(_REPEAT_DELAYS))
+    service = _service(rng, size)
+    return [
+        OddText(*draw()),
+        RepeatAnswers(*draw(), service, _REPEATED_SHARE, delays),
+    ]
+
+
 def _repeat(fault: Fault, rng: random.Random) -> list[Fault]:
     pause = _seconds(rng.uniform(0.1, 1.5))
     return [
--- a/soak/run.py
+++ b/soak/run.py
@@ -49,10 +49,18 @@
     """The state of one run."""
 
     def __init__(
-        self, seed: int, size: plan.RunSize, folder: pathlib.Path
+        self,
+        seed: int,
+        size: plan.RunSize,
+        folder: pathlib.Path,
+        only: frozenset[str],
     ) -> None:
         rng = random.Random(seed)
-        self.faults = plan.draw_faults(seed, size)
+        self.faults = tuple(
+            fault
+            for fault in plan.draw_faults(seed, size)
+            if not only or type(fault).__name__ in only
+        )
         self.consistency_checker = checker.ConsistencyChecker()
         self.tested_system = system.SystemUnderTest(size, folder)
         self.callers = [
@@ -146,7 +154,9 @@
 
     def _audit(self) -> None:
         kept: list[str] = []
-        for group in self.tested_system.groups:
+        for number, group in enumerate(self.tested_system.groups):
+            for database in self.tested_system.databases_ever(number):
+                self.consistency_checker.audit_runs(database.ran)
             commits = group.primary.log.commits
             self.consistency_checker.audit(commits)
             kept += [commit.request for commit in commits]
@@ -158,15 +168,21 @@
         )
 
 
-async def run(seed: int, size: plan.RunSize, folder: pathlib.Path) -> Report:
+async def run(
+    seed: int,
+    size: plan.RunSize,
+    folder: pathlib.Path,
+    only: frozenset[str] = frozenset(),
+) -> Report:
     """Runs one seed and returns its report.
 
     Args:
       seed: seed of the faults; timing varies with the machine.
       size: size of the run.
       folder: folder for the settings and logs of the processes.
+      only: kinds of the faults that are injected; empty for all.
     """
-    state = _Run(seed, size, folder)
+    state = _Run(seed, size, folder, only)
     try:
         await state.tested_system.start()
         await state.play()
--- a/soak/session.py
+++ b/soak/session.py
@@ -6,11 +6,15 @@
 import dataclasses
 import itertools
 
-__all__ = ["Answer", "Session", "SessionEnded"]
+__all__ = ["Answer", "Session", "SessionEnded", "UnaskedAnswer"]
 
 _TIMEOUT_SECONDS = 3.0
 """Longest time that a caller waits for a connection or an answer."""
 
+_LINE_END = b"\r\n"
+_DECODE_ERRORS = "surrogateescape"
+"""Decoding error handler; bytes that are not UTF-8 pass through unchanged."""
+
 _request_ids = itertools.count(1)
 
 
@@ -21,6 +25,10 @@
     """
 
 
+class UnaskedAnswer(SessionEnded):
+    """A message arrived while no request was outstanding."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Answer:
     """A complete answer.
@@ -66,7 +74,7 @@
 
     @classmethod
     async def open(
-        cls, host: str, port: int, database: str
+        cls, host: str, port: int, database: str, user: str = "soak"
     ) -> tuple[Session, Answer]:
         """Connects and opens a session with a database name.
 
@@ -79,7 +87,7 @@
         except (OSError, TimeoutError) as error:
             raise SessionEnded(str(error)) from None
         session = cls(*streams)
-        return session, await session._send("", f"CONNECT {database} soak")
+        return session, await session._send("", f"CONNECT {database} {user}")
 
     async def query(self, text: str, request: str = "") -> Answer:
         """Sends a statement and returns its answer.
@@ -118,18 +126,44 @@
         if self._writer.is_closing():
             raise SessionEnded("closed while idle")
         try:
+            await self._check_quiet()
             async with asyncio.timeout(_TIMEOUT_SECONDS):
-                self._writer.write(line.encode() + b"\r\n")
+                data = line.encode(errors=_DECODE_ERRORS) + _LINE_END
+                self._writer.write(data)
                 return await self._receive(request)
         except (OSError, TimeoutError) as error:
             self._writer.transport.abort()
             raise SessionEnded(str(error)) from None
 
+    async def _check_quiet(self) -> None:
+        """Checks that nothing was received since the last answer.
+
+        Raises:
+          UnaskedAnswer: a message was received. An error isn't one: a proxy
+            that closes an idle session may send it.
+        """
+        try:
+            async with asyncio.timeout(0):
+                line = await self._receive_line()
+        except TimeoutError:
+            return
+        if not line or line.startswith("ERROR "):
+            raise SessionEnded(line or "closed while idle")
+        raise UnaskedAnswer(line)
+
+    async def _receive_line(self) -> str:
+        """Returns the next line; an empty one at the end of the connection."""
+        try:
+            data = await self._reader.readuntil(_LINE_END)
+        except asyncio.IncompleteReadError:
+            return ""
+        return data.removesuffix(_LINE_END).decode(errors=_DECODE_ERRORS)
+
     async def _receive(self, request: str) -> Answer:
         rows: list[str] = []
         proof = code = ""
         while True:
-            line = (await self._reader.readline()).decode().rstrip("\r\n")
+            line = await self._receive_line()
             word, _, arguments = line.partition(" ")
             match word:
                 case "ROW":
--- a/soak/system.py
+++ b/soak/system.py
@@ -50,8 +50,8 @@
       store: stand-in for the platform's store.
       items: items that callers write, by index of the service, oldest first.
       added_names: database names that later configurations added, oldest first.
-      signers: names of all databases that ever belonged to the service, by
-        index of the service.
+      replaced: former databases, each with the index of its service.
+      odd_texts: number of active faults that put odd bytes into messages.
     """
 
     def __init__(self, size: plan.RunSize, folder: pathlib.Path) -> None:
@@ -66,13 +66,14 @@
             )
             for number in range(size.services)
         ]
-        self.signers = [set(group.databases) for group in self.groups]
         self.store = object_store.ObjectStore()
         self.proxies = [
             proxies.Proxy(number, folder) for number in range(size.proxies)
         ]
         self.items: list[list[str]] = [[] for _ in self.groups]
         self.added_names: list[str] = []
+        self.replaced: list[tuple[int, line_group.LineDatabase]] = []
+        self.odd_texts = 0
         self._next_orders: dict[str, asyncio.Future[str]] = {}
         self._version = 0
         self._proxies_by_port: dict[int, proxies.Proxy] = {}
@@ -120,6 +121,13 @@
             for database in tuple(group.databases.values()):
                 yield group, database
 
+    def databases_ever(self, service: int) -> Iterator[line_group.LineDatabase]:
+        """Yields each present and former database of a service."""
+        yield from tuple(self.groups[service].databases.values())
+        for index, database in tuple(self.replaced):
+            if index == service:
+                yield database
+
     def change_configuration(self) -> None:
         """Stores a newer configuration.
 
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -9,6 +9,7 @@
 import asyncio
 import datetime
 import pathlib
+import random
 import tempfile
 import unittest
 
@@ -16,9 +17,11 @@
 from hickorygate.testing import line_group
 from hickorygate.testing import line_log
 from soak import checker
+from soak import odd_text
 from soak import plan
 from soak import proxy as proxies
 from soak import run
+from soak import session as sessions
 
 _SEEDS = pathlib.Path(__file__).parent / "seeds.txt"
 _SMALL = plan.RunSize(proxies=3, services=1, callers=8, seconds=4.0)
@@ -126,6 +129,18 @@
         self.consistency_checker.read(_seen(1, staleness=9.0, own_version=2))
         self.assert_broken(checker.Guarantee.FRESH)
 
+    def test_a_statement_must_run_unchanged(self) -> None:
+        for request, text in (("a", "WRITE x 1"), ("b", "EXECUTE s y")):
+            self.consistency_checker.record_text(request, text)
+        self.consistency_checker.audit_runs(
+            [("a", "WRITE x 1"), ("b", "EXECUTE p7 y")]
+        )
+        self.assert_broken()
+        self.consistency_checker.audit_runs(
+            [("a", "WRITE x"), ("b", "EXECUTE s z"), ("c", "WRITE x 1")]
+        )
+        self.assert_broken(*3 * [checker.Guarantee.UNCHANGED])
+
     def test_acknowledged_commits_are_kept(self) -> None:
         self.consistency_checker.record_acknowledged(self.write("a", x=1), 5.0)
         self.consistency_checker.audit_durability(["a"])
@@ -178,6 +193,50 @@
         self.assert_broken(checker.Guarantee.FENCED)
 
 
+class OddTextTest(unittest.TestCase):
+    """Odd bytes end no field, no message, and are told from the text."""
+
+    def test_odd_bytes_end_nothing(self) -> None:
+        rng = random.Random(1)
+        for _ in range(500):
+            field, rest = odd_text.field("7", rng), odd_text.rest("7", rng)
+            self.assertNotIn(" ", field)
+            self.assertNotIn("\r\n", f"{field} {rest}")
+            self.assertEqual({odd_text.plain(t) for t in (field, rest)}, {"7"})
+            self.assertEqual(checker.version_of(rest), 7)
+
+
+class SessionTest(unittest.IsolatedAsyncioTestCase):
+    """A caller notices a message that answers no request of its own."""
+
+    async def open(self, extra: bytes) -> sessions.Session:
+        """Opens a session whose first answer is followed by something else."""
+
+        async def serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            await reader.readuntil(b"\r\n")
+            writer.write(b"READY I -\r\n" + extra)
+
+        server = await asyncio.start_server(serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        session, _ = await sessions.Session.open(host, port, "d")
+        self.addCleanup(session.close)
+        return session
+
+    async def test_an_answer_to_nothing_is_noticed(self) -> None:
+        session = await self.open(b"COMPLETE -\r\nREADY I -\r\n")
+        with self.assertRaises(sessions.UnaskedAnswer):
+            await session.query("READ x")
+
+    async def test_an_error_before_a_close_is_no_answer(self) -> None:
+        session = await self.open(b"ERROR BUSY -\r\n")
+        with self.assertRaises(sessions.SessionEnded) as caught:
+            await session.query("READ x")
+        self.assertNotIsInstance(caught.exception, sessions.UnaskedAnswer)
+
+
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     """A proxy never has two processes.
 
