Name the shape of each request's answer once

The singledispatch functions returned the same checks with other states; they return the shape now, which one function compares.

--- a/hickorygate/upstreams/reply_shape.py
+++ b/hickorygate/upstreams/reply_shape.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import functools
 
 from hickorygate.core import reply as replies
@@ -20,6 +21,31 @@
 _MALFORMED = replies.RejectionReason.MALFORMED
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Shape:
+    """What the answer to a request holds if the request succeeded.
+
+    Attributes:
+      signed: whether it has a signature.
+      has_rows: whether it has rows; None if it may have some.
+      state: transaction state after the request; None for any.
+    """
+
+    signed: bool = False
+    has_rows: bool | None = False
+    state: replies.TransactionState | None = None
+
+
+_SIGNED = _Shape(signed=True, has_rows=None)
+_OPENED = _Shape(state=_IN_TRANSACTION)
+_CLOSED = _Shape(state=_IDLE)
+_UNCHANGED = {state: _Shape(state=state) for state in replies.TransactionState}
+_STATUS = {
+    state: _Shape(has_rows=True, state=state)
+    for state in replies.TransactionState
+}
+
+
 def misfit(
     request: database_request.Request,
     reply: replies.Reply,
@@ -32,11 +58,12 @@
       reply: next reply on the connection.
       before: transaction state before the request.
     """
-    opens_session = isinstance(request, database_request.OpenSession)
     if reply.result.is_ok():
+        opens_session = isinstance(request, database_request.OpenSession)
         if reply.is_greeting != opens_session:
             return "a greeting" if reply.is_greeting else "no greeting"
-        return _answer_misfit(request, reply.result.ok, reply.state, before)
+        answer = reply.result.ok
+        return _answer_misfit(answer, reply.state, _shape(request, before))
     if before is _IDLE and reply.state is not _IDLE:
         return "the error of a transaction"
     if before is _FAILED and _reason(reply) is _MALFORMED:
@@ -45,77 +72,62 @@
     return _error_misfit(request, reply)
 
 
-@functools.singledispatch
 def _answer_misfit(
-    request: database_request.Request,
-    answer: replies.Answer,
-    state: replies.TransactionState,
-    before: replies.TransactionState,
+    answer: replies.Answer, state: replies.TransactionState, shape: _Shape
 ) -> str | None:
-    """Returns why an answer isn't one to a request; None if it may be.
+    """Returns why an answer doesn't have a shape; None if it has."""
+    if bool(answer.signature) is not shape.signed:
+        return "no signature" if shape.signed else "a signature"
+    if shape.has_rows not in (None, bool(answer.rows)):
+        return "no rows" if shape.has_rows else "rows"
+    if shape.state not in (None, state):
+        return "another transaction state"
+    return None
+
+
+@functools.singledispatch
+def _shape(
+    request: database_request.Request, before: replies.TransactionState
+) -> _Shape:
+    """Returns the shape of the answer to a request.
 
     The default is for requests that change session state only.
+
+    Args:
+      request: the request.
+      before: transaction state before it.
     """
-    return _unsigned_misfit(answer, state, before)
+    return _UNCHANGED[before]
 
 
-@_answer_misfit.register(database_request.RunStatement)
-@_answer_misfit.register(database_request.Execute)
+@_shape.register(database_request.RunStatement)
+@_shape.register(database_request.Execute)
 def _(
-    request: database_request.Request,
-    answer: replies.Answer,
-    state: replies.TransactionState,
-    before: replies.TransactionState,
-) -> str | None:
-    return None if answer.signature else "no signature"
+    request: database_request.Request, before: replies.TransactionState
+) -> _Shape:
+    return _SIGNED
 
 
-@_answer_misfit.register(database_request.Begin)
+@_shape.register
 def _(
-    request: database_request.Request,
-    answer: replies.Answer,
-    state: replies.TransactionState,
-    before: replies.TransactionState,
-) -> str | None:
-    return _unsigned_misfit(answer, state, _IN_TRANSACTION)
+    request: database_request.Begin, before: replies.TransactionState
+) -> _Shape:
+    return _OPENED
 
 
-@_answer_misfit.register(database_request.Rollback)
-@_answer_misfit.register(database_request.OpenSession)
+@_shape.register(database_request.Rollback)
+@_shape.register(database_request.OpenSession)
 def _(
-    request: database_request.Request,
-    answer: replies.Answer,
-    state: replies.TransactionState,
-    before: replies.TransactionState,
-) -> str | None:
-    return _unsigned_misfit(answer, state, _IDLE)
+    request: database_request.Request, before: replies.TransactionState
+) -> _Shape:
+    return _CLOSED
 
 
-@_answer_misfit.register(database_request.StatusRequest)
+@_shape.register
 def _(
-    request: database_request.Request,
-    answer: replies.Answer,
-    state: replies.TransactionState,
-    before: replies.TransactionState,
-) -> str | None:
-    if not answer.rows:
-        return "no status"
-    if answer.signature:
-        return "a signature"
-    return None if state is before else "another transaction state"
-
-
-def _unsigned_misfit(
-    answer: replies.Answer,
-    state: replies.TransactionState,
-    expected: replies.TransactionState,
-) -> str | None:
-    """Returns why an answer isn't one without rows and without a signature."""
-    if answer.signature:
-        return "a signature"
-    if answer.rows:
-        return "rows"
-    return None if state is expected else "another transaction state"
+    request: database_request.StatusRequest, before: replies.TransactionState
+) -> _Shape:
+    return _STATUS[before]
 
 
 @functools.singledispatch
