Withhold a signature that came before for the same request id

A reviewer showed that a late copy of an answer still reached another statement with the same request id (COMMIT succeeded with the answer to a WRITE, and the transaction was rolled back), since a copy was only dropped for another id. It is withheld now until a check confirms the order. The transaction state after a signed success is checked as well, and the refusal of a check by a database that has lost the lead is no misfit.

--- a/hickorygate/callers/statement_io.py
+++ b/hickorygate/callers/statement_io.py
@@ -58,11 +58,13 @@
       prepared: statement that must be prepared first; None if there
         is none.
       writes: whether the statement changes data.
+      ends_transaction: whether no transaction is open once it has succeeded.
     """
 
     body: str
     prepared: operations.PreparedStatement | None = None
     writes: bool = False
+    ends_transaction: bool = False
 
     def request(
         self, name: str, floor: position.Position | None = None
@@ -75,7 +77,9 @@
             position will do.
         """
         if self.prepared is None:
-            return database_request.RunStatement(name, self.body, floor)
+            return database_request.RunStatement(
+                name, self.body, floor, self.ends_transaction
+            )
         prepared_name = pooled_connections.prepared_name(self.prepared)
         return database_request.Execute(name, prepared_name, self.body, floor)
 
@@ -89,15 +93,20 @@
     raise TypeError(f"{operation!r} does not run in a database")
 
 
-@statement.register(operations.Read)
-@statement.register(operations.Commit)
+@statement.register
 def _(
-    operation: operations.Read | operations.Commit,
-    state: caller_session_state.CallerSessionState,
+    operation: operations.Read, state: caller_session_state.CallerSessionState
 ) -> Statement:
     return Statement(operation.text)
 
 
+@statement.register
+def _(
+    operation: operations.Commit, state: caller_session_state.CallerSessionState
+) -> Statement:
+    return Statement(operation.text, ends_transaction=True)
+
+
 @statement.register
 def _(
     operation: operations.Write, state: caller_session_state.CallerSessionState
--- a/hickorygate/upstreams/database_request.py
+++ b/hickorygate/upstreams/database_request.py
@@ -66,11 +66,13 @@
       text: text of the statement, unchanged.
       floor: position that the database must have reached; otherwise it
         refuses the statement as lagging. None if any position is sufficient.
+      ends_transaction: whether no transaction is open once it has succeeded.
     """
 
     id: str
     text: str
     floor: position.Position | None = None
+    ends_transaction: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/upstreams/reply_order.py
+++ b/hickorygate/upstreams/reply_order.py
@@ -5,14 +5,14 @@
 reply is taken for the answer to the request after its own. This module notices
 that before a wrong answer is passed on:
 
-- A reply with a signature that came before is a second copy, and is dropped,
-  unless a request with the same id waits: signatures may depend on ids.
+- A reply with a signature that came before is a second copy, and is dropped.
+  If a request with the same id waits, it may also be the answer to that one.
 - A reply must fit its request (`reply_shape`), and its position must not be
   older than that of the reply before.
-- An error, a status and the opening of a transaction are withheld until a
-  later reply confirms that the order is still right. If no request is
-  outstanding whose reply could do so, a `CheckOrder` request is sent for that
-  purpose.
+- An error, a status, the opening of a transaction and a signature that came
+  before for the same request id are withheld until a later reply confirms that
+  the order is still right. If no request is outstanding whose reply could do
+  so, a `CheckOrder` request is sent for that purpose.
 
 Not noticed: two second answers without signatures that arrive one after the
 other while two requests of the same kinds are outstanding, if the log hasn't
@@ -155,11 +155,12 @@
         if reason is not None:
             return Misfit(reason)
         self._outstanding.popleft()
+        may_be_copy = signature in self._signatures
         self._state = reply.state
         self._position = reply.position or self._position
         if signature:
             self._remember(signature, database_request.id_of(sent.request))
-        return self._settle(sent, reply)
+        return self._settle(sent, reply, may_be_copy)
 
     def _misfit(
         self, request: database_request.Request, reply: replies.Reply
@@ -188,16 +189,20 @@
             del self._signatures[next(iter(self._signatures))]
 
     def _settle(
-        self, sent: _Outstanding[_Receiver], reply: replies.Reply
+        self,
+        sent: _Outstanding[_Receiver],
+        reply: replies.Reply,
+        may_be_copy: bool,
     ) -> Received[_Receiver]:
         settled = Settled(sent.receiver, reply)
         if reply_shape.confirms_order(sent.request, reply):
             confirmed = (*self._withheld, settled)
             self._withheld.clear()
             return Received(confirmed)
-        if not self._withheld and not reply_shape.needs_confirmation(
+        doubtful = may_be_copy or reply_shape.needs_confirmation(
             sent.request, reply
-        ):
+        )
+        if not (doubtful or self._withheld):
             return Received((settled,))
         self._withheld.append(settled)
         if self._outstanding:
--- a/hickorygate/upstreams/reply_shape.py
+++ b/hickorygate/upstreams/reply_shape.py
@@ -19,6 +19,7 @@
 _FAILED = replies.TransactionState.FAILED
 _BUSY = replies.RejectionReason.BUSY
 _MALFORMED = replies.RejectionReason.MALFORMED
+_READ_ONLY = replies.RejectionReason.READ_ONLY
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -28,15 +29,18 @@
     Attributes:
       signed: whether it has a signature.
       has_rows: whether it has rows; None if it may have some.
-      state: transaction state after the request; None for any.
+      state: transaction state after the request.
     """
 
+    state: replies.TransactionState
     signed: bool = False
     has_rows: bool | None = False
-    state: replies.TransactionState | None = None
 
 
-_SIGNED = _Shape(signed=True, has_rows=None)
+_SIGNED = {
+    state: _Shape(signed=True, has_rows=None, state=state)
+    for state in replies.TransactionState
+}
 _OPENED = _Shape(state=_IN_TRANSACTION)
 _CLOSED = _Shape(state=_IDLE)
 _UNCHANGED = {state: _Shape(state=state) for state in replies.TransactionState}
@@ -80,9 +84,7 @@
         return "no signature" if shape.signed else "a signature"
     if shape.has_rows not in (None, bool(answer.rows)):
         return "no rows" if shape.has_rows else "rows"
-    if shape.state not in (None, state):
-        return "another transaction state"
-    return None
+    return None if state is shape.state else "another transaction state"
 
 
 @functools.singledispatch
@@ -100,12 +102,18 @@
     return _UNCHANGED[before]
 
 
-@_shape.register(database_request.RunStatement)
-@_shape.register(database_request.Execute)
+@_shape.register
 def _(
-    request: database_request.Request, before: replies.TransactionState
+    request: database_request.Execute, before: replies.TransactionState
 ) -> _Shape:
-    return _SIGNED
+    return _SIGNED[before]
+
+
+@_shape.register
+def _(
+    request: database_request.RunStatement, before: replies.TransactionState
+) -> _Shape:
+    return _SIGNED[_IDLE if request.ends_transaction else before]
 
 
 @_shape.register
@@ -138,7 +146,13 @@
     return None
 
 
-@_error_misfit.register(database_request.CheckOrder)
+@_error_misfit.register
+def _(request: database_request.CheckOrder, reply: replies.Reply) -> str | None:
+    # A database that has lost the lead refuses whatever a transaction sends.
+    lost_lead = _reason(reply) is _READ_ONLY and reply.state is not _IDLE
+    return None if lost_lead else "an error"
+
+
 @_error_misfit.register(database_request.Rollback)
 @_error_misfit.register(database_request.Reset)
 @_error_misfit.register(database_request.SetValue)
--- a/properties/reply_simulation.py
+++ b/properties/reply_simulation.py
@@ -29,7 +29,7 @@
 
 _READ = database_request.RunStatement("1", "READ 1a4")
 _WRITE = database_request.RunStatement("2", "WRITE 1a4 x")
-_COMMIT = database_request.RunStatement("3", "COMMIT")
+_COMMIT = database_request.RunStatement("3", "COMMIT", ends_transaction=True)
 _BEGIN = database_request.Begin()
 _ROLLBACK = database_request.Rollback()
 _STATUS = database_request.ReadStatus()
@@ -145,7 +145,14 @@
       doubled: number of answers that came twice.
     """
 
-    def __init__(self, doubling: Doubling) -> None:
+    def __init__(self, doubling: Doubling, same_id: bool = False) -> None:
+        """Creates the connection.
+
+        Args:
+          doubling: which answers come twice.
+          same_id: whether all statements have the same id.
+        """
+        self._same_id = same_id
         self._database = _Database()
         self._order: reply_order.ReplyOrder[int | None] = (
             reply_order.ReplyOrder()
@@ -173,7 +180,7 @@
                 self._database.is_primary = False
             receivers = [next(self._receivers) for _ in step.batch]
             batch = [
-                _with_id(request, str(receiver))
+                _with_id(request, "same" if self._same_id else str(receiver))
                 for request, receiver in zip(step.batch, receivers, strict=True)
             ]
             self._send(reply_order.with_checks(batch, receivers), step.is_busy)
--- a/properties/test_reply_order.py
+++ b/properties/test_reply_order.py
@@ -62,6 +62,19 @@
         exchange.play(steps)
         self.assertEqual(exchange.wrong(), [])
 
+    @hypothesis.settings(max_examples=2_000)
+    @hypothesis.given(
+        _STEPS, strategies.integers(0, 20), strategies.integers(0, 4)
+    )
+    def test_a_doubled_answer_reaches_no_request_with_the_same_id(
+        self, steps: list[reply_simulation.Step], doubled: int, delay: int
+    ) -> None:
+        exchange = reply_simulation.Exchange(
+            _once(doubled, delay), same_id=True
+        )
+        exchange.play(steps)
+        self.assertEqual(exchange.wrong(), [])
+
     @hypothesis.given(
         _STEPS, strategies.integers(0, 20), strategies.integers(0, 4)
     )
