--- a/hickorygate/tests/test_foreign_answers.py
+++ b/hickorygate/tests/test_foreign_answers.py
@@ -236,6 +236,30 @@
         line_cluster.assert_no_commit_lost(self.group)
 
 
+class SameRequestIdTest(_ForeignAnswersTest):
+    """Statements of one transaction that share a request id."""
+
+    # The copy of a write's answer counted as the answer to its COMMIT, which
+    # had the same id: the caller got a success, and nothing was committed.
+    async def test_a_commit_gets_no_copy_of_the_answer_to_its_write(
+        self,
+    ) -> None:
+        primary = self.group.databases["a"]
+        client = await self.cluster.connect(line_cluster.PRIMARY_DB)
+        await client.send("QUERY r1 BEGIN")
+        await client.send("QUERY r1 WRITE x 1")
+        self.repeat(
+            frozenset({repeated_answers.AnswerKind.OTHER}),
+            delays=(_COPY_DELAY,),
+        )
+        await client.send("QUERY r1 WRITE x 2")
+        self.set_until_copies_came(primary, "unresponsive")
+        received = await client.send("QUERY r1 COMMIT")
+        await asyncio.sleep(1)
+        if received and received[0].startswith("COMPLETE"):
+            self.assertTrue(primary.log.commits, received)
+
+
 class ForeignRefusalTest(_ForeignAnswersTest):
     """Writes that are refused first, at databases that take their time."""
 
