Keep events with odd line breaks whole on the timeline

hickorygate timeline ended with "malformed event" if an event held U+2028 or U+0085, since the answer was split with str.splitlines. Only a line feed ends an event now.

--- a/hickorygate/operators/client.py
+++ b/hickorygate/operators/client.py
@@ -99,7 +99,7 @@
     tuple[events.RecordedEvent, ...], failures.ProxyUnreachable
 ]:
     found = []
-    for line in text.splitlines():
+    for line in filter(None, text.split("\n")):
         match event_codec.decode_json(line, address):
             case expression.Result(tag="error", error=failure):
                 return expression.Error(failure)
--- a/hickorygate/tests/test_admin.py
+++ b/hickorygate/tests/test_admin.py
@@ -11,6 +11,7 @@
 import aiohttp
 import asyncmy
 
+from hickorygate.core import events
 from hickorygate.operators import command as commands
 from hickorygate.operators import metrics
 from hickorygate.operators import proxy_commands
@@ -122,6 +123,15 @@
         self.assertIn("127.0.0.1:1", result.error.message)
         self.assertEqual(out.count("ConfigApplied"), 2)
 
+    # An event with a character that Unicode counts as a line break was cut.
+    async def test_timeline_keeps_odd_line_breaks_in_an_event(self) -> None:
+        for text in ("a\u2028b", "a\x85b", "a\nb"):
+            self.first.timeline.record(events.DatabaseLost("a", text))
+        command = timeline.ShowTimeline((self.first.admin,), json=False)
+        result, out = await self.run_command(command)
+        self.assertTrue(result.is_ok(), result)
+        self.assertEqual(out.count("DatabaseLost"), 3)
+
     async def test_drain_refuses_new_callers_and_cuts_no_transaction(
         self,
     ) -> None:
