--- a/review/14/run.py
+++ b/review/14/run.py
@@ -1,84 +1,85 @@
-"""Shows that a planned stop leaves accepted requests unanswered (rule LOST)."""
+"""Shows that a key that no manifest held gets work run (rule ROUTE)."""
 
 from __future__ import annotations
 
 import asyncio
 import datetime
 import pathlib
-import signal
 import sys
 
 import deployment_3
 
 from hickorygate.testing import line_group
 
-_HOST = "xapu221ny95"
-_TIMEOUT_MS = 8_000
-_SESSIONS = 42
+_HOST = "lepu270"
+_KEY, _UNKNOWN_KEY = "ta828m82thhkmgjqnirt", "zzzzzzzzzzzzzzzzzzzz"
+_TENANT = {
+    "name": "bode960",
+    "api_keys": [_KEY],
+    "priority": 1,
+    "rate_per_s": 189,
+    "burst": 189,
+}
 _ROUTE = {
-    "name": "r-nfqasnm",
+    "name": "r-n2ctnfz",
     "host": _HOST,
-    "type": "bounded_staleness",
-    "timeout_ms": _TIMEOUT_MS,
-    "latency_goal_ms": 1_200,
-    "priority": 2,
-    "max_staleness_ms": 1_500,
+    "type": "primary",
+    "timeout_ms": 800,
+    "latency_goal_ms": 100,
+    "priority": 0,
+    "public": False,
 }
 _WORK = line_group.Capacity(
-    slots=2, time=datetime.timedelta(milliseconds=1_100), queue=16
+    slots=2, time=datetime.timedelta(milliseconds=8), queue=16
 )
-_SETTLING_SECONDS = 4.0
-_LOSS_SLACK_SECONDS = 0.2
 _FOLDER = pathlib.Path(__file__).resolve().parent
 
 
-async def _read(client: deployment_3.Client) -> tuple[str, bool, float]:
-    """Sends a read; returns its id, whether it was answered, and its time."""
-    clock = asyncio.get_running_loop().time
-    sent = clock()
-    name, answer = await client.query("READ 1a4")
-    complete = bool(answer) and answer[-1].startswith("READY")
-    return name, complete, clock() - sent
+async def _write(
+    deployment: deployment_3.Deployment, key: str, record: deployment_3.Record
+) -> bool:
+    """Lets a client with a key write; returns whether a database ran it."""
+    client, answer = await deployment_3.Client.connect(
+        deployment.front(0), _HOST, key, record
+    )
+    if answer and answer[-1].startswith("READY"):
+        name, _ = await client.query("WRITE 1a4 xkqpwnzd")
+        client.close()
+        return any(
+            ran == name
+            for database in deployment.group.databases.values()
+            for ran, _ in database.ran
+        )
+    client.close()
+    return False
 
 
 async def _play() -> int:
     record = deployment_3.Record(_FOLDER)
-    deployment = deployment_3.Deployment(2, record, [_ROUTE], _WORK)
+    deployment = deployment_3.Deployment(
+        2,
+        record,
+        [_ROUTE],
+        _WORK,
+        "base,drain,config,cost,recover,sql,tenants,quota,platform",
+    )
     try:
-        await deployment.start()
+        await deployment.start([_TENANT])
         for number in range(2):
             await deployment.launch(number)
         for number in range(2):
             await deployment.wait_until_ready(number)
-        await asyncio.sleep(_SETTLING_SECONDS)
-        clients = []
-        for number in range(_SESSIONS):
-            client, _ = await deployment_3.Client.connect(
-                deployment.front(0), _HOST, f"u{number}", record
-            )
-            clients.append(client)
-        reads = [asyncio.create_task(_read(client)) for client in clients]
-        await asyncio.sleep(2 * _LOSS_SLACK_SECONDS)
-        if deployment_3.trouble_wanted():
-            deployment.send(0, signal.SIGTERM)
-        ended = await asyncio.gather(*reads)
+        if await _write(deployment, _UNKNOWN_KEY, record):
+            record.note("the unknown key was accepted before the change")
+            return 2
+        tenants = [] if deployment_3.trouble_wanted() else [_TENANT]
+        deployment.put_manifest(tenants)
+        await asyncio.sleep(2 * deployment_3.CONFIG_APPLY_SECONDS)
+        broken = await _write(deployment, _UNKNOWN_KEY, record)
+        record.note(f"a database ran work of a key never held: {broken}")
+        return int(broken)
     finally:
         await deployment.close()
-    cut = [name for name, complete, _ in ended if not complete]
-    # Those that reached a database are excused: it may still be at work.
-    lost = [
-        name
-        for name, complete, seconds in ended
-        if not complete
-        and name not in deployment.reached
-        and seconds > _LOSS_SLACK_SECONDS
-        and seconds * 1_000 < _TIMEOUT_MS
-    ]
-    record.note(
-        f"{len(ended)} requests, {len(cut)} without an answer; {len(lost)} of "
-        f"these never reached a database: {' '.join(lost)}"
-    )
-    return int(bool(lost))
 
 
 if __name__ == "__main__":
