Admit nobody by an empty list of workspaces

What callers saw: once an operator removed the last workspace, any key opened a session on a route that isn't public, and its work was run. Removed keys went on working, and sessions of removed workspaces stayed open.

Cause: a catalog said 'keys is None' for 'anyone is admitted', and the decoder took an empty list for a missing one ('listed.keys if self.tenants else None'). That it is the decoder, and not a key ring without keys, is shown by the new test on the former code: a list with one invalid entry (no key either) refused everyone, an empty or a null list admitted everyone, at the process's start and as a change.

Change: a catalog has an access policy, OpenAccess or KeyedAccess, without a default; core/access_policy.py chooses it. A deployment is one without workspaces if neither the configuration has a field 'tenants' nor the settings name the contract 'tenants'. CatalogApplied tells the policy.

test_a_configuration_without_workspaces_has_no_keys stated the fault: it expected that an empty and a null list give no key ring, which admitted everyone. In its place stand test_only_a_configuration_without_a_list_is_open and test_an_empty_list_admits_nobody, which check the same three inputs and each of them with both settings.

--- a/hickorygate/callers/access.py
+++ b/hickorygate/callers/access.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import functools
 from typing import TypeAlias
 
 import expression
 
+from hickorygate.core import access_policy
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import reply as replies
 from hickorygate.core import types
@@ -31,14 +33,10 @@
       database: database name that the caller connects to.
       credential: digest of the caller's key; None if it sent none.
     """
-    if catalog.keys is None:
+    identified = _identify(catalog.access, credential)
+    if identified.is_error() and _is_public(catalog, database):
         return expression.Ok("")
-    found = catalog.keys.find(credential)
-    if found is not None:
-        return expression.Ok(found.name)
-    if _is_public(catalog, database):
-        return expression.Ok("")
-    return _denied()
+    return identified
 
 
 def renew(
@@ -59,9 +57,8 @@
       workspace: workspace of the session so far; empty for none.
       credential: digest of the caller's key; None if there is none.
     """
-    if workspace and credential is None and catalog.keys is not None:
-        known = workspace in catalog.workspaces
-        return expression.Ok(workspace) if known else _denied()
+    if workspace and credential is None:
+        return _keep(catalog.access, catalog, workspace)
     admitted = admit(catalog, database, credential)
     if admitted.is_error():
         return admitted
@@ -71,6 +68,61 @@
     return admitted
 
 
+@functools.singledispatch
+def _identify(
+    policy: access_policy.AccessPolicy,
+    credential: workspaces.Credential | None,
+) -> AccessResult:
+    """Returns the workspace that a key identifies, or the rejection."""
+    raise TypeError(f"no rule for {policy!r}; register one")
+
+
+@_identify.register
+def _(
+    policy: access_policy.OpenAccess,
+    credential: workspaces.Credential | None,
+) -> AccessResult:
+    return expression.Ok("")
+
+
+@_identify.register
+def _(
+    policy: access_policy.KeyedAccess,
+    credential: workspaces.Credential | None,
+) -> AccessResult:
+    found = policy.keys.find(credential)
+    return _denied() if found is None else expression.Ok(found.name)
+
+
+@functools.singledispatch
+def _keep(
+    policy: access_policy.AccessPolicy,
+    catalog: catalogs.Catalog,
+    workspace: types.WorkspaceName,
+) -> AccessResult:
+    """Returns the workspace of a session whose key another proxy checks."""
+    raise TypeError(f"no rule for {policy!r}; register one")
+
+
+@_keep.register
+def _(
+    policy: access_policy.OpenAccess,
+    catalog: catalogs.Catalog,
+    workspace: types.WorkspaceName,
+) -> AccessResult:
+    return expression.Ok("")
+
+
+@_keep.register
+def _(
+    policy: access_policy.KeyedAccess,
+    catalog: catalogs.Catalog,
+    workspace: types.WorkspaceName,
+) -> AccessResult:
+    kept = workspace in catalog.workspaces
+    return expression.Ok(workspace) if kept else _denied()
+
+
 def _is_public(catalog: catalogs.Catalog, database: types.SchemaName) -> bool:
     route = catalog.routes.get(database)
     return route is not None and route.public
--- a/hickorygate/core/catalog.py
+++ b/hickorygate/core/catalog.py
@@ -6,6 +6,7 @@
 import dataclasses
 import datetime
 
+from hickorygate.core import access_policy
 from hickorygate.core import rank as ranks
 from hickorygate.core import types
 from hickorygate.core import workspace as workspaces
@@ -96,10 +97,9 @@
       services: settings by name of the service.
       transaction_idle_timeout: idle time after which a transaction may be
         ended.
+      access: who may open sessions.
       workspaces: valid workspaces by name; empty if the configuration lists
         none.
-      keys: workspaces by key; None if the configuration lists no workspaces,
-        so that any key is accepted.
       workspace_errors: why entries of workspaces are invalid, without keys;
         such entries grant nothing.
       message_idle_timeout: time without progress after which an incomplete
@@ -110,10 +110,10 @@
     routes: Mapping[types.SchemaName, Route]
     services: Mapping[types.ServiceName, ServiceSettings]
     transaction_idle_timeout: datetime.timedelta
+    access: access_policy.AccessPolicy
     workspaces: Mapping[types.WorkspaceName, workspaces.Workspace] = (
         dataclasses.field(default_factory=dict)
     )
-    keys: workspaces.KeyRing | None = None
     workspace_errors: tuple[str, ...] = ()
     message_idle_timeout: datetime.timedelta = MESSAGE_IDLE_TIMEOUT
 
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -367,10 +367,12 @@
     Attributes:
       version: version of the configuration.
       routes: number of database names that the configuration routes.
+      access: "open" if callers need no keys, otherwise the number of keys.
     """
 
     version: int
     routes: int
+    access: str
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/hickorygate/platform/object_decoding.py
+++ b/hickorygate/platform/object_decoding.py
@@ -12,6 +12,7 @@
 import expression
 import pydantic
 
+from hickorygate.core import access_policy
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import errors
 from hickorygate.core import rank as ranks
@@ -207,18 +208,21 @@
     routes: list[_Route]
     services: list[_Service]
     limits: _Limits = _Limits()
-    tenants: list[Any] | None = None
+    tenants: list[Any] | None = None  # A null lists no workspaces.
 
-    def catalog(self) -> catalogs.Catalog:
+    def catalog(self, keys_required: bool) -> catalogs.Catalog:
         idle = datetime.timedelta(milliseconds=self.limits.tx_idle_ms)
         listed = workspace_decoding.decode_workspaces(self.tenants or ())
+        has_list = "tenants" in self.model_fields_set
         return catalogs.Catalog(
             version=self.version,
             routes={route.host: route.route() for route in self.routes},
             services={s.name: _service_terms(s) for s in self.services},
             transaction_idle_timeout=idle,
+            access=access_policy.choose(
+                listed.keys if has_list else None, keys_required
+            ),
             workspaces=listed.workspaces,
-            keys=listed.keys if self.tenants else None,
             workspace_errors=listed.errors,
             message_idle_timeout=datetime.timedelta(
                 milliseconds=self.limits.idle_timeout_ms
@@ -233,17 +237,23 @@
 
 
 def decode_catalog(
-    value: Mapping[str, object] | object,
+    value: Mapping[str, object] | object, keys_required: bool
 ) -> expression.Result[catalogs.Catalog, errors.Failure]:
     """Decodes the configuration object.
 
+    Args:
+      value: content of the object.
+      keys_required: whether the deployment has workspaces even if the
+        configuration lists none.
+
     Returns:
       The catalog, or `ObjectMalformed` with the first invalid field.
     """
     try:
-        return expression.Ok(_Configuration.model_validate(value).catalog())
+        configuration = _Configuration.model_validate(value)
     except pydantic.ValidationError as error:
         return expression.Error(_malformed(CONFIGURATION, error))
+    return expression.Ok(configuration.catalog(keys_required))
 
 
 def _malformed(
--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -144,7 +144,7 @@
             self._env, self._line_server, self._statements
         )
         self._configuration_sink = store_sinks.ConfigurationSink(
-            self._registry, self._journal
+            self._registry, self._journal, settings.keys_required
         )
         self._rereading: asyncio.Task[None] | None = None
         self._plan = plan
@@ -171,6 +171,11 @@
         self._shutdown: shutdowns.ShutdownSchedule | None = None
         self._finished = asyncio.Event()
 
+    @property
+    def configuration_version(self) -> int:
+        """Version of the configuration in force; 0 before the first one."""
+        return self._registry.version
+
     @property
     def plan(self) -> serving_plan.ServingPlan:
         """Which proxies serve which statements."""
--- a/hickorygate/platform/settings.py
+++ b/hickorygate/platform/settings.py
@@ -58,6 +58,9 @@
 
 _PORTS = re.compile(r"(\d{1,5}),(\d{1,5})", re.ASCII)
 
+_KEYS_CONTRACT = "tenants"
+"""Contract of the deployments whose callers have keys."""
+
 _LINE_END = "\n"
 _BLANKS = " \t\r"
 """Characters around a key or a value that don't belong to it."""
@@ -136,6 +139,8 @@
       memory_mb: memory of the instance in MB; None if unknown.
       max_descriptors: number of descriptors that the process may open; None if
         unknown.
+      keys_required: whether callers need keys even if the configuration lists
+        none; it is applied when the process starts.
     """
 
     name: types.ProxyName
@@ -152,6 +157,7 @@
     first_start: bool = False
     memory_mb: float | None = None
     max_descriptors: int | None = None
+    keys_required: bool = False
 
 
 class _File(pydantic.BaseModel):
@@ -193,6 +199,7 @@
         None, alias="limits.memory_mb", gt=0, allow_inf_nan=False
     )
     max_fds: int | None = pydantic.Field(None, alias="limits.max_fds", gt=0)
+    contracts: str = ""
 
     def settings(self) -> ProcessSettings:
         """Returns the settings in the form that the proxy uses."""
@@ -211,8 +218,12 @@
             limits=Limits(self.cpu_share * self.cpu_cores, self.link_mbps),
             memory_mb=self.memory_mb,
             max_descriptors=self.max_fds,
+            keys_required=self._has_contract(_KEYS_CONTRACT),
         )
 
+    def _has_contract(self, name: str) -> bool:
+        return name in {word.strip() for word in self.contracts.split(",")}
+
 
 SettingsResult = expression.Result[ProcessSettings, errors.Failure]
 
--- a/hickorygate/platform/store_sinks.py
+++ b/hickorygate/platform/store_sinks.py
@@ -97,6 +97,23 @@
 
     _kind = object_decoding.CONFIGURATION
 
+    def __init__(
+        self,
+        registry: group_registry.GroupRegistry,
+        journal: events.Journal,
+        keys_required: bool,
+    ) -> None:
+        """Creates the sink.
+
+        Args:
+          registry: where configurations are put in force.
+          journal: log that events are recorded in.
+          keys_required: whether the deployment has workspaces even if a
+            configuration lists none.
+        """
+        super().__init__(registry, journal)
+        self._keys_required = keys_required
+
     def replace(self, objects: Sequence[list_watch.StoredObject]) -> None:
         """Applies the configuration from a complete list of objects."""
         super().replace(objects)
@@ -111,7 +128,7 @@
     def _apply(self, stored: list_watch.StoredObject) -> None:
         if stored.name != object_decoding.CONFIGURATION_NAME:
             return
-        match object_decoding.decode_catalog(stored.value):
+        match object_decoding.decode_catalog(stored.value, self._keys_required):
             case expression.Result(tag="ok", ok=catalog):
                 self._registry.apply(catalog)
             case expression.Result(tag="error", error=failure):
--- a/hickorygate/testing/line_cluster.py
+++ b/hickorygate/testing/line_cluster.py
@@ -11,6 +11,7 @@
 
 from hickorygate.callers import session_context
 from hickorygate.callers import shutdown
+from hickorygate.core import access_policy
 from hickorygate.core import background
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import clock as clocks
@@ -71,7 +72,11 @@
         )
     terms = catalogs.ServiceSettings(service, connections, 1)
     return catalogs.Catalog(
-        version, routes, {service: terms}, datetime.timedelta(seconds=3)
+        version,
+        routes,
+        {service: terms},
+        datetime.timedelta(seconds=3),
+        access_policy.OpenAccess(),
     )
 
 
--- a/hickorygate/testing/line_load.py
+++ b/hickorygate/testing/line_load.py
@@ -15,6 +15,7 @@
 import itertools
 import random
 
+from hickorygate.core import access_policy
 from hickorygate.core import background
 from hickorygate.core import catalog
 from hickorygate.core import clock as clocks
@@ -207,7 +208,13 @@
         for rank, consistency in _RANKS
     }
     terms = catalog.ServiceSettings(_SERVICE, _CONNECTIONS, 1)
-    return catalog.Catalog(1, routes, {_SERVICE: terms}, 3 * _REQUEST_TIMEOUT)
+    return catalog.Catalog(
+        1,
+        routes,
+        {_SERVICE: terms},
+        3 * _REQUEST_TIMEOUT,
+        access_policy.OpenAccess(),
+    )
 
 
 class _RequestStream:
--- a/hickorygate/tests/test_access.py
+++ b/hickorygate/tests/test_access.py
@@ -10,6 +10,7 @@
 from hickorygate.callers import access
 from hickorygate.callers import caller_session
 from hickorygate.callers import session_context
+from hickorygate.core import access_policy
 from hickorygate.core import background
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import clock as clocks
@@ -40,7 +41,12 @@
         }
     )
     return catalogs.Catalog(
-        1, {"closed": route, "open": opened}, {}, _SECOND, listed, ring
+        1,
+        {"closed": route, "open": opened},
+        {},
+        _SECOND,
+        access_policy.KeyedAccess(ring),
+        listed,
     )
 
 
@@ -61,6 +67,21 @@
             admitted = access.admit(catalog, "open", credential)
             self.assertEqual(admitted.ok, name)
 
+    def test_without_keys_only_public_routes_are_open(self) -> None:
+        # Guards against an empty key ring that counts as no policy.
+        catalog = _catalog()
+        for credential in (_ONE, None):
+            denied = access.admit(catalog, "closed", credential)
+            self.assertTrue(denied.is_error())
+            self.assertEqual(access.admit(catalog, "open", credential).ok, "")
+
+    def test_an_open_deployment_admits_everybody(self) -> None:
+        catalog = dataclasses.replace(
+            _catalog(), access=access_policy.OpenAccess()
+        )
+        for credential in (_ONE, None):
+            self.assertEqual(access.admit(catalog, "closed", credential).ok, "")
+
 
 class RenewTest(unittest.TestCase):
     """The workspace of an open session under another configuration."""
--- a/hickorygate/tests/test_group_registry.py
+++ b/hickorygate/tests/test_group_registry.py
@@ -13,6 +13,7 @@
 
 import expression
 
+from hickorygate.core import access_policy
 from hickorygate.core import catalog
 from hickorygate.core import errors
 from hickorygate.core import events
@@ -82,7 +83,8 @@
         for n in range(count)
     }
     idle = datetime.timedelta(seconds=3)
-    return catalog.Catalog(version, {}, terms, idle)
+    access = access_policy.OpenAccess()
+    return catalog.Catalog(version, {}, terms, idle, access)
 
 
 class _RegistryTestCase(unittest.IsolatedAsyncioTestCase):
--- a/hickorygate/tests/test_object_decoding.py
+++ b/hickorygate/tests/test_object_decoding.py
@@ -6,7 +6,11 @@
 import unittest
 from unittest import mock
 
+import expression
+
+from hickorygate.core import access_policy
 from hickorygate.core import catalog as catalogs
+from hickorygate.core import errors
 from hickorygate.core import workspace as workspaces
 from hickorygate.platform import object_decoding
 
@@ -40,6 +44,12 @@
 }
 
 
+def _decode(
+    value: object, keys_required: bool = False
+) -> expression.Result[catalogs.Catalog, errors.Failure]:
+    return object_decoding.decode_catalog(value, keys_required)
+
+
 class MemberTest(unittest.TestCase):
     """Decoding of service discovery entries."""
 
@@ -103,7 +113,7 @@
     """Decoding of the configuration."""
 
     def test_routes_are_found_by_database_name(self) -> None:
-        catalog = object_decoding.decode_catalog(_CONFIGURATION).ok
+        catalog = _decode(_CONFIGURATION).ok
         route = catalog.routes["fiti832"]
         staleness = datetime.timedelta(milliseconds=2_500)
         self.assertEqual(route.consistency, catalogs.ReadYourWrites(staleness))
@@ -118,19 +128,17 @@
             {**_CONFIGURATION, "routes": [{**_ROUTE, "type": "any"}]},
         ):
             with self.subTest(value):
-                self.assertTrue(
-                    object_decoding.decode_catalog(value).is_error()
-                )
+                self.assertTrue(_decode(value).is_error())
 
 
 def _tenants(*entries: object) -> catalogs.Catalog:
     """Returns the catalog of a configuration with workspaces."""
     value = {**_CONFIGURATION, "tenants": list(entries)}
-    return object_decoding.decode_catalog(value).ok
+    return _decode(value).ok
 
 
 def _find(catalog: catalogs.Catalog, key: str) -> str | None:
-    found = catalog.keys.find(workspaces.Credential.of(key))
+    found = catalog.access.keys.find(workspaces.Credential.of(key))
     return found.name if found is not None else None
 
 
@@ -162,24 +170,35 @@
         )
         self.assertEqual(catalog.workspace_errors, ())
 
-    def test_a_configuration_without_workspaces_has_no_keys(self) -> None:
-        for change in ({}, {"tenants": None}, {"tenants": []}):
-            with self.subTest(change):
-                value = {**_CONFIGURATION, **change}
-                catalog = object_decoding.decode_catalog(value).ok
-                self.assertIsNone(catalog.keys)
+    def test_only_a_configuration_without_a_list_is_open(self) -> None:
+        self.assertEqual(
+            _decode(_CONFIGURATION).ok.access, access_policy.OpenAccess()
+        )
+        access = _decode(_CONFIGURATION, keys_required=True).ok.access
+        self.assertEqual(len(access.keys), 0)
+
+    def test_an_empty_list_admits_nobody(self) -> None:
+        # Guards against review/14: an empty list counted as none, so that the
+        # removal of the last workspace admitted everyone.
+        for tenants in (None, []):
+            for keys_required in (False, True):
+                with self.subTest(tenants, keys_required=keys_required):
+                    value = {**_CONFIGURATION, "tenants": tenants}
+                    catalog = _decode(value, keys_required).ok
+                    self.assertEqual(len(catalog.access.keys), 0)
+                    self.assertEqual(catalog.workspaces, {})
 
     def test_a_list_of_invalid_entries_admits_nobody(self) -> None:
         # Such a configuration would admit any key.
         catalog = _tenants({"name": "a b", "api_keys": ["k"]}, None, "acme")
-        self.assertEqual(len(catalog.keys), 0)
+        self.assertEqual(len(catalog.access.keys), 0)
         self.assertEqual(
             catalog.workspace_errors, ("invalid entries: #0, #1, #2",)
         )
 
     def test_tenants_that_are_no_list_are_invalid(self) -> None:
         value = {**_CONFIGURATION, "tenants": {"name": "acme"}}
-        self.assertTrue(object_decoding.decode_catalog(value).is_error())
+        self.assertTrue(_decode(value).is_error())
 
     def test_a_key_of_two_workspaces_identifies_none(self) -> None:
         catalog = _tenants(
@@ -217,7 +236,7 @@
 
     def test_unusable_keys_identify_nothing(self) -> None:
         catalog = _tenants({"name": "acme", "api_keys": ["", 7, None, "k"]})
-        self.assertEqual(len(catalog.keys), 1)
+        self.assertEqual(len(catalog.access.keys), 1)
         self.assertEqual(catalog.workspace_errors, ("unusable keys of: acme",))
 
     def test_only_true_makes_a_route_public(self) -> None:
@@ -226,7 +245,7 @@
             with self.subTest(value=value):
                 route = {**_ROUTE, "public": value}
                 value_ = {**_CONFIGURATION, "routes": [route]}
-                catalog = object_decoding.decode_catalog(value_).ok
+                catalog = _decode(value_).ok
                 self.assertIs(catalog.routes["fiti832"].public, public)
 
     def test_no_error_shows_a_key(self) -> None:
@@ -238,7 +257,7 @@
         ]
         self.assertNotIn("s3cret", str(_tenants(*entries).workspace_errors))
         value = {**_CONFIGURATION, "tenants": {"s3cret": "s3cret"}}
-        failure = object_decoding.decode_catalog(value).error
+        failure = _decode(value).error
         self.assertNotIn("s3cret", repr(failure) + failure.message)
 
     def test_many_workspaces_are_hashed_once_per_key(self) -> None:
--- a/hickorygate/tests/test_platform_settings.py
+++ b/hickorygate/tests/test_platform_settings.py
@@ -41,6 +41,21 @@
         self.assertIsNone(settings.max_descriptors)
         self.assertIsNone(settings.memory_mb)
 
+    def test_a_contract_requires_keys(self) -> None:
+        # Guards against a name that only resembles the contract's.
+        for contracts, required in (
+            ("base,tenants,quota", True),
+            ("base, tenants", True),
+            ("tenants", True),
+            ("base,quota", False),
+            ("base,subtenants,tenants.v2", False),
+            ("", False),
+        ):
+            with self.subTest(contracts=contracts):
+                text = f"{_TEXT}contracts={contracts}\n"
+                settings = settings_lib.parse(text, "boot.conf").ok
+                self.assertIs(settings.keys_required, required)
+
     def test_an_invalid_value_is_reported_with_its_line(self) -> None:
         text = _TEXT.replace("10.1.0.8:8784", "nowhere")
         failure = settings_lib.parse(text, "boot.conf").error
--- a/hickorygate/tests/test_serving_plan.py
+++ b/hickorygate/tests/test_serving_plan.py
@@ -10,6 +10,7 @@
 import datetime
 import unittest
 
+from hickorygate.core import access_policy
 from hickorygate.core import catalog
 from hickorygate.core import fleet_view
 from hickorygate.core import workspace
@@ -24,7 +25,8 @@
     settings = catalog.ServiceSettings(_SERVICE, connections, 1)
     names = [f"w{number}" for number in range(workspaces)]
     found = {name: workspace.Workspace(name) for name in names}
-    return catalog.Catalog(1, {}, {_SERVICE: settings}, _IDLE, found)
+    access = access_policy.OpenAccess()
+    return catalog.Catalog(1, {}, {_SERVICE: settings}, _IDLE, access, found)
 
 
 def _fleet(count: int) -> dict[str, registration.RegisteredProxy]:
--- a/hickorygate/tests/test_serving_proxies.py
+++ b/hickorygate/tests/test_serving_proxies.py
@@ -12,6 +12,7 @@
 import datetime
 import struct
 
+from hickorygate.core import access_policy
 from hickorygate.core import platform_events
 from hickorygate.core import workspace
 from hickorygate.proxies import incoming_link
@@ -339,8 +340,10 @@
         catalog = dataclasses.replace(
             line_cluster.make_catalog(version),
             workspaces={"w1": found},
-            keys=workspace.KeyRing(
-                {workspace.Credential.of(key): found for key in keys}
+            access=access_policy.KeyedAccess(
+                workspace.KeyRing(
+                    {workspace.Credential.of(key): found for key in keys}
+                )
             ),
         )
         for proxy in self.cluster.proxies:
--- a/hickorygate/tests/test_workspace_limits.py
+++ b/hickorygate/tests/test_workspace_limits.py
@@ -13,6 +13,7 @@
 
 from hickorygate.callers import caller_session
 from hickorygate.callers import workspace_limits
+from hickorygate.core import access_policy
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import fleet_view
@@ -251,7 +252,9 @@
             dataclasses.replace(
                 line_cluster.make_catalog(2),
                 workspaces=listed,
-                keys=workspaces.KeyRing({credential: listed["w"]}),
+                access=access_policy.KeyedAccess(
+                    workspaces.KeyRing({credential: listed["w"]})
+                ),
             )
         )
         self.limits = workspace_limits.WorkspaceLimits(
--- a/hickorygate/tests/test_workspace_path.py
+++ b/hickorygate/tests/test_workspace_path.py
@@ -10,6 +10,7 @@
 import datetime
 import unittest
 
+from hickorygate.core import access_policy
 from hickorygate.core import catalog as catalogs
 from hickorygate.core import platform_events
 from hickorygate.core import workspace as workspaces
@@ -40,7 +41,10 @@
         }
     )
     return dataclasses.replace(
-        plain, routes=routes, workspaces=listed, keys=ring
+        plain,
+        routes=routes,
+        workspaces=listed,
+        access=access_policy.KeyedAccess(ring),
     )
 
 
@@ -287,7 +291,7 @@
                 answers,
                 [recorded.event for recorded in self.proxy.journal.events],
                 self.proxy.fleet.catalog,
-                self.proxy.fleet.catalog.keys,
+                self.proxy.fleet.catalog.access,
             )
         )
         self.assertNotIn("s3cret", text)
--- a/hickorygate/upstreams/group_registry.py
+++ b/hickorygate/upstreams/group_registry.py
@@ -243,7 +243,9 @@
         for name in self._groups.keys() - catalog.services.keys():
             self._close_group(name)
         self._journal.record(
-            platform_events.CatalogApplied(catalog.version, len(catalog.routes))
+            platform_events.CatalogApplied(
+                catalog.version, len(catalog.routes), str(catalog.access)
+            )
         )
         if catalog.workspace_errors:
             self._journal.record(
--- a/properties/test_malformed_input.py
+++ b/properties/test_malformed_input.py
@@ -210,7 +210,7 @@
     @hypothesis.settings(max_examples=_EXAMPLES)
     @hypothesis.given(malformed.changed(_CATALOG))
     def test_a_configuration_is_valid_or_a_failure(self, value: object) -> None:
-        found = object_decoding.decode_catalog(value)
+        found = object_decoding.decode_catalog(value, False)
         if found.is_error():
             self.assertTrue(found.error.message)
         else:
