End forwarded sessions of a workspace that has no key any more

What callers saw: after the last key of a workspace was removed, but not the workspace, a proxy that heard of it late still had statements for it run by a serving proxy that knew.

Cause: the serving proxy checked that the workspace is listed, which took a workspace without keys for one that grants something. Change: it checks that a key identifies the workspace (KeyRing.has_key_of). Result: test_a_forwarded_session_ends_with_the_last_key failed before and passes.

--- a/hickorygate/callers/access.py
+++ b/hickorygate/callers/access.py
@@ -49,7 +49,8 @@
 
     A key that identifies another workspace than before is as good as revoked,
     except on a public route. A session with a workspace and without a
-    credential belongs to another proxy, which checks the key.
+    credential belongs to another proxy, which checks the key; it ends if no key
+    identifies its workspace any more.
 
     Args:
       catalog: configuration in force.
@@ -58,7 +59,7 @@
       credential: digest of the caller's key; None if there is none.
     """
     if workspace and credential is None:
-        return _keep(catalog.access, catalog, workspace)
+        return _keep(catalog.access, workspace)
     admitted = admit(catalog, database, credential)
     if admitted.is_error():
         return admitted
@@ -96,9 +97,7 @@
 
 @functools.singledispatch
 def _keep(
-    policy: access_policy.AccessPolicy,
-    catalog: catalogs.Catalog,
-    workspace: types.WorkspaceName,
+    policy: access_policy.AccessPolicy, workspace: types.WorkspaceName
 ) -> AccessResult:
     """Returns the workspace of a session whose key another proxy checks."""
     raise TypeError(f"no rule for {policy!r}; register one")
@@ -106,20 +105,16 @@
 
 @_keep.register
 def _(
-    policy: access_policy.OpenAccess,
-    catalog: catalogs.Catalog,
-    workspace: types.WorkspaceName,
+    policy: access_policy.OpenAccess, workspace: types.WorkspaceName
 ) -> AccessResult:
     return expression.Ok("")
 
 
 @_keep.register
 def _(
-    policy: access_policy.KeyedAccess,
-    catalog: catalogs.Catalog,
-    workspace: types.WorkspaceName,
+    policy: access_policy.KeyedAccess, workspace: types.WorkspaceName
 ) -> AccessResult:
-    kept = workspace in catalog.workspaces
+    kept = policy.keys.has_key_of(workspace)
     return expression.Ok(workspace) if kept else _denied()
 
 
--- a/hickorygate/core/workspace.py
+++ b/hickorygate/core/workspace.py
@@ -61,10 +61,11 @@
 class KeyRing:
     """The keys of one configuration and the workspaces that they identify."""
 
-    __slots__ = ("_workspaces",)
+    __slots__ = ("_names", "_workspaces")
 
     def __init__(self, workspaces: Mapping[Credential, Workspace]) -> None:
         self._workspaces = dict(workspaces)
+        self._names = frozenset(each.name for each in workspaces.values())
 
     def __len__(self) -> int:
         return len(self._workspaces)
@@ -77,3 +78,7 @@
         if credential is None:
             return None
         return self._workspaces.get(credential)
+
+    def has_key_of(self, workspace: types.WorkspaceName) -> bool:
+        """Returns whether any key identifies a workspace."""
+        return workspace in self._names
--- a/hickorygate/tests/test_access.py
+++ b/hickorygate/tests/test_access.py
@@ -109,6 +109,15 @@
         ended = access.renew(catalog, "closed", "removed", None)
         self.assertTrue(ended.is_error())
 
+    def test_a_forwarded_session_ends_with_the_last_key(self) -> None:
+        # Guards against a workspace without keys that another proxy, which
+        # hears of it late, still sends statements for.
+        keyless = {"acme": workspaces.Workspace("acme")}
+        catalog = dataclasses.replace(_catalog(), workspaces=keyless)
+        self.assertTrue(
+            access.renew(catalog, "closed", "acme", None).is_error()
+        )
+
 
 class _Fleet:
     """A configuration that is applied without notice."""
