Let proxies agree on shares as soon as the first rate limit is in force

What callers saw: a fleet whose configuration had no rate limit refused the first limited workspace as over its limit, for seconds after the configuration had to be in force.

Cause: a proxy uses its shares of limits once the fleet agrees on its members, and a proxy only worked towards that ('_settle') between two regular counts, every 8 s. The requests for an early count, which a process without shares makes every 300 ms, led to a count that can't make it active. Change: a requested count settles as well.

--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -199,12 +199,17 @@
         await self._store.withdraw(self._name)
 
     async def _pause(self) -> None:
-        """Waits until the next regular count is due; makes requested ones."""
+        """Waits until the next regular count is due; makes requested ones.
+
+        A requested count also settles: rate limits that are new to a running
+        fleet find proxies that don't use their shares yet.
+        """
         live = self._proxy_counter.live(self._clock.now())
         factor = self._rng.uniform(1 - _JITTER, 1 + _JITTER)
         due = self._clock.now() + proxy_count.count_interval(len(live)) * factor
         while await self._early_count_requested(due):
             await self._count(may_be_outdated=True)
+            await self._settle()
 
     async def _early_count_requested(self, due: datetime.datetime) -> bool:
         """Waits until an early count is requested and allowed.
