Renew a registration also while the fleet does not agree on shares

What others saw: a proxy that waits for its shares of rate limits stopped renewing its registration, so after four intervals they took it for gone, though it serves callers: they no longer counted it for connections and placement.

Cause: '_settle' renews only when the fields change, and blocks the regular renewals until the fleet agrees. The object of a proxy that is gone, which is kept for 13 minutes, keeps it from agreeing for as long. Change: '_settle' renews when a regular renewal is due. Result: test_a_proxy_without_shares_is_not_taken_for_gone failed before (one revision in 80 s) and passes.

--- a/hickorygate/store/registration.py
+++ b/hickorygate/store/registration.py
@@ -153,6 +153,7 @@
         self._proxy_counter = proxy_count.ProxyCounter()
         self._membership = limit_membership.LimitMembership(name)
         self._announced = ("", False)
+        self._announced_at = clock.now()
         self._left = False
         self._exists = False
         # A random start, so that a new process changes the object that a
@@ -235,9 +236,11 @@
         """Tells others at once which proxies this one counts.
 
         Counts more often until this proxy may use its shares of rate limits.
+        It may wait for long for a proxy that is gone, so it goes on to renew.
         """
         while self._has_limits():
-            if self._announced != self._membership_fields:
+            is_new = self._announced != self._membership_fields
+            if is_new or self._is_renewal_due:
                 await self._renew()
             if self._membership.active:
                 return
@@ -250,6 +253,13 @@
         longer = proxy_count.count_interval(proxies)
         return _SETTLING_INTERVAL * (longer / proxy_count.count_interval(0))
 
+    @property
+    def _is_renewal_due(self) -> bool:
+        live = self._proxy_counter.live(self._clock.now())
+        interval = proxy_count.count_interval(len(live))
+        age = self._clock.now() - self._announced_at
+        return age >= proxy_count.COUNTS_PER_RENEWAL * interval
+
     @property
     def _membership_fields(self) -> tuple[str, bool]:
         return self._membership.fleet.digest, self._membership.active
@@ -279,6 +289,7 @@
         if written.is_error():
             return False
         self._announced = fields
+        self._announced_at = began
         self._membership.record_renewal(began)
         return True
 
--- a/hickorygate/tests/test_registration.py
+++ b/hickorygate/tests/test_registration.py
@@ -1,13 +1,15 @@
 """Tests how proxies agree on who holds shares of rate limits, on virtual time.
 
 Guards against rate limits that come into a running fleet and find no proxy that
-may use its shares.
+may use its shares, and against a proxy that waits for its shares and is taken
+for gone.
 """
 
 from __future__ import annotations
 
 import asyncio
 import dataclasses
+import datetime
 import random
 
 import expression
@@ -121,3 +123,18 @@
                 self.has_limits = True
                 took = await self.seconds_until_active(60)
                 self.assertLessEqual(took, _CONFIGURATION_BOUND)
+
+    async def test_a_proxy_without_shares_is_not_taken_for_gone(self) -> None:
+        # Guards against a proxy that stops renewing its object while another
+        # one, which is gone, keeps it from agreeing with the fleet.
+        self.store.objects["gone"] = registration.RegisteredProxy(
+            capacity=1.0, fleet="former", active=True
+        )
+        self.has_limits = True
+        self.start("p0")
+        await asyncio.sleep(60)
+        self.assertFalse(self.proxies["p0"].membership.active)
+        former = self.store.objects["p0"].revision
+        longest = 2 * datetime.timedelta(seconds=8 * 1.2).total_seconds() + 1
+        await asyncio.sleep(longest)
+        self.assertGreater(self.store.objects["p0"].revision, former)
