Give a workspace that returns after an empty list no second burst

What callers saw: nothing; databases ran more than the limit allows. A workspace that was removed as the last one, and added again, could run its whole burst a second time within the window.

Cause: WorkspaceLimits took an empty former list for no former list ('if self._known'), so the bucket of a workspace that came after it counted as filled since the process started. Change: only None means that there was no list. Result: test_workspace_that_returns_gets_no_second_burst failed before (14 operations at once in place of 4) and passes.

--- a/hickorygate/callers/workspace_limits.py
+++ b/hickorygate/callers/workspace_limits.py
@@ -345,7 +345,7 @@
         The bucket of an added or altered workspace is empty at that time. The
         buckets of the first configuration have filled since the start.
         """
-        if self._known:
+        if self._known is not None:
             for name, workspace in listed.items():
                 if self._known.get(name) != workspace:
                     self._changed[name] = now
--- a/hickorygate/tests/test_workspace_limits.py
+++ b/hickorygate/tests/test_workspace_limits.py
@@ -165,6 +165,16 @@
         self.limits.admit("v", self.clock.now())
         self.assertEqual(self.limits.usage, {})
 
+    def test_workspace_that_returns_gets_no_second_burst(self) -> None:
+        # Guards against an empty list that counts as no list before.
+        self.advance(10)
+        self.assertEqual(self.admitted(), 14)
+        former = self.listed
+        self.listed = {}
+        self.limits.admit("v", self.clock.now())
+        self.listed = former
+        self.assertEqual(self.admitted(), 4)
+
     def test_operations_that_waited_do_not_run_all_at_once(self) -> None:
         # A database was silent for 8 s, and 80 admitted operations wait for it.
         self.advance(10)
