Keep a workspace's rate when its burst is missing; report invalid limits

What callers saw: nothing; a workspace with a rate and without a burst ran any number of operations, and an operator wasn't told of a limit that can't be read.

Cause: a limit needed both numbers, and what is missing, null or unreadable was one value, None. Change: a missing or invalid burst is none beside the rate. WorkspacesIgnored names workspaces whose limits can't be read. Such a limit still limits nothing: the keys are listed, so their callers must be admitted, and any number would be the proxy's own.

--- a/hickorygate/callers/workspace_limits.py
+++ b/hickorygate/callers/workspace_limits.py
@@ -128,7 +128,7 @@
 
 def _limit(workspace: workspaces.Workspace) -> rate_limit.RateLimit | None:
     """Returns the limit of a workspace; None if it is unlimited."""
-    if workspace.rate is None or workspace.burst is None:
+    if workspace.rate is None:
         return None
     return rate_limit.RateLimit(workspace.rate, workspace.burst)
 
--- a/hickorygate/core/platform_events.py
+++ b/hickorygate/core/platform_events.py
@@ -388,7 +388,9 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class WorkspacesIgnored(events.Event):
-    """Entries of workspaces in a configuration are invalid and grant nothing.
+    """Entries of workspaces are invalid, or their keys or limits are.
+
+    What is invalid grants nothing and limits nothing.
 
     Attributes:
       version: version of the configuration.
--- a/hickorygate/core/workspace.py
+++ b/hickorygate/core/workspace.py
@@ -19,12 +19,12 @@
     Attributes:
       name: name that databases are told; has no spaces.
       rate: operations per second over all proxies; None if unlimited.
-      burst: operations that may exceed the rate at once; None if unlimited.
+      burst: operations that may exceed the rate at once.
     """
 
     name: types.WorkspaceName
     rate: float | None = None
-    burst: float | None = None
+    burst: float = 0.0
 
 
 class Credential:
--- a/hickorygate/platform/workspace_decoding.py
+++ b/hickorygate/platform/workspace_decoding.py
@@ -38,7 +38,9 @@
     return number if math.isfinite(number) and number >= 0 else None
 
 
-_Limit = Annotated[float | None, pydantic.BeforeValidator(_limit)]
+def _is_limit(value: object) -> bool:
+    """Returns whether a value is a valid limit or says that there is none."""
+    return value is None or _limit(value) is not None
 
 
 class _Workspace(pydantic.BaseModel):
@@ -48,8 +50,18 @@
 
     name: _WorkspaceName
     api_keys: list[Any] = []
-    rate_per_s: _Limit = None
-    burst: _Limit = None
+    rate_per_s: Any = None
+    burst: Any = None
+
+    @property
+    def has_valid_limits(self) -> bool:
+        """Whether both limits are valid or missing."""
+        return _is_limit(self.rate_per_s) and _is_limit(self.burst)
+
+    def workspace(self) -> workspaces.Workspace:
+        return workspaces.Workspace(
+            self.name, _limit(self.rate_per_s), _limit(self.burst) or 0.0
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -112,11 +124,13 @@
     """Decodes the entries of workspaces.
 
     An invalid entry, and each of several entries with the same name, is
-    ignored. A key of several entries identifies none of them.
+    ignored. A key of several entries identifies none of them. An invalid limit
+    limits nothing: the keys of its workspace are listed, so they are admitted.
     """
     keys = _Keys()
     decoded: dict[int, workspaces.Workspace] = {}
     malformed: list[int] = []
+    unlimited: list[int] = []
     for number, value in enumerate(entries):
         try:
             entry = _Workspace.model_validate(value)
@@ -125,9 +139,9 @@
             continue
         for key in entry.api_keys:
             keys.add(key, number)
-        decoded[number] = workspaces.Workspace(
-            entry.name, entry.rate_per_s, entry.burst
-        )
+        if not entry.has_valid_limits:
+            unlimited.append(number)
+        decoded[number] = entry.workspace()
     counts = collections.Counter(w.name for w in decoded.values())
     valid = {n: w for n, w in decoded.items() if counts[w.name] == 1}
 
@@ -139,6 +153,7 @@
         ("names used twice", [name for name, n in counts.items() if n > 1]),
         ("keys shared by", names(keys.shared)),
         ("unusable keys of", names(keys.unusable)),
+        ("unusable limits of", names(unlimited)),
     )
     return ListedWorkspaces(
         workspaces={w.name: w for w in valid.values()},
--- a/hickorygate/tests/test_object_decoding.py
+++ b/hickorygate/tests/test_object_decoding.py
@@ -231,8 +231,24 @@
                     {"name": "acme", "rate_per_s": value, "burst": value}
                 )
                 workspace = catalog.workspaces["acme"]
-                self.assertIsNone(workspace.rate)
-                self.assertIsNone(workspace.burst)
+                self.assertEqual(workspace, workspaces.Workspace("acme"))
+                reported = "unusable limits of: acme"
+                errors_ = () if value is None else (reported,)
+                self.assertEqual(catalog.workspace_errors, errors_)
+
+    def test_a_rate_holds_without_a_burst(self) -> None:
+        # Guards against a rate that limits nothing since no burst, or an
+        # invalid one, stands beside it.
+        for change, reported in (
+            ({}, ()),
+            ({"burst": None}, ()),
+            ({"burst": "30"}, ("unusable limits of: acme",)),
+        ):
+            with self.subTest(change):
+                catalog = _tenants({"name": "acme", "rate_per_s": 12, **change})
+                workspace = catalog.workspaces["acme"]
+                self.assertEqual((workspace.rate, workspace.burst), (12, 0))
+                self.assertEqual(catalog.workspace_errors, reported)
 
     def test_unusable_keys_identify_nothing(self) -> None:
         catalog = _tenants({"name": "acme", "api_keys": ["", 7, None, "k"]})
--- a/hickorygate/tests/test_workspace_limits.py
+++ b/hickorygate/tests/test_workspace_limits.py
@@ -144,6 +144,13 @@
         self.advance(20)
         self.assertEqual(self.admitted(), 1)
 
+    def test_rate_without_a_burst_is_a_limit(self) -> None:
+        # Guards against a workspace that is unlimited for want of a burst.
+        self.listed = {"w": workspaces.Workspace("w", 10.0)}
+        self.advance(10)
+        # 4 of the slack, and 4 of the candidate's reserve.
+        self.assertEqual(self.admitted(), 8)
+
     def test_lower_limit_applies_at_once(self) -> None:
         self.advance(10)
         self.assertEqual(self.admitted(1), 1)
