Reject settings with an empty key for session tokens

What callers saw: nothing yet; with an empty token_key, anyone could have signed a session token.

Cause: the settings took an empty secret for a secret, as the configuration took an empty list of workspaces for none. Change: an empty token_key is invalid, so the process doesn't start. Result: test_an_empty_token_key_is_invalid failed before for an empty value and passes; missing and null ones, and users, held before.

--- a/hickorygate/core/settings.py
+++ b/hickorygate/core/settings.py
@@ -41,6 +41,7 @@
 _CurveSecret = Annotated[
     pydantic.SecretStr, pydantic.Field(min_length=40, max_length=40)
 ]
+_Secret = Annotated[pydantic.SecretStr, pydantic.Field(min_length=1)]
 
 
 class _Model(pydantic.BaseModel):
@@ -84,7 +85,7 @@
     tls: TlsSettings | None = None
     tls_required: bool = False
     statement_limit: Annotated[int, pydantic.Field(gt=0)] = 1_048_576
-    token_key: pydantic.SecretStr
+    token_key: _Secret
     drain_notice_ms: _Milliseconds = 2_000
     drain_timeout_ms: _Milliseconds = 30_000
 
