Move the decoding of the configuration to a module of its own

Cause: object_decoding decoded entries of databases and the configuration, two concepts with two sets of models.

--- a/hickorygate/platform/process.py
+++ b/hickorygate/platform/process.py
@@ -30,6 +30,7 @@
 from hickorygate.operators import event_log
 from hickorygate.operators import proxy_metrics
 from hickorygate.operators import unexpected_errors
+from hickorygate.platform import configuration_decoding
 from hickorygate.platform import database
 from hickorygate.platform import draining
 from hickorygate.platform import line_server
@@ -281,7 +282,9 @@
     async def _reread_configuration(self, version: int) -> None:
         try:
             for _ in range(_REREAD_ATTEMPTS):
-                listed = await self._store.list(object_decoding.CONFIGURATION)
+                listed = await self._store.list(
+                    configuration_decoding.CONFIGURATION
+                )
                 if listed.is_ok():
                     self._configuration_sink.replace(listed.ok.objects)
                 if self._registry.version >= version:
--- a/hickorygate/platform/store_sinks.py
+++ b/hickorygate/platform/store_sinks.py
@@ -10,6 +10,7 @@
 from hickorygate.core import errors
 from hickorygate.core import events
 from hickorygate.core import platform_events
+from hickorygate.platform import configuration_decoding
 from hickorygate.platform import object_decoding
 from hickorygate.store import list_watch
 from hickorygate.upstreams import group_registry
@@ -95,7 +96,7 @@
 class ConfigurationSink(_RegistrySink):
     """Applies the configuration object to the group registry."""
 
-    _kind = object_decoding.CONFIGURATION
+    _kind = configuration_decoding.CONFIGURATION
 
     def __init__(
         self,
@@ -126,9 +127,11 @@
             self._apply(change.stored)
 
     def _apply(self, stored: list_watch.StoredObject) -> None:
-        if stored.name != object_decoding.CONFIGURATION_NAME:
+        if stored.name != configuration_decoding.CONFIGURATION_NAME:
             return
-        match object_decoding.decode_catalog(stored.value, self._keys_required):
+        match configuration_decoding.decode_catalog(
+            stored.value, self._keys_required
+        ):
             case expression.Result(tag="ok", ok=catalog):
                 self._registry.apply(catalog)
             case expression.Result(tag="error", error=failure):
--- a/hickorygate/platform/store_watches.py
+++ b/hickorygate/platform/store_watches.py
@@ -4,6 +4,7 @@
 
 import datetime
 
+from hickorygate.platform import configuration_decoding
 from hickorygate.platform import object_client
 from hickorygate.platform import object_decoding
 from hickorygate.platform import settings as settings_lib
@@ -29,7 +30,7 @@
     force.
     """
     return list_watch.WatchSettings(
-        object_decoding.CONFIGURATION, _watch_hold(settings)
+        configuration_decoding.CONFIGURATION, _watch_hold(settings)
     )
 
 
--- a/properties/test_malformed_input.py
+++ b/properties/test_malformed_input.py
@@ -19,6 +19,7 @@
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
 from hickorygate.core import reply as replies
+from hickorygate.platform import configuration_decoding
 from hickorygate.platform import database
 from hickorygate.platform import line_protocol
 from hickorygate.platform import object_decoding
@@ -210,7 +211,7 @@
     @hypothesis.settings(max_examples=_EXAMPLES)
     @hypothesis.given(malformed.changed(_CATALOG))
     def test_a_configuration_is_valid_or_a_failure(self, value: object) -> None:
-        found = object_decoding.decode_catalog(value, False)
+        found = configuration_decoding.decode_catalog(value, False)
         if found.is_error():
             self.assertTrue(found.error.message)
         else:
