Let the soak empty, null and break the list of workspaces

Change: on even seeds the soak's deployment has workspaces, their list changes to five forms, four of them without a key, and a caller whose key no configuration held must never get a session.

--- a/soak/caller.py
+++ b/soak/caller.py
@@ -12,7 +12,7 @@
 from soak import session as sessions
 from soak import system
 
-__all__ = ["Caller", "ConfigurationChecker"]
+__all__ = ["AccessChecker", "Caller", "ConfigurationChecker"]
 
 _SESSION_LENGTH = 12
 """Mean number of operations in a session."""
@@ -431,3 +431,43 @@
                 f"{process.name} forgot {name}",
             )
         return opened.succeeded
+
+
+class AccessChecker:
+    """A caller whose key no configuration ever held."""
+
+    def __init__(
+        self,
+        tested_system: system.SystemUnderTest,
+        consistency_checker: checker.ConsistencyChecker,
+        rng: random.Random,
+    ) -> None:
+        self._tested_system = tested_system
+        self._consistency_checker = consistency_checker
+        self._rng = rng
+
+    def __repr__(self) -> str:
+        return f"AccessChecker({self._tested_system!r})"
+
+    async def run(self) -> None:
+        """Tries to open sessions until the task is cancelled."""
+        while self._tested_system.has_workspaces:
+            await asyncio.sleep(_RETRY_SECONDS * self._rng.random())
+            await self.check(self._rng.choice(self._tested_system.proxies))
+
+    async def check(self, process: proxies.Proxy) -> None:
+        """Tries to open a session at a proxy, which must refuse it."""
+        try:
+            session, opened = await sessions.Session.open(
+                process.host,
+                process.callers.port,
+                system.CLOSED_NAME,
+                "never-held",
+            )
+        except sessions.SessionEnded:
+            return
+        session.close()
+        if opened.succeeded:
+            self._consistency_checker.record_violation(
+                checker.Guarantee.KEYED, f"{process.name} admitted it"
+            )
--- a/soak/checker.py
+++ b/soak/checker.py
@@ -57,6 +57,7 @@
     MONOTONIC_CONFIGURATION = (
         "a configuration in force is never followed by an older one"
     )
+    KEYED = "a key that no configuration held opens no session"
     LEAVING = "a database that is leaving gets no new work"
     GRACEFUL = "a process ends within its grace period"
     RECOVERED = "all serve again once the faults are over"
--- a/soak/inject.py
+++ b/soak/inject.py
@@ -370,6 +370,11 @@
     injector.tested_system.change_configuration()
 
 
+@_inject.register
+async def _(fault: plan.ChangeWorkspaces, injector: Injector) -> None:
+    injector.tested_system.change_workspaces(fault.listed)
+
+
 def _cut_from(
     injector: Injector,
     numbers: tuple[int, ...],
--- a/soak/plan.py
+++ b/soak/plan.py
@@ -12,11 +12,13 @@
 
 __all__ = [
     "ChangeConfiguration",
+    "ChangeWorkspaces",
     "CrashDatabase",
     "DeafenReplicas",
     "Fault",
     "ForgetHistory",
     "LinkFault",
+    "ListedWorkspaces",
     "HarmLinks",
     "IsolatePrimary",
     "JoinDuringTakeover",
@@ -411,6 +413,30 @@
     """A newer configuration that adds a database name is stored."""
 
 
+class ListedWorkspaces(enum.Enum):
+    """The workspaces of a configuration, as the platform writes them.
+
+    `WITH_KEY` is the list that a run begins with; no other one holds a key.
+    """
+
+    WITH_KEY = ({"name": "holder", "api_keys": ["held"]},)
+    EMPTY = ()
+    NULL = None
+    WITHOUT_KEY = ({"name": "holder", "api_keys": []},)
+    UNREADABLE = (None, "holder", {"api_keys": ["held"]})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChangeWorkspaces(Fault):
+    """A newer configuration with another list of workspaces is stored.
+
+    Attributes:
+      listed: the workspaces of that configuration.
+    """
+
+    listed: ListedWorkspaces
+
+
 def draw_faults(seed: int, size: RunSize) -> tuple[Fault, ...]:
     """Returns the faults of a run, sorted by their start."""
     rng = random.Random(seed)
@@ -426,6 +452,7 @@
     faults += _draw_takeover_faults(seed, size)
     faults += _draw_order_faults(seed, size)
     faults += _draw_message_faults(seed, size)
+    faults += _draw_workspace_faults(seed, size)
     return tuple(sorted(faults, key=lambda fault: fault.at))
 
 
@@ -504,6 +531,23 @@
     ]
 
 
+def _draw_workspace_faults(seed: int, size: RunSize) -> list[Fault]:
+    """Returns changes of workspaces, drawn apart from the other faults.
+
+    Deployments with workspaces and without them are run by turns.
+    """
+    if seed % 2:
+        return []
+    rng = random.Random(f"workspaces of {seed}")
+    nothing = datetime.timedelta()
+    times = [rng.uniform(0, size.seconds) for _ in ListedWorkspaces]
+    lists = rng.sample(tuple(ListedWorkspaces), len(ListedWorkspaces))
+    return [
+        ChangeWorkspaces(_seconds(at), nothing, listed)
+        for at, listed in zip(times, lists, strict=True)
+    ]
+
+
 def _repeat(fault: Fault, rng: random.Random) -> list[Fault]:
     pause = _seconds(rng.uniform(0.1, 1.5))
     return [
--- a/soak/run.py
+++ b/soak/run.py
@@ -62,7 +62,12 @@
             if not only or type(fault).__name__ in only
         )
         self.consistency_checker = checker.ConsistencyChecker()
-        self.tested_system = system.SystemUnderTest(size, folder)
+        has_workspaces = any(
+            isinstance(fault, plan.ChangeWorkspaces) for fault in self.faults
+        )
+        self.tested_system = system.SystemUnderTest(
+            size, folder, has_workspaces
+        )
         self.callers = [
             callers.Caller(
                 number,
@@ -77,6 +82,11 @@
             self.consistency_checker,
             random.Random(rng.getrandbits(64)),
         )
+        self.access_checker = callers.AccessChecker(
+            self.tested_system,
+            self.consistency_checker,
+            random.Random(seed),
+        )
         self.injector = inject.Injector(
             self.tested_system, self.consistency_checker, self.faults, rng
         )
@@ -89,7 +99,11 @@
                 checker.Guarantee.RECOVERED, "not all served before any fault"
             )
             return
-        for caller in (*self.callers, self.configuration_checker):
+        for caller in (
+            *self.callers,
+            self.configuration_checker,
+            self.access_checker,
+        ):
             load.start(caller.run())
         await self.injector.run()
         if not await self._all_serve(_RECOVERY_SECONDS):
--- a/soak/system.py
+++ b/soak/system.py
@@ -36,6 +36,9 @@
 )
 """An entry whose address isn't text: two halves of characters."""
 
+CLOSED_NAME = "closed"
+"""Database name that needs a key, in a deployment with workspaces."""
+
 _ENTRY_TTL_SECONDS = 3.0
 """Time after which the entry of a stopped database is removed."""
 
@@ -52,10 +55,19 @@
       added_names: database names that later configurations added, oldest first.
       replaced: former databases, each with the index of its service.
       odd_texts: number of active faults that put odd bytes into messages.
+      has_workspaces: whether the deployment has workspaces; then only one
+        route needs a key, which no caller has.
     """
 
-    def __init__(self, size: plan.RunSize, folder: pathlib.Path) -> None:
+    def __init__(
+        self,
+        size: plan.RunSize,
+        folder: pathlib.Path,
+        has_workspaces: bool = False,
+    ) -> None:
         self.size = size
+        self.has_workspaces = has_workspaces
+        self._listed = plan.ListedWorkspaces.WITH_KEY
         self.groups = [
             line_group.LineGroup(
                 f"service-{number}",
@@ -101,7 +113,13 @@
         for number, proxy in enumerate(self.proxies):
             port = await self.store.listen()
             self._proxies_by_port[port] = proxy
-            await proxy.prepare(port, ports, f"zone-{number % 3}")
+            contracts = "base,tenants" if self.has_workspaces else "base"
+            await proxy.prepare(
+                port,
+                ports,
+                f"zone-{number % 3}",
+                {"contracts": contracts},
+            )
         await asyncio.gather(*(proxy.start() for proxy in self.proxies))
         self._background.start(self._report_periodically())
 
@@ -138,6 +156,11 @@
             self.added_names.append(f"extra-{self._version}")
         self.store.put("config", "main", self._configuration())
 
+    def change_workspaces(self, listed: plan.ListedWorkspaces) -> None:
+        """Stores a newer configuration with another list of workspaces."""
+        self._listed = listed
+        self.change_configuration()
+
     def new_database_name(self) -> str:
         """Returns a database name that was never used."""
         self._released += 1
@@ -158,13 +181,19 @@
             }
             for g in self.groups
         ]
-        return {
+        configuration = {
             "version": self._version,
             "routes": routes,
             "services": services,
         }
-
-    def _route(self, name: str, kind: str, service: int) -> dict[str, Any]:
+        if self.has_workspaces:
+            routes.append(self._route(CLOSED_NAME, "primary", 0, public=False))
+            configuration["tenants"] = self._listed.value
+        return configuration
+
+    def _route(
+        self, name: str, kind: str, service: int, public: bool = True
+    ) -> dict[str, Any]:
         return {
             "host": name,
             "type": _ROUTE_TYPES[kind],
@@ -173,6 +202,7 @@
             "priority": ROUTE_KINDS.index(kind),
             "service": self.groups[service].service,
             "max_staleness_ms": STALENESS_SECONDS * 1_000,
+            "public": public and self.has_workspaces,
         }
 
     def put_odd_entry(self, service: int) -> None:
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -274,6 +274,14 @@
         self.assertGreater(report.acknowledged, 0)
         self.assertGreater(sum(report.faults.values()), 0)
 
+    def test_lists_without_keys_admit_nobody(self) -> None:
+        # Guards against review/14: an empty list of workspaces admitted anyone.
+        only = frozenset({plan.ChangeWorkspaces.__name__})
+        with tempfile.TemporaryDirectory() as folder:
+            report = asyncio.run(run.run(2, _SMALL, pathlib.Path(folder), only))
+        self.assertEqual(report.violations, ())
+        self.assertEqual(report.faults, {"ChangeWorkspaces": 5})
+
     def test_each_seed_that_failed_is_listed_with_its_cause(self) -> None:
         for line in _SEEDS.read_text().splitlines():
             seed, _, cause = line.partition(": ")
