--- a/properties/test_malformed_input.py
+++ b/properties/test_malformed_input.py
@@ -16,9 +16,11 @@
 import msgpack
 import orjson
 
+from hickorygate.core import access_policy
 from hickorygate.core import clock as clocks
 from hickorygate.core import events
 from hickorygate.core import reply as replies
+from hickorygate.core import workspace as workspaces
 from hickorygate.platform import configuration_decoding
 from hickorygate.platform import database
 from hickorygate.platform import line_protocol
@@ -63,6 +65,14 @@
     "services": [{"name": "s", "max_conns": 117, "sync_replicas": 1}],
     "limits": {"tx_idle_ms": 3_000},
 }
+_KEY = "s3cret"
+_KEYED_CATALOG = {
+    **_CATALOG,
+    "tenants": [
+        {"name": "a", "api_keys": [_KEY], "rate_per_s": 9, "burst": 9},
+        {"name": "b", "api_keys": [_KEY, "k2"]},
+    ],
+}
 _SETTINGS = {
     "node_name": "front-1",
     "zone": "a",
@@ -220,6 +230,23 @@
                 self.assertGreater(now + route.timeout, now)
                 self.assertGreater(now + route.rank.target, now)
 
+    @hypothesis.settings(max_examples=_EXAMPLES)
+    @hypothesis.given(malformed.changed(_KEYED_CATALOG), strategies.booleans())
+    def test_no_list_of_workspaces_admits_everyone(
+        self, value: object, keys_required: bool
+    ) -> None:
+        # Guards against review/14: an empty list counted as none.
+        found = configuration_decoding.decode_catalog(value, keys_required)
+        if found.is_error():
+            self.assertNotIn(_KEY, repr(found.error) + found.error.message)
+            return
+        policy = found.ok.access
+        self.assertIsInstance(policy, access_policy.KeyedAccess)
+        unknown = workspaces.Credential.of("unknown")
+        self.assertIsNone(policy.keys.find(unknown))
+        self.assertNotIn(_KEY, repr((found.ok, policy)) + str(policy))
+        self.assertNotIn(_KEY, "".join(found.ok.workspace_errors))
+
     @hypothesis.settings(max_examples=_EXAMPLES)
     @hypothesis.given(malformed.changed(_ENTRY))
     def test_an_instance_list_is_decoded(self, value: object) -> None:
