Share what the platform gives to processes under test

Cause: three modules of tests each had a free port, the entry of a database, a route and a configuration of their own. Change: testing.platform_objects has them; the checks stay as they are.

--- a/hickorygate/tests/test_keyless_configuration.py
+++ b/hickorygate/tests/test_keyless_configuration.py
@@ -10,7 +10,6 @@
 import asyncio
 import os
 import pathlib
-import socket
 import tempfile
 import unittest
 
@@ -21,6 +20,7 @@
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
 from hickorygate.testing import object_store
+from hickorygate.testing import platform_objects
 
 _LIMIT = 8
 """Seconds that a test waits for an expected event."""
@@ -35,24 +35,6 @@
 _REFUSED, _ADMITTED = "AUTHFAIL", "READY"
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
-def _route(name: str, public: bool) -> dict[str, object]:
-    return {
-        "host": name,
-        "type": "primary",
-        "timeout_ms": 1_000,
-        "latency_goal_ms": 200,
-        "priority": 0,
-        "service": "ledger",
-        "public": public,
-    }
-
-
 class KeylessConfigurationTest(unittest.IsolatedAsyncioTestCase):
     """One process inside the test process, with a public and a closed route."""
 
@@ -64,15 +46,7 @@
         await self.store.start()
         self.addAsyncCleanup(self.store.close)
         for member in self.group.members():
-            entry = {
-                "service": "ledger",
-                "address": f"{member.host}:{member.port}",
-                "zone": "a",
-                "slots": 2,
-                "state": "ready",
-                "db_role": "primary" if member.leads else "replica",
-                "born": 1,
-            }
+            entry = platform_objects.database_entry(member)
             self.store.put("servers", member.id, entry)
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -82,25 +56,23 @@
     def configure(self, tenants: object) -> None:
         """Puts the next version of the configuration into the store."""
         self.version += 1
-        value = {
-            "version": self.version,
-            "routes": [_route("closed", False), _route("open", True)],
-            "services": [
-                {"name": "ledger", "max_conns": 20, "sync_replicas": 1}
-            ],
-        }
+        value = platform_objects.configuration(
+            self.version,
+            platform_objects.route_entry("closed"),
+            platform_objects.route_entry("open", public=True),
+        )
         if tenants is not _OMITTED:
             value["tenants"] = tenants
         self.store.put("config", "main", value)
 
     async def start(self, *settings: str) -> process.Process:
         """Starts a process that is in the place of the former one, if any."""
-        self.port = _free_port()
+        self.port = platform_objects.free_port()
         lines = (
             "node_name=proxy-1",
             "zone=a",
             f"listen.front=127.0.0.1:{self.port}",
-            f"listen.ready=127.0.0.1:{_free_port()}",
+            f"listen.ready=127.0.0.1:{platform_objects.free_port()}",
             f"platform.address=127.0.0.1:{self.store.port}",
             f"cloud_api.address=127.0.0.1:{self.store.port}",
             *settings,
--- a/hickorygate/tests/test_platform_process.py
+++ b/hickorygate/tests/test_platform_process.py
@@ -5,7 +5,6 @@
 import asyncio
 import os
 import pathlib
-import socket
 import tempfile
 import unittest
 
@@ -18,6 +17,7 @@
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
 from hickorygate.testing import object_store
+from hickorygate.testing import platform_objects
 
 _LIMIT = 8
 """Seconds that a test waits for an expected event."""
@@ -26,27 +26,9 @@
 """The fencing token of the first holder in the stand-in store's first era."""
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def _configuration(version: int, *names: str) -> dict[str, object]:
-    routes = [
-        {
-            "name": f"r-{name}",
-            "host": name,
-            "type": "primary",
-            "timeout_ms": 1_000,
-            "latency_goal_ms": 200,
-            "priority": 0,
-            "service": "ledger",
-        }
-        for name in names
-    ]
-    services = [{"name": "ledger", "max_conns": 20, "sync_replicas": 1}]
-    return {"version": version, "routes": routes, "services": services}
+    routes = [platform_objects.route_entry(name) for name in names]
+    return platform_objects.configuration(version, *routes)
 
 
 class PlatformProcessTest(unittest.IsolatedAsyncioTestCase):
@@ -62,7 +44,10 @@
         for member in self.group.members():
             self.store.put("servers", member.id, self.entry(member.id))
         self.store.put("servers", "broken", {"service": 7})
-        self.ports = {n: _free_port() for n in ("front", "ready", "metrics")}
+        self.ports = {
+            n: platform_objects.free_port()
+            for n in ("front", "ready", "metrics")
+        }
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.path = pathlib.Path(folder.name) / "boot.conf"
@@ -100,15 +85,7 @@
 
     def entry(self, name: str, state: str = "ready") -> dict[str, object]:
         member = self.group.databases[name].member()
-        return {
-            "service": "ledger",
-            "address": f"{member.host}:{member.port}",
-            "zone": "a",
-            "slots": 2,
-            "state": state,
-            "db_role": "primary" if member.leads else "replica",
-            "born": 1,
-        }
+        return platform_objects.database_entry(member, state)
 
     def settings_text(self, grace: int) -> str:
         return "\n".join(
@@ -130,7 +107,7 @@
           The message of the failure.
         """
         former = self.ports
-        self.ports = {name: _free_port() for name in former}
+        self.ports = {name: platform_objects.free_port() for name in former}
         self.ports[taken] = former[taken]
         self.path.write_text(self.settings_text(grace=2))
         reader, writer = os.pipe()
--- a/hickorygate/tests/test_process_forwarding.py
+++ b/hickorygate/tests/test_process_forwarding.py
@@ -10,7 +10,6 @@
 from collections.abc import Callable
 import os
 import pathlib
-import socket
 import tempfile
 import unittest
 
@@ -22,6 +21,7 @@
 from hickorygate.testing import line_cluster
 from hickorygate.testing import line_group
 from hickorygate.testing import object_store
+from hickorygate.testing import platform_objects
 
 _LIMIT = 15
 """Seconds that a test waits for an expected event."""
@@ -29,12 +29,6 @@
 _NAMES = ("proxy-1", "proxy-2")
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
-
-
 def _configuration() -> dict[str, object]:
     route = {
         "host": "db",
@@ -68,7 +62,8 @@
         await self.store.start()
         self.addAsyncCleanup(self.store.close)
         for member in self.group.members():
-            self.store.put("servers", member.id, self.entry(member.id))
+            entry = platform_objects.database_entry(member)
+            self.store.put("servers", member.id, entry)
         self.store.put("config", "main", _configuration())
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
@@ -76,28 +71,16 @@
         self.ports: dict[tuple[str, str], int] = {}
         self.processes: dict[str, process.Process] = {}
         self.runs: dict[str, asyncio.Task[object]] = {}
-        self.range = _free_port()
+        self.range = platform_objects.free_port()
         for name in _NAMES:
             self.start(name)
         await self.until(self.serves)
         plan = self.processes["proxy-1"].plan
         self.server, self.gateway = plan.candidates("ledger", "w1")
 
-    def entry(self, name: str) -> dict[str, object]:
-        member = self.group.databases[name].member()
-        return {
-            "service": "ledger",
-            "address": f"{member.host}:{member.port}",
-            "zone": "a",
-            "slots": 2,
-            "state": "ready",
-            "db_role": "primary" if member.leads else "replica",
-            "born": 1,
-        }
-
     def start(self, name: str) -> None:
         for what in ("front", "ready"):
-            self.ports[name, what] = _free_port()
+            self.ports[name, what] = platform_objects.free_port()
         path = self.folder / f"{name}.conf"
         # Both use the same range, so the second one takes the next port.
         path.write_text(
