Let the soak's callers outlive a connection that closes before a statement

Cause: a session checked that its connection is open, waited for a turn of the loop, and wrote; if the connection had closed meanwhile, the transport's error ended the caller's task, and the run went on with fewer callers. Change: the check comes after the wait.

--- a/soak/session.py
+++ b/soak/session.py
@@ -123,10 +123,10 @@
         self._writer.close()
 
     async def _send(self, request: str, line: str) -> Answer:
-        if self._writer.is_closing():
-            raise SessionEnded("closed while idle")
         try:
             await self._check_quiet()
+            if self._writer.is_closing():  # Writing would be an error.
+                raise SessionEnded("closed while idle")
             async with asyncio.timeout(_TIMEOUT_SECONDS):
                 data = line.encode(errors=_DECODE_ERRORS) + _LINE_END
                 self._writer.write(data)
--- a/soak/test_soak.py
+++ b/soak/test_soak.py
@@ -236,6 +236,17 @@
             await session.query("READ x")
         self.assertNotIsInstance(caught.exception, sessions.UnaskedAnswer)
 
+    async def test_nothing_is_written_to_a_connection_that_closes(self) -> None:
+        # Guards against an error of the transport that ended the caller.
+        session = await self.open(b"")
+
+        async def close_during_check() -> None:
+            session.close()
+
+        session._check_quiet = close_during_check
+        with self.assertRaisesRegex(sessions.SessionEnded, "while idle"):
+            await session.query("READ x")
+
 
 class ProxyTest(unittest.IsolatedAsyncioTestCase):
     """A proxy never has two processes.
