Test that empty routes and services serve nothing

Cause: the table of empty, missing and unreadable lists named them, by reading. Change: a test of all three forms of both lists.

--- a/hickorygate/tests/test_configuration_decoding.py
+++ b/hickorygate/tests/test_configuration_decoding.py
@@ -59,6 +59,19 @@
             with self.subTest(value):
                 self.assertTrue(_decode(value).is_error())
 
+    def test_an_empty_list_serves_nothing(self) -> None:
+        # Guards against an empty list that counts as a missing one.
+        for field in ("routes", "services"):
+            with self.subTest(field):
+                catalog = _decode({**_CONFIGURATION, field: []}).ok
+                self.assertEqual(getattr(catalog, field), {})
+                for value in (None, {}, "all"):
+                    unreadable = {**_CONFIGURATION, field: value}
+                    self.assertTrue(_decode(unreadable).is_error())
+                missing = {**_CONFIGURATION}
+                del missing[field]
+                self.assertTrue(_decode(missing).is_error())
+
 
 def _tenants(*entries: object) -> catalogs.Catalog:
     """Returns the catalog of a configuration with workspaces."""
